--- a/src/bin/umbertrack-drill/codec.rs
+++ b/src/bin/lichenswitch-drill/codec.rs
@@ -1,6 +1,6 @@
 //! Frames of the wire: batches of event records in, replies of action records out.
 
-use umbertrack::interface::{Action, Event, Listed, Mode, Outcome, PartId, QueryId, ServerId, Shard, Time};
+use lichenswitch::interface::{Action, Event, Listed, Mode, Outcome, PartId, QueryId, ServerId, Shard, Time};
 
 /// Bytes of a batch's header.
 pub const HEADER: usize = 16;
--- a/src/bin/umbertrack-drill/main.rs
+++ b/src/bin/lichenswitch-drill/main.rs
@@ -4,12 +4,12 @@
 mod settings;
 
 use codec::{Record, Reply, Scope, HEADER};
+use lichenswitch::interface::{Action, Event, Listed, Listing};
+use lichenswitch::policy::Coordinator;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
-use umbertrack::interface::{Action, Event, Listed, Listing};
-use umbertrack::policy::Coordinator;
 
 /// The instances of this process, and the lists that events refer to.
 #[derive(Default)]
@@ -112,7 +112,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("umbertrack-drill: {text}");
+            eprintln!("lichenswitch-drill: {text}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/umbertrack-drill/settings.rs
+++ b/src/bin/lichenswitch-drill/settings.rs
@@ -1,7 +1,7 @@
 //! Reads the settings of an instance from their JSON text.
 
+use lichenswitch::interface::{Budget, Class, Cold, Discovery, Layout, Limits, Repeat, Settings};
 use serde::Deserialize;
-use umbertrack::interface::{Budget, Class, Cold, Discovery, Layout, Limits, Repeat, Settings};
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
--- a/src/bin/umbertrack-drill/tests.rs
+++ b/src/bin/lichenswitch-drill/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use codec::{decode, frame_length};
-use umbertrack::interface::{Mode, Outcome, PartId, QueryId, Repeat, ServerId, Shard, Time};
+use lichenswitch::interface::{Mode, Outcome, PartId, QueryId, Repeat, ServerId, Shard, Time};
 
 const CLASSES: &str = r#"[{"deadlineUs": 2500000, "gain": 1.0, "group": "all", "idempotency": "retryable",
     "lateShare": 0.1, "name": "a", "objectiveUs": 800000, "stream": false, "windowUs": 1}]"#;
@@ -211,7 +211,7 @@
         "discovery": "automatic", "familyInfo": {"partsACall": 1, "sets": 1, "width": 1, "classFetch": [0],
         "classPartial": [0], "minShare": [1], "needByClass": [1]}}"#;
     let read = settings::parse(bare.as_bytes()).unwrap();
-    let sound = umbertrack::interface::Settings::default();
+    let sound = lichenswitch::interface::Settings::default();
     assert_eq!((&read.limits, read.cold), (&sound.limits, sound.cold));
     for (good, bad) in [
         ("\"coldShare\": 0.25", "\"coldShare\": -0.25"),
@@ -231,7 +231,7 @@
 #[test]
 fn close_idle_is_written_as_its_record() {
     let mut reply = Reply::default();
-    reply.action(3, &Action::CloseIdle(umbertrack::interface::ServerId(0x2c90_11f2)));
+    reply.action(3, &Action::CloseIdle(lichenswitch::interface::ServerId(0x2c90_11f2)));
     let bytes = reply.encode();
     assert_eq!(bytes[8..17], [86, 3, 0, 0, 0, 0xf2, 0x11, 0x90, 0x2c]);
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small stage for the module: settings, a clock, and shorthands for events and actions.
 #![allow(dead_code)]
 
-use umbertrack::interface::*;
-use umbertrack::policy::Coordinator;
+use lichenswitch::interface::*;
+use lichenswitch::policy::Coordinator;
 
 pub const MS: Micros = 1_000;
 pub const AIM: Micros = 1_000 * MS;
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use umbertrack::interface::*;
+use lichenswitch::interface::*;
 
 fn shares(stage: &mut Stage, n: usize, act: impl Fn(ServerId) -> (Outcome, Micros)) -> [usize; 4] {
     let mut counts = [0; 4];
@@ -87,7 +87,7 @@
     let mut set = settings(class());
     set.discovery = Discovery::Ask(10_000 * MS);
     let mut stage = Stage::new(set.clone());
-    stage.broker = umbertrack::policy::Coordinator::new(3, set);
+    stage.broker = lichenswitch::policy::Coordinator::new(3, set);
     let asks = |out: &[Action]| out.iter().filter(|a| **a == Action::Subscribe).count();
     assert_eq!(asks(&stage.turn(vec![Event::List(Listing::Cached(vec![line(1, 0)]))])), 1);
     let mut times = Vec::new();
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use umbertrack::interface::*;
+use lichenswitch::interface::*;
 
 #[test]
 fn a_part_goes_to_the_replica_with_the_fewest_pending_calls() {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,10 +2,10 @@
 
 mod common;
 use common::*;
+use lichenswitch::interface::*;
+use lichenswitch::policy::Coordinator;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
-use umbertrack::interface::*;
-use umbertrack::policy::Coordinator;
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use umbertrack::interface::*;
+use lichenswitch::interface::*;
 
 fn wakes_until_the_end(stage: &mut Stage, by: Micros) -> Vec<Action> {
     let mut all = Vec::new();
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::*;
+use lichenswitch::interface::*;
+use lichenswitch::policy::Coordinator;
 use std::collections::BTreeSet;
-use umbertrack::interface::*;
-use umbertrack::policy::Coordinator;
 
 /// A fleet of one server for each cell, shards held by three in a row, parts that share no calls.
 fn fleet(servers: u32, mut set: Settings) -> Stage {
