--- a/src/bin/lichenswitch-drill/main.rs
+++ b/src/bin/lichenswitch-drill/main.rs
@@ -1,9 +1,9 @@
 //! Adapter: hosts instances of the decision module and speaks the simulator's wire on stdin and stdout.
 
 mod codec;
-mod settings;
 
 use codec::{Record, Reply, Scope, HEADER};
+use lichenswitch::config::settings;
 use lichenswitch::interface::{Action, Event, Listed, Listing};
 use lichenswitch::policy::Coordinator;
 use std::collections::BTreeMap;
--- /dev/null
+++ b/src/broker.rs
@@ -0,0 +1,281 @@
+//! The broker: one loop that gathers what is ready, hands it to the decision module in one go, and carries out
+//! what came back.
+
+use crate::config;
+use crate::contract::Contracts;
+use crate::core::{Command, Core};
+use crate::discovery::{Directory, Discovery};
+use crate::front::platform::{Class, Platform};
+use crate::front::{Front, Sessions};
+use crate::interface::{Listing, Micros, Outcome, Time};
+use crate::net::{ConnId, Net, Owner, Ready, Timer};
+use crate::upstream::frames::Frames;
+use crate::upstream::{Limits, Pool, Wire};
+use std::io;
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+
+/// New connections keep arriving for so long after the signal to stop: the front layer learns of it late.
+const LISTEN_ON: Micros = 500_000;
+/// After this long a stop does not wait for clients that read no answer.
+const STOP_MOST: Micros = 15_000_000;
+
+/// One front, its core and the data nodes behind it.
+pub struct Service<F: Front, W: Wire<Job = F::Job>> {
+    owner: Owner,
+    front: F,
+    sessions: Sessions<F::Context>,
+    core: Core<F::Job>,
+    pool: Pool<W>,
+    directory: Directory,
+    /// The module asked for changes of the list.
+    subscribe: bool,
+}
+
+impl<F: Front, W: Wire<Job = F::Job>> Service<F, W> {
+    /// A service whose clients connect to the listeners of `owner`.
+    pub fn new(owner: Owner, front: F, core: Core<F::Job>, pool: Pool<W>, directory: Directory) -> Self {
+        Service { owner, front, sessions: Sessions::default(), core, pool, directory, subscribe: false }
+    }
+
+    /// The core, to tell it of the list of data nodes.
+    pub fn core(&mut self) -> &mut Core<F::Job> {
+        &mut self.core
+    }
+
+    fn accept(&mut self, net: &mut Net) {
+        for id in net.accept(self.owner) {
+            self.sessions.opened(net, id);
+        }
+        if net.resting() {
+            self.sessions.shed(net, &mut self.core);
+        }
+    }
+
+    fn ready(&mut self, net: &mut Net, id: ConnId, owner: Owner) {
+        if owner == self.owner {
+            self.sessions.ready(net, id, &mut self.front, &mut self.core);
+        } else if owner == W::OWNER {
+            self.pool.ready(net, id);
+        }
+    }
+
+    fn timer(&mut self, net: &mut Net, timer: Timer) {
+        match timer {
+            Timer::Attempt(owner, attempt) if owner == W::OWNER => {
+                let now = net.clock.now();
+                if self.core.ended(now, attempt, Outcome::Timeout, None) {
+                    self.pool.withdraw(net, attempt);
+                }
+            }
+            Timer::Conn(id) => {
+                self.pool.timer(net, id);
+                self.sessions.timer(net, id, &mut self.core);
+            }
+            Timer::Attempt(..) | Timer::Discovery(_) => {}
+        }
+    }
+
+    /// Hands in the ends of attempts, and takes a turn if it is time.
+    fn turn(&mut self, net: &mut Net) {
+        self.collect(net.clock.now());
+        let now = net.clock.now();
+        if self.core.next_turn().is_none_or(|at| at > now) {
+            return;
+        }
+        for command in self.core.turn(now) {
+            match command {
+                Command::Send(server, parts) => {
+                    for part in &parts {
+                        net.wheel.set(now.plus(part.wait), Timer::Attempt(W::OWNER, part.attempt));
+                    }
+                    match self.directory.address(server) {
+                        Some(address) => self.pool.send(net, server, address, &parts),
+                        // A node that was listed without a usable address can't be reached.
+                        None => parts.iter().for_each(|p| {
+                            self.core.ended(now, p.attempt, Outcome::ConnectFailed, None);
+                        }),
+                    }
+                }
+                Command::Withdraw(attempt) => self.pool.withdraw(net, attempt),
+                Command::CloseIdle(server) => self.pool.close_idle(net, server),
+                Command::Reply(query, reply) => {
+                    self.sessions.answer(net, query, reply, &mut self.front, &mut self.core);
+                }
+                Command::Subscribe => self.subscribe = true,
+                Command::Log(text) => log(&self.named(&text)),
+            }
+        }
+        self.collect(net.clock.now());
+    }
+
+    fn collect(&mut self, now: Time) {
+        let (ended, lines) = self.pool.take_ended();
+        for end in ended {
+            self.core.ended(now, end.attempt, end.outcome, end.value);
+        }
+        lines.iter().for_each(|line| log(&self.named(line)));
+    }
+
+    /// A log line in which the number of a server is followed by the name that discovery has for it.
+    fn named(&self, line: &str) -> String {
+        let number = line.split("server ").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+        match number {
+            Some(number) => format!("{line} ({})", self.directory.name(crate::interface::ServerId(number))),
+            None => line.to_string(),
+        }
+    }
+
+    fn stop(&mut self) {
+        self.front.stop();
+        self.sessions.stop();
+    }
+}
+
+/// Writes a line for the operators.
+pub fn log(line: &str) {
+    eprintln!("lichenswitch: {line}");
+}
+
+/// The broker on the platform.
+pub struct Broker {
+    net: Net,
+    platform: Option<Service<Platform, Frames>>,
+    discovery: Option<Discovery>,
+    /// When the signal to stop came.
+    stopping: Option<Time>,
+}
+
+impl Broker {
+    /// A broker that listens already: once this returns, clients are served.
+    pub fn new(told: Option<config::Platform>) -> Result<Broker, String> {
+        let sockets = told.as_ref().map_or(1_024, |t| t.sockets);
+        let net = Net::new(sockets).map_err(|e| format!("poller: {e}"))?;
+        let mut broker = Broker { net, platform: None, discovery: None, stopping: None };
+        if let Some(told) = told {
+            broker.serve_platform(told)?;
+        }
+        Ok(broker)
+    }
+
+    fn serve_platform(&mut self, told: config::Platform) -> Result<(), String> {
+        let classes = told.classes.iter().zip(&told.settings.classes);
+        let classes = classes.map(|(name, c)| Class { name: name.clone(), repeat: c.repeat }).collect();
+        let mut directory = Directory::new(told.zones);
+        let mut core = Core::new(told.seed, told.settings, Contracts::default());
+        let known = told.known.unwrap_or_default();
+        let generation = (!known.instances.is_empty()).then_some(known.generation);
+        core.listed(Listing::Cached(directory.lines(&known.instances)));
+        let c = told.connections;
+        let limits = Limits { streams: c.streams, connect: c.connect, idle: c.idle };
+        let pool = Pool::new(Frames, limits);
+        let address = self.listen(Owner::Platform, told.listen, "listen")?;
+        log(&format!("{} listens on {address}", told.name));
+        self.platform = Some(Service::new(Owner::Platform, Platform::new(classes), core, pool, directory));
+        self.discovery = Some(Discovery::new(told.discovery, generation));
+        Ok(())
+    }
+
+    fn listen(&mut self, owner: Owner, address: SocketAddr, key: &str) -> Result<SocketAddr, String> {
+        self.net.listen(owner, address).map_err(|e| format!("{key}: {address}: {e}"))
+    }
+
+    /// Ends the loop, when its work is done, once this stream can be read.
+    pub fn stop_on(&mut self, signal: UnixStream) -> io::Result<()> {
+        self.net.watch_signal(signal)
+    }
+
+    /// Serves until it is told to stop and all that was taken is finished.
+    pub fn run(&mut self) -> io::Result<()> {
+        loop {
+            let until = self.next_turn();
+            for ready in self.net.wait(until)? {
+                match ready {
+                    Ready::Listener(owner) => self.accept(owner),
+                    Ready::Conn(id, owner) => self.ready(id, owner),
+                    Ready::Stop => self.stop(),
+                }
+            }
+            let now = self.net.clock.now();
+            for timer in self.net.wheel.due(now) {
+                self.timer(timer);
+            }
+            self.turn();
+            if self.stopping.is_some_and(|since| self.finished(since)) {
+                return Ok(());
+            }
+        }
+    }
+
+    /// When there is something to do though nothing is ready.
+    fn next_turn(&self) -> Option<Time> {
+        let stop = self.stopping.map(|_| self.net.clock.now().plus(20_000));
+        let turn = self.platform.as_ref().and_then(|s| s.core.next_turn());
+        [stop, turn].into_iter().flatten().min()
+    }
+
+    fn accept(&mut self, owner: Owner) {
+        if let Some(service) = self.platform.as_mut().filter(|s| s.owner == owner) {
+            service.accept(&mut self.net);
+        }
+    }
+
+    fn ready(&mut self, id: ConnId, owner: Owner) {
+        if owner == Owner::Discovery {
+            if let (Some(discovery), Some(service)) = (&mut self.discovery, &mut self.platform) {
+                for news in discovery.ready(&mut self.net, id, &mut service.directory) {
+                    service.core.listed(news);
+                }
+            }
+        } else if let Some(service) = &mut self.platform {
+            service.ready(&mut self.net, id, owner);
+        }
+    }
+
+    fn timer(&mut self, timer: Timer) {
+        if let Some(service) = &mut self.platform {
+            service.timer(&mut self.net, timer);
+            if let (Timer::Discovery(call), Some(discovery)) = (timer, &mut self.discovery) {
+                discovery.timer(&mut self.net, call).into_iter().for_each(|news| service.core.listed(news));
+            }
+        }
+    }
+
+    fn turn(&mut self) {
+        if let Some(service) = &mut self.platform {
+            service.turn(&mut self.net);
+            if std::mem::take(&mut service.subscribe) {
+                if let Some(discovery) = &mut self.discovery {
+                    discovery.subscribe(&mut self.net).into_iter().for_each(|news| service.core.listed(news));
+                }
+            }
+        }
+    }
+
+    fn stop(&mut self) {
+        self.net.clear_signal();
+        self.stopping = Some(self.net.clock.now());
+        log("stopping: finishing what was taken");
+        if let Some(service) = &mut self.platform {
+            service.stop();
+        }
+    }
+
+    /// Whether all that was taken is finished. What waits at a listener counts as taken, so it is accepted
+    /// until the front layer has learnt of the stop, and once more before the listener is closed.
+    fn finished(&mut self, since: Time) -> bool {
+        let elapsed = self.net.clock.now().since(since);
+        if elapsed < LISTEN_ON {
+            return false;
+        }
+        if let Some(service) = &mut self.platform {
+            service.accept(&mut self.net);
+        }
+        self.net.stop_listening();
+        let mut left = 0;
+        if let Some(service) = &mut self.platform {
+            left += service.sessions.close_unused(&mut self.net, &mut service.core);
+        }
+        left == 0 || elapsed >= STOP_MOST
+    }
+}
--- a/src/bin/lichenswitch-drill/settings.rs
+++ b/src/config/settings.rs
@@ -1,6 +1,7 @@
-//! Reads the settings of an instance from their JSON text.
+//! Reads the settings of an instance from their JSON text, for the broker and the drill alike.
 
-use lichenswitch::interface::{Budget, Class, Cold, Discovery, Layout, Limits, Repeat, Settings};
+use super::Connections;
+use crate::interface::{Budget, Class, Cold, Discovery, Layout, Limits, Repeat, Settings};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -23,6 +24,8 @@
     worth_by: String,
     #[serde(default)]
     zone: u32,
+    #[serde(default)]
+    zones: Vec<String>,
 }
 
 #[derive(Default, Deserialize)]
@@ -42,6 +45,9 @@
     second_copies: bool,
     retry_after: bool,
     max_retry_after_us: u64,
+    max_streams: usize,
+    connect_timeout_us: u64,
+    conn_idle_us: u64,
 }
 
 impl Default for Allowed {
@@ -55,6 +61,9 @@
             second_copies: limits.second_copies,
             retry_after: false,
             max_retry_after_us: 0,
+            max_streams: 1,
+            connect_timeout_us: 250_000,
+            conn_idle_us: 30_000_000,
         }
     }
 }
@@ -62,6 +71,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct ClassFacts {
+    #[serde(default)]
+    name: String,
     objective_us: u64,
     deadline_us: u64,
     idempotency: String,
@@ -122,9 +133,43 @@
     }
 }
 
+/// The settings with what the broker needs besides the module.
+pub struct Site {
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of the classes.
+    pub classes: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Connections to data nodes.
+    pub connections: Connections,
+}
+
+impl Site {
+    /// Reads the JSON text of the settings; the broker can't do without the names of the classes.
+    pub fn parse(text: &[u8]) -> Result<Site, String> {
+        let facts: Facts = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+        let settings = module(&facts)?;
+        if let Some(i) = facts.classes.iter().position(|c| c.name.is_empty()) {
+            return Err(format!("settings: classes[{i}].name is missing"));
+        }
+        let allowed = &facts.allowed;
+        let connections = Connections {
+            streams: allowed.max_streams.max(1),
+            connect: allowed.connect_timeout_us,
+            idle: allowed.conn_idle_us,
+        };
+        let classes = facts.classes.into_iter().map(|c| c.name).collect();
+        Ok(Site { settings, classes, zones: facts.zones, connections })
+    }
+}
+
 /// Turns the JSON text of the settings into the module's own.
 pub fn parse(text: &[u8]) -> Result<Settings, String> {
-    let facts: Facts = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    module(&serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?)
+}
+
+fn module(facts: &Facts) -> Result<Settings, String> {
     let (family, rules, allowed) = (&facts.family_info, &facts.rules, &facts.allowed);
     if family.sets == 0 || family.width == 0 {
         return Err("settings: sets and width must be above 0".into());
--- /dev/null
+++ b/src/contract.rs
@@ -0,0 +1,126 @@
+//! Contracts of the teams that ask: the classes a team may use, its rate and its budget of further attempts.
+//!
+//! They are checked at intake. Without any contract configured, as on the platform, nothing is checked.
+
+use crate::interface::{Budget, Micros, Time};
+use std::collections::BTreeMap;
+
+/// What was agreed with one team.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Contract {
+    /// Classes that it may use, by index; empty: all.
+    pub classes: Vec<usize>,
+    /// Queries a second; `None`: no limit.
+    pub rate: Option<f64>,
+    /// Attempts beyond the first of each part.
+    pub budget: Option<Budget>,
+}
+
+/// Why a query is not taken under the contracts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Breach {
+    /// The query names no team that has a contract.
+    UnknownTeam,
+    /// The team's contract does not hold the class.
+    Class,
+    /// The team's rate is used up; a query will be let in after this long.
+    Rate(Micros),
+}
+
+struct Account {
+    contract: Contract,
+    tokens: f64,
+    filled: Time,
+}
+
+/// The contracts of all teams.
+#[derive(Default)]
+pub struct Contracts {
+    teams: BTreeMap<String, Account>,
+}
+
+/// A team may save up so many seconds of its rate.
+const SAVED: f64 = 1.0;
+
+impl Contracts {
+    /// Contracts by the teams' names.
+    #[must_use]
+    pub fn new(teams: impl IntoIterator<Item = (String, Contract)>) -> Self {
+        let account = |contract: Contract| Account { tokens: burst(&contract), filled: Time(0), contract };
+        Contracts { teams: teams.into_iter().map(|(name, contract)| (name, account(contract))).collect() }
+    }
+
+    /// Whether a query may be taken now; if so, it counts to the team's rate.
+    pub fn admit(&mut self, now: Time, team: Option<&str>, class: usize) -> Result<(), Breach> {
+        if self.teams.is_empty() {
+            return Ok(());
+        }
+        let account = team.and_then(|team| self.teams.get_mut(team)).ok_or(Breach::UnknownTeam)?;
+        let contract = &account.contract;
+        if !contract.classes.is_empty() && !contract.classes.contains(&class) {
+            return Err(Breach::Class);
+        }
+        let Some(rate) = contract.rate else { return Ok(()) };
+        let gained = now.since(account.filled) as f64 / 1e6 * rate;
+        account.tokens = (account.tokens + gained).min(burst(contract));
+        account.filled = now;
+        if account.tokens < 1.0 {
+            return Err(Breach::Rate(((1.0 - account.tokens) / rate * 1e6).ceil() as Micros));
+        }
+        account.tokens -= 1.0;
+        Ok(())
+    }
+
+    /// The budget that the module is given: it keeps one for the whole instance, so the strictest of the
+    /// teams' budgets is kept for all.
+    #[must_use]
+    pub fn budget(&self) -> Option<Budget> {
+        let budgets = self.teams.values().filter_map(|a| a.contract.budget);
+        budgets.reduce(|a, b| Budget {
+            window: a.window.max(b.window),
+            least: a.least.min(b.least),
+            share: a.share.min(b.share),
+        })
+    }
+}
+
+fn burst(contract: &Contract) -> f64 {
+    contract.rate.map_or(1.0, |rate| (rate * SAVED).max(1.0))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn contracts() -> Contracts {
+        let rates = Contract { classes: vec![0], rate: Some(2.0), budget: None };
+        let strict = Budget { window: 10, least: 1.0, share: 0.1 };
+        let open = Contract { classes: vec![], rate: None, budget: Some(strict) };
+        Contracts::new([("rates".into(), rates), ("open".into(), open)])
+    }
+
+    #[test]
+    fn without_contracts_nothing_is_checked() {
+        assert_eq!(Contracts::default().admit(Time(1), None, 9), Ok(()));
+        assert_eq!(Contracts::default().budget(), None);
+    }
+
+    #[test]
+    fn classes_and_rates_are_those_agreed() {
+        let mut c = contracts();
+        let now = Time(1_000_000);
+        assert_eq!(c.admit(now, None, 0), Err(Breach::UnknownTeam));
+        assert_eq!(c.admit(now, Some("else"), 0), Err(Breach::UnknownTeam));
+        assert_eq!(c.admit(now, Some("rates"), 1), Err(Breach::Class));
+        assert_eq!(c.admit(now, Some("rates"), 0), Ok(()));
+        assert_eq!(c.admit(now, Some("rates"), 0), Ok(()));
+        assert_eq!(c.admit(now, Some("rates"), 0), Err(Breach::Rate(500_000)));
+        assert_eq!(c.admit(now.plus(500_000), Some("rates"), 0), Ok(()));
+        assert_eq!(c.admit(now, Some("open"), 7), Ok(()));
+    }
+
+    #[test]
+    fn the_strictest_budget_reaches_the_module() {
+        assert_eq!(contracts().budget(), Some(Budget { window: 10, least: 1.0, share: 0.1 }));
+    }
+}
--- /dev/null
+++ b/src/core/answer.rs
@@ -0,0 +1,74 @@
+//! Answer: the end of a query, whole, partial, refused or failed, and the second step where a class has one.
+
+use super::{Command, Core, FirstStep, Reply};
+use crate::interface::{Event, Micros, QueryId, Shard, Time};
+use std::rc::Rc;
+
+/// Sums of weights may fall short by this much.
+const ROUNDING: f64 = 1e-4;
+
+impl<J> Core<J> {
+    /// The module ends a step from the parts that are in.
+    pub(super) fn answer(&mut self, query: QueryId, whole: bool, commands: &mut Vec<Command<J>>) {
+        let Some(q) = self.queries.get(&query) else { return };
+        let class = &self.settings.classes[q.class];
+        let (second_step, second) = (class.second_step as usize, q.first.is_some());
+        let step = || q.parts.iter().filter(|p| p.second == second);
+        let have: f64 = step().filter(|p| p.value.is_some()).map(|p| p.weight).sum();
+        // Guards the rule on honest answers against a slip anywhere before it: nothing from less than the
+        // floor leaves, and the mark of a whole answer is given from the parts that are really here.
+        let need = if second { 1.0 } else { class.need };
+        let floor = if second && class.floor >= class.need { 1.0 } else { class.floor };
+        if have + ROUNDING < floor.min(need) {
+            commands.push(Command::Log(format!("answer from {have:.3} of the weight withheld")));
+            self.inbox.push(Event::Hangup(query));
+            return self.fail(query, commands);
+        }
+        let first_whole = q.first.as_ref().is_none_or(|first| first.whole);
+        let whole = whole && have + ROUNDING >= need && first_whole;
+        if second_step > 0 && !second {
+            let mut scores: Vec<(f64, Shard)> =
+                step().filter_map(|p| p.value.as_ref().map(|v| (v.score, p.shard))).collect();
+            let shards = scores.iter().map(|s| s.1).collect();
+            scores.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+            scores.truncate(second_step);
+            if let Some(q) = self.queries.get_mut(&query) {
+                q.first = Some(Rc::new(FirstStep { shards, whole }));
+            }
+            let weight = 1.0 / scores.len().max(1) as f64;
+            for (_, shard) in scores {
+                self.add_part(query, shard, weight, true);
+            }
+            return;
+        }
+        let Some(q) = self.release(query) else { return };
+        let values = q.parts.into_iter().filter(|p| p.second == second);
+        let values = values.filter_map(|p| p.value.map(|v| (p.shard, v))).collect();
+        commands.push(Command::Reply(query, Reply::Served { whole, values }));
+    }
+
+    pub(super) fn refuse(&mut self, query: QueryId, after: Micros, commands: &mut Vec<Command<J>>) {
+        if self.release(query).is_some() {
+            let advice = self.settings.limits.retry_after.map(|most| after.min(most)).filter(|&a| a > 0);
+            commands.push(Command::Reply(query, Reply::Refused(advice)));
+        }
+    }
+
+    pub(super) fn fail(&mut self, query: QueryId, commands: &mut Vec<Command<J>>) {
+        if self.release(query).is_some() {
+            commands.push(Command::Reply(query, Reply::Failed));
+        }
+    }
+
+    /// Guards the rule that each query gets a final answer in its client's time: the module ends queries before
+    /// it, and what it left open is failed here.
+    pub(super) fn end_overdue(&mut self, now: Time, commands: &mut Vec<Command<J>>) {
+        let overdue: Vec<QueryId> =
+            self.queries.iter().filter(|(_, q)| q.deadline <= now).map(|(&id, _)| id).collect();
+        for id in overdue {
+            commands.push(Command::Log("a query had to be ended at its client's deadline".into()));
+            self.fail(id, commands);
+            self.inbox.push(Event::Hangup(id));
+        }
+    }
+}
--- /dev/null
+++ b/src/core/collect.rs
@@ -0,0 +1,32 @@
+//! Collect: outcomes of attempts come in, and with them the values of parts.
+
+use super::{Core, Value};
+use crate::interface::{Event, Outcome, ServerId, Time};
+
+impl<J> Core<J> {
+    /// An attempt has ended. Only its first end counts; `false`: it had ended before.
+    pub fn ended(&mut self, now: Time, attempt: u64, outcome: Outcome, value: Option<Value>) -> bool {
+        let Some(a) = self.attempts.remove(&attempt) else { return false };
+        self.out.remove(&(a.part, a.number));
+        let query = self.parts.get(&a.part).and_then(|id| self.queries.get_mut(id));
+        let part = query.and_then(|q| q.parts.iter_mut().find(|p| p.id == a.part));
+        if let (Some(part), Outcome::Ok, Some(value)) = (part, outcome, value) {
+            // A part counts once, with the value that came first.
+            part.value.get_or_insert(value);
+        }
+        self.inbox.push(Event::Finished {
+            part: a.part,
+            attempt: a.number,
+            server: a.server,
+            outcome,
+            elapsed: now.since(a.sent),
+        });
+        true
+    }
+
+    /// The server that an attempt is out at.
+    #[must_use]
+    pub fn server_of(&self, attempt: u64) -> Option<ServerId> {
+        self.attempts.get(&attempt).map(|a| a.server)
+    }
+}
--- /dev/null
+++ b/src/core/dispatch.rs
@@ -0,0 +1,90 @@
+//! Dispatch: what the module asks for becomes commands; sends of a turn to one server share a call.
+
+use super::{Attempt, Command, Core, Dispatch};
+use crate::interface::{Action, Event, Micros, Outcome, PartId, ServerId, Time};
+
+impl<J> Core<J> {
+    pub(super) fn carry_out(&mut self, now: Time, actions: Vec<Action>, commands: &mut Vec<Command<J>>) {
+        let mut calls: Vec<(ServerId, Vec<Dispatch<J>>)> = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { part, server, timeout } => self.send(now, part, server, timeout, &mut calls),
+                Action::Cancel { part, attempt } => self.cancel(now, (part, attempt), &mut calls, commands),
+                Action::Answer { query, whole } => self.answer(query, whole, commands),
+                Action::Refuse { query, retry_after } => self.refuse(query, retry_after, commands),
+                Action::Fail(query) => self.fail(query, commands),
+                // The module never asks for a probe: it proves a process, not a service.
+                Action::Probe(server) => {
+                    commands.push(Command::Log(format!("probe of server {} is not offered", server.0)));
+                }
+                Action::CloseIdle(server) => commands.push(Command::CloseIdle(server)),
+                Action::Subscribe => commands.push(Command::Subscribe),
+                Action::Wake(after) => {
+                    let at = now.plus(after);
+                    self.wake = Some(self.wake.map_or(at, |was| was.min(at)));
+                }
+                Action::Log(text) => commands.push(Command::Log(text)),
+            }
+        }
+        commands.extend(calls.into_iter().map(|(server, parts)| Command::Send(server, parts)));
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        part: PartId,
+        server: ServerId,
+        timeout: Micros,
+        calls: &mut Vec<(ServerId, Vec<Dispatch<J>>)>,
+    ) {
+        let Some(q) = self.parts.get(&part).and_then(|id| self.queries.get_mut(id)) else {
+            // The query has ended before the send could be made: it never ran.
+            let attempt = 0;
+            let event = Event::Finished { part, attempt, server, outcome: Outcome::Moot, elapsed: 0 };
+            return self.inbox.push(event);
+        };
+        let (deadline, job, first) = (q.deadline, q.job.clone(), q.first.clone());
+        let Some(p) = q.parts.iter_mut().find(|p| p.id == part) else { return };
+        let number = p.attempts;
+        p.attempts += 1;
+        // Guards the limit on attempts: one beyond it is not sent, whatever the module says.
+        if u32::from(number) >= self.settings.limits.attempts || p.value.is_some() {
+            let event = Event::Finished { part, attempt: number, server, outcome: Outcome::Moot, elapsed: 0 };
+            return self.inbox.push(event);
+        }
+        // Guards the client's time: no attempt is waited for beyond it; 0 stands for all of it.
+        let left = deadline.since(now).max(1);
+        let wait = if timeout == 0 { left } else { timeout.min(left) };
+        let attempt = self.next_attempt;
+        self.next_attempt += 1;
+        self.attempts.insert(attempt, Attempt { part, number, server, sent: now });
+        self.out.insert((part, number), attempt);
+        let first = first.filter(|_| p.second);
+        let dispatch = Dispatch { attempt, job, shard: p.shard, first, wait };
+        let room = self.settings.layout.parts_a_call.max(1) as usize;
+        match calls.iter_mut().rev().find(|(s, _)| *s == server) {
+            Some((_, call)) if call.len() < room => call.push(dispatch),
+            _ => calls.push((server, vec![dispatch])),
+        }
+    }
+
+    fn cancel(
+        &mut self,
+        now: Time,
+        which: (PartId, u16),
+        calls: &mut [(ServerId, Vec<Dispatch<J>>)],
+        commands: &mut Vec<Command<J>>,
+    ) {
+        let Some(&attempt) = self.out.get(&which) else { return };
+        // One that was to be sent in this very turn stays at home.
+        let unsent = calls.iter_mut().any(|(_, call)| {
+            let before = call.len();
+            call.retain(|d| d.attempt != attempt);
+            call.len() < before
+        });
+        if !unsent {
+            commands.push(Command::Withdraw(attempt));
+        }
+        self.ended(now, attempt, Outcome::Cancelled, None);
+    }
+}
--- /dev/null
+++ b/src/core/intake.rs
@@ -0,0 +1,94 @@
+//! Intake: a query is taken and given its ids, or turned away unseen.
+
+use super::{Core, Part, Query, Request};
+use crate::contract::Breach;
+use crate::interface::{Event, Micros, PartId, QueryId, Time};
+use std::rc::Rc;
+
+/// Why a query was not taken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Refusal {
+    /// Too many queries and parts are held, or a team's rate is used up; ask again after this long.
+    Busy(Option<Micros>),
+    /// The team has no contract for this.
+    NoContract(Breach),
+}
+
+impl<J> Core<J> {
+    /// Takes a query. Its final answer comes as a command of a later turn.
+    pub fn take(&mut self, now: Time, request: Request<J>) -> Result<QueryId, Refusal> {
+        // Guards memory: what is held is bounded, and the module never sees the query.
+        if self.held >= self.settings.limits.held as usize {
+            return Err(Refusal::Busy(self.settings.limits.retry_after.map(|most| most / 2)));
+        }
+        self.contracts.admit(now, request.team.as_deref(), request.class).map_err(|breach| match breach {
+            Breach::Rate(wait) => Refusal::Busy(Some(wait)),
+            other => Refusal::NoContract(other),
+        })?;
+        let id = QueryId(self.new_id());
+        self.next_number = (self.next_number + 1) % super::NUMBERS;
+        let number = self.next_number;
+        self.inbox.push(Event::Query {
+            query: id,
+            number,
+            class: request.class as u16,
+            deadline: request.deadline,
+            key: request.key,
+            again: request.again,
+        });
+        self.queries.insert(
+            id,
+            Query {
+                number,
+                class: request.class,
+                deadline: request.deadline,
+                job: Rc::new(request.job),
+                parts: Vec::with_capacity(request.parts.len()),
+                first: None,
+            },
+        );
+        self.held += 1;
+        for (shard, weight) in request.parts {
+            self.add_part(id, shard, weight, false);
+        }
+        Ok(id)
+    }
+
+    /// Adds a part to a query that is held; the module hears of it in the next turn.
+    pub(super) fn add_part(
+        &mut self,
+        query: QueryId,
+        shard: crate::interface::Shard,
+        weight: f64,
+        second: bool,
+    ) {
+        let part = PartId(self.new_id());
+        let Some(q) = self.queries.get_mut(&query) else { return };
+        q.parts.push(Part { id: part, shard, weight, second, attempts: 0, value: None });
+        self.parts.insert(part, query);
+        self.held += 1;
+        self.inbox.push(Event::Part { part, number: q.number, shard, weight });
+    }
+
+    /// The client of a query has left: there is nobody to answer.
+    pub fn hangup(&mut self, query: QueryId) {
+        if self.release(query).is_some() {
+            self.inbox.push(Event::Hangup(query));
+        }
+    }
+
+    /// Takes a query and its parts out of the books: the one place where they are given back.
+    pub(super) fn release(&mut self, query: QueryId) -> Option<Query<J>> {
+        let q = self.queries.remove(&query)?;
+        self.held -= 1 + q.parts.len();
+        for part in &q.parts {
+            self.parts.remove(&part.id);
+        }
+        Some(q)
+    }
+
+    fn new_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,222 @@
+//! Queries, parts, attempts and their outcomes: what stands between the fronts, the decision module and the
+//! data nodes. It knows no wire: a front hands in a [`Request`] with a job of its own kind, the upstream of the
+//! same kind carries out [`Command::Send`], and the answer goes back as a [`Reply`].
+//!
+//! A query goes through `intake`, `dispatch`, `collect` and `answer`, one file each. Time is an argument.
+
+mod answer;
+mod collect;
+mod dispatch;
+mod intake;
+#[cfg(test)]
+mod tests;
+
+use crate::contract::Contracts;
+use crate::interface::{Event, Listing, Micros, PartId, QueryId, ServerId, Settings, Shard, Time};
+use crate::policy::Coordinator;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+pub use intake::Refusal;
+
+/// A query as a front hands it in.
+#[derive(Clone, Debug)]
+pub struct Request<J> {
+    /// Index of its class.
+    pub class: usize,
+    /// When its client gives up.
+    pub deadline: Time,
+    /// What it is about; 0: not known.
+    pub key: u64,
+    /// Marked by the client as a further try.
+    pub again: bool,
+    /// Team that asks, where teams have contracts.
+    pub team: Option<String>,
+    /// Its shards, each with the weight of its part.
+    pub parts: Vec<(Shard, f64)>,
+    /// What front and upstream know of it.
+    pub job: J,
+}
+
+/// What a data node answered for a part.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Value {
+    /// Its score: the second step goes to the shards that have the best.
+    pub score: f64,
+    /// Its bytes, unchanged.
+    pub bytes: Vec<u8>,
+}
+
+/// The final answer of a query.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// Answered from these parts.
+    Served {
+        /// Whether nothing that a whole answer needs is missing.
+        whole: bool,
+        /// The parts that are in.
+        values: Vec<(Shard, Value)>,
+    },
+    /// Turned away: asking again is harmless, after this long where advice is given.
+    Refused(Option<Micros>),
+    /// Given up.
+    Failed,
+}
+
+/// What the second step of a query is told of its first.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FirstStep {
+    /// Shards that were in.
+    pub shards: Vec<Shard>,
+    /// Whether the first step was whole.
+    pub whole: bool,
+}
+
+/// One attempt to be made.
+#[derive(Clone, Debug)]
+pub struct Dispatch<J> {
+    /// Names the attempt.
+    pub attempt: u64,
+    /// What front and upstream know of the query.
+    pub job: Rc<J>,
+    /// The part's shard.
+    pub shard: Shard,
+    /// Set for parts of the second step.
+    pub first: Option<Rc<FirstStep>>,
+    /// How long its answer will be waited for.
+    pub wait: Micros,
+}
+
+/// What the core wants done.
+#[derive(Clone, Debug)]
+pub enum Command<J> {
+    /// Send these parts to a server in one call.
+    Send(ServerId, Vec<Dispatch<J>>),
+    /// Give up an attempt that is out. Its outcome is already settled.
+    Withdraw(u64),
+    /// Close idle connections to a server.
+    CloseIdle(ServerId),
+    /// Give a client its final answer.
+    Reply(QueryId, Reply),
+    /// Ask for changes of the list of servers.
+    Subscribe,
+    /// A line for the operators.
+    Log(String),
+}
+
+struct Part {
+    id: PartId,
+    shard: Shard,
+    weight: f64,
+    second: bool,
+    attempts: u16,
+    value: Option<Value>,
+}
+
+struct Query<J> {
+    number: u32,
+    class: usize,
+    deadline: Time,
+    job: Rc<J>,
+    parts: Vec<Part>,
+    /// Set once the first of two steps has been answered.
+    first: Option<Rc<FirstStep>>,
+}
+
+struct Attempt {
+    part: PartId,
+    number: u16,
+    server: ServerId,
+    sent: Time,
+}
+
+/// The core of one service: its decision module and the books of what is held.
+pub struct Core<J> {
+    settings: Settings,
+    contracts: Contracts,
+    module: Coordinator,
+    inbox: Vec<Event>,
+    queries: BTreeMap<QueryId, Query<J>>,
+    /// The query of each part that is held.
+    parts: HashMap<PartId, QueryId>,
+    attempts: HashMap<u64, Attempt>,
+    /// Attempts that are out, by part and number.
+    out: HashMap<(PartId, u16), u64>,
+    /// Queries and parts held.
+    held: usize,
+    next_id: u64,
+    next_attempt: u64,
+    next_number: u32,
+    turned: Time,
+    wake: Option<Time>,
+}
+
+/// Query numbers stay below this: the module's wire carries them as 32-bit floats.
+const NUMBERS: u32 = 1 << 24;
+
+impl<J> Core<J> {
+    /// A core that holds nothing.
+    #[must_use]
+    pub fn new(seed: u64, settings: Settings, contracts: Contracts) -> Self {
+        Core {
+            module: Coordinator::new(seed, settings.clone()),
+            settings,
+            contracts,
+            inbox: Vec::new(),
+            queries: BTreeMap::new(),
+            parts: HashMap::new(),
+            attempts: HashMap::new(),
+            out: HashMap::new(),
+            held: 0,
+            next_id: 1,
+            next_attempt: 1,
+            next_number: 0,
+            turned: Time(0),
+            wake: Some(Time(0)),
+        }
+    }
+
+    /// The settings that it works by.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Queries held.
+    #[must_use]
+    pub fn held_queries(&self) -> usize {
+        self.queries.len()
+    }
+
+    /// News of the list of servers.
+    pub fn listed(&mut self, listing: Listing) {
+        self.inbox.push(Event::List(listing));
+    }
+
+    /// When the next turn is to be taken: at once if something waits, but not sooner after the last turn than
+    /// the resolution allows.
+    #[must_use]
+    pub fn next_turn(&self) -> Option<Time> {
+        let soonest = self.turned.plus(self.settings.resolution);
+        if !self.inbox.is_empty() {
+            return Some(soonest);
+        }
+        let overdue = self.queries.values().map(|q| q.deadline).min();
+        [self.wake, overdue].into_iter().flatten().min().map(|at| at.max(soonest))
+    }
+
+    /// Hands all that has come to the module in one go and tells what is to be done.
+    pub fn turn(&mut self, now: Time) -> Vec<Command<J>> {
+        self.turned = now;
+        if self.wake.is_some_and(|at| at <= now) {
+            self.wake = None;
+            self.inbox.push(Event::Wake);
+        }
+        let (mut actions, mut commands) = (Vec::new(), Vec::new());
+        self.end_overdue(now, &mut commands);
+        let events = std::mem::take(&mut self.inbox);
+        self.module.turn(now, events, &mut actions);
+        self.carry_out(now, actions, &mut commands);
+        commands
+    }
+}
--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,324 @@
+//! Discovery: the list of data nodes, asked for once and then watched.
+//!
+//! The decision module says when to ask and how long to wait after a failure; a watch that was answered is
+//! renewed here at once, so that it goes on.
+
+use crate::http::{self, Parsed};
+use crate::interface::{Listed, Listing, Micros, Mode, ServerId, Time};
+use crate::net::{ConnId, Net, Owner, Pumped, Timer};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// How long a watch waits for news.
+const WATCH: Micros = 20_000_000;
+/// How long discovery may take beside that.
+const PATIENCE: Micros = 1_500_000;
+/// A connection that is not up after this long never comes up.
+const CONNECT: Micros = 500_000;
+/// Longest list that is read.
+const CEILING: usize = 4 * 1024 * 1024;
+
+/// The list as discovery words it.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct List {
+    /// Its version.
+    pub generation: u64,
+    /// Whether it is the whole list.
+    #[serde(default)]
+    pub reset: bool,
+    /// Its lines.
+    #[serde(default)]
+    pub instances: Vec<Instance>,
+}
+
+/// A line of the list.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Instance {
+    /// The same at every broker.
+    pub instance_id: String,
+    /// Where it listens.
+    pub host_port: String,
+    /// Name of its zone.
+    #[serde(default)]
+    pub zone: String,
+    /// Its cell.
+    #[serde(default)]
+    pub cell: u32,
+    /// Its state.
+    pub lifecycle: Lifecycle,
+    /// Unix time of its last start; 0: long ago.
+    #[serde(default)]
+    pub started_at_ms: u64,
+}
+
+/// State of a data node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Lifecycle {
+    /// Takes work.
+    Serving,
+    /// Wants nothing new.
+    Draining,
+    /// Is gone.
+    Deleted,
+}
+
+/// The data nodes that were ever listed: their ids here, and where they listen.
+#[derive(Default)]
+pub struct Directory {
+    zones: Vec<String>,
+    ids: HashMap<String, ServerId>,
+    nodes: Vec<(String, Option<SocketAddr>)>,
+}
+
+impl Directory {
+    /// An empty directory; zones are numbered in the order given.
+    #[must_use]
+    pub fn new(zones: Vec<String>) -> Self {
+        Directory { zones, ..Directory::default() }
+    }
+
+    /// Where a data node listens.
+    #[must_use]
+    pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
+        self.nodes.get(server.0 as usize).and_then(|n| n.1)
+    }
+
+    /// The name that discovery has for it.
+    #[must_use]
+    pub fn name(&self, server: ServerId) -> &str {
+        self.nodes.get(server.0 as usize).map_or("?", |n| &n.0)
+    }
+
+    /// Notes a list and gives it to the module in its own terms.
+    pub fn lines(&mut self, instances: &[Instance]) -> Vec<Listed> {
+        let line = |node: &Instance| {
+            let server = self.ids.get(&node.instance_id).copied().unwrap_or_else(|| {
+                let server = ServerId(self.nodes.len() as u32);
+                self.ids.insert(node.instance_id.clone(), server);
+                self.nodes.push((node.instance_id.clone(), None));
+                server
+            });
+            // A line without a usable address keeps the last one: a node that is gone needs none.
+            if let Ok(address) = node.host_port.parse() {
+                self.nodes[server.0 as usize].1 = Some(address);
+            }
+            Listed {
+                server,
+                cell: node.cell,
+                zone: self.zones.iter().position(|z| *z == node.zone).map_or(u32::MAX, |z| z as u32),
+                mode: match node.lifecycle {
+                    Lifecycle::Serving => Mode::Ready,
+                    Lifecycle::Draining => Mode::Draining,
+                    Lifecycle::Deleted => Mode::Gone,
+                },
+                started: (node.started_at_ms > 0).then_some(Time(node.started_at_ms.saturating_mul(1_000))),
+            }
+        };
+        instances.iter().map(line).collect()
+    }
+}
+
+/// The client of discovery.
+pub struct Discovery {
+    address: SocketAddr,
+    /// Version of the list that is held; `None`: none is, so the whole list is asked for.
+    generation: Option<u64>,
+    conn: Option<ConnId>,
+    /// The call that is out, if one is; calls are numbered so that timers of earlier ones find nothing.
+    call: Option<u64>,
+    calls: u64,
+    began: Time,
+}
+
+impl Discovery {
+    /// A client that has asked nothing yet.
+    #[must_use]
+    pub fn new(address: SocketAddr, generation: Option<u64>) -> Self {
+        Discovery { address, generation, conn: None, call: None, calls: 0, began: Time(0) }
+    }
+
+    /// Asks for changes from now on, unless that is under way. A failure to ask is reported like any other.
+    pub fn subscribe(&mut self, net: &mut Net) -> Option<Listing> {
+        if self.call.is_some() {
+            return None;
+        }
+        self.ask(net).err().map(|()| self.fail(net))
+    }
+
+    fn ask(&mut self, net: &mut Net) -> Result<(), ()> {
+        let conn = match self.conn.filter(|id| net.get(*id).is_some_and(|c| c.up && !c.ended)) {
+            Some(id) => id,
+            None => net.connect(Owner::Discovery, self.address).map_err(|_| ())?,
+        };
+        self.conn = Some(conn);
+        let target = match self.generation {
+            Some(since) => {
+                format!("/registry/instances?since={since}&timeout_ms={}", WATCH / 1_000)
+            }
+            None => "/registry/instances".into(),
+        };
+        let request =
+            format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
+        net.get_mut(conn).ok_or(())?.send(request.as_bytes());
+        self.calls += 1;
+        self.call = Some(self.calls);
+        self.began = net.clock.now();
+        net.wheel.set(self.began.plus(CONNECT), Timer::Discovery(self.calls));
+        (net.flush(conn, false) == Pumped::Alive).then_some(()).ok_or(())
+    }
+
+    fn fail(&mut self, net: &mut Net) -> Listing {
+        self.hang_up(net);
+        Listing::Failed
+    }
+
+    /// Ends the connection: the one place where it is given back.
+    fn hang_up(&mut self, net: &mut Net) {
+        self.call = None;
+        if let Some(id) = self.conn.take() {
+            net.close(id);
+        }
+    }
+
+    /// A call's timer: its connection should be up by now, or its answer here.
+    pub fn timer(&mut self, net: &mut Net, call: u64) -> Option<Listing> {
+        if self.call != Some(call) {
+            return None;
+        }
+        let wait = if self.generation.is_some() { WATCH } else { 0 };
+        let end = self.began.plus(wait + PATIENCE);
+        let up = self.conn.and_then(|id| net.get(id)).is_some_and(|c| c.up);
+        if !up || net.clock.now() >= end {
+            return Some(self.fail(net));
+        }
+        net.wheel.set(end, Timer::Discovery(call));
+        None
+    }
+
+    /// Reads what has come. An answer is news, and the watch is renewed at once.
+    pub fn ready(&mut self, net: &mut Net, id: ConnId, directory: &mut Directory) -> Vec<Listing> {
+        if self.conn != Some(id) {
+            return Vec::new();
+        }
+        let pumped = net.pump(id, CEILING);
+        let Some(conn) = net.get_mut(id) else { return Vec::new() };
+        let ended = conn.ended || pumped != Pumped::Alive;
+        let answer = match http::response(conn.input.bytes(), ended, CEILING) {
+            Ok(Parsed::Whole(answer, used)) => {
+                conn.input.consume(used);
+                answer
+            }
+            Ok(Parsed::Partial(_)) if !ended && conn.input.bytes().len() < CEILING => return Vec::new(),
+            // Between two calls it may end without any harm.
+            _ if self.call.is_none() => {
+                self.hang_up(net);
+                return Vec::new();
+            }
+            _ => return vec![self.fail(net)],
+        };
+        if self.call.take().is_none() {
+            self.hang_up(net);
+            return Vec::new();
+        }
+        let list =
+            (answer.status == 200).then(|| serde_json::from_slice::<List>(&answer.body).ok()).flatten();
+        let Some(list) = list else { return vec![self.fail(net)] };
+        if ended || !answer.keep_alive {
+            self.hang_up(net);
+        }
+        let whole = list.reset || self.generation.is_none();
+        self.generation = Some(list.generation);
+        let lines = directory.lines(&list.instances);
+        let mut news = vec![if whole { Listing::Whole(lines) } else { Listing::Changes(lines) }];
+        news.extend(self.subscribe(net));
+        news
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+    use std::net::{TcpListener, TcpStream};
+
+    const LIST: &str = r#"{"generation":41,"reset":true,"instances":[
+        {"instanceId":"s-1","hostPort":"10.1.0.18:8080","zone":"b","machineType":"m2","cell":3,
+         "lifecycle":"SERVING","weight":1.0,"startedAtMs":5}]}"#;
+
+    #[test]
+    fn a_list_is_put_in_the_modules_terms_and_ids_stay() {
+        let list: List = serde_json::from_str(LIST).unwrap();
+        let mut directory = Directory::new(vec!["a".into(), "b".into()]);
+        let first = directory.lines(&list.instances);
+        assert_eq!((first[0].cell, first[0].zone, first[0].mode), (3, 1, Mode::Ready));
+        assert_eq!(first[0].started, Some(Time(5_000)));
+        assert_eq!(directory.address(first[0].server), Some("10.1.0.18:8080".parse().unwrap()));
+        let gone =
+            Instance { lifecycle: Lifecycle::Deleted, host_port: String::new(), ..list.instances[0].clone() };
+        let second = directory.lines(&[gone]);
+        assert_eq!((second[0].server, second[0].mode), (first[0].server, Mode::Gone));
+        assert!(directory.address(first[0].server).is_some());
+    }
+
+    /// Runs the loop until the client has news.
+    fn news(net: &mut Net, client: &mut Discovery, directory: &mut Directory) -> Vec<Listing> {
+        for _ in 0..1_000 {
+            let until = net.clock.now().plus(100_000);
+            for ready in net.wait(Some(until)).unwrap() {
+                if let crate::net::Ready::Conn(id, _) = ready {
+                    let news = client.ready(net, id, directory);
+                    if !news.is_empty() {
+                        return news;
+                    }
+                }
+            }
+        }
+        panic!("no news");
+    }
+
+    fn request(stream: &mut TcpStream) -> String {
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).unwrap();
+            bytes.push(byte[0]);
+        }
+        String::from_utf8(bytes).unwrap()
+    }
+
+    fn answer(stream: &mut TcpStream, status: u16, body: &str) {
+        let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+        stream.write_all((head + body).as_bytes()).unwrap();
+    }
+
+    #[test]
+    fn a_watch_is_renewed_at_once_and_a_failure_is_told() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
+        let mut client = Discovery::new(listener.local_addr().unwrap(), None);
+        assert!(client.subscribe(&mut net).is_none());
+        let (mut stream, _) = listener.accept().unwrap();
+        net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+        client.ready(&mut net, client.conn.unwrap(), &mut directory);
+        assert!(request(&mut stream).starts_with("GET /registry/instances HTTP/1.1\r\n"));
+        answer(&mut stream, 200, LIST);
+        let first = news(&mut net, &mut client, &mut directory);
+        assert!(matches!(&first[..], [Listing::Whole(lines)] if lines.len() == 1));
+        assert!(request(&mut stream).starts_with("GET /registry/instances?since=41&timeout_ms=20000 "));
+        answer(&mut stream, 200, r#"{"generation":42,"reset":false,"instances":[]}"#);
+        assert!(matches!(&news(&mut net, &mut client, &mut directory)[..], [Listing::Changes(_)]));
+        assert!(request(&mut stream).contains("since=42"));
+        answer(&mut stream, 503, "");
+        assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+        assert!(client.subscribe(&mut net).is_none(), "it asks again when told to");
+        let (mut stream, _) = listener.accept().unwrap();
+        net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+        client.ready(&mut net, client.conn.unwrap(), &mut directory);
+        assert!(request(&mut stream).contains("since=42"));
+        drop(stream);
+        assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+    }
+}
--- /dev/null
+++ b/src/front/ogc.rs
@@ -0,0 +1,1 @@
+//! The OGC API Features front.
--- /dev/null
+++ b/src/front/platform.rs
@@ -0,0 +1,193 @@
+//! The platform's protocol: queries by POST, and the checks of the front layer.
+
+use super::{Front, Verdict};
+use crate::core::{Refusal, Reply, Request};
+use crate::http::{self, Response};
+use crate::interface::{Repeat, Shard, Time};
+use crate::upstream::frames::Job;
+use serde::{Deserialize, Serialize};
+
+/// A class as its clients know it.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name: the first part of the path.
+    pub name: String,
+    /// What repeating a part of it can do.
+    pub repeat: Repeat,
+}
+
+/// The front.
+pub struct Platform {
+    classes: Vec<Class>,
+    stopping: bool,
+}
+
+/// Most parts of a query.
+const PARTS: usize = 1_000;
+/// Longest id and key that are taken.
+const LONGEST: usize = 200;
+/// Shards are numbered below this.
+const SHARDS: u32 = 1 << 24;
+
+#[derive(Deserialize)]
+struct Body {
+    segments: Vec<Segment>,
+    text: String,
+}
+
+#[derive(Deserialize)]
+struct Segment {
+    segment: u32,
+    boost: f64,
+    #[serde(default)]
+    affinity: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Served<'a> {
+    all_in: bool,
+    matches: Vec<Match<'a>>,
+}
+
+#[derive(Serialize)]
+struct Match<'a> {
+    segment: u32,
+    payload: std::borrow::Cow<'a, str>,
+}
+
+impl Platform {
+    /// A front for these classes, in the order of the settings.
+    #[must_use]
+    pub fn new(classes: Vec<Class>) -> Self {
+        Platform { classes, stopping: false }
+    }
+
+    fn query(&self, now: Time, request: &http::Request) -> Result<Request<Job>, (u16, String)> {
+        let bad = |why: String| (400, why);
+        let name = request.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+        let class = self.classes.iter().position(|c| c.name == name);
+        let class = class.ok_or_else(|| (404, "no such class".to_string()))?;
+        if request.method != "POST" {
+            return Err((405, "queries are sent by POST".into()));
+        }
+        if request.header("req-kind").is_some_and(|kind| kind != name) {
+            return Err(bad("Req-Kind is not the class of the path".into()));
+        }
+        let id = request.header("req-id").filter(|id| is_word(id));
+        let id = id.ok_or_else(|| bad("Req-Id is missing or malformed".into()))?;
+        let wait: u64 = request
+            .header("req-deadline-ms")
+            .and_then(|ms| ms.parse().ok())
+            .filter(|&ms| ms > 0 && ms < 1 << 32)
+            .ok_or_else(|| bad("Req-Deadline-Ms is missing or malformed".into()))?;
+        let key = request.header("idempotency-key");
+        if key.is_some_and(|key| !is_word(key)) {
+            return Err(bad("Idempotency-Key is malformed".into()));
+        }
+        let keyed = matches!(self.classes[class].repeat, Repeat::Keyed(_));
+        if keyed && key.is_none() {
+            return Err(bad("Idempotency-Key is missing".into()));
+        }
+        let body: Body = serde_json::from_slice(&request.body).map_err(|e| bad(format!("body: {e}")))?;
+        let mut shards: Vec<u32> = body.segments.iter().map(|s| s.segment).collect();
+        shards.sort_unstable();
+        shards.dedup();
+        if body.segments.is_empty() || body.segments.len() > PARTS || shards.len() < body.segments.len() {
+            return Err(bad("segments: none, too many, or one of them twice".into()));
+        }
+        let sound = |s: &Segment| s.segment < SHARDS && s.boost.is_finite() && s.boost >= 0.0;
+        if !body.segments.iter().all(sound) {
+            return Err(bad("segments: a number out of bounds".into()));
+        }
+        let affinity = body.segments.iter().find_map(|s| s.affinity.as_deref());
+        Ok(Request {
+            class,
+            deadline: now.plus(wait * 1_000),
+            key: affinity.and_then(|a| u64::from_str_radix(a, 16).ok()).unwrap_or(0),
+            again: request.header("req-retry") == Some("1"),
+            team: request.header("req-owner").map(str::to_string),
+            parts: body.segments.iter().map(|s| (Shard(s.segment), s.boost)).collect(),
+            job: Job { id: id.to_string(), text: body.text, key: key.filter(|_| keyed).map(Into::into) },
+        })
+    }
+}
+
+/// Whether a text can stand in a line of a frame, where spaces and commas part words.
+fn is_word(text: &str) -> bool {
+    let sound = |b: u8| b.is_ascii_graphic() && b != b',';
+    !text.is_empty() && text.len() <= LONGEST && text.bytes().all(sound)
+}
+
+fn plain(status: u16, text: &str) -> Response {
+    Response::new(status, "text/plain; charset=utf-8", format!("{text}\n"))
+}
+
+/// Seconds, to the millisecond.
+fn seconds(micros: u64) -> String {
+    format!("{:.3}", micros as f64 / 1e6)
+}
+
+impl Front for Platform {
+    type Job = Job;
+    type Context = ();
+
+    fn read(&mut self, now: Time, request: &http::Request) -> Verdict<Job, ()> {
+        match request.path() {
+            "/health/live" | "/health/ready" if !matches!(request.method.as_str(), "GET" | "HEAD") => {
+                Verdict::Reply(plain(405, "health is read by GET").with("allow", "GET, HEAD"))
+            }
+            "/health/ready" if self.stopping => Verdict::Reply(plain(503, "stopping")),
+            "/health/live" | "/health/ready" => Verdict::Reply(plain(200, "ok")),
+            _ => match self.query(now, request) {
+                Ok(query) => Verdict::Take(Box::new(query), ()),
+                Err((405, why)) => Verdict::Reply(plain(405, &why).with("allow", "POST")),
+                Err((status, why)) => Verdict::Reply(plain(status, &why)),
+            },
+        }
+    }
+
+    fn refused(&self, refusal: Refusal) -> Response {
+        match refusal {
+            Refusal::Busy(after) => self.word_refusal(after),
+            Refusal::NoContract(_) => plain(403, "no contract for this"),
+        }
+    }
+
+    fn word(&mut self, (): (), reply: Reply) -> Response {
+        match reply {
+            Reply::Served { whole, values } => {
+                let matches = values
+                    .iter()
+                    .map(|(shard, value)| Match {
+                        segment: shard.0,
+                        payload: String::from_utf8_lossy(&value.bytes),
+                    })
+                    .collect();
+                match serde_json::to_vec(&Served { all_in: whole, matches }) {
+                    Ok(body) => Response::new(200, "application/json", body),
+                    Err(_) => plain(500, "the answer can't be written"),
+                }
+            }
+            Reply::Refused(after) => self.word_refusal(after),
+            Reply::Failed => plain(504, "given up"),
+        }
+    }
+
+    fn malformed(&self, status: u16, why: &str) -> Response {
+        plain(status, why)
+    }
+
+    fn stop(&mut self) {
+        self.stopping = true;
+    }
+}
+
+impl Platform {
+    fn word_refusal(&self, after: Option<u64>) -> Response {
+        let response = plain(503, "refused: trying again is harmless");
+        match after {
+            Some(after) => response.with("retry-after", seconds(after)),
+            None => response,
+        }
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,358 @@
+//! HTTP/1.1 messages: requests of clients, and responses of servers that this program asks.
+
+use std::fmt::Write as _;
+
+/// Most bytes of a message's head.
+pub const HEAD: usize = 16 * 1024;
+/// Most bytes of a request's body.
+pub const BODY: usize = 64 * 1024;
+const HEADERS: usize = 64;
+
+/// A request.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Request {
+    /// Its method.
+    pub method: String,
+    /// Its target as it came.
+    pub target: String,
+    /// Names in lower case, and values.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Whether the connection stays open after it.
+    pub keep_alive: bool,
+}
+
+/// A response.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Response {
+    /// Status code.
+    pub status: u16,
+    /// Names in lower case, and values.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Whether the connection stays open after it.
+    pub keep_alive: bool,
+}
+
+fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    headers.iter().find(|h| h.0 == name).map(|h| h.1.as_str())
+}
+
+impl Request {
+    /// The value of a header, by its name in lower case.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+    /// The target without its query.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.target.split(['?', '#']).next().unwrap_or_default()
+    }
+    /// What follows the first `?` of the target.
+    #[must_use]
+    pub fn query(&self) -> &str {
+        self.target.split_once('?').map_or("", |t| t.1).split('#').next().unwrap_or_default()
+    }
+}
+
+impl Response {
+    /// The value of a header, by its name in lower case.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+
+    /// A response of this program with a body of this kind.
+    #[must_use]
+    pub fn new(status: u16, kind: &str, body: impl Into<Vec<u8>>) -> Response {
+        let headers = vec![("content-type".into(), kind.into())];
+        Response { status, headers, body: body.into(), keep_alive: true }
+    }
+
+    /// One more header.
+    #[must_use]
+    pub fn with(mut self, name: &str, value: impl Into<String>) -> Response {
+        self.headers.push((name.into(), value.into()));
+        self
+    }
+
+    /// Its bytes; without the body for the answer to a HEAD request.
+    #[must_use]
+    pub fn encode(&self, keep_alive: bool, head_only: bool) -> Vec<u8> {
+        let mut head = format!("HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
+        for (name, value) in &self.headers {
+            // A value with line ends would forge headers.
+            let value: String = value.chars().filter(|c| !c.is_control()).collect();
+            let _ = write!(head, "{name}: {value}\r\n");
+        }
+        let connection = if keep_alive { "keep-alive" } else { "close" };
+        let _ = write!(head, "content-length: {}\r\nconnection: {connection}\r\n\r\n", self.body.len());
+        let mut bytes = head.into_bytes();
+        if !head_only {
+            bytes.extend_from_slice(&self.body);
+        }
+        bytes
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        406 => "Not Acceptable",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "Status",
+    }
+}
+
+/// What was read so far.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Parsed<T> {
+    /// More bytes are needed; `true`: the client waits for `100 Continue` before it sends its body.
+    Partial(bool),
+    /// A message, and how many bytes it took.
+    Whole(T, usize),
+}
+
+/// Why a message can't be read: the status that says so, and words for a log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Malformed(pub u16, pub &'static str);
+
+fn text(headers: &[httparse::Header<'_>]) -> Result<Vec<(String, String)>, Malformed> {
+    let one = |h: &httparse::Header<'_>| {
+        let value = std::str::from_utf8(h.value).map_err(|_| Malformed(400, "header is no text"))?;
+        Ok((h.name.to_ascii_lowercase(), value.trim().to_string()))
+    };
+    headers.iter().map(one).collect()
+}
+
+enum Framing {
+    Length(usize),
+    Chunked,
+    None,
+}
+
+fn framing(headers: &[(String, String)]) -> Result<Framing, Malformed> {
+    let all = |name: &'static str| headers.iter().filter(move |h| h.0 == name).map(|h| h.1.as_str());
+    let mut codings = all("transfer-encoding").flat_map(|v| v.split(',')).map(str::trim).peekable();
+    if codings.peek().is_some() {
+        // Guards against request smuggling: with both, two readers may see two different messages.
+        if all("content-length").next().is_some() {
+            return Err(Malformed(400, "both content-length and transfer-encoding"));
+        }
+        let chunked = codings.next().is_some_and(|c| c.eq_ignore_ascii_case("chunked"));
+        return match (chunked, codings.next()) {
+            (true, None) => Ok(Framing::Chunked),
+            _ => Err(Malformed(501, "transfer-encoding other than chunked")),
+        };
+    }
+    let mut lengths = all("content-length").flat_map(|v| v.split(',')).map(str::trim);
+    let Some(first) = lengths.next() else { return Ok(Framing::None) };
+    // The same: lengths that differ are two messages in one.
+    if lengths.any(|other| other != first) || !first.bytes().all(|b| b.is_ascii_digit()) {
+        return Err(Malformed(400, "bad content-length"));
+    }
+    first.parse().map(Framing::Length).map_err(|_| Malformed(413, "content-length out of bounds"))
+}
+
+fn keep_alive(version: Option<u8>, headers: &[(String, String)]) -> bool {
+    let mut tokens =
+        headers.iter().filter(|h| h.0 == "connection").flat_map(|h| h.1.split(',')).map(str::trim);
+    match version {
+        Some(1) => !tokens.any(|t| t.eq_ignore_ascii_case("close")),
+        _ => tokens.any(|t| t.eq_ignore_ascii_case("keep-alive")),
+    }
+}
+
+/// The body that begins the bytes and what it took; `None` while it is not whole.
+fn chunked(bytes: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
+    let (mut body, mut at) = (Vec::new(), 0);
+    loop {
+        let (data, size) = match httparse::parse_chunk_size(&bytes[at..]) {
+            Ok(httparse::Status::Complete(found)) => found,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(Malformed(400, "bad chunk size")),
+        };
+        at += data;
+        if size == 0 {
+            return Ok(trailers(&bytes[at..])?.map(|n| (body, at + n)));
+        }
+        // Guards memory, and the sum below against overflow.
+        if size > most as u64 || body.len() + size as usize > most {
+            return Err(Malformed(413, "body too large"));
+        }
+        let end = at + size as usize;
+        let Some(chunk) = bytes.get(at..end) else { return Ok(None) };
+        body.extend_from_slice(chunk);
+        match bytes.get(end..end + 2) {
+            Some(b"\r\n") => at = end + 2,
+            Some(_) => return Err(Malformed(400, "chunk without its end")),
+            None => return Ok(None),
+        }
+    }
+}
+
+/// Length of the trailer section, which is skipped, with the empty line that ends it.
+fn trailers(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+    let mut at = 0;
+    loop {
+        let Some(end) = bytes[at..].windows(2).position(|w| w == b"\r\n") else {
+            let long = bytes.len() > HEAD;
+            return if long { Err(Malformed(431, "trailers too large")) } else { Ok(None) };
+        };
+        at += end + 2;
+        if end == 0 {
+            return Ok(Some(at));
+        }
+    }
+}
+
+fn body(framing: Framing, rest: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
+    match framing {
+        Framing::None => Ok(Some((Vec::new(), 0))),
+        Framing::Length(n) if n > most => Err(Malformed(413, "body too large")),
+        Framing::Length(n) => Ok(rest.get(..n).map(|b| (b.to_vec(), n))),
+        Framing::Chunked => chunked(rest, most),
+    }
+}
+
+/// Reads a request from the bytes that a client has sent so far.
+pub fn request(bytes: &[u8]) -> Result<Parsed<Request>, Malformed> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let used = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(used)) => used,
+        Ok(httparse::Status::Partial) if bytes.len() < HEAD => return Ok(Parsed::Partial(false)),
+        Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+            return Err(Malformed(431, "head too large"));
+        }
+        Err(httparse::Error::Version) => return Err(Malformed(505, "version")),
+        Err(_) => return Err(Malformed(400, "malformed head")),
+    };
+    let headers = text(head.headers)?;
+    let Some(found) = body(framing(&headers)?, &bytes[used..], BODY)? else {
+        let waits = find(&headers, "expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"));
+        return Ok(Parsed::Partial(waits && bytes.len() == used));
+    };
+    let request = Request {
+        method: head.method.unwrap_or_default().to_string(),
+        target: head.path.unwrap_or_default().to_string(),
+        keep_alive: keep_alive(head.version, &headers),
+        headers,
+        body: found.0,
+    };
+    Ok(Parsed::Whole(request, used + found.1))
+}
+
+/// Reads a response with a body of at most `most` bytes; `ended`: the server sends nothing more.
+pub fn response(bytes: &[u8], ended: bool, most: usize) -> Result<Parsed<Response>, Malformed> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let used = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(used)) => used,
+        Ok(httparse::Status::Partial) if bytes.len() < HEAD => return Ok(Parsed::Partial(false)),
+        _ => return Err(Malformed(502, "malformed head of a response")),
+    };
+    let (status, rest) = (head.code.unwrap_or_default(), &bytes[used..]);
+    let headers = text(head.headers)?;
+    let mut keep_alive = keep_alive(head.version, &headers);
+    // Interim responses and these two have no body, whatever their headers say.
+    let found = match framing(&headers)? {
+        _ if status < 200 || status == 204 || status == 304 => Some((Vec::new(), 0)),
+        // Without a length the body goes on until the server ends the connection.
+        Framing::None if rest.len() > most => return Err(Malformed(413, "body too large")),
+        Framing::None => {
+            keep_alive = false;
+            ended.then(|| (rest.to_vec(), rest.len()))
+        }
+        framing => body(framing, rest, most)?,
+    };
+    let Some((body, length)) = found else { return Ok(Parsed::Partial(false)) };
+    Ok(Parsed::Whole(Response { status, headers, body, keep_alive }, used + length))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing::{garbage, random_cuts};
+
+    const POST: &[u8] = b"POST /a?x=1 HTTP/1.1\r\nHost: h\r\nReq-Id: 7\r\nContent-Length: 3\r\n\r\nabc";
+    const CHUNKS: &[u8] =
+        b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;e=1\r\nc\r\n0\r\nT: 1\r\n\r\n";
+
+    #[test]
+    fn messages_are_whole_only_at_their_last_byte_however_they_are_cut() {
+        random_cuts(&[POST, CHUNKS], |bytes| match request(bytes).unwrap() {
+            Parsed::Partial(_) => None,
+            Parsed::Whole(r, used) => {
+                assert_eq!(r.body, b"abc");
+                assert_eq!(r.path(), "/a");
+                Some(used)
+            }
+        });
+        let answer: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{}\n\r\n0\r\n\r\n";
+        random_cuts(&[answer], |bytes| match response(bytes, false, 100).unwrap() {
+            Parsed::Partial(_) => None,
+            Parsed::Whole(r, used) => (r.body == b"{}\n").then_some(used),
+        });
+    }
+
+    #[test]
+    fn garbage_never_panics() {
+        garbage(&[POST, CHUNKS], |bytes| {
+            let _ = request(bytes);
+            let _ = response(bytes, true, 50);
+        });
+    }
+
+    #[test]
+    fn what_can_not_be_read_gets_the_status_that_says_so() {
+        let status = |head: &str| request(head.as_bytes()).unwrap_err().0;
+        assert_eq!(status("NONSENSE\r\n\r\n"), 400);
+        assert_eq!(status("GET / HTTP/3.0\r\n\r\n"), 505);
+        assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n"), 413);
+        assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"), 400);
+        assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"), 400);
+        assert_eq!(status("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n"), 501);
+        assert_eq!(status("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n"), 413);
+        assert_eq!(status("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxx\r\n"), 400);
+        assert_eq!(status(&format!("GET / HTTP/1.1\r\nA: {}", "a".repeat(HEAD))), 431);
+    }
+
+    #[test]
+    fn connections_stay_open_unless_a_side_says_close() {
+        let kept = |head: &str| match request(head.as_bytes()).unwrap() {
+            Parsed::Whole(r, _) => r.keep_alive,
+            Parsed::Partial(_) => panic!("partial"),
+        };
+        assert!(kept("GET / HTTP/1.1\r\n\r\n"));
+        assert!(!kept("GET / HTTP/1.1\r\nConnection: Close\r\n\r\n"));
+        assert!(!kept("GET / HTTP/1.0\r\n\r\n"));
+        let waits = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n";
+        assert_eq!(request(waits).unwrap(), Parsed::Partial(true));
+        let until_end = b"HTTP/1.1 200 OK\r\n\r\nabc";
+        assert_eq!(response(until_end, false, 9).unwrap(), Parsed::Partial(false));
+        assert!(matches!(response(until_end, true, 9).unwrap(), Parsed::Whole(r, _) if !r.keep_alive));
+    }
+
+    #[test]
+    fn values_can_not_forge_headers() {
+        let bytes = Response::new(200, "text/plain", "x").with("a", "b\r\nc: d").encode(true, false);
+        assert!(String::from_utf8(bytes).unwrap().contains("a: bc: d\r\n"));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,20 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod broker;
+pub mod config;
+pub mod contract;
+pub mod core;
+pub mod discovery;
+pub mod front;
+pub mod http;
 pub mod interface;
+pub mod net;
 pub mod policy;
 pub mod stats;
+#[cfg(test)]
+mod testing;
+pub mod upstream;
 
 /// Compiles and runs the example of the README.
 #[doc = include_str!("../README.md")]
--- /dev/null
+++ b/src/net/buffer.rs
@@ -0,0 +1,109 @@
+//! Byte buffers of connections.
+
+use std::io::{self, Read, Write};
+
+/// Bytes read at once.
+const CHUNK: usize = 16 * 1024;
+/// A buffer that has grown beyond this gives its memory back once it is empty.
+const KEPT: usize = 32 * 1024;
+
+/// A queue of bytes.
+#[derive(Default)]
+pub struct Buffer {
+    bytes: Vec<u8>,
+    start: usize,
+}
+
+impl Buffer {
+    /// What it holds.
+    #[must_use]
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes[self.start..]
+    }
+
+    /// Whether it holds nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.start == self.bytes.len()
+    }
+
+    /// Appends bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Drops the first `count` bytes.
+    pub fn consume(&mut self, count: usize) {
+        self.start = (self.start + count).min(self.bytes.len());
+        if self.is_empty() {
+            self.bytes.clear();
+            self.start = 0;
+            if self.bytes.capacity() > KEPT {
+                self.bytes.shrink_to(CHUNK);
+            }
+        } else if self.start > CHUNK {
+            self.bytes.drain(..self.start);
+            self.start = 0;
+        }
+    }
+
+    /// Drops the last `count` bytes, which have not been written yet.
+    pub fn unpush(&mut self, count: usize) {
+        let left = self.bytes.len().saturating_sub(count).max(self.start);
+        self.bytes.truncate(left);
+    }
+
+    /// Reads until there is no more, or `ceiling` bytes are held. `Ok(true)`: the other side has ended.
+    pub fn fill(&mut self, from: &mut impl Read, ceiling: usize) -> io::Result<bool> {
+        let mut chunk = [0; CHUNK];
+        while self.bytes().len() < ceiling {
+            match from.read(&mut chunk) {
+                Ok(0) => return Ok(true),
+                Ok(n) => self.push(&chunk[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(false)
+    }
+
+    /// Writes as much as goes; tells how much that was.
+    pub fn drain(&mut self, to: &mut impl Write) -> io::Result<usize> {
+        let mut written = 0;
+        while !self.is_empty() {
+            match to.write(self.bytes()) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => {
+                    self.consume(n);
+                    written += n;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(written)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bytes_leave_in_the_order_in_which_they_came_and_the_ceiling_holds() {
+        let mut buffer = Buffer::default();
+        let mut source: &[u8] = &[7; 50_000];
+        assert!(!buffer.fill(&mut source, 20_000).unwrap());
+        assert!(buffer.bytes().len() < 20_000 + CHUNK);
+        buffer.consume(buffer.bytes().len() - 1);
+        buffer.push(b"abc");
+        assert_eq!(buffer.bytes(), b"\x07abc");
+        buffer.unpush(2);
+        let mut out = Vec::new();
+        assert_eq!(buffer.drain(&mut out).unwrap(), 2);
+        assert_eq!(out, b"\x07a");
+        assert!(buffer.is_empty());
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,427 @@
+//! Sockets: the table of connections, the listeners, the wheel of timers and the wait for whatever is ready.
+//!
+//! [`Net`] owns every descriptor of the broker. A connection is opened by [`Net::connect`] or [`Net::accept`]
+//! and given back in one place, [`Net::close`].
+
+pub mod buffer;
+pub mod wheel;
+
+use crate::interface::Time;
+use buffer::Buffer;
+use polling::{Event, PollMode, Poller};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use wheel::Wheel;
+
+/// Names a connection. Never reused: a late event of a closed connection finds nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(usize);
+
+/// Who a connection or listener belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// Clients of the platform's protocol.
+    Platform,
+    /// Clients of the OGC front.
+    Ogc,
+    /// Data nodes that speak frames.
+    Frames,
+    /// Data nodes that speak OGC API Features.
+    Features,
+    /// Discovery.
+    Discovery,
+}
+
+impl Owner {
+    fn is_client(self) -> bool {
+        matches!(self, Owner::Platform | Owner::Ogc)
+    }
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Timer {
+    /// An attempt's time is over.
+    Attempt(Owner, u64),
+    /// A connection should be up, or may have been idle for too long.
+    Conn(ConnId),
+    /// Discovery should have answered its call of this number.
+    Discovery(u64),
+}
+
+/// Something that is ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ready {
+    /// A connection may be read from or written to.
+    Conn(ConnId, Owner),
+    /// A listener has connections to accept.
+    Listener(Owner),
+    /// The signal to stop has come.
+    Stop,
+}
+
+/// A clock that only moves forward and starts at the system's time, so that start times can be compared.
+pub struct Clock {
+    origin: Instant,
+    unix: u64,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64);
+        Clock { origin: Instant::now(), unix }
+    }
+}
+
+impl Clock {
+    /// The present time.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        Time(self.unix + self.origin.elapsed().as_micros() as u64)
+    }
+}
+
+/// One connection.
+pub struct Conn {
+    stream: TcpStream,
+    owner: Owner,
+    /// What has been read and not been used yet.
+    pub input: Buffer,
+    output: Buffer,
+    /// Whether it is up (and not still being opened).
+    pub up: bool,
+    /// The other side sends nothing more.
+    pub ended: bool,
+    /// Bytes given to it and bytes written, since it was opened.
+    queued: u64,
+    written: u64,
+    /// Last time that anything was written or read.
+    pub used: Time,
+    interest: (bool, bool),
+}
+
+impl Conn {
+    /// Queues bytes and tells where they end: they are out once [`Conn::written`] has reached that point.
+    pub fn send(&mut self, bytes: &[u8]) -> u64 {
+        self.output.push(bytes);
+        self.queued += bytes.len() as u64;
+        self.queued
+    }
+    /// Bytes written so far.
+    #[must_use]
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+    /// Whether all that was queued is written.
+    #[must_use]
+    pub fn flushed(&self) -> bool {
+        self.output.is_empty()
+    }
+    /// Ends this side: the other reads to the end of what was written.
+    pub fn end_output(&mut self) {
+        // One that is gone already needs no end.
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+    }
+    /// Takes back the last `count` bytes queued, none of which is written yet.
+    pub fn take_back(&mut self, count: u64) {
+        self.output.unpush(count as usize);
+        self.queued -= count;
+    }
+}
+
+/// What a look at a connection brought.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Pumped {
+    /// Bytes may have been read and written.
+    Alive,
+    /// The connection never came up.
+    NeverUp,
+    /// The connection broke, or there is no such connection.
+    Broken,
+}
+
+const SIGNAL_KEY: usize = usize::MAX - 1;
+const LISTENER_KEY: usize = 1 << 48;
+const INDEX_BITS: u32 = 16;
+
+/// Descriptors that are none of the connections: standard streams, poller, listeners, signal pipe and spare.
+const RESERVED: usize = 24;
+
+/// The table of connections, the listeners and the wheel.
+pub struct Net {
+    poller: Poller,
+    events: Vec<Event>,
+    slots: Vec<Option<(ConnId, Conn)>>,
+    free: Vec<usize>,
+    next: usize,
+    clients: usize,
+    others: usize,
+    /// Most connections of clients, and to data nodes and discovery.
+    most: (usize, usize),
+    listeners: Vec<(Owner, TcpListener)>,
+    /// Accepting rests until a client's connection is given back.
+    resting: bool,
+    signal: Option<UnixStream>,
+    /// Timers.
+    pub wheel: Wheel<Timer>,
+    /// The clock.
+    pub clock: Clock,
+}
+
+impl Net {
+    /// A net that holds no more than `descriptors`, three quarters of them for clients.
+    pub fn new(descriptors: usize) -> io::Result<Net> {
+        let clock = Clock::default();
+        let most = descriptors.saturating_sub(RESERVED).max(8);
+        Ok(Net {
+            poller: Poller::new()?,
+            events: Vec::new(),
+            slots: Vec::new(),
+            free: Vec::new(),
+            next: 1,
+            clients: 0,
+            others: 0,
+            most: (most * 3 / 4, most / 4),
+            listeners: Vec::new(),
+            resting: false,
+            signal: None,
+            wheel: Wheel::new(clock.now()),
+            clock,
+        })
+    }
+
+    /// Listens for clients; tells the address, whose port the system may have chosen.
+    pub fn listen(&mut self, owner: Owner, address: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let key = LISTENER_KEY + self.listeners.len();
+        self.poller.add_with_mode(&listener, Event::readable(key), PollMode::Level)?;
+        let bound = listener.local_addr()?;
+        self.listeners.push((owner, listener));
+        Ok(bound)
+    }
+
+    /// Closes all listeners.
+    pub fn stop_listening(&mut self) {
+        for (_, listener) in self.listeners.drain(..) {
+            // A listener that can't be taken out of the poller is taken out by its close.
+            let _ = self.poller.delete(&listener);
+        }
+    }
+
+    /// Reports [`Ready::Stop`] once this stream can be read.
+    pub fn watch_signal(&mut self, stream: UnixStream) -> io::Result<()> {
+        stream.set_nonblocking(true)?;
+        self.poller.add_with_mode(&stream, Event::readable(SIGNAL_KEY), PollMode::Level)?;
+        self.signal = Some(stream);
+        Ok(())
+    }
+
+    /// Waits until something is ready or `until` has come.
+    pub fn wait(&mut self, until: Option<Time>) -> io::Result<Vec<Ready>> {
+        let until = [until, self.wheel.next()].into_iter().flatten().min();
+        let timeout = until.map(|at| Duration::from_micros(at.since(self.clock.now())));
+        self.events.clear();
+        match self.poller.wait(&mut self.events, timeout) {
+            // A signal ends the wait before its byte can be read: it is no fault, and the next wait brings it.
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            other => {
+                other?;
+            }
+        }
+        let ready = |e: &Event| match e.key {
+            SIGNAL_KEY => Some(Ready::Stop),
+            key if key >= LISTENER_KEY => {
+                self.listeners.get(key - LISTENER_KEY).map(|l| Ready::Listener(l.0))
+            }
+            key => self.get(ConnId(key)).map(|c| Ready::Conn(ConnId(key), c.owner)),
+        };
+        Ok(self.events.iter().filter_map(ready).collect())
+    }
+
+    /// Takes the signal's byte, so that it is not reported again.
+    pub fn clear_signal(&mut self) {
+        if let Some(stream) = self.signal.take() {
+            // Stopping goes on whether or not the pipe can be taken out of the poller.
+            let _ = self.poller.delete(&stream);
+        }
+    }
+
+    /// Accepts all that wait at the listeners of `owner`. With the budget used up the rest wait until a client's
+    /// connection is given back.
+    pub fn accept(&mut self, owner: Owner) -> Vec<ConnId> {
+        let mut taken = Vec::new();
+        let listeners = std::mem::take(&mut self.listeners);
+        for (_, listener) in listeners.iter().filter(|l| l.0 == owner) {
+            loop {
+                // Guards the descriptor budget: over it a process fails in places that can't say so.
+                if self.clients >= self.most.0 {
+                    self.resting = true;
+                    break;
+                }
+                match listener.accept() {
+                    Ok((stream, _)) => taken.extend(self.add(stream, owner, true)),
+                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                    Err(_) => break,
+                }
+            }
+        }
+        self.listeners = listeners;
+        if self.resting {
+            self.attend(false);
+        }
+        taken
+    }
+
+    /// Reports listeners that have connections to accept, or not: one that stays ready would spin the loop.
+    fn attend(&mut self, on: bool) {
+        for (i, (_, listener)) in self.listeners.iter().enumerate() {
+            let event = Event { key: LISTENER_KEY + i, readable: on, writable: false };
+            // A listener that can't be changed goes on as it is: late to accept, or busy.
+            let _ = self.poller.modify_with_mode(listener, event, PollMode::Level);
+        }
+    }
+
+    /// Starts to open a connection.
+    pub fn connect(&mut self, owner: Owner, address: SocketAddr) -> io::Result<ConnId> {
+        // Guards the descriptor budget: many data nodes that are slow to connect must not use it up.
+        if self.others >= self.most.1 {
+            return Err(io::Error::other("no descriptors left for data nodes"));
+        }
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        let up = match socket.connect(&address.into()) {
+            Ok(()) => true,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock || e.raw_os_error() == Some(EINPROGRESS) => false,
+            Err(e) => return Err(e),
+        };
+        self.add(socket.into(), owner, up)
+    }
+
+    fn add(&mut self, stream: TcpStream, owner: Owner, up: bool) -> io::Result<ConnId> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.slots.push(None);
+            self.slots.len() - 1
+        });
+        let id = ConnId((self.next << INDEX_BITS | index) % LISTENER_KEY);
+        self.next += 1;
+        let interest = (true, !up);
+        let event = Event { key: id.0, readable: interest.0, writable: interest.1 };
+        if let Err(e) = self.poller.add_with_mode(&stream, event, PollMode::Level) {
+            self.free.push(index);
+            return Err(e);
+        }
+        *(if owner.is_client() { &mut self.clients } else { &mut self.others }) += 1;
+        let (input, output, used) = (Buffer::default(), Buffer::default(), self.clock.now());
+        let (queued, written, ended) = (0, 0, false);
+        let conn = Conn { stream, owner, input, output, up, ended, queued, written, used, interest };
+        self.slots[index] = Some((id, conn));
+        Ok(id)
+    }
+
+    /// The connection, if it is still there.
+    #[must_use]
+    pub fn get(&self, id: ConnId) -> Option<&Conn> {
+        let slot = self.slots.get(id.0 & ((1 << INDEX_BITS) - 1))?.as_ref()?;
+        (slot.0 == id).then_some(&slot.1)
+    }
+
+    /// The same, to change it.
+    pub fn get_mut(&mut self, id: ConnId) -> Option<&mut Conn> {
+        let slot = self.slots.get_mut(id.0 & ((1 << INDEX_BITS) - 1))?.as_mut()?;
+        (slot.0 == id).then_some(&mut slot.1)
+    }
+
+    /// Writes what is queued and reads what has come, up to `ceiling` bytes held.
+    pub fn pump(&mut self, id: ConnId, ceiling: usize) -> Pumped {
+        let now = self.clock.now();
+        let Some(conn) = self.get_mut(id) else { return Pumped::Broken };
+        if !conn.up {
+            if matches!(conn.stream.take_error(), Ok(Some(_)) | Err(_)) {
+                return Pumped::NeverUp;
+            }
+            // Without an error a connection that is still being opened has no peer yet.
+            if conn.stream.peer_addr().is_err() {
+                return Pumped::Alive;
+            }
+            conn.up = true;
+            conn.used = now;
+        }
+        let held = conn.input.bytes().len();
+        let read = if conn.ended { Ok(true) } else { conn.input.fill(&mut conn.stream, ceiling) };
+        if conn.input.bytes().len() > held {
+            conn.used = now;
+        }
+        match read {
+            Ok(ended) => conn.ended = ended,
+            Err(_) => return Pumped::Broken,
+        }
+        let full = conn.input.bytes().len() >= ceiling;
+        self.flush(id, full)
+    }
+
+    /// Writes what is queued; reading rests while `full`.
+    pub fn flush(&mut self, id: ConnId, full: bool) -> Pumped {
+        let now = self.clock.now();
+        let Some(conn) = self.get_mut(id) else { return Pumped::Broken };
+        if conn.up && !conn.output.is_empty() {
+            match conn.output.drain(&mut conn.stream) {
+                Ok(n) => conn.written += n as u64,
+                Err(_) => return Pumped::Broken,
+            }
+            conn.used = now;
+        }
+        // An ended side stays readable for ever: to go on polling it would spin.
+        let interest = (!full && !conn.ended, !conn.up || !conn.output.is_empty());
+        if interest == conn.interest {
+            return Pumped::Alive;
+        }
+        conn.interest = interest;
+        let event = Event { key: id.0, readable: interest.0, writable: interest.1 };
+        let Some((_, conn)) = self.slots[id.0 & ((1 << INDEX_BITS) - 1)].as_ref() else {
+            return Pumped::Broken;
+        };
+        match self.poller.modify_with_mode(&conn.stream, event, PollMode::Level) {
+            Ok(()) => Pumped::Alive,
+            Err(_) => Pumped::Broken,
+        }
+    }
+
+    /// Closes a connection: the one place where a descriptor of the table is given back.
+    pub fn close(&mut self, id: ConnId) {
+        let index = id.0 & ((1 << INDEX_BITS) - 1);
+        if self.get(id).is_none() {
+            return;
+        }
+        if let Some((_, conn)) = self.slots[index].take() {
+            // A stream that can't be taken out of the poller is taken out by its close.
+            let _ = self.poller.delete(&conn.stream);
+            *(if conn.owner.is_client() { &mut self.clients } else { &mut self.others }) -= 1;
+            self.free.push(index);
+            if self.resting && self.clients < self.most.0 {
+                self.resting = false;
+                self.attend(true);
+            }
+        }
+    }
+
+    /// Whether clients wait because the budget is used up.
+    #[must_use]
+    pub fn resting(&self) -> bool {
+        self.resting
+    }
+
+    /// Connections of clients that are open.
+    #[must_use]
+    pub fn clients(&self) -> usize {
+        self.clients
+    }
+}
+
+/// What the system answers to a connect that goes on in the background.
+const EINPROGRESS: i32 = 115;
--- /dev/null
+++ b/src/net/wheel.rs
@@ -0,0 +1,89 @@
+//! Timers as coarse ticks on a wheel. A timer is never revoked: its owner disregards one that is stale.
+
+use crate::interface::{Micros, Time};
+
+/// Length of a tick. Timers fire at the first tick at or after their time, never before it.
+pub const TICK: Micros = 2_000;
+/// Ticks in one turn of the wheel; later timers stay in their slot for further turns.
+const SLOTS: usize = 1_024;
+
+/// A wheel of timers that carry a `T`.
+pub struct Wheel<T> {
+    slots: Vec<Vec<(u64, T)>>,
+    /// The last tick that was worked off.
+    tick: u64,
+    count: usize,
+}
+
+impl<T> Wheel<T> {
+    /// An empty wheel whose time is `now`.
+    #[must_use]
+    pub fn new(now: Time) -> Self {
+        Wheel { slots: (0..SLOTS).map(|_| Vec::new()).collect(), tick: now.0 / TICK, count: 0 }
+    }
+
+    /// Sets a timer. One that is already due fires at the next tick.
+    pub fn set(&mut self, at: Time, what: T) {
+        let tick = at.0.div_ceil(TICK).max(self.tick + 1);
+        self.slots[tick as usize % SLOTS].push((tick, what));
+        self.count += 1;
+    }
+
+    /// Takes out every timer that is due at `now`, earlier ticks first.
+    pub fn due(&mut self, now: Time) -> Vec<T> {
+        let (until, mut fired) = (now.0 / TICK, Vec::new());
+        // After a long stop each slot needs one look only: a turn of the wheel holds every timer.
+        let first = (self.tick + 1).max(until.saturating_sub(SLOTS as u64 - 1));
+        for tick in first..=until {
+            let slot = &mut self.slots[tick as usize % SLOTS];
+            let mut at = 0;
+            while at < slot.len() {
+                if slot[at].0 <= until {
+                    fired.push(slot.remove(at));
+                } else {
+                    at += 1;
+                }
+            }
+        }
+        self.tick = self.tick.max(until);
+        self.count -= fired.len();
+        fired.sort_by_key(|f| f.0);
+        fired.into_iter().map(|f| f.1).collect()
+    }
+
+    /// When the next timer fires.
+    #[must_use]
+    pub fn next(&self) -> Option<Time> {
+        if self.count == 0 {
+            return None;
+        }
+        self.slots.iter().flatten().map(|t| t.0).min().map(|tick| Time(tick * TICK))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn timers_fire_in_order_at_their_tick_and_never_before() {
+        let mut wheel = Wheel::new(Time(1_000_000));
+        wheel.set(Time(1_009_001), "b");
+        wheel.set(Time(1_003_000), "a");
+        wheel.set(Time(1_000_000 + TICK * (SLOTS as u64 + 3)), "a turn later");
+        assert_eq!(wheel.next(), Some(Time(1_004_000)));
+        assert!(wheel.due(Time(1_003_999)).is_empty());
+        assert_eq!(wheel.due(Time(1_010_000)), ["a", "b"]);
+        assert!(wheel.due(Time(1_500_000)).is_empty());
+        assert_eq!(wheel.due(Time(9_000_000)), ["a turn later"]);
+        assert_eq!(wheel.next(), None);
+    }
+
+    #[test]
+    fn a_timer_that_is_already_due_fires_at_the_next_tick() {
+        let mut wheel = Wheel::new(Time(50_000));
+        wheel.set(Time(0), 1);
+        assert!(wheel.due(Time(50_000)).is_empty());
+        assert_eq!(wheel.due(Time(52_000)), [1]);
+    }
+}
--- /dev/null
+++ b/src/testing.rs
@@ -0,0 +1,50 @@
+//! One helper for the tests of all parsers: random cuts of valid messages and random garbage, by quickcheck
+//! from a fixed seed.
+
+use quickcheck::{Arbitrary, Gen};
+
+const SEED: u64 = 0x006c_6963_6865_6e73;
+const ROUNDS: usize = 200;
+
+fn generator() -> Gen {
+    Gen::from_size_and_seed(64, SEED)
+}
+
+/// Feeds the messages, one after the other and cut at random, to a parser that tells how many bytes the
+/// message took once it is whole; each message must come out once, at its own last byte.
+pub fn random_cuts(messages: &[&[u8]], mut parse: impl FnMut(&[u8]) -> Option<usize>) {
+    let mut g = generator();
+    for _ in 0..ROUNDS {
+        let picked: Vec<&[u8]> = (0..4).filter_map(|_| g.choose(messages).copied()).collect();
+        let stream = picked.concat();
+        let (mut held, mut at, mut whole) = (Vec::new(), 0, Vec::new());
+        while at < stream.len() {
+            let end = (at + 1 + usize::arbitrary(&mut g) % 40).min(stream.len());
+            held.extend_from_slice(&stream[at..end]);
+            at = end;
+            while let Some(used) = parse(&held) {
+                whole.push(used);
+                held.drain(..used);
+            }
+        }
+        assert!(held.is_empty(), "bytes left over");
+        assert_eq!(whole, picked.iter().map(|m| m.len()).collect::<Vec<_>>());
+    }
+}
+
+/// Feeds random bytes, and valid messages with some bytes changed and some cut off.
+pub fn garbage(messages: &[&[u8]], mut parse: impl FnMut(&[u8])) {
+    let mut g = generator();
+    for _ in 0..ROUNDS {
+        parse(&Vec::<u8>::arbitrary(&mut g));
+        let mut bytes = g.choose(messages).map(|m| m.to_vec()).unwrap_or_default();
+        for _ in 0..1 + usize::arbitrary(&mut g) % 4 {
+            let at = usize::arbitrary(&mut g) % bytes.len().max(1);
+            if let Some(byte) = bytes.get_mut(at) {
+                *byte = u8::arbitrary(&mut g);
+            }
+        }
+        bytes.truncate(usize::arbitrary(&mut g) % (bytes.len() + 1));
+        parse(&bytes);
+    }
+}
--- /dev/null
+++ b/src/upstream/ogc.rs
@@ -0,0 +1,1 @@
+//! The wire to data nodes that speak OGC API Features.
--- /dev/null
+++ b/tests/programs.rs
@@ -0,0 +1,80 @@
+//! Both programs start, do their first work and end as they should.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::process::{Command, Stdio};
+
+const SETTINGS: &str = r#"{"allowed":{"maxAttempts":4,"mostHeld":210,"mayCancel":true,"secondCopies":true,
+    "retryAfter":true,"maxRetryAfterUs":2000000,"maxStreams":32},
+    "classes":[{"name":"fleet-search","objectiveUs":1500000,"deadlineUs":4000000,"idempotency":"retryable",
+      "gain":1.0,"lateShare":0.1}],
+    "discovery":"subscribe","resolutionUs":5000,"zones":["a"],
+    "familyInfo":{"partsACall":8,"sets":2,"width":2,"classFetch":[0],"classPartial":[0.9],"minShare":[1.0],
+      "needByClass":[1.0]}}"#;
+
+fn ask(address: &str, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+#[test]
+fn the_broker_serves_health_refuses_bad_input_and_ends_on_sigterm() {
+    let path = std::env::temp_dir().join(format!("lichenswitch-test-{}.json", std::process::id()));
+    let config = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{SETTINGS}}}"#
+    );
+    std::fs::write(&path, config).unwrap();
+    let mut broker = Command::new(env!("CARGO_BIN_EXE_lichenswitch"))
+        .env("NODE_CONFIG", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(broker.stderr.take().unwrap()).lines();
+    let line = lines.find(|l| l.as_ref().unwrap().contains("listens on ")).unwrap().unwrap();
+    let address = line.rsplit(' ').next().unwrap();
+    let ready = ask(address, "GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assert!(ready.starts_with("HTTP/1.1 200 "), "{ready}");
+    let bad = ask(address, "NONSENSE\r\n\r\n");
+    assert!(bad.starts_with("HTTP/1.1 400 "), "{bad}");
+    // No data node is known: the module gives up at once, and says when to come back.
+    let body = r#"{"segments":[{"segment":0,"boost":1.0}],"text":"x"}"#;
+    let query = format!(
+        "POST /fleet-search HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: fleet-search\r\nReq-Deadline-Ms: 60000\r\n\
+         Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let refused = ask(address, &query);
+    assert!(refused.starts_with("HTTP/1.1 503 ") && refused.contains("\r\nretry-after: "), "{refused}");
+    let killed = Command::new("kill").arg(broker.id().to_string()).status().unwrap();
+    assert!(killed.success() && broker.wait().unwrap().success());
+    std::fs::remove_file(&path).unwrap();
+}
+
+#[test]
+fn a_faulty_configuration_ends_the_broker_with_a_message() {
+    let run = |env: &[(&str, &str)]| {
+        let mut broker = Command::new(env!("CARGO_BIN_EXE_lichenswitch"));
+        broker.env_remove("NODE_CONFIG").envs(env.iter().copied());
+        let output = broker.output().unwrap();
+        assert!(!output.status.success());
+        String::from_utf8(output.stderr).unwrap()
+    };
+    assert!(run(&[("NODE_CONFIG", "/no/such/file")]).contains("NODE_CONFIG"));
+}
+
+#[test]
+fn the_drill_answers_an_empty_batch() {
+    let mut drill = Command::new(env!("CARGO_BIN_EXE_lichenswitch-drill"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let batch = [16, 0, 0, 0, 0, 0, 0, 0, 0x5a, 0x5c, 0x80, 0, 0, 0, 0, 0];
+    drill.stdin.take().unwrap().write_all(&batch).unwrap();
+    let output = drill.wait_with_output().unwrap();
+    assert!(output.status.success());
+    assert_eq!(output.stdout, [0, 0, 0, 0, 8, 0, 0, 0]);
+}
