--- a/src/broker.rs
+++ b/src/broker.rs
@@ -4,12 +4,14 @@
 use crate::config;
 use crate::contract::Contracts;
 use crate::core::{Command, Core};
-use crate::discovery::{Directory, Discovery};
+use crate::discovery::{Directory, Discovery, Instance, Lifecycle};
+use crate::front::ogc::Ogc;
 use crate::front::platform::{Class, Platform};
 use crate::front::{Front, Sessions};
 use crate::interface::{Listing, Micros, Outcome, Time};
 use crate::net::{ConnId, Net, Owner, Ready, Timer};
 use crate::upstream::frames::Frames;
+use crate::upstream::ogc::Features;
 use crate::upstream::{Limits, Pool, Wire};
 use std::io;
 use std::net::SocketAddr;
@@ -19,6 +21,8 @@
 const LISTEN_ON: Micros = 500_000;
 /// After this long a stop does not wait for clients that read no answer.
 const STOP_MOST: Micros = 15_000_000;
+/// How often a broker that stops looks whether it has finished.
+const STOP_LOOK: Micros = 20_000;
 
 /// One front, its core and the data nodes behind it.
 pub struct Service<F: Front, W: Wire<Job = F::Job>> {
@@ -137,24 +141,40 @@
     eprintln!("lichenswitch: {line}");
 }
 
-/// The broker on the platform.
+/// The broker: the service of the platform, that of the OGC front, or both, on one loop.
 pub struct Broker {
     net: Net,
     platform: Option<Service<Platform, Frames>>,
     discovery: Option<Discovery>,
+    ogc: Option<Service<Ogc, Features>>,
     /// When the signal to stop came.
     stopping: Option<Time>,
 }
 
+/// Does the same with each service that there is.
+macro_rules! each_service {
+    ($broker:expr, |$net:ident, $service:ident| $what:expr) => {{
+        let $net = &mut $broker.net;
+        if let Some($service) = &mut $broker.platform {
+            $what;
+        }
+        if let Some($service) = &mut $broker.ogc {
+            $what;
+        }
+    }};
+}
+
 impl Broker {
     /// A broker that listens already: once this returns, clients are served.
-    pub fn new(told: Option<config::Platform>) -> Result<Broker, String> {
-        let sockets = told.as_ref().map_or(1_024, |t| t.sockets);
-        let net = Net::new(sockets).map_err(|e| format!("poller: {e}"))?;
-        let mut broker = Broker { net, platform: None, discovery: None, stopping: None };
-        if let Some(told) = told {
-            broker.serve_platform(told)?;
+    pub fn new(platform: Option<config::Platform>, ogc: Option<config::Ogc>) -> Result<Broker, String> {
+        if platform.is_none() && ogc.is_none() {
+            return Err("NODE_CONFIG: not set, and deploy/ogc.yaml has no listen: nothing to serve".into());
         }
+        let sockets = platform.as_ref().map_or(config::SOCKETS, |told| told.sockets);
+        let net = Net::new(sockets).map_err(|e| format!("poller: {e}"))?;
+        let mut broker = Broker { net, platform: None, discovery: None, ogc: None, stopping: None };
+        platform.map_or(Ok(()), |told| broker.serve_platform(told))?;
+        ogc.map_or(Ok(()), |told| broker.serve_ogc(told))?;
         Ok(broker)
     }
 
@@ -166,18 +186,43 @@
         let known = told.known.unwrap_or_default();
         let generation = (!known.instances.is_empty()).then_some(known.generation);
         core.listed(Listing::Cached(directory.lines(&known.instances)));
-        let c = told.connections;
-        let limits = Limits { streams: c.streams, connect: c.connect, idle: c.idle };
-        let pool = Pool::new(Frames, limits);
-        let address = self.listen(Owner::Platform, told.listen, "listen")?;
+        let pool = Pool::new(Frames, limits(told.connections));
+        let address = self.listen(Owner::Platform, told.listen)?;
         log(&format!("{} listens on {address}", told.name));
         self.platform = Some(Service::new(Owner::Platform, Platform::new(classes), core, pool, directory));
         self.discovery = Some(Discovery::new(told.discovery, generation));
         Ok(())
     }
 
-    fn listen(&mut self, owner: Owner, address: SocketAddr, key: &str) -> Result<SocketAddr, String> {
-        self.net.listen(owner, address).map_err(|e| format!("{key}: {address}: {e}"))
+    fn serve_ogc(&mut self, told: config::Ogc) -> Result<(), String> {
+        let mut directory = Directory::new(told.inventory.zones);
+        let mut core = Core::new(told.seed, told.settings, Contracts::new(told.contracts));
+        let line = |node: &crate::inventory::Node| Instance {
+            instance_id: node.name.clone(),
+            host_port: node.address.to_string(),
+            zone: node.zone.clone(),
+            cell: node.cell,
+            lifecycle: Lifecycle::Serving,
+            started_at_ms: 0,
+        };
+        let instances: Vec<Instance> = told.inventory.nodes.iter().map(line).collect();
+        core.listed(Listing::Whole(directory.lines(&instances)));
+        let pool = Pool::new(Features, limits(told.connections));
+        let front = Ogc::new(told.title, told.collections, told.inventory.slices);
+        let address = self.listen(Owner::Ogc, told.listen)?;
+        log(&format!("OGC API Features listens on {address}"));
+        self.ogc = Some(Service::new(Owner::Ogc, front, core, pool, directory));
+        Ok(())
+    }
+
+    fn listen(&mut self, owner: Owner, address: SocketAddr) -> Result<SocketAddr, String> {
+        self.net.listen(owner, address).map_err(|e| format!("listen: {address}: {e}"))
+    }
+
+    /// Where clients connect, by the owner of the listener.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<(Owner, SocketAddr)> {
+        self.net.addresses()
     }
 
     /// Ends the loop, when its work is done, once this stream can be read.
@@ -191,16 +236,28 @@
             let until = self.next_turn();
             for ready in self.net.wait(until)? {
                 match ready {
-                    Ready::Listener(owner) => self.accept(owner),
-                    Ready::Conn(id, owner) => self.ready(id, owner),
+                    Ready::Listener(owner) => each_service!(self, |net, service| {
+                        if service.owner == owner {
+                            service.accept(net);
+                        }
+                    }),
+                    Ready::Conn(id, Owner::Discovery) => self.news(id),
+                    Ready::Conn(id, owner) => {
+                        each_service!(self, |net, service| service.ready(net, id, owner))
+                    }
                     Ready::Stop => self.stop(),
                 }
             }
             let now = self.net.clock.now();
             for timer in self.net.wheel.due(now) {
-                self.timer(timer);
+                each_service!(self, |net, service| service.timer(net, timer));
+                if let (Timer::Discovery(call), Some(discovery)) = (timer, &mut self.discovery) {
+                    let news = discovery.timer(&mut self.net, call);
+                    self.listed(news);
+                }
             }
-            self.turn();
+            each_service!(self, |net, service| service.turn(net));
+            self.subscribe();
             if self.stopping.is_some_and(|since| self.finished(since)) {
                 return Ok(());
             }
@@ -209,46 +266,30 @@
 
     /// When there is something to do though nothing is ready.
     fn next_turn(&self) -> Option<Time> {
-        let stop = self.stopping.map(|_| self.net.clock.now().plus(20_000));
-        let turn = self.platform.as_ref().and_then(|s| s.core.next_turn());
-        [stop, turn].into_iter().flatten().min()
-    }
-
-    fn accept(&mut self, owner: Owner) {
-        if let Some(service) = self.platform.as_mut().filter(|s| s.owner == owner) {
-            service.accept(&mut self.net);
-        }
+        let stop = self.stopping.map(|_| self.net.clock.now().plus(STOP_LOOK));
+        let platform = self.platform.as_ref().and_then(|s| s.core.next_turn());
+        let ogc = self.ogc.as_ref().and_then(|s| s.core.next_turn());
+        [stop, platform, ogc].into_iter().flatten().min()
     }
 
-    fn ready(&mut self, id: ConnId, owner: Owner) {
-        if owner == Owner::Discovery {
-            if let (Some(discovery), Some(service)) = (&mut self.discovery, &mut self.platform) {
-                for news in discovery.ready(&mut self.net, id, &mut service.directory) {
-                    service.core.listed(news);
-                }
-            }
-        } else if let Some(service) = &mut self.platform {
-            service.ready(&mut self.net, id, owner);
+    fn listed(&mut self, news: impl IntoIterator<Item = Listing>) {
+        if let Some(service) = &mut self.platform {
+            news.into_iter().for_each(|news| service.core.listed(news));
         }
     }
 
-    fn timer(&mut self, timer: Timer) {
-        if let Some(service) = &mut self.platform {
-            service.timer(&mut self.net, timer);
-            if let (Timer::Discovery(call), Some(discovery)) = (timer, &mut self.discovery) {
-                discovery.timer(&mut self.net, call).into_iter().for_each(|news| service.core.listed(news));
-            }
+    fn news(&mut self, id: ConnId) {
+        if let (Some(discovery), Some(service)) = (&mut self.discovery, &mut self.platform) {
+            let news = discovery.ready(&mut self.net, id, &mut service.directory);
+            self.listed(news);
         }
     }
 
-    fn turn(&mut self) {
-        if let Some(service) = &mut self.platform {
-            service.turn(&mut self.net);
-            if std::mem::take(&mut service.subscribe) {
-                if let Some(discovery) = &mut self.discovery {
-                    discovery.subscribe(&mut self.net).into_iter().for_each(|news| service.core.listed(news));
-                }
-            }
+    fn subscribe(&mut self) {
+        let asked = self.platform.as_mut().is_some_and(|s| std::mem::take(&mut s.subscribe));
+        if let (true, Some(discovery)) = (asked, &mut self.discovery) {
+            let news = discovery.subscribe(&mut self.net);
+            self.listed(news);
         }
     }
 
@@ -256,9 +297,7 @@
         self.net.clear_signal();
         self.stopping = Some(self.net.clock.now());
         log("stopping: finishing what was taken");
-        if let Some(service) = &mut self.platform {
-            service.stop();
-        }
+        each_service!(self, |_net, service| service.stop());
     }
 
     /// Whether all that was taken is finished. What waits at a listener counts as taken, so it is accepted
@@ -268,14 +307,14 @@
         if elapsed < LISTEN_ON {
             return false;
         }
-        if let Some(service) = &mut self.platform {
-            service.accept(&mut self.net);
-        }
+        each_service!(self, |net, service| service.accept(net));
         self.net.stop_listening();
         let mut left = 0;
-        if let Some(service) = &mut self.platform {
-            left += service.sessions.close_unused(&mut self.net, &mut service.core);
-        }
+        each_service!(self, |net, service| left += service.sessions.close_unused(net, &mut service.core));
         left == 0 || elapsed >= STOP_MOST
     }
 }
+
+fn limits(told: config::Connections) -> Limits {
+    Limits { streams: told.streams, connect: told.connect, idle: told.idle }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,11 +3,15 @@
 
 pub mod settings;
 
+use crate::contract::{Contract, Contracts};
 use crate::discovery::List;
-use crate::interface::Settings;
+use crate::front::ogc::Collection;
+use crate::interface::{Discovery, Layout, Repeat, Settings};
+use crate::inventory::Inventory;
 use serde::Deserialize;
+use serde_saphyr::Spanned;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Connections to data nodes, as the settings allow them.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -46,7 +50,7 @@
 }
 
 /// Descriptors that a broker may hold where it is told no limit, and at most.
-const SOCKETS: usize = 1_024;
+pub const SOCKETS: usize = 1_024;
 
 #[derive(Deserialize)]
 struct File {
@@ -115,5 +119,163 @@
     }
 }
 
+/// What the OGC front is told.
+#[derive(Clone, Debug)]
+pub struct Ogc {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Title of the landing page.
+    pub title: String,
+    /// Collections that clients may read.
+    pub collections: Vec<Collection>,
+    /// Slices, cells, data nodes and teams.
+    pub inventory: Inventory,
+    /// The module's settings, with the inventory's layout.
+    pub settings: Settings,
+    /// Contracts of the teams.
+    pub contracts: Vec<(String, Contract)>,
+    /// For random numbers.
+    pub seed: u64,
+    /// Connections to data nodes.
+    pub connections: Connections,
+}
+
+/// The file that tells of the OGC front, from the root; `LICHENSWITCH_OGC` names another.
+const OGC_FILE: &str = "deploy/ogc.yaml";
+/// Replicas of a slice where the file tells none.
+const REPLICAS: u32 = 2;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OgcFile {
+    listen: Option<Spanned<String>>,
+    #[serde(default)]
+    title: Option<String>,
+    #[serde(default)]
+    inventory: Option<Spanned<PathBuf>>,
+    #[serde(default)]
+    settings: Option<Spanned<PathBuf>>,
+    #[serde(default)]
+    replicas: Option<Spanned<u32>>,
+    #[serde(default)]
+    zone: Option<Spanned<String>>,
+    #[serde(default)]
+    collections: Vec<CollectionFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CollectionFile {
+    id: Spanned<String>,
+    #[serde(default)]
+    title: Option<String>,
+    class: Spanned<String>,
+    #[serde(default)]
+    wait_ms: Option<Spanned<u64>>,
+}
+
+impl Ogc {
+    /// Reads the front's file; `None` where there is none, or where it names no address to listen on.
+    pub fn from_env(
+        env: impl Fn(&str) -> Option<String>,
+        platform: Option<&Platform>,
+    ) -> Result<Option<Ogc>, String> {
+        let told = env("LICHENSWITCH_OGC").map(PathBuf::from);
+        let path = told.clone().unwrap_or_else(|| OGC_FILE.into());
+        if told.is_none() && !path.exists() {
+            return Ok(None);
+        }
+        Ogc::load(&path, platform)
+    }
+
+    /// Reads the front's file. Paths in it start from its folder. Its settings are those of a file that it
+    /// names, or else the platform's.
+    pub fn load(path: &Path, platform: Option<&Platform>) -> Result<Option<Ogc>, String> {
+        let name = path.display();
+        let read: OgcFile = serde_saphyr::from_str(&file(path)?).map_err(|e| {
+            let line = e.location().map_or(0, |l| l.line());
+            format!("{name}:{line}: {}", e.to_string().lines().next().unwrap_or_default())
+        })?;
+        let Some(listen) = &read.listen else { return Ok(None) };
+        let at = |line: u64| format!("{name}:{line}: ");
+        let here = |at_line: u64, key: &str, why: String| format!("{}{key}: {why}", at(at_line));
+        let beside = |other: &Path| path.parent().unwrap_or(Path::new("")).join(other);
+        let line = listen.referenced.line();
+        let address = address(&listen.value, "listen").map_err(|why| at(line) + &why)?;
+        let inventory = read.inventory.as_ref().ok_or_else(|| format!("{name}: inventory: missing"))?;
+        let inventory = Inventory::load(&beside(&inventory.value))?;
+        let (mut settings, classes, connections) = match (&read.settings, platform) {
+            (Some(told), _) => {
+                let text =
+                    file(&beside(&told.value)).map_err(|e| here(told.referenced.line(), "settings", e))?;
+                let site = settings::Site::parse(text.as_bytes())
+                    .map_err(|e| here(told.referenced.line(), "settings", e))?;
+                (site.settings, site.classes, site.connections)
+            }
+            (None, Some(p)) => (p.settings.clone(), p.classes.clone(), p.connections),
+            (None, None) => return Err(format!("{name}: settings: missing, and so is NODE_CONFIG")),
+        };
+        let cells = inventory.cells.len() as u32;
+        let (replicas, line) =
+            read.replicas.as_ref().map_or((REPLICAS, 0), |r| (r.value, r.referenced.line()));
+        if replicas == 0 || replicas > cells {
+            return Err(here(line, "replicas", format!("{replicas}, but there are {cells} cells")));
+        }
+        let mut collections: Vec<Collection> = Vec::new();
+        for told in &read.collections {
+            let (id, line) = (&told.id.value, told.id.referenced.line());
+            if id.is_empty() || collections.iter().any(|c| c.id == *id) {
+                return Err(here(line, "id", format!("{id:?} is empty or there twice")));
+            }
+            let line = told.class.referenced.line();
+            let class = classes.iter().position(|c| *c == told.class.value);
+            let class = class
+                .ok_or_else(|| here(line, "class", format!("there is no class {:?}", told.class.value)))?;
+            // Guards writes: a class whose parts must not be repeated at will records something, and a read
+            // that was mapped to it would be taken for that.
+            if settings.classes[class].repeat != Repeat::Safe {
+                let why = format!("{:?} is for writes and can't be read", told.class.value);
+                return Err(here(line, "class", why));
+            }
+            let most = settings.classes[class].deadline;
+            let wait = match &told.wait_ms {
+                Some(wait) if wait.value == 0 || wait.value.saturating_mul(1_000) > most => {
+                    let why = format!("{} is not within the class's {} ms", wait.value, most / 1_000);
+                    return Err(here(wait.referenced.line(), "wait_ms", why));
+                }
+                wait => wait.as_ref().map_or(most, |wait| wait.value * 1_000),
+            };
+            let title = told.title.clone().unwrap_or_else(|| id.clone());
+            collections.push(Collection { id: id.clone(), title, class, wait });
+        }
+        if collections.is_empty() {
+            return Err(format!("{name}: collections: there are none"));
+        }
+        if let Some(zone) = &read.zone {
+            let found = inventory.zones.iter().position(|z| *z == zone.value);
+            let why = format!("there is no zone {:?} in the inventory", zone.value);
+            settings.zone = found.ok_or_else(|| here(zone.referenced.line(), "zone", why))? as u32;
+        }
+        // The inventory is the list of data nodes, a GET holds one part, and the standard has no second step.
+        settings.discovery = Discovery::Push;
+        settings.layout = Layout { cells, width: replicas, parts_a_call: 1 };
+        settings.classes.iter_mut().for_each(|class| class.second_step = 0);
+        let contracts = inventory.contracts(&classes)?;
+        if let Some(budget) = Contracts::new(contracts.clone()).budget() {
+            settings.limits.budget = Some(budget);
+        }
+        Ok(Some(Ogc {
+            listen: address,
+            title: read.title.unwrap_or_else(|| "lichenswitch".into()),
+            collections,
+            inventory,
+            settings,
+            contracts,
+            seed: platform.map_or(0, |p| p.seed),
+            connections: Connections { streams: 1, ..connections },
+        }))
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::testing::Folder;
 
 const CONFIG: &str = r#"{"name":"n3","listen":"127.0.0.1:8080","discovery":"127.0.0.1:8500",
     "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":4096},
@@ -48,3 +49,58 @@
     let missing = |name: &str| (name == "NODE_CONFIG").then(|| "/no/such/file".to_string());
     assert!(Platform::from_env(missing).unwrap_err().contains("NODE_CONFIG"));
 }
+
+const FRONT: &str = include_str!("../../examples/ogc.yaml");
+const INVENTORY: &str = include_str!("../../examples/inventory.yaml");
+const SETTINGS: &str = include_str!("../../examples/settings.json");
+
+fn front(text: &str) -> Result<Option<Ogc>, String> {
+    let files = [("ogc.yaml", text), ("inventory.yaml", INVENTORY), ("settings.json", SETTINGS)];
+    let folder = Folder::new(&files);
+    Ogc::load(&folder.path().join("ogc.yaml"), None)
+}
+
+#[test]
+fn the_example_of_the_ogc_front_is_sound() {
+    let read = front(FRONT).unwrap().unwrap();
+    assert_eq!(read.settings.layout, Layout { cells: 5, width: 2, parts_a_call: 1 });
+    assert_eq!(read.settings.discovery, Discovery::Push);
+    let waits: Vec<u64> = read.collections.iter().map(|c| c.wait).collect();
+    assert_eq!(waits, [3_000_000, 7_500_000]);
+    assert!(read.contracts.is_empty());
+}
+
+#[test]
+fn the_ogc_front_is_off_on_the_platform() {
+    assert!(front(include_str!("../../deploy/ogc.yaml")).unwrap().is_none());
+}
+
+#[test]
+fn a_faulty_ogc_front_is_told_by_line_and_key() {
+    for (good, bad, told) in [
+        ("127.0.0.1:8090", "here", "ogc.yaml:2: listen"),
+        ("class: fleet-search", "class: ride-close", "ogc.yaml:11: class: \"ride-close\" is for writes"),
+        ("class: fleet-search", "class: rides", "ogc.yaml:11: class"),
+        ("wait_ms: 3000", "wait_ms: 4001", "ogc.yaml:12: wait_ms"),
+        ("id: network", "id: scooters", "ogc.yaml:13: id"),
+        ("replicas: 2", "replicas: 6", "ogc.yaml:6: replicas"),
+        ("zone: zagreb-1", "zone: split", "ogc.yaml:7: zone"),
+        ("inventory: inventory.yaml\n", "", "inventory: missing"),
+        ("settings: settings.json\n", "", "settings: missing"),
+        ("title: Scooters of", "colour: Scooters of", "colour"),
+    ] {
+        let error = front(&FRONT.replacen(good, bad, 1)).unwrap_err();
+        assert!(error.contains(told), "{error:?} for {bad:?}");
+    }
+}
+
+#[test]
+fn a_budget_of_attempts_reaches_the_module() {
+    let teams = "teams:\n  - {name: coast, attempts_least: 3, attempts_share: 0.1, attempts_window_s: 5}\n";
+    let inventory = INVENTORY.to_string() + teams;
+    let files = [("ogc.yaml", FRONT), ("inventory.yaml", &inventory), ("settings.json", SETTINGS)];
+    let folder = Folder::new(&files);
+    let read = Ogc::load(&folder.path().join("ogc.yaml"), None).unwrap().unwrap();
+    let budget = read.settings.limits.budget.unwrap();
+    assert_eq!((budget.window, budget.least, budget.share), (5_000_000, 3.0, 0.1));
+}
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -2,16 +2,16 @@
 
 use super::{Core, Part, Query, Request};
 use crate::contract::Breach;
-use crate::interface::{Event, Micros, PartId, QueryId, Time};
+use crate::interface::{Event, Micros, PartId, QueryId, Shard, Time};
 use std::rc::Rc;
 
 /// Why a query was not taken.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Refusal {
-    /// Too many queries and parts are held, or a team's rate is used up; ask again after this long.
+    /// Too many queries and parts are held; ask again after this long.
     Busy(Option<Micros>),
-    /// The team has no contract for this.
-    NoContract(Breach),
+    /// The team's contract does not allow it.
+    Contract(Breach),
 }
 
 impl<J> Core<J> {
@@ -21,10 +21,7 @@
         if self.held >= self.settings.limits.held as usize {
             return Err(Refusal::Busy(self.settings.limits.retry_after.map(|most| most / 2)));
         }
-        self.contracts.admit(now, request.team.as_deref(), request.class).map_err(|breach| match breach {
-            Breach::Rate(wait) => Refusal::Busy(Some(wait)),
-            other => Refusal::NoContract(other),
-        })?;
+        self.contracts.admit(now, request.team.as_deref(), request.class).map_err(Refusal::Contract)?;
         let id = QueryId(self.new_id());
         self.next_number = (self.next_number + 1) % super::NUMBERS;
         let number = self.next_number;
@@ -55,13 +52,7 @@
     }
 
     /// Adds a part to a query that is held; the module hears of it in the next turn.
-    pub(super) fn add_part(
-        &mut self,
-        query: QueryId,
-        shard: crate::interface::Shard,
-        weight: f64,
-        second: bool,
-    ) {
+    pub(super) fn add_part(&mut self, query: QueryId, shard: Shard, weight: f64, second: bool) {
         let part = PartId(self.new_id());
         let Some(q) = self.queries.get_mut(&query) else { return };
         q.parts.push(Part { id: part, shard, weight, second, attempts: 0, value: None });
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -1,1 +1,208 @@
+//! Tests of the books: what the module asks for is carried out, and the rules hold whatever it asks.
 
+use super::*;
+use crate::interface::{Budget, Class, Cold, Discovery, Layout, Limits, Listed, Mode, Outcome, Repeat};
+
+const MS: Micros = 1_000;
+
+fn settings(second_step: u32) -> Settings {
+    let class = Class {
+        aim: 1_000 * MS,
+        deadline: 4_000 * MS,
+        repeat: Repeat::Safe,
+        worth: 1.0,
+        late_share: 0.1,
+        need: 1.0,
+        floor: 0.5,
+        partial: 0.8,
+        second_step,
+    };
+    Settings {
+        classes: vec![class],
+        limits: Limits {
+            attempts: 4,
+            held: 6,
+            cancel: true,
+            probe: false,
+            second_copies: true,
+            retry_after: Some(2_000 * MS),
+            budget: None::<Budget>,
+        },
+        layout: Layout { cells: 2, width: 2, parts_a_call: 2 },
+        discovery: Discovery::Push,
+        cold: Cold { share: 0.3, warm_after: 1, fall_multiple: 3.0, fall_after: 1_000 * MS },
+        resolution: 5 * MS,
+        ..Settings::default()
+    }
+}
+
+/// A core with two servers that hold every shard, and its clock.
+struct Stage {
+    core: Core<&'static str>,
+    now: Time,
+}
+
+impl Stage {
+    fn new(second_step: u32) -> Stage {
+        let mut core = Core::new(7, settings(second_step), Contracts::default());
+        let line = |id| Listed { server: ServerId(id), cell: id, zone: 0, mode: Mode::Ready, started: None };
+        core.listed(Listing::Whole(vec![line(0), line(1)]));
+        let mut stage = Stage { core, now: Time(1_000_000 * MS) };
+        stage.turn();
+        stage
+    }
+
+    fn turn(&mut self) -> Vec<Command<&'static str>> {
+        self.now = self.now.plus(5 * MS);
+        self.core.turn(self.now)
+    }
+
+    fn take(&mut self, shards: &[u32]) -> Result<QueryId, Refusal> {
+        let parts = shards.iter().map(|&s| (Shard(s), 1.0 / shards.len() as f64)).collect();
+        let deadline = self.now.plus(2_000 * MS);
+        let request = Request { class: 0, deadline, key: 0, again: false, team: None, parts, job: "job" };
+        self.core.take(self.now, request)
+    }
+
+    fn end(&mut self, attempt: u64, outcome: Outcome, score: f64) {
+        let value = (outcome == Outcome::Ok).then(|| Value { score, bytes: vec![attempt as u8] });
+        self.core.ended(self.now, attempt, outcome, value);
+    }
+}
+
+fn sends(commands: &[Command<&'static str>]) -> Vec<Dispatch<&'static str>> {
+    let calls = commands.iter().filter_map(|c| match c {
+        Command::Send(_, parts) => Some(parts.clone()),
+        _ => None,
+    });
+    calls.flatten().collect()
+}
+
+fn replies(commands: &[Command<&'static str>]) -> Vec<Reply> {
+    let reply = |c: &Command<_>| match c {
+        Command::Reply(_, reply) => Some(reply.clone()),
+        _ => None,
+    };
+    commands.iter().filter_map(reply).collect()
+}
+
+#[test]
+fn sends_of_a_turn_to_one_server_share_calls_up_to_the_limit() {
+    let mut stage = Stage::new(0);
+    stage.take(&[0, 1, 2, 3]).unwrap();
+    let commands = stage.turn();
+    let calls: Vec<usize> = commands
+        .iter()
+        .filter_map(|c| match c {
+            Command::Send(_, parts) => Some(parts.len()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(calls.iter().sum::<usize>(), 4);
+    assert!(calls.iter().all(|&n| n <= 2), "{calls:?}");
+    assert!(sends(&commands).iter().all(|d| d.wait <= 2_000 * MS), "never beyond the client's time");
+}
+
+#[test]
+fn a_whole_answer_holds_every_part_and_frees_what_was_held() {
+    let mut stage = Stage::new(0);
+    stage.take(&[0, 1]).unwrap();
+    for send in sends(&stage.turn()) {
+        stage.end(send.attempt, Outcome::Ok, 0.0);
+        stage.end(send.attempt, Outcome::Error, 0.0); // Only the first end counts.
+    }
+    let answered = replies(&stage.turn());
+    let [Reply::Served { whole: true, values }] = &answered[..] else { panic!("{answered:?}") };
+    assert_eq!(values.iter().map(|v| v.0).collect::<Vec<_>>(), [Shard(0), Shard(1)]);
+    assert_eq!((stage.core.held, stage.core.attempts.len(), stage.core.out.len()), (0, 0, 0));
+}
+
+#[test]
+fn with_too_much_held_a_query_is_turned_away_before_the_module() {
+    let mut stage = Stage::new(0);
+    let first = stage.take(&[0, 1, 2, 3, 4]).unwrap();
+    assert_eq!(stage.take(&[0]), Err(Refusal::Busy(Some(1_000 * MS))));
+    stage.core.hangup(first);
+    assert!(stage.take(&[0]).is_ok());
+}
+
+#[test]
+fn the_second_step_goes_to_the_best_scores_and_tells_of_the_first() {
+    let mut stage = Stage::new(2);
+    stage.take(&[0, 1, 2]).unwrap();
+    let mut expected = Vec::new();
+    for send in sends(&stage.turn()) {
+        let score = f64::from(10 - send.shard.0);
+        expected.push(send.shard);
+        stage.end(send.attempt, Outcome::Ok, score);
+    }
+    assert!(replies(&stage.turn()).is_empty(), "the first step is no answer");
+    let second = sends(&stage.turn());
+    let mut shards: Vec<u32> = second.iter().map(|d| d.shard.0).collect();
+    shards.sort_unstable();
+    assert_eq!(shards, [0, 1], "the two best scores");
+    for send in &second {
+        let first = send.first.as_ref().unwrap();
+        let mut were_in = first.shards.clone();
+        were_in.sort();
+        assert_eq!((were_in, first.whole), (vec![Shard(0), Shard(1), Shard(2)], true));
+        stage.end(send.attempt, Outcome::Ok, 0.0);
+    }
+    let answered = replies(&stage.turn());
+    let [Reply::Served { whole: true, values }] = &answered[..] else { panic!("{answered:?}") };
+    assert_eq!(values.len(), 2, "the values of the second step alone");
+}
+
+#[test]
+fn the_mark_of_a_whole_answer_is_given_from_the_parts_that_are_here() {
+    let mut stage = Stage::new(0);
+    let query = stage.take(&[0, 1]).unwrap();
+    let send = &sends(&stage.turn())[0];
+    stage.end(send.attempt, Outcome::Ok, 0.0);
+    let mut commands = Vec::new();
+    // The module never does this: the guard is what is tested.
+    stage.core.answer(query, true, &mut commands);
+    let answered = replies(&commands);
+    assert!(matches!(&answered[..], [Reply::Served { whole: false, values }] if values.len() == 1));
+    let query = stage.take(&[0, 1]).unwrap();
+    stage.turn();
+    let mut commands = Vec::new();
+    stage.core.answer(query, true, &mut commands);
+    assert_eq!(replies(&commands), [Reply::Failed], "nothing from less than the floor");
+}
+
+#[test]
+fn a_query_that_the_module_left_open_is_failed_at_its_deadline() {
+    let mut stage = Stage::new(0);
+    stage.take(&[0]).unwrap();
+    stage.turn();
+    assert!(stage.core.next_turn().unwrap() <= stage.now.plus(2_000 * MS));
+    let mut commands = Vec::new();
+    stage.core.end_overdue(stage.now.plus(2_000 * MS), &mut commands);
+    assert_eq!(replies(&commands), [Reply::Failed]);
+    assert_eq!(stage.core.held, 0);
+}
+
+#[test]
+fn a_client_that_leaves_has_its_attempts_withdrawn_and_gets_no_answer() {
+    let mut stage = Stage::new(0);
+    let query = stage.take(&[0]).unwrap();
+    let send = &sends(&stage.turn())[0];
+    stage.core.hangup(query);
+    let commands = stage.turn();
+    assert!(commands.iter().any(|c| matches!(c, Command::Withdraw(a) if *a == send.attempt)));
+    assert!(replies(&commands).is_empty());
+}
+
+#[test]
+fn a_query_that_is_given_up_is_answered_in_the_same_turn_with_advice() {
+    let mut stage = Stage::new(0);
+    stage.take(&[0]).unwrap();
+    for _ in 0..4 {
+        for send in sends(&stage.turn()) {
+            stage.end(send.attempt, Outcome::Error, 0.0);
+        }
+    }
+    let commands = stage.turn();
+    assert!(matches!(&replies(&commands)[..], [Reply::Refused(Some(after))] if *after > 0), "{commands:?}");
+}
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -1,1 +1,533 @@
-//! The OGC API Features front.
+//! OGC API Features: a bounding box becomes one part for each slice that it crosses, and the parts that come in
+//! become one feature collection, marked complete only if nothing is missing.
+
+use super::{Front, Verdict};
+use crate::contract::Breach;
+use crate::core::{Refusal, Reply, Request, Value};
+use crate::http::{self, Response};
+use crate::interface::{Micros, Shard, Time};
+use crate::inventory::{Bounds, Slice};
+use crate::upstream::ogc::{Ask, Job};
+use percent_encoding::{percent_decode_str, utf8_percent_encode, NON_ALPHANUMERIC};
+use serde_json::{json, Map, Value as Json};
+use std::collections::{BTreeMap, HashSet};
+use time::format_description::well_known::Rfc3339;
+use time::OffsetDateTime;
+
+/// A collection that clients may read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Collection {
+    /// Its id in paths.
+    pub id: String,
+    /// Its title.
+    pub title: String,
+    /// Index of the class under whose rules it is read.
+    pub class: usize,
+    /// How long a client is taken to wait.
+    pub wait: Micros,
+}
+
+/// The front.
+pub struct Ogc {
+    title: String,
+    collections: Vec<Collection>,
+    slices: Vec<Slice>,
+}
+
+/// Features of a page where the client names no limit, and at most.
+const LIMIT: usize = 10;
+const LIMIT_MOST: usize = 1_000;
+/// Features that paging goes through at most: each page asks the data nodes for all before it, too.
+const REACH: usize = 10_000;
+
+const CONFORMS: [&str; 2] = [
+    "http://www.opengis.net/spec/ogcapi-features-1/1.0/conf/core",
+    "http://www.opengis.net/spec/ogcapi-features-1/1.0/conf/geojson",
+];
+const CRS84: &str = "http://www.opengis.net/def/crs/OGC/1.3/CRS84";
+const JSON: &str = "application/json";
+const GEOJSON: &str = "application/geo+json";
+const OPENAPI: &str = "application/vnd.oai.openapi+json;version=3.0";
+
+/// What is wrong with a request: a status and a detail.
+type Fault = (u16, String);
+
+fn bad(detail: impl Into<String>) -> Fault {
+    (400, detail.into())
+}
+
+fn problem(status: u16, title: &str, detail: &str) -> Response {
+    let body = json!({"status": status, "title": title, "detail": detail});
+    Response::new(status, "application/problem+json", body.to_string())
+}
+
+fn faulty((status, detail): Fault) -> Response {
+    let title = match status {
+        404 => "Not found",
+        405 => "Method not allowed",
+        _ => "Bad request",
+    };
+    let response = problem(status, title, &detail);
+    if status == 405 {
+        return response.with("allow", "GET, HEAD");
+    }
+    response
+}
+
+/// Whole seconds, as Retry-After has them, never less than the advice.
+fn come_back(status: u16, title: &str, after: Option<Micros>) -> Response {
+    let response = problem(status, title, "trying again is harmless");
+    response.with("retry-after", after.unwrap_or(1_000_000).div_ceil(1_000_000).max(1).to_string())
+}
+
+/// Where a client's links lead: what it called this host, if that is a sound name.
+fn base(request: &http::Request) -> String {
+    let sound = |host: &&str| {
+        !host.is_empty() && host.bytes().all(|b| b.is_ascii_alphanumeric() || b"-.:[]_".contains(&b))
+    };
+    request.header("host").filter(sound).map(|host| format!("http://{host}")).unwrap_or_default()
+}
+
+fn link(href: &str, rel: &str, kind: &str) -> Json {
+    json!({"href": href, "rel": rel, "type": kind})
+}
+
+/// The parameters of a query, by name; one that is unknown or there twice is a fault.
+fn parameters(query: &str, known: &[&str]) -> Result<BTreeMap<String, String>, Fault> {
+    let mut found = BTreeMap::new();
+    for (name, value) in form_urlencoded::parse(query.as_bytes()) {
+        if !known.contains(&&*name) {
+            return Err(bad(format!("unknown parameter {name:?}")));
+        }
+        if found.insert(name.to_string(), value.to_string()).is_some() {
+            return Err(bad(format!("parameter {name:?} is there twice")));
+        }
+    }
+    match found.get("f").map(String::as_str) {
+        None | Some("json" | "geojson") => Ok(found),
+        Some(other) => Err(bad(format!("f: there is no format {other:?}"))),
+    }
+}
+
+fn number(found: &BTreeMap<String, String>, name: &str, otherwise: usize) -> Result<usize, Fault> {
+    let Some(text) = found.get(name) else { return Ok(otherwise) };
+    text.parse().map_err(|_| bad(format!("{name}: {text:?} is no whole number")))
+}
+
+/// A bounding box of four numbers, or of six with heights, which are not looked at.
+fn bounds(text: &str) -> Result<Bounds, Fault> {
+    let figures: Option<Vec<f64>> =
+        text.split(',').map(|f| f.trim().parse().ok().filter(|f: &f64| f.is_finite())).collect();
+    let found = match figures.as_deref() {
+        Some([west, south, east, north]) | Some([west, south, _, east, north, _]) => {
+            [*west, *south, *east, *north]
+        }
+        _ => return Err(bad("bbox: four or six numbers, parted by commas")),
+    };
+    if found[1] > found[3] {
+        return Err(bad("bbox: south is north of north"));
+    }
+    let in_range = found[0].abs() <= 180.0 && found[2].abs() <= 180.0;
+    if !in_range || found[1] < -90.0 || found[3] > 90.0 {
+        return Err(bad("bbox: beyond the degrees that there are"));
+    }
+    Ok(found)
+}
+
+/// What a box and a slice share, borders included. A box whose west is east of its east crosses the
+/// antimeridian; of a slice that it enters from both sides it gets the whole width.
+fn shared(bbox: Bounds, slice: Bounds) -> Option<Bounds> {
+    let [west, south, east, north] = bbox;
+    let part = |west: f64, east: f64| (west.max(slice[0]), east.min(slice[2]));
+    let sound = |part: &(f64, f64)| part.0 <= part.1;
+    let (low, high) = (south.max(slice[1]), north.min(slice[3]));
+    let across = if west <= east {
+        Some(part(west, east)).filter(sound)
+    } else {
+        let sides = [Some(part(west, 180.0)).filter(sound), Some(part(-180.0, east)).filter(sound)];
+        match sides {
+            [Some(_), Some(_)] => Some((slice[0], slice[2])),
+            [one, other] => one.or(other),
+        }
+    };
+    across.filter(|_| low <= high).map(|(west, east)| [west, low, east, high])
+}
+
+/// Checks an instant or an interval, open at one end at most with `..` or nothing.
+fn datetime(text: &str) -> Result<String, Fault> {
+    // A plus that was not encoded has become a space.
+    let text = text.replace(' ', "+");
+    let wrong = || bad(format!("datetime: {text:?} is no RFC 3339 instant or interval"));
+    let instant = |text: &str| OffsetDateTime::parse(text, &Rfc3339).map_err(|_| wrong());
+    match text.split_once('/') {
+        None => drop(instant(&text)?),
+        Some((from, to)) => {
+            let end = |text: &str| match text {
+                "" | ".." => Ok(None),
+                text => instant(text).map(Some),
+            };
+            let (from, to) = (end(from)?, end(to)?);
+            if from.is_none() && to.is_none() || from.zip(to).is_some_and(|(from, to)| from > to) {
+                return Err(wrong());
+            }
+        }
+    }
+    Ok(text)
+}
+
+/// What is remembered of a query until its answer.
+pub enum Context {
+    /// A page of features.
+    Page {
+        /// The collection's address.
+        address: String,
+        /// The parameters that its links repeat.
+        repeated: Vec<(String, String)>,
+        /// First feature of the page.
+        offset: usize,
+        /// Features of the page.
+        limit: usize,
+        /// Numbers of the slices asked.
+        asked: Vec<u32>,
+    },
+    /// One feature.
+    Item {
+        /// The collection's address.
+        address: String,
+        /// The feature's id as it stands in the path.
+        id: String,
+        /// Numbers of the slices asked.
+        asked: Vec<u32>,
+    },
+}
+
+impl Ogc {
+    /// A front for these collections, over these slices.
+    #[must_use]
+    pub fn new(title: String, collections: Vec<Collection>, slices: Vec<Slice>) -> Self {
+        Ogc { title, collections, slices }
+    }
+
+    fn landing(&self, base: &str) -> Json {
+        json!({
+            "title": self.title,
+            "links": [
+                link(&format!("{base}/"), "self", JSON),
+                link(&format!("{base}/api"), "service-desc", OPENAPI),
+                link(&format!("{base}/conformance"), "conformance", JSON),
+                link(&format!("{base}/collections"), "data", JSON),
+            ],
+        })
+    }
+
+    fn api(&self) -> Json {
+        let get = |summary: &str, parameters: Json| {
+            json!({"get": {"summary": summary, "parameters": parameters,
+                "responses": {"200": {"description": "found"}, "default": {"description": "a problem"}}}})
+        };
+        let path =
+            |name: &str| json!({"name": name, "in": "path", "required": true, "schema": {"type": "string"}});
+        let query = |name: &str, kind: &str| json!({"name": name, "in": "query", "schema": {"type": kind}});
+        let items = json!([
+            path("collectionId"),
+            query("bbox", "string"),
+            query("datetime", "string"),
+            query("limit", "integer"),
+            query("offset", "integer")
+        ]);
+        json!({
+            "openapi": "3.0.3",
+            "info": {"title": self.title, "version": env!("CARGO_PKG_VERSION")},
+            "paths": {
+                "/": get("landing page", json!([])),
+                "/conformance": get("conformance classes", json!([])),
+                "/collections": get("collections", json!([])),
+                "/collections/{collectionId}": get("a collection", json!([path("collectionId")])),
+                "/collections/{collectionId}/items": get("features", items),
+                "/collections/{collectionId}/items/{featureId}":
+                    get("a feature", json!([path("collectionId"), path("featureId")])),
+            },
+        })
+    }
+
+    fn collection(&self, base: &str, collection: &Collection) -> Json {
+        let fold = |all: Bounds, s: &Slice| {
+            let b = s.bounds;
+            [all[0].min(b[0]), all[1].min(b[1]), all[2].max(b[2]), all[3].max(b[3])]
+        };
+        let extent = self.slices.iter().fold([180.0, 90.0, -180.0, -90.0], fold);
+        let href = format!("{base}/collections/{}", encoded(&collection.id));
+        json!({
+            "id": collection.id,
+            "title": collection.title,
+            "itemType": "feature",
+            "crs": [CRS84],
+            "extent": {"spatial": {"bbox": [extent], "crs": CRS84}},
+            "links": [link(&href, "self", JSON), link(&format!("{href}/items"), "items", GEOJSON)],
+        })
+    }
+
+    fn page(&self, base: &str, collection: &Collection, query: &str) -> Result<(Job, Context), Fault> {
+        let known = ["bbox", "bbox-crs", "datetime", "limit", "offset", "f"];
+        let found = parameters(query, &known)?;
+        if found.get("bbox-crs").is_some_and(|crs| crs != CRS84) {
+            return Err(bad(format!("bbox-crs: only {CRS84}")));
+        }
+        let limit = number(&found, "limit", LIMIT)?;
+        if limit == 0 {
+            return Err(bad("limit: 1 at least"));
+        }
+        let limit = limit.min(LIMIT_MOST);
+        let offset = number(&found, "offset", 0)?;
+        if offset.saturating_add(limit) > REACH {
+            return Err(bad(format!("offset: paging goes through {REACH} features")));
+        }
+        let bbox = found.get("bbox").map(|text| bounds(text)).transpose()?;
+        let datetime = found.get("datetime").map(|text| datetime(text)).transpose()?;
+        // One more than the page needs tells whether another page follows.
+        let most = offset + limit + 1;
+        let mut targets = BTreeMap::new();
+        for (shard, slice) in (0..).zip(&self.slices) {
+            let area = bbox.map_or(Some(slice.bounds), |bbox| shared(bbox, slice.bounds));
+            let Some([west, south, east, north]) = area else { continue };
+            let mut query = form_urlencoded::Serializer::new(String::new());
+            query.append_pair("bbox", &format!("{west},{south},{east},{north}"));
+            query.append_pair("limit", &most.to_string());
+            query.extend_pairs(datetime.iter().map(|d| ("datetime", d)));
+            let path = format!("/collections/{}/items?{}", encoded(&collection.id), query.finish());
+            targets.insert(shard, path);
+        }
+        let repeated = ["bbox", "bbox-crs", "f"].iter();
+        let mut repeated: Vec<(String, String)> =
+            repeated.filter_map(|&n| Some((n.to_string(), found.get(n)?.clone()))).collect();
+        repeated.extend(datetime.map(|d| ("datetime".to_string(), d)));
+        let address = format!("{base}/collections/{}", encoded(&collection.id));
+        let asked = targets.keys().copied().collect();
+        let context = Context::Page { address, repeated, offset, limit, asked };
+        Ok((Job { targets, ask: Ask::Items(most) }, context))
+    }
+
+    /// A feature by its id may be in any slice: all are asked.
+    fn item(&self, base: &str, collection: &Collection, id: &str) -> (Job, Context) {
+        let (collection, id) = (encoded(&collection.id), encoded(id));
+        let target = format!("/collections/{collection}/items/{id}");
+        let asked: Vec<u32> = (0..self.slices.len() as u32).collect();
+        let targets = asked.iter().map(|&shard| (shard, target.clone())).collect();
+        let address = format!("{base}/collections/{collection}");
+        (Job { targets, ask: Ask::Item }, Context::Item { address, id, asked })
+    }
+
+    fn route(&self, now: Time, request: &http::Request) -> Result<Verdict<Job, Context>, Fault> {
+        let path = request.path();
+        if !matches!(request.method.as_str(), "GET" | "HEAD") {
+            return Err((405, "this interface is for reading".into()));
+        }
+        let base = base(request);
+        let decoded = |part: &str| percent_decode_str(part).decode_utf8().map(Into::into);
+        let parts: Result<Vec<String>, _> =
+            path.trim_matches('/').split('/').filter(|p| !p.is_empty()).map(decoded).collect();
+        let parts = parts.map_err(|_| bad("the path is no text"))?;
+        let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
+        let lookup = |id: &str| {
+            let found = self.collections.iter().find(|c| c.id == id);
+            found.ok_or_else(|| (404, format!("there is no collection {id:?}")))
+        };
+        let plain = |kind: &str, body: Json| {
+            parameters(request.query(), &["f"])?;
+            Ok(Verdict::Reply(Response::new(200, kind, body.to_string())))
+        };
+        let (collection, (job, context)) = match parts[..] {
+            [] => return plain(JSON, self.landing(&base)),
+            ["api"] => return plain(OPENAPI, self.api()),
+            ["conformance"] => return plain(JSON, json!({"conformsTo": CONFORMS})),
+            ["collections"] => {
+                let all: Vec<Json> = self.collections.iter().map(|c| self.collection(&base, c)).collect();
+                let links = [link(&format!("{base}/collections"), "self", JSON)];
+                return plain(JSON, json!({"links": links, "collections": all}));
+            }
+            ["collections", id] => return plain(JSON, self.collection(&base, lookup(id)?)),
+            ["collections", id, "items"] => {
+                let collection = lookup(id)?;
+                (collection, self.page(&base, collection, request.query())?)
+            }
+            ["collections", id, "items", feature] => {
+                let collection = lookup(id)?;
+                parameters(request.query(), &["f"])?;
+                (collection, self.item(&base, collection, feature))
+            }
+            _ => return Err((404, "there is nothing here".into())),
+        };
+        if job.targets.is_empty() {
+            // Nothing lies in the box: the answer is whole and empty.
+            return Ok(Verdict::Reply(word(context, true, &[])));
+        }
+        let weight = 1.0 / job.targets.len() as f64;
+        Ok(Verdict::Take(
+            Box::new(Request {
+                class: collection.class,
+                deadline: now.plus(collection.wait),
+                key: 0,
+                again: false,
+                team: request.header("req-owner").map(str::to_string),
+                parts: job.targets.keys().map(|&shard| (Shard(shard), weight)).collect(),
+                job,
+            }),
+            context,
+        ))
+    }
+}
+
+fn encoded(text: &str) -> String {
+    utf8_percent_encode(text, NON_ALPHANUMERIC).to_string()
+}
+
+/// The features of all parts in the order of their slices; one that lies on a border comes once.
+fn merged(values: &[(Shard, Value)]) -> Vec<Json> {
+    let mut parts: Vec<&(Shard, Value)> = values.iter().collect();
+    parts.sort_by_key(|p| p.0);
+    let (mut seen, mut features) = (HashSet::new(), Vec::new());
+    for (_, value) in parts {
+        let Ok(Json::Object(mut list)) = serde_json::from_slice(&value.bytes) else { continue };
+        let Some(Json::Array(found)) = list.remove("features") else { continue };
+        for feature in found {
+            // Features without an id are the same if all of them is.
+            let id = feature.get("id").map_or_else(|| format!("={feature}"), Json::to_string);
+            if seen.insert(id) {
+                features.push(feature);
+            }
+        }
+    }
+    features
+}
+
+/// Marks an answer in its header and, for a collection, in its body.
+fn marked(response: Response, whole: bool) -> Response {
+    response.with("answer-completeness", if whole { "complete" } else { "partial" })
+}
+
+fn word(context: Context, whole: bool, values: &[(Shard, Value)]) -> Response {
+    let missing = |asked: &[u32]| -> Vec<u32> {
+        asked.iter().copied().filter(|s| !values.iter().any(|v| v.0 .0 == *s)).collect()
+    };
+    match context {
+        Context::Page { address, repeated, offset, limit, asked } => {
+            let missing = missing(&asked);
+            // Guards honesty: whatever was said before, an answer that lacks a slice is not complete.
+            let whole = whole && missing.is_empty();
+            let features = merged(values);
+            let counted = features.len();
+            let href = |offset: usize| {
+                let mut query = form_urlencoded::Serializer::new(String::new());
+                query.extend_pairs(&repeated).append_pair("limit", &limit.to_string());
+                query.append_pair("offset", &offset.to_string());
+                format!("{address}/items?{}", query.finish())
+            };
+            let mut links = vec![link(&href(offset), "self", GEOJSON), link(&address, "collection", JSON)];
+            if counted > offset + limit {
+                links.push(link(&href(offset + limit), "next", GEOJSON));
+            }
+            if offset > 0 {
+                links.push(link(&href(offset.saturating_sub(limit)), "prev", GEOJSON));
+            }
+            let page: Vec<Json> = features.into_iter().skip(offset).take(limit).collect();
+            let mut body = Map::new();
+            body.insert("type".into(), "FeatureCollection".into());
+            body.insert("numberReturned".into(), page.len().into());
+            // Known only where every slice sent all that it has.
+            if whole && counted <= offset + limit {
+                body.insert("numberMatched".into(), counted.into());
+            }
+            body.insert("complete".into(), whole.into());
+            if !whole {
+                body.insert("missingSlices".into(), missing.into());
+            }
+            body.insert("links".into(), links.into());
+            body.insert("features".into(), page.into());
+            marked(Response::new(200, GEOJSON, Json::Object(body).to_string()), whole)
+        }
+        Context::Item { address, id, asked } => {
+            let whole = whole && missing(&asked).is_empty();
+            let found =
+                values.iter().find_map(|v| serde_json::from_slice::<Map<String, Json>>(&v.1.bytes).ok());
+            match found {
+                // One feature is whole by itself, whichever slices are missing.
+                Some(mut feature) => {
+                    let own = link(&format!("{address}/items/{id}"), "self", GEOJSON);
+                    feature.insert("links".into(), json!([own, link(&address, "collection", JSON)]));
+                    marked(Response::new(200, GEOJSON, Json::Object(feature).to_string()), true)
+                }
+                None if whole => problem(404, "Not found", "there is no such feature"),
+                // It may be in a slice that did not answer.
+                None => come_back(503, "Not all slices answered", None),
+            }
+        }
+    }
+}
+
+impl Front for Ogc {
+    type Job = Job;
+    type Context = Context;
+
+    fn read(&mut self, now: Time, request: &http::Request) -> Verdict<Job, Context> {
+        self.route(now, request).unwrap_or_else(|fault| Verdict::Reply(faulty(fault)))
+    }
+
+    fn refused(&self, refusal: Refusal) -> Response {
+        match refusal {
+            Refusal::Busy(after) => come_back(503, "Too busy", after),
+            Refusal::Contract(Breach::Rate(after)) => come_back(429, "Rate used up", Some(after)),
+            Refusal::Contract(Breach::UnknownTeam) => {
+                problem(403, "No contract", "Req-Owner names no team that has a contract")
+            }
+            Refusal::Contract(Breach::Class) => {
+                problem(403, "No contract", "the team's contract does not hold this class")
+            }
+        }
+    }
+
+    fn word(&mut self, context: Context, reply: Reply) -> Response {
+        match reply {
+            Reply::Served { whole, values } => word(context, whole, &values),
+            Reply::Refused(after) => come_back(503, "Refused", after),
+            Reply::Failed => problem(504, "Given up", "the data nodes did not answer in time"),
+        }
+    }
+
+    fn malformed(&self, status: u16, why: &str) -> Response {
+        problem(status, "Malformed request", why)
+    }
+
+    fn stop(&mut self) {}
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_box_shares_with_slices_what_it_crosses_borders_included() {
+        let slice = [10.0, 40.0, 20.0, 50.0];
+        assert_eq!(shared([15.0, 45.0, 30.0, 60.0], slice), Some([15.0, 45.0, 20.0, 50.0]));
+        assert_eq!(shared([20.0, 50.0, 30.0, 60.0], slice), Some([20.0, 50.0, 20.0, 50.0]));
+        assert_eq!(shared([20.1, 40.0, 30.0, 60.0], slice), None);
+        assert_eq!(shared([15.0, 51.0, 16.0, 60.0], slice), None);
+        // From 170 east over the antimeridian to 15 east, and to 5 east.
+        assert_eq!(shared([170.0, 0.0, 15.0, 90.0], slice), Some([10.0, 40.0, 15.0, 50.0]));
+        assert_eq!(shared([170.0, 0.0, 5.0, 90.0], slice), None);
+        assert_eq!(shared([18.0, 0.0, 12.0, 90.0], slice), Some(slice));
+    }
+
+    #[test]
+    fn boxes_and_times_that_make_no_sense_are_faults() {
+        for text in ["", "1,2,3", "1,2,3,x", "1,2,3,NaN", "1,5,3,4", "1,2,3,91", "-181,2,3,4", "1,2,3,4,5"] {
+            assert!(bounds(text).is_err(), "{text}");
+        }
+        assert_eq!(bounds("1,2,0,3,4,9").ok(), Some([1.0, 2.0, 3.0, 4.0]));
+        for text in ["2026-08-01T10:00:00Z", "2026-08-01T10:00:00 02:00", "../2026-08-01T10:00:00Z"] {
+            assert!(datetime(text).is_ok(), "{text}");
+        }
+        for text in ["", "..", "../..", "/", "yesterday", "2026-08-02T00:00:00Z/2026-08-01T00:00:00Z"] {
+            assert!(datetime(text).is_err(), "{text}");
+        }
+    }
+}
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -1,9 +1,10 @@
 //! The platform's protocol: queries by POST, and the checks of the front layer.
 
 use super::{Front, Verdict};
+use crate::contract::Breach;
 use crate::core::{Refusal, Reply, Request};
 use crate::http::{self, Response};
-use crate::interface::{Repeat, Shard, Time};
+use crate::interface::{Micros, Repeat, Shard, Time};
 use crate::upstream::frames::Job;
 use serde::{Deserialize, Serialize};
 
@@ -122,9 +123,13 @@
     Response::new(status, "text/plain; charset=utf-8", format!("{text}\n"))
 }
 
-/// Seconds, to the millisecond.
-fn seconds(micros: u64) -> String {
-    format!("{:.3}", micros as f64 / 1e6)
+/// A refusal, with the advice when to come back in seconds, to the millisecond.
+fn come_back(status: u16, after: Option<Micros>) -> Response {
+    let response = plain(status, "refused: trying again is harmless");
+    match after {
+        Some(after) => response.with("retry-after", format!("{:.3}", after as f64 / 1e6)),
+        None => response,
+    }
 }
 
 impl Front for Platform {
@@ -148,8 +153,9 @@
 
     fn refused(&self, refusal: Refusal) -> Response {
         match refusal {
-            Refusal::Busy(after) => self.word_refusal(after),
-            Refusal::NoContract(_) => plain(403, "no contract for this"),
+            Refusal::Busy(after) => come_back(503, after),
+            Refusal::Contract(Breach::Rate(after)) => come_back(429, Some(after)),
+            Refusal::Contract(_) => plain(403, "no contract for this"),
         }
     }
 
@@ -168,7 +174,7 @@
                     Err(_) => plain(500, "the answer can't be written"),
                 }
             }
-            Reply::Refused(after) => self.word_refusal(after),
+            Reply::Refused(after) => come_back(503, after),
             Reply::Failed => plain(504, "given up"),
         }
     }
@@ -182,12 +188,108 @@
     }
 }
 
-impl Platform {
-    fn word_refusal(&self, after: Option<u64>) -> Response {
-        let response = plain(503, "refused: trying again is harmless");
-        match after {
-            Some(after) => response.with("retry-after", seconds(after)),
-            None => response,
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::Value;
+
+    const BODY: &str = r#"{"segments":[{"segment":3,"boost":0.5,"work":9000},{"segment":9,"boost":0.5}],
+        "text":"c41e77d0"}"#;
+
+    fn front() -> Platform {
+        let class = |name: &str, repeat| Class { name: name.into(), repeat };
+        Platform::new(vec![class("search", Repeat::Safe), class("close", Repeat::Keyed(9))])
+    }
+
+    /// A sound query of the keyed class, with some headers replaced.
+    fn query(changes: &[(&str, &str)], path: &str, body: &str) -> http::Request {
+        let mut headers: Vec<(String, String)> = [
+            ("req-id", "9b1f"),
+            ("req-kind", path.trim_start_matches('/')),
+            ("req-deadline-ms", "480"),
+            ("req-retry", "1"),
+            ("idempotency-key", "k7"),
+        ]
+        .map(|(n, v)| (n.to_string(), v.to_string()))
+        .into();
+        for (name, value) in changes {
+            headers.retain(|h| h.0 != *name);
+            headers.push((name.to_string(), value.to_string()));
         }
+        headers.retain(|h| !h.1.is_empty());
+        let (method, target, body) = ("POST".into(), path.into(), body.into());
+        http::Request { method, target, headers, body, keep_alive: true }
+    }
+
+    fn status(request: &http::Request) -> u16 {
+        match front().read(Time(0), request) {
+            Verdict::Reply(response) => response.status,
+            Verdict::Take(..) => 0,
+        }
+    }
+
+    #[test]
+    fn a_query_is_read_as_documented() {
+        let Verdict::Take(taken, ()) = front().read(Time(1_000_000), &query(&[], "/close", BODY)) else {
+            panic!("not taken");
+        };
+        assert_eq!((taken.class, taken.deadline, taken.again), (1, Time(1_480_000), true));
+        assert_eq!(taken.parts, [(Shard(3), 0.5), (Shard(9), 0.5)]);
+        let job = Job { id: "9b1f".into(), text: "c41e77d0".into(), key: Some("k7".into()) };
+        assert_eq!(taken.job, job);
+    }
+
+    #[test]
+    fn bad_input_gets_the_status_that_says_so() {
+        for (changes, path, body, expected) in [
+            (("req-id", ""), "/close", BODY, 400),
+            (("req-id", "a b"), "/close", BODY, 400),
+            (("req-deadline-ms", "soon"), "/close", BODY, 400),
+            (("req-deadline-ms", "0"), "/close", BODY, 400),
+            (("req-deadline-ms", "99999999999999999999"), "/close", BODY, 400),
+            (("idempotency-key", ""), "/close", BODY, 400),
+            (("idempotency-key", "a,from=1"), "/close", BODY, 400),
+            (("idempotency-key", ""), "/search", BODY, 0),
+            (("req-kind", "search"), "/close", BODY, 400),
+            (("req-retry", ""), "/nothing", BODY, 404),
+            (("req-retry", ""), "/close", "", 400),
+            (("req-retry", ""), "/close", r#"{"segments":[],"text":""}"#, 400),
+            (("req-retry", ""), "/close", r#"{"segments":[{"segment":-1,"boost":1}],"text":""}"#, 400),
+            (("req-retry", ""), "/close", r#"{"segments":[{"segment":99999999,"boost":1}],"text":""}"#, 400),
+            (("req-retry", ""), "/close", &BODY.replace('9', "3"), 400),
+        ] {
+            assert_eq!(status(&query(&[changes], path, body)), expected, "{changes:?} {path} {body}");
+        }
+        let get = http::Request { method: "GET".into(), ..query(&[], "/close", BODY) };
+        assert_eq!(status(&get), 405);
+    }
+
+    #[test]
+    fn readiness_ends_with_the_stop_and_life_does_not() {
+        let mut front = front();
+        let health = |front: &mut Platform, path: &str| {
+            let request = http::Request { method: "GET".into(), target: path.into(), ..Default::default() };
+            match front.read(Time(0), &request) {
+                Verdict::Reply(response) => response.status,
+                Verdict::Take(..) => 0,
+            }
+        };
+        assert_eq!((health(&mut front, "/health/ready"), health(&mut front, "/health/live")), (200, 200));
+        front.stop();
+        assert_eq!((health(&mut front, "/health/ready"), health(&mut front, "/health/live")), (503, 200));
+    }
+
+    #[test]
+    fn answers_are_worded_as_documented() {
+        let values = vec![(Shard(3), Value { score: 1.0, bytes: b"5be2".to_vec() })];
+        let served = front().word((), Reply::Served { whole: false, values });
+        assert_eq!(served.status, 200);
+        assert_eq!(served.body, br#"{"all_in":false,"matches":[{"segment":3,"payload":"5be2"}]}"#);
+        let refused = front().word((), Reply::Refused(Some(734_000)));
+        assert_eq!((refused.status, refused.header("retry-after")), (503, Some("0.734")));
+        assert_eq!(front().word((), Reply::Refused(None)).header("retry-after"), None);
+        assert_eq!(front().word((), Reply::Failed).status, 504);
+        let rate = front().refused(Refusal::Contract(Breach::Rate(500_000)));
+        assert_eq!((rate.status, rate.header("retry-after")), (429, Some("0.500")));
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod front;
 pub mod http;
 pub mod interface;
+pub mod inventory;
 pub mod net;
 pub mod policy;
 pub mod stats;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,16 +2,15 @@
 #![forbid(unsafe_code)]
 
 use lichenswitch::broker::Broker;
-use lichenswitch::config::Platform;
+use lichenswitch::config::{Ogc, Platform};
 use std::os::unix::net::UnixStream;
 use std::process::ExitCode;
 
 fn serve() -> Result<(), String> {
-    let platform = Platform::from_env(|name| std::env::var(name).ok())?;
-    if platform.is_none() {
-        return Err("NODE_CONFIG: not set".into());
-    }
-    let mut broker = Broker::new(platform)?;
+    let env = |name: &str| std::env::var(name).ok();
+    let platform = Platform::from_env(env)?;
+    let ogc = Ogc::from_env(env, platform.as_ref())?;
+    let mut broker = Broker::new(platform, ogc)?;
     let (read, write) = UnixStream::pair().map_err(|e| format!("signal: {e}"))?;
     signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, write)
         .map_err(|e| format!("signal: {e}"))?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -204,6 +204,12 @@
         Ok(bound)
     }
 
+    /// Where it listens, by owner.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<(Owner, SocketAddr)> {
+        self.listeners.iter().filter_map(|(owner, l)| Some((*owner, l.local_addr().ok()?))).collect()
+    }
+
     /// Closes all listeners.
     pub fn stop_listening(&mut self) {
         for (_, listener) in self.listeners.drain(..) {
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -1,7 +1,9 @@
-//! One helper for the tests of all parsers: random cuts of valid messages and random garbage, by quickcheck
-//! from a fixed seed.
+//! Helpers of tests: for those of all parsers random cuts of valid messages and random garbage, by quickcheck from
+//! a fixed seed; for those of files a folder that is gone after the test.
 
 use quickcheck::{Arbitrary, Gen};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 const SEED: u64 = 0x006c_6963_6865_6e73;
 const ROUNDS: usize = 200;
@@ -48,3 +50,29 @@
         parse(&bytes);
     }
 }
+
+/// A folder for one test.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    /// A folder that holds these files.
+    pub fn new(files: &[(&str, &str)]) -> Folder {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("lichenswitch-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        for (name, text) in files {
+            std::fs::write(path.join(name), text).unwrap();
+        }
+        Folder(path)
+    }
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
--- a/src/upstream/frames.rs
+++ b/src/upstream/frames.rs
@@ -54,7 +54,7 @@
     Ok(Some(Frame { letter: content[0], rest: &content[1..], length: 4 + length }))
 }
 
-fn answer(rest: &[u8]) -> Result<Answer, String> {
+fn answer(rest: &[u8]) -> Result<Answer<String>, String> {
     let at = rest.iter().position(|&b| b == b'\n').ok_or("answer without its line")?;
     let line = std::str::from_utf8(&rest[..at]).map_err(|_| "answer whose line is no text")?;
     let mut words = line.split_ascii_whitespace();
@@ -72,6 +72,7 @@
 
 impl Wire for Frames {
     type Job = Job;
+    type Name = String;
     const OWNER: Owner = Owner::Frames;
     const CEILING: usize = LONGEST + 64 * 1024;
 
@@ -96,13 +97,18 @@
         names
     }
 
-    fn give_up(&self, part: &str) -> Option<Vec<u8>> {
+    fn give_up(&self, part: &String) -> Option<Vec<u8>> {
         let mut out = Vec::new();
         frame(b'A', part.as_bytes(), &mut out);
         Some(out)
     }
 
-    fn answer(&self, input: &mut Buffer, _: bool) -> Result<Option<Answer>, String> {
+    fn answer(
+        &self,
+        input: &mut Buffer,
+        _: bool,
+        _: Option<&String>,
+    ) -> Result<Option<Answer<String>>, String> {
         loop {
             let Some(Frame { letter, rest, length }) = next(input.bytes())? else { return Ok(None) };
             let found = match letter {
@@ -155,7 +161,7 @@
         let first = FirstStep { shards: vec![Shard(3), Shard(5), Shard(9)], whole: false };
         let second = written(&[dispatch(5, None, Some(first))]);
         assert_eq!(second, "R9b1f.5.get 5 d=240,from=3+5+9,whole=0 8\nc41e77d0");
-        assert_eq!(Frames.give_up("9b1f.3").unwrap(), b"\x00\x00\x00\x07A9b1f.3");
+        assert_eq!(Frames.give_up(&"9b1f.3".to_string()).unwrap(), b"\x00\x00\x00\x07A9b1f.3");
     }
 
     #[test]
@@ -165,7 +171,7 @@
         random_cuts(&[&answers[0], &answers[1]], |bytes| {
             let mut input = Buffer::default();
             input.push(bytes);
-            let found = Frames.answer(&mut input, false).unwrap()?;
+            let found = Frames.answer(&mut input, false, None).unwrap()?;
             seen.push((found.outcome, found.value));
             Some(bytes.len() - input.bytes().len())
         });
@@ -179,12 +185,12 @@
         garbage(&[&answers[0], &answers[1]], |bytes| {
             let mut input = Buffer::default();
             input.push(bytes);
-            let _ = Frames.answer(&mut input, false);
+            let _ = Frames.answer(&mut input, false, None);
         });
         for bad in [&b"\0\0\0\0"[..], b"\xff\0\0\0Y", b"\0\0\0\x03Nno", b"\0\0\0\x01Y", b"\0\0\0\x01?"] {
             let mut input = Buffer::default();
             input.push(bad);
-            assert!(Frames.answer(&mut input, false).is_err());
+            assert!(Frames.answer(&mut input, false, None).is_err());
         }
     }
 }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -14,9 +14,9 @@
 
 /// One answer read from a connection.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Answer {
+pub struct Answer<N> {
     /// The part that it is for; `None`: the oldest that is out on the connection.
-    pub part: Option<String>,
+    pub part: Option<N>,
     /// How the attempt ended.
     pub outcome: Outcome,
     /// What was answered.
@@ -29,35 +29,43 @@
 pub trait Wire {
     /// What a query's front says of it.
     type Job;
+    /// What a part is called on a connection.
+    type Name: PartialEq;
     /// Whose connections these are.
     const OWNER: Owner;
     /// Most bytes held of answers that are not whole.
     const CEILING: usize;
     /// Writes a call and tells the names of its parts.
-    fn call(&self, parts: &[Dispatch<Self::Job>], host: SocketAddr, out: &mut Vec<u8>) -> Vec<String>;
+    fn call(&self, parts: &[Dispatch<Self::Job>], host: SocketAddr, out: &mut Vec<u8>) -> Vec<Self::Name>;
     /// What tells the node that a part is given up; `None`: only the end of the connection does.
-    fn give_up(&self, part: &str) -> Option<Vec<u8>>;
-    /// Reads the next answer, if it is whole. An error is the connection's end.
-    fn answer(&self, input: &mut Buffer, ended: bool) -> Result<Option<Answer>, String>;
+    fn give_up(&self, part: &Self::Name) -> Option<Vec<u8>>;
+    /// Reads the next answer, if it is whole; `oldest` is the part that has been out for longest. An error is the
+    /// connection's end.
+    fn answer(
+        &self,
+        input: &mut Buffer,
+        ended: bool,
+        oldest: Option<&Self::Name>,
+    ) -> Result<Option<Answer<Self::Name>>, String>;
 }
 
 /// An attempt that is out on a connection.
-struct Out {
-    part: String,
+struct Out<N> {
+    part: N,
     attempt: u64,
 }
 
 /// One call on a connection, and where its bytes begin and end among all that are written there.
-struct Call {
+struct Call<N> {
     start: u64,
     end: u64,
-    parts: Vec<Out>,
+    parts: Vec<Out<N>>,
 }
 
-struct Link {
+struct Link<N> {
     server: ServerId,
     address: SocketAddr,
-    calls: Vec<Call>,
+    calls: Vec<Call<N>>,
 }
 
 /// How an attempt ended that was given to a pool.
@@ -83,10 +91,10 @@
 }
 
 /// Connections to all data nodes of one wire.
-pub struct Pool<W> {
+pub struct Pool<W: Wire> {
     wire: W,
     limits: Limits,
-    links: HashMap<ConnId, Link>,
+    links: HashMap<ConnId, Link<W::Name>>,
     by_server: HashMap<ServerId, Vec<ConnId>>,
     /// The connection that each attempt is out on.
     attempts: HashMap<u64, ConnId>,
@@ -220,9 +228,10 @@
         loop {
             let Some(conn) = net.get_mut(id) else { return Ok(true) };
             let ended = conn.ended;
-            let Some(answer) = self.wire.answer(&mut conn.input, ended)? else { return Ok(false) };
             let Some(link) = self.links.get_mut(&id) else { return Ok(true) };
-            let is_it = |p: &Out| answer.part.as_ref().is_none_or(|part| *part == p.part);
+            let oldest = link.calls.first().and_then(|c| c.parts.first()).map(|p| &p.part);
+            let Some(answer) = self.wire.answer(&mut conn.input, ended, oldest)? else { return Ok(false) };
+            let is_it = |p: &Out<W::Name>| answer.part.as_ref().is_none_or(|part| *part == p.part);
             // An answer to a part that was given up meets nothing here and is dropped.
             if let Some(at) = link.calls.iter().position(|c| c.parts.iter().any(is_it)) {
                 let call = &mut link.calls[at];
--- /dev/null
+++ b/tests/ogc.rs
@@ -0,0 +1,283 @@
+//! The OGC front on loopback, before small stand-in feature servers: each answer's marking is checked against the
+//! parts that were really received.
+
+#[path = "../examples/toy-features/server.rs"]
+mod server;
+
+use lichenswitch::broker::Broker;
+use lichenswitch::config::Ogc;
+use lichenswitch::http::{self, Parsed, Response};
+use serde_json::Value as Json;
+use server::{point, Mood, Server};
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const SETTINGS: &str = r#"{"allowed":{"maxAttempts":4,"mostHeld":500,"mayCancel":true,"secondCopies":true,
+    "retryAfter":true,"maxRetryAfterUs":2000000,"maxStreams":32},
+    "classes":[
+      {"name":"network-report","objectiveUs":600000,"deadlineUs":3000000,"idempotency":"retryable","gain":3.0,
+        "lateShare":0.1},
+      {"name":"fleet-search","objectiveUs":600000,"deadlineUs":3000000,"idempotency":"retryable","gain":1.0,
+        "lateShare":0.1}],
+    "discovery":"subscribe","resolutionUs":5000,
+    "familyInfo":{"partsACall":8,"sets":9,"width":2,"classFetch":[5,0],"classPartial":[0.8,0.9],
+      "minShare":[0.8,1.0],"needByClass":[1.0,1.0]}}"#;
+
+/// Five slices side by side, one degree wide, each held by two of five servers that know all features.
+struct City {
+    address: SocketAddr,
+    servers: Vec<Server>,
+    stop: Option<UnixStream>,
+    broker: Option<thread::JoinHandle<()>>,
+    folder: PathBuf,
+}
+
+/// Where the features lie; whole numbers are borders of slices.
+const PLACES: [f64; 9] = [0.2, 0.5, 1.0, 1.5, 2.0, 2.5, 3.5, 4.2, 4.8];
+
+impl City {
+    fn new(teams: &str) -> City {
+        let listeners: Vec<TcpListener> = (0..5).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        let mut inventory = "zones:\n  - name: z\ncells:\n".to_string();
+        (0..5).for_each(|i| inventory += &format!("  - name: c{i}\n"));
+        inventory += "slices:\n";
+        for i in 0..5 {
+            inventory += &format!("  - {{name: s{i}, west: {i}, south: 0, east: {}, north: 1}}\n", i + 1);
+        }
+        inventory += "nodes:\n";
+        for (i, listener) in listeners.iter().enumerate() {
+            let address = listener.local_addr().unwrap();
+            inventory += &format!("  - {{name: n{i}, address: \"{address}\", cell: c{i}, zone: z}}\n");
+        }
+        inventory += teams;
+        let front =
+            "listen: 127.0.0.1:0\ninventory: inventory.yaml\nsettings: settings.json\ncollections:\n  \
+            - {id: scooters, class: fleet-search, wait_ms: 1200}\n  \
+            - {id: network, class: network-report, wait_ms: 1200}\n";
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("lichenswitch-ogc-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        for (name, text) in [("ogc.yaml", front), ("inventory.yaml", &inventory), ("settings.json", SETTINGS)]
+        {
+            std::fs::write(folder.join(name), text).unwrap();
+        }
+        let features: Vec<Json> =
+            PLACES.iter().enumerate().map(|(i, &east)| point(&format!("f{i}"), east, 0.5)).collect();
+        let servers = listeners.into_iter().map(|l| Server::start(l, features.clone())).collect();
+        let (stop, signal) = UnixStream::pair().unwrap();
+        let (told, address) = mpsc::channel();
+        let path = folder.join("ogc.yaml");
+        let broker = thread::spawn(move || {
+            let front = Ogc::load(&path, None).unwrap().unwrap();
+            let mut broker = Broker::new(None, Some(front)).unwrap();
+            broker.stop_on(signal).unwrap();
+            told.send(broker.addresses()[0].1).unwrap();
+            broker.run().unwrap();
+        });
+        let address = address.recv().unwrap();
+        City { address, servers, stop: Some(stop), broker: Some(broker), folder }
+    }
+
+    fn moods(&self, mood: Mood) {
+        self.servers.iter().for_each(|s| s.set(mood));
+    }
+
+    fn send(&self, request: &str) -> Response {
+        let mut stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).unwrap();
+        match http::response(&bytes, true, 1 << 24) {
+            Ok(Parsed::Whole(response, _)) => response,
+            other => panic!("{other:?} for {request}"),
+        }
+    }
+
+    fn get(&self, target: &str) -> Response {
+        self.send(&format!("GET {target} HTTP/1.1\r\nHost: city\r\nConnection: close\r\n\r\n"))
+    }
+
+    fn page(&self, target: &str) -> (Response, Json) {
+        let response = self.get(target);
+        assert_eq!(response.status, 200, "{target}: {}", String::from_utf8_lossy(&response.body));
+        let body: Json = serde_json::from_slice(&response.body).unwrap();
+        let features = body["features"].as_array().unwrap().len();
+        assert_eq!(body["numberReturned"], features, "numberReturned is true");
+        // The two marks agree, and only a whole answer knows how many match.
+        let complete = body["complete"].as_bool().unwrap();
+        assert_eq!(
+            response.header("answer-completeness"),
+            Some(if complete { "complete" } else { "partial" })
+        );
+        assert!(complete || body.get("numberMatched").is_none());
+        (response, body)
+    }
+}
+
+impl Drop for City {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        let _ = self.broker.take().map(thread::JoinHandle::join);
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn ids(body: &Json) -> Vec<&str> {
+    body["features"].as_array().unwrap().iter().map(|f| f["id"].as_str().unwrap()).collect()
+}
+
+fn next(body: &Json) -> Option<String> {
+    let links = body["links"].as_array().unwrap();
+    let next = links.iter().find(|l| l["rel"] == "next")?;
+    Some(next["href"].as_str().unwrap().strip_prefix("http://city").unwrap().to_string())
+}
+
+#[test]
+fn the_pages_about_the_service_are_there_and_nothing_else_is() {
+    let city = City::new("");
+    let json = |target: &str| -> Json {
+        let response = city.get(target);
+        assert_eq!(response.status, 200, "{target}");
+        serde_json::from_slice(&response.body).unwrap()
+    };
+    let landing = json("/");
+    for rel in ["self", "service-desc", "conformance", "data"] {
+        let link = landing["links"].as_array().unwrap().iter().find(|l| l["rel"] == rel).unwrap();
+        json(link["href"].as_str().unwrap().strip_prefix("http://city").unwrap());
+    }
+    assert!(json("/conformance")["conformsTo"][0].as_str().unwrap().ends_with("/core"));
+    assert_eq!(json("/collections")["collections"].as_array().unwrap().len(), 2);
+    assert_eq!(
+        json("/collections/scooters")["extent"]["spatial"]["bbox"][0],
+        serde_json::json!([0.0, 0.0, 5.0, 1.0])
+    );
+    for (target, status) in [
+        ("/nothing", 404),
+        ("/collections/nothing", 404),
+        ("/collections/nothing/items", 404),
+        ("/collections/scooters/items?bbox=1,2,3", 400),
+        ("/collections/scooters/items?limit=0", 400),
+        ("/collections/scooters/items?limit=many", 400),
+        ("/collections/scooters/items?offset=-1", 400),
+        ("/collections/scooters/items?datetime=yesterday", 400),
+        ("/collections/scooters/items?colour=red", 400),
+        ("/collections/scooters/items?bbox=0,0,1,1&bbox=0,0,2,1", 400),
+        ("/collections/%ff/items", 400),
+    ] {
+        let response = city.get(target);
+        assert_eq!(response.status, status, "{target}");
+        assert_eq!(response.header("content-type"), Some("application/problem+json"));
+    }
+    let write = city.send("POST /collections/scooters/items HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assert_eq!((write.status, write.header("allow")), (405, Some("GET, HEAD")));
+    assert!(city.servers.iter().all(|s| s.seen().is_empty()), "no data node was asked for any of this");
+}
+
+#[test]
+fn a_box_over_many_slices_gets_each_feature_once_from_the_slices_that_it_crosses() {
+    let city = City::new("");
+    let (_, all) = city.page("/collections/scooters/items?limit=50");
+    assert_eq!(ids(&all), ["f0", "f1", "f2", "f3", "f4", "f5", "f6", "f7", "f8"]);
+    assert_eq!((&all["complete"], &all["numberMatched"]), (&Json::Bool(true), &9.into()));
+    let before: usize = city.servers.iter().map(|s| s.seen().len()).sum();
+    assert_eq!(before, 5, "one part for each slice");
+    let (_, some) = city.page("/collections/scooters/items?bbox=0.4,0,1.7,1&limit=50");
+    assert_eq!(ids(&some), ["f1", "f2", "f3"]);
+    let after: usize = city.servers.iter().map(|s| s.seen().len()).sum();
+    assert_eq!(after - before, 2, "only the slices that the box crosses");
+    let (_, none) = city.page("/collections/scooters/items?bbox=50,50,51,51");
+    assert!(ids(&none).is_empty() && none["complete"] == true);
+}
+
+#[test]
+fn the_pages_of_a_list_hold_every_feature_once() {
+    let city = City::new("");
+    let (mut target, mut seen) = ("/collections/scooters/items?limit=2&bbox=0,0,5,1".to_string(), Vec::new());
+    loop {
+        let (_, page) = city.page(&target);
+        seen.extend(ids(&page).into_iter().map(str::to_string));
+        match next(&page) {
+            Some(next) => target = next,
+            None => break,
+        }
+    }
+    assert_eq!(seen, (0..9).map(|i| format!("f{i}")).collect::<Vec<_>>());
+}
+
+#[test]
+fn an_answer_that_lacks_a_withheld_part_is_marked_partial_or_not_given() {
+    let city = City::new("");
+    city.moods(Mood::Withhold(3.0, 4.0));
+    let (_, body) = city.page("/collections/network/items?limit=50");
+    assert_eq!(body["complete"], false);
+    assert_eq!(body["missingSlices"], serde_json::json!([3]));
+    let expected: BTreeSet<&str> = ["f0", "f1", "f2", "f3", "f4", "f5", "f7", "f8"].into();
+    assert_eq!(ids(&body).into_iter().collect::<BTreeSet<_>>(), expected, "what the other four slices hold");
+    // A box that does not cross the slice is complete.
+    let (_, body) = city.page("/collections/network/items?bbox=0,0,2.5,1&limit=50");
+    assert_eq!(body["complete"], true);
+    // Under a class that needs all parts there is no answer, and the client hears of it in its time.
+    let began = Instant::now();
+    let response = city.get("/collections/scooters/items?limit=50");
+    assert_eq!(response.status, 503);
+    assert!(response.header("retry-after").unwrap().parse::<u32>().unwrap() >= 1);
+    assert!(began.elapsed() < Duration::from_secs(10), "within its time, with ample room for a busy machine");
+    // Two of five slices missing are more than the class may leave out.
+    city.moods(Mood::Withhold(2.0, 4.0));
+    assert_eq!(city.get("/collections/network/items?limit=50").status, 503);
+    city.moods(Mood::Serve);
+    assert_eq!(city.page("/collections/network/items?limit=50").1["complete"], true);
+}
+
+#[test]
+fn servers_that_turn_away_or_fail_lead_to_a_refusal_with_advice() {
+    let city = City::new("");
+    for mood in [Mood::Busy, Mood::Fail] {
+        city.moods(mood);
+        let response = city.get("/collections/scooters/items");
+        assert_eq!(response.status, 503, "{mood:?}");
+        assert!(response.header("retry-after").is_some());
+        assert_eq!(response.header("content-type"), Some("application/problem+json"));
+    }
+    // One server that fails is made good by the other replica of its slices.
+    city.moods(Mood::Serve);
+    city.servers[2].set(Mood::Fail);
+    assert_eq!(city.page("/collections/scooters/items?limit=50").1["complete"], true);
+}
+
+#[test]
+fn a_feature_is_found_by_its_id_and_its_absence_is_told_only_when_it_is_sure() {
+    let city = City::new("");
+    let found = city.get("/collections/scooters/items/f3");
+    let body: Json = serde_json::from_slice(&found.body).unwrap();
+    assert_eq!((found.status, &body["id"], &body["type"]), (200, &"f3".into(), &"Feature".into()));
+    assert_eq!(city.get("/collections/scooters/items/nothing").status, 404);
+    city.moods(Mood::Withhold(0.0, 5.0));
+    let unsure = city.get("/collections/network/items/nothing");
+    assert!(unsure.status == 503 && unsure.header("retry-after").is_some(), "{}", unsure.status);
+}
+
+#[test]
+fn teams_are_held_to_their_contracts() {
+    let city = City::new("teams:\n  - {name: coast, classes: fleet-search, rate: 0.01}\n");
+    let ask = |owner: &str, collection: &str| {
+        city.send(&format!(
+            "GET /collections/{collection}/items HTTP/1.1\r\n{owner}Connection: close\r\n\r\n"
+        ))
+    };
+    assert_eq!(ask("", "scooters").status, 403);
+    assert_eq!(ask("Req-Owner: inland\r\n", "scooters").status, 403);
+    assert_eq!(ask("Req-Owner: coast\r\n", "network").status, 403);
+    assert_eq!(ask("Req-Owner: coast\r\n", "scooters").status, 200);
+    let over = ask("Req-Owner: coast\r\n", "scooters");
+    assert!(over.status == 429 && over.header("retry-after").is_some());
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -126,8 +126,9 @@
     for i in 0..10 {
         play(&mut stage, &[i, i + 3], 7, well);
     }
-    let crashed =
-        |s: ServerId| Some(if s.0 % 5 == 0 { (Outcome::Reset, 60 * MS) } else { (Outcome::Ok, 50 * MS) });
+    let crashed = |s: ServerId| {
+        Some(if s.0.is_multiple_of(5) { (Outcome::Reset, 60 * MS) } else { (Outcome::Ok, 50 * MS) })
+    };
     for i in 0..10 {
         assert!(play(&mut stage, &[i, i + 4, i + 8, i + 12], 7, crashed).1, "victims are served elsewhere");
     }
@@ -139,7 +140,7 @@
     for i in 0..24 {
         play(&mut stage, &[i % 12, (i + 4) % 12], 7, well);
     }
-    let mute = |s: ServerId| if s.0 % 3 == 0 { None } else { Some((Outcome::Ok, 50 * MS)) };
+    let mute = |s: ServerId| if s.0.is_multiple_of(3) { None } else { Some((Outcome::Ok, 50 * MS)) };
     let mut late = 0;
     for i in 0..30 {
         let began = stage.now;
