Bound what slow clients, silent nodes and large values can hold, with socket tests

Read for what has no ceiling: a client that pipelines requests and reads no answer (front), a node that accepts and reads nothing (upstream, queued calls), values of parts that wait for others (core). Each now has one, with a comment on what it guards against. Feature lists are merged as raw text instead of parsed trees.

tests/platform.rs and upstream/tests.rs drive the broker on loopback with stand-in discovery and data nodes: split and chunked requests, 413, hang-ups, second step, resets before and after a frame's last byte, connect timeout, calls a connection. They showed that a new call went to the youngest connection with room, so that none fell idle again; it now goes to the oldest that is up.

--- a/src/core/collect.rs
+++ b/src/core/collect.rs
@@ -1,6 +1,6 @@
 //! Collect: outcomes of attempts come in, and with them the values of parts.
 
-use super::{Core, Value};
+use super::{Core, Value, VALUES};
 use crate::interface::{Event, Outcome, ServerId, Time};
 
 impl<J> Core<J> {
@@ -10,9 +10,16 @@
         self.out.remove(&(a.part, a.number));
         let query = self.parts.get(&a.part).and_then(|id| self.queries.get_mut(id));
         let part = query.and_then(|q| q.parts.iter_mut().find(|p| p.id == a.part));
+        let mut outcome = outcome;
         if let (Some(part), Outcome::Ok, Some(value)) = (part, outcome, value) {
-            // A part counts once, with the value that came first.
-            part.value.get_or_insert(value);
+            if self.bytes + value.bytes.len() > VALUES {
+                // Guards memory: what all queries hold is bounded, and a value beyond it is none.
+                outcome = Outcome::Error;
+            } else if part.value.is_none() {
+                // A part counts once, with the value that came first.
+                self.bytes += value.bytes.len();
+                part.value = Some(value);
+            }
         }
         self.inbox.push(Event::Finished {
             part: a.part,
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -72,6 +72,7 @@
     pub(super) fn release(&mut self, query: QueryId) -> Option<Query<J>> {
         let q = self.queries.remove(&query)?;
         self.held -= 1 + q.parts.len();
+        self.bytes -= q.parts.iter().filter_map(|p| p.value.as_ref()).map(|v| v.bytes.len()).sum::<usize>();
         for part in &q.parts {
             self.parts.remove(&part.id);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -142,8 +142,9 @@
     attempts: HashMap<u64, Attempt>,
     /// Attempts that are out, by part and number.
     out: HashMap<(PartId, u16), u64>,
-    /// Queries and parts held.
+    /// Queries and parts held, and bytes of their values.
     held: usize,
+    bytes: usize,
     next_id: u64,
     next_attempt: u64,
     next_number: u32,
@@ -151,6 +152,9 @@
     wake: Option<Time>,
 }
 
+/// Most bytes of values held for queries that wait for further parts.
+const VALUES: usize = 48 << 20;
+
 /// Query numbers stay below this: the module's wire carries them as 32-bit floats.
 const NUMBERS: u32 = 1 << 24;
 
@@ -168,6 +172,7 @@
             attempts: HashMap::new(),
             out: HashMap::new(),
             held: 0,
+            bytes: 0,
             next_id: 1,
             next_attempt: 1,
             next_number: 0,
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -115,6 +115,7 @@
     let [Reply::Served { whole: true, values }] = &answered[..] else { panic!("{answered:?}") };
     assert_eq!(values.iter().map(|v| v.0).collect::<Vec<_>>(), [Shard(0), Shard(1)]);
     assert_eq!((stage.core.held, stage.core.attempts.len(), stage.core.out.len()), (0, 0, 0));
+    assert_eq!(stage.core.bytes, 0);
 }
 
 #[test]
@@ -206,3 +207,16 @@
     let commands = stage.turn();
     assert!(matches!(&replies(&commands)[..], [Reply::Refused(Some(after))] if *after > 0), "{commands:?}");
 }
+
+#[test]
+fn values_beyond_the_memory_that_is_set_aside_for_them_are_none() {
+    let mut stage = Stage::new(0);
+    let query = stage.take(&[0, 1]).unwrap();
+    let send = sends(&stage.turn());
+    let large = |bytes: usize| Some(Value { score: 0.0, bytes: vec![0; bytes] });
+    stage.core.ended(stage.now, send[0].attempt, Outcome::Ok, large(VALUES));
+    stage.core.ended(stage.now, send[1].attempt, Outcome::Ok, large(1));
+    assert!(replies(&stage.turn()).is_empty(), "the second part has to be asked for again");
+    stage.core.hangup(query);
+    assert_eq!(stage.core.bytes, 0);
+}
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -63,6 +63,9 @@
     Draining,
     /// Is gone.
     Deleted,
+    /// A state that this program does not know.
+    #[serde(other)]
+    Unknown,
 }
 
 /// The data nodes that were ever listed: their ids here, and where they listen.
@@ -111,7 +114,8 @@
                 zone: self.zones.iter().position(|z| *z == node.zone).map_or(u32::MAX, |z| z as u32),
                 mode: match node.lifecycle {
                     Lifecycle::Serving => Mode::Ready,
-                    Lifecycle::Draining => Mode::Draining,
+                    // To be in a state that is not known is no reason to be sent anything.
+                    Lifecycle::Draining | Lifecycle::Unknown => Mode::Draining,
                     Lifecycle::Deleted => Mode::Gone,
                 },
                 started: (node.started_at_ms > 0).then_some(Time(node.started_at_ms.saturating_mul(1_000))),
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -116,7 +116,8 @@
             let Some(session) = self.open.get_mut(&id).filter(|s| matches!(s.state, State::Reading)) else {
                 return;
             };
-            let Some(conn) = net.get_mut(id).filter(|c| !c.input.is_empty()) else { return };
+            // Guards memory: a client that does not read its answers is not asked for more requests.
+            let Some(conn) = net.get_mut(id).filter(|c| !c.input.is_empty() && c.flushed()) else { return };
             let (request, used) = match http::request(conn.input.bytes()) {
                 Ok(Parsed::Whole(request, used)) => (request, used),
                 Ok(Parsed::Partial(waits)) => {
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -7,8 +7,10 @@
 use crate::http::{self, Response};
 use crate::interface::{Micros, Shard, Time};
 use crate::inventory::{Bounds, Slice};
-use crate::upstream::ogc::{Ask, Job};
+use crate::upstream::ogc::{Ask, Feature, Job, List};
 use percent_encoding::{percent_decode_str, utf8_percent_encode, NON_ALPHANUMERIC};
+use serde::Serialize;
+use serde_json::value::RawValue;
 use serde_json::{json, Map, Value as Json};
 use std::collections::{BTreeMap, HashSet};
 use time::format_description::well_known::Rfc3339;
@@ -382,22 +384,33 @@
 }
 
 /// The features of all parts in the order of their slices; one that lies on a border comes once.
-fn merged(values: &[(Shard, Value)]) -> Vec<Json> {
+fn merged(values: &[(Shard, Value)]) -> Vec<&RawValue> {
     let mut parts: Vec<&(Shard, Value)> = values.iter().collect();
     parts.sort_by_key(|p| p.0);
-    let (mut seen, mut features) = (HashSet::new(), Vec::new());
-    for (_, value) in parts {
-        let Ok(Json::Object(mut list)) = serde_json::from_slice(&value.bytes) else { continue };
-        let Some(Json::Array(found)) = list.remove("features") else { continue };
-        for feature in found {
-            // Features without an id are the same if all of them is.
-            let id = feature.get("id").map_or_else(|| format!("={feature}"), Json::to_string);
-            if seen.insert(id) {
-                features.push(feature);
-            }
-        }
-    }
-    features
+    let lists = parts.into_iter().filter_map(|(_, value)| List::read(&value.bytes));
+    let mut seen = HashSet::new();
+    // Features without an id are the same if all of them is.
+    let first = |feature: &&RawValue| {
+        let id = serde_json::from_str(feature.get()).ok().and_then(|f: Feature<'_>| f.id);
+        seen.insert(id.map_or((false, feature.get().to_string()), |id| (true, id.get().to_string())))
+    };
+    lists.flat_map(|list| list.features).filter(first).collect()
+}
+
+/// A page as clients read it.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Page<'a> {
+    r#type: &'static str,
+    number_returned: usize,
+    /// Told only where it is known: every slice sent all that it has.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    number_matched: Option<usize>,
+    complete: bool,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    missing_slices: Vec<u32>,
+    links: Vec<Json>,
+    features: Vec<&'a RawValue>,
 }
 
 /// Marks an answer in its header and, for a collection, in its body.
@@ -429,21 +442,18 @@
             if offset > 0 {
                 links.push(link(&href(offset.saturating_sub(limit)), "prev", GEOJSON));
             }
-            let page: Vec<Json> = features.into_iter().skip(offset).take(limit).collect();
-            let mut body = Map::new();
-            body.insert("type".into(), "FeatureCollection".into());
-            body.insert("numberReturned".into(), page.len().into());
-            // Known only where every slice sent all that it has.
-            if whole && counted <= offset + limit {
-                body.insert("numberMatched".into(), counted.into());
-            }
-            body.insert("complete".into(), whole.into());
-            if !whole {
-                body.insert("missingSlices".into(), missing.into());
-            }
-            body.insert("links".into(), links.into());
-            body.insert("features".into(), page.into());
-            marked(Response::new(200, GEOJSON, Json::Object(body).to_string()), whole)
+            let page: Vec<&RawValue> = features.into_iter().skip(offset).take(limit).collect();
+            let body = serde_json::to_string(&Page {
+                r#type: "FeatureCollection",
+                number_returned: page.len(),
+                number_matched: (whole && counted <= offset + limit).then_some(counted),
+                complete: whole,
+                missing_slices: missing,
+                links,
+                features: page,
+            });
+            let Ok(body) = body else { return problem(500, "Internal error", "the page can't be written") };
+            marked(Response::new(200, GEOJSON, body), whole)
         }
         Context::Item { address, id, asked } => {
             let whole = whole && missing(&asked).is_empty();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -115,6 +115,11 @@
     pub fn written(&self) -> u64 {
         self.written
     }
+    /// Bytes that wait to be written.
+    #[must_use]
+    pub fn unsent(&self) -> usize {
+        self.output.bytes().len()
+    }
     /// Whether all that was queued is written.
     #[must_use]
     pub fn flushed(&self) -> bool {
--- a/src/upstream/frames.rs
+++ b/src/upstream/frames.rs
@@ -22,7 +22,7 @@
 pub struct Frames;
 
 /// Longest frame that is read.
-const LONGEST: usize = 1024 * 1024;
+const LONGEST: usize = 256 * 1024;
 
 fn frame(letter: u8, rest: &[u8], out: &mut Vec<u8>) {
     out.extend_from_slice(&(rest.len() as u32 + 1).to_be_bytes());
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -90,6 +90,11 @@
     pub idle: Micros,
 }
 
+/// A connection with more than this still to be written has no room: its node does not read.
+const UNSENT: usize = 512 * 1024;
+/// Most connections to one data node.
+const LINKS: usize = 16;
+
 /// Connections to all data nodes of one wire.
 pub struct Pool<W: Wire> {
     wire: W,
@@ -144,13 +149,20 @@
         let (streams, known) = (self.limits.streams.max(1), self.by_server.entry(server).or_default());
         let fits = |id: &&ConnId| {
             self.links.get(id).is_some_and(|l| l.calls.len() < streams && l.address == address)
-                && net.get(**id).is_some_and(|c| !c.ended)
+                && net.get(**id).is_some_and(|c| !c.ended && c.unsent() < UNSENT)
         };
         let up = |id: &&ConnId| net.get(**id).is_some_and(|c| c.up);
-        if let Some(&id) = known.iter().filter(fits).max_by_key(|id| up(id)) {
+        // The oldest that is up, so that those opened for a short rush fall idle again.
+        let mut open = known.iter().filter(fits);
+        if let Some(&id) = open.clone().find(up).or_else(|| open.next()) {
             return Some(id);
         }
-        match net.connect(W::OWNER, address) {
+        // Guards descriptors and memory against a node that takes connections and reads nothing.
+        let connected = match known.len() < LINKS {
+            true => net.connect(W::OWNER, address),
+            false => Err(std::io::Error::other("too many connections to it")),
+        };
+        match connected {
             Ok(id) => {
                 known.push(id);
                 self.links.insert(id, Link { server, address, calls: Vec::new() });
@@ -287,3 +299,6 @@
         net.close(id);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/upstream/ogc.rs
+++ b/src/upstream/ogc.rs
@@ -6,7 +6,9 @@
 use crate::interface::Outcome;
 use crate::net::buffer::Buffer;
 use crate::net::Owner;
-use serde_json::Value as Json;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -40,21 +42,57 @@
 /// Longest answer for a part.
 const LONGEST: usize = 1024 * 1024;
 
-/// Whether a list stops short of what was asked for though there is more: then it is not this part's answer.
-fn cut_short(list: &Json, count: usize, most: usize) -> bool {
-    let next = list["links"].as_array().is_some_and(|links| links.iter().any(|l| l["rel"] == "next"));
-    let matched = list["numberMatched"].as_u64().is_some_and(|n| n > count as u64);
-    count < most && (next || matched)
+/// A feature collection whose features are not looked into.
+#[derive(Deserialize)]
+pub struct List<'a> {
+    #[serde(rename = "type", borrow)]
+    kind: Cow<'a, str>,
+    /// The features as they came.
+    #[serde(borrow)]
+    pub features: Vec<&'a RawValue>,
+    #[serde(default, rename = "numberMatched")]
+    matched: Option<u64>,
+    #[serde(default)]
+    links: Vec<Link>,
+}
+
+#[derive(Deserialize)]
+struct Link {
+    #[serde(default)]
+    rel: String,
+}
+
+/// What tells one feature from another.
+#[derive(Deserialize)]
+pub struct Feature<'a> {
+    #[serde(rename = "type", borrow)]
+    kind: Cow<'a, str>,
+    /// Its id, where it has one.
+    #[serde(default, borrow)]
+    pub id: Option<&'a RawValue>,
+}
+
+impl<'a> List<'a> {
+    /// Reads a feature collection; `None`: it is none.
+    #[must_use]
+    pub fn read(body: &'a [u8]) -> Option<List<'a>> {
+        serde_json::from_slice(body).ok().filter(|list: &List<'_>| list.kind == "FeatureCollection")
+    }
+
+    /// Whether it stops short of what was asked for though there is more: then it is not the part's answer.
+    fn cut_short(&self, most: usize) -> bool {
+        let count = self.features.len();
+        let more =
+            self.links.iter().any(|l| l.rel == "next") || self.matched.is_some_and(|n| n > count as u64);
+        count < most && more
+    }
 }
 
 /// Whether a body is what was asked for.
 fn fits(body: &[u8], ask: Ask) -> bool {
-    let Ok(json) = serde_json::from_slice::<Json>(body) else { return false };
     match ask {
-        Ask::Item => json["type"] == "Feature",
-        Ask::Items(most) => json["features"]
-            .as_array()
-            .is_some_and(|f| json["type"] == "FeatureCollection" && !cut_short(&json, f.len(), most)),
+        Ask::Item => serde_json::from_slice(body).is_ok_and(|f: Feature<'_>| f.kind == "Feature"),
+        Ask::Items(most) => List::read(body).is_some_and(|list| !list.cut_short(most)),
     }
 }
 
--- /dev/null
+++ b/src/upstream/tests.rs
@@ -0,0 +1,225 @@
+//! Tests of the pool on loopback: which end of a connection means which outcome.
+
+use super::frames::{Frames, Job};
+use super::*;
+use crate::interface::Shard;
+use crate::net::Ready;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+
+const LIMITS: Limits = Limits { streams: 2, connect: 250_000, idle: 30_000_000 };
+const SERVER: ServerId = ServerId(1);
+
+struct Stage {
+    net: Net,
+    pool: Pool<Frames>,
+    listener: TcpListener,
+    attempts: u64,
+}
+
+impl Stage {
+    fn new(limits: Limits) -> Stage {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Stage { net: Net::new(64).unwrap(), pool: Pool::new(Frames, limits), listener, attempts: 0 }
+    }
+
+    /// Sends a call of one part and tells its attempt.
+    fn send(&mut self, text: &str) -> u64 {
+        self.attempts += 1;
+        let (attempt, shard) = (self.attempts, Shard(self.attempts as u32));
+        let job = Rc::new(Job { id: "q".into(), text: text.into(), key: None });
+        let part = Dispatch { attempt, job, shard, first: None, wait: 1_000_000 };
+        let address = self.listener.local_addr().unwrap();
+        self.pool.send(&mut self.net, SERVER, address, &[part]);
+        attempt
+    }
+
+    /// Runs the loop until an attempt has ended, or for a moment if none does.
+    fn ended(&mut self) -> Vec<(u64, Outcome)> {
+        for _ in 0..20 {
+            let until = self.net.clock.now().plus(50_000);
+            for ready in self.net.wait(Some(until)).unwrap() {
+                if let Ready::Conn(id, _) = ready {
+                    self.pool.ready(&mut self.net, id);
+                }
+            }
+            let now = self.net.clock.now();
+            for timer in self.net.wheel.due(now) {
+                if let Timer::Conn(id) = timer {
+                    self.pool.timer(&mut self.net, id);
+                }
+            }
+            let (ended, _) = self.pool.take_ended();
+            if !ended.is_empty() {
+                return ended.into_iter().map(|e| (e.attempt, e.outcome)).collect();
+            }
+        }
+        Vec::new()
+    }
+
+    /// The next connection that the pool opened, with what was written to it by now.
+    fn accept(&mut self) -> TcpStream {
+        let (stream, _) = self.listener.accept().unwrap();
+        stream.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
+        self.pump();
+        stream
+    }
+
+    fn pump(&mut self) {
+        let ids: Vec<ConnId> = self.pool.links.keys().copied().collect();
+        ids.into_iter().for_each(|id| self.pool.ready(&mut self.net, id));
+    }
+}
+
+/// Reads one frame, letter and rest.
+fn frame(stream: &mut TcpStream) -> String {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).unwrap();
+    let mut rest = vec![0; u32::from_be_bytes(length) as usize];
+    stream.read_exact(&mut rest).unwrap();
+    String::from_utf8(rest).unwrap()
+}
+
+fn answer(stream: &mut TcpStream, line: &str) {
+    let mut bytes = (line.len() as u32 + 2).to_be_bytes().to_vec();
+    bytes.extend_from_slice(format!("Y{line}\n").as_bytes());
+    stream.write_all(&bytes).unwrap();
+}
+
+#[test]
+fn answers_end_the_attempts_that_they_name() {
+    let mut stage = Stage::new(LIMITS);
+    let (one, two) = (stage.send("x"), stage.send("x"));
+    let mut stream = stage.accept();
+    assert!(frame(&mut stream).starts_with("Rq.1 1 d=1000 1\nx"));
+    assert!(frame(&mut stream).starts_with("Rq.2 2 "));
+    answer(&mut stream, "q.2 REJECTED - -");
+    assert_eq!(stage.ended(), [(two, Outcome::Rejected)]);
+    answer(&mut stream, "q.9 OK 1 -");
+    answer(&mut stream, "q.1 OK 1 -");
+    assert_eq!(stage.ended(), [(one, Outcome::Ok)], "an answer that nobody waits for is dropped");
+    assert!(stage.pool.attempts.is_empty());
+}
+
+#[test]
+fn a_refused_connection_never_ran() {
+    let mut stage = Stage::new(LIMITS);
+    // Bound by then nobody: the port was free a moment ago.
+    stage.listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = stage.listener.local_addr().unwrap();
+    let job = Rc::new(Job::default());
+    let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    assert_ne!(address, gone);
+    let part = Dispatch { attempt: 9, job, shard: Shard(0), first: None, wait: 1 };
+    stage.pool.send(&mut stage.net, SERVER, gone, &[part]);
+    assert_eq!(stage.ended(), [(9, Outcome::ConnectFailed)]);
+    assert!(stage.pool.links.is_empty() && stage.pool.by_server.is_empty());
+}
+
+#[test]
+fn a_connection_that_ends_after_the_frame_is_a_reset_and_before_its_last_byte_it_is_not() {
+    let mut stage = Stage::new(LIMITS);
+    let sent = stage.send("x");
+    let mut stream = stage.accept();
+    frame(&mut stream);
+    // Far more than the system's buffers take: its last byte can't be written while nobody reads.
+    let unsent = stage.send(&"y".repeat(32 << 20));
+    stage.pump();
+    drop(stream);
+    let mut ended = stage.ended();
+    ended.sort_by_key(|e| e.0);
+    assert_eq!(ended, [(sent, Outcome::Reset), (unsent, Outcome::ConnectFailed)]);
+}
+
+#[test]
+fn a_connection_that_does_not_come_up_in_time_never_ran() {
+    let mut stage = Stage::new(Limits { connect: 10_000, ..LIMITS });
+    // A full backlog: connections to it neither come up nor are refused.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    stage.listener = socket.into();
+    let address = stage.listener.local_addr().unwrap();
+    let fill = |_| {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let _ = socket.connect(&address.into());
+        socket
+    };
+    let _held: Vec<_> = (0..8).map(fill).collect();
+    let attempt = stage.send("x");
+    assert_eq!(stage.ended(), [(attempt, Outcome::ConnectFailed)]);
+}
+
+#[test]
+fn a_connection_carries_so_many_calls_and_a_further_one_gets_another() {
+    let mut stage = Stage::new(LIMITS);
+    for _ in 0..3 {
+        stage.send("x");
+    }
+    let (mut first, mut second) = (stage.accept(), stage.accept());
+    stage.pump();
+    assert!(frame(&mut first).starts_with("Rq.1 ") && frame(&mut first).starts_with("Rq.2 "));
+    assert!(frame(&mut second).starts_with("Rq.3 "));
+    answer(&mut first, "q.1 OK 1 -");
+    assert_eq!(stage.ended().len(), 1);
+    stage.send("x");
+    stage.pump();
+    assert!(frame(&mut first).starts_with("Rq.4 "), "the place that was given back is used");
+}
+
+#[test]
+fn what_is_given_up_is_told_to_the_node_unless_it_never_left() {
+    let mut stage = Stage::new(LIMITS);
+    let never = stage.send("x");
+    stage.pool.withdraw(&mut stage.net, never);
+    let told = stage.send("x");
+    let mut stream = stage.accept();
+    assert!(frame(&mut stream).starts_with("Rq.2 "), "the first call stayed at home");
+    stage.pool.withdraw(&mut stage.net, told);
+    assert_eq!(frame(&mut stream), "Aq.2");
+    answer(&mut stream, "q.2 OK 1 -");
+    assert!(stage.ended().is_empty(), "too late: it was given up");
+}
+
+#[test]
+fn idle_connections_are_closed_when_asked_and_before_the_node_does() {
+    let mut stage = Stage::new(Limits { idle: 100_000, ..LIMITS });
+    stage.send("x");
+    let mut stream = stage.accept();
+    frame(&mut stream);
+    stage.pool.close_idle(&mut stage.net, SERVER);
+    assert_eq!(stage.pool.links.len(), 1, "it carries a call");
+    answer(&mut stream, "q.1 OK 1 -");
+    stage.ended();
+    stage.pool.close_idle(&mut stage.net, SERVER);
+    assert!(stage.pool.links.is_empty());
+    stage.send("x");
+    let mut stream = stage.accept();
+    frame(&mut stream);
+    answer(&mut stream, "q.2 OK 1 -");
+    stage.ended();
+    assert!(stage.ended().is_empty());
+    assert!(stage.pool.links.is_empty(), "its timer closed it");
+}
+
+#[test]
+fn a_node_that_can_not_use_a_frame_is_told_in_the_log() {
+    let mut stage = Stage::new(LIMITS);
+    let attempt = stage.send("x");
+    let mut stream = stage.accept();
+    frame(&mut stream);
+    stream.write_all(b"\0\0\0\x04Nwhy").unwrap();
+    for _ in 0..100 {
+        stage.net.wait(Some(stage.net.clock.now().plus(10_000))).unwrap();
+        stage.pump();
+        let (ended, log) = stage.pool.take_ended();
+        if let [ended] = &ended[..] {
+            assert_eq!((ended.attempt, ended.outcome), (attempt, Outcome::Reset));
+            assert!(log[0].contains("could not use a frame: why"), "{log:?}");
+            return;
+        }
+    }
+    panic!("it never ended");
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,322 @@
+//! The platform's front on loopback, before a stand-in discovery and stand-in data nodes.
+
+use lichenswitch::broker::Broker;
+use lichenswitch::config::Platform;
+use lichenswitch::http::{self, Parsed, Response};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread;
+use std::time::Duration;
+
+const SETTINGS: &str = r#"{"allowed":{"maxAttempts":4,"mostHeld":40,"mayCancel":true,"secondCopies":true,
+    "retryAfter":true,"maxRetryAfterUs":2000000,"maxStreams":32},
+    "classes":[
+      {"name":"fleet-search","objectiveUs":4000000,"deadlineUs":9000000,"idempotency":"retryable","gain":1.0,
+        "lateShare":0.1},
+      {"name":"network-report","objectiveUs":4000000,"deadlineUs":9000000,"idempotency":"retryable","gain":3.0,
+        "lateShare":0.1}],
+    "discovery":"subscribe","resolutionUs":5000,"zones":["a"],
+    "familyInfo":{"partsACall":8,"sets":1,"width":1,"classFetch":[0,2],"classPartial":[0.9,0.8],
+      "minShare":[1.0,0.8],"needByClass":[1.0,1.0]}}"#;
+
+/// A frame that a data node got, and the connection to answer on.
+struct Got {
+    frame: String,
+    stream: TcpStream,
+}
+
+impl Got {
+    /// Ids of the parts of a call.
+    fn parts(&self) -> Vec<String> {
+        let lines = self.frame.trim_start_matches('R').split('\n');
+        lines
+            .filter_map(|l| l.rsplit("text").next()?.split(' ').next())
+            .filter(|l| l.contains('.'))
+            .map(Into::into)
+            .collect()
+    }
+
+    fn answer(&mut self, line: &str) {
+        let mut bytes = (line.len() as u32 + 1).to_be_bytes().to_vec();
+        bytes.push(b'Y');
+        bytes.extend_from_slice(line.as_bytes());
+        self.stream.write_all(&bytes).unwrap();
+    }
+}
+
+/// Hands on every frame that comes in on any connection.
+fn data_node(listener: TcpListener, got: Sender<Got>) {
+    for stream in listener.incoming().flatten() {
+        let got = got.clone();
+        thread::spawn(move || {
+            let mut reading = stream.try_clone().unwrap();
+            loop {
+                let mut length = [0; 4];
+                if reading.read_exact(&mut length).is_err() {
+                    return;
+                }
+                let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+                if reading.read_exact(&mut frame).is_err() {
+                    return;
+                }
+                let frame = String::from_utf8(frame).unwrap();
+                if got.send(Got { frame, stream: stream.try_clone().unwrap() }).is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Answers the first call with the list and leaves watches open.
+fn discovery(listener: TcpListener, list: String) {
+    for mut stream in listener.incoming().flatten() {
+        let list = list.clone();
+        thread::spawn(move || {
+            let mut held = Vec::new();
+            let mut chunk = [0; 1024];
+            while let Ok(n @ 1..) = stream.read(&mut chunk) {
+                held.extend_from_slice(&chunk[..n]);
+                while let Ok(Parsed::Whole(request, used)) = http::request(&held) {
+                    held.drain(..used);
+                    if request.query().is_empty() {
+                        let answer = Response::new(200, "application/json", list.clone());
+                        stream.write_all(&answer.encode(true, false)).unwrap();
+                    }
+                }
+            }
+        });
+    }
+}
+
+struct Platformed {
+    address: SocketAddr,
+    got: Receiver<Got>,
+    stop: Option<UnixStream>,
+    broker: Option<thread::JoinHandle<()>>,
+}
+
+impl Platformed {
+    fn new() -> Platformed {
+        let (node, list) =
+            (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+        let (node_at, list_at) = (node.local_addr().unwrap(), list.local_addr().unwrap());
+        let text = format!(
+            r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"s","hostPort":"{node_at}","zone":"a",
+            "machineType":"m","cell":0,"lifecycle":"SERVING","weight":1.0,"startedAtMs":0}}]}}"#
+        );
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{list_at}","seed":"1","settings":{SETTINGS}}}"#
+        );
+        let (told, got) = mpsc::channel();
+        thread::spawn(move || data_node(node, told));
+        thread::spawn(move || discovery(list, text));
+        let (stop, signal) = UnixStream::pair().unwrap();
+        let (told, address) = mpsc::channel();
+        let broker = thread::spawn(move || {
+            let mut broker = Broker::new(Some(Platform::parse(&config, |_| None).unwrap()), None).unwrap();
+            broker.stop_on(signal).unwrap();
+            told.send(broker.addresses()[0].1).unwrap();
+            broker.run().unwrap();
+        });
+        let address = address.recv().unwrap();
+        let stage = Platformed { address, got, stop: Some(stop), broker: Some(broker) };
+        // The list comes with the first turns: until then queries are refused.
+        for _ in 0..1_000 {
+            let mut client = stage.connect();
+            client.write_all(&query("fleet-search", "0.warm", &[0])).unwrap();
+            if let Ok(mut got) = stage.got.recv_timeout(Duration::from_millis(50)) {
+                let id = got.parts()[0].clone();
+                got.answer(&format!("{id} OK 1 -\nv"));
+                assert_eq!(answer(&mut client).status, 200);
+                break;
+            }
+        }
+        stage
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream
+    }
+
+    fn next(&self) -> Got {
+        self.got.recv_timeout(Duration::from_secs(20)).unwrap()
+    }
+}
+
+impl Drop for Platformed {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        let _ = self.broker.take().map(thread::JoinHandle::join);
+    }
+}
+
+fn body(segments: &[u32]) -> String {
+    let boost = 1.0 / segments.len() as f64;
+    let segments: Vec<String> =
+        segments.iter().map(|s| format!(r#"{{"segment":{s},"boost":{boost}}}"#)).collect();
+    format!(r#"{{"segments":[{}],"text":"text"}}"#, segments.join(","))
+}
+
+fn head(class: &str, id: &str) -> String {
+    format!(
+        "POST /{class} HTTP/1.1\r\nHost: h\r\nReq-Id: {id}\r\nReq-Kind: {class}\r\nReq-Deadline-Ms: 8000\r\n"
+    )
+}
+
+fn query(class: &str, id: &str, segments: &[u32]) -> Vec<u8> {
+    let body = body(segments);
+    format!("{}Content-Length: {}\r\n\r\n{body}", head(class, id), body.len()).into_bytes()
+}
+
+/// Reads one response.
+fn answer(stream: &mut TcpStream) -> Response {
+    let (mut held, mut chunk) = (Vec::new(), [0; 4096]);
+    loop {
+        let n = stream.read(&mut chunk).unwrap();
+        held.extend_from_slice(&chunk[..n]);
+        match http::response(&held, n == 0, 1 << 20).unwrap() {
+            Parsed::Whole(response, _) => return response,
+            Parsed::Partial(_) => assert!(n > 0, "ended early"),
+        }
+    }
+}
+
+fn text(response: &Response) -> String {
+    String::from_utf8(response.body.clone()).unwrap()
+}
+
+/// Answers parts until `count` have been; tells the frames.
+fn serve(stage: &Platformed, count: usize) -> Vec<String> {
+    let (mut served, mut frames) = (0, Vec::new());
+    while served < count {
+        let mut got = stage.next();
+        for id in got.parts() {
+            let score = id.split('.').nth(1).unwrap().to_string();
+            got.answer(&format!("{id} OK {score} -\nv{score}"));
+            served += 1;
+        }
+        frames.push(got.frame);
+    }
+    frames
+}
+
+#[test]
+fn a_query_is_answered_with_the_values_of_its_parts() {
+    let stage = Platformed::new();
+    let mut client = stage.connect();
+    for round in 0..2 {
+        // On one connection, twice: it stays open.
+        client.write_all(&query("fleet-search", &format!("a{round}"), &[4, 7])).unwrap();
+        let frames = serve(&stage, 2);
+        assert_eq!(frames.len(), 1, "two parts of a turn to one node share a call");
+        let response = answer(&mut client);
+        assert_eq!(response.status, 200);
+        assert_eq!(
+            text(&response),
+            r#"{"all_in":true,"matches":[{"segment":4,"payload":"v4"},{"segment":7,"payload":"v7"}]}"#
+        );
+    }
+}
+
+#[test]
+fn the_second_step_asks_the_best_shards_and_gives_their_values() {
+    let stage = Platformed::new();
+    let mut client = stage.connect();
+    client.write_all(&query("network-report", "b", &[1, 2, 3, 4])).unwrap();
+    serve(&stage, 4);
+    let frames = serve(&stage, 2);
+    assert!(frames[0].contains("b.3.get 3 ") && frames[0].contains("b.4.get 4 "), "{frames:?}");
+    assert!(frames[0].contains("from=1+2+3+4,whole=1"), "{frames:?}");
+    let answered = text(&answer(&mut client));
+    assert!(answered.starts_with(r#"{"all_in":true"#) && answered.contains("v3") && answered.contains("v4"));
+    assert!(!answered.contains("v1") && !answered.contains("v2"));
+}
+
+#[test]
+fn requests_come_in_pieces_and_in_chunks() {
+    let stage = Platformed::new();
+    let mut client = stage.connect();
+    client.set_nodelay(true).unwrap();
+    for piece in query("fleet-search", "c", &[1]).chunks(7) {
+        client.write_all(piece).unwrap();
+        thread::sleep(Duration::from_millis(1));
+    }
+    serve(&stage, 1);
+    assert_eq!(answer(&mut client).status, 200);
+    let body = body(&[2]);
+    let (one, two) = body.split_at(9);
+    let chunked = format!(
+        "{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{one}\r\n{:x}\r\n{two}\r\n0\r\n\r\n",
+        head("fleet-search", "d"),
+        one.len(),
+        two.len()
+    );
+    client.write_all(chunked.as_bytes()).unwrap();
+    serve(&stage, 1);
+    assert_eq!(answer(&mut client).status, 200);
+}
+
+#[test]
+fn a_body_over_64_kib_is_told_off_and_others_are_still_served() {
+    let stage = Platformed::new();
+    let mut client = stage.connect();
+    let large = format!("{}Content-Length: 65537\r\n\r\n", head("fleet-search", "e"));
+    client.write_all(large.as_bytes()).unwrap();
+    assert_eq!(answer(&mut client).status, 413);
+    let mut client = stage.connect();
+    client.write_all(&query("fleet-search", "f", &[1])).unwrap();
+    serve(&stage, 1);
+    assert_eq!(answer(&mut client).status, 200);
+}
+
+#[test]
+fn a_client_that_hangs_up_has_its_parts_given_up() {
+    let stage = Platformed::new();
+    let mut client = stage.connect();
+    client.write_all(&query("fleet-search", "g", &[1])).unwrap();
+    let got = stage.next();
+    assert_eq!(got.parts(), ["g.1"]);
+    drop(client);
+    assert_eq!(stage.next().frame, "Ag.1");
+}
+
+#[test]
+fn a_query_is_refused_at_once_when_every_attempt_was_turned_away() {
+    let stage = Platformed::new();
+    let mut client = stage.connect();
+    client.write_all(&query("fleet-search", "h", &[1])).unwrap();
+    let turn_away = |got: &mut Got| {
+        let id = got.parts()[0].clone();
+        got.answer(&format!("{id} REJECTED - -\n"));
+    };
+    (0..4).for_each(|_| turn_away(&mut stage.next()));
+    let response = answer(&mut client);
+    assert!(response.status == 503 && response.header("retry-after").is_some(), "{}", text(&response));
+}
+
+#[test]
+fn what_was_taken_is_finished_after_the_stop() {
+    let mut stage = Platformed::new();
+    let mut client = stage.connect();
+    client.write_all(&query("fleet-search", "i", &[1])).unwrap();
+    let mut got = stage.next();
+    drop(stage.stop.take());
+    // While the broker stops, readiness ends; this also waits until it has seen the stop.
+    for _ in 0..1_000 {
+        let mut probe = stage.connect();
+        probe.write_all(b"GET /health/ready HTTP/1.1\r\n\r\n").unwrap();
+        if answer(&mut probe).status == 503 {
+            break;
+        }
+    }
+    got.answer("i.1 OK 1 -\nv");
+    let response = answer(&mut client);
+    assert_eq!((response.status, response.header("connection")), (200, Some("close")));
+    stage.broker.take().unwrap().join().unwrap();
+    assert!(TcpStream::connect(stage.address).is_err(), "it no longer listens");
+}
