Look for room while clients wait to be accepted; throw garbage at both fronts

Read for ways to stall: with the budget of client connections used up, idle ones were shed only when a listener was ready, and a resting listener never is (Net::attend), so connections that fell idle later were kept for ever.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -21,6 +21,8 @@
 const LISTEN_ON: Micros = 500_000;
 /// After this long a stop does not wait for clients that read no answer.
 const STOP_MOST: Micros = 15_000_000;
+/// How often room is looked for while clients wait to be accepted.
+const ROOM_LOOK: Micros = 500_000;
 /// How often a broker that stops looks whether it has finished.
 const STOP_LOOK: Micros = 20_000;
 
@@ -51,9 +53,6 @@
         for id in net.accept(self.owner) {
             self.sessions.opened(net, id);
         }
-        if net.resting() {
-            self.sessions.shed(net, &mut self.core);
-        }
     }
 
     fn ready(&mut self, net: &mut Net, id: ConnId, owner: Owner) {
@@ -258,6 +257,9 @@
             }
             each_service!(self, |net, service| service.turn(net));
             self.subscribe();
+            if self.net.resting() {
+                each_service!(self, |net, service| service.sessions.shed(net, &mut service.core));
+            }
             if self.stopping.is_some_and(|since| self.finished(since)) {
                 return Ok(());
             }
@@ -267,9 +269,11 @@
     /// When there is something to do though nothing is ready.
     fn next_turn(&self) -> Option<Time> {
         let stop = self.stopping.map(|_| self.net.clock.now().plus(STOP_LOOK));
+        // Guards clients that wait to be accepted: connections fall idle without any event that tells so.
+        let room = self.net.resting().then(|| self.net.clock.now().plus(ROOM_LOOK));
         let platform = self.platform.as_ref().and_then(|s| s.core.next_turn());
         let ogc = self.ogc.as_ref().and_then(|s| s.core.next_turn());
-        [stop, platform, ogc].into_iter().flatten().min()
+        [stop, room, platform, ogc].into_iter().flatten().min()
     }
 
     fn listed(&mut self, news: impl IntoIterator<Item = Listing>) {
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -540,4 +540,19 @@
             assert!(datetime(text).is_err(), "{text}");
         }
     }
+
+    #[test]
+    fn garbage_in_parameters_never_panics() {
+        let sound: [&[u8]; 3] =
+            [b"15.9,45.7,16.0,45.9", b"2026-08-01T10:00:00Z/..", b"bbox=1,2,3,4&limit=%35"];
+        crate::testing::garbage(&sound, |bytes| {
+            let text = String::from_utf8_lossy(bytes);
+            let _ = (bounds(&text).is_ok(), datetime(&text).is_ok(), parameters(&text, &["bbox"]).is_ok());
+            let collection = Collection { id: "c".into(), title: "c".into(), class: 0, wait: 1 };
+            let mut front = Ogc::new("t".into(), vec![collection], Vec::new());
+            let target = format!("/collections/c/items?{text}");
+            let request = http::Request { method: "GET".into(), target, ..http::Request::default() };
+            front.read(Time(0), &request);
+        });
+    }
 }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -264,6 +264,14 @@
         assert_eq!(status(&get), 405);
     }
 
+    #[test]
+    fn garbage_in_a_body_never_panics() {
+        crate::testing::garbage(&[BODY.as_bytes()], |bytes| {
+            let request = query(&[], "/close", "");
+            front().read(Time(0), &http::Request { body: bytes.to_vec(), ..request });
+        });
+    }
+
     #[test]
     fn readiness_ends_with_the_stop_and_life_does_not() {
         let mut front = front();
