Name the missing slices of a partial answer, and keep dashes in links readable

Tried the example as a newcomer would: all commands work, but a partial answer gave the number of the missing slice where examples/README.md promises its name, and links spelled scooter-3 as scooter%2D3.

--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -8,7 +8,7 @@
 use crate::interface::{Micros, Shard, Time};
 use crate::inventory::{Bounds, Slice};
 use crate::upstream::ogc::{Ask, Feature, Job, List};
-use percent_encoding::{percent_decode_str, utf8_percent_encode, NON_ALPHANUMERIC};
+use percent_encoding::{percent_decode_str, utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
 use serde::Serialize;
 use serde_json::value::RawValue;
 use serde_json::{json, Map, Value as Json};
@@ -189,8 +189,8 @@
         offset: usize,
         /// Features of the page.
         limit: usize,
-        /// Numbers of the slices asked.
-        asked: Vec<u32>,
+        /// Numbers and names of the slices asked.
+        asked: Vec<(u32, String)>,
     },
     /// One feature.
     Item {
@@ -198,8 +198,8 @@
         address: String,
         /// The feature's id as it stands in the path.
         id: String,
-        /// Numbers of the slices asked.
-        asked: Vec<u32>,
+        /// Numbers and names of the slices asked.
+        asked: Vec<(u32, String)>,
     },
 }
 
@@ -210,6 +210,11 @@
         Ogc { title, collections, slices }
     }
 
+    /// A slice's number with its name.
+    fn named(&self, shard: u32) -> (u32, String) {
+        (shard, self.slices.get(shard as usize).map_or_else(String::new, |slice| slice.name.clone()))
+    }
+
     fn landing(&self, base: &str) -> Json {
         json!({
             "title": self.title,
@@ -304,7 +309,7 @@
             repeated.filter_map(|&n| Some((n.to_string(), found.get(n)?.clone()))).collect();
         repeated.extend(datetime.map(|d| ("datetime".to_string(), d)));
         let address = format!("{base}/collections/{}", encoded(&collection.id));
-        let asked = targets.keys().copied().collect();
+        let asked = targets.keys().map(|&shard| self.named(shard)).collect();
         let context = Context::Page { address, repeated, offset, limit, asked };
         Ok((Job { targets, ask: Ask::Items(most) }, context))
     }
@@ -313,8 +318,9 @@
     fn item(&self, base: &str, collection: &Collection, id: &str) -> (Job, Context) {
         let (collection, id) = (encoded(&collection.id), encoded(id));
         let target = format!("/collections/{collection}/items/{id}");
-        let asked: Vec<u32> = (0..self.slices.len() as u32).collect();
-        let targets = asked.iter().map(|&shard| (shard, target.clone())).collect();
+        let asked: Vec<(u32, String)> =
+            (0..self.slices.len() as u32).map(|shard| self.named(shard)).collect();
+        let targets = asked.iter().map(|slice| (slice.0, target.clone())).collect();
         let address = format!("{base}/collections/{collection}");
         (Job { targets, ask: Ask::Item }, Context::Item { address, id, asked })
     }
@@ -379,8 +385,11 @@
     }
 }
 
+/// What is encoded in a segment of a path. Dots are, so that no id climbs to another path.
+const SEGMENT: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'_').remove(b'~');
+
 fn encoded(text: &str) -> String {
-    utf8_percent_encode(text, NON_ALPHANUMERIC).to_string()
+    utf8_percent_encode(text, SEGMENT).to_string()
 }
 
 /// The features of all parts in the order of their slices; one that lies on a border comes once.
@@ -408,7 +417,7 @@
     number_matched: Option<usize>,
     complete: bool,
     #[serde(skip_serializing_if = "Vec::is_empty")]
-    missing_slices: Vec<u32>,
+    missing_slices: Vec<String>,
     links: Vec<Json>,
     features: Vec<&'a RawValue>,
 }
@@ -419,12 +428,13 @@
 }
 
 fn word(context: Context, whole: bool, values: &[(Shard, Value)]) -> Response {
-    let missing = |asked: &[u32]| -> Vec<u32> {
-        asked.iter().copied().filter(|s| !values.iter().any(|v| v.0 .0 == *s)).collect()
+    let missing = |asked: Vec<(u32, String)>| -> Vec<String> {
+        let out = asked.into_iter().filter(|slice| !values.iter().any(|v| v.0 .0 == slice.0));
+        out.map(|slice| slice.1).collect()
     };
     match context {
         Context::Page { address, repeated, offset, limit, asked } => {
-            let missing = missing(&asked);
+            let missing = missing(asked);
             // Guards honesty: whatever was said before, an answer that lacks a slice is not complete.
             let whole = whole && missing.is_empty();
             let features = merged(values);
@@ -456,7 +466,7 @@
             marked(Response::new(200, GEOJSON, body), whole)
         }
         Context::Item { address, id, asked } => {
-            let whole = whole && missing(&asked).is_empty();
+            let whole = whole && missing(asked).is_empty();
             let found =
                 values.iter().find_map(|v| serde_json::from_slice::<Map<String, Json>>(&v.1.bytes).ok());
             match found {
