Send no empty call when a turn cancels all that it sent to a node

Reread: core/dispatch took cancelled parts out of a call of the same turn and left the call, which would have gone out as a frame without parts. carry_out now drops it; the new core test fails without that line.

--- a/src/core/dispatch.rs
+++ b/src/core/dispatch.rs
@@ -26,7 +26,9 @@
                 Action::Log(text) => commands.push(Command::Log(text)),
             }
         }
-        commands.extend(calls.into_iter().map(|(server, parts)| Command::Send(server, parts)));
+        // Guards the wire: a call whose parts were all cancelled in this turn is none.
+        let calls = calls.into_iter().filter(|(_, parts)| !parts.is_empty());
+        commands.extend(calls.map(|(server, parts)| Command::Send(server, parts)));
     }
 
     fn send(
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -1,7 +1,9 @@
 //! Tests of the books: what the module asks for is carried out, and the rules hold whatever it asks.
 
 use super::*;
-use crate::interface::{Budget, Class, Cold, Discovery, Layout, Limits, Listed, Mode, Outcome, Repeat};
+use crate::interface::{
+    Action, Budget, Class, Cold, Discovery, Layout, Limits, Listed, Mode, Outcome, Repeat,
+};
 
 const MS: Micros = 1_000;
 
@@ -220,3 +222,15 @@
     stage.core.hangup(query);
     assert_eq!(stage.core.bytes, 0);
 }
+
+#[test]
+fn what_is_sent_and_cancelled_in_one_turn_stays_at_home() {
+    let mut stage = Stage::new(0);
+    let query = stage.take(&[0]).unwrap();
+    let part = stage.core.queries[&query].parts[0].id;
+    let send = Action::Send { part, server: ServerId(0), timeout: 1_000 * MS };
+    let mut commands = Vec::new();
+    stage.core.carry_out(stage.now, vec![send, Action::Cancel { part, attempt: 0 }], &mut commands);
+    assert!(commands.is_empty(), "{commands:?}");
+    assert!(stage.core.attempts.is_empty(), "its outcome is settled");
+}
