Keep the socket tests' verdict apart from the machine's speed; lose log lines, not life

Reread for what depends on the clock: tests/platform warmed up by 50 ms waits (the list now comes as `known`, so there is nothing to wait for) and probed a stopping broker that may be gone; tests/ogc asked servers that were ill a moment ago and may still be refused for it.

broker::log used eprintln, which panics once nobody reads standard error: a crash for a log line. The line is lost instead.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -13,7 +13,7 @@
 use crate::upstream::frames::Frames;
 use crate::upstream::ogc::Features;
 use crate::upstream::{Limits, Pool, Wire};
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 
@@ -135,9 +135,9 @@
     }
 }
 
-/// Writes a line for the operators.
+/// Writes a line for the operators. Guards against a crash when nobody reads the log any more: the line is lost.
 pub fn log(line: &str) {
-    eprintln!("lichenswitch: {line}");
+    let _ = writeln!(io::stderr(), "lichenswitch: {line}");
 }
 
 /// The broker: the service of the platform, that of the OGC front, or both, on one loop.
--- a/tests/ogc.rs
+++ b/tests/ogc.rs
@@ -106,8 +106,24 @@
         self.send(&format!("GET {target} HTTP/1.1\r\nHost: city\r\nConnection: close\r\n\r\n"))
     }
 
+    /// A whole page of a city that was ill a moment ago: while its servers are taken to be slow, queries are
+    /// refused.
+    fn healed(&self, target: &str) -> (Response, Json) {
+        for _ in 0..100 {
+            let response = self.get(target);
+            if response.header("answer-completeness") == Some("complete") {
+                return self.checked(target, response);
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        panic!("{target}: never whole again");
+    }
+
     fn page(&self, target: &str) -> (Response, Json) {
-        let response = self.get(target);
+        self.checked(target, self.get(target))
+    }
+
+    fn checked(&self, target: &str, response: Response) -> (Response, Json) {
         assert_eq!(response.status, 200, "{target}: {}", String::from_utf8_lossy(&response.body));
         let body: Json = serde_json::from_slice(&response.body).unwrap();
         let features = body["features"].as_array().unwrap().len();
@@ -223,7 +239,7 @@
     let expected: BTreeSet<&str> = ["f0", "f1", "f2", "f3", "f4", "f5", "f7", "f8"].into();
     assert_eq!(ids(&body).into_iter().collect::<BTreeSet<_>>(), expected, "what the other four slices hold");
     // A box that does not cross the slice is complete.
-    let (_, body) = city.page("/collections/network/items?bbox=0,0,2.5,1&limit=50");
+    let (_, body) = city.healed("/collections/network/items?bbox=0,0,2.5,1&limit=50");
     assert_eq!(body["complete"], true);
     // Under a class that needs all parts there is no answer, and the client hears of it in its time.
     let began = Instant::now();
@@ -235,7 +251,7 @@
     city.moods(Mood::Withhold(2.0, 4.0));
     assert_eq!(city.get("/collections/network/items?limit=50").status, 503);
     city.moods(Mood::Serve);
-    assert_eq!(city.page("/collections/network/items?limit=50").1["complete"], true);
+    assert_eq!(city.healed("/collections/network/items?limit=50").1["complete"], true);
 }
 
 #[test]
@@ -251,7 +267,7 @@
     // One server that fails is made good by the other replica of its slices.
     city.moods(Mood::Serve);
     city.servers[2].set(Mood::Fail);
-    assert_eq!(city.page("/collections/scooters/items?limit=50").1["complete"], true);
+    assert_eq!(city.healed("/collections/scooters/items?limit=50").1["complete"], true);
 }
 
 #[test]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -108,7 +108,8 @@
             "machineType":"m","cell":0,"lifecycle":"SERVING","weight":1.0,"startedAtMs":0}}]}}"#
         );
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{list_at}","seed":"1","settings":{SETTINGS}}}"#
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{list_at}","seed":"1","known":{text},
+            "settings":{SETTINGS}}}"#
         );
         let (told, got) = mpsc::channel();
         thread::spawn(move || data_node(node, told));
@@ -122,19 +123,7 @@
             broker.run().unwrap();
         });
         let address = address.recv().unwrap();
-        let stage = Platformed { address, got, stop: Some(stop), broker: Some(broker) };
-        // The list comes with the first turns: until then queries are refused.
-        for _ in 0..1_000 {
-            let mut client = stage.connect();
-            client.write_all(&query("fleet-search", "0.warm", &[0])).unwrap();
-            if let Ok(mut got) = stage.got.recv_timeout(Duration::from_millis(50)) {
-                let id = got.parts()[0].clone();
-                got.answer(&format!("{id} OK 1 -\nv"));
-                assert_eq!(answer(&mut client).status, 200);
-                break;
-            }
-        }
-        stage
+        Platformed { address, got, stop: Some(stop), broker: Some(broker) }
     }
 
     fn connect(&self) -> TcpStream {
@@ -306,14 +295,15 @@
     client.write_all(&query("fleet-search", "i", &[1])).unwrap();
     let mut got = stage.next();
     drop(stage.stop.take());
-    // While the broker stops, readiness ends; this also waits until it has seen the stop.
-    for _ in 0..1_000 {
-        let mut probe = stage.connect();
-        probe.write_all(b"GET /health/ready HTTP/1.1\r\n\r\n").unwrap();
-        if answer(&mut probe).status == 503 {
-            break;
-        }
-    }
+    // Readiness ends once the broker has seen the stop, and so do new connections some time later.
+    let ready = || -> Option<u16> {
+        let mut probe = TcpStream::connect(stage.address).ok()?;
+        probe.write_all(b"GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n").ok()?;
+        let mut bytes = Vec::new();
+        probe.read_to_end(&mut bytes).ok()?;
+        String::from_utf8(bytes).ok()?.split(' ').nth(1)?.parse().ok()
+    };
+    while ready() == Some(200) {}
     got.answer("i.1 OK 1 -\nv");
     let response = answer(&mut client);
     assert_eq!((response.status, response.header("connection")), (200, Some("close")));
