Move to the discovery of a new configuration on SIGHUP instead of ending

Net now watches a stream for each signal, the broker rereads NODE_CONFIG through config, and Discovery asks the new address for the whole list at once. A faulty file is logged with its key and changes nothing.

Tests without the change: discovery (another address) and programs (SIGHUP) fail.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -9,7 +9,7 @@
 use crate::front::platform::{Class, Platform};
 use crate::front::{Front, Sessions};
 use crate::interface::{Listing, Micros, Outcome, Time};
-use crate::net::{ConnId, Net, Owner, Ready, Timer};
+use crate::net::{ConnId, Net, Owner, Ready, Signal, Timer};
 use crate::upstream::frames::Frames;
 use crate::upstream::ogc::Features;
 use crate::upstream::{Limits, Pool, Wire};
@@ -146,10 +146,15 @@
     platform: Option<Service<Platform, Frames>>,
     discovery: Option<Discovery>,
     ogc: Option<Service<Ogc, Features>>,
+    /// Reads the platform's configuration again.
+    reread: Option<Reread>,
     /// When the signal to stop came.
     stopping: Option<Time>,
 }
 
+/// Reads the platform's configuration; `None`: there is none any more.
+type Reread = Box<dyn FnMut() -> Result<Option<config::Platform>, String>>;
+
 /// Does the same with each service that there is.
 macro_rules! each_service {
     ($broker:expr, |$net:ident, $service:ident| $what:expr) => {{
@@ -171,7 +176,8 @@
         }
         let sockets = platform.as_ref().map_or(config::SOCKETS, |told| told.sockets);
         let net = Net::new(sockets).map_err(|e| format!("poller: {e}"))?;
-        let mut broker = Broker { net, platform: None, discovery: None, ogc: None, stopping: None };
+        let mut broker =
+            Broker { net, platform: None, discovery: None, ogc: None, reread: None, stopping: None };
         platform.map_or(Ok(()), |told| broker.serve_platform(told))?;
         ogc.map_or(Ok(()), |told| broker.serve_ogc(told))?;
         Ok(broker)
@@ -226,7 +232,13 @@
 
     /// Ends the loop, when its work is done, once this stream can be read.
     pub fn stop_on(&mut self, signal: UnixStream) -> io::Result<()> {
-        self.net.watch_signal(signal)
+        self.net.watch_signal(Signal::Stop, signal)
+    }
+
+    /// Takes over the configuration that `reread` brings whenever this stream can be read.
+    pub fn reload_on(&mut self, signal: UnixStream, reread: Reread) -> io::Result<()> {
+        self.reread = Some(reread);
+        self.net.watch_signal(Signal::Reload, signal)
     }
 
     /// Serves until it is told to stop and all that was taken is finished.
@@ -244,7 +256,8 @@
                     Ready::Conn(id, owner) => {
                         each_service!(self, |net, service| service.ready(net, id, owner))
                     }
-                    Ready::Stop => self.stop(),
+                    Ready::Signal(Signal::Stop) => self.stop(),
+                    Ready::Signal(Signal::Reload) => self.reload(),
                 }
             }
             let now = self.net.clock.now();
@@ -297,8 +310,29 @@
         }
     }
 
+    /// Reads the configuration again and moves to the address of discovery that it names; all else in it holds
+    /// from the next start on.
+    fn reload(&mut self) {
+        self.net.clear_signal(Signal::Reload);
+        // Guards what is served: a faulty file changes nothing.
+        let told = match self.reread.as_mut().map_or(Ok(None), |reread| reread()) {
+            Ok(Some(told)) => told,
+            Ok(None) => return log("reload: NODE_CONFIG: not set, nothing to read again"),
+            Err(why) => return log(&format!("reload: {why}; the settings stay as they were")),
+        };
+        log(&format!("reload: discovery is at {}", told.discovery));
+        if let Some(discovery) = &mut self.discovery {
+            let news = discovery.move_to(&mut self.net, told.discovery);
+            self.listed(news);
+        }
+    }
+
     fn stop(&mut self) {
-        self.net.clear_signal();
+        self.net.clear_signal(Signal::Stop);
+        // Guards the end: it comes in time however often it is asked for.
+        if self.stopping.is_some() {
+            return;
+        }
         self.stopping = Some(self.net.clock.now());
         log("stopping: finishing what was taken");
         each_service!(self, |_net, service| service.stop());
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -152,6 +152,17 @@
         self.ask(net).err().map(|()| self.fail(net))
     }
 
+    /// Asks at another address from now on. The whole list is asked for at once: versions count from where they
+    /// were told, and what the former address still had to tell is lost.
+    pub fn move_to(&mut self, net: &mut Net, address: SocketAddr) -> Option<Listing> {
+        if address == self.address {
+            return None;
+        }
+        self.hang_up(net);
+        (self.address, self.generation) = (address, None);
+        self.subscribe(net)
+    }
+
     fn ask(&mut self, net: &mut Net) -> Result<(), ()> {
         let conn = match self.conn.filter(|id| net.get(*id).is_some_and(|c| c.up && !c.ended)) {
             Some(id) => id,
@@ -298,6 +309,25 @@
         stream.write_all((head + body).as_bytes()).unwrap();
     }
 
+    #[test]
+    fn another_address_is_asked_for_the_whole_list_at_once() {
+        let [old, new] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+        let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
+        let mut client = Discovery::new(old.local_addr().unwrap(), Some(41));
+        client.subscribe(&mut net);
+        let (mut left, _) = old.accept().unwrap();
+        assert!(client.move_to(&mut net, old.local_addr().unwrap()).is_none() && client.call == Some(1));
+        assert!(client.move_to(&mut net, new.local_addr().unwrap()).is_none());
+        assert_eq!(left.read_to_end(&mut Vec::new()).unwrap(), 0, "the watch at the old address is over");
+        let (mut stream, _) = new.accept().unwrap();
+        net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+        client.ready(&mut net, client.conn.unwrap(), &mut directory);
+        assert!(request(&mut stream).starts_with("GET /registry/instances HTTP/1.1\r\n"));
+        answer(&mut stream, 200, LIST);
+        assert!(matches!(&news(&mut net, &mut client, &mut directory)[..], [Listing::Whole(_)]));
+        assert!(request(&mut stream).contains("since=41"));
+    }
+
     #[test]
     fn a_watch_is_renewed_at_once_and_a_failure_is_told() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,18 +3,28 @@
 
 use lichenswitch::broker::Broker;
 use lichenswitch::config::{Ogc, Platform};
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use std::io;
 use std::os::unix::net::UnixStream;
 use std::process::ExitCode;
 
+/// A stream that can be read once the signal has come.
+fn signal(number: i32) -> io::Result<UnixStream> {
+    let (read, write) = UnixStream::pair()?;
+    signal_hook::low_level::pipe::register(number, write)?;
+    Ok(read)
+}
+
 fn serve() -> Result<(), String> {
+    // Before all else: a signal that nobody waits for ends the program.
+    let [stop, reload] = [SIGTERM, SIGHUP].map(|number| signal(number).map_err(|e| format!("signal: {e}")));
     let env = |name: &str| std::env::var(name).ok();
     let platform = Platform::from_env(env)?;
     let ogc = Ogc::from_env(env, platform.as_ref())?;
     let mut broker = Broker::new(platform, ogc)?;
-    let (read, write) = UnixStream::pair().map_err(|e| format!("signal: {e}"))?;
-    signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, write)
-        .map_err(|e| format!("signal: {e}"))?;
-    broker.stop_on(read).map_err(|e| format!("signal: {e}"))?;
+    broker.stop_on(stop?).map_err(|e| format!("signal: {e}"))?;
+    let reread = Box::new(move || Platform::from_env(env));
+    broker.reload_on(reload?, reread).map_err(|e| format!("signal: {e}"))?;
     broker.run().map_err(|e| format!("loop: {e}"))
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,7 +10,7 @@
 use buffer::Buffer;
 use polling::{Event, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::io;
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -59,8 +59,17 @@
     Conn(ConnId, Owner),
     /// A listener has connections to accept.
     Listener(Owner),
-    /// The signal to stop has come.
+    /// A signal to the process has come.
+    Signal(Signal),
+}
+
+/// What a signal to the process asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// To finish what was taken, and end.
     Stop,
+    /// To read the configuration again.
+    Reload,
 }
 
 /// A clock that only moves forward and starts at the system's time, so that start times can be compared.
@@ -148,8 +157,8 @@
     Broken,
 }
 
-const SIGNAL_KEY: usize = usize::MAX - 1;
 const LISTENER_KEY: usize = 1 << 48;
+const SIGNAL_KEY: usize = 1 << 49;
 const INDEX_BITS: u32 = 16;
 
 /// Descriptors that are none of the connections: standard streams, poller, listeners, signal pipe and spare.
@@ -169,7 +178,7 @@
     listeners: Vec<(Owner, TcpListener)>,
     /// Accepting rests until a client's connection is given back.
     resting: bool,
-    signal: Option<UnixStream>,
+    signals: Vec<(Signal, UnixStream)>,
     /// Timers.
     pub wheel: Wheel<Timer>,
     /// The clock.
@@ -192,7 +201,7 @@
             most: (most * 3 / 4, most / 4),
             listeners: Vec::new(),
             resting: false,
-            signal: None,
+            signals: Vec::new(),
             wheel: Wheel::new(clock.now()),
             clock,
         })
@@ -223,11 +232,12 @@
         }
     }
 
-    /// Reports [`Ready::Stop`] once this stream can be read.
-    pub fn watch_signal(&mut self, stream: UnixStream) -> io::Result<()> {
+    /// Reports a signal whenever this stream can be read.
+    pub fn watch_signal(&mut self, signal: Signal, stream: UnixStream) -> io::Result<()> {
         stream.set_nonblocking(true)?;
-        self.poller.add_with_mode(&stream, Event::readable(SIGNAL_KEY), PollMode::Level)?;
-        self.signal = Some(stream);
+        let key = SIGNAL_KEY + self.signals.len();
+        self.poller.add_with_mode(&stream, Event::readable(key), PollMode::Level)?;
+        self.signals.push((signal, stream));
         Ok(())
     }
 
@@ -244,7 +254,7 @@
             }
         }
         let ready = |e: &Event| match e.key {
-            SIGNAL_KEY => Some(Ready::Stop),
+            key if key >= SIGNAL_KEY => self.signals.get(key - SIGNAL_KEY).map(|s| Ready::Signal(s.0)),
             key if key >= LISTENER_KEY => {
                 self.listeners.get(key - LISTENER_KEY).map(|l| Ready::Listener(l.0))
             }
@@ -253,11 +263,23 @@
         Ok(self.events.iter().filter_map(ready).collect())
     }
 
-    /// Takes the signal's byte, so that it is not reported again.
-    pub fn clear_signal(&mut self) {
-        if let Some(stream) = self.signal.take() {
-            // Stopping goes on whether or not the pipe can be taken out of the poller.
-            let _ = self.poller.delete(&stream);
+    /// Takes a signal's bytes, so that only the next one is reported.
+    pub fn clear_signal(&mut self, signal: Signal) {
+        for (_, stream) in self.signals.iter_mut().filter(|s| s.0 == signal) {
+            let mut bytes = [0; 64];
+            loop {
+                match stream.read(&mut bytes) {
+                    Ok(1..) => {}
+                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                    // Guards the loop: an end stays readable for ever. What was asked for is done all the same
+                    // if the pipe can't be taken out of the poller.
+                    Ok(0) | Err(_) => {
+                        let _ = self.poller.delete(&*stream);
+                        break;
+                    }
+                }
+            }
         }
     }
 
--- a/tests/programs.rs
+++ b/tests/programs.rs
@@ -1,7 +1,7 @@
 //! Both programs start, do their first work and end as they should.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 
 const SETTINGS: &str = r#"{"allowed":{"maxAttempts":4,"mostHeld":210,"mayCancel":true,"secondCopies":true,
@@ -53,6 +53,48 @@
     std::fs::remove_file(&path).unwrap();
 }
 
+#[test]
+fn a_new_configuration_moves_the_broker_to_another_discovery_and_a_faulty_one_changes_nothing() {
+    let path = std::env::temp_dir().join(format!("lichenswitch-reload-{}.json", std::process::id()));
+    let [first, second] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let write = |discovery: &str| {
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","settings":{SETTINGS}}}"#
+        );
+        std::fs::write(&path, config).unwrap();
+    };
+    write(&first.local_addr().unwrap().to_string());
+    let mut broker = Command::new(env!("CARGO_BIN_EXE_lichenswitch"))
+        .env("NODE_CONFIG", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(broker.stderr.take().unwrap()).lines();
+    let mut line_with = |text: &str| lines.find(|l| l.as_ref().unwrap().contains(text)).unwrap().unwrap();
+    let listens = line_with("listens on ");
+    let _asked = first.accept().unwrap();
+    let signal = |name: &str| {
+        assert!(Command::new("kill").args([name, &broker.id().to_string()]).status().unwrap().success());
+    };
+    write("nowhere");
+    signal("-HUP");
+    line_with("reload: discovery: \"nowhere\"");
+    write(&second.local_addr().unwrap().to_string());
+    signal("-HUP");
+    let (mut asked, _) = second.accept().unwrap();
+    let mut head = [0; 28];
+    asked.read_exact(&mut head).unwrap();
+    assert_eq!(&head, b"GET /registry/instances HTTP");
+    let address = listens.rsplit(' ').next().unwrap();
+    let ready = ask(address, "GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assert!(ready.starts_with("HTTP/1.1 200 "), "{ready}");
+    signal("-TERM");
+    signal("-HUP");
+    line_with("stopping");
+    assert!(broker.wait().unwrap().success(), "a reload while it stops does not end it otherwise");
+    std::fs::remove_file(&path).unwrap();
+}
+
 #[test]
 fn a_faulty_configuration_ends_the_broker_with_a_message() {
     let run = |env: &[(&str, &str)]| {
