Close what clients leave open: time limits, room before the queue, reading on after errors

At fault: src/front let a request take 30 s (SLOW) and never closed a silent connection; shed() closed only what was idle for 5 s, 16 every half second; Sessions::ready never re-armed a lingering connection whose buffer had filled, so 60 MB bodies ended in a reset; write() closed at once, with bytes unread. The listener's queue held 128. Ruled out with temporary trace lines: every unreadable or misdirected request got its 4xx.

Each connection now has limits that one look four times a second checks (2 s for a request, 2 s for silence); with the budget used up those that never asked go first, after 0.1 s; every last answer is followed by reading on.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -22,7 +22,7 @@
 /// After this long a stop does not wait for clients that read no answer.
 const STOP_MOST: Micros = 15_000_000;
 /// How often room is looked for while clients wait to be accepted.
-const ROOM_LOOK: Micros = 500_000;
+const ROOM_LOOK: Micros = 50_000;
 /// How often a broker that stops looks whether it has finished.
 const STOP_LOOK: Micros = 20_000;
 
@@ -51,7 +51,7 @@
 
     fn accept(&mut self, net: &mut Net) {
         for id in net.accept(self.owner) {
-            self.sessions.opened(net, id);
+            self.sessions.opened(net, id, self.owner);
         }
     }
 
@@ -73,9 +73,11 @@
             }
             Timer::Conn(id) => {
                 self.pool.timer(net, id);
-                self.sessions.timer(net, id, &mut self.core);
             }
-            Timer::Attempt(..) | Timer::Discovery(_) => {}
+            Timer::Clients(owner) if owner == self.owner => {
+                self.sessions.look(net, owner, &self.front, &mut self.core);
+            }
+            Timer::Attempt(..) | Timer::Clients(_) | Timer::Discovery(_) => {}
         }
     }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -8,7 +8,7 @@
 use crate::core::{Core, Refusal, Reply, Request};
 use crate::http::{self, Parsed, Response};
 use crate::interface::{Micros, QueryId, Time};
-use crate::net::{ConnId, Net, Pumped, Timer};
+use crate::net::{Conn, ConnId, Net, Owner, Pumped, Timer};
 use std::collections::HashMap;
 
 /// What a front makes of a request.
@@ -39,13 +39,23 @@
 
 /// Most bytes held of a client's requests: a body in small chunks is larger on the wire than in memory.
 const CEILING: usize = http::HEAD + 2 * http::BODY;
-/// How long a client that was told off may take to read it.
-const LINGER: Micros = 2_000_000;
-/// A connection without a request for so long may be closed when others wait.
-const IDLE: Micros = 5_000_000;
-/// A request that takes longer than this to arrive is told off.
-const SLOW: Micros = 30_000_000;
+/// A request must have arrived whole so long after its first byte; the first one, after its connection.
+const ARRIVAL: Micros = 2_000_000;
+/// How long a client may take to end its side once the last answer is written.
+const LINGER: Micros = 3_000_000;
+/// A client that takes nothing of an answer for so long has gone.
+const UNREAD: Micros = 10_000_000;
+/// A connection between requests is closed after this long; after the second where many are open.
+const IDLE: Micros = 30_000_000;
+const IDLE_CROWDED: Micros = 2_000_000;
+/// How often all connections are looked at.
+const LOOK: Micros = 250_000;
+/// Before others wait to be accepted, a connection that has sent nothing, or between requests, may go after this
+/// long, and one whose request is still arriving, or that lingers, after the second.
+const SPARED: Micros = 100_000;
+const SPARED_BUSY: Micros = 500_000;
 
+#[derive(Debug, PartialEq)]
 enum State {
     /// Between requests, or in the midst of one that is still arriving.
     Reading,
@@ -53,35 +63,82 @@
     Waiting(QueryId, bool, bool),
     /// The last answer is being written.
     Closing,
-    /// Told off: reads on to the client's end, so that the answer is not lost to a reset.
+    /// The last answer is written: reads on to the client's end, so that it is not lost to a reset.
     Lingering,
 }
 
 struct Session {
     state: State,
+    /// When it came, the last answer was written, or the first byte of the next request came.
+    since: Time,
+    /// A whole request has come on it.
+    asked: bool,
     /// `100 Continue` was sent for the request that is arriving.
     continued: bool,
 }
 
+/// What becomes of a connection that was looked at.
+enum Due {
+    Stays,
+    /// Its request took too long to arrive: the client is told so.
+    ToldOff,
+    Closes,
+}
+
+impl Session {
+    /// What its time limits say. Guards descriptors against clients that send nothing, never finish a request,
+    /// never read an answer or never come back.
+    fn due(&self, conn: &Conn, now: Time, idle: Micros) -> Due {
+        let (age, unread) = (now.since(self.since), now.since(conn.used) >= UNREAD);
+        let closes = match self.state {
+            State::Waiting(..) => false,
+            State::Closing => unread,
+            State::Lingering => age >= LINGER,
+            State::Reading if !conn.flushed() => unread,
+            State::Reading if !conn.input.is_empty() && age >= ARRIVAL => return Due::ToldOff,
+            State::Reading if !conn.input.is_empty() => false,
+            State::Reading => age >= if self.asked { idle } else { ARRIVAL },
+        };
+        if closes {
+            Due::Closes
+        } else {
+            Due::Stays
+        }
+    }
+
+    /// How soon it goes when others wait to be accepted; `None`: it stays. Those that never asked go first.
+    fn spared(&self, conn: &Conn, now: Time) -> Option<(bool, Time)> {
+        let between = self.state == State::Reading && conn.input.is_empty();
+        let stays = matches!(self.state, State::Waiting(..) | State::Closing) || !conn.flushed();
+        let least = if between { SPARED } else { SPARED_BUSY };
+        (!stays && now.since(self.since) >= least).then_some((self.asked, self.since))
+    }
+}
+
 /// The connections of a front's clients.
 pub struct Sessions<C> {
     open: HashMap<ConnId, Session>,
     waiting: HashMap<QueryId, (ConnId, C)>,
+    /// A look at all connections is due.
+    looks: bool,
     stopping: bool,
 }
 
 impl<C> Default for Sessions<C> {
     fn default() -> Self {
-        Sessions { open: HashMap::new(), waiting: HashMap::new(), stopping: false }
+        Sessions { open: HashMap::new(), waiting: HashMap::new(), looks: false, stopping: false }
     }
 }
 
 impl<C> Sessions<C> {
     /// A client has connected.
-    pub fn opened(&mut self, net: &mut Net, id: ConnId) {
-        self.open.insert(id, Session { state: State::Reading, continued: false });
-        let at = net.clock.now().plus(SLOW);
-        net.wheel.set(at, Timer::Conn(id));
+    pub fn opened(&mut self, net: &mut Net, id: ConnId, owner: Owner) {
+        let since = net.clock.now();
+        self.open.insert(id, Session { state: State::Reading, since, asked: false, continued: false });
+        if !self.looks {
+            self.looks = true;
+            net.wheel.set(since.plus(LOOK), Timer::Clients(owner));
+        }
     }
 
     /// Reads and writes what a connection is ready for.
@@ -92,16 +149,24 @@
         front: &mut F,
         core: &mut Core<F::Job>,
     ) {
+        let between = net.get(id).is_none_or(|c| c.input.is_empty());
         let pumped = net.pump(id, CEILING);
-        let Some(session) = self.open.get(&id) else { return net.close(id) };
-        let gone = pumped != Pumped::Alive || net.get(id).is_none_or(|c| c.ended);
-        if gone || matches!(session.state, State::Closing) && net.get(id).is_none_or(|c| c.flushed()) {
+        let now = net.clock.now();
+        let Some(session) = self.open.get_mut(&id) else { return net.close(id) };
+        if pumped != Pumped::Alive || net.get(id).is_none_or(|c| c.ended) {
             return self.close(net, id, core);
         }
-        if let (State::Lingering, Some(conn)) = (&session.state, net.get_mut(id)) {
-            return conn.input.consume(conn.input.bytes().len());
+        match session.state {
+            State::Reading => {
+                if between && session.asked {
+                    session.since = now;
+                }
+                self.requests(net, id, front, core);
+            }
+            State::Closing => self.last(net, id),
+            State::Lingering => self.read_on(net, id),
+            State::Waiting(..) => {}
         }
-        self.requests(net, id, front, core);
     }
 
     /// Reads requests until one has to be waited for.
@@ -136,7 +201,7 @@
                 }
             };
             conn.input.consume(used);
-            session.continued = false;
+            (session.continued, session.asked) = (false, true);
             let now = net.clock.now();
             let head = request.method == "HEAD";
             let response = match front.read(now, &request) {
@@ -156,28 +221,40 @@
 
     fn write(&mut self, net: &mut Net, id: ConnId, response: &Response, keep_alive: bool, head: bool) {
         let keep = keep_alive && response.keep_alive && !self.stopping;
+        let now = net.clock.now();
         let (Some(session), Some(conn)) = (self.open.get_mut(&id), net.get_mut(id)) else { return };
-        session.state = if keep { State::Reading } else { State::Closing };
+        (session.state, session.since) = (if keep { State::Reading } else { State::Closing }, now);
         conn.send(&response.encode(keep, head));
-        let alive = net.flush(id, false) == Pumped::Alive;
-        if !alive || !keep && net.get(id).is_none_or(|c| c.flushed()) {
+        if net.flush(id, false) != Pumped::Alive {
             self.open.remove(&id);
             net.close(id);
+        } else if !keep {
+            self.last(net, id);
         }
     }
 
     /// Answers what can't be read, and ends the connection once the client has seen it.
     fn tell_off(&mut self, net: &mut Net, id: ConnId, response: &Response) {
+        self.write(net, id, response, false, false);
+    }
+
+    /// The last answer is being written. Once it is, this side ends, and what the client still sends is read and
+    /// dropped: a close with bytes unread would reset the connection before the client has the answer.
+    fn last(&mut self, net: &mut Net, id: ConnId) {
         let (Some(session), Some(conn)) = (self.open.get_mut(&id), net.get_mut(id)) else { return };
-        session.state = State::Lingering;
-        conn.send(&response.encode(false, false));
-        conn.input.consume(conn.input.bytes().len());
-        net.flush(id, false);
-        if let Some(conn) = net.get_mut(id) {
+        if conn.flushed() {
             conn.end_output();
+            (session.state, session.since) = (State::Lingering, net.clock.now());
+            self.read_on(net, id);
+        }
+    }
+
+    fn read_on(&mut self, net: &mut Net, id: ConnId) {
+        if let Some(conn) = net.get_mut(id) {
+            conn.input.consume(conn.input.bytes().len());
+            // A reset is seen at the next look or event: there is nothing left to lose.
+            net.flush(id, false);
         }
-        let at = net.clock.now().plus(LINGER);
-        net.wheel.set(at, Timer::Conn(id));
     }
 
     /// Gives a query's client its final answer, then reads on.
@@ -197,21 +274,29 @@
         self.requests(net, id, front, core);
     }
 
-    /// A connection's timer: it lingered for long enough, or a request takes too long to arrive.
-    pub fn timer<J>(&mut self, net: &mut Net, id: ConnId, core: &mut Core<J>) {
-        let (Some(session), Some(conn)) = (self.open.get(&id), net.get(id)) else { return };
-        let (now, used) = (net.clock.now(), conn.used);
-        let stuck = match session.state {
-            State::Lingering => true,
-            // Guards descriptors against clients that never finish a request or never read an answer.
-            State::Reading => !conn.input.is_empty() && now.since(used) >= SLOW,
-            State::Closing => now.since(used) >= SLOW,
-            State::Waiting(..) => false,
-        };
-        if stuck {
-            return self.close(net, id, core);
+    /// Looks at all connections: those whose time is over are told off or closed.
+    pub fn look<F: Front<Context = C>>(
+        &mut self,
+        net: &mut Net,
+        owner: Owner,
+        front: &F,
+        core: &mut Core<F::Job>,
+    ) {
+        let now = net.clock.now();
+        let idle = if net.crowded() { IDLE_CROWDED } else { IDLE };
+        let due = |id: &ConnId, s: &Session| net.get(*id).map_or(Due::Closes, |c| s.due(c, now, idle));
+        let due: Vec<_> = self.open.iter().map(|(id, s)| (*id, due(id, s))).collect();
+        for (id, due) in due {
+            match due {
+                Due::Stays => {}
+                Due::ToldOff => self.tell_off(net, id, &front.malformed(408, "the request took too long")),
+                Due::Closes => self.close(net, id, core),
+            }
+        }
+        self.looks = !self.open.is_empty();
+        if self.looks {
+            net.wheel.set(now.plus(LOOK), Timer::Clients(owner));
         }
-        net.wheel.set(now.plus(SLOW), Timer::Conn(id));
     }
 
     /// Ends a connection; a query that it waits for has nobody left to answer.
@@ -223,17 +308,13 @@
         net.close(id);
     }
 
-    /// Closes connections that carry no request, those idle for longest first, to make room for others.
+    /// Closes connections without an open query to make room for others, an eighth of them at a time.
     pub fn shed<J>(&mut self, net: &mut Net, core: &mut Core<J>) {
         let now = net.clock.now();
-        let unused = |id: &ConnId, s: &Session| {
-            let conn = net.get(*id).filter(|c| c.input.is_empty() && c.flushed());
-            conn.filter(|c| matches!(s.state, State::Reading) && now.since(c.used) >= IDLE).map(|c| c.used)
-        };
-        let mut idle: Vec<_> =
-            self.open.iter().filter_map(|(id, s)| unused(id, s).map(|used| (used, *id))).collect();
-        idle.sort_unstable();
-        for (_, id) in idle.into_iter().take(16) {
+        let spared = |(id, s): (&ConnId, &Session)| Some((s.spared(net.get(*id)?, now)?, *id));
+        let mut spared: Vec<_> = self.open.iter().filter_map(spared).collect();
+        spared.sort_unstable();
+        for (_, id) in spared.into_iter().take(self.open.len().div_ceil(8)) {
             self.close(net, id, core);
         }
     }
@@ -252,3 +333,40 @@
         self.open.len()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::contract::Contracts;
+    use crate::interface::Settings;
+    use std::net::{Shutdown, TcpStream};
+
+    #[test]
+    fn those_that_never_asked_make_room_before_any_other_and_open_queries_stay() {
+        let (mut net, mut sessions) = (Net::new(64).unwrap(), Sessions::<()>::default());
+        let mut core = Core::<()>::new(1, Settings::default(), Contracts::default());
+        let address = net.listen(Owner::Platform, "127.0.0.1:0".parse().unwrap()).unwrap();
+        let clients: Vec<TcpStream> = (0..8).map(|_| TcpStream::connect(address).unwrap()).collect();
+        while sessions.open.len() < clients.len() {
+            net.wait(None).unwrap();
+            for id in net.accept(Owner::Platform) {
+                sessions.opened(&mut net, id, Owner::Platform);
+            }
+        }
+        let mut ids: Vec<ConnId> = sessions.open.keys().copied().collect();
+        ids.sort_unstable();
+        let now = net.clock.now();
+        for (i, id) in ids.iter().enumerate() {
+            let session = sessions.open.get_mut(id).unwrap();
+            (session.since, session.asked) = (now.minus(SPARED_BUSY), i > 0);
+            if i == 1 {
+                session.state = State::Waiting(QueryId(1), true, false);
+            }
+        }
+        sessions.shed(&mut net, &mut core);
+        assert!(sessions.open.len() == 7 && net.get(ids[0]).is_none(), "the one that never asked");
+        (0..20).for_each(|_| sessions.shed(&mut net, &mut core));
+        assert_eq!(sessions.open.keys().copied().collect::<Vec<_>>(), [ids[1]]);
+        clients.iter().for_each(|c| c.shutdown(Shutdown::Both).unwrap());
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -48,6 +48,8 @@
     Attempt(Owner, u64),
     /// A connection should be up, or may have been idle for too long.
     Conn(ConnId),
+    /// The connections of clients are to be looked at.
+    Clients(Owner),
     /// Discovery should have answered its call of this number.
     Discovery(u64),
 }
@@ -161,6 +163,9 @@
 const SIGNAL_KEY: usize = 1 << 49;
 const INDEX_BITS: u32 = 16;
 
+/// Connections that may wait to be accepted. Guards usual clients against many that connect at once: what
+/// overflows here comes up only after the system's next try, a second later.
+const BACKLOG: i32 = 1_024;
 /// Descriptors that are none of the connections: standard streams, poller, listeners, signal pipe and spare.
 const RESERVED: usize = 24;
 
@@ -209,8 +214,12 @@
 
     /// Listens for clients; tells the address, whose port the system may have chosen.
     pub fn listen(&mut self, owner: Owner, address: SocketAddr) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        let listener: TcpListener = socket.into();
         let key = LISTENER_KEY + self.listeners.len();
         self.poller.add_with_mode(&listener, Event::readable(key), PollMode::Level)?;
         let bound = listener.local_addr()?;
@@ -449,10 +458,10 @@
         self.resting
     }
 
-    /// Connections of clients that are open.
+    /// Whether clients hold more than half of their part of the budget.
     #[must_use]
-    pub fn clients(&self) -> usize {
-        self.clients
+    pub fn crowded(&self) -> bool {
+        self.clients * 2 > self.most.0
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -263,6 +263,27 @@
     assert_eq!(answer(&mut client).status, 200);
 }
 
+#[test]
+fn a_client_that_goes_on_sending_is_read_to_its_end_and_has_its_answer() {
+    let stage = Platformed::new();
+    let mut client = stage.connect();
+    let large = format!("{}Content-Length: 60000000\r\n\r\n", head("fleet-search", "e"));
+    client.write_all(large.as_bytes()).unwrap();
+    for _ in 0..60 {
+        client.write_all(&[b'x'; 1_000_000]).unwrap();
+    }
+    assert_eq!(answer(&mut client).status, 413);
+}
+
+#[test]
+fn a_client_that_never_finishes_its_request_or_sends_nothing_is_told_off_or_closed() {
+    let stage = Platformed::new();
+    let (mut half, mut silent) = (stage.connect(), stage.connect());
+    half.write_all(&query("fleet-search", "e", &[1])[..40]).unwrap();
+    assert_eq!(answer(&mut half).status, 408);
+    assert_eq!(silent.read(&mut [0; 10]).unwrap(), 0);
+}
+
 #[test]
 fn a_client_that_hangs_up_has_its_parts_given_up() {
     let stage = Platformed::new();
