Check shards, weights, deadlines and ids of queries before they are taken

At fault: Platform::query knew a fixed ceiling of 2^24 shards, took any weight from 0 up, "+480" as a deadline and the id of another open request, whose parts it then shared on the wire.

core::intake now refuses such queries for both fronts, with the number of shards from the settings or the inventory; the platform's front remembers ids for as long as a query can be open, in two generations, and holds none for longer than its class allows. An empty Content-Length is malformed.

Each new test fails on the former code.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -187,7 +187,9 @@
 
     fn serve_platform(&mut self, told: config::Platform) -> Result<(), String> {
         let classes = told.classes.iter().zip(&told.settings.classes);
-        let classes = classes.map(|(name, c)| Class { name: name.clone(), repeat: c.repeat }).collect();
+        let classes = classes
+            .map(|(name, c)| Class { name: name.clone(), repeat: c.repeat, deadline: c.deadline })
+            .collect();
         let mut directory = Directory::new(told.zones);
         let mut core = Core::new(told.seed, told.settings, Contracts::default());
         let known = told.known.unwrap_or_default();
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -258,7 +258,8 @@
         }
         // The inventory is the list of data nodes, a GET holds one part, and the standard has no second step.
         settings.discovery = Discovery::Push;
-        settings.layout = Layout { cells, width: replicas, parts_a_call: 1 };
+        let shards = inventory.slices.len() as u32;
+        settings.layout = Layout { cells, width: replicas, shards, parts_a_call: 1 };
         settings.classes.iter_mut().for_each(|class| class.second_step = 0);
         let contracts = inventory.contracts(&classes)?;
         if let Some(budget) = Contracts::new(contracts.clone()).budget() {
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -89,6 +89,8 @@
     parts_a_call: u32,
     sets: u32,
     width: u32,
+    #[serde(default)]
+    shards: Option<u32>,
     class_fetch: Vec<u32>,
     class_partial: Vec<f64>,
     min_share: Vec<f64>,
@@ -212,7 +214,12 @@
             retry_after: allowed.retry_after.then_some(allowed.max_retry_after_us),
             budget,
         },
-        layout: Layout { cells: family.sets, width: family.width, parts_a_call: family.parts_a_call.max(1) },
+        layout: Layout {
+            cells: family.sets,
+            width: family.width,
+            shards: family.shards.unwrap_or(u32::MAX),
+            parts_a_call: family.parts_a_call.max(1),
+        },
         discovery: match facts.discovery.as_str() {
             "automatic" => Discovery::Push,
             "subscribe" => Discovery::Ask(rules.ask_every_us),
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -63,7 +63,7 @@
 #[test]
 fn the_example_of_the_ogc_front_is_sound() {
     let read = front(FRONT).unwrap().unwrap();
-    assert_eq!(read.settings.layout, Layout { cells: 5, width: 2, parts_a_call: 1 });
+    assert_eq!(read.settings.layout, Layout { cells: 5, width: 2, shards: 5, parts_a_call: 1 });
     assert_eq!(read.settings.discovery, Discovery::Push);
     let waits: Vec<u64> = read.collections.iter().map(|c| c.wait).collect();
     assert_eq!(waits, [3_000_000, 7_500_000]);
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -12,11 +12,36 @@
     Busy(Option<Micros>),
     /// The team's contract does not allow it.
     Contract(Breach),
+    /// Its parts make no sense.
+    Malformed(&'static str),
+}
+
+/// Weights of a query may miss 1 by this much: clients round them.
+const ROUNDING: f64 = 1e-3;
+
+/// Guards data nodes and honest answers: a part for a shard that there is not, one that comes twice or weights that
+/// are no shares would be sent, turned away, and counted.
+fn sound(parts: &[(Shard, f64)], shards: u32) -> Result<(), Refusal> {
+    let mut asked: Vec<Shard> = parts.iter().map(|p| p.0).collect();
+    asked.sort_unstable();
+    let twice = asked.windows(2).any(|pair| pair[0] == pair[1]);
+    let unknown = asked.last().is_none_or(|last| last.0 >= shards);
+    let share = |weight: f64| weight > 0.0 && weight <= 1.0 + ROUNDING;
+    let sum: f64 = parts.iter().map(|p| p.1).sum();
+    match () {
+        () if parts.is_empty() => Err(Refusal::Malformed("a query needs parts")),
+        () if unknown => Err(Refusal::Malformed("there is no such shard")),
+        () if twice => Err(Refusal::Malformed("a shard comes twice")),
+        () if !parts.iter().all(|p| share(p.1)) => Err(Refusal::Malformed("a weight is out of range")),
+        () if (sum - 1.0).abs() > ROUNDING => Err(Refusal::Malformed("the weights do not sum to 1")),
+        () => Ok(()),
+    }
 }
 
 impl<J> Core<J> {
     /// Takes a query. Its final answer comes as a command of a later turn.
     pub fn take(&mut self, now: Time, request: Request<J>) -> Result<QueryId, Refusal> {
+        sound(&request.parts, self.settings.layout.shards)?;
         // Guards memory: what is held is bounded, and the module never sees the query.
         if self.held >= self.settings.limits.held as usize {
             return Err(Refusal::Busy(self.settings.limits.retry_after.map(|most| most / 2)));
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -30,7 +30,7 @@
             retry_after: Some(2_000 * MS),
             budget: None::<Budget>,
         },
-        layout: Layout { cells: 2, width: 2, parts_a_call: 2 },
+        layout: Layout { cells: 2, width: 2, shards: 4, parts_a_call: 2 },
         discovery: Discovery::Push,
         cold: Cold { share: 0.3, warm_after: 1, fall_multiple: 3.0, fall_after: 1_000 * MS },
         resolution: 5 * MS,
@@ -60,7 +60,10 @@
     }
 
     fn take(&mut self, shards: &[u32]) -> Result<QueryId, Refusal> {
-        let parts = shards.iter().map(|&s| (Shard(s), 1.0 / shards.len() as f64)).collect();
+        self.take_parts(shards.iter().map(|&s| (Shard(s), 1.0 / shards.len() as f64)).collect())
+    }
+
+    fn take_parts(&mut self, parts: Vec<(Shard, f64)>) -> Result<QueryId, Refusal> {
         let deadline = self.now.plus(2_000 * MS);
         let request = Request { class: 0, deadline, key: 0, again: false, team: None, parts, job: "job" };
         self.core.take(self.now, request)
@@ -120,10 +123,32 @@
     assert_eq!(stage.core.bytes, 0);
 }
 
+#[test]
+fn a_query_whose_parts_make_no_sense_is_never_taken() {
+    let mut stage = Stage::new(0);
+    for parts in [
+        &[][..],
+        &[(0, 0.5), (0, 0.5)],
+        &[(0, 0.5), (4, 0.5)],
+        &[(0, 0.5), (1, 0.4)],
+        &[(0, 1.0), (1, 1.0)],
+        &[(0, 1.5), (1, -0.5)],
+        &[(0, 1.0), (1, 0.0)],
+        &[(0, f64::NAN)],
+    ] {
+        let parts = parts.iter().map(|&(shard, weight)| (Shard(shard), weight)).collect();
+        let taken = stage.take_parts(parts);
+        assert!(matches!(taken, Err(Refusal::Malformed(_))), "{taken:?}");
+    }
+    assert!(stage.core.held == 0 && stage.core.inbox.is_empty());
+    assert!(stage.take_parts(vec![(Shard(0), 0.33333), (Shard(1), 0.33333), (Shard(3), 0.33333)]).is_ok());
+}
+
 #[test]
 fn with_too_much_held_a_query_is_turned_away_before_the_module() {
     let mut stage = Stage::new(0);
-    let first = stage.take(&[0, 1, 2, 3, 4]).unwrap();
+    let first = stage.take(&[0, 1, 2, 3]).unwrap();
+    assert!(stage.core.held == 5 && stage.take(&[0]).is_ok());
     assert_eq!(stage.take(&[0]), Err(Refusal::Busy(Some(1_000 * MS))));
     stage.core.hangup(first);
     assert!(stage.take(&[0]).is_ok());
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -7,6 +7,7 @@
 use crate::interface::{Micros, Repeat, Shard, Time};
 use crate::upstream::frames::Job;
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 
 /// A class as its clients know it.
 #[derive(Clone, Debug)]
@@ -15,20 +16,39 @@
     pub name: String,
     /// What repeating a part of it can do.
     pub repeat: Repeat,
+    /// How long its clients wait at most.
+    pub deadline: Micros,
 }
 
 /// The front.
 pub struct Platform {
     classes: Vec<Class>,
+    taken: Taken,
     stopping: bool,
 }
 
-/// Most parts of a query.
-const PARTS: usize = 1_000;
+/// Ids of the queries taken of late, in two generations: each is remembered for as long as a query can be open, and
+/// at most twice as long.
+struct Taken {
+    ids: [HashSet<String>; 2],
+    since: Time,
+    open: Micros,
+}
+
+impl Taken {
+    /// Notes an id; `false`: it was taken of late. Guards the query that has it: its parts are named by it.
+    fn note(&mut self, now: Time, id: &str) -> bool {
+        if now.since(self.since) >= self.open {
+            let [recent, older] = &mut self.ids;
+            *older = std::mem::take(recent);
+            self.since = now;
+        }
+        !self.ids[1].contains(id) && self.ids[0].insert(id.to_string())
+    }
+}
+
 /// Longest id and key that are taken.
 const LONGEST: usize = 200;
-/// Shards are numbered below this.
-const SHARDS: u32 = 1 << 24;
 
 #[derive(Deserialize)]
 struct Body {
@@ -60,10 +80,12 @@
     /// A front for these classes, in the order of the settings.
     #[must_use]
     pub fn new(classes: Vec<Class>) -> Self {
-        Platform { classes, stopping: false }
+        let open = classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+        let taken = Taken { ids: Default::default(), since: Time(0), open };
+        Platform { classes, taken, stopping: false }
     }
 
-    fn query(&self, now: Time, request: &http::Request) -> Result<Request<Job>, (u16, String)> {
+    fn query(&mut self, now: Time, request: &http::Request) -> Result<Request<Job>, (u16, String)> {
         let bad = |why: String| (400, why);
         let name = request.path().trim_start_matches('/').split('/').next().unwrap_or_default();
         let class = self.classes.iter().position(|c| c.name == name);
@@ -78,9 +100,12 @@
         let id = id.ok_or_else(|| bad("Req-Id is missing or malformed".into()))?;
         let wait: u64 = request
             .header("req-deadline-ms")
+            .filter(|ms| ms.bytes().all(|b| b.is_ascii_digit()))
             .and_then(|ms| ms.parse().ok())
             .filter(|&ms| ms > 0 && ms < 1 << 32)
             .ok_or_else(|| bad("Req-Deadline-Ms is missing or malformed".into()))?;
+        // Guards what is held: no query is, longer than its class's clients wait.
+        let wait = (wait * 1_000).min(self.classes[class].deadline);
         let key = request.header("idempotency-key");
         if key.is_some_and(|key| !is_word(key)) {
             return Err(bad("Idempotency-Key is malformed".into()));
@@ -90,20 +115,13 @@
             return Err(bad("Idempotency-Key is missing".into()));
         }
         let body: Body = serde_json::from_slice(&request.body).map_err(|e| bad(format!("body: {e}")))?;
-        let mut shards: Vec<u32> = body.segments.iter().map(|s| s.segment).collect();
-        shards.sort_unstable();
-        shards.dedup();
-        if body.segments.is_empty() || body.segments.len() > PARTS || shards.len() < body.segments.len() {
-            return Err(bad("segments: none, too many, or one of them twice".into()));
-        }
-        let sound = |s: &Segment| s.segment < SHARDS && s.boost.is_finite() && s.boost >= 0.0;
-        if !body.segments.iter().all(sound) {
-            return Err(bad("segments: a number out of bounds".into()));
+        if !self.taken.note(now, id) {
+            return Err((409, "Req-Id is that of another query".into()));
         }
         let affinity = body.segments.iter().find_map(|s| s.affinity.as_deref());
         Ok(Request {
             class,
-            deadline: now.plus(wait * 1_000),
+            deadline: now.plus(wait),
             key: affinity.and_then(|a| u64::from_str_radix(a, 16).ok()).unwrap_or(0),
             again: request.header("req-retry") == Some("1"),
             team: request.header("req-owner").map(str::to_string),
@@ -155,6 +173,7 @@
         match refusal {
             Refusal::Busy(after) => come_back(503, after),
             Refusal::Contract(Breach::Rate(after)) => come_back(429, Some(after)),
+            Refusal::Malformed(why) => plain(400, why),
             Refusal::Contract(_) => plain(403, "no contract for this"),
         }
     }
@@ -197,7 +216,7 @@
         "text":"c41e77d0"}"#;
 
     fn front() -> Platform {
-        let class = |name: &str, repeat| Class { name: name.into(), repeat };
+        let class = |name: &str, repeat| Class { name: name.into(), repeat, deadline: 4_000_000 };
         Platform::new(vec![class("search", Repeat::Safe), class("close", Repeat::Keyed(9))])
     }
 
@@ -247,16 +266,16 @@
             (("req-deadline-ms", "soon"), "/close", BODY, 400),
             (("req-deadline-ms", "0"), "/close", BODY, 400),
             (("req-deadline-ms", "99999999999999999999"), "/close", BODY, 400),
+            (("req-deadline-ms", "+480"), "/close", BODY, 400),
+            (("req-deadline-ms", "99999"), "/close", BODY, 0),
             (("idempotency-key", ""), "/close", BODY, 400),
             (("idempotency-key", "a,from=1"), "/close", BODY, 400),
             (("idempotency-key", ""), "/search", BODY, 0),
             (("req-kind", "search"), "/close", BODY, 400),
             (("req-retry", ""), "/nothing", BODY, 404),
             (("req-retry", ""), "/close", "", 400),
-            (("req-retry", ""), "/close", r#"{"segments":[],"text":""}"#, 400),
             (("req-retry", ""), "/close", r#"{"segments":[{"segment":-1,"boost":1}],"text":""}"#, 400),
-            (("req-retry", ""), "/close", r#"{"segments":[{"segment":99999999,"boost":1}],"text":""}"#, 400),
-            (("req-retry", ""), "/close", &BODY.replace('9', "3"), 400),
+            (("req-retry", ""), "/close", r#"{"segments":[{"segment":0.5,"boost":1}],"text":""}"#, 400),
         ] {
             assert_eq!(status(&query(&[changes], path, body)), expected, "{changes:?} {path} {body}");
         }
@@ -264,6 +283,24 @@
         assert_eq!(status(&get), 405);
     }
 
+    #[test]
+    fn an_id_is_taken_once_for_as_long_as_its_query_can_be_open() {
+        let mut front = front();
+        let mut taken = |ms: u64| match front.read(Time(ms * 1_000), &query(&[], "/close", BODY)) {
+            Verdict::Reply(response) => response.status,
+            Verdict::Take(..) => 0,
+        };
+        assert_eq!([taken(9_000), taken(9_001), taken(12_999), taken(13_001)], [0, 409, 409, 409]);
+        assert_eq!(taken(17_002), 0, "ids are forgotten, or memory would grow");
+    }
+
+    #[test]
+    fn a_query_is_held_no_longer_than_its_class_allows() {
+        let long = query(&[("req-deadline-ms", "99999")], "/close", BODY);
+        let Verdict::Take(taken, ()) = front().read(Time(0), &long) else { panic!("not taken") };
+        assert_eq!(taken.deadline, Time(4_000_000));
+    }
+
     #[test]
     fn garbage_in_a_body_never_panics() {
         crate::testing::garbage(&[BODY.as_bytes()], |bytes| {
--- a/src/http.rs
+++ b/src/http.rs
@@ -107,6 +107,7 @@
         405 => "Method Not Allowed",
         406 => "Not Acceptable",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
@@ -164,7 +165,7 @@
     let mut lengths = all("content-length").flat_map(|v| v.split(',')).map(str::trim);
     let Some(first) = lengths.next() else { return Ok(Framing::None) };
     // The same: lengths that differ are two messages in one.
-    if lengths.any(|other| other != first) || !first.bytes().all(|b| b.is_ascii_digit()) {
+    if lengths.any(|other| other != first) || first.is_empty() || !first.bytes().all(|b| b.is_ascii_digit()) {
         return Err(Malformed(400, "bad content-length"));
     }
     first.parse().map(Framing::Length).map_err(|_| Malformed(413, "content-length out of bounds"))
@@ -327,6 +328,8 @@
         assert_eq!(status("GET / HTTP/3.0\r\n\r\n"), 505);
         assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n"), 413);
         assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"), 400);
+        assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: \r\n\r\n"), 400);
+        assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"), 400);
         assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"), 400);
         assert_eq!(status("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n"), 501);
         assert_eq!(status("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n"), 413);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -137,6 +137,8 @@
     pub cells: u32,
     /// Consecutive cells that hold a shard.
     pub width: u32,
+    /// Number of shards, which are numbered from 0.
+    pub shards: u32,
     /// Parts that can share one call to a server.
     pub parts_a_call: u32,
 }
@@ -191,7 +193,7 @@
                 retry_after: None,
                 budget: None,
             },
-            layout: Layout { cells: 1, width: 1, parts_a_call: 1 },
+            layout: Layout { cells: 1, width: 1, shards: u32::MAX, parts_a_call: 1 },
             discovery: Discovery::Push,
             cold: Cold { share: 0.1, warm_after: 30_000_000, fall_multiple: 1.0, fall_after: 1_000_000 },
             zone: 0,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,7 +33,7 @@
             retry_after: Some(1_000 * MS),
             budget: None,
         },
-        layout: Layout { cells: 3, width: 3, parts_a_call: 16 },
+        layout: Layout { cells: 3, width: 3, shards: u32::MAX, parts_a_call: 16 },
         discovery: Discovery::Push,
         cold: Cold { share: 0.25, warm_after: 15_000 * MS, fall_multiple: 2.5, fall_after: 2_000 * MS },
         zone: 0,
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -277,7 +277,7 @@
 #[test]
 fn a_way_to_a_zone_is_learnt_from_all_its_servers_together() {
     let mut set = settings(class());
-    set.layout = Layout { cells: 30, width: 30, parts_a_call: 1 };
+    set.layout = Layout { cells: 30, width: 30, shards: u32::MAX, parts_a_call: 1 };
     let mut stage = Stage::new(set);
     let lines = (0..30).map(|i| Listed { zone: i % 3, ..line(i + 1, i) }).collect();
     stage.turn(vec![Event::List(Listing::Whole(lines))]);
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -8,7 +8,7 @@
 
 /// A fleet of one server for each cell, shards held by three in a row, parts that share no calls.
 fn fleet(servers: u32, mut set: Settings) -> Stage {
-    set.layout = Layout { cells: servers, width: 3, parts_a_call: 1 };
+    set.layout = Layout { cells: servers, width: 3, shards: u32::MAX, parts_a_call: 1 };
     let mut stage = Stage::new(set);
     let lines = (0..servers).map(|i| Listed { zone: i % 2, ..line(100 + i, i) }).collect();
     stage.turn(vec![Event::List(Listing::Whole(lines))]);
@@ -235,7 +235,7 @@
 fn sent_to_a_cold_server(instances: u32, cold: Cold) -> f64 {
     let mut set = settings(class());
     (set.instances, set.cold) = (instances, cold);
-    set.layout = Layout { cells: 1, width: 1, parts_a_call: 1 };
+    set.layout = Layout { cells: 1, width: 1, shards: u32::MAX, parts_a_call: 1 };
     let (answer, level) = (100 * MS, set.cold.share);
     let mut total = 0;
     for seed in 0..u64::from(instances) {
@@ -383,7 +383,7 @@
 /// A ring of cells of one server each, three of which hold a shard; no call is shared.
 fn ring(cells: u32) -> Stage {
     let mut set = settings(class());
-    set.layout = Layout { cells, width: 3, parts_a_call: 1 };
+    set.layout = Layout { cells, width: 3, shards: u32::MAX, parts_a_call: 1 };
     let mut stage = Stage::new(set);
     let lines = (0..cells).map(|i| Listed { zone: 9, ..line(i + 1, i) }).collect();
     stage.turn(vec![Event::List(Listing::Whole(lines))]);
