Fail a spoilt answer's part at once, and let nothing behind a good one spoil the next

Trace lines (not kept) showed what the servers send: lengths of 0, 3, -4 and 3 GB, a wrong letter, end or id, endless lines, noise, and second copies behind good answers.

A connection remembers the last 256 parts that were settled; any other id is a spoilt answer. One part out on a spoilt connection ends as an error, of several all are reset. Interim responses of OGC data nodes are read in a loop, where many would have exhausted the stack.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -74,6 +74,7 @@
             Timer::Conn(id) => {
                 self.pool.timer(net, id);
             }
+            Timer::Answer(id) => self.pool.stalled(net, id),
             Timer::Clients(owner) if owner == self.owner => {
                 self.sessions.look(net, owner, &self.front, &mut self.core);
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -48,6 +48,8 @@
     Attempt(Owner, u64),
     /// A connection should be up, or may have been idle for too long.
     Conn(ConnId),
+    /// An answer that has begun on a connection should be whole.
+    Answer(ConnId),
     /// The connections of clients are to be looked at.
     Clients(Owner),
     /// Discovery should have answered its call of this number.
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -6,10 +6,10 @@
 pub mod ogc;
 
 use crate::core::{Dispatch, Value};
-use crate::interface::{Micros, Outcome, ServerId};
+use crate::interface::{Micros, Outcome, ServerId, Time};
 use crate::net::buffer::Buffer;
 use crate::net::{ConnId, Net, Owner, Pumped, Timer};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// One answer read from a connection.
@@ -30,17 +30,19 @@
     /// What a query's front says of it.
     type Job;
     /// What a part is called on a connection.
-    type Name: PartialEq;
+    type Name: Clone + PartialEq;
     /// Whose connections these are.
     const OWNER: Owner;
     /// Most bytes held of answers that are not whole.
     const CEILING: usize;
+    /// An answer that has begun is whole after this long, or never.
+    const STALL: Micros;
     /// Writes a call and tells the names of its parts.
     fn call(&self, parts: &[Dispatch<Self::Job>], host: SocketAddr, out: &mut Vec<u8>) -> Vec<Self::Name>;
     /// What tells the node that a part is given up; `None`: only the end of the connection does.
     fn give_up(&self, part: &Self::Name) -> Option<Vec<u8>>;
-    /// Reads the next answer, if it is whole; `oldest` is the part that has been out for longest. An error is the
-    /// connection's end.
+    /// Reads the next answer, if it is whole; `oldest` is the part that has been out for longest. An error is a
+    /// spoilt answer, and the connection's end.
     fn answer(
         &self,
         input: &mut Buffer,
@@ -66,6 +68,32 @@
     server: ServerId,
     address: SocketAddr,
     calls: Vec<Call<N>>,
+    /// The last parts that were given up or answered: what still comes for them is late, not spoilt.
+    settled: VecDeque<N>,
+    /// When an answer began that is not whole yet.
+    begun: Option<Time>,
+}
+
+impl<N: PartialEq> Link<N> {
+    /// Takes a part out of the books, as `None` the oldest, and tells its attempt.
+    fn settle(&mut self, part: Option<&N>) -> Option<u64> {
+        let is_it = |p: &Out<N>| part.is_none_or(|part| *part == p.part);
+        let at = self.calls.iter().position(|c| c.parts.iter().any(is_it))?;
+        let call = &mut self.calls[at];
+        let out = call.parts.remove(call.parts.iter().position(is_it)?);
+        if call.parts.is_empty() {
+            self.calls.remove(at);
+        }
+        self.remember(out.part);
+        Some(out.attempt)
+    }
+
+    fn remember(&mut self, part: N) {
+        if self.settled.len() >= SETTLED {
+            self.settled.pop_front();
+        }
+        self.settled.push_back(part);
+    }
 }
 
 /// How an attempt ended that was given to a pool.
@@ -94,6 +122,8 @@
 const UNSENT: usize = 512 * 1024;
 /// Most connections to one data node.
 const LINKS: usize = 16;
+/// Settled parts that are remembered for a connection.
+const SETTLED: usize = 256;
 
 /// Connections to all data nodes of one wire.
 pub struct Pool<W: Wire> {
@@ -165,7 +195,8 @@
         match connected {
             Ok(id) => {
                 known.push(id);
-                self.links.insert(id, Link { server, address, calls: Vec::new() });
+                let (calls, settled) = (Vec::new(), VecDeque::new());
+                self.links.insert(id, Link { server, address, calls, settled, begun: None });
                 let at = net.clock.now().plus(self.limits.connect);
                 net.wheel.set(at, Timer::Conn(id));
                 Some(id)
@@ -196,7 +227,10 @@
         if empty && unsent && last {
             // What has not begun to be written need not be: the node never hears of the call.
             conn.take_back(length);
-        } else if let Some(bytes) = self.wire.give_up(&part) {
+            return;
+        }
+        link.remember(part.clone());
+        if let Some(bytes) = self.wire.give_up(&part) {
             conn.send(&bytes);
             if net.flush(id, false) != Pumped::Alive {
                 self.broken(net, id);
@@ -225,16 +259,41 @@
         let read = self.read(net, id);
         let done = net.get(id).is_none_or(|c| c.ended || c.input.bytes().len() >= W::CEILING);
         match read {
-            Err(why) => {
-                let server = self.links.get(&id).map_or(0, |l| l.server.0);
-                self.log.push(format!("connection to server {server} closed: {why}"));
-                self.broken(net, id);
-            }
+            Err(why) => self.spoilt(net, id, &why),
             Ok(last) if last || done || pumped != Pumped::Alive => self.broken(net, id),
-            Ok(_) => {}
+            Ok(_) => self.begun(net, id),
         }
     }
 
+    /// Notes whether an answer has begun that is not whole.
+    fn begun(&mut self, net: &mut Net, id: ConnId) {
+        let (now, Some(link)) = (net.clock.now(), self.links.get_mut(&id)) else { return };
+        match net.get(id).is_some_and(|c| !c.input.is_empty()) {
+            // Guards the next call: noise behind a good answer would be read as the beginning of its answer.
+            true if link.calls.is_empty() => self.broken(net, id),
+            true if link.begun.is_none() => {
+                link.begun = Some(now);
+                net.wheel.set(now.plus(W::STALL), Timer::Answer(id));
+            }
+            true => {}
+            false => link.begun = None,
+        }
+    }
+
+    /// Ends a connection that brought what can't be an answer. It was one to a part that was out, which may have
+    /// run; if only one is out, to that. Behind a good answer, with nothing out, it spoils nothing.
+    fn spoilt(&mut self, net: &mut Net, id: ConnId, why: &str) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        self.log.push(format!("connection to server {} closed: {why}", link.server.0));
+        if link.calls.iter().map(|c| c.parts.len()).sum::<usize>() == 1 {
+            if let Some(attempt) = link.settle(None) {
+                self.attempts.remove(&attempt);
+                self.ended.push(Ended { attempt, outcome: Outcome::Error, value: None });
+            }
+        }
+        self.broken(net, id);
+    }
+
     /// Takes in all whole answers; `true`: the connection can't be used again.
     fn read(&mut self, net: &mut Net, id: ConnId) -> Result<bool, String> {
         loop {
@@ -243,18 +302,18 @@
             let Some(link) = self.links.get_mut(&id) else { return Ok(true) };
             let oldest = link.calls.first().and_then(|c| c.parts.first()).map(|p| &p.part);
             let Some(answer) = self.wire.answer(&mut conn.input, ended, oldest)? else { return Ok(false) };
-            let is_it = |p: &Out<W::Name>| answer.part.as_ref().is_none_or(|part| *part == p.part);
-            // An answer to a part that was given up meets nothing here and is dropped.
-            if let Some(at) = link.calls.iter().position(|c| c.parts.iter().any(is_it)) {
-                let call = &mut link.calls[at];
-                if let Some(i) = call.parts.iter().position(is_it) {
-                    let attempt = call.parts.remove(i).attempt;
+            link.begun = None;
+            match (link.settle(answer.part.as_ref()), answer.part) {
+                (Some(attempt), _) => {
                     self.attempts.remove(&attempt);
                     self.ended.push(Ended { attempt, outcome: answer.outcome, value: answer.value });
                 }
-                if call.parts.is_empty() {
-                    link.calls.remove(at);
+                // Guards the part that it was meant for, which would be waited for in vain.
+                (None, Some(part)) if !link.settled.contains(&part) => {
+                    return Err("answer to a part that was never asked for".into());
                 }
+                // Late, or a second time: it is dropped.
+                (None, _) => {}
             }
             if answer.last {
                 return Ok(true);
@@ -273,6 +332,16 @@
         net.wheel.set(next, Timer::Conn(id));
     }
 
+    /// An answer that had begun should be whole. Guards the parts that are out on its connection: what claims more
+    /// than it brings would take their answers in.
+    pub fn stalled(&mut self, net: &mut Net, id: ConnId) {
+        let now = net.clock.now();
+        let begun = self.links.get(&id).and_then(|l| l.begun);
+        if begun.is_some_and(|at| now.since(at) >= W::STALL) {
+            self.spoilt(net, id, "answer that never becomes whole");
+        }
+    }
+
     /// Ends a connection. A call whose last byte was written may have run: it was reset; others never left.
     fn broken(&mut self, net: &mut Net, id: ConnId) {
         let written = net.get(id).map_or(0, crate::net::Conn::written);
--- a/src/upstream/ogc.rs
+++ b/src/upstream/ogc.rs
@@ -3,7 +3,7 @@
 use super::{Answer, Wire};
 use crate::core::{Dispatch, Value};
 use crate::http::{self, Parsed, Response};
-use crate::interface::Outcome;
+use crate::interface::{Micros, Outcome};
 use crate::net::buffer::Buffer;
 use crate::net::Owner;
 use serde::Deserialize;
@@ -113,6 +113,7 @@
     type Name = Ask;
     const OWNER: Owner = Owner::Features;
     const CEILING: usize = LONGEST + http::HEAD;
+    const STALL: Micros = 30_000_000;
 
     fn call(&self, parts: &[Dispatch<Job>], host: SocketAddr, out: &mut Vec<u8>) -> Vec<Ask> {
         let mut write = |part: &Dispatch<Job>| {
@@ -135,24 +136,23 @@
         ended: bool,
         oldest: Option<&Ask>,
     ) -> Result<Option<Answer<Ask>>, String> {
-        if input.is_empty() {
-            return Ok(None);
-        }
-        let ask = *oldest.ok_or("it sent what nobody asked for")?;
-        match http::response(input.bytes(), ended, LONGEST) {
-            Ok(Parsed::Whole(response, used)) => {
-                input.consume(used);
-                // An interim answer is followed by the real one.
-                if response.status < 200 {
-                    return self.answer(input, ended, oldest);
+        while !input.is_empty() {
+            let ask = *oldest.ok_or("it sent what nobody asked for")?;
+            match http::response(input.bytes(), ended, LONGEST) {
+                Ok(Parsed::Whole(response, used)) => {
+                    input.consume(used);
+                    // An interim answer is followed by the real one.
+                    if response.status >= 200 {
+                        let last = !response.keep_alive;
+                        let (outcome, value) = judge(response, ask);
+                        return Ok(Some(Answer { part: None, outcome, value, last }));
+                    }
                 }
-                let last = !response.keep_alive;
-                let (outcome, value) = judge(response, ask);
-                Ok(Some(Answer { part: None, outcome, value, last }))
+                Ok(Parsed::Partial(_)) => return Ok(None),
+                Err(http::Malformed(_, why)) => return Err(why.into()),
             }
-            Ok(Parsed::Partial(_)) => Ok(None),
-            Err(http::Malformed(_, why)) => Err(why.into()),
         }
+        Ok(None)
     }
 }
 
