Give back what is known of nodes that are gone; let ceilings follow the memory told

Read for what grows: the directory kept every node ever listed (ids, names, addresses), the module every server with its faults, the pool idle connections to nodes that were gone; Core held up to 48 MB of values (VALUES) where 32 MB may be all there is, and requests that arrive at once had no ceiling in sum: 174 of 144 KB at 256 descriptors. Wheel::next looked at every timer each time round the loop.

A node's entry now goes with it, numbers are not used again, limits.memory_mb is read, values take a quarter of it and arriving requests an eighth, told off with 503 beyond. The module forgets a server that is gone once nothing is out there; one that comes back under its name is met as new.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -40,8 +40,15 @@
 
 impl<F: Front, W: Wire<Job = F::Job>> Service<F, W> {
     /// A service whose clients connect to the listeners of `owner`.
-    pub fn new(owner: Owner, front: F, core: Core<F::Job>, pool: Pool<W>, directory: Directory) -> Self {
-        Service { owner, front, sessions: Sessions::default(), core, pool, directory, subscribe: false }
+    pub fn new(
+        owner: Owner,
+        front: F,
+        sessions: Sessions<F::Context>,
+        core: Core<F::Job>,
+        pool: Pool<W>,
+        directory: Directory,
+    ) -> Self {
+        Service { owner, front, sessions, core, pool, directory, subscribe: false }
     }
 
     /// The core, to tell it of the list of data nodes.
@@ -132,6 +139,13 @@
         }
     }
 
+    /// Closes the connections to nodes that are gone; one that still carries calls ends when it falls idle.
+    fn leave_gone(&mut self, net: &mut Net) {
+        for server in self.directory.take_gone() {
+            self.pool.close_idle(net, server);
+        }
+    }
+
     fn stop(&mut self) {
         self.front.stop();
         self.sessions.stop();
@@ -192,21 +206,28 @@
             .map(|(name, c)| Class { name: name.clone(), repeat: c.repeat, deadline: c.deadline })
             .collect();
         let mut directory = Directory::new(told.zones);
-        let mut core = Core::new(told.seed, told.settings, Contracts::default());
+        let mut core = Core::new(told.seed, told.settings, Contracts::default(), told.memory);
         let known = told.known.unwrap_or_default();
         let generation = (!known.instances.is_empty()).then_some(known.generation);
-        core.listed(Listing::Cached(directory.lines(&known.instances)));
+        core.listed(Listing::Cached(directory.whole(&known.instances)));
         let pool = Pool::new(Frames, limits(told.connections));
         let address = self.listen(Owner::Platform, told.listen)?;
         log(&format!("{} listens on {address}", told.name));
-        self.platform = Some(Service::new(Owner::Platform, Platform::new(classes), core, pool, directory));
+        self.platform = Some(Service::new(
+            Owner::Platform,
+            Platform::new(classes),
+            Sessions::new(told.memory),
+            core,
+            pool,
+            directory,
+        ));
         self.discovery = Some(Discovery::new(told.discovery, generation));
         Ok(())
     }
 
     fn serve_ogc(&mut self, told: config::Ogc) -> Result<(), String> {
         let mut directory = Directory::new(told.inventory.zones);
-        let mut core = Core::new(told.seed, told.settings, Contracts::new(told.contracts));
+        let mut core = Core::new(told.seed, told.settings, Contracts::new(told.contracts), told.memory);
         let line = |node: &crate::inventory::Node| Instance {
             instance_id: node.name.clone(),
             host_port: node.address.to_string(),
@@ -216,12 +237,12 @@
             started_at_ms: 0,
         };
         let instances: Vec<Instance> = told.inventory.nodes.iter().map(line).collect();
-        core.listed(Listing::Whole(directory.lines(&instances)));
+        core.listed(Listing::Whole(directory.whole(&instances)));
         let pool = Pool::new(Features, limits(told.connections));
         let front = Ogc::new(told.title, told.collections, told.inventory.slices);
         let address = self.listen(Owner::Ogc, told.listen)?;
         log(&format!("OGC API Features listens on {address}"));
-        self.ogc = Some(Service::new(Owner::Ogc, front, core, pool, directory));
+        self.ogc = Some(Service::new(Owner::Ogc, front, Sessions::new(told.memory), core, pool, directory));
         Ok(())
     }
 
@@ -303,6 +324,7 @@
     fn news(&mut self, id: ConnId) {
         if let (Some(discovery), Some(service)) = (&mut self.discovery, &mut self.platform) {
             let news = discovery.ready(&mut self.net, id, &mut service.directory);
+            service.leave_gone(&mut self.net);
             self.listed(news);
         }
     }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -37,6 +37,8 @@
     pub seed: u64,
     /// Most descriptors.
     pub sockets: usize,
+    /// Most memory, in bytes.
+    pub memory: usize,
     /// The list as last held.
     pub known: Option<List>,
     /// The module's settings.
@@ -51,6 +53,8 @@
 
 /// Descriptors that a broker may hold where it is told no limit, and at most.
 pub const SOCKETS: usize = 1_024;
+/// Megabytes that a broker may use where it is told no limit.
+pub const MEMORY: usize = 192;
 
 #[derive(Deserialize)]
 struct File {
@@ -67,6 +71,7 @@
 #[derive(Default, Deserialize)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 /// Reads an address.
@@ -102,6 +107,10 @@
         if sockets < 64 {
             return Err(format!("limits.sockets: {sockets} is too few, 64 at least"));
         }
+        let memory = file.limits.memory_mb.unwrap_or(MEMORY);
+        if memory < 16 {
+            return Err(format!("limits.memory_mb: {memory} is too few, 16 at least"));
+        }
         let facts = file.settings.ok_or("settings: missing")?;
         let site = settings::Site::parse(facts.get().as_bytes())?;
         Ok(Platform {
@@ -110,6 +119,7 @@
             discovery: address(&discovery, "discovery")?,
             seed,
             sockets,
+            memory: memory.saturating_mul(1 << 20),
             known: file.known,
             settings: site.settings,
             classes: site.classes,
@@ -136,6 +146,8 @@
     pub contracts: Vec<(String, Contract)>,
     /// For random numbers.
     pub seed: u64,
+    /// Most memory, in bytes; both fronts share it where both serve.
+    pub memory: usize,
     /// Connections to data nodes.
     pub connections: Connections,
 }
@@ -273,6 +285,7 @@
             settings,
             contracts,
             seed: platform.map_or(0, |p| p.seed),
+            memory: platform.map_or(MEMORY << 20, |p| p.memory),
             connections: Connections { streams: 1, ..connections },
         }))
     }
--- a/src/core/collect.rs
+++ b/src/core/collect.rs
@@ -1,6 +1,6 @@
 //! Collect: outcomes of attempts come in, and with them the values of parts.
 
-use super::{Core, Value, VALUES};
+use super::{Core, Value};
 use crate::interface::{Event, Outcome, ServerId, Time};
 
 impl<J> Core<J> {
@@ -12,7 +12,7 @@
         let part = query.and_then(|q| q.parts.iter_mut().find(|p| p.id == a.part));
         let mut outcome = outcome;
         if let (Some(part), Outcome::Ok, Some(value)) = (part, outcome, value) {
-            if self.bytes + value.bytes.len() > VALUES {
+            if self.bytes + value.bytes.len() > self.most_bytes {
                 // Guards memory: what all queries hold is bounded, and a value beyond it is none.
                 outcome = Outcome::Error;
             } else if part.value.is_none() {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -145,6 +145,8 @@
     /// Queries and parts held, and bytes of their values.
     held: usize,
     bytes: usize,
+    /// Most bytes of values held for queries that wait for further parts.
+    most_bytes: usize,
     next_id: u64,
     next_attempt: u64,
     next_number: u32,
@@ -152,17 +154,15 @@
     wake: Option<Time>,
 }
 
-/// Most bytes of values held for queries that wait for further parts.
-const VALUES: usize = 48 << 20;
-
 /// Query numbers stay below this: the module's wire carries them as 32-bit floats.
 const NUMBERS: u32 = 1 << 24;
 
 impl<J> Core<J> {
-    /// A core that holds nothing.
+    /// A core that holds nothing, and at most a quarter of `memory` bytes in values.
     #[must_use]
-    pub fn new(seed: u64, settings: Settings, contracts: Contracts) -> Self {
+    pub fn new(seed: u64, settings: Settings, contracts: Contracts, memory: usize) -> Self {
         Core {
+            most_bytes: memory / 4,
             module: Coordinator::new(seed, settings.clone()),
             settings,
             contracts,
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -6,6 +6,7 @@
 };
 
 const MS: Micros = 1_000;
+const MEMORY: usize = 32 << 20;
 
 fn settings(second_step: u32) -> Settings {
     let class = Class {
@@ -46,7 +47,7 @@
 
 impl Stage {
     fn new(second_step: u32) -> Stage {
-        let mut core = Core::new(7, settings(second_step), Contracts::default());
+        let mut core = Core::new(7, settings(second_step), Contracts::default(), MEMORY);
         let line = |id| Listed { server: ServerId(id), cell: id, zone: 0, mode: Mode::Ready, started: None };
         core.listed(Listing::Whole(vec![line(0), line(1)]));
         let mut stage = Stage { core, now: Time(1_000_000 * MS) };
@@ -241,7 +242,7 @@
     let query = stage.take(&[0, 1]).unwrap();
     let send = sends(&stage.turn());
     let large = |bytes: usize| Some(Value { score: 0.0, bytes: vec![0; bytes] });
-    stage.core.ended(stage.now, send[0].attempt, Outcome::Ok, large(VALUES));
+    stage.core.ended(stage.now, send[0].attempt, Outcome::Ok, large(MEMORY / 4));
     stage.core.ended(stage.now, send[1].attempt, Outcome::Ok, large(1));
     assert!(replies(&stage.turn()).is_empty(), "the second part has to be asked for again");
     stage.core.hangup(query);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -119,18 +119,26 @@
 pub struct Sessions<C> {
     open: HashMap<ConnId, Session>,
     waiting: HashMap<QueryId, (ConnId, C)>,
+    /// Most bytes held of requests that are not whole.
+    most_bytes: usize,
     /// A look at all connections is due.
     looks: bool,
     stopping: bool,
 }
 
-impl<C> Default for Sessions<C> {
-    fn default() -> Self {
-        Sessions { open: HashMap::new(), waiting: HashMap::new(), looks: false, stopping: false }
+impl<C> Sessions<C> {
+    /// No connections yet; requests that are not whole take an eighth of `memory` bytes at most.
+    #[must_use]
+    pub fn new(memory: usize) -> Self {
+        let (open, waiting) = (HashMap::new(), HashMap::new());
+        Sessions { open, waiting, most_bytes: memory / 8, looks: false, stopping: false }
+    }
+
+    /// Bytes held of requests that are not whole or not answered yet.
+    fn bytes(&self, net: &Net) -> usize {
+        self.open.keys().filter_map(|id| net.get(*id)).map(|c| c.input.bytes().len()).sum()
     }
-}
 
-impl<C> Sessions<C> {
     /// A client has connected.
     pub fn opened(&mut self, net: &mut Net, id: ConnId, owner: Owner) {
         let since = net.clock.now();
@@ -186,9 +194,17 @@
             let (request, used) = match http::request(conn.input.bytes()) {
                 Ok(Parsed::Whole(request, used)) => (request, used),
                 Ok(Parsed::Partial(waits)) => {
-                    if conn.input.bytes().len() >= CEILING {
+                    let held = conn.input.bytes().len();
+                    if held >= CEILING {
                         return self.tell_off(net, id, &front.malformed(413, "request too large"));
                     }
+                    // Guards memory against many large requests that arrive at once.
+                    if held > http::HEAD && self.bytes(net) > self.most_bytes {
+                        return self.tell_off(net, id, &front.malformed(503, "too much is arriving"));
+                    }
+                    let (Some(session), Some(conn)) = (self.open.get_mut(&id), net.get_mut(id)) else {
+                        return;
+                    };
                     if waits && !session.continued {
                         session.continued = true;
                         conn.send(b"HTTP/1.1 100 Continue\r\n\r\n");
@@ -343,8 +359,8 @@
 
     #[test]
     fn those_that_never_asked_make_room_before_any_other_and_open_queries_stay() {
-        let (mut net, mut sessions) = (Net::new(64).unwrap(), Sessions::<()>::default());
-        let mut core = Core::<()>::new(1, Settings::default(), Contracts::default());
+        let (mut net, mut sessions) = (Net::new(64).unwrap(), Sessions::<()>::new(32 << 20));
+        let mut core = Core::<()>::new(1, Settings::default(), Contracts::default(), 32 << 20);
         let address = net.listen(Owner::Platform, "127.0.0.1:0".parse().unwrap()).unwrap();
         let clients: Vec<TcpStream> = (0..8).map(|_| TcpStream::connect(address).unwrap()).collect();
         while sessions.open.len() < clients.len() {
--- a/src/net/wheel.rs
+++ b/src/net/wheel.rs
@@ -57,7 +57,11 @@
         if self.count == 0 {
             return None;
         }
-        self.slots.iter().flatten().map(|t| t.0).min().map(|tick| Time(tick * TICK))
+        // The first slot ahead that holds a timer of this turn of the wheel has the next one.
+        let ahead = (self.tick + 1..=self.tick + SLOTS as u64)
+            .find(|&tick| self.slots[tick as usize % SLOTS].iter().any(|t| t.0 == tick));
+        let later = || self.slots.iter().flatten().map(|t| t.0).min();
+        ahead.or_else(later).map(|tick| Time(tick * TICK))
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -909,11 +909,9 @@
         if let Listing::Changes(lines) | Listing::Whole(lines) | Listing::Cached(lines) = listing {
             lines.iter().for_each(|line| self.list_line(line));
         }
-        self.recount();
-    }
-
-    /// Sums up what the list changed: no decision walks the fleet.
-    fn recount(&mut self) {
+        // Guards memory and time on long days: what is gone is forgotten once nothing is out there.
+        self.servers.retain(|_, s| s.mode != Mode::Gone || pending(s) > 0.0);
+        // What the list changed is summed up: no decision walks the fleet.
         (self.cells, self.ready) = (BTreeMap::new(), 0);
         for (&id, s) in self.servers.iter().filter(|(_, s)| s.mode == Mode::Ready) {
             self.cells.entry(s.cell % self.set.layout.cells).or_default().push(id);
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -202,6 +202,9 @@
                 Some(id)
             }
             Err(e) => {
+                if known.is_empty() {
+                    self.by_server.remove(&server);
+                }
                 self.log.push(format!("connect to server {} failed: {e}", server.0));
                 None
             }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -48,6 +48,17 @@
     assert!(counts[1] > 10, "{counts:?}");
 }
 
+#[test]
+fn a_server_that_was_gone_is_met_as_a_new_one() {
+    let mut stage = Stage::new(settings(class()));
+    shares(&mut stage, 30, |_| (Outcome::Ok, 20 * MS));
+    shares(&mut stage, 20, |s| if s.0 == 1 { (Outcome::Error, MS) } else { (Outcome::Ok, 20 * MS) });
+    stage.after(MS, vec![Event::List(Listing::Whole(vec![line(2, 1), line(3, 2)]))]);
+    stage.after(MS, vec![Event::List(Listing::Changes(vec![line(1, 0)]))]);
+    let counts = shares(&mut stage, 30, |_| (Outcome::Ok, 20 * MS));
+    assert!(counts[1] >= 8, "what was held against it is forgotten: {counts:?}");
+}
+
 #[test]
 fn when_all_are_bad_the_least_bad_still_serves() {
     let mut stage = Stage::new(settings(class()));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -109,6 +109,7 @@
         );
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{list_at}","seed":"1","known":{text},
+            "limits":{{"memory_mb":16}},
             "settings":{SETTINGS}}}"#
         );
         let (told, got) = mpsc::channel();
@@ -284,6 +285,20 @@
     assert_eq!(silent.read(&mut [0; 10]).unwrap(), 0);
 }
 
+#[test]
+fn requests_that_arrive_at_once_take_a_share_of_the_memory_and_no_more() {
+    let stage = Platformed::new();
+    let begin = |_| {
+        let mut client = stage.connect();
+        let head = format!("{}Content-Length: 65000\r\n\r\n", head("fleet-search", "e"));
+        client.write_all(&[head.as_bytes(), &[b'x'; 60_000]].concat()).unwrap();
+        client
+    };
+    let mut clients: Vec<TcpStream> = (0..40).map(begin).collect();
+    let told: Vec<u16> = clients.iter_mut().map(|client| answer(client).status).collect();
+    assert!(told.contains(&503) && told.contains(&408), "{told:?}");
+}
+
 #[test]
 fn a_client_that_hangs_up_has_its_parts_given_up() {
     let stage = Platformed::new();
