Send nothing of a query that is over, and leave connections that fell silent

At fault: Pool::room gave new calls to the oldest connection that is up, so one that answered nothing kept all calls to its node for ever, and the module saw a hung node; Pool::withdraw took unsent bytes back only from the last call of a connection, so calls queued while it came up left though their queries were over.

Calls now wait as such and become bytes when their connection takes them. A connection on which nothing came for 0.1 s though a part was out that is then given up gets nothing new until it speaks, and is closed once idle.

Both new tests of upstream fail on the former code.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -103,7 +103,7 @@
                         net.wheel.set(now.plus(part.wait), Timer::Attempt(W::OWNER, part.attempt));
                     }
                     match self.directory.address(server) {
-                        Some(address) => self.pool.send(net, server, address, &parts),
+                        Some(address) => self.pool.send(net, server, address, parts),
                         // A node that was listed without a usable address can't be reached.
                         None => parts.iter().for_each(|p| {
                             self.core.ended(now, p.attempt, Outcome::ConnectFailed, None);
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -47,12 +47,6 @@
         }
     }
 
-    /// Drops the last `count` bytes, which have not been written yet.
-    pub fn unpush(&mut self, count: usize) {
-        let left = self.bytes.len().saturating_sub(count).max(self.start);
-        self.bytes.truncate(left);
-    }
-
     /// Reads until there is no more, or `ceiling` bytes are held. `Ok(true)`: the other side has ended.
     pub fn fill(&mut self, from: &mut impl Read, ceiling: usize) -> io::Result<bool> {
         let mut chunk = [0; CHUNK];
@@ -100,10 +94,9 @@
         buffer.consume(buffer.bytes().len() - 1);
         buffer.push(b"abc");
         assert_eq!(buffer.bytes(), b"\x07abc");
-        buffer.unpush(2);
         let mut out = Vec::new();
-        assert_eq!(buffer.drain(&mut out).unwrap(), 2);
-        assert_eq!(out, b"\x07a");
+        assert_eq!(buffer.drain(&mut out).unwrap(), 4);
+        assert_eq!(out, b"\x07abc");
         assert!(buffer.is_empty());
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -113,6 +113,8 @@
     written: u64,
     /// Last time that anything was written or read.
     pub used: Time,
+    /// Last time that anything was read, or that it came up.
+    pub heard: Time,
     interest: (bool, bool),
 }
 
@@ -128,11 +130,6 @@
     pub fn written(&self) -> u64 {
         self.written
     }
-    /// Bytes that wait to be written.
-    #[must_use]
-    pub fn unsent(&self) -> usize {
-        self.output.bytes().len()
-    }
     /// Whether all that was queued is written.
     #[must_use]
     pub fn flushed(&self) -> bool {
@@ -143,11 +140,6 @@
         // One that is gone already needs no end.
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
     }
-    /// Takes back the last `count` bytes queued, none of which is written yet.
-    pub fn take_back(&mut self, count: u64) {
-        self.output.unpush(count as usize);
-        self.queued -= count;
-    }
 }
 
 /// What a look at a connection brought.
@@ -363,7 +355,8 @@
         *(if owner.is_client() { &mut self.clients } else { &mut self.others }) += 1;
         let (input, output, used) = (Buffer::default(), Buffer::default(), self.clock.now());
         let (queued, written, ended) = (0, 0, false);
-        let conn = Conn { stream, owner, input, output, up, ended, queued, written, used, interest };
+        let heard = used;
+        let conn = Conn { stream, owner, input, output, up, ended, queued, written, used, heard, interest };
         self.slots[index] = Some((id, conn));
         Ok(id)
     }
@@ -394,12 +387,12 @@
                 return Pumped::Alive;
             }
             conn.up = true;
-            conn.used = now;
+            (conn.used, conn.heard) = (now, now);
         }
         let held = conn.input.bytes().len();
         let read = if conn.ended { Ok(true) } else { conn.input.fill(&mut conn.stream, ceiling) };
         if conn.input.bytes().len() > held {
-            conn.used = now;
+            (conn.used, conn.heard) = (now, now);
         }
         match read {
             Ok(ended) => conn.ended = ended,
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -57,27 +57,37 @@
     attempt: u64,
 }
 
-/// One call on a connection, and where its bytes begin and end among all that are written there.
+/// One call that was written to a connection, or is being written.
 struct Call<N> {
-    start: u64,
+    sent: Time,
+    /// Where its bytes end among all that are written there.
     end: u64,
     parts: Vec<Out<N>>,
 }
 
-struct Link<N> {
+struct Link<W: Wire> {
     server: ServerId,
     address: SocketAddr,
-    calls: Vec<Call<N>>,
+    /// Calls that wait for the connection to come up or to take more. Their bytes are made only then: a part that is
+    /// given up before never leaves, whatever else its call holds.
+    waiting: VecDeque<Vec<Dispatch<W::Job>>>,
+    calls: Vec<Call<W::Name>>,
     /// The last parts that were given up or answered: what still comes for them is late, not spoilt.
-    settled: VecDeque<N>,
+    settled: VecDeque<W::Name>,
     /// When an answer began that is not whole yet.
     begun: Option<Time>,
+    /// Nothing has come on it for long though a part was out: it may be dead, and gets nothing new until it speaks.
+    mute: bool,
 }
 
-impl<N: PartialEq> Link<N> {
+impl<W: Wire> Link<W> {
+    fn idle(&self) -> bool {
+        self.calls.is_empty() && self.waiting.is_empty()
+    }
+
     /// Takes a part out of the books, as `None` the oldest, and tells its attempt.
-    fn settle(&mut self, part: Option<&N>) -> Option<u64> {
-        let is_it = |p: &Out<N>| part.is_none_or(|part| *part == p.part);
+    fn settle(&mut self, part: Option<&W::Name>) -> Option<u64> {
+        let is_it = |p: &Out<W::Name>| part.is_none_or(|part| *part == p.part);
         let at = self.calls.iter().position(|c| c.parts.iter().any(is_it))?;
         let call = &mut self.calls[at];
         let out = call.parts.remove(call.parts.iter().position(is_it)?);
@@ -88,7 +98,18 @@
         Some(out.attempt)
     }
 
-    fn remember(&mut self, part: N) {
+    /// Takes a part out that has not left yet; `false`: it has, or is not here.
+    fn keep_home(&mut self, attempt: u64) -> bool {
+        let holds = |call: &Vec<Dispatch<W::Job>>| call.iter().any(|p| p.attempt == attempt);
+        let Some(at) = self.waiting.iter().position(holds) else { return false };
+        self.waiting[at].retain(|p| p.attempt != attempt);
+        if self.waiting[at].is_empty() {
+            self.waiting.remove(at);
+        }
+        true
+    }
+
+    fn remember(&mut self, part: W::Name) {
         if self.settled.len() >= SETTLED {
             self.settled.pop_front();
         }
@@ -118,8 +139,8 @@
     pub idle: Micros,
 }
 
-/// A connection with more than this still to be written has no room: its node does not read.
-const UNSENT: usize = 512 * 1024;
+/// A connection on which nothing came for so long, though a part was out that was then given up, is taken for mute.
+const MUTE: Micros = 100_000;
 /// Most connections to one data node.
 const LINKS: usize = 16;
 /// Settled parts that are remembered for a connection.
@@ -129,7 +150,7 @@
 pub struct Pool<W: Wire> {
     wire: W,
     limits: Limits,
-    links: HashMap<ConnId, Link<W::Name>>,
+    links: HashMap<ConnId, Link<W>>,
     by_server: HashMap<ServerId, Vec<ConnId>>,
     /// The connection that each attempt is out on.
     attempts: HashMap<u64, ConnId>,
@@ -156,21 +177,41 @@
     }
 
     /// Sends one call.
-    pub fn send(&mut self, net: &mut Net, server: ServerId, address: SocketAddr, parts: &[Dispatch<W::Job>]) {
+    pub fn send(
+        &mut self,
+        net: &mut Net,
+        server: ServerId,
+        address: SocketAddr,
+        parts: Vec<Dispatch<W::Job>>,
+    ) {
         let Some(id) = self.room(net, server, address) else {
             let failed = parts.iter().map(|p| (p.attempt, Outcome::ConnectFailed, None));
             self.ended.extend(failed.map(|(attempt, outcome, value)| Ended { attempt, outcome, value }));
             return;
         };
-        let mut bytes = Vec::new();
-        let names = self.wire.call(parts, address, &mut bytes);
-        let (Some(conn), Some(link)) = (net.get_mut(id), self.links.get_mut(&id)) else { return };
-        let end = conn.send(&bytes);
-        let out = names.into_iter().zip(parts).map(|(part, p)| Out { part, attempt: p.attempt }).collect();
-        link.calls.push(Call { start: end - bytes.len() as u64, end, parts: out });
+        let Some(link) = self.links.get_mut(&id) else { return };
         self.attempts.extend(parts.iter().map(|p| (p.attempt, id)));
-        if net.flush(id, false) != Pumped::Alive {
-            self.broken(net, id);
+        link.waiting.push_back(parts);
+        self.write(net, id);
+    }
+
+    /// Writes the calls that wait for a connection, while it takes them.
+    fn write(&mut self, net: &mut Net, id: ConnId) {
+        loop {
+            let now = net.clock.now();
+            let (Some(link), Some(conn)) = (self.links.get_mut(&id), net.get_mut(id)) else { return };
+            if !conn.up || !conn.flushed() {
+                return;
+            }
+            let Some(parts) = link.waiting.pop_front() else { return };
+            let mut bytes = Vec::new();
+            let names = self.wire.call(&parts, link.address, &mut bytes);
+            let out =
+                names.into_iter().zip(&parts).map(|(part, p)| Out { part, attempt: p.attempt }).collect();
+            link.calls.push(Call { sent: now, end: conn.send(&bytes), parts: out });
+            if net.flush(id, false) != Pumped::Alive {
+                return self.broken(net, id);
+            }
         }
     }
 
@@ -178,8 +219,11 @@
     fn room(&mut self, net: &mut Net, server: ServerId, address: SocketAddr) -> Option<ConnId> {
         let (streams, known) = (self.limits.streams.max(1), self.by_server.entry(server).or_default());
         let fits = |id: &&ConnId| {
-            self.links.get(id).is_some_and(|l| l.calls.len() < streams && l.address == address)
-                && net.get(**id).is_some_and(|c| !c.ended && c.unsent() < UNSENT)
+            let room =
+                |l: &Link<W>| l.calls.len() + l.waiting.len() < streams && l.address == address && !l.mute;
+            // One that does not take what was written is left to those that wait for it.
+            self.links.get(id).is_some_and(room)
+                && net.get(**id).is_some_and(|c| !c.ended && (!c.up || c.flushed()))
         };
         let up = |id: &&ConnId| net.get(**id).is_some_and(|c| c.up);
         // The oldest that is up, so that those opened for a short rush fall idle again.
@@ -195,8 +239,9 @@
         match connected {
             Ok(id) => {
                 known.push(id);
-                let (calls, settled) = (Vec::new(), VecDeque::new());
-                self.links.insert(id, Link { server, address, calls, settled, begun: None });
+                let (waiting, calls, settled) = (VecDeque::new(), Vec::new(), VecDeque::new());
+                let link = Link { server, address, waiting, calls, settled, begun: None, mute: false };
+                self.links.insert(id, link);
                 let at = net.clock.now().plus(self.limits.connect);
                 net.wheel.set(at, Timer::Conn(id));
                 Some(id)
@@ -214,31 +259,29 @@
     /// Gives up an attempt: the node is told, unless its call never left.
     pub fn withdraw(&mut self, net: &mut Net, attempt: u64) {
         let Some(id) = self.attempts.remove(&attempt) else { return };
-        let (Some(link), Some(conn)) = (self.links.get_mut(&id), net.get_mut(id)) else { return };
-        let Some(at) = link.calls.iter().position(|c| c.parts.iter().any(|p| p.attempt == attempt)) else {
+        let (now, Some(link), Some(conn)) = (net.clock.now(), self.links.get_mut(&id), net.get_mut(id))
+        else {
             return;
         };
-        let last = at + 1 == link.calls.len();
+        if link.keep_home(attempt) {
+            return;
+        }
+        let is_it = |p: &Out<W::Name>| p.attempt == attempt;
+        let Some(at) = link.calls.iter().position(|c| c.parts.iter().any(is_it)) else { return };
         let call = &mut link.calls[at];
-        let Some(i) = call.parts.iter().position(|p| p.attempt == attempt) else { return };
+        // Guards against connections that fall silent: what is written to them is answered by nobody, however
+        // well the node is.
+        link.mute |= conn.heard < call.sent && now.since(call.sent) >= MUTE;
+        let Some(i) = call.parts.iter().position(is_it) else { return };
         let part = call.parts.remove(i).part;
-        let (empty, unsent, length) =
-            (call.parts.is_empty(), conn.written() <= call.start, call.end - call.start);
-        if empty {
+        if call.parts.is_empty() {
             link.calls.remove(at);
         }
-        if empty && unsent && last {
-            // What has not begun to be written need not be: the node never hears of the call.
-            conn.take_back(length);
-            return;
-        }
-        link.remember(part.clone());
-        if let Some(bytes) = self.wire.give_up(&part) {
-            conn.send(&bytes);
-            if net.flush(id, false) != Pumped::Alive {
-                self.broken(net, id);
-            }
-        } else {
+        let told = self.wire.give_up(&part);
+        link.remember(part);
+        let Some(bytes) = told.filter(|_| !(link.mute && link.idle())) else { return self.broken(net, id) };
+        conn.send(&bytes);
+        if net.flush(id, false) != Pumped::Alive {
             self.broken(net, id);
         }
     }
@@ -247,7 +290,7 @@
     pub fn close_idle(&mut self, net: &mut Net, server: ServerId) {
         let known = self.by_server.get(&server).cloned().unwrap_or_default();
         for id in known {
-            if self.links.get(&id).is_some_and(|l| l.calls.is_empty()) {
+            if self.links.get(&id).is_some_and(Link::idle) {
                 self.drop_link(net, id);
             }
         }
@@ -258,13 +301,20 @@
         if !self.links.contains_key(&id) {
             return;
         }
+        let heard = net.clock.now();
         let pumped = net.pump(id, W::CEILING);
         let read = self.read(net, id);
         let done = net.get(id).is_none_or(|c| c.ended || c.input.bytes().len() >= W::CEILING);
+        if let (Some(link), Some(conn)) = (self.links.get_mut(&id), net.get(id)) {
+            link.mute &= conn.heard < heard;
+        }
         match read {
             Err(why) => self.spoilt(net, id, &why),
             Ok(last) if last || done || pumped != Pumped::Alive => self.broken(net, id),
-            Ok(_) => self.begun(net, id),
+            Ok(_) => {
+                self.begun(net, id);
+                self.write(net, id);
+            }
         }
     }
 
@@ -328,7 +378,7 @@
     pub fn timer(&mut self, net: &mut Net, id: ConnId) {
         let (Some(conn), Some(link)) = (net.get(id), self.links.get(&id)) else { return };
         let (now, idle) = (net.clock.now(), self.idle());
-        if !conn.up || link.calls.is_empty() && now.since(conn.used) >= idle {
+        if !conn.up || link.idle() && now.since(conn.used) >= idle {
             return self.broken(net, id);
         }
         let next = conn.used.plus(idle).max(now.plus(idle / 10));
@@ -348,7 +398,12 @@
     /// Ends a connection. A call whose last byte was written may have run: it was reset; others never left.
     fn broken(&mut self, net: &mut Net, id: ConnId) {
         let written = net.get(id).map_or(0, crate::net::Conn::written);
-        for call in self.links.get_mut(&id).map(|l| std::mem::take(&mut l.calls)).unwrap_or_default() {
+        let Some(link) = self.links.get_mut(&id) else { return net.close(id) };
+        for attempt in link.waiting.drain(..).flatten().map(|p| p.attempt) {
+            self.attempts.remove(&attempt);
+            self.ended.push(Ended { attempt, outcome: Outcome::ConnectFailed, value: None });
+        }
+        for call in link.calls.drain(..) {
             let outcome = if call.end <= written { Outcome::Reset } else { Outcome::ConnectFailed };
             for part in call.parts {
                 self.attempts.remove(&part.attempt);
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -31,7 +31,7 @@
         let job = Rc::new(Job { id: "q".into(), text: text.into(), key: None });
         let part = Dispatch { attempt, job, shard, first: None, wait: 1_000_000 };
         let address = self.listener.local_addr().unwrap();
-        self.pool.send(&mut self.net, SERVER, address, &[part]);
+        self.pool.send(&mut self.net, SERVER, address, vec![part]);
         attempt
     }
 
@@ -114,7 +114,7 @@
     let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     assert_ne!(address, gone);
     let part = Dispatch { attempt: 9, job, shard: Shard(0), first: None, wait: 1 };
-    stage.pool.send(&mut stage.net, SERVER, gone, &[part]);
+    stage.pool.send(&mut stage.net, SERVER, gone, vec![part]);
     assert_eq!(stage.ended(), [(9, Outcome::ConnectFailed)]);
     assert!(stage.pool.links.is_empty() && stage.pool.by_server.is_empty());
 }
@@ -271,3 +271,33 @@
         assert_eq!(stage.ended(), [(two, Outcome::Ok)], "{more:?}");
     }
 }
+
+#[test]
+fn what_is_given_up_before_its_connection_is_up_never_leaves() {
+    let mut stage = Stage::new(LIMITS);
+    let (one, _) = (stage.send("x"), stage.send("x"));
+    stage.pool.withdraw(&mut stage.net, one);
+    let mut stream = stage.accept();
+    assert!(frame(&mut stream).starts_with("Rq.2 "), "the first was over before the connection came up");
+}
+
+#[test]
+fn a_connection_that_fell_silent_gets_nothing_new_until_it_speaks() {
+    let mut stage = Stage::new(Limits { streams: 32, ..LIMITS });
+    let (one, two) = (stage.send("x"), stage.send("x"));
+    let mut first = stage.accept();
+    std::thread::sleep(std::time::Duration::from_micros(MUTE));
+    stage.pool.withdraw(&mut stage.net, one);
+    stage.send("x");
+    let mut second = stage.accept();
+    assert!(frame(&mut second).starts_with("Rq.3 "), "another connection carries it");
+    answer(&mut first, "q.2 OK 1 -");
+    assert_eq!(stage.ended(), [(two, Outcome::Ok)]);
+    let four = stage.send("x");
+    (0..2).for_each(|_| drop(frame(&mut first)));
+    assert_eq!(frame(&mut first), "Aq.1");
+    assert!(frame(&mut first).starts_with("Rq.4 "), "it speaks again");
+    std::thread::sleep(std::time::Duration::from_micros(MUTE));
+    stage.pool.withdraw(&mut stage.net, four);
+    assert_eq!(stage.pool.links.len(), 1, "silent with nothing out: it is closed");
+}
