Leave a mute connection at once, and close it when another to its node speaks

Trace lines at the module's refusals (not kept) showed 20 to 48 parts out at a server, the oldest for 190 ms at a usual 7, and nearly all servers at the highest class of suspicion: a connection that falls silent went on taking calls until the first copy had won, and each part that was lost on it was held against a sound node for 8 s and more.

The pool learns the usual answer time. A connection that brings nothing for 8 of those (50 ms to 1 s) while a part is out gets nothing new; if another connection to its node speaks for 50 ms meanwhile, it is dead, and is closed, which gives up what is out there. A hung or pausing node has no other that speaks, and is judged as before.

The new test of upstream fails on the former code.

--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -9,6 +9,7 @@
 use crate::interface::{Micros, Outcome, ServerId, Time};
 use crate::net::buffer::Buffer;
 use crate::net::{ConnId, Net, Owner, Pumped, Timer};
+use crate::stats::Fading;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
@@ -78,6 +79,8 @@
     begun: Option<Time>,
     /// Nothing has come on it for long though a part was out: it may be dead, and gets nothing new until it speaks.
     mute: bool,
+    /// While it was mute another connection to the node has spoken, first at this time.
+    outdone: Option<Time>,
 }
 
 impl<W: Wire> Link<W> {
@@ -85,17 +88,22 @@
         self.calls.is_empty() && self.waiting.is_empty()
     }
 
-    /// Takes a part out of the books, as `None` the oldest, and tells its attempt.
-    fn settle(&mut self, part: Option<&W::Name>) -> Option<u64> {
+    /// How long nothing has come on it while a part was out.
+    fn quiet(&self, heard: Time, now: Time) -> Micros {
+        self.calls.first().map_or(0, |oldest| now.since(oldest.sent.max(heard)))
+    }
+
+    /// Takes a part out of the books, as `None` the oldest, and tells its attempt and when it was sent.
+    fn settle(&mut self, part: Option<&W::Name>) -> Option<(u64, Time)> {
         let is_it = |p: &Out<W::Name>| part.is_none_or(|part| *part == p.part);
         let at = self.calls.iter().position(|c| c.parts.iter().any(is_it))?;
         let call = &mut self.calls[at];
-        let out = call.parts.remove(call.parts.iter().position(is_it)?);
+        let (out, sent) = (call.parts.remove(call.parts.iter().position(is_it)?), call.sent);
         if call.parts.is_empty() {
             self.calls.remove(at);
         }
         self.remember(out.part);
-        Some(out.attempt)
+        Some((out.attempt, sent))
     }
 
     /// Takes a part out that has not left yet; `false`: it has, or is not here.
@@ -139,8 +147,13 @@
     pub idle: Micros,
 }
 
-/// A connection on which nothing came for so long, though a part was out that was then given up, is taken for mute.
-const MUTE: Micros = 100_000;
+/// A connection on which nothing comes for this many usual answer times though a part is out, within these bounds,
+/// is taken for mute; each one that is mute already doubles that for the others to the same node.
+const MUTE: f64 = 8.0;
+const MUTE_LEAST: Micros = 50_000;
+const MUTE_MOST: Micros = 1_000_000;
+/// How fast the usual answer time is learnt.
+const USUAL_PACE: f64 = 0.02;
 /// Most connections to one data node.
 const LINKS: usize = 16;
 /// Settled parts that are remembered for a connection.
@@ -154,6 +167,8 @@
     by_server: HashMap<ServerId, Vec<ConnId>>,
     /// The connection that each attempt is out on.
     attempts: HashMap<u64, ConnId>,
+    /// Usual time from a call to an answer.
+    usual: Fading,
     ended: Vec<Ended>,
     log: Vec<String>,
 }
@@ -163,7 +178,8 @@
     #[must_use]
     pub fn new(wire: W, limits: Limits) -> Self {
         let (links, by_server, attempts) = (HashMap::new(), HashMap::new(), HashMap::new());
-        Pool { wire, limits, links, by_server, attempts, ended: Vec::new(), log: Vec::new() }
+        let (usual, ended, log) = (Fading::default(), Vec::new(), Vec::new());
+        Pool { wire, limits, links, by_server, attempts, usual, ended, log }
     }
 
     /// Ends of attempts and log lines since the last time.
@@ -215,8 +231,46 @@
         }
     }
 
+    /// Notes which connections to a node are mute. Guards against those that fall silent: what is written to them is
+    /// answered by nobody, however well the node is.
+    fn listen(&mut self, net: &Net, server: ServerId) {
+        let (now, known) = (net.clock.now(), self.by_server.get(&server).map_or(&[][..], Vec::as_slice));
+        let mute = known.iter().filter(|id| self.links.get(id).is_some_and(|l| l.mute)).count();
+        let usual = (self.usual.or(0.0) * MUTE) as Micros;
+        let most = usual.clamp(MUTE_LEAST, MUTE_MOST) << mute.min(4);
+        for id in known {
+            if let (Some(link), Some(conn)) = (self.links.get_mut(id), net.get(*id)) {
+                link.mute |= link.quiet(conn.heard, now) >= most;
+            }
+        }
+    }
+
+    /// Something came on a connection: it is not mute. Others to the same node that stay mute for a while after that
+    /// are dead; closing them gives up what is out there, so that it is tried again before it is late.
+    fn spoke(&mut self, net: &mut Net, id: ConnId) {
+        let (now, Some(link)) = (net.clock.now(), self.links.get_mut(&id)) else { return };
+        (link.mute, link.outdone) = (false, None);
+        let server = link.server;
+        if self.by_server.get(&server).is_none_or(|known| known.len() < 2) {
+            return;
+        }
+        self.listen(net, server);
+        for id in self.by_server.get(&server).cloned().unwrap_or_default() {
+            let Some(link) = self.links.get_mut(&id).filter(|l| l.mute) else { continue };
+            if now.since(*link.outdone.get_or_insert(now)) < MUTE_LEAST {
+                continue;
+            }
+            for out in link.calls.drain(..).flat_map(|c| c.parts) {
+                self.attempts.remove(&out.attempt);
+                self.ended.push(Ended { attempt: out.attempt, outcome: Outcome::Cancelled, value: None });
+            }
+            self.broken(net, id);
+        }
+    }
+
     /// A connection with room for a call: one that is up, one that is being opened, or a new one.
     fn room(&mut self, net: &mut Net, server: ServerId, address: SocketAddr) -> Option<ConnId> {
+        self.listen(net, server);
         let (streams, known) = (self.limits.streams.max(1), self.by_server.entry(server).or_default());
         let fits = |id: &&ConnId| {
             let room =
@@ -240,7 +294,16 @@
             Ok(id) => {
                 known.push(id);
                 let (waiting, calls, settled) = (VecDeque::new(), Vec::new(), VecDeque::new());
-                let link = Link { server, address, waiting, calls, settled, begun: None, mute: false };
+                let link = Link {
+                    server,
+                    address,
+                    waiting,
+                    calls,
+                    settled,
+                    begun: None,
+                    mute: false,
+                    outdone: None,
+                };
                 self.links.insert(id, link);
                 let at = net.clock.now().plus(self.limits.connect);
                 net.wheel.set(at, Timer::Conn(id));
@@ -259,19 +322,16 @@
     /// Gives up an attempt: the node is told, unless its call never left.
     pub fn withdraw(&mut self, net: &mut Net, attempt: u64) {
         let Some(id) = self.attempts.remove(&attempt) else { return };
-        let (now, Some(link), Some(conn)) = (net.clock.now(), self.links.get_mut(&id), net.get_mut(id))
-        else {
-            return;
-        };
+        if let Some(server) = self.links.get(&id).map(|l| l.server) {
+            self.listen(net, server);
+        }
+        let (Some(link), Some(conn)) = (self.links.get_mut(&id), net.get_mut(id)) else { return };
         if link.keep_home(attempt) {
             return;
         }
         let is_it = |p: &Out<W::Name>| p.attempt == attempt;
         let Some(at) = link.calls.iter().position(|c| c.parts.iter().any(is_it)) else { return };
         let call = &mut link.calls[at];
-        // Guards against connections that fall silent: what is written to them is answered by nobody, however
-        // well the node is.
-        link.mute |= conn.heard < call.sent && now.since(call.sent) >= MUTE;
         let Some(i) = call.parts.iter().position(is_it) else { return };
         let part = call.parts.remove(i).part;
         if call.parts.is_empty() {
@@ -305,8 +365,8 @@
         let pumped = net.pump(id, W::CEILING);
         let read = self.read(net, id);
         let done = net.get(id).is_none_or(|c| c.ended || c.input.bytes().len() >= W::CEILING);
-        if let (Some(link), Some(conn)) = (self.links.get_mut(&id), net.get(id)) {
-            link.mute &= conn.heard < heard;
+        if net.get(id).is_some_and(|c| c.heard >= heard) {
+            self.spoke(net, id);
         }
         match read {
             Err(why) => self.spoilt(net, id, &why),
@@ -339,7 +399,7 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         self.log.push(format!("connection to server {} closed: {why}", link.server.0));
         if link.calls.iter().map(|c| c.parts.len()).sum::<usize>() == 1 {
-            if let Some(attempt) = link.settle(None) {
+            if let Some((attempt, _)) = link.settle(None) {
                 self.attempts.remove(&attempt);
                 self.ended.push(Ended { attempt, outcome: Outcome::Error, value: None });
             }
@@ -349,6 +409,7 @@
 
     /// Takes in all whole answers; `true`: the connection can't be used again.
     fn read(&mut self, net: &mut Net, id: ConnId) -> Result<bool, String> {
+        let now = net.clock.now();
         loop {
             let Some(conn) = net.get_mut(id) else { return Ok(true) };
             let ended = conn.ended;
@@ -357,7 +418,8 @@
             let Some(answer) = self.wire.answer(&mut conn.input, ended, oldest)? else { return Ok(false) };
             link.begun = None;
             match (link.settle(answer.part.as_ref()), answer.part) {
-                (Some(attempt), _) => {
+                (Some((attempt, sent)), _) => {
+                    self.usual.add(now.since(sent) as f64, USUAL_PACE);
                     self.attempts.remove(&attempt);
                     self.ended.push(Ended { attempt, outcome: answer.outcome, value: answer.value });
                 }
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -122,6 +122,8 @@
 #[test]
 fn a_connection_that_ends_after_the_frame_is_a_reset_and_before_its_last_byte_it_is_not() {
     let mut stage = Stage::new(LIMITS);
+    // Answers are slow as a rule: it is not mute while this test takes its time.
+    stage.pool.usual.add(60e6, 1.0);
     let sent = stage.send("x");
     let mut stream = stage.accept();
     frame(&mut stream);
@@ -286,7 +288,7 @@
     let mut stage = Stage::new(Limits { streams: 32, ..LIMITS });
     let (one, two) = (stage.send("x"), stage.send("x"));
     let mut first = stage.accept();
-    std::thread::sleep(std::time::Duration::from_micros(MUTE));
+    std::thread::sleep(std::time::Duration::from_micros(MUTE_LEAST));
     stage.pool.withdraw(&mut stage.net, one);
     stage.send("x");
     let mut second = stage.accept();
@@ -297,7 +299,23 @@
     (0..2).for_each(|_| drop(frame(&mut first)));
     assert_eq!(frame(&mut first), "Aq.1");
     assert!(frame(&mut first).starts_with("Rq.4 "), "it speaks again");
-    std::thread::sleep(std::time::Duration::from_micros(MUTE));
+    std::thread::sleep(std::time::Duration::from_micros(2 * MUTE_MOST));
     stage.pool.withdraw(&mut stage.net, four);
     assert_eq!(stage.pool.links.len(), 1, "silent with nothing out: it is closed");
 }
+
+#[test]
+fn what_is_out_on_a_silent_connection_is_given_up_once_another_to_its_node_speaks() {
+    let mut stage = Stage::new(Limits { streams: 32, ..LIMITS });
+    let one = stage.send("x");
+    let _first = stage.accept();
+    std::thread::sleep(std::time::Duration::from_micros(MUTE_LEAST));
+    let (two, three) = (stage.send("x"), stage.send("x"));
+    let mut second = stage.accept();
+    answer(&mut second, "q.2 OK 1 -");
+    assert_eq!(stage.ended(), [(two, Outcome::Ok)], "the first may have been held up as well");
+    std::thread::sleep(std::time::Duration::from_micros(MUTE_LEAST));
+    answer(&mut second, "q.3 OK 1 -");
+    assert_eq!(stage.ended(), [(three, Outcome::Ok), (one, Outcome::Cancelled)]);
+    assert_eq!(stage.pool.links.len(), 1);
+}
