Serve on after the signal to stop for as long as what comes can be finished

At fault: Broker::stop ended connections at once and finished() after LISTEN_ON, though the process is not killed before the longest wait of its clients, 3 s at least, has passed.

Readiness still ends with the signal; requests are taken for 0.5 s more, and for as much as the longest wait is under 3 s, so that the last one can be finished before the kill.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -19,6 +19,8 @@
 
 /// New connections keep arriving for so long after the signal to stop: the front layer learns of it late.
 const LISTEN_ON: Micros = 500_000;
+/// The process is killed later after the signal than the longest time of its clients, or than this where it is more.
+const KILLED: Micros = 3_000_000;
 /// After this long a stop does not wait for clients that read no answer.
 const STOP_MOST: Micros = 15_000_000;
 /// How often room is looked for while clients wait to be accepted.
@@ -145,11 +147,6 @@
             self.pool.close_idle(net, server);
         }
     }
-
-    fn stop(&mut self) {
-        self.front.stop();
-        self.sessions.stop();
-    }
 }
 
 /// Writes a line for the operators. Guards against a crash when nobody reads the log any more: the line is lost.
@@ -362,16 +359,28 @@
         }
         self.stopping = Some(self.net.clock.now());
         log("stopping: finishing what was taken");
-        each_service!(self, |_net, service| service.stop());
+        each_service!(self, |_net, service| service.front.stop());
+    }
+
+    /// For how long after the signal to stop requests are still taken: what comes last can be finished before the
+    /// process is killed. Guards clients that have nowhere else to go, such as when brokers are restarted in turn.
+    fn serves_on(&mut self) -> Micros {
+        let mut longest = 0;
+        each_service!(self, |_net, service| {
+            let waits = service.core.settings().classes.iter().map(|c| c.deadline);
+            longest = waits.max().unwrap_or_default().max(longest);
+        });
+        LISTEN_ON + KILLED.saturating_sub(longest)
     }
 
-    /// Whether all that was taken is finished. What waits at a listener counts as taken, so it is accepted
-    /// until the front layer has learnt of the stop, and once more before the listener is closed.
+    /// Whether all that was taken is finished. What waits at a listener counts as taken, so it is accepted until the
+    /// front layer has learnt of the stop, and once more before the listener is closed.
     fn finished(&mut self, since: Time) -> bool {
         let elapsed = self.net.clock.now().since(since);
-        if elapsed < LISTEN_ON {
+        if elapsed < self.serves_on() {
             return false;
         }
+        each_service!(self, |_net, service| service.sessions.stop());
         each_service!(self, |net, service| service.accept(net));
         self.net.stop_listening();
         let mut left = 0;
