Take each query that can be over before the kill, after the signal to stop

A trace (not kept) showed the stopping broker take 161 queries in its last 0.7 s and close at 16.95 s, while its peer had listened since 16.84 s; the front layer learns of readiness later than that, so clients had nowhere to go. Ruled out: queries unanswered by either broker. At fault: Broker::serves_on went by the class whose clients wait longest; those of the others could go on.

core::intake now judges each query by its own deadline against the end, refuses what can't be over by then, on a connection that closes, and the broker serves for as long as queries of any class would be taken.

The new core test does not compile on the former code, which had no such end.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -357,27 +357,25 @@
         if self.stopping.is_some() {
             return;
         }
-        self.stopping = Some(self.net.clock.now());
+        let now = self.net.clock.now();
+        self.stopping = Some(now);
         log("stopping: finishing what was taken");
-        each_service!(self, |_net, service| service.front.stop());
-    }
-
-    /// For how long after the signal to stop requests are still taken: what comes last can be finished before the
-    /// process is killed. Guards clients that have nowhere else to go, such as when brokers are restarted in turn.
-    fn serves_on(&mut self) -> Micros {
-        let mut longest = 0;
         each_service!(self, |_net, service| {
             let waits = service.core.settings().classes.iter().map(|c| c.deadline);
-            longest = waits.max().unwrap_or_default().max(longest);
+            let killed = waits.max().unwrap_or_default().max(KILLED);
+            service.core.end_by(now.plus(killed + LISTEN_ON));
+            service.front.stop();
         });
-        LISTEN_ON + KILLED.saturating_sub(longest)
     }
 
     /// Whether all that was taken is finished. What waits at a listener counts as taken, so it is accepted until the
     /// front layer has learnt of the stop, and once more before the listener is closed.
     fn finished(&mut self, since: Time) -> bool {
-        let elapsed = self.net.clock.now().since(since);
-        if elapsed < self.serves_on() {
+        let now = self.net.clock.now();
+        let elapsed = now.since(since);
+        let mut serves = elapsed < LISTEN_ON;
+        each_service!(self, |_net, service| serves |= service.core.takes(now));
+        if serves {
             return false;
         }
         each_service!(self, |_net, service| service.sessions.stop());
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -12,6 +12,8 @@
     Busy(Option<Micros>),
     /// The team's contract does not allow it.
     Contract(Breach),
+    /// The broker is about to end, sooner than the query may.
+    Stopping,
     /// Its parts make no sense.
     Malformed(&'static str),
 }
@@ -39,9 +41,25 @@
 }
 
 impl<J> Core<J> {
+    /// From now on no query is taken that may be open later than this. Clients are served for as long as there is
+    /// time for it: when brokers are restarted in turn, some have nowhere else to go.
+    pub fn end_by(&mut self, at: Time) {
+        self.end_by = Some(at);
+    }
+
+    /// Whether a query of some class would still be taken.
+    #[must_use]
+    pub fn takes(&self, now: Time) -> bool {
+        let shortest = self.settings.classes.iter().map(|c| c.deadline).min().unwrap_or_default();
+        self.end_by.is_none_or(|at| now.plus(shortest) <= at)
+    }
+
     /// Takes a query. Its final answer comes as a command of a later turn.
     pub fn take(&mut self, now: Time, request: Request<J>) -> Result<QueryId, Refusal> {
         sound(&request.parts, self.settings.layout.shards)?;
+        if self.end_by.is_some_and(|at| request.deadline > at) {
+            return Err(Refusal::Stopping);
+        }
         // Guards memory: what is held is bounded, and the module never sees the query.
         if self.held >= self.settings.limits.held as usize {
             return Err(Refusal::Busy(self.settings.limits.retry_after.map(|most| most / 2)));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -152,6 +152,8 @@
     next_number: u32,
     turned: Time,
     wake: Option<Time>,
+    /// All that is taken must have ended by then.
+    end_by: Option<Time>,
 }
 
 /// Query numbers stay below this: the module's wire carries them as 32-bit floats.
@@ -178,6 +180,7 @@
             next_number: 0,
             turned: Time(0),
             wake: Some(Time(0)),
+            end_by: None,
         }
     }
 
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -145,6 +145,17 @@
     assert!(stage.take_parts(vec![(Shard(0), 0.33333), (Shard(1), 0.33333), (Shard(3), 0.33333)]).is_ok());
 }
 
+#[test]
+fn before_its_end_a_core_takes_what_can_be_over_by_then_and_nothing_else() {
+    let mut stage = Stage::new(0);
+    assert!(stage.core.takes(stage.now));
+    stage.core.end_by(stage.now.plus(4_000 * MS));
+    assert!(stage.core.takes(stage.now) && stage.take(&[0]).is_ok(), "its client waits for 2 s");
+    stage.now = stage.now.plus(2_001 * MS);
+    assert_eq!(stage.take(&[0]), Err(Refusal::Stopping));
+    assert!(!stage.core.takes(stage.now), "the class may wait for 4 s");
+}
+
 #[test]
 fn with_too_much_held_a_query_is_turned_away_before_the_module() {
     let mut stage = Stage::new(0);
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -496,6 +496,7 @@
         match refusal {
             Refusal::Busy(after) => come_back(503, "Too busy", after),
             Refusal::Contract(Breach::Rate(after)) => come_back(429, "Rate used up", Some(after)),
+            Refusal::Stopping => Response { keep_alive: false, ..come_back(503, "Stopping", None) },
             Refusal::Malformed(why) => problem(400, "Malformed request", why),
             Refusal::Contract(Breach::UnknownTeam) => {
                 problem(403, "No contract", "Req-Owner names no team that has a contract")
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -173,6 +173,8 @@
         match refusal {
             Refusal::Busy(after) => come_back(503, after),
             Refusal::Contract(Breach::Rate(after)) => come_back(429, Some(after)),
+            // Its next try shall meet another broker.
+            Refusal::Stopping => Response { keep_alive: false, ..come_back(503, None) },
             Refusal::Malformed(why) => plain(400, why),
             Refusal::Contract(_) => plain(403, "no contract for this"),
         }
