Greet new connections, so that no part is read long after its query has ended

A connection that comes up at once in the system may be served much later by a node that stands still; since mute connections are left, more calls go that way.

A new connection now begins with a probe, and its first call leaves when that is answered. A call that is given up meanwhile never leaves. The OGC wire has no such probe and goes on as before.

The new test of upstream fails on the former code.

--- a/src/upstream/frames.rs
+++ b/src/upstream/frames.rs
@@ -100,6 +100,13 @@
     const CEILING: usize = 2 * LONGEST;
     const STALL: Micros = 1_000_000;
 
+    /// A probe: its answer tells nothing of the node's health, but that the connection is served.
+    fn greeting(&self) -> Option<Vec<u8>> {
+        let mut out = Vec::new();
+        frame(b'G', b"", &mut out);
+        Some(out)
+    }
+
     fn call(&self, parts: &[Dispatch<Job>], _: SocketAddr, out: &mut Vec<u8>) -> Vec<String> {
         let (mut rest, mut names) = (Vec::new(), Vec::new());
         for part in parts {
@@ -137,7 +144,7 @@
             let Some(Frame { letter, rest, length }) = next(input.bytes())? else { return Ok(None) };
             let found = match letter {
                 b'Y' => Some(answer(rest)?),
-                // Answers to probes, which are not sent.
+                // The answer to the greeting.
                 b'G' | b'T' => None,
                 _ => return Err(format!("it could not use a frame: {}", String::from_utf8_lossy(rest))),
             };
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -38,6 +38,8 @@
     const CEILING: usize;
     /// An answer that has begun is whole after this long, or never.
     const STALL: Micros;
+    /// What a new connection begins with, where the node answers that; no call is written before it has.
+    fn greeting(&self) -> Option<Vec<u8>>;
     /// Writes a call and tells the names of its parts.
     fn call(&self, parts: &[Dispatch<Self::Job>], host: SocketAddr, out: &mut Vec<u8>) -> Vec<Self::Name>;
     /// What tells the node that a part is given up; `None`: only the end of the connection does.
@@ -66,6 +68,14 @@
     parts: Vec<Out<N>>,
 }
 
+/// How far a new connection has come.
+#[derive(Clone, Copy, PartialEq)]
+enum Greeting {
+    Due,
+    Sent,
+    Done,
+}
+
 struct Link<W: Wire> {
     server: ServerId,
     address: SocketAddr,
@@ -73,6 +83,7 @@
     /// given up before never leaves, whatever else its call holds.
     waiting: VecDeque<Vec<Dispatch<W::Job>>>,
     calls: Vec<Call<W::Name>>,
+    greeting: Greeting,
     /// The last parts that were given up or answered: what still comes for them is late, not spoilt.
     settled: VecDeque<W::Name>,
     /// When an answer began that is not whole yet.
@@ -88,9 +99,11 @@
         self.calls.is_empty() && self.waiting.is_empty()
     }
 
-    /// How long nothing has come on it while a part was out.
+    /// How long nothing has come on it while a part or its greeting was out.
     fn quiet(&self, heard: Time, now: Time) -> Micros {
-        self.calls.first().map_or(0, |oldest| now.since(oldest.sent.max(heard)))
+        let greets = (self.greeting == Greeting::Sent).then_some(heard);
+        let since = self.calls.first().map(|oldest| oldest.sent.max(heard)).or(greets);
+        since.map_or(0, |since| now.since(since))
     }
 
     /// Takes a part out of the books, as `None` the oldest, and tells its attempt and when it was sent.
@@ -216,9 +229,20 @@
         loop {
             let now = net.clock.now();
             let (Some(link), Some(conn)) = (self.links.get_mut(&id), net.get_mut(id)) else { return };
-            if !conn.up || !conn.flushed() {
+            if !conn.up || !conn.flushed() || link.greeting == Greeting::Sent {
                 return;
             }
+            if link.greeting == Greeting::Due {
+                // Guards queries that end meanwhile: a node that has yet to accept the connection, or stands still,
+                // would read their parts long after.
+                let greeting = self.wire.greeting();
+                link.greeting = if greeting.is_some() { Greeting::Sent } else { Greeting::Done };
+                conn.send(&greeting.unwrap_or_default());
+                if net.flush(id, false) != Pumped::Alive {
+                    return self.broken(net, id);
+                }
+                continue;
+            }
             let Some(parts) = link.waiting.pop_front() else { return };
             let mut bytes = Vec::new();
             let names = self.wire.call(&parts, link.address, &mut bytes);
@@ -249,7 +273,7 @@
     /// are dead; closing them gives up what is out there, so that it is tried again before it is late.
     fn spoke(&mut self, net: &mut Net, id: ConnId) {
         let (now, Some(link)) = (net.clock.now(), self.links.get_mut(&id)) else { return };
-        (link.mute, link.outdone) = (false, None);
+        (link.mute, link.outdone, link.greeting) = (false, None, Greeting::Done);
         let server = link.server;
         if self.by_server.get(&server).is_none_or(|known| known.len() < 2) {
             return;
@@ -294,11 +318,13 @@
             Ok(id) => {
                 known.push(id);
                 let (waiting, calls, settled) = (VecDeque::new(), Vec::new(), VecDeque::new());
+                let greeting = Greeting::Due;
                 let link = Link {
                     server,
                     address,
                     waiting,
                     calls,
+                    greeting,
                     settled,
                     begun: None,
                     mute: false,
@@ -361,11 +387,11 @@
         if !self.links.contains_key(&id) {
             return;
         }
-        let heard = net.clock.now();
+        let (up, now) = (net.get(id).is_some_and(|c| c.up), net.clock.now());
         let pumped = net.pump(id, W::CEILING);
         let read = self.read(net, id);
         let done = net.get(id).is_none_or(|c| c.ended || c.input.bytes().len() >= W::CEILING);
-        if net.get(id).is_some_and(|c| c.heard >= heard) {
+        if up && net.get(id).is_some_and(|c| c.heard >= now) {
             self.spoke(net, id);
         }
         match read {
--- a/src/upstream/ogc.rs
+++ b/src/upstream/ogc.rs
@@ -115,6 +115,11 @@
     const CEILING: usize = LONGEST + http::HEAD;
     const STALL: Micros = 30_000_000;
 
+    /// Each request costs the node as much as another: there is no cheaper one to begin with.
+    fn greeting(&self) -> Option<Vec<u8>> {
+        None
+    }
+
     fn call(&self, parts: &[Dispatch<Job>], host: SocketAddr, out: &mut Vec<u8>) -> Vec<Ask> {
         let mut write = |part: &Dispatch<Job>| {
             let target = part.job.targets.get(&part.shard.0).map_or("/", String::as_str);
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -60,8 +60,18 @@
         Vec::new()
     }
 
-    /// The next connection that the pool opened, with what was written to it by now.
+    /// The next connection that the pool opened, greeted, with what was written to it by now.
     fn accept(&mut self) -> TcpStream {
+        let mut stream = self.accept_silently();
+        assert_eq!(frame(&mut stream), "G");
+        stream.write_all(b"\0\0\0\x03GOK").unwrap();
+        self.net.wait(None).unwrap();
+        self.pump();
+        stream
+    }
+
+    /// The next connection that the pool opened; its greeting is on the way.
+    fn accept_silently(&mut self) -> TcpStream {
         let (stream, _) = self.listener.accept().unwrap();
         stream.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
         self.pump();
@@ -283,6 +293,20 @@
     assert!(frame(&mut stream).starts_with("Rq.2 "), "the first was over before the connection came up");
 }
 
+#[test]
+fn no_call_leaves_before_its_connection_is_served() {
+    let mut stage = Stage::new(LIMITS);
+    let one = stage.send("x");
+    let mut stream = stage.accept_silently();
+    assert_eq!(frame(&mut stream), "G");
+    stage.pool.withdraw(&mut stage.net, one);
+    stage.send("x");
+    stream.write_all(b"\0\0\0\x06GERROR").unwrap();
+    stage.net.wait(None).unwrap();
+    stage.pump();
+    assert!(frame(&mut stream).starts_with("Rq.2 "), "the first was over before the node answered");
+}
+
 #[test]
 fn a_connection_that_fell_silent_gets_nothing_new_until_it_speaks() {
     let mut stage = Stage::new(Limits { streams: 32, ..LIMITS });
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -61,6 +61,10 @@
                 if reading.read_exact(&mut frame).is_err() {
                     return;
                 }
+                if frame == b"G" {
+                    (&stream).write_all(b"\0\0\0\x03GOK").unwrap();
+                    continue;
+                }
                 let frame = String::from_utf8(frame).unwrap();
                 if got.send(Got { frame, stream: stream.try_clone().unwrap() }).is_err() {
                     return;
