Forecast a server's delay from parts younger than the last it answered

Trace lines at the refusals (not kept) showed shards whose one holder had 1 to 3 parts out, the oldest for 200 to 450 ms, while it answered younger ones: Coordinator::expected took the age of the oldest part for the server's delay, so one part that was lost or held up alone turned all away that needed its shard, and the answers that would have shown otherwise never came. Ruled out: cold servers without allowance (no refusal had that cause), and new nodes not known as cold (they are warm 1 s after their start there).

The new test of guards fails on the former code.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -126,6 +126,8 @@
     /// connection that had been idle.
     used: Time,
     idle: bool,
+    /// When the youngest part was sent that it has answered.
+    proved: Time,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -369,10 +371,9 @@
             }
             if outcome == Outcome::Ok || outcome == Outcome::Error {
                 let sent = flight.sent;
+                server.proved = server.proved.max(sent);
                 server.calls.retain_mut(|c| {
-                    if c.sent <= sent {
-                        c.ghost = None;
-                    }
+                    c.ghost = c.ghost.filter(|_| c.sent > sent);
                     c.left > 0 || c.ghost.is_some()
                 });
             }
@@ -468,11 +469,7 @@
         let share = |a: &Aged| a.left(self.now, FAULT_HALF);
         let best = self.zones.values().map(share).fold(1.0, f64::min);
         let here = self.zones.get(&zone).map_or(0.0, share);
-        if here - best > ZONE_WORSE {
-            here
-        } else {
-            0.0
-        }
+        f64::from(u8::from(here - best > ZONE_WORSE)) * here
     }
 
     /// Whether connections that had been idle are lost more than others: dropped unseen. They are closed
@@ -668,14 +665,16 @@
 
     /// How long a part of this class sent to a server now is expected to take: the server's recent answer
     /// time (which holds what peers send; it fades towards the common one), scaled by own parts pending now
-    /// against then; no less than the oldest part already waits there.
+    /// against then; no less than the oldest part waits there that is younger than any answered: an older one was
+    /// lost or held up alone, and would turn away all that need its shard.
     fn expected(&self, s: &Server, class: usize) -> f64 {
         // All of it is forgotten while nothing is answered: else refusals alone would keep a past jam alive.
         let common = self.norms[class * 2].or(0.0) * faded(self.now, self.answered_at, WAIT_HALF);
         let fading = faded(self.now, s.wait_at, WAIT_HALF);
         let wait = common + fading * (s.wait.or(common) - common);
         let depth = fading * s.depth.or(0.0);
-        let oldest = s.calls.iter().filter(|c| c.left > 0).map(|c| self.now.since(c.sent)).max().unwrap_or(0);
+        let held = s.calls.iter().filter(|c| c.left > 0 && c.sent > s.proved);
+        let oldest = held.map(|c| self.now.since(c.sent)).max().unwrap_or(0);
         (wait * (pending(s) + AT_ONCE) / (depth + AT_ONCE)).max(oldest as f64)
     }
 
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -48,6 +48,17 @@
     assert!(counts[1] > 10, "{counts:?}");
 }
 
+#[test]
+fn a_part_that_is_lost_alone_turns_nobody_away() {
+    let mut stage = Stage::new(settings(class()));
+    stage.after(MS, vec![Event::List(Listing::Whole(vec![line(1, 0)]))]);
+    (0..20).for_each(|_| stage.serve(20 * MS));
+    let (_, events) = stage.query(&[0]);
+    assert_eq!(sends(&stage.turn(events)).len(), 1);
+    // It is never answered, those after it are: its server is as well as before.
+    (0..150).for_each(|_| stage.serve(20 * MS));
+}
+
 #[test]
 fn a_server_that_was_gone_is_met_as_a_new_one() {
     let mut stage = Stage::new(settings(class()));
