Close what is idle before clients hold a third of the descriptors

From 3 s on 107 of 257 queries a second arrived while each opened a connection and left it open. Clients may hold a third of the descriptors, 128 here, and had found no place: the front called itself crowded only beyond 135, and then closed what was idle for 2 s. Ruled out: accepting (no connection waited), the module, the restarts, which begin later.

Beyond a quarter of the descriptors the connections that were idle for longest now go, looked at ten times a second.

The new test of front fails on the former code.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -294,7 +294,7 @@
             each_service!(self, |net, service| service.turn(net));
             self.subscribe();
             if self.net.resting() {
-                each_service!(self, |net, service| service.sessions.shed(net, &mut service.core));
+                each_service!(self, |net, service| service.sessions.make_room(net, &mut service.core));
             }
             if self.stopping.is_some_and(|since| self.finished(since)) {
                 return Ok(());
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -45,13 +45,12 @@
 const LINGER: Micros = 3_000_000;
 /// A client that takes nothing of an answer for so long has gone.
 const UNREAD: Micros = 10_000_000;
-/// A connection between requests is closed after this long; after the second where many are open.
+/// A connection between requests is closed after this long.
 const IDLE: Micros = 30_000_000;
-const IDLE_CROWDED: Micros = 2_000_000;
 /// How often all connections are looked at.
-const LOOK: Micros = 250_000;
-/// Before others wait to be accepted, a connection that has sent nothing, or between requests, may go after this
-/// long, and one whose request is still arriving, or that lingers, after the second.
+const LOOK: Micros = 100_000;
+/// Where many are open, a connection that has sent nothing, or between requests, may go after this long, and one
+/// whose request is still arriving, or that lingers, after the second.
 const SPARED: Micros = 100_000;
 const SPARED_BUSY: Micros = 500_000;
 
@@ -88,7 +87,7 @@
 impl Session {
     /// What its time limits say. Guards descriptors against clients that send nothing, never finish a request,
     /// never read an answer or never come back.
-    fn due(&self, conn: &Conn, now: Time, idle: Micros) -> Due {
+    fn due(&self, conn: &Conn, now: Time) -> Due {
         let (age, unread) = (now.since(self.since), now.since(conn.used) >= UNREAD);
         let closes = match self.state {
             State::Waiting(..) => false,
@@ -97,7 +96,7 @@
             State::Reading if !conn.flushed() => unread,
             State::Reading if !conn.input.is_empty() && age >= ARRIVAL => return Due::ToldOff,
             State::Reading if !conn.input.is_empty() => false,
-            State::Reading => age >= if self.asked { idle } else { ARRIVAL },
+            State::Reading => age >= if self.asked { IDLE } else { ARRIVAL },
         };
         if closes {
             Due::Closes
@@ -106,7 +105,7 @@
         }
     }
 
-    /// How soon it goes when others wait to be accepted; `None`: it stays. Those that never asked go first.
+    /// How soon it goes where many are open; `None`: it stays. Those that never asked go first.
     fn spared(&self, conn: &Conn, now: Time) -> Option<(bool, Time)> {
         let between = self.state == State::Reading && conn.input.is_empty();
         let stays = matches!(self.state, State::Waiting(..) | State::Closing) || !conn.flushed();
@@ -299,8 +298,7 @@
         core: &mut Core<F::Job>,
     ) {
         let now = net.clock.now();
-        let idle = if net.crowded() { IDLE_CROWDED } else { IDLE };
-        let due = |id: &ConnId, s: &Session| net.get(*id).map_or(Due::Closes, |c| s.due(c, now, idle));
+        let due = |id: &ConnId, s: &Session| net.get(*id).map_or(Due::Closes, |c| s.due(c, now));
         let due: Vec<_> = self.open.iter().map(|(id, s)| (*id, due(id, s))).collect();
         for (id, due) in due {
             match due {
@@ -309,6 +307,9 @@
                 Due::Closes => self.close(net, id, core),
             }
         }
+        // Guards usual clients, which find no place while others ask once and keep their connections: clients may
+        // hold a third of the descriptors for requests, and what is idle beyond a quarter goes before that.
+        self.shed(net, core, net.crowd());
         self.looks = !self.open.is_empty();
         if self.looks {
             net.wheel.set(now.plus(LOOK), Timer::Clients(owner));
@@ -324,13 +325,21 @@
         net.close(id);
     }
 
-    /// Closes connections without an open query to make room for others, an eighth of them at a time.
-    pub fn shed<J>(&mut self, net: &mut Net, core: &mut Core<J>) {
+    /// Makes room for those that wait to be accepted: an eighth of the connections at a time.
+    pub fn make_room<J>(&mut self, net: &mut Net, core: &mut Core<J>) {
+        self.shed(net, core, self.open.len().div_ceil(8));
+    }
+
+    /// Closes so many connections without an open query, those that were of no use for longest first.
+    fn shed<J>(&mut self, net: &mut Net, core: &mut Core<J>, count: usize) {
+        if count == 0 {
+            return;
+        }
         let now = net.clock.now();
         let spared = |(id, s): (&ConnId, &Session)| Some((s.spared(net.get(*id)?, now)?, *id));
         let mut spared: Vec<_> = self.open.iter().filter_map(spared).collect();
         spared.sort_unstable();
-        for (_, id) in spared.into_iter().take(self.open.len().div_ceil(8)) {
+        for (_, id) in spared.into_iter().take(count) {
             self.close(net, id, core);
         }
     }
@@ -379,10 +388,36 @@
                 session.state = State::Waiting(QueryId(1), true, false);
             }
         }
-        sessions.shed(&mut net, &mut core);
+        sessions.make_room(&mut net, &mut core);
         assert!(sessions.open.len() == 7 && net.get(ids[0]).is_none(), "the one that never asked");
-        (0..20).for_each(|_| sessions.shed(&mut net, &mut core));
+        (0..20).for_each(|_| sessions.make_room(&mut net, &mut core));
         assert_eq!(sessions.open.keys().copied().collect::<Vec<_>>(), [ids[1]]);
         clients.iter().for_each(|c| c.shutdown(Shutdown::Both).unwrap());
     }
+
+    #[test]
+    fn beyond_a_quarter_of_the_descriptors_those_idle_for_longest_go() {
+        let (mut net, mut sessions) = (Net::new(64).unwrap(), Sessions::<()>::new(32 << 20));
+        let mut core = Core::new(1, Settings::default(), Contracts::default(), 32 << 20);
+        let address = net.listen(Owner::Platform, "127.0.0.1:0".parse().unwrap()).unwrap();
+        let _clients: Vec<TcpStream> = (0..20).map(|_| TcpStream::connect(address).unwrap()).collect();
+        while sessions.open.len() < 20 {
+            net.wait(None).unwrap();
+            for id in net.accept(Owner::Platform) {
+                sessions.opened(&mut net, id, Owner::Platform);
+            }
+        }
+        let mut ids: Vec<ConnId> = sessions.open.keys().copied().collect();
+        ids.sort_unstable();
+        let now = net.clock.now();
+        for (id, i) in ids.iter().zip(0..) {
+            let session = sessions.open.get_mut(id).unwrap();
+            (session.since, session.asked) = (now.minus(SPARED * (40 - i)), true);
+        }
+        let front = crate::front::platform::Platform::new(Vec::new());
+        sessions.look(&mut net, Owner::Platform, &front, &mut core);
+        let mut left: Vec<ConnId> = sessions.open.keys().copied().collect();
+        left.sort_unstable();
+        assert_eq!(left, ids[10..], "clients may have 30 of these descriptors; a third of that stays");
+    }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -453,10 +453,10 @@
         self.resting
     }
 
-    /// Whether clients hold more than half of their part of the budget.
+    /// Connections that clients hold beyond a third of their part of the budget: a quarter of all descriptors.
     #[must_use]
-    pub fn crowded(&self) -> bool {
-        self.clients * 2 > self.most.0
+    pub fn crowd(&self) -> usize {
+        self.clients.saturating_sub(self.most.0 / 3)
     }
 }
 
