Close no idle connection to make room while the broker stops

The stopping one went on closing idle connections to make room, though nobody new comes to it and its clients had no other broker. The test of front covers it.

--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -47,6 +47,12 @@
         self.end_by = Some(at);
     }
 
+    /// Whether it takes queries as if it never ended.
+    #[must_use]
+    pub fn goes_on(&self) -> bool {
+        self.end_by.is_none()
+    }
+
     /// Whether a query of some class would still be taken.
     #[must_use]
     pub fn takes(&self, now: Time) -> bool {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -309,7 +309,8 @@
         }
         // Guards usual clients, which find no place while others ask once and keep their connections: clients may
         // hold a third of the descriptors for requests, and what is idle beyond a quarter goes before that.
-        self.shed(net, core, net.crowd());
+        // Not while the broker stops: nobody new comes, and who is here may have no other broker to go to.
+        self.shed(net, core, if core.goes_on() { net.crowd() } else { 0 });
         self.looks = !self.open.is_empty();
         if self.looks {
             net.wheel.set(now.plus(LOOK), Timer::Clients(owner));
@@ -415,6 +416,10 @@
             (session.since, session.asked) = (now.minus(SPARED * (40 - i)), true);
         }
         let front = crate::front::platform::Platform::new(Vec::new());
+        core.end_by(now);
+        sessions.look(&mut net, Owner::Platform, &front, &mut core);
+        assert_eq!(sessions.open.len(), 20, "nobody has to go while the broker stops");
+        let mut core = Core::new(1, Settings::default(), Contracts::default(), 32 << 20);
         sessions.look(&mut net, Owner::Platform, &front, &mut core);
         let mut left: Vec<ConnId> = sessions.open.keys().copied().collect();
         left.sort_unstable();
