--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -305,7 +305,10 @@
 
     #[test]
     fn garbage_in_a_body_never_panics() {
-        crate::testing::garbage(&[BODY.as_bytes()], |bytes| {
+        let twice = BODY.replace('9', "3");
+        let bad =
+            [BODY, &twice, r#"{"segments":[{"segment":-1,"boost":1e999}],"text":""}"#].map(str::as_bytes);
+        crate::testing::garbage(&bad, |bytes| {
             let request = query(&[], "/close", "");
             front().read(Time(0), &http::Request { body: bytes.to_vec(), ..request });
         });
--- a/src/http.rs
+++ b/src/http.rs
@@ -315,7 +315,12 @@
 
     #[test]
     fn garbage_never_panics() {
-        garbage(&[POST, CHUNKS], |bytes| {
+        // What bad clients send besides: two lengths, a negative one, and half a body.
+        let both: &[u8] =
+            b"POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+        let below: &[u8] = b"POST /a HTTP/1.1\r\nContent-Length: -3\r\n\r\nabc";
+        let half: &[u8] = b"POST /a HTTP/1.1\r\nContent-Length: 60000000\r\n\r\nabc";
+        garbage(&[POST, CHUNKS, both, below, half], |bytes| {
             let _ = request(bytes);
             let _ = response(bytes, true, 50);
         });
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -665,8 +665,8 @@
 
     /// How long a part of this class sent to a server now is expected to take: the server's recent answer
     /// time (which holds what peers send; it fades towards the common one), scaled by own parts pending now
-    /// against then; no less than the oldest part waits there that is younger than any answered: an older one was
-    /// lost or held up alone, and would turn away all that need its shard.
+    /// against then; no less than the age of the oldest part younger than any answered there: an older one
+    /// was lost or held up alone, and would turn away all that need its shard.
     fn expected(&self, s: &Server, class: usize) -> f64 {
         // All of it is forgotten while nothing is answered: else refusals alone would keep a past jam alive.
         let common = self.norms[class * 2].or(0.0) * faded(self.now, self.answered_at, WAIT_HALF);
