--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -367,20 +367,26 @@
     use crate::interface::Settings;
     use std::net::{Shutdown, TcpStream};
 
-    #[test]
-    fn those_that_never_asked_make_room_before_any_other_and_open_queries_stay() {
-        let (mut net, mut sessions) = (Net::new(64).unwrap(), Sessions::<()>::new(32 << 20));
-        let mut core = Core::<()>::new(1, Settings::default(), Contracts::default(), 32 << 20);
+    /// So many clients, connected, and their connections, oldest first.
+    fn connected(net: &mut Net, sessions: &mut Sessions<()>, count: usize) -> (Vec<TcpStream>, Vec<ConnId>) {
         let address = net.listen(Owner::Platform, "127.0.0.1:0".parse().unwrap()).unwrap();
-        let clients: Vec<TcpStream> = (0..8).map(|_| TcpStream::connect(address).unwrap()).collect();
-        while sessions.open.len() < clients.len() {
+        let clients: Vec<TcpStream> = (0..count).map(|_| TcpStream::connect(address).unwrap()).collect();
+        while sessions.open.len() < count {
             net.wait(None).unwrap();
             for id in net.accept(Owner::Platform) {
-                sessions.opened(&mut net, id, Owner::Platform);
+                sessions.opened(net, id, Owner::Platform);
             }
         }
         let mut ids: Vec<ConnId> = sessions.open.keys().copied().collect();
         ids.sort_unstable();
+        (clients, ids)
+    }
+
+    #[test]
+    fn those_that_never_asked_make_room_before_any_other_and_open_queries_stay() {
+        let (mut net, mut sessions) = (Net::new(64).unwrap(), Sessions::<()>::new(32 << 20));
+        let mut core = Core::<()>::new(1, Settings::default(), Contracts::default(), 32 << 20);
+        let (clients, ids) = connected(&mut net, &mut sessions, 8);
         let now = net.clock.now();
         for (i, id) in ids.iter().enumerate() {
             let session = sessions.open.get_mut(id).unwrap();
@@ -400,16 +406,7 @@
     fn beyond_a_quarter_of_the_descriptors_those_idle_for_longest_go() {
         let (mut net, mut sessions) = (Net::new(64).unwrap(), Sessions::<()>::new(32 << 20));
         let mut core = Core::new(1, Settings::default(), Contracts::default(), 32 << 20);
-        let address = net.listen(Owner::Platform, "127.0.0.1:0".parse().unwrap()).unwrap();
-        let _clients: Vec<TcpStream> = (0..20).map(|_| TcpStream::connect(address).unwrap()).collect();
-        while sessions.open.len() < 20 {
-            net.wait(None).unwrap();
-            for id in net.accept(Owner::Platform) {
-                sessions.opened(&mut net, id, Owner::Platform);
-            }
-        }
-        let mut ids: Vec<ConnId> = sessions.open.keys().copied().collect();
-        ids.sort_unstable();
+        let (_clients, ids) = connected(&mut net, &mut sessions, 20);
         let now = net.clock.now();
         for (id, i) in ids.iter().zip(0..) {
             let session = sessions.open.get_mut(id).unwrap();
