Begin the laboratory: core and module in virtual time, scale and replay

Need: what wide queries cost can only be judged, and decisions be kept the same, with a measurement that is repeatable.

--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,8 @@
+//! The laboratory: `core` and the decision module in virtual time, at large size, with seeds.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod node;
+pub mod replay;
+pub mod scale;
+pub mod world;
--- /dev/null
+++ b/lab/src/scale.rs
@@ -0,0 +1,125 @@
+//! `scale`: what `core` and the module cost for a part, by parts in a query, data nodes and queries a second.
+
+use crate::world::{Mix, Scenario, Tally, Trouble, World, MS};
+use lichenswitch::interface::{Class, Cold, Discovery, Layout, Limits, Repeat, Settings};
+use serde::Serialize;
+
+/// One line of the table.
+#[derive(Serialize)]
+pub struct Row {
+    /// Parts of a query.
+    pub parts: u32,
+    /// Data nodes.
+    pub nodes: u32,
+    /// Queries a second.
+    pub rate: f64,
+    /// Wall microseconds of `core` and the module for a part, turns included.
+    pub us_per_part: f64,
+    /// Longest turn.
+    pub worst_turn_ms: f64,
+    /// Digest of all commands, in hexadecimal: the same before and after a change that changes no decision.
+    pub digest: String,
+    /// Share of the queries that were answered whole.
+    pub whole_share: f64,
+}
+
+/// All lines.
+#[derive(Serialize)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// The lines.
+    pub rows: Vec<Row>,
+}
+
+/// Settings of a broker whose queries go to all replicas of many shards.
+#[must_use]
+pub fn settings(nodes: u32, shards: u32) -> Settings {
+    let class = Class {
+        aim: 1_500 * MS,
+        deadline: 4_000 * MS,
+        repeat: Repeat::Safe,
+        worth: 1.0,
+        late_share: 0.1,
+        need: 1.0,
+        floor: 1.0,
+        partial: 0.9,
+        second_step: 0,
+    };
+    Settings {
+        classes: vec![class],
+        limits: Limits {
+            attempts: 4,
+            held: 1_000_000,
+            cancel: true,
+            probe: false,
+            second_copies: true,
+            retry_after: Some(2_000 * MS),
+            budget: None,
+        },
+        layout: Layout { cells: nodes, width: 2, shards, parts_a_call: 8 },
+        discovery: Discovery::Push,
+        cold: Cold { share: 0.32, warm_after: 18_000 * MS, fall_multiple: 3.0, fall_after: 1_000 * MS },
+        resolution: 5 * MS,
+        ..Settings::default()
+    }
+}
+
+/// Plays one size of query with all answers good and data nodes that are never short of cores.
+#[must_use]
+pub fn play(seed: u64, parts: u32, nodes: u32, rate: f64, seconds: f64) -> Tally {
+    let scenario = Scenario {
+        seconds,
+        rate,
+        nodes,
+        cores: 4_096,
+        call: 0,
+        mix: vec![Mix { share: 1.0, parts, work_ms: 60.0, second: 1.0, cv: 0.3 }],
+        trouble: Trouble::default(),
+        way: 500,
+    };
+    let mut world = World::new(seed, scenario, settings(nodes, nodes.max(400)));
+    world.play();
+    world.tally
+}
+
+/// Plays all sizes.
+#[must_use]
+pub fn run(seed: u64) -> Report {
+    let mut rows = Vec::new();
+    for nodes in [12, 400, 2_000] {
+        for parts in [4, 50, 200] {
+            for rate in [50.0, 200.0] {
+                // As many parts for each line, so that each is timed alike.
+                let seconds = 120_000.0 / rate / f64::from(parts);
+                let tally = play(seed, parts, nodes, rate, seconds);
+                rows.push(Row {
+                    parts,
+                    nodes,
+                    rate,
+                    us_per_part: tally.wall.as_secs_f64() * 1e6 / tally.parts.max(1) as f64,
+                    worst_turn_ms: tally.worst_turn.as_secs_f64() * 1e3,
+                    digest: format!("{:016x}", tally.digest),
+                    whole_share: tally.whole as f64 / tally.queries.max(1) as f64,
+                });
+            }
+        }
+    }
+    Report { seed, rows }
+}
+
+/// The table as text.
+#[must_use]
+pub fn table(report: &Report) -> String {
+    let mut text = format!(
+        "{:>6} {:>6} {:>6} {:>12} {:>14} {:>6}  digest\n",
+        "nodes", "parts", "rate", "us a part", "worst turn ms", "whole"
+    );
+    for r in &report.rows {
+        text += &format!(
+            "{:>6} {:>6} {:>6} {:>12.2} {:>14.2} {:>6.3}  {}\n",
+            r.nodes, r.parts, r.rate, r.us_per_part, r.worst_turn_ms, r.whole_share, r.digest
+        );
+    }
+    text
+}
--- /dev/null
+++ b/lab/src/world.rs
@@ -0,0 +1,453 @@
+//! A world in virtual time round `core` and the decision module: clients, a network and data nodes. The same seed
+//! and scenario give the same events; two variants of the broker meet the same queries, work and troubles.
+
+use crate::node::{Left, Node, Task};
+use lichenswitch::contract::Contracts;
+use lichenswitch::core::{Command, Core, Dispatch, Reply, Request, Value};
+use lichenswitch::interface::{
+    Class, Listed, Listing, Micros, Mode, Outcome, QueryId, ServerId, Settings, Shard, Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::time::{Duration, Instant};
+
+/// One millisecond.
+pub const MS: Micros = 1_000;
+/// The world begins here: no time is before the clock's zero.
+pub const START: Time = Time(1_000_000 * MS);
+
+/// One sort of query.
+#[derive(Clone, Debug)]
+pub struct Mix {
+    /// Share of the queries.
+    pub share: f64,
+    /// Parts of a query, at neighbouring shards.
+    pub parts: u32,
+    /// Work of a part in its first phase, in milliseconds.
+    pub work_ms: f64,
+    /// Work of a part in its second phase, as a share of the first.
+    pub second: f64,
+    /// Spread of the work: standard deviation over mean.
+    pub cv: f64,
+}
+
+/// What a share of the data nodes suffers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trouble {
+    /// Share of the data nodes.
+    pub share: f64,
+    /// Parts of the first phase take so many times as long there; below 1.0 stands for none.
+    pub slow_first: f64,
+    /// Length of a pause in milliseconds and seconds between two; none where either is 0.
+    pub pause_ms: f64,
+    /// See `pause_ms`.
+    pub pause_every_s: f64,
+}
+
+/// A day in the laboratory.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// Virtual seconds in which queries arrive.
+    pub seconds: f64,
+    /// Queries a second.
+    pub rate: f64,
+    /// Data nodes, one for each cell.
+    pub nodes: u32,
+    /// Cores of each.
+    pub cores: usize,
+    /// Work of a call beside its parts, in microseconds.
+    pub call: Micros,
+    /// Sorts of queries, by class.
+    pub mix: Vec<Mix>,
+    /// What befalls the data nodes.
+    pub trouble: Trouble,
+    /// One way through the network, in microseconds.
+    pub way: Micros,
+}
+
+/// What the front and the upstream know of a query.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Number of the query in the order of arrival.
+    pub serial: u32,
+}
+
+/// What came of all queries.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Queries that arrived.
+    pub queries: u64,
+    /// Answered within the aim.
+    pub on_time: u64,
+    /// Answered whole.
+    pub whole: u64,
+    /// Worth asked for and worth earned.
+    pub asked: f64,
+    /// See `asked`.
+    pub earned: f64,
+    /// Work of the second phase, microseconds.
+    pub second_work: Micros,
+    /// Of it, done after the query's aim.
+    pub second_after_aim: Micros,
+    /// Parts sent in the second phase, copies and further attempts included.
+    pub second_parts: u64,
+    /// Parts sent in all.
+    pub parts: u64,
+    /// Answers under the least share.
+    pub below_floor: u64,
+    /// Answers marked whole that are not.
+    pub falsely_whole: u64,
+    /// Queries without exactly one final answer before their deadline.
+    pub lost: u64,
+    /// Refused or failed.
+    pub given_up: u64,
+    /// Wall time spent in `core` and the module, and the longest turn.
+    pub wall: Duration,
+    /// See `wall`.
+    pub worst_turn: Duration,
+    /// A digest of all that the broker asked for, in order.
+    pub digest: u64,
+}
+
+struct Held {
+    class: usize,
+    parts: u32,
+    arrived: Time,
+    deadline: Time,
+    /// Shards in at the end of the first phase, and whether that was whole.
+    first: Option<(usize, bool)>,
+    /// Shards of the second phase that were sent.
+    second: BTreeSet<u32>,
+    ended: u32,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Happens {
+    Arrival,
+    /// Reaches a data node.
+    Reaches(u32, u64),
+    /// Is over at a data node.
+    Over(u32, u64),
+    /// Reaches the broker.
+    Back(u64),
+    TimedOut(u64),
+    GivenUp(u32, u64),
+}
+
+struct Flight {
+    server: u32,
+    task: Task,
+    serial: u32,
+    shard: u32,
+}
+
+/// The world.
+pub struct World {
+    scenario: Scenario,
+    seed: u64,
+    core: Core<Job>,
+    classes: Vec<Class>,
+    now: Time,
+    heap: BinaryHeap<Reverse<(Time, u64, Happens)>>,
+    order: u64,
+    arrivals: Xoshiro256PlusPlus,
+    nodes: Vec<Node>,
+    slow_first: Vec<f64>,
+    flights: HashMap<u64, Flight>,
+    queries: Vec<Held>,
+    by_id: HashMap<QueryId, u32>,
+    shards: u32,
+    /// What is counted.
+    pub tally: Tally,
+}
+
+/// Mixes figures into one that looks random: a step of FNV-1a by words, then the finish of `splitmix64`.
+#[must_use]
+pub fn mixed(words: &[u64]) -> u64 {
+    let mut z = words.iter().fold(0xcbf2_9ce4_8422_2325u64, |h, w| (h ^ w).wrapping_mul(0x100_0000_01b3));
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+fn rng(words: &[u64]) -> Xoshiro256PlusPlus {
+    Xoshiro256PlusPlus::seed_from_u64(mixed(words))
+}
+
+/// A log-normal figure with this mean and spread.
+fn lognormal(rng: &mut Xoshiro256PlusPlus, mean: f64, cv: f64) -> f64 {
+    let variance = (1.0 + cv * cv).ln();
+    LogNormal::new(mean.ln() - variance / 2.0, variance.sqrt()).map_or(mean, |d| d.sample(rng))
+}
+
+impl World {
+    /// A world whose broker works by these settings.
+    #[must_use]
+    pub fn new(seed: u64, scenario: Scenario, settings: Settings) -> World {
+        let shards = settings.layout.shards;
+        let classes = settings.classes.clone();
+        let mut core = Core::new(seed, settings, Contracts::default(), 1 << 30);
+        let line =
+            |id| Listed { server: ServerId(id), cell: id, zone: id % 3, mode: Mode::Ready, started: None };
+        core.listed(Listing::Whole((0..scenario.nodes).map(line).collect()));
+        let trouble = scenario.trouble;
+        let ill = (f64::from(scenario.nodes) * trouble.share).round() as u32;
+        let mut nodes = Vec::new();
+        for id in 0..scenario.nodes {
+            let mut pauses = Vec::new();
+            if id < ill && trouble.pause_ms > 0.0 && trouble.pause_every_s > 0.0 {
+                let mut rng = rng(&[seed, 2, u64::from(id)]);
+                let mut at = rng.random_range(0.0..trouble.pause_every_s);
+                while at < scenario.seconds + 10.0 {
+                    let from = START.plus((at * 1e6) as Micros);
+                    pauses.push((from, from.plus((trouble.pause_ms * 1e3) as Micros)));
+                    at += trouble.pause_every_s * rng.random_range(0.7..1.3);
+                }
+            }
+            nodes.push(Node::new(scenario.cores, pauses));
+        }
+        let slow = |id| if id < ill && trouble.slow_first >= 1.0 { trouble.slow_first } else { 1.0 };
+        let mut world = World {
+            seed,
+            core,
+            classes,
+            now: START,
+            heap: BinaryHeap::new(),
+            order: 0,
+            arrivals: rng(&[seed, 1]),
+            nodes,
+            slow_first: (0..scenario.nodes).map(slow).collect(),
+            flights: HashMap::new(),
+            queries: Vec::new(),
+            by_id: HashMap::new(),
+            shards,
+            tally: Tally::default(),
+            scenario,
+        };
+        world.at(START, Happens::Arrival);
+        world
+    }
+
+    fn at(&mut self, time: Time, what: Happens) {
+        self.order += 1;
+        self.heap.push(Reverse((time, self.order, what)));
+    }
+
+    /// Plays until nothing happens any more.
+    pub fn play(&mut self) {
+        loop {
+            let turn = self.core.next_turn();
+            let next = self.heap.peek().map(|Reverse((at, ..))| *at);
+            // The turn comes after all that happens before it or with it.
+            let due = match (turn, next) {
+                (Some(turn), Some(next)) if turn < next => Some(turn),
+                (Some(turn), None) if !self.by_id.is_empty() => Some(turn),
+                _ => None,
+            };
+            if let Some(turn) = due {
+                self.now = self.now.max(turn);
+                self.turn();
+            } else if let Some(Reverse((at, _, what))) = self.heap.pop() {
+                self.now = at;
+                self.happens(what);
+            } else {
+                break;
+            }
+        }
+        self.tally.lost += self.queries.iter().filter(|q| q.ended != 1).count() as u64;
+    }
+
+    fn happens(&mut self, what: Happens) {
+        match what {
+            Happens::Arrival => self.arrive(),
+            Happens::Reaches(server, attempt) => {
+                let Some(flight) = self.flights.get(&attempt) else { return };
+                if let Some((attempt, ends)) = self.nodes[server as usize].take(self.now, flight.task) {
+                    self.at(ends, Happens::Over(server, attempt));
+                }
+            }
+            Happens::Over(server, attempt) if self.nodes[server as usize].runs(attempt) => {
+                self.over(server, attempt);
+                self.at(self.now.plus(self.scenario.way), Happens::Back(attempt));
+            }
+            Happens::Over(..) => {}
+            Happens::Back(attempt) => {
+                let Some(flight) = self.flights.remove(&attempt) else { return };
+                let value = self.value(&flight);
+                self.ended(attempt, Outcome::Ok, Some(value));
+            }
+            Happens::TimedOut(attempt) => {
+                if let Some(flight) = self.flights.remove(&attempt) {
+                    self.at(self.now.plus(self.scenario.way), Happens::GivenUp(flight.server, attempt));
+                    self.ended(attempt, Outcome::Timeout, None);
+                }
+            }
+            Happens::GivenUp(server, attempt) => self.over(server, attempt),
+        }
+    }
+
+    /// A task leaves its data node, finished or given up.
+    fn over(&mut self, server: u32, attempt: u64) {
+        let Some(left) = self.nodes[server as usize].end(self.now, attempt) else { return };
+        let Left { phase, cost, next } = left;
+        if phase == 2 {
+            self.tally.second_work += cost.ran;
+            self.tally.second_after_aim += cost.after_aim;
+        }
+        if let Some((attempt, ends)) = next {
+            self.at(ends, Happens::Over(server, attempt));
+        }
+    }
+
+    fn ended(&mut self, attempt: u64, outcome: Outcome, value: Option<Value>) {
+        let began = Instant::now();
+        self.core.ended(self.now, attempt, outcome, value);
+        self.tally.wall += began.elapsed();
+    }
+
+    fn value(&self, flight: &Flight) -> Value {
+        let score = mixed(&[self.seed, 5, u64::from(flight.serial), u64::from(flight.shard)]) >> 32;
+        Value { score: score as f64, bytes: Vec::new() }
+    }
+
+    fn arrive(&mut self) {
+        if self.now.since(START) as f64 >= self.scenario.seconds * 1e6 {
+            return;
+        }
+        let gap = Exp::new(self.scenario.rate).map_or(1.0, |d| d.sample(&mut self.arrivals));
+        self.at(self.now.plus((gap * 1e6) as Micros + 1), Happens::Arrival);
+        let mut pick = self.arrivals.random_range(0.0..1.0);
+        let class = self.scenario.mix.iter().position(|m| {
+            pick -= m.share;
+            pick < 0.0
+        });
+        let class = class.unwrap_or(0);
+        let first: u32 = self.arrivals.random_range(0..self.shards);
+        let patience = self.arrivals.random_range(0.6..1.0);
+        let parts = self.scenario.mix[class].parts.min(self.shards);
+        let (serial, c) = (self.queries.len() as u32, &self.classes[class]);
+        let deadline = self.now.plus((c.deadline as f64 * patience) as Micros);
+        self.tally.queries += 1;
+        self.tally.asked += c.worth;
+        let weight = 1.0 / f64::from(parts);
+        let request = Request {
+            class,
+            deadline,
+            key: 0,
+            again: false,
+            team: None,
+            parts: (0..parts).map(|i| (Shard((first + i) % self.shards), weight)).collect(),
+            job: Job { serial },
+        };
+        let (second, arrived) = (BTreeSet::new(), self.now);
+        self.queries.push(Held { class, parts, arrived, deadline, first: None, second, ended: 0 });
+        let began = Instant::now();
+        let taken = self.core.take(self.now, request);
+        self.tally.wall += began.elapsed();
+        match taken {
+            Ok(id) => drop(self.by_id.insert(id, serial)),
+            Err(_) => {
+                self.queries[serial as usize].ended += 1;
+                self.tally.given_up += 1;
+            }
+        }
+    }
+
+    fn note(&mut self, words: &[u64]) {
+        self.tally.digest = mixed(&[&[self.tally.digest, self.now.0], words].concat());
+    }
+
+    fn turn(&mut self) {
+        let began = Instant::now();
+        let commands = self.core.turn(self.now);
+        let took = began.elapsed();
+        self.tally.wall += took;
+        self.tally.worst_turn = self.tally.worst_turn.max(took);
+        for command in commands {
+            match command {
+                Command::Send(server, parts) => self.send(server, &parts),
+                Command::Withdraw(attempt) => {
+                    self.note(&[2, attempt]);
+                    if let Some(flight) = self.flights.remove(&attempt) {
+                        self.at(self.now.plus(self.scenario.way), Happens::GivenUp(flight.server, attempt));
+                    }
+                }
+                Command::Reply(query, reply) => self.reply(query, &reply),
+                Command::CloseIdle(server) => self.note(&[4, u64::from(server.0)]),
+                Command::Subscribe => self.note(&[5]),
+                Command::Log(_) => self.note(&[6]),
+            }
+        }
+    }
+
+    fn send(&mut self, server: ServerId, parts: &[Dispatch<Job>]) {
+        for (i, part) in parts.iter().enumerate() {
+            let (serial, shard) = (part.job.serial, part.shard.0);
+            self.note(&[1, u64::from(server.0), u64::from(shard), part.attempt, part.wait]);
+            let phase = 1 + u8::from(part.first.is_some());
+            let held = &mut self.queries[serial as usize];
+            let mix = &self.scenario.mix[held.class];
+            let mut rng = rng(&[self.seed, 3, u64::from(serial), u64::from(shard), u64::from(phase)]);
+            let mut work = lognormal(&mut rng, mix.work_ms * 1e3, mix.cv);
+            self.tally.parts += 1;
+            if let Some(first) = &part.first {
+                work *= mix.second;
+                held.first = Some((first.shards.len(), first.whole));
+                held.second.insert(shard);
+                self.tally.second_parts += 1;
+            } else {
+                work *= self.slow_first[server.0 as usize];
+            }
+            let call = if i == 0 { self.scenario.call } else { 0 };
+            let aim_at = held.arrived.plus(self.classes[held.class].aim);
+            let task = Task { attempt: part.attempt, work: work as Micros + call, phase, aim_at };
+            self.flights.insert(part.attempt, Flight { server: server.0, task, serial, shard });
+            self.at(self.now.plus(self.scenario.way), Happens::Reaches(server.0, part.attempt));
+            self.at(self.now.plus(part.wait), Happens::TimedOut(part.attempt));
+        }
+    }
+
+    fn reply(&mut self, query: QueryId, reply: &Reply) {
+        let kind = match reply {
+            Reply::Served { whole, values } => 10 + 2 * values.len() as u64 + u64::from(*whole),
+            Reply::Refused(after) => 7 + after.unwrap_or(0),
+            Reply::Failed => 8,
+        };
+        self.note(&[3, query.0, kind]);
+        let Some(serial) = self.by_id.remove(&query) else {
+            self.tally.lost += 1;
+            return;
+        };
+        let held = &mut self.queries[serial as usize];
+        held.ended += 1;
+        if self.now > held.deadline {
+            self.tally.lost += 1;
+        }
+        let class = &self.classes[held.class];
+        let Reply::Served { whole, values } = reply else {
+            self.tally.given_up += 1;
+            return;
+        };
+        let n = f64::from(held.parts);
+        let (first, first_whole, second) = match held.first {
+            None => (values.len() as f64 / n, true, 1.0),
+            Some((first, whole)) => {
+                let wanted = (class.second_step as usize).min(first);
+                (first as f64 / n, whole, values.len() as f64 / wanted.max(1) as f64)
+            }
+        };
+        let slack = 1e-4;
+        let floor = if class.floor < class.need { class.floor } else { 1.0 };
+        self.tally.below_floor += u64::from(first + slack < class.floor || second + slack < floor);
+        let complete = first + slack >= class.need && first_whole && second + slack >= 1.0;
+        self.tally.falsely_whole += u64::from(*whole && !complete);
+        self.tally.whole += u64::from(*whole);
+        let on_time = self.now.since(held.arrived) <= class.aim;
+        self.tally.on_time += u64::from(on_time);
+        let share = if *whole { 1.0 } else { class.partial * (first / class.need).min(1.0) * second };
+        self.tally.earned += class.worth * share * if on_time { 1.0 } else { class.late_share };
+    }
+}
