--- a/lab/src/replay.rs
+++ b/lab/src/replay.rs
@@ -4,7 +4,7 @@
 use crate::world::{mixed, MS};
 use lichenswitch::interface::{
     Action, Budget, Class, Cold, Discovery, Event, Layout, Limits, Listed, Listing, Mode, Outcome, PartId,
-    QueryId, Repeat, ServerId, Settings, Shard, Time,
+    QueryId, Repeat, ServerId, Settings, Shard, Time, FIRST_SHARE,
 };
 use lichenswitch::policy::Coordinator;
 use rand::{RngExt, SeedableRng};
@@ -36,6 +36,7 @@
         floor,
         partial: 0.8,
         second_step,
+        first_share: FIRST_SHARE,
     }
 }
 
--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -1,7 +1,7 @@
 //! `scale`: what `core` and the module cost for a part, by parts in a query, data nodes and queries a second.
 
 use crate::world::{Mix, Scenario, Tally, Trouble, World, MS};
-use lichenswitch::interface::{Class, Cold, Discovery, Layout, Limits, Repeat, Settings};
+use lichenswitch::interface::{Class, Cold, Discovery, Layout, Limits, Repeat, Settings, FIRST_SHARE};
 use serde::Serialize;
 
 /// One line of the table.
@@ -45,6 +45,7 @@
         floor: 1.0,
         partial: 0.9,
         second_step: 0,
+        first_share: FIRST_SHARE,
     };
     Settings {
         classes: vec![class],
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -310,7 +310,7 @@
 
     fn value(&self, flight: &Flight) -> Value {
         let score = mixed(&[self.seed, 5, u64::from(flight.serial), u64::from(flight.shard)]) >> 32;
-        Value { score: score as f64, bytes: Vec::new() }
+        Value { score: score as f64, bytes: Vec::new(), offer: None }
     }
 
     fn arrive(&mut self) {
@@ -340,6 +340,7 @@
             again: false,
             team: None,
             parts: (0..parts).map(|i| (Shard((first + i) % self.shards), weight)).collect(),
+            top: None,
             job: Job { serial },
         };
         let (second, arrived) = (BTreeSet::new(), self.now);
@@ -412,7 +413,7 @@
 
     fn reply(&mut self, query: QueryId, reply: &Reply) {
         let kind = match reply {
-            Reply::Served { whole, values } => 10 + 2 * values.len() as u64 + u64::from(*whole),
+            Reply::Served { whole, values, .. } => 10 + 2 * values.len() as u64 + u64::from(*whole),
             Reply::Refused(after) => 7 + after.unwrap_or(0),
             Reply::Failed => 8,
         };
@@ -427,7 +428,7 @@
             self.tally.lost += 1;
         }
         let class = &self.classes[held.class];
-        let Reply::Served { whole, values } = reply else {
+        let Reply::Served { whole, values, .. } = reply else {
             self.tally.given_up += 1;
             return;
         };
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -1,7 +1,7 @@
 //! Reads the settings of an instance from their JSON text, for the broker and the drill alike.
 
 use super::Connections;
-use crate::interface::{Budget, Class, Cold, Discovery, Layout, Limits, Repeat, Settings};
+use crate::interface::{Budget, Class, Cold, Discovery, Layout, Limits, Repeat, Settings, FIRST_SHARE};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -198,6 +198,7 @@
             floor: figure(*family.min_share.get(i).ok_or_else(missing)?, "minShare")?,
             partial: figure(*family.class_partial.get(i).ok_or_else(missing)?, "classPartial")?,
             second_step: *family.class_fetch.get(i).ok_or_else(missing)?,
+            first_share: FIRST_SHARE,
         });
     }
     let least = figure(rules.min_extra.unwrap_or(0.0), "minExtra")?;
--- a/src/core/answer.rs
+++ b/src/core/answer.rs
@@ -1,20 +1,19 @@
 //! Answer: the end of a query, whole, partial, refused or failed, and the second step where a class has one.
 
-use super::{Command, Core, FirstStep, Reply};
-use crate::interface::{Event, Micros, QueryId, Shard, Time};
-use std::rc::Rc;
+use super::{Command, Core, Reply};
+use crate::interface::{Event, Micros, QueryId, Time};
 
 /// Sums of weights may fall short by this much.
 const ROUNDING: f64 = 1e-4;
 
 impl<J> Core<J> {
     /// The module ends a step from the parts that are in.
-    pub(super) fn answer(&mut self, query: QueryId, whole: bool, commands: &mut Vec<Command<J>>) {
+    pub(super) fn answer(&mut self, now: Time, query: QueryId, whole: bool, commands: &mut Vec<Command<J>>) {
         let Some(q) = self.queries.get(&query) else { return };
         let class = &self.settings.classes[q.class];
-        let (second_step, second) = (class.second_step as usize, q.first.is_some());
+        let (second_step, second) = (class.second_step, q.first.is_some());
         let step = || q.parts.iter().filter(|p| p.second == second);
-        let have: f64 = step().filter(|p| p.value.is_some()).map(|p| p.weight).sum();
+        let have: f64 = step().filter(|p| p.is_in()).map(|p| p.weight).sum();
         // Guards the rule on honest answers against a slip anywhere before it: nothing from less than the
         // floor leaves, and the mark of a whole answer is given from the parts that are really here.
         let need = if second { 1.0 } else { class.need };
@@ -27,24 +26,9 @@
         let first_whole = q.first.as_ref().is_none_or(|first| first.whole);
         let whole = whole && have + ROUNDING >= need && first_whole;
         if second_step > 0 && !second {
-            let mut scores: Vec<(f64, Shard)> =
-                step().filter_map(|p| p.value.as_ref().map(|v| (v.score, p.shard))).collect();
-            let shards = scores.iter().map(|s| s.1).collect();
-            scores.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-            scores.truncate(second_step);
-            if let Some(q) = self.queries.get_mut(&query) {
-                q.first = Some(Rc::new(FirstStep { shards, whole }));
-            }
-            let weight = 1.0 / scores.len().max(1) as f64;
-            for (_, shard) in scores {
-                self.add_part(query, shard, weight, true);
-            }
-            return;
+            return self.second_step(now, query, whole, commands);
         }
-        let Some(q) = self.release(query) else { return };
-        let values = q.parts.into_iter().filter(|p| p.second == second);
-        let values = values.filter_map(|p| p.value.map(|v| (p.shard, v))).collect();
-        commands.push(Command::Reply(query, Reply::Served { whole, values }));
+        self.served(query, whole, commands);
     }
 
     pub(super) fn refuse(&mut self, query: QueryId, after: Micros, commands: &mut Vec<Command<J>>) {
--- a/src/core/collect.rs
+++ b/src/core/collect.rs
@@ -10,6 +10,11 @@
         self.out.remove(&(a.part, a.number));
         let place = self.parts.get(&a.part).copied();
         let part = place.and_then(|(query, i)| self.queries.get_mut(&query)?.parts.get_mut(i));
+        let load = self.load.entry(a.server).or_default();
+        *load = load.saturating_sub(1);
+        if *load == 0 {
+            self.load.remove(&a.server);
+        }
         let mut outcome = outcome;
         if let (Some(part), Outcome::Ok, Some(value)) = (part, outcome, value) {
             if self.bytes + value.bytes.len() > self.most_bytes {
@@ -21,6 +26,7 @@
                 part.value = Some(value);
             }
         }
+        self.learn(now, &a, outcome);
         self.inbox.push(Event::Finished {
             part: a.part,
             attempt: a.number,
--- a/src/core/dispatch.rs
+++ b/src/core/dispatch.rs
@@ -20,7 +20,7 @@
             match action {
                 Action::Send { part, server, timeout } => self.send(now, part, server, timeout, &mut calls),
                 Action::Cancel { part, attempt } => self.cancel(now, (part, attempt), &mut calls, commands),
-                Action::Answer { query, whole } => self.answer(query, whole, commands),
+                Action::Answer { query, whole } => self.answer(now, query, whole, commands),
                 Action::Refuse { query, retry_after } => self.refuse(query, retry_after, commands),
                 Action::Fail(query) => self.fail(query, commands),
                 // The module never asks for a probe: it proves a process, not a service.
@@ -63,10 +63,16 @@
         let wait = if timeout == 0 { left } else { timeout.min(left) };
         let attempt = self.next_attempt;
         self.next_attempt += 1;
-        self.attempts.insert(attempt, Attempt { part, number, server, sent: now });
+        let load = self.load.entry(server).or_default();
+        let pending = *load;
+        *load += 1;
+        self.attempts.insert(attempt, Attempt { part, number, server, sent: now, pending });
         self.out.insert((part, number), attempt);
         let first = first.filter(|_| p.second);
-        let dispatch = Dispatch { attempt, job, shard: p.shard, first, wait };
+        let dispatch = Dispatch { attempt, job, shard: p.shard, first, most: p.most, wait };
+        if let Some((id, _)) = place {
+            self.planner.on_sent(now, id, p.shard.0, f64::from(pending));
+        }
         let room = self.settings.layout.parts_a_call.max(1) as usize;
         match calls.last.get(&server).map(|&i| &mut calls.all[i].1) {
             Some(call) if call.len() < room => call.push(dispatch),
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -92,23 +92,40 @@
                 job: Rc::new(request.job),
                 parts: Vec::with_capacity(request.parts.len()),
                 first: None,
+                top: request.top,
+                left_out: Vec::new(),
+                doubt: false,
             },
         );
         self.held += 1;
+        let two_steps = self.settings.classes[request.class].second_step > 0;
+        if two_steps && self.planner.plans(request.class) {
+            let parts: Vec<(u32, f64)> = request.parts.iter().map(|p| (p.0 .0, p.1)).collect();
+            self.planner.on_query(now, id, request.class, &parts);
+        }
         for (shard, weight) in request.parts {
-            self.add_part(id, shard, weight, false);
+            self.add_part(id, shard, weight, false, None);
         }
         Ok(id)
     }
 
     /// Adds a part to a query that is held; the module hears of it in the next turn.
-    pub(super) fn add_part(&mut self, query: QueryId, shard: Shard, weight: f64, second: bool) {
+    pub(super) fn add_part(
+        &mut self,
+        query: QueryId,
+        shard: Shard,
+        weight: f64,
+        second: bool,
+        most: Option<usize>,
+    ) -> Option<PartId> {
         let part = PartId(self.new_id());
-        let Some(q) = self.queries.get_mut(&query) else { return };
+        let q = self.queries.get_mut(&query)?;
         self.parts.insert(part, (query, q.parts.len()));
-        q.parts.push(Part { id: part, shard, weight, second, attempts: 0, value: None });
+        let (value, proved) = (None, false);
+        q.parts.push(Part { id: part, shard, weight, second, attempts: 0, value, most, proved });
         self.held += 1;
         self.inbox.push(Event::Part { part, number: q.number, shard, weight });
+        Some(part)
     }
 
     /// The client of a query has left: there is nobody to answer.
@@ -122,6 +139,7 @@
     pub(super) fn release(&mut self, query: QueryId) -> Option<Query<J>> {
         let q = self.queries.remove(&query)?;
         self.deadlines.remove(&(q.deadline, query));
+        self.planner.on_end(query);
         self.held -= 1 + q.parts.len();
         self.bytes -= q.parts.iter().filter_map(|p| p.value.as_ref()).map(|v| v.bytes.len()).sum::<usize>();
         for part in &q.parts {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,16 +2,20 @@
 //! data nodes. It knows no wire: a front hands in a [`Request`] with a job of its own kind, the upstream of the
 //! same kind carries out [`Command::Send`], and the answer goes back as a [`Reply`].
 //!
-//! A query goes through `intake`, `dispatch`, `collect` and `answer`, one file each. Time is an argument.
+//! A query goes through `intake`, `dispatch`, `collect` and `answer`, one file each; `phases` asks the planner of
+//! queries of two steps. Time is an argument.
 
 mod answer;
 mod collect;
 mod dispatch;
 mod intake;
+mod phases;
 #[cfg(test)]
 mod tests;
 
 use crate::contract::Contracts;
+use crate::decide::phases::prune::{Key, Way};
+use crate::decide::phases::Planner;
 use crate::interface::{Event, Listing, Micros, PartId, QueryId, ServerId, Settings, Shard, Time};
 use crate::policy::Coordinator;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -34,6 +38,9 @@
     pub team: Option<String>,
     /// Its shards, each with the weight of its part.
     pub parts: Vec<(Shard, f64)>,
+    /// Set where only the first so many elements are wanted, in that order of their keys: the second step then goes to
+    /// the shards that can have any of them.
+    pub top: Option<(usize, Way)>,
     /// What front and upstream know of it.
     pub job: J,
 }
@@ -45,6 +52,17 @@
     pub score: f64,
     /// Its bytes, unchanged.
     pub bytes: Vec<u8>,
+    /// Where the answer is sorted: what its elements are sorted by.
+    pub offer: Option<Offer>,
+}
+
+/// The elements of a value, where an answer is sorted.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Offer {
+    /// Their keys, in the order of the value.
+    pub keys: Vec<Key>,
+    /// Elements that the shard has in all, where it told.
+    pub matched: Option<u64>,
 }
 
 /// The final answer of a query.
@@ -56,6 +74,8 @@
         whole: bool,
         /// The parts that are in.
         values: Vec<(Shard, Value)>,
+        /// Shards of which something is missing.
+        gaps: Vec<Shard>,
     },
     /// Turned away: asking again is harmless, after this long where advice is given.
     Refused(Option<Micros>),
@@ -83,6 +103,8 @@
     pub shard: Shard,
     /// Set for parts of the second step.
     pub first: Option<Rc<FirstStep>>,
+    /// Elements that are asked for, in the second step of a sorted answer.
+    pub most: Option<usize>,
     /// How long its answer will be waited for.
     pub wait: Micros,
 }
@@ -111,6 +133,16 @@
     second: bool,
     attempts: u16,
     value: Option<Value>,
+    /// Elements that are asked for, in the second step of a sorted answer.
+    most: Option<usize>,
+    /// It was proved to be unneeded: it counts as in.
+    proved: bool,
+}
+
+impl Part {
+    fn is_in(&self) -> bool {
+        self.value.is_some() || self.proved
+    }
 }
 
 struct Query<J> {
@@ -121,6 +153,11 @@
     parts: Vec<Part>,
     /// Set once the first of two steps has been answered.
     first: Option<Rc<FirstStep>>,
+    top: Option<(usize, Way)>,
+    /// Shards that the second step leaves out for time.
+    left_out: Vec<Shard>,
+    /// What its answer rests on has proved wrong: it is not whole.
+    doubt: bool,
 }
 
 struct Attempt {
@@ -128,6 +165,8 @@
     number: u16,
     server: ServerId,
     sent: Time,
+    /// Own parts out at the server when it was sent.
+    pending: u32,
 }
 
 /// The core of one service: its decision module and the books of what is held.
@@ -135,6 +174,13 @@
     settings: Settings,
     contracts: Contracts,
     module: Coordinator,
+    planner: Planner,
+    /// Whether the planner's reasons are logged.
+    explain: bool,
+    /// Log lines for the next turn.
+    lines: Vec<String>,
+    /// Own parts out at each server.
+    load: HashMap<ServerId, u32>,
     inbox: Vec<Event>,
     queries: BTreeMap<QueryId, Query<J>>,
     /// Queries by the end of their clients' patience.
@@ -170,6 +216,10 @@
             module: Coordinator::new(seed, settings.clone()),
             settings,
             contracts,
+            planner: Planner::default(),
+            explain: false,
+            lines: Vec::new(),
+            load: HashMap::new(),
             inbox: Vec::new(),
             queries: BTreeMap::new(),
             deadlines: BTreeSet::new(),
@@ -187,6 +237,11 @@
         }
     }
 
+    /// Plans queries of two steps with this planner; `explain`: its reasons are logged.
+    pub fn plan_by(&mut self, planner: Planner, explain: bool) {
+        (self.planner, self.explain) = (planner, explain);
+    }
+
     /// The settings that it works by.
     #[must_use]
     pub fn settings(&self) -> &Settings {
@@ -213,7 +268,7 @@
             return Some(soonest);
         }
         let overdue = self.deadlines.first().map(|d| d.0);
-        [self.wake, overdue].into_iter().flatten().min().map(|at| at.max(soonest))
+        [self.wake, overdue, self.planner.next()].into_iter().flatten().min().map(|at| at.max(soonest))
     }
 
     /// Hands all that has come to the module in one go and tells what is to be done.
@@ -225,9 +280,12 @@
         }
         let (mut actions, mut commands) = (Vec::new(), Vec::new());
         self.end_overdue(now, &mut commands);
+        let verdicts = self.planner.on_time(now);
+        self.heed(verdicts);
         let events = std::mem::take(&mut self.inbox);
         self.module.turn(now, events, &mut actions);
         self.carry_out(now, actions, &mut commands);
+        commands.extend(self.lines.drain(..).map(Command::Log));
         commands
     }
 }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::interface::{
-    Action, Budget, Class, Cold, Discovery, Layout, Limits, Listed, Mode, Outcome, Repeat,
+    Action, Budget, Class, Cold, Discovery, Layout, Limits, Listed, Mode, Outcome, Repeat, FIRST_SHARE,
 };
 
 const MS: Micros = 1_000;
@@ -19,6 +19,7 @@
         floor: 0.5,
         partial: 0.8,
         second_step,
+        first_share: FIRST_SHARE,
     };
     Settings {
         classes: vec![class],
@@ -66,12 +67,14 @@
 
     fn take_parts(&mut self, parts: Vec<(Shard, f64)>) -> Result<QueryId, Refusal> {
         let deadline = self.now.plus(2_000 * MS);
-        let request = Request { class: 0, deadline, key: 0, again: false, team: None, parts, job: "job" };
+        let request =
+            Request { class: 0, deadline, key: 0, again: false, team: None, parts, top: None, job: "job" };
         self.core.take(self.now, request)
     }
 
     fn end(&mut self, attempt: u64, outcome: Outcome, score: f64) {
-        let value = (outcome == Outcome::Ok).then(|| Value { score, bytes: vec![attempt as u8] });
+        let value =
+            (outcome == Outcome::Ok).then(|| Value { score, bytes: vec![attempt as u8], offer: None });
         self.core.ended(self.now, attempt, outcome, value);
     }
 }
@@ -118,7 +121,7 @@
         stage.end(send.attempt, Outcome::Error, 0.0); // Only the first end counts.
     }
     let answered = replies(&stage.turn());
-    let [Reply::Served { whole: true, values }] = &answered[..] else { panic!("{answered:?}") };
+    let [Reply::Served { whole: true, values, .. }] = &answered[..] else { panic!("{answered:?}") };
     assert_eq!(values.iter().map(|v| v.0).collect::<Vec<_>>(), [Shard(0), Shard(1)]);
     assert_eq!((stage.core.held, stage.core.attempts.len(), stage.core.out.len()), (0, 0, 0));
     assert_eq!(stage.core.bytes, 0);
@@ -189,7 +192,7 @@
         stage.end(send.attempt, Outcome::Ok, 0.0);
     }
     let answered = replies(&stage.turn());
-    let [Reply::Served { whole: true, values }] = &answered[..] else { panic!("{answered:?}") };
+    let [Reply::Served { whole: true, values, .. }] = &answered[..] else { panic!("{answered:?}") };
     assert_eq!(values.len(), 2, "the values of the second step alone");
 }
 
@@ -201,13 +204,13 @@
     stage.end(send.attempt, Outcome::Ok, 0.0);
     let mut commands = Vec::new();
     // The module never does this: the guard is what is tested.
-    stage.core.answer(query, true, &mut commands);
+    stage.core.answer(Time(1), query, true, &mut commands);
     let answered = replies(&commands);
-    assert!(matches!(&answered[..], [Reply::Served { whole: false, values }] if values.len() == 1));
+    assert!(matches!(&answered[..], [Reply::Served { whole: false, values, .. }] if values.len() == 1));
     let query = stage.take(&[0, 1]).unwrap();
     stage.turn();
     let mut commands = Vec::new();
-    stage.core.answer(query, true, &mut commands);
+    stage.core.answer(Time(1), query, true, &mut commands);
     assert_eq!(replies(&commands), [Reply::Failed], "nothing from less than the floor");
 }
 
@@ -252,7 +255,7 @@
     let mut stage = Stage::new(0);
     let query = stage.take(&[0, 1]).unwrap();
     let send = sends(&stage.turn());
-    let large = |bytes: usize| Some(Value { score: 0.0, bytes: vec![0; bytes] });
+    let large = |bytes: usize| Some(Value { score: 0.0, bytes: vec![0; bytes], offer: None });
     stage.core.ended(stage.now, send[0].attempt, Outcome::Ok, large(MEMORY / 4));
     stage.core.ended(stage.now, send[1].attempt, Outcome::Ok, large(1));
     assert!(replies(&stage.turn()).is_empty(), "the second part has to be asked for again");
--- /dev/null
+++ b/src/decide/phases/learn.rs
@@ -0,0 +1,202 @@
+//! What was learnt of the times of parts: decaying quantiles, scaled by how much was pending where a part went.
+
+use crate::interface::{Micros, Time};
+use hdrhistogram::Histogram;
+
+/// Points of the table of quantiles.
+const POINTS: usize = 64;
+/// A generation of samples ends after so many, or so long (microseconds), and is forgotten one generation later.
+const GENERATION: u64 = 2_000;
+const GENERATION_TIME: Micros = 15_000_000;
+/// The table is made anew after so many samples, or so long with any.
+const STALE: u64 = 32;
+const STALE_TIME: Micros = 250_000;
+/// Fewer samples than this tell nothing.
+const LEAST: u64 = 20;
+/// Parts that a server is taken to work on at once beside those that wait, as in the module's forecast.
+pub const AT_ONCE: f64 = 2.0;
+/// Longest time that is told apart, microseconds.
+const LONGEST: u64 = 600_000_000;
+/// No time is so long that a part is certain to have ended.
+const SURE: f64 = 0.999;
+
+/// Times of the parts of one class and phase.
+pub struct Learnt {
+    recent: Histogram<u32>,
+    older: Histogram<u32>,
+    since: Time,
+    /// Time at each of the quantiles 0, 1/64, ... 1.
+    table: [f64; POINTS + 1],
+    made: Time,
+    unseen: u64,
+    count: u64,
+}
+
+fn histogram() -> Histogram<u32> {
+    // Two digits are more than a forecast of milliseconds can use. The bounds are sound, so that it never fails.
+    Histogram::new_with_bounds(1, LONGEST, 2).unwrap_or_else(|e| unreachable!("bounds of a histogram: {e}"))
+}
+
+impl Default for Learnt {
+    fn default() -> Self {
+        Learnt {
+            recent: histogram(),
+            older: histogram(),
+            since: Time(0),
+            table: [0.0; POINTS + 1],
+            made: Time(0),
+            unseen: 0,
+            count: 0,
+        }
+    }
+}
+
+impl Learnt {
+    /// A part took so long at a server that had `pending` parts of this broker when it was sent.
+    pub fn add(&mut self, now: Time, took: Micros, pending: f64) {
+        if self.recent.len() >= GENERATION
+            || now.since(self.since) >= GENERATION_TIME && !self.recent.is_empty()
+        {
+            std::mem::swap(&mut self.recent, &mut self.older);
+            self.recent.reset();
+            self.since = now;
+        }
+        self.recent.saturating_record(((took as f64 / (pending + AT_ONCE)) as u64).max(1));
+        self.unseen += 1;
+        self.count = self.recent.len() + self.older.len();
+    }
+
+    /// A part was given up after so long without an answer: it counts only where that is long already, or those that
+    /// were given up early would make all look quick.
+    pub fn add_unanswered(&mut self, now: Time, after: Micros, pending: f64) {
+        if self.known() && self.share_within(now, after, pending) > 0.5 {
+            self.add(now, after, pending);
+        }
+    }
+
+    /// Whether there are enough samples to tell anything.
+    #[must_use]
+    pub fn known(&self) -> bool {
+        self.count >= LEAST
+    }
+
+    /// Makes the table anew if it is out of date.
+    fn refresh(&mut self, now: Time) {
+        let stale = self.unseen >= STALE || self.unseen > 0 && now.since(self.made) >= STALE_TIME;
+        if !stale {
+            return;
+        }
+        (self.unseen, self.made) = (0, now);
+        let (mut recent, mut older) =
+            (self.recent.iter_recorded().peekable(), self.older.iter_recorded().peekable());
+        let (total, mut seen, mut point) = (self.count as f64, 0.0, 0);
+        loop {
+            let next = match (recent.peek(), older.peek()) {
+                (Some(a), Some(b)) if a.value_iterated_to() <= b.value_iterated_to() => recent.next(),
+                (Some(_), None) => recent.next(),
+                _ => older.next(),
+            };
+            let Some(next) = next else { break };
+            seen += next.count_since_last_iteration() as f64;
+            while point <= POINTS && seen >= total * point as f64 / POINTS as f64 {
+                self.table[point] = next.value_iterated_to() as f64;
+                point += 1;
+            }
+        }
+        let last = self.table[point.saturating_sub(1)];
+        self.table[point.min(POINTS + 1)..].fill(last);
+    }
+
+    /// Share of parts that end within so long at a server with so many pending, from 0 to just under 1.
+    pub fn share_within(&mut self, now: Time, within: Micros, pending: f64) -> f64 {
+        self.refresh(now);
+        self.share(within as f64 / (pending + AT_ONCE))
+    }
+
+    /// The same of a part that has been out for `out` without an answer: it ends within `within` from now.
+    pub fn share_within_after(&mut self, now: Time, out: Micros, within: Micros, pending: f64) -> f64 {
+        let (by_now, by_then) =
+            (self.share_within(now, out, pending), self.share_within(now, out + within, pending));
+        // Guards against a part that is out for longer than any was: it may be lost.
+        if by_now >= SURE {
+            return 0.0;
+        }
+        (by_then - by_now) / (1.0 - by_now)
+    }
+
+    /// Time within which this share of parts ends at a server with so many pending; microseconds.
+    pub fn quantile(&mut self, now: Time, share: f64, pending: f64) -> Micros {
+        self.refresh(now);
+        let place = share.clamp(0.0, 1.0) * POINTS as f64;
+        let (at, rest) = (place as usize, place.fract());
+        let (low, high) = (self.table[at], self.table[(at + 1).min(POINTS)]);
+        ((low + (high - low) * rest) * (pending + AT_ONCE)) as Micros
+    }
+
+    fn share(&self, time: f64) -> f64 {
+        let above = self.table.partition_point(|&t| t <= time);
+        if above == 0 {
+            return 0.0;
+        }
+        if above > POINTS {
+            return SURE;
+        }
+        let (low, high) = (self.table[above - 1], self.table[above]);
+        ((above as f64 - 1.0 + (time - low) / (high - low).max(1.0)) / POINTS as f64).min(SURE)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Micros = 1_000;
+
+    fn learnt() -> Learnt {
+        let mut learnt = Learnt::default();
+        // From 1 to 100 ms, evenly, at servers with nothing pending.
+        (1..=100).for_each(|i| learnt.add(Time(i * MS), i * MS, 0.0));
+        learnt
+    }
+
+    #[test]
+    fn shares_and_quantiles_are_those_of_the_samples() {
+        let (mut learnt, now) = (learnt(), Time(200 * MS));
+        for (within, share) in [(25, 0.25), (50, 0.5), (90, 0.9)] {
+            assert!((learnt.share_within(now, within * MS, 0.0) - share).abs() < 0.03, "{within} ms");
+            let back = learnt.quantile(now, share, 0.0) as f64 / MS as f64;
+            assert!((back - within as f64).abs() < 3.0, "{back} ms for {share}");
+        }
+        assert_eq!(learnt.share_within(now, 0, 0.0), 0.0);
+        assert!(learnt.share_within(now, 500 * MS, 0.0) < 1.0, "nothing is certain");
+    }
+
+    #[test]
+    fn what_is_pending_makes_it_longer_and_waiting_tells_something() {
+        let (mut learnt, now) = (learnt(), Time(200 * MS));
+        assert!((learnt.share_within(now, 100 * MS, 2.0) - 0.5).abs() < 0.03, "twice as long");
+        let after = learnt.share_within_after(now, 50 * MS, 25 * MS, 0.0);
+        assert!((after - 0.5).abs() < 0.05, "half of those left: {after}");
+        assert_eq!(learnt.share_within_after(now, 500 * MS, 25 * MS, 0.0), 0.0, "longer than any");
+    }
+
+    #[test]
+    fn old_samples_fade_and_few_tell_nothing() {
+        let mut learnt = Learnt::default();
+        (0..19).for_each(|i| learnt.add(Time(i), 10 * MS, 0.0));
+        assert!(!learnt.known());
+        for i in 0..4 * GENERATION {
+            learnt.add(Time(i), if i < 2 * GENERATION { 10 * MS } else { 80 * MS }, 0.0);
+        }
+        assert!(learnt.share_within(Time(9), 40 * MS, 0.0) < 0.01, "the first ones are forgotten");
+    }
+
+    #[test]
+    fn parts_given_up_count_only_when_they_were_late() {
+        let mut learnt = learnt();
+        (0..100).for_each(|_| learnt.add_unanswered(Time(200 * MS), 10 * MS, 0.0));
+        assert!((learnt.share_within(Time(900 * MS), 50 * MS, 0.0) - 0.5).abs() < 0.03);
+        (0..100).for_each(|_| learnt.add_unanswered(Time(900 * MS), 400 * MS, 0.0));
+        assert!(learnt.share_within(Time(1_900 * MS), 100 * MS, 0.0) < 0.6);
+    }
+}
--- /dev/null
+++ b/src/decide/phases/prune.rs
@@ -0,0 +1,326 @@
+//! Pruning by bounds: a slice that can't change the first `k` of a sorted answer is left out, and that is proved.
+//!
+//! Each slice's first answer is its best element, which bounds all that it has: the sorted access of the threshold
+//! algorithm (Fagin, Lotem and Naor, "Optimal aggregation algorithms for middleware", 2001), stopped after one round
+//! as TPUT does with its first phase (Cao and Wang, "Efficient top-k query processing in distributed networks", 2004).
+//! Elements are ordered by key, then by slice, then as the slice gives them. Of a slice whose best has `r` elements of
+//! other slices before it, `k - r` elements can matter; with `r >= k - 1` none but the best itself.
+
+use std::cmp::Ordering;
+
+/// What elements are sorted by.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Key {
+    /// A number; one that is none can't be compared.
+    Number(f64),
+    /// A text, compared by its code points.
+    Text(String),
+    /// No value: after all that have one, whichever way is sorted.
+    Missing,
+}
+
+/// Which way is sorted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// The smallest first.
+    Up,
+    /// The largest first.
+    Down,
+}
+
+impl Key {
+    /// The order of two keys; `None`: they can't be compared.
+    #[must_use]
+    pub fn compare(&self, other: &Key, way: Way) -> Option<Ordering> {
+        let order = match (self, other) {
+            (Key::Missing, Key::Missing) => return Some(Ordering::Equal),
+            (Key::Missing, _) => return Some(Ordering::Greater),
+            (_, Key::Missing) => return Some(Ordering::Less),
+            (Key::Number(a), Key::Number(b)) => a.partial_cmp(b)?,
+            (Key::Text(a), Key::Text(b)) => a.cmp(b),
+            _ => return None,
+        };
+        Some(if way == Way::Up { order } else { order.reverse() })
+    }
+}
+
+/// What a slice has told by its first answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bound {
+    /// The slice's number.
+    pub slice: u32,
+    /// Keys of the elements that it gave, the best first.
+    pub keys: Vec<Key>,
+    /// Elements that it has in all, where it told.
+    pub matched: Option<u64>,
+}
+
+impl Bound {
+    /// Whether all that the slice has is here.
+    fn exhausted(&self) -> bool {
+        self.matched == Some(self.keys.len() as u64)
+    }
+}
+
+/// Why a slice is asked again or not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// It may have so many elements among the first `k`, its best included.
+    Elements(usize),
+    /// Its best can't be compared: nothing is proved of it, and all `k` are asked for.
+    Unknown,
+    /// Enough elements of other slices come before its best, or all but that one.
+    Beaten,
+    /// It has no more than it gave.
+    Exhausted,
+}
+
+/// The slices of a sorted answer, as far as they are known.
+#[derive(Clone, Debug)]
+pub struct Race {
+    k: usize,
+    way: Way,
+    slices: Vec<Bound>,
+}
+
+impl Race {
+    /// A race for the first `k` elements.
+    #[must_use]
+    pub fn new(k: usize, way: Way) -> Race {
+        Race { k, way, slices: Vec::new() }
+    }
+
+    /// Elements that are asked for.
+    #[must_use]
+    pub fn k(&self) -> usize {
+        self.k
+    }
+
+    /// A slice has told its best.
+    pub fn enter(&mut self, bound: Bound) {
+        self.slices.push(bound);
+    }
+
+    /// A slice has told more. `Err`: it gave something better than its best, or what can't be compared with it; the
+    /// bound was wrong, and nothing that rests on it is proved.
+    pub fn tell(&mut self, slice: u32, keys: Vec<Key>, matched: Option<u64>) -> Result<(), WrongBound> {
+        let Some(known) = self.slices.iter_mut().find(|s| s.slice == slice) else { return Ok(()) };
+        let way = self.way;
+        let sorted = |keys: &[Key]| {
+            keys.windows(2)
+                .all(|w| matches!(w[0].compare(&w[1], way), Some(Ordering::Less | Ordering::Equal)))
+        };
+        let sound = match (known.keys.first(), keys.first()) {
+            (Some(bound), Some(best)) => {
+                matches!(bound.compare(best, way), Some(Ordering::Less | Ordering::Equal)) && sorted(&keys)
+            }
+            (None, Some(_)) => false,
+            _ => true,
+        };
+        // Of a slice that gives less than before, what it gave first still stands.
+        if keys.len() >= known.keys.len() {
+            (known.keys, known.matched) = (keys, matched.or(known.matched));
+        }
+        if sound {
+            Ok(())
+        } else {
+            Err(WrongBound { slice })
+        }
+    }
+
+    /// Elements of other slices that come before the best of this one; `None`: some can't be compared.
+    fn before(&self, of: &Bound) -> Option<usize> {
+        let best = of.keys.first()?;
+        let mut count = 0;
+        for other in self.slices.iter().filter(|s| s.slice != of.slice) {
+            for key in &other.keys {
+                match key.compare(best, self.way)? {
+                    Ordering::Less => count += 1,
+                    Ordering::Equal if other.slice < of.slice => count += 1,
+                    _ => break,
+                }
+            }
+        }
+        Some(count)
+    }
+
+    fn judge(&self, of: &Bound, before: Option<usize>) -> Reach {
+        match (of.exhausted() || of.matched == Some(0), before) {
+            (true, _) => Reach::Exhausted,
+            (false, None) => Reach::Unknown,
+            (false, Some(before)) if before + 1 >= self.k => Reach::Beaten,
+            (false, Some(before)) => Reach::Elements(self.k - before),
+        }
+    }
+
+    /// What a slice can still give.
+    #[must_use]
+    pub fn reach(&self, slice: u32) -> Reach {
+        let Some(of) = self.slices.iter().find(|s| s.slice == slice) else { return Reach::Unknown };
+        self.judge(of, self.before(of))
+    }
+
+    /// What each slice can still give, the best first; one sort instead of a count for each slice.
+    #[must_use]
+    pub fn reaches(&self) -> Vec<(u32, Reach)> {
+        let comparable =
+            |key: &Key| self.slices.iter().flat_map(|s| &s.keys).all(|k| k.compare(key, self.way).is_some());
+        let first = self.slices.iter().find_map(|s| s.keys.first());
+        let sound = first.is_none_or(|key| comparable(key) && key.compare(key, self.way).is_some());
+        let mut order: Vec<&Bound> = self.slices.iter().collect();
+        if !sound {
+            // Some key is of another kind: each slice is judged by itself.
+            return order.into_iter().map(|s| (s.slice, self.judge(s, self.before(s)))).collect();
+        }
+        let by = |a: &Key, b: &Key| a.compare(b, self.way).unwrap_or(Ordering::Equal);
+        order.sort_by(|a, b| match (a.keys.first(), b.keys.first()) {
+            (Some(x), Some(y)) => by(x, y).then(a.slice.cmp(&b.slice)),
+            (x, y) => y.is_some().cmp(&x.is_some()).then(a.slice.cmp(&b.slice)),
+        });
+        // Elements in order; of each slice the first is its best, and what lies before it in the list counts.
+        let mut all: Vec<(Key, u32, bool)> = Vec::new();
+        for s in &self.slices {
+            all.extend(s.keys.iter().enumerate().map(|(i, k)| (k.clone(), s.slice, i == 0)));
+        }
+        all.sort_by(|a, b| by(&a.0, &b.0).then(a.1.cmp(&b.1)));
+        let mut before = std::collections::BTreeMap::new();
+        for (i, (_, slice, is_best)) in all.iter().enumerate() {
+            if *is_best {
+                before.entry(*slice).or_insert(i);
+            }
+        }
+        let judged = order.into_iter().map(|s| {
+            let known = if s.keys.is_empty() { None } else { before.get(&s.slice).copied() };
+            debug_assert_eq!(known, self.before(s), "slice {}: the sort and the count agree", s.slice);
+            (s.slice, self.judge(s, known))
+        });
+        judged.collect()
+    }
+}
+
+/// A slice gave something better than its bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WrongBound {
+    /// The slice.
+    pub slice: u32,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn race(k: usize, way: Way, slices: &[&[f64]], first: usize) -> Race {
+        let mut race = Race::new(k, way);
+        for (slice, all) in (0..).zip(slices) {
+            let keys = all.iter().take(first).map(|&n| Key::Number(n)).collect();
+            race.enter(Bound { slice, keys, matched: Some(all.len() as u64) });
+        }
+        race
+    }
+
+    #[test]
+    fn slices_that_cannot_change_the_first_k_are_beaten_ties_by_slice() {
+        let slices: [&[f64]; 5] = [&[5.0, 1.0], &[9.0, 8.0], &[5.0, 4.0], &[7.0], &[]];
+        let race = race(3, Way::Down, &slices, 1);
+        let reaches = race.reaches();
+        assert_eq!(
+            reaches,
+            [
+                (1, Reach::Elements(3)),
+                (3, Reach::Exhausted),
+                (0, Reach::Beaten), // Its best is the third: nothing else of it can be.
+                (2, Reach::Beaten), // As good, but of a later slice.
+                (4, Reach::Exhausted),
+            ]
+        );
+        assert!(reaches.iter().all(|&(slice, reach)| race.reach(slice) == reach));
+    }
+
+    #[test]
+    fn bounds_that_are_missing_or_no_numbers_prove_nothing() {
+        for odd in [Key::Number(f64::NAN), Key::Text("many".into())] {
+            let mut race = race(1, Way::Up, &[&[1.0, 2.0], &[3.0, 4.0]], 1);
+            race.enter(Bound { slice: 2, keys: vec![odd], matched: None });
+            assert_eq!(race.reach(2), Reach::Unknown);
+            assert_eq!(race.reach(1), Reach::Unknown, "not even of others");
+            assert!(race.reaches().iter().all(|r| r.1 == Reach::Unknown));
+        }
+        let mut race = race(2, Way::Down, &[&[3.0, 2.0], &[1.0, 0.0]], 1);
+        race.enter(Bound { slice: 2, keys: Vec::new(), matched: None });
+        assert_eq!(race.reach(2), Reach::Unknown, "it told neither its best nor how many");
+        race.enter(Bound { slice: 3, keys: vec![Key::Missing], matched: Some(9) });
+        assert_eq!(race.reach(3), Reach::Beaten, "no value comes after all values");
+    }
+
+    #[test]
+    fn a_slice_that_gives_more_than_its_bound_is_found_out() {
+        let mut race = race(5, Way::Down, &[&[3.0, 2.0, 1.0], &[2.0, 1.0]], 1);
+        let keys = |all: &[f64]| all.iter().map(|&n| Key::Number(n)).collect::<Vec<_>>();
+        assert_eq!(race.tell(0, keys(&[3.0, 2.0, 1.0]), Some(3)), Ok(()));
+        assert_eq!(race.tell(1, keys(&[4.0, 1.0]), Some(2)), Err(WrongBound { slice: 1 }));
+        assert_eq!(race.tell(1, keys(&[2.0, 2.5]), Some(2)), Err(WrongBound { slice: 1 }), "not sorted");
+    }
+
+    #[test]
+    fn what_comes_in_beats_slices_that_are_still_out() {
+        let mut race = race(3, Way::Up, &[&[1.0, 1.1, 1.2, 9.0], &[2.0, 3.0], &[4.0, 5.0]], 1);
+        assert_eq!(race.reach(1), Reach::Elements(2));
+        let keys = [1.0, 1.1, 1.2].map(Key::Number).to_vec();
+        race.tell(0, keys, Some(4)).unwrap();
+        assert_eq!(race.reach(1), Reach::Beaten);
+    }
+
+    /// The first `k` of all slices, as one big server would give them.
+    fn whole(slices: &[Vec<u8>], k: usize, way: Way) -> Vec<(u8, u32)> {
+        let mut all: Vec<(u8, u32)> =
+            (0..).zip(slices).flat_map(|(s, keys)| keys.iter().map(move |&k| (k, s))).collect();
+        all.sort_by(|a, b| {
+            let order = a.0.cmp(&b.0);
+            (if way == Way::Up { order } else { order.reverse() }).then(a.1.cmp(&b.1))
+        });
+        all.truncate(k);
+        all
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+        #[test]
+        fn the_pruned_first_k_are_those_of_all_slices(
+            mut slices in prop::collection::vec(prop::collection::vec(0u8..20, 0..8), 1..12),
+            k in 1usize..12,
+            down: bool,
+            told: bool,
+        ) {
+            let way = if down { Way::Down } else { Way::Up };
+            for keys in &mut slices {
+                keys.sort_unstable();
+                if down { keys.reverse() }
+            }
+            let key = |&n: &u8| Key::Number(f64::from(n));
+            let mut race = Race::new(k, way);
+            for (slice, all) in (0..).zip(&slices) {
+                let matched = (told || all.is_empty()).then_some(all.len() as u64);
+                race.enter(Bound { slice, keys: all.iter().take(1).map(key).collect(), matched });
+            }
+            let mut found: Vec<Vec<u8>> = slices.iter().map(|s| s.iter().take(1).copied().collect()).collect();
+            let mut asked = 0;
+            for (slice, _) in race.reaches() {
+                // Judged again as answers come in.
+                let most = match race.reach(slice) {
+                    Reach::Elements(most) => most,
+                    Reach::Unknown => k,
+                    Reach::Beaten | Reach::Exhausted => continue,
+                };
+                asked += 1;
+                let all = &slices[slice as usize];
+                let given: Vec<u8> = all.iter().take(most).copied().collect();
+                race.tell(slice, given.iter().map(key).collect(), Some(all.len() as u64)).unwrap();
+                found[slice as usize] = given;
+            }
+            prop_assert_eq!(whole(&found, k, way), whole(&slices, k, way));
+            prop_assert!(asked <= k.min(slices.len()), "never more than k slices");
+        }
+    }
+}
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -378,6 +378,7 @@
                 again: false,
                 team: request.header("req-owner").map(str::to_string),
                 parts: job.targets.keys().map(|&shard| (Shard(shard), weight)).collect(),
+                top: None,
                 job,
             }),
             context,
@@ -509,7 +510,7 @@
 
     fn word(&mut self, context: Context, reply: Reply) -> Response {
         match reply {
-            Reply::Served { whole, values } => word(context, whole, &values),
+            Reply::Served { whole, values, .. } => word(context, whole, &values),
             Reply::Refused(after) => come_back(503, "Refused", after),
             Reply::Failed => problem(504, "Given up", "the data nodes did not answer in time"),
         }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -126,6 +126,7 @@
             again: request.header("req-retry") == Some("1"),
             team: request.header("req-owner").map(str::to_string),
             parts: body.segments.iter().map(|s| (Shard(s.segment), s.boost)).collect(),
+            top: None,
             job: Job { id: id.to_string(), text: body.text, key: key.filter(|_| keyed).map(Into::into) },
         })
     }
@@ -182,7 +183,7 @@
 
     fn word(&mut self, (): (), reply: Reply) -> Response {
         match reply {
-            Reply::Served { whole, values } => {
+            Reply::Served { whole, values, .. } => {
                 let matches = values
                     .iter()
                     .map(|(shard, value)| Match {
@@ -331,8 +332,8 @@
 
     #[test]
     fn answers_are_worded_as_documented() {
-        let values = vec![(Shard(3), Value { score: 1.0, bytes: b"5be2".to_vec() })];
-        let served = front().word((), Reply::Served { whole: false, values });
+        let values = vec![(Shard(3), Value { score: 1.0, bytes: b"5be2".to_vec(), offer: None })];
+        let served = front().word((), Reply::Served { whole: false, values, gaps: Vec::new() });
         assert_eq!(served.status, 200);
         assert_eq!(served.body, br#"{"all_in":false,"matches":[{"segment":3,"payload":"5be2"}]}"#);
         let refused = front().word((), Reply::Refused(Some(734_000)));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -55,6 +55,9 @@
     Unsafe,
 }
 
+/// Share of the aim that the first of two steps may take where nothing else is set.
+pub const FIRST_SHARE: f64 = 0.6;
+
 /// One class of queries.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -76,6 +79,8 @@
     pub partial: f64,
     /// Parts of the second step; 0 where there is none.
     pub second_step: u32,
+    /// Share of the aim that the first of two steps may take (0 to 1).
+    pub first_share: f64,
 }
 
 /// Limit on attempts beyond each part's first.
@@ -181,6 +186,7 @@
             floor: 1.0,
             partial: 0.0,
             second_step: 0,
+            first_share: FIRST_SHARE,
         };
         Settings {
             classes: vec![class],
@@ -305,6 +311,12 @@
     },
     /// The client of a query has left.
     Hangup(QueryId),
+    /// The first step of a query is to be answered from what is in, if that is enough.
+    Close(QueryId),
+    /// A query is to get its final answer now, without one.
+    GiveUp(QueryId),
+    /// A part was proved to be unneeded: it counts as answered.
+    Unneeded(PartId),
     /// An attempt has ended.
     Finished {
         /// The part.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod contract;
 pub mod core;
+pub mod decide;
 pub mod discovery;
 pub mod front;
 pub mod http;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,7 +11,7 @@
     Action, Budget, Class, Discovery, Event, Listed, Listing, Micros, Mode, Outcome, PartId, QueryId, Repeat,
     ServerId, Settings, Shard, Time,
 };
-use crate::stats::{faded, Aged, Agenda, Bid, Dice, Fading, Wanted, WindowCount};
+use crate::stats::{faded, Aged, Agenda, Bid, Call, Dice, Fading, Wanted, WindowCount};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // ---- Tuned values ------------------------------------------------------------------------------------
@@ -96,16 +96,6 @@
 
 // ---- What is remembered ------------------------------------------------------------------------------
 
-/// One call to a server, or what is left of it: parts that ended unanswered keep it in the count.
-struct Call {
-    id: u64,
-    sent: Time,
-    left: u32,
-    size: u32,
-    /// Set once a part ended without an answer: the call counts until then.
-    ghost: Option<Time>,
-}
-
 #[derive(Default)]
 struct Server {
     cell: u32,
@@ -167,6 +157,8 @@
     step: u8,
     step_at: Time,
     first_whole: bool,
+    /// Its present step is to end with what is in, if that is enough.
+    closed: bool,
     /// One part goes ahead of the others until one has been answered.
     ahead: bool,
     /// Servers whose connection broke under a part of it.
@@ -346,6 +338,9 @@
                 (q.count, q.once, q.total, q.due) = (q.count + 1, q.once + 1, q.total + weight, self.now);
             }
             Event::Hangup(id) => self.forget(id, out),
+            Event::Close(id) => drop(self.queries.get_mut(&id).map(|q| (q.closed, q.due) = (true, self.now))),
+            Event::GiveUp(id) => self.give_up(id, out),
+            Event::Unneeded(part) => self.unneeded(part, out),
             Event::Finished { part, attempt, outcome, elapsed, .. } => {
                 self.finished((part, attempt), outcome, elapsed, out);
             }
@@ -367,6 +362,19 @@
         began.plus(classes[class].aim)
     }
 
+    /// A part of the present step that is not needed any more counts as answered.
+    fn unneeded(&mut self, part: PartId, out: &mut Vec<Action>) {
+        let Some(&(id, i)) = self.parts.get(&part) else { return };
+        let Some(q) = self.queries.get_mut(&id).filter(|q| q.parts[i].step == q.step) else { return };
+        if !std::mem::replace(&mut q.parts[i].done, true) {
+            q.agenda.settled(i);
+            (q.have, q.due) = (q.have + q.parts[i].weight, self.now);
+            q.once -= usize::from(q.parts[i].tries.len() < 2);
+            let losers = q.parts[i].out().filter(|_| self.set.limits.cancel);
+            out.extend(losers.map(|attempt| Action::Cancel { part, attempt }));
+        }
+    }
+
     fn finished(&mut self, tried: (PartId, u16), outcome: Outcome, elapsed: Micros, out: &mut Vec<Action>) {
         let (part, attempt) = tried;
         let Some(flight) = self.flights.remove(&tried) else { return };
@@ -574,7 +582,8 @@
         let floor = if q.step == 2 && class.floor >= class.need { 1.0 } else { class.floor };
         let need = if q.step == 2 { 1.0 } else { class.need };
         let (slack, late) = (1e-5, self.now >= self.end_of(q));
-        let short = self.now >= q.arrived.plus(self.partial_after(q)) || can + slack < need || late;
+        let short =
+            q.closed || self.now >= q.arrived.plus(self.partial_after(q)) || can + slack < need || late;
         if !none && have + slack >= need {
             return self.answer(id, true, out);
         }
@@ -617,7 +626,7 @@
     /// How long after its arrival a query is better answered in part than not yet.
     fn partial_after(&self, q: &Query) -> Micros {
         let first = q.step == 1 && self.class(q).second_step > 0;
-        scaled(self.class(q).aim, if first { FIRST_STEP } else { PARTIAL_AT })
+        scaled(self.class(q).aim, if first { self.class(q).first_share } else { PARTIAL_AT })
     }
 
     fn answer(&mut self, id: QueryId, whole: bool, out: &mut Vec<Action>) {
@@ -626,6 +635,7 @@
         if two_steps && q.step == 1 {
             (q.step, q.first_whole, q.step_at) = (2, whole, self.now);
             (q.agenda, q.count, q.once, q.total, q.have) = (Agenda::default(), 0, 0, 0.0, 0.0);
+            q.closed = false;
             q.due = self.now.plus(self.set.resolution);
             out.push(Action::Answer { query: id, whole });
             return self.cancel_open(id, out);
@@ -729,6 +739,13 @@
         near.filter_map(|cell| self.cells.get(&cell)).flatten().map(|id| (*id, &self.servers[id]))
     }
 
+    /// Own parts pending at the server that a part would go to; `None`: no server takes it now.
+    #[must_use]
+    pub fn pending_for(&self, shard: Shard, class: usize) -> Option<f64> {
+        let open = self.holders(shard).filter(|(_, s)| !self.closed(s));
+        open.min_by_key(|(_, s)| self.rank(s, class)).map(|(_, s)| pending(s))
+    }
+
     /// Whether a cold server has used up its allowance: nothing is sent, rather than push it over.
     fn closed(&self, s: &Server) -> bool {
         self.cold_tokens(s).is_some_and(|tokens| tokens < 1.0)
@@ -972,12 +989,6 @@
     }
 }
 
-impl Call {
-    fn counts(&self, now: Time) -> bool {
-        self.left > 0 || self.ghost.is_some_and(|until| until > now)
-    }
-}
-
 /// Own parts out at a server.
 fn pending(s: &Server) -> f64 {
     f64::from(s.calls.iter().map(|c| c.left).sum::<u32>())
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -83,6 +83,29 @@
     }
 }
 
+/// One call to a server, or what is left of it: parts that ended unanswered keep it in the count.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Call {
+    /// Names it; later ones are greater.
+    pub id: u64,
+    /// When it was sent.
+    pub sent: Time,
+    /// Its parts that are out, and all of them.
+    pub left: u32,
+    /// See `left`.
+    pub size: u32,
+    /// Set once a part ended without an answer: the call counts until then.
+    pub ghost: Option<Time>,
+}
+
+impl Call {
+    /// Whether it is pending.
+    #[must_use]
+    pub fn counts(&self, now: Time) -> bool {
+        self.left > 0 || self.ghost.is_some_and(|until| until > now)
+    }
+}
+
 /// Which parts of a query's step have to be looked at and when, so that nobody walks over all of them.
 #[derive(Clone, Debug, Default)]
 pub struct Agenda {
--- a/src/upstream/frames.rs
+++ b/src/upstream/frames.rs
@@ -90,7 +90,7 @@
     let (score, bytes) = (score.ok_or("answer without a score")?, rest[at + 1..].to_vec());
     // Guards clients: a value that is no text can't be passed on unchanged.
     std::str::from_utf8(&bytes).map_err(|_| "answer whose value is no text")?;
-    Ok(Answer { part: Some(part), outcome, value: Some(Value { score, bytes }), last: false })
+    Ok(Answer { part: Some(part), outcome, value: Some(Value { score, bytes, offer: None }), last: false })
 }
 
 impl Wire for Frames {
@@ -166,7 +166,7 @@
     fn dispatch(shard: u32, key: Option<&str>, first: Option<FirstStep>) -> Dispatch<Job> {
         let job = Job { id: "9b1f".into(), text: "c41e77d0".into(), key: key.map(Into::into) };
         let (job, first) = (Rc::new(job), first.map(Rc::new));
-        Dispatch { attempt: 1, job, shard: Shard(shard), first, wait: 239_500 }
+        Dispatch { attempt: 1, job, shard: Shard(shard), first, most: None, wait: 239_500 }
     }
 
     fn written(parts: &[Dispatch<Job>]) -> String {
@@ -205,7 +205,7 @@
             seen.push((found.outcome, found.value));
             Some(bytes.len() - input.bytes().len())
         });
-        let value = Value { score: 1_840_277_719.0, bytes: b"5be2a07c".to_vec() };
+        let value = Value { score: 1_840_277_719.0, bytes: b"5be2a07c".to_vec(), offer: None };
         assert!(seen.contains(&(Outcome::Ok, Some(value))) && seen.contains(&(Outcome::Rejected, None)));
     }
 
@@ -254,7 +254,7 @@
         for report in [&b"-"[..], b"{ 1, \xff \0 }", b""] {
             let mut bytes = Vec::new();
             frame(b'Y', &[b"q.3 OK 1 ", report, b"\nv"].concat(), &mut bytes);
-            let value = Some(Value { score: 1.0, bytes: b"v".to_vec() });
+            let value = Some(Value { score: 1.0, bytes: b"v".to_vec(), offer: None });
             assert_eq!(read(&bytes).unwrap().unwrap().value, value, "{report:?}");
         }
     }
--- a/src/upstream/ogc.rs
+++ b/src/upstream/ogc.rs
@@ -97,7 +97,7 @@
 }
 
 fn judge(response: Response, ask: Ask) -> (Outcome, Option<Value>) {
-    let value = |bytes| Some(Value { score: 0.0, bytes });
+    let value = |bytes| Some(Value { score: 0.0, bytes, offer: None });
     match response.status {
         200 if fits(&response.body, ask) => (Outcome::Ok, value(response.body)),
         // This slice does not have the feature: that is an answer.
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -29,7 +29,7 @@
         self.attempts += 1;
         let (attempt, shard) = (self.attempts, Shard(self.attempts as u32));
         let job = Rc::new(Job { id: "q".into(), text: text.into(), key: None });
-        let part = Dispatch { attempt, job, shard, first: None, wait: 1_000_000 };
+        let part = Dispatch { attempt, job, shard, first: None, most: None, wait: 1_000_000 };
         let address = self.listener.local_addr().unwrap();
         self.pool.send(&mut self.net, SERVER, address, vec![part]);
         attempt
@@ -123,7 +123,7 @@
     let job = Rc::new(Job::default());
     let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     assert_ne!(address, gone);
-    let part = Dispatch { attempt: 9, job, shard: Shard(0), first: None, wait: 1 };
+    let part = Dispatch { attempt: 9, job, shard: Shard(0), first: None, most: None, wait: 1 };
     stage.pool.send(&mut stage.net, SERVER, gone, vec![part]);
     assert_eq!(stage.ended(), [(9, Outcome::ConnectFailed)]);
     assert!(stage.pool.links.is_empty() && stage.pool.by_server.is_empty());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -18,6 +18,7 @@
         floor: 1.0,
         partial: 0.8,
         second_step: 0,
+        first_share: FIRST_SHARE,
     }
 }
 
