--- a/src/decide/phases/learn.rs
+++ b/src/decide/phases/learn.rs
@@ -8,8 +8,9 @@
 /// A generation of samples ends after so many, or so long (microseconds), and is forgotten one generation later.
 const GENERATION: u64 = 2_000;
 const GENERATION_TIME: Micros = 15_000_000;
-/// The table is made anew after so many samples, or so long with any.
+/// The table is made anew after so many samples, or so large a part of all, or so long with any.
 const STALE: u64 = 32;
+const STALE_SHARE: u64 = 16;
 const STALE_TIME: Micros = 250_000;
 /// Fewer samples than this tell nothing.
 const LEAST: u64 = 20;
@@ -66,6 +67,8 @@
         self.recent.saturating_record(((took as f64 / (pending + AT_ONCE)) as u64).max(1));
         self.unseen += 1;
         self.count = self.recent.len() + self.older.len();
+        // Here, where it is spread over many samples, and not in the midst of a plan.
+        self.refresh(now);
     }
 
     /// A part was given up after so long without an answer: it counts only where that is long already, or those that
@@ -84,7 +87,8 @@
 
     /// Makes the table anew if it is out of date.
     fn refresh(&mut self, now: Time) {
-        let stale = self.unseen >= STALE || self.unseen > 0 && now.since(self.made) >= STALE_TIME;
+        let many = STALE.max(self.count / STALE_SHARE);
+        let stale = self.unseen >= many || self.unseen > 0 && now.since(self.made) >= STALE_TIME;
         if !stale {
             return;
         }
@@ -165,7 +169,7 @@
 
     #[test]
     fn shares_and_quantiles_are_those_of_the_samples() {
-        let (mut learnt, now) = (learnt(), Time(200 * MS));
+        let (mut learnt, now) = (learnt(), Time(900 * MS));
         for (within, share) in [(25, 0.25), (50, 0.5), (90, 0.9)] {
             assert!((learnt.share_within(now, within * MS, 0.0) - share).abs() < 0.03, "{within} ms");
             let back = learnt.quantile(now, share, 0.0) as f64 / MS as f64;
@@ -177,7 +181,7 @@
 
     #[test]
     fn what_is_pending_makes_it_longer_and_waiting_tells_something() {
-        let (mut learnt, now) = (learnt(), Time(200 * MS));
+        let (mut learnt, now) = (learnt(), Time(900 * MS));
         assert!((learnt.share_within(now, 100 * MS, 2.0) - 0.5).abs() < 0.03, "twice as long");
         let after = learnt.share_within_after(now, 50 * MS, 25 * MS, 0.0);
         assert!((after - 0.5).abs() < 0.05, "half of those left: {after}");
--- a/src/decide/phases/prune.rs
+++ b/src/decide/phases/prune.rs
@@ -163,36 +163,28 @@
     /// What each slice can still give, the best first; one sort instead of a count for each slice.
     #[must_use]
     pub fn reaches(&self) -> Vec<(u32, Reach)> {
-        let comparable =
-            |key: &Key| self.slices.iter().flat_map(|s| &s.keys).all(|k| k.compare(key, self.way).is_some());
-        let first = self.slices.iter().find_map(|s| s.keys.first());
-        let sound = first.is_none_or(|key| comparable(key) && key.compare(key, self.way).is_some());
-        let mut order: Vec<&Bound> = self.slices.iter().collect();
+        // Elements with their slices, and whether they are the best of theirs.
+        let mut all: Vec<(&Key, usize, bool)> = Vec::with_capacity(self.slices.len());
+        for (at, s) in self.slices.iter().enumerate() {
+            all.extend(s.keys.iter().enumerate().map(|(i, key)| (key, at, i == 0)));
+        }
+        let sound = all
+            .first()
+            .is_none_or(|(first, ..)| all.iter().all(|(key, ..)| key.compare(first, self.way).is_some()));
         if !sound {
             // Some key is of another kind: each slice is judged by itself.
-            return order.into_iter().map(|s| (s.slice, self.judge(s, self.before(s)))).collect();
+            return self.slices.iter().map(|s| (s.slice, self.judge(s, self.before(s)))).collect();
         }
-        let by = |a: &Key, b: &Key| a.compare(b, self.way).unwrap_or(Ordering::Equal);
-        order.sort_by(|a, b| match (a.keys.first(), b.keys.first()) {
-            (Some(x), Some(y)) => by(x, y).then(a.slice.cmp(&b.slice)),
-            (x, y) => y.is_some().cmp(&x.is_some()).then(a.slice.cmp(&b.slice)),
+        all.sort_by(|a, b| {
+            let order = a.0.compare(b.0, self.way).unwrap_or(Ordering::Equal);
+            order.then_with(|| self.slices[a.1].slice.cmp(&self.slices[b.1].slice))
         });
-        // Elements in order; of each slice the first is its best, and what lies before it in the list counts.
-        let mut all: Vec<(Key, u32, bool)> = Vec::new();
-        for s in &self.slices {
-            all.extend(s.keys.iter().enumerate().map(|(i, k)| (k.clone(), s.slice, i == 0)));
-        }
-        all.sort_by(|a, b| by(&a.0, &b.0).then(a.1.cmp(&b.1)));
-        let mut before = std::collections::BTreeMap::new();
-        for (i, (_, slice, is_best)) in all.iter().enumerate() {
-            if *is_best {
-                before.entry(*slice).or_insert(i);
-            }
-        }
-        let judged = order.into_iter().map(|s| {
-            let known = if s.keys.is_empty() { None } else { before.get(&s.slice).copied() };
-            debug_assert_eq!(known, self.before(s), "slice {}: the sort and the count agree", s.slice);
-            (s.slice, self.judge(s, known))
+        let bests = all.iter().enumerate().filter(|(_, e)| e.2);
+        let with_best = bests.map(|(before, &(_, at, _))| (&self.slices[at], Some(before)));
+        let without = self.slices.iter().filter(|s| s.keys.is_empty()).map(|s| (s, None));
+        let judged = with_best.chain(without).map(|(s, before)| {
+            debug_assert_eq!(before, self.before(s), "slice {}: the sort and the count agree", s.slice);
+            (s.slice, self.judge(s, before))
         });
         judged.collect()
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,7 +12,7 @@
     ServerId, Settings, Shard, Time,
 };
 use crate::stats::{faded, Aged, Agenda, Bid, Call, Dice, Fading, Wanted, WindowCount};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 // ---- Tuned values ------------------------------------------------------------------------------------
 
@@ -205,8 +205,8 @@
     queries: BTreeMap<QueryId, Query>,
     numbers: BTreeMap<u32, QueryId>,
     /// The query of each part, and its place there.
-    parts: BTreeMap<PartId, (QueryId, usize)>,
-    flights: BTreeMap<(PartId, u16), Flight>,
+    parts: HashMap<PartId, (QueryId, usize)>,
+    flights: HashMap<(PartId, u16), Flight>,
     /// Common answer time by class and step.
     norms: Vec<Fading>,
     calls: u64,
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -173,7 +173,7 @@
 struct Bidder<S, R> {
     server: S,
     bid: Bid<R>,
-    /// Parts that it could take, and those that it is best for, both in order.
+    /// Places of the parts that it could take, and of those that it is best for, both in order.
     holds: Vec<usize>,
     wanted: Vec<usize>,
 }
@@ -185,30 +185,33 @@
     bidders: Vec<Bidder<S, R>>,
     /// By bidder how much it is wanted: parts, joined, near; 0: no part is open there.
     keys: Vec<u64>,
-    /// The bidders of each part that is open.
-    parts: BTreeMap<usize, Vec<usize>>,
+    /// The parts in order, each with its bidders; none once it is sent.
+    parts: Vec<(usize, Vec<usize>)>,
     /// Whether parts share calls.
     share: bool,
 }
 
 impl<S: Copy + Ord, R: Copy + Ord> Wanted<S, R> {
-    /// All parts with the servers that could take each; `share`: a server that more parts can share is wanted more.
+    /// All parts, in order, with the servers that could take each; `share`: a server that more parts can share is
+    /// wanted more.
     pub fn new(parts: Vec<(usize, Vec<S>)>, share: bool, bid: impl Fn(S) -> Bid<R>) -> Self {
-        let mut holds: BTreeMap<S, Vec<usize>> = BTreeMap::new();
-        for (part, servers) in &parts {
-            for server in servers {
-                holds.entry(*server).or_default().push(*part);
+        debug_assert!(parts.is_sorted_by_key(|p| p.0), "places are found by search");
+        let pairs =
+            parts.iter().enumerate().flat_map(|(at, (_, servers))| servers.iter().map(move |s| (*s, at)));
+        let mut pairs: Vec<(S, usize)> = pairs.collect();
+        pairs.sort_unstable();
+        let mut bidders: Vec<Bidder<S, R>> = Vec::new();
+        let mut places: Vec<(usize, Vec<usize>)> =
+            parts.iter().map(|(part, servers)| (*part, Vec::with_capacity(servers.len()))).collect();
+        for (server, at) in pairs {
+            if bidders.last().is_none_or(|b| b.server != server) {
+                bidders.push(Bidder { server, bid: bid(server), holds: Vec::new(), wanted: Vec::new() });
             }
+            places[at].1.push(bidders.len() - 1);
+            bidders.last_mut().into_iter().for_each(|b| b.holds.push(at));
         }
-        let bidders = holds.into_iter();
-        let bidders: Vec<_> = bidders
-            .map(|(server, holds)| Bidder { server, bid: bid(server), holds, wanted: Vec::new() })
-            .collect();
-        let place = |s: &S| bidders.binary_search_by_key(s, |b| b.server).ok();
-        let open: Vec<usize> = parts.iter().map(|p| p.0).collect();
-        let parts = parts.iter().map(|(part, s)| (*part, s.iter().filter_map(place).collect())).collect();
-        let mut wanted = Wanted { keys: vec![0; bidders.len()], bidders, parts, share };
-        open.into_iter().for_each(|part| wanted.judge(part));
+        let mut wanted = Wanted { keys: vec![0; bidders.len()], bidders, parts: places, share };
+        (0..wanted.parts.len()).for_each(|at| wanted.judge(at));
         wanted
     }
     fn set_key(&mut self, at: usize) {
@@ -219,34 +222,41 @@
     }
     /// Puts an open part to the servers that are best for it.
     fn judge(&mut self, part: usize) {
-        let places = self.parts.get(&part).cloned().unwrap_or_default();
+        let places = std::mem::take(&mut self.parts[part].1);
         let best = places.iter().filter_map(|&b| self.bidders[b].bid.rank).min();
-        for at in places {
+        for &at in &places {
             let b = &mut self.bidders[at];
             let is_best = best.is_some() && b.bid.rank == best;
             match b.wanted.binary_search(&part) {
                 Ok(place) if !is_best => drop(b.wanted.remove(place)),
                 Err(place) if is_best => b.wanted.insert(place, part),
-                _ => {}
+                _ => continue,
             }
             self.set_key(at);
         }
+        self.parts[part].1 = places;
     }
     /// The server that is wanted most: of equals one that is joined, then a near one, then by chance. With the
     /// parts that it is best for.
     pub fn best(&self, dice: &mut Dice) -> Option<(S, Vec<usize>)> {
         let most = self.keys.iter().copied().max().filter(|&k| k > 0)?;
-        let open = self.keys.iter().enumerate().filter(|(_, &key)| key > 0);
-        // Each open one has its draw, wanted most or not: chance does not depend on how it is looked for.
-        let drawn = open.map(|(at, &key)| (key, dice.0.u32(..), at)).filter(|d| d.0 == most);
-        let best = &self.bidders[drawn.max()?.2];
-        Some((best.server, best.wanted.clone()))
+        let mut best = (0, 0);
+        for (at, &key) in self.keys.iter().enumerate().filter(|(_, &key)| key > 0) {
+            // Each open one has its draw, wanted most or not: chance does not depend on how it is looked for.
+            let drawn = (dice.0.u32(..), at);
+            if key == most && drawn >= best {
+                best = drawn;
+            }
+        }
+        let best = &self.bidders[best.1];
+        Some((best.server, best.wanted.iter().map(|&at| self.parts[at].0).collect()))
     }
     /// These parts were sent to a server, whose bid is now this.
     pub fn sent(&mut self, server: S, sent: &[usize], bid: Bid<R>) {
         for part in sent {
-            for at in self.parts.remove(part).unwrap_or_default() {
-                self.bidders[at].wanted.retain(|p| p != part);
+            let Ok(place) = self.parts.binary_search_by_key(part, |p| p.0) else { continue };
+            for at in std::mem::take(&mut self.parts[place].1) {
+                self.bidders[at].wanted.retain(|&p| p != place);
                 self.set_key(at);
             }
         }
@@ -254,7 +264,7 @@
         self.bidders[at].bid = bid;
         self.set_key(at);
         let mut holds = std::mem::take(&mut self.bidders[at].holds);
-        holds.retain(|part| self.parts.contains_key(part));
+        holds.retain(|&part| !self.parts[part].1.is_empty());
         holds.iter().for_each(|&part| self.judge(part));
         self.bidders[at].holds = holds;
     }
