--- a/examples/toy-features/main.rs
+++ b/examples/toy-features/main.rs
@@ -1,9 +1,8 @@
 //! Toy data nodes for the OGC front: one for each address on the command line, all with the same few scooters.
 //! A line on standard input changes how they treat requests from then on.
 
-mod server;
-
-use server::{point, Mood, Server};
+use lichenswitch_standins::features::{point_with, Mood, Server};
+use serde_json::json;
 use std::io::BufRead;
 use std::net::TcpListener;
 
@@ -14,6 +13,7 @@
         ["serve"] => Some(Mood::Serve),
         ["busy"] => Some(Mood::Busy),
         ["fail"] => Some(Mood::Fail),
+        ["cantsort"] => Some(Mood::CantSort),
         ["withhold", west, east] => Some(Mood::Withhold(west.parse().ok()?, east.parse().ok()?)),
         _ => None,
     }
@@ -26,11 +26,11 @@
         std::process::exit(2);
     }
     let scooters = [
-        point("scooter-1", 15.95, 45.81),
-        point("scooter-2", 15.97, 45.80),
-        point("scooter-3", 16.00, 45.82),
-        point("scooter-4", 16.05, 45.83),
-        point("scooter-5", 16.12, 45.81),
+        point_with("scooter-1", 15.95, 45.81, json!({"battery": 71})),
+        point_with("scooter-2", 15.97, 45.80, json!({"battery": 18})),
+        point_with("scooter-3", 16.00, 45.82, json!({"battery": 94})),
+        point_with("scooter-4", 16.05, 45.83, json!({"battery": 55})),
+        point_with("scooter-5", 16.12, 45.81, json!({"battery": 33})),
     ];
     let start = |address: &String| {
         let listener = TcpListener::bind(address).unwrap_or_else(|e| {
@@ -41,14 +41,16 @@
         Server::start(listener, scooters.to_vec())
     };
     let servers: Vec<Server> = addresses.iter().map(start).collect();
-    println!("toy-features: type serve, busy, fail or withhold WEST EAST");
+    println!("toy-features: type serve, busy, fail, cantsort or withhold WEST EAST");
     for line in std::io::stdin().lock().lines().map_while(Result::ok) {
         match mood(&line) {
             Some(mood) => {
                 servers.iter().for_each(|server| server.set(mood));
                 println!("toy-features: {mood:?}");
             }
-            None => println!("toy-features: {line:?} is none of serve, busy, fail, withhold WEST EAST"),
+            None => {
+                println!("toy-features: {line:?} is none of serve, busy, fail, cantsort, withhold WEST EAST")
+            }
         }
     }
     // Without an input, as in the background, they serve until they are ended.
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -230,6 +230,7 @@
     fn serve_ogc(&mut self, told: config::Ogc) -> Result<(), String> {
         let mut directory = Directory::new(told.inventory.zones);
         let mut core = Core::new(told.seed, told.settings, Contracts::new(told.contracts), told.memory);
+        core.plan_by(Planner::new(told.phases.rules), told.phases.explain);
         let line = |node: &crate::inventory::Node| Instance {
             instance_id: node.name.clone(),
             host_port: node.address.to_string(),
@@ -240,7 +241,7 @@
         };
         let instances: Vec<Instance> = told.inventory.nodes.iter().map(line).collect();
         core.listed(Listing::Whole(directory.whole(&instances)));
-        let pool = Pool::new(Features, limits(told.connections));
+        let pool = Pool::new(Features::default(), limits(told.connections));
         let front = Ogc::new(told.title, told.collections, told.inventory.slices);
         let address = self.listen(Owner::Ogc, told.listen)?;
         log(&format!("OGC API Features listens on {address}"));
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -162,6 +162,8 @@
     pub memory: usize,
     /// Connections to data nodes.
     pub connections: Connections,
+    /// How sorted answers are planned.
+    pub phases: Phases,
 }
 
 /// Replicas of a slice where the file tells none.
@@ -253,7 +255,7 @@
                 wait => wait.as_ref().map_or(most, |wait| wait.value * 1_000),
             };
             let title = told.title.clone().unwrap_or_else(|| id.clone());
-            collections.push(Collection { id: id.clone(), title, class, wait });
+            collections.push(Collection { id: id.clone(), title, class, sorted: class, wait });
         }
         if collections.is_empty() {
             return Err(format!("{name}: collections: there are none"));
@@ -268,7 +270,8 @@
         let shards = inventory.slices.len() as u32;
         settings.layout = Layout { cells, width: replicas, shards, parts_a_call: 1 };
         settings.classes.iter_mut().for_each(|class| class.second_step = 0);
-        let contracts = inventory.contracts(&classes)?;
+        let mut contracts = inventory.contracts(&classes)?;
+        let phases = operators.sorted(&classes, &mut settings, &mut collections, &mut contracts)?;
         if let Some(budget) = Contracts::new(contracts.clone()).budget() {
             settings.limits.budget = Some(budget);
         }
@@ -282,6 +285,7 @@
             seed: platform.map_or(0, |p| p.seed),
             memory: platform.map_or(MEMORY << 20, |p| p.memory),
             connections: Connections { streams: 1, ..connections },
+            phases,
         }))
     }
 }
--- a/src/config/operators.rs
+++ b/src/config/operators.rs
@@ -2,8 +2,10 @@
 //! absent, and so is all when the file is.
 
 use super::{file, OgcFile};
+use crate::contract::Contract;
 use crate::decide::phases::Rules;
-use crate::interface::Settings;
+use crate::front::ogc::Collection;
+use crate::interface::{Class, Settings};
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 use std::path::{Path, PathBuf};
@@ -96,8 +98,8 @@
         format!("{}:{line}: {key}: {why}", self.path.display())
     }
 
-    /// A share, checked; `open`: 0 is none.
-    fn share(&self, told: &Option<Spanned<f64>>, key: &str, otherwise: f64) -> Result<f64, String> {
+    /// A share, checked.
+    fn share(&self, told: Option<&Spanned<f64>>, key: &str, otherwise: f64) -> Result<f64, String> {
         let Some(told) = told else { return Ok(otherwise) };
         if told.value > 0.0 && told.value < 1.0 {
             return Ok(told.value);
@@ -118,22 +120,63 @@
             }
             let class = &mut settings.classes[i];
             if class.second_step == 0 {
+                // The OGC front has two steps in every class.
+                if self.ogc.as_ref().is_some_and(|ogc| ogc.listen.is_some()) {
+                    continue;
+                }
                 return Err(self.fault(line, "class", &format!("{name:?} has no second phase")));
             }
-            class.first_share = self.share(&entry.first_share, "first_share", class.first_share)?;
-            rules[i] = Some(Rules {
-                aim: class.aim,
-                late_share: class.late_share,
-                need: class.need,
-                floor: class.floor,
-                partial: class.partial,
-                wanted: class.second_step as usize,
-                probability: self.share(&entry.probability, "probability", PROBABILITY)?,
-                first_share: class.first_share,
-                prune: entry.prune.unwrap_or(true),
-                least_gain: self.share(&entry.least_gain, "least_gain", LEAST_GAIN)?,
-            });
+            rules[i] = Some(self.rules(Some(entry), class)?);
         }
         Ok(Phases { rules, explain: told.explain })
     }
+
+    /// The rules of a class, from its entry or by default; its share of the aim goes into the settings.
+    fn rules(&self, entry: Option<&PhasesClass>, class: &mut Class) -> Result<Rules, String> {
+        let told = |pick: fn(&PhasesClass) -> &Option<Spanned<f64>>| entry.and_then(|e| pick(e).as_ref());
+        class.first_share = self.share(told(|e| &e.first_share), "first_share", class.first_share)?;
+        Ok(Rules {
+            aim: class.aim,
+            late_share: class.late_share,
+            need: class.need,
+            floor: class.floor,
+            partial: class.partial,
+            wanted: class.second_step as usize,
+            probability: self.share(told(|e| &e.probability), "probability", PROBABILITY)?,
+            first_share: class.first_share,
+            prune: entry.and_then(|e| e.prune).unwrap_or(true),
+            least_gain: self.share(told(|e| &e.least_gain), "least_gain", LEAST_GAIN)?,
+        })
+    }
+
+    /// Adds, for each class that the OGC front reads collections under, one of two steps for sorted answers, with its
+    /// rules; teams that may use the one may use the other.
+    pub(super) fn sorted(
+        &self,
+        classes: &[String],
+        settings: &mut Settings,
+        collections: &mut [Collection],
+        contracts: &mut [(String, Contract)],
+    ) -> Result<Phases, String> {
+        let entries = self.phases.as_ref().map_or(&[][..], |told| &told.classes);
+        if let Some(e) = entries.iter().find(|e| !classes.contains(&e.class.value)) {
+            let why = format!("there is no class {:?}", e.class.value);
+            return Err(self.fault(e.class.referenced.line(), "class", &why));
+        }
+        let mut rules: Vec<Option<Rules>> = vec![None; settings.classes.len()];
+        for (i, name) in classes.iter().enumerate() {
+            if !collections.iter().any(|c| c.class == i) {
+                continue;
+            }
+            let mut class = Class { second_step: settings.layout.shards, ..settings.classes[i].clone() };
+            let entry = entries.iter().find(|e| e.class.value == *name);
+            rules.push(Some(self.rules(entry, &mut class)?));
+            let sorted = settings.classes.len();
+            settings.classes.push(class);
+            collections.iter_mut().filter(|c| c.class == i).for_each(|c| c.sorted = sorted);
+            let uses = contracts.iter_mut().filter(|(_, c)| c.classes.contains(&i));
+            uses.for_each(|(_, c)| c.classes.push(sorted));
+        }
+        Ok(Phases { rules, explain: self.phases.as_ref().is_some_and(|told| told.explain) })
+    }
 }
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -4,15 +4,17 @@
 use super::{Front, Verdict};
 use crate::contract::Breach;
 use crate::core::{Refusal, Reply, Request, Value};
+use crate::decide::phases::prune::{Key, Way};
 use crate::http::{self, Response};
 use crate::interface::{Micros, Shard, Time};
 use crate::inventory::{Bounds, Slice};
-use crate::upstream::ogc::{Ask, Feature, Job, List};
+use crate::upstream::ogc::{Ask, Feature, Job, List, Sort};
 use percent_encoding::{percent_decode_str, utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
 use serde::Serialize;
 use serde_json::value::RawValue;
 use serde_json::{json, Map, Value as Json};
 use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
 use time::format_description::well_known::Rfc3339;
 use time::OffsetDateTime;
 
@@ -25,6 +27,8 @@
     pub title: String,
     /// Index of the class under whose rules it is read.
     pub class: usize,
+    /// The same for sorted answers, which take two steps.
+    pub sorted: usize,
     /// How long a client is taken to wait.
     pub wait: Micros,
 }
@@ -41,6 +45,8 @@
 const LIMIT_MOST: usize = 1_000;
 /// Features that paging goes through at most: each page asks the data nodes for all before it, too.
 const REACH: usize = 10_000;
+/// Features on borders, which come from two slices, that a sorted page has room for.
+const BORDER: usize = 8;
 
 const CONFORMS: [&str; 2] = [
     "http://www.opengis.net/spec/ogcapi-features-1/1.0/conf/core",
@@ -177,6 +183,24 @@
     Ok(text)
 }
 
+/// The property that an answer is sorted by, and which way: `[+|-]property`.
+fn order(text: &str) -> Result<(String, Way), Fault> {
+    // A plus that was not encoded has become a space.
+    let (way, property) = match text.split_at_checked(1) {
+        Some(("-", property)) => (Way::Down, property),
+        Some(("+" | " ", property)) => (Way::Up, property),
+        _ => (Way::Up, text),
+    };
+    let sound = |c: char| c.is_alphanumeric() || "_-.:".contains(c);
+    match () {
+        () if property.contains(',') => Err(bad("sortby: one property, not several")),
+        () if property.is_empty() || !property.chars().all(sound) => {
+            Err(bad(format!("sortby: {text:?} is no property with + or - before it")))
+        }
+        () => Ok((property.to_string(), way)),
+    }
+}
+
 /// What is remembered of a query until its answer.
 pub enum Context {
     /// A page of features.
@@ -191,6 +215,8 @@
         limit: usize,
         /// Numbers and names of the slices asked.
         asked: Vec<(u32, String)>,
+        /// Which way it is sorted, if it is.
+        way: Option<Way>,
     },
     /// One feature.
     Item {
@@ -239,6 +265,7 @@
             path("collectionId"),
             query("bbox", "string"),
             query("datetime", "string"),
+            query("sortby", "string"),
             query("limit", "integer"),
             query("offset", "integer")
         ]);
@@ -275,7 +302,7 @@
     }
 
     fn page(&self, base: &str, collection: &Collection, query: &str) -> Result<(Job, Context), Fault> {
-        let known = ["bbox", "bbox-crs", "datetime", "limit", "offset", "f"];
+        let known = ["bbox", "bbox-crs", "datetime", "limit", "offset", "sortby", "f"];
         let found = parameters(query, &known)?;
         if found.get("bbox-crs").is_some_and(|crs| crs != CRS84) {
             return Err(bad(format!("bbox-crs: only {CRS84}")));
@@ -289,6 +316,7 @@
         if offset.saturating_add(limit) > REACH {
             return Err(bad(format!("offset: paging goes through {REACH} features")));
         }
+        let order = found.get("sortby").map(|text| order(text)).transpose()?;
         let bbox = found.get("bbox").map(|text| bounds(text)).transpose()?;
         let datetime = found.get("datetime").map(|text| datetime(text)).transpose()?;
         // One more than the page needs tells whether another page follows.
@@ -299,8 +327,11 @@
             let Some([west, south, east, north]) = area else { continue };
             let mut query = form_urlencoded::Serializer::new(String::new());
             query.append_pair("bbox", &format!("{west},{south},{east},{north}"));
-            query.append_pair("limit", &most.to_string());
             query.extend_pairs(datetime.iter().map(|d| ("datetime", d)));
+            // Of a sorted answer the wire says how many: that depends on the step.
+            if order.is_none() {
+                query.append_pair("limit", &most.to_string());
+            }
             let path = format!("/collections/{}/items?{}", encoded(&collection.id), query.finish());
             targets.insert(shard, path);
         }
@@ -308,10 +339,20 @@
         let mut repeated: Vec<(String, String)> =
             repeated.filter_map(|&n| Some((n.to_string(), found.get(n)?.clone()))).collect();
         repeated.extend(datetime.map(|d| ("datetime".to_string(), d)));
+        repeated.extend(found.get("sortby").map(|s| ("sortby".to_string(), s.replace(' ', "+"))));
         let address = format!("{base}/collections/{}", encoded(&collection.id));
         let asked = targets.keys().map(|&shard| self.named(shard)).collect();
-        let context = Context::Page { address, repeated, offset, limit, asked };
-        Ok((Job { targets, ask: Ask::Items(most) }, context))
+        let way = order.as_ref().map(|o| o.1);
+        let context = Context::Page { address, repeated, offset, limit, asked, way };
+        let ask = match order {
+            None => Ask::Items(most),
+            Some((property, way)) => {
+                // A feature on a border comes from both slices and counts once: some more make up for that.
+                let most = most + BORDER;
+                Ask::Sorted { sort: Rc::new(Sort { property, way, most }), most, node: None, all: false }
+            }
+        };
+        Ok((Job { targets, ask }, context))
     }
 
     /// A feature by its id may be in any slice: all are asked.
@@ -367,18 +408,22 @@
         };
         if job.targets.is_empty() {
             // Nothing lies in the box: the answer is whole and empty.
-            return Ok(Verdict::Reply(word(context, true, &[])));
+            return Ok(Verdict::Reply(word(context, true, &[], &[])));
         }
         let weight = 1.0 / job.targets.len() as f64;
+        let top = match &job.ask {
+            Ask::Sorted { sort, .. } => Some((sort.most, sort.way)),
+            _ => None,
+        };
         Ok(Verdict::Take(
             Box::new(Request {
-                class: collection.class,
+                class: if top.is_some() { collection.sorted } else { collection.class },
                 deadline: now.plus(collection.wait),
                 key: 0,
                 again: false,
                 team: request.header("req-owner").map(str::to_string),
                 parts: job.targets.keys().map(|&shard| (Shard(shard), weight)).collect(),
-                top: None,
+                top,
                 job,
             }),
             context,
@@ -398,13 +443,36 @@
     let mut parts: Vec<&(Shard, Value)> = values.iter().collect();
     parts.sort_by_key(|p| p.0);
     let lists = parts.into_iter().filter_map(|(_, value)| List::read(&value.bytes));
+    once(lists.flat_map(|list| list.features))
+}
+
+/// Each feature once, the first time that it comes.
+fn once<'a>(features: impl Iterator<Item = &'a RawValue>) -> Vec<&'a RawValue> {
     let mut seen = HashSet::new();
     // Features without an id are the same if all of them is.
     let first = |feature: &&RawValue| {
         let id = serde_json::from_str(feature.get()).ok().and_then(|f: Feature<'_>| f.id);
         seen.insert(id.map_or((false, feature.get().to_string()), |id| (true, id.get().to_string())))
     };
-    lists.flat_map(|list| list.features).filter(first).collect()
+    features.filter(first).collect()
+}
+
+/// The features of all parts in their order: by key, then by slice, then as their slice gives them; one that lies on a
+/// border comes once. With it whether that is all that the slices have.
+fn ranked(values: &[(Shard, Value)], way: Way) -> (Vec<&RawValue>, bool) {
+    let mut found: Vec<(Key, u32, usize, &RawValue)> = Vec::new();
+    let mut all = true;
+    for (shard, value) in values {
+        let (Some(list), Some(offer)) = (List::read(&value.bytes), &value.offer) else { continue };
+        all &= offer.matched == Some(list.features.len() as u64);
+        let keyed = list.features.into_iter().zip(&offer.keys).enumerate();
+        found.extend(keyed.map(|(i, (feature, key))| (key.clone(), shard.0, i, feature)));
+    }
+    found.sort_by(|a, b| {
+        let order = a.0.compare(&b.0, way).unwrap_or(std::cmp::Ordering::Equal);
+        order.then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2))
+    });
+    (once(found.into_iter().map(|f| f.3)), all)
 }
 
 /// A page as clients read it.
@@ -428,18 +496,22 @@
     response.with("answer-completeness", if whole { "complete" } else { "partial" })
 }
 
-fn word(context: Context, whole: bool, values: &[(Shard, Value)]) -> Response {
+fn word(context: Context, whole: bool, values: &[(Shard, Value)], gaps: &[Shard]) -> Response {
     let missing = |asked: Vec<(u32, String)>| -> Vec<String> {
-        let out = asked.into_iter().filter(|slice| !values.iter().any(|v| v.0 .0 == slice.0));
-        out.map(|slice| slice.1).collect()
+        let lacks = |shard: u32| gaps.contains(&Shard(shard)) || !values.iter().any(|v| v.0 .0 == shard);
+        asked.into_iter().filter(|slice| lacks(slice.0)).map(|slice| slice.1).collect()
     };
     match context {
-        Context::Page { address, repeated, offset, limit, asked } => {
+        Context::Page { address, repeated, offset, limit, asked, way } => {
             let missing = missing(asked);
-            // Guards honesty: whatever was said before, an answer that lacks a slice is not complete.
-            let whole = whole && missing.is_empty();
-            let features = merged(values);
+            let (features, all) = match way {
+                None => (merged(values), true),
+                Some(way) => ranked(values, way),
+            };
             let counted = features.len();
+            // Guards honesty: whatever was said before, an answer that lacks a slice is not complete, nor a sorted page
+            // that features on borders have made too short while slices have more.
+            let whole = whole && missing.is_empty() && (all || counted > offset + limit);
             let href = |offset: usize| {
                 let mut query = form_urlencoded::Serializer::new(String::new());
                 query.extend_pairs(&repeated).append_pair("limit", &limit.to_string());
@@ -457,7 +529,7 @@
             let body = serde_json::to_string(&Page {
                 r#type: "FeatureCollection",
                 number_returned: page.len(),
-                number_matched: (whole && counted <= offset + limit).then_some(counted),
+                number_matched: (whole && all && counted <= offset + limit).then_some(counted),
                 complete: whole,
                 missing_slices: missing,
                 links,
@@ -510,7 +582,7 @@
 
     fn word(&mut self, context: Context, reply: Reply) -> Response {
         match reply {
-            Reply::Served { whole, values, .. } => word(context, whole, &values),
+            Reply::Served { whole, values, gaps } => word(context, whole, &values, &gaps),
             Reply::Refused(after) => come_back(503, "Refused", after),
             Reply::Failed => problem(504, "Given up", "the data nodes did not answer in time"),
         }
@@ -560,8 +632,13 @@
             [b"15.9,45.7,16.0,45.9", b"2026-08-01T10:00:00Z/..", b"bbox=1,2,3,4&limit=%35"];
         crate::testing::garbage(&sound, |bytes| {
             let text = String::from_utf8_lossy(bytes);
-            let _ = (bounds(&text).is_ok(), datetime(&text).is_ok(), parameters(&text, &["bbox"]).is_ok());
-            let collection = Collection { id: "c".into(), title: "c".into(), class: 0, wait: 1 };
+            let _ = (
+                bounds(&text).is_ok(),
+                datetime(&text).is_ok(),
+                order(&text).is_ok(),
+                parameters(&text, &["bbox"]).is_ok(),
+            );
+            let collection = Collection { id: "c".into(), title: "c".into(), class: 0, sorted: 0, wait: 1 };
             let mut front = Ogc::new("t".into(), vec![collection], Vec::new());
             let target = format!("/collections/c/items?{text}");
             let request = http::Request { method: "GET".into(), target, ..http::Request::default() };
--- a/src/upstream/ogc.rs
+++ b/src/upstream/ogc.rs
@@ -1,33 +1,60 @@
 //! The wire to data nodes that speak OGC API Features: one GET for each part, one at a time on a connection.
 
 use super::{Answer, Wire};
-use crate::core::{Dispatch, Value};
+use crate::core::{Dispatch, Offer, Value};
+use crate::decide::phases::prune::{Key, Way};
 use crate::http::{self, Parsed, Response};
 use crate::interface::{Micros, Outcome};
 use crate::net::buffer::Buffer;
 use crate::net::Owner;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
+use serde_json::Value as Json;
 use std::borrow::Cow;
-use std::collections::BTreeMap;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// What a data node is asked for.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Job {
-    /// The path and query for each shard.
+    /// The path and query for each shard; of a sorted answer without order and limit.
     pub targets: BTreeMap<u32, String>,
     /// What is expected back.
     pub ask: Ask,
 }
 
+/// How an answer is sorted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sort {
+    /// The property that it is sorted by.
+    pub property: String,
+    /// Which way.
+    pub way: Way,
+    /// Features that are wanted.
+    pub most: usize,
+}
+
 /// What is expected back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Ask {
     /// A feature collection with the first so many features.
     Items(usize),
     /// A feature, or none.
     Item,
+    /// A feature collection with the first so many features in this order, from this data node; `all`: it can't sort,
+    /// and sends all that it has.
+    Sorted {
+        /// The order.
+        sort: Rc<Sort>,
+        /// Features of it that are wanted.
+        most: usize,
+        /// The data node.
+        node: Option<SocketAddr>,
+        /// It sends all, in its own order.
+        all: bool,
+    },
 }
 
 impl Default for Ask {
@@ -37,7 +64,16 @@
 }
 
 /// The wire.
-pub struct Features;
+#[derive(Default)]
+pub struct Features {
+    /// Data nodes that refused to sort: they are asked for all.
+    unsorted: RefCell<HashSet<SocketAddr>>,
+}
+
+/// Features that a data node which can't sort is asked for; one that has more can't be sorted here.
+const ALL: usize = 10_000;
+/// Data nodes that are remembered at most.
+const UNSORTED: usize = 1_000;
 
 /// Longest answer for a part.
 const LONGEST: usize = 1024 * 1024;
@@ -62,6 +98,56 @@
     rel: String,
 }
 
+/// A feature whose properties are looked into.
+#[derive(Deserialize)]
+struct Sortable {
+    #[serde(default)]
+    properties: Option<HashMap<String, Json>>,
+}
+
+/// What a feature is sorted by.
+fn key(feature: &RawValue, property: &str) -> Key {
+    let read: Option<Sortable> = serde_json::from_str(feature.get()).ok();
+    match read.and_then(|f| f.properties).and_then(|mut p| p.remove(property)) {
+        Some(Json::Number(n)) => Key::Number(n.as_f64().unwrap_or(f64::NAN)),
+        Some(Json::String(text)) => Key::Text(text),
+        Some(Json::Bool(flag)) => Key::Number(f64::from(u8::from(flag))),
+        // Nothing, or what has no order.
+        _ => Key::Missing,
+    }
+}
+
+#[derive(Serialize)]
+struct Written<'a> {
+    r#type: &'static str,
+    features: Vec<&'a RawValue>,
+}
+
+/// The value of a part of a sorted answer, with the keys of its features; `None`: it is not what was asked for.
+fn sorted(body: Vec<u8>, sort: &Sort, most: usize, all: bool) -> Option<Value> {
+    let list = List::read(&body).filter(|list| !list.cut_short(if all { ALL } else { most }))?;
+    if !all {
+        let keys: Vec<Key> = list.features.iter().map(|f| key(f, &sort.property)).collect();
+        // A list that stops short of what was asked for, and tells of no more, is all there is.
+        let known = (keys.len() < most).then_some(keys.len() as u64);
+        let matched = list.matched.or(known);
+        return Some(Value { score: 0.0, bytes: body, offer: Some(Offer { keys, matched }) });
+    }
+    let more = list.links.iter().any(|l| l.rel == "next") || list.matched.is_some_and(|n| n > ALL as u64);
+    if more || list.features.len() > ALL {
+        return None;
+    }
+    let mut found: Vec<(Key, &RawValue)> =
+        list.features.iter().map(|f| (key(f, &sort.property), *f)).collect();
+    found.sort_by(|a, b| a.0.compare(&b.0, sort.way).unwrap_or(std::cmp::Ordering::Equal));
+    // All that can be wanted is here: nothing has to be asked again.
+    found.truncate(sort.most);
+    let matched = Some(found.len() as u64);
+    let (keys, features) = found.into_iter().unzip();
+    let bytes = serde_json::to_vec(&Written { r#type: "FeatureCollection", features }).ok()?;
+    Some(Value { score: 0.0, bytes, offer: Some(Offer { keys, matched }) })
+}
+
 /// What tells one feature from another.
 #[derive(Deserialize)]
 pub struct Feature<'a> {
@@ -89,25 +175,58 @@
 }
 
 /// Whether a body is what was asked for.
-fn fits(body: &[u8], ask: Ask) -> bool {
-    match ask {
+fn fits(body: &[u8], ask: &Ask) -> bool {
+    match *ask {
         Ask::Item => serde_json::from_slice(body).is_ok_and(|f: Feature<'_>| f.kind == "Feature"),
-        Ask::Items(most) => List::read(body).is_some_and(|list| !list.cut_short(most)),
+        Ask::Items(most) | Ask::Sorted { most, .. } => {
+            List::read(body).is_some_and(|list| !list.cut_short(most))
+        }
     }
 }
 
-fn judge(response: Response, ask: Ask) -> (Outcome, Option<Value>) {
+fn judge(response: Response, ask: &Ask) -> (Outcome, Option<Value>) {
     let value = |bytes| Some(Value { score: 0.0, bytes, offer: None });
     match response.status {
-        200 if fits(&response.body, ask) => (Outcome::Ok, value(response.body)),
+        200 => match ask {
+            Ask::Sorted { sort, most, all, .. } => match sorted(response.body, sort, *most, *all) {
+                Some(value) => (Outcome::Ok, Some(value)),
+                None => (Outcome::Error, None),
+            },
+            ask if fits(&response.body, ask) => (Outcome::Ok, value(response.body)),
+            _ => (Outcome::Error, None),
+        },
         // This slice does not have the feature: that is an answer.
-        404 if ask == Ask::Item => (Outcome::Ok, value(Vec::new())),
+        404 if *ask == Ask::Item => (Outcome::Ok, value(Vec::new())),
         // The node turned it away; what is read may be asked elsewhere in any case.
         429 | 503 => (Outcome::Rejected, None),
         _ => (Outcome::Error, None),
     }
 }
 
+impl Features {
+    /// What a part asks a data node for: of a sorted answer the best alone at first, then as many as can matter.
+    fn asked(&self, part: &Dispatch<Job>, host: SocketAddr) -> Ask {
+        let Ask::Sorted { sort, .. } = &part.job.ask else { return part.job.ask.clone() };
+        let first = part.first.is_none();
+        let most = if first { 1 } else { part.most.unwrap_or(sort.most) };
+        let all = self.unsorted.borrow().contains(&host);
+        Ask::Sorted { sort: sort.clone(), most, node: Some(host), all }
+    }
+
+    /// A data node that refuses the order as such is asked for all from then on. The part goes elsewhere, or there
+    /// again, as any that ended with an error.
+    fn remember(&self, status: u16, ask: &Ask) {
+        if let (400 | 501, Ask::Sorted { node: Some(node), all: false, .. }) = (status, ask) {
+            let mut unsorted = self.unsorted.borrow_mut();
+            // Guards memory; what is forgotten is learnt again by one refusal.
+            if unsorted.len() >= UNSORTED {
+                unsorted.clear();
+            }
+            unsorted.insert(*node);
+        }
+    }
+}
+
 impl Wire for Features {
     type Job = Job;
     type Name = Ask;
@@ -123,10 +242,22 @@
     fn call(&self, parts: &[Dispatch<Job>], host: SocketAddr, out: &mut Vec<u8>) -> Vec<Ask> {
         let mut write = |part: &Dispatch<Job>| {
             let target = part.job.targets.get(&part.shard.0).map_or("/", String::as_str);
-            let head =
-                format!("GET {target} HTTP/1.1\r\nhost: {host}\r\naccept: application/geo+json\r\n\r\n");
+            let ask = self.asked(part, host);
+            let order = match &ask {
+                Ask::Sorted { all: true, .. } => format!("&limit={ALL}"),
+                Ask::Sorted { sort, most, .. } => {
+                    let sign = if sort.way == Way::Down { "-" } else { "" };
+                    let mut query = form_urlencoded::Serializer::new(String::new());
+                    query.append_pair("sortby", &format!("{sign}{}", sort.property));
+                    format!("&{}&limit={most}", query.finish())
+                }
+                _ => String::new(),
+            };
+            let head = format!(
+                "GET {target}{order} HTTP/1.1\r\nhost: {host}\r\naccept: application/geo+json\r\n\r\n"
+            );
             out.extend_from_slice(head.as_bytes());
-            part.job.ask
+            ask
         };
         parts.iter().map(&mut write).collect()
     }
@@ -142,13 +273,14 @@
         oldest: Option<&Ask>,
     ) -> Result<Option<Answer<Ask>>, String> {
         while !input.is_empty() {
-            let ask = *oldest.ok_or("it sent what nobody asked for")?;
+            let ask = oldest.ok_or("it sent what nobody asked for")?;
             match http::response(input.bytes(), ended, LONGEST) {
                 Ok(Parsed::Whole(response, used)) => {
                     input.consume(used);
                     // An interim answer is followed by the real one.
                     if response.status >= 200 {
                         let last = !response.keep_alive;
+                        self.remember(response.status, ask);
                         let (outcome, value) = judge(response, ask);
                         return Ok(Some(Answer { part: None, outcome, value, last }));
                     }
@@ -169,7 +301,7 @@
     fn answered(bytes: &[u8], ask: Ask) -> Option<(Outcome, usize)> {
         let mut input = Buffer::default();
         input.push(bytes);
-        let found = Features.answer(&mut input, false, Some(&ask)).ok()??;
+        let found = Features::default().answer(&mut input, false, Some(&ask)).ok()??;
         Some((found.outcome, bytes.len() - input.bytes().len()))
     }
 
@@ -197,7 +329,8 @@
             (200, "not json", Ask::Item, Outcome::Error),
         ] {
             let bytes = reply(status, body);
-            assert_eq!(answered(&bytes, ask), Some((outcome, bytes.len())), "{status} {body} {ask:?}");
+            let told = format!("{status} {body} {ask:?}");
+            assert_eq!(answered(&bytes, ask), Some((outcome, bytes.len())), "{told}");
         }
     }
 
@@ -210,6 +343,47 @@
         });
         let mut input = Buffer::default();
         input.push(&list);
-        assert!(Features.answer(&mut input, false, None).is_err(), "nobody asked");
+        assert!(Features::default().answer(&mut input, false, None).is_err(), "nobody asked");
+    }
+
+    fn sort(most: usize) -> Sort {
+        Sort { property: "battery".into(), way: Way::Down, most }
+    }
+
+    #[test]
+    fn a_sorted_answer_tells_its_keys_and_one_that_is_not_sorted_is_sorted_here() {
+        let body = r#"{"type":"FeatureCollection","features":[
+            {"type":"Feature","id":1,"properties":{"battery":7}},{"type":"Feature","id":2,"properties":null},
+            {"type":"Feature","id":3,"properties":{"battery":9.5}}]}"#;
+        let as_is = sorted(body.into(), &sort(9), 3, false).unwrap().offer.unwrap();
+        assert_eq!(as_is.keys, [Key::Number(7.0), Key::Missing, Key::Number(9.5)]);
+        assert_eq!(as_is.matched, None, "it gave as many as were asked for");
+        assert_eq!(sorted(body.into(), &sort(9), 4, false).unwrap().offer.unwrap().matched, Some(3));
+        let here = sorted(body.into(), &sort(2), 1, true).unwrap();
+        let text = String::from_utf8(here.bytes).unwrap();
+        assert!(text.find("\"id\":3") < text.find("\"id\":1") && !text.contains("\"id\":2"), "{text}");
+        assert_eq!(here.offer.unwrap().matched, Some(2), "all that can be wanted is here");
+        let more = body.replace("]}", r#"],"numberMatched":10001}"#);
+        assert!(sorted(more.into(), &sort(2), 1, true).is_none(), "too many to be sorted here");
+    }
+
+    #[test]
+    fn a_data_node_that_refuses_the_order_is_asked_for_all_from_then_on() {
+        let wire = Features::default();
+        let host = SocketAddr::from(([127, 0, 0, 1], 9));
+        let ask = Ask::Sorted { sort: Rc::new(sort(5)), most: 5, node: None, all: false };
+        let job = Rc::new(Job { targets: [(0, "/c/items?bbox=0".to_string())].into(), ask });
+        let part =
+            Dispatch { attempt: 1, job, shard: crate::interface::Shard(0), first: None, most: None, wait: 1 };
+        let mut out = Vec::new();
+        let names = wire.call(std::slice::from_ref(&part), host, &mut out);
+        assert!(out.starts_with(b"GET /c/items?bbox=0&sortby=-battery&limit=1 HTTP/1.1"));
+        let mut input = Buffer::default();
+        input.push(&reply(400, "{}"));
+        let answer = wire.answer(&mut input, false, names.first()).unwrap().unwrap();
+        assert_eq!(answer.outcome, Outcome::Error);
+        out.clear();
+        wire.call(&[part], host, &mut out);
+        assert!(out.starts_with(b"GET /c/items?bbox=0&limit=10000 HTTP/1.1"));
     }
 }
--- /dev/null
+++ b/standins/src/http.rs
@@ -0,0 +1,93 @@
+//! As much of HTTP/1.1 as a data node needs: requests with a length, answers with one.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+/// A request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// Its method.
+    pub method: String,
+    /// Its target as it came.
+    pub target: String,
+}
+
+impl Request {
+    /// The target without its query.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// The value of a parameter of the query.
+    #[must_use]
+    pub fn parameter(&self, name: &str) -> Option<String> {
+        let query = self.target.split_once('?').map_or("", |t| t.1);
+        let found = form_urlencoded::parse(query.as_bytes()).find(|p| p.0 == name);
+        found.map(|p| p.1.to_string())
+    }
+}
+
+/// Takes the next whole request off what was read; `Err`: it is none.
+pub fn next(held: &mut Vec<u8>) -> Result<Option<Request>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut head = httparse::Request::new(&mut headers);
+    let used = match head.parse(held).map_err(|e| e.to_string())? {
+        httparse::Status::Complete(used) => used,
+        httparse::Status::Partial => return Ok(None),
+    };
+    let length = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case("content-length"));
+    let length =
+        length.and_then(|h| std::str::from_utf8(h.value).ok()?.trim().parse().ok()).unwrap_or(0usize);
+    let request = Request {
+        method: head.method.unwrap_or_default().into(),
+        target: head.path.unwrap_or_default().into(),
+    };
+    if held.len() < used + length {
+        return Ok(None);
+    }
+    held.drain(..used + length);
+    Ok(Some(request))
+}
+
+/// Writes an answer with a JSON body; `false`: nobody takes it any more.
+pub fn answer(stream: &mut TcpStream, status: u16, kind: &str, body: &str) -> bool {
+    let head =
+        format!("HTTP/1.1 {status} Told\r\nContent-Type: {kind}\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all(&[head.as_bytes(), body.as_bytes()].concat()).is_ok()
+}
+
+/// Reads requests from a connection until it ends; `handle` tells whether to go on.
+pub fn serve(mut stream: TcpStream, mut handle: impl FnMut(&mut TcpStream, &Request) -> bool) {
+    let (mut held, mut chunk) = (Vec::new(), [0; 4096]);
+    loop {
+        match stream.read(&mut chunk) {
+            Ok(n) if n > 0 => held.extend_from_slice(&chunk[..n]),
+            _ => return,
+        }
+        loop {
+            match next(&mut held) {
+                Ok(Some(request)) if handle(&mut stream, &request) => {}
+                Ok(None) => break,
+                _ => return,
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn requests_are_taken_off_one_by_one_when_they_are_whole() {
+        let text = "POST /a?b=%20c HTTP/1.1\r\nContent-Length: 2\r\n\r\nxyGET / HTTP/1.1\r\n\r\n";
+        let mut held = text.as_bytes()[..48].to_vec();
+        assert_eq!(next(&mut held), Ok(None), "its body is not whole");
+        held.extend_from_slice(&text.as_bytes()[48..]);
+        let first = next(&mut held).unwrap().unwrap();
+        assert_eq!((first.path(), first.parameter("b").as_deref()), ("/a", Some(" c")));
+        assert_eq!(next(&mut held).unwrap().unwrap().target, "/");
+        assert!(held.is_empty() && next(&mut b"no http at all\r\n\r\n".to_vec()).is_err());
+    }
+}
--- a/tests/ogc.rs
+++ b/tests/ogc.rs
@@ -1,14 +1,11 @@
 //! The OGC front on loopback, before small stand-in feature servers: each answer's marking is checked against the
 //! parts that were really received.
 
-#[path = "../examples/toy-features/server.rs"]
-mod server;
-
 use lichenswitch::broker::Broker;
 use lichenswitch::config::{Ogc, Operators};
 use lichenswitch::http::{self, Parsed, Response};
-use serde_json::Value as Json;
-use server::{point, Mood, Server};
+use lichenswitch_standins::features::{compare, point, point_with, Mood, Server};
+use serde_json::{json, Value as Json};
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -44,6 +41,11 @@
 
 impl City {
     fn new(teams: &str) -> City {
+        let point = |(i, &east): (usize, &f64)| point(&format!("f{i}"), east, 0.5);
+        City::with(teams, PLACES.iter().enumerate().map(point).collect())
+    }
+
+    fn with(teams: &str, features: Vec<Json>) -> City {
         let listeners: Vec<TcpListener> = (0..5).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
         let mut inventory = "zones:\n  - name: z\ncells:\n".to_string();
         (0..5).for_each(|i| inventory += &format!("  - name: c{i}\n"));
@@ -70,8 +72,6 @@
         {
             std::fs::write(folder.join(name), text).unwrap();
         }
-        let features: Vec<Json> =
-            PLACES.iter().enumerate().map(|(i, &east)| point(&format!("f{i}"), east, 0.5)).collect();
         let servers = listeners.into_iter().map(|l| Server::start(l, features.clone())).collect();
         let (stop, signal) = UnixStream::pair().unwrap();
         let (told, address) = mpsc::channel();
@@ -298,3 +298,109 @@
     let over = ask("Req-Owner: coast\r\n", "scooters");
     assert!(over.status == 429 && over.header("retry-after").is_some());
 }
+
+/// Scooters over all slices, many with equal batteries, some without any: sixteen a slice, none on a border.
+fn scooters() -> Vec<Json> {
+    let scooter = |i: usize| {
+        let east = (i % 5) as f64 + 0.1 + (i / 5) as f64 * 0.04;
+        let battery = (i * 37) % 23;
+        let properties = if i.is_multiple_of(13) { json!({}) } else { json!({"battery": battery}) };
+        point_with(&format!("s{i}"), east, 0.5, properties)
+    };
+    (0..80).map(scooter).collect()
+}
+
+/// The ids that one big server would give: by battery, then by slice, then in the order of the slice.
+fn expected(down: bool) -> Vec<String> {
+    let mut all = scooters();
+    all.sort_by(|a, b| {
+        let slice = |f: &Json| f["geometry"]["coordinates"][0].as_f64().unwrap() as u32;
+        compare(a, b, "battery", down).then(slice(a).cmp(&slice(b)))
+    });
+    all.iter().map(|f| f["id"].as_str().unwrap().to_string()).collect()
+}
+
+fn requests(city: &City) -> usize {
+    city.servers.iter().map(|s| s.seen().len()).sum()
+}
+
+#[test]
+fn sorted_pages_are_those_of_one_big_server_and_ask_only_slices_that_can_reach_them() {
+    let city = City::with("", scooters());
+    for (order, down) in [("battery", false), ("%2Bbattery", false), ("+battery", false), ("-battery", true)]
+    {
+        let (mut target, mut seen) =
+            (format!("/collections/scooters/items?sortby={order}&limit=9"), Vec::new());
+        loop {
+            let (_, page) = city.page(&target);
+            assert_eq!(page["complete"], true, "{target}");
+            seen.extend(ids(&page).into_iter().map(str::to_string));
+            match next(&page) {
+                Some(next) => target = next,
+                None => break,
+            }
+        }
+        assert_eq!(seen, expected(down), "{order}");
+    }
+    // Five bests, then details from the slices that can have any of the first.
+    let before = requests(&city);
+    let (_, page) = city.page("/collections/scooters/items?sortby=-battery&limit=1&bbox=0,0,5,1");
+    assert_eq!(ids(&page), expected(true)[..1]);
+    assert!(requests(&city) - before <= 10);
+    for bad in ["", "-", "a,b", "a%20b", "battery&sortby=battery"] {
+        let target = format!("/collections/scooters/items?sortby={bad}");
+        assert_eq!(city.get(&target).status, 400, "{target}");
+    }
+}
+
+#[test]
+fn data_nodes_that_cannot_sort_are_asked_for_all_and_this_is_remembered() {
+    let city = City::with("", scooters());
+    city.moods(Mood::CantSort);
+    let target = "/collections/scooters/items?sortby=-battery&limit=12";
+    let (_, page) = city.healed(target);
+    assert_eq!(ids(&page), expected(true)[..12]);
+    let (before, sorted) = (requests(&city), |city: &City| {
+        let seen = city.servers.iter().flat_map(Server::seen);
+        seen.filter(|target| target.contains("sortby")).count()
+    });
+    let refused = sorted(&city);
+    let (_, page) = city.healed(target);
+    assert_eq!(ids(&page), expected(true)[..12]);
+    assert!(sorted(&city) - refused <= 5, "each node refuses once at most");
+    assert!(requests(&city) > before);
+}
+
+#[test]
+fn a_sorted_answer_that_lacks_details_is_partial_and_one_whose_bounds_lie_is_not_complete() {
+    let city = City::with("", scooters());
+    // The first phase comes in whole; one slice's details never do.
+    city.moods(Mood::WithholdDetails(1.0, 2.0));
+    let (_, page) = city.page("/collections/network/items?sortby=-battery&limit=40");
+    assert_eq!((&page["complete"], &page["missingSlices"]), (&json!(false), &json!(["s1"])));
+    let answered: Vec<String> = city.servers.iter().flat_map(|s| s.ledger().answered).collect();
+    let of_slice = answered.iter().filter(|t| t.contains("bbox=1%2C0%2C2%2C1"));
+    assert!(
+        of_slice.clone().count() > 0 && of_slice.clone().all(|t| t.ends_with("&limit=1")),
+        "{answered:?}"
+    );
+    // A class that needs all parts gives none.
+    assert_eq!(city.get("/collections/scooters/items?sortby=-battery&limit=40").status, 503);
+    city.moods(Mood::Serve);
+    assert_eq!(city.healed("/collections/scooters/items?sortby=-battery&limit=40").1["complete"], true);
+    // A slice that gives more than its bound: what the answer rests on is wrong.
+    city.moods(Mood::Lie);
+    let (_, page) = city.page("/collections/network/items?sortby=-battery&limit=40");
+    assert_eq!(page["complete"], false);
+}
+
+#[test]
+fn details_come_from_the_other_replica_when_one_breaks_between_the_phases() {
+    let city = City::with("", scooters());
+    city.servers[2].set(Mood::DieInSecond);
+    let (_, page) = city.healed("/collections/scooters/items?sortby=battery&limit=30");
+    assert_eq!(ids(&page), expected(false)[..30]);
+    city.servers[2].set(Mood::Spoil);
+    let (_, page) = city.healed("/collections/scooters/items?sortby=battery&limit=30");
+    assert_eq!(ids(&page), expected(false)[..30]);
+}
--- /dev/null
+++ b/tests/phases.rs
@@ -0,0 +1,269 @@
+//! Queries of two phases on the platform's wire, planned, before scripted data nodes: what the broker says of its
+//! answers is checked against what the data nodes say they sent.
+
+use lichenswitch::broker::Broker;
+use lichenswitch::config::{Operators, Platform};
+use lichenswitch_standins::discovery::{self, Line};
+use lichenswitch_standins::frames::{Fate, Ledger, Node, Part};
+use serde_json::Value as Json;
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+/// Answers in part are allowed from 80% on; the second phase has five parts.
+const SETTINGS: &str = r#"{"allowed":{"maxAttempts":4,"mostHeld":400,"mayCancel":true,"secondCopies":true,
+    "retryAfter":true,"maxRetryAfterUs":2000000,"maxStreams":32},
+    "classes":[{"name":"report","objectiveUs":1500000,"deadlineUs":9000000,"idempotency":"retryable","gain":3.0,
+        "lateShare":0.1}],
+    "discovery":"subscribe","resolutionUs":5000,"zones":["a"],
+    "familyInfo":{"partsACall":8,"sets":2,"width":2,"classFetch":[5],"classPartial":[0.8],"minShare":[0.8],
+      "needByClass":[1.0]}}"#;
+
+struct Stage {
+    address: SocketAddr,
+    nodes: Vec<Node>,
+    stop: Option<UnixStream>,
+    broker: Option<thread::JoinHandle<()>>,
+}
+
+impl Stage {
+    /// Two data nodes that both hold every shard and go by one script, which is told the node's number.
+    fn new(script: impl Fn(usize, &Part) -> Fate + Clone + Send + 'static) -> Stage {
+        let node = |i: usize| {
+            let script = script.clone();
+            Node::start(move |part| script(i, part)).unwrap()
+        };
+        let nodes: Vec<Node> = (0..2).map(node).collect();
+        let line = |(i, n): (usize, &Node)| Line { id: format!("s{i}"), address: n.address, cell: i as u32 };
+        let lines: Vec<Line> = nodes.iter().enumerate().map(line).collect();
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"1","known":{},
+            "limits":{{"memory_mb":16}},"settings":{SETTINGS}}}"#,
+            discovery::start(&lines).unwrap(),
+            discovery::list(&lines),
+        );
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let name = format!(
+            "lichenswitch-phases-{}-{}.yaml",
+            std::process::id(),
+            COUNT.fetch_add(1, Ordering::Relaxed)
+        );
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, "phases:\n  explain: true\n  classes:\n    - class: report\n").unwrap();
+        let operators = Operators::load(&path).unwrap();
+        std::fs::remove_file(&path).unwrap();
+        let told = Platform::parse(&config, |_| None).unwrap().apply(&operators).unwrap();
+        assert!(told.phases.rules[0].is_some());
+        let (stop, signal) = UnixStream::pair().unwrap();
+        let (tell, address) = mpsc::channel();
+        let broker = thread::spawn(move || {
+            let mut broker = Broker::new(Some(told), None).unwrap();
+            broker.stop_on(signal).unwrap();
+            tell.send(broker.addresses()[0].1).unwrap();
+            broker.run().unwrap();
+        });
+        Stage { address: address.recv().unwrap(), nodes, stop: Some(stop), broker: Some(broker) }
+    }
+
+    /// Sends a query of so many slices.
+    fn send(&self, id: &str, slices: u32) -> TcpStream {
+        let boost = 1.0 / f64::from(slices);
+        let segments: Vec<String> =
+            (0..slices).map(|s| format!(r#"{{"segment":{s},"boost":{boost}}}"#)).collect();
+        let body = format!(r#"{{"segments":[{}],"text":"t"}}"#, segments.join(","));
+        let mut client = TcpStream::connect(self.address).unwrap();
+        client.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        let text = format!(
+            "POST /report HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: report\r\nReq-Deadline-Ms: 8000\r\n\
+             Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        client.write_all(text.as_bytes()).unwrap();
+        client
+    }
+
+    /// The status and body of the answer.
+    fn answer(&self, mut client: TcpStream) -> (u16, Json) {
+        let mut text = String::new();
+        client.read_to_string(&mut text).unwrap();
+        let status = text.split(' ').nth(1).unwrap().parse().unwrap();
+        let body = text.split_once("\r\n\r\n").map_or("", |t| t.1);
+        (status, serde_json::from_str(body).unwrap_or(Json::Null))
+    }
+
+    fn ledgers(&self) -> Vec<Ledger> {
+        self.nodes.iter().map(Node::ledger).collect()
+    }
+
+    /// Parts of a query's second phase that came to any data node.
+    fn second(&self, query: &str) -> Vec<Part> {
+        let came = self.ledgers().into_iter().flat_map(|l| l.came);
+        came.filter(|p| p.from.is_some() && p.query() == query).collect()
+    }
+
+    /// Waits until a second phase of the query has come.
+    fn until_second(&self, query: &str) {
+        for _ in 0..2_000 {
+            if !self.second(query).is_empty() {
+                return;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        panic!("no second phase of {query}");
+    }
+
+    /// Waits until all these parts were given up.
+    fn until_given_up(&self, ids: &BTreeSet<String>) {
+        for _ in 0..2_000 {
+            let given_up: BTreeSet<String> = self.ledgers().into_iter().flat_map(|l| l.given_up).collect();
+            if ids.is_subset(&given_up) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        panic!("{ids:?} were not given up");
+    }
+
+    /// Checks an answer against the ledgers: each value was sent, and it is whole only if all that it needs was.
+    fn check(&self, query: &str, slices: u32, body: &Json) -> usize {
+        let matches = body["matches"].as_array().unwrap();
+        let shards: BTreeSet<u64> = matches.iter().map(|m| m["segment"].as_u64().unwrap()).collect();
+        assert_eq!(shards.len(), matches.len(), "no shard twice");
+        let answered: BTreeSet<String> =
+            self.ledgers().into_iter().flat_map(|l| l.answered.into_iter().chain(l.late)).collect();
+        for shard in &shards {
+            assert!(
+                answered.contains(&format!("{query}.{shard}.get")),
+                "{shard} was never sent: {answered:?}"
+            );
+        }
+        let second = self.second(query);
+        for part in &second {
+            let from = part.from.as_ref().unwrap();
+            assert!(from.len() as f64 >= 0.8 * f64::from(slices), "under the least share: {from:?}");
+            let said = |s: &u32| answered.contains(&format!("{query}.{s}"));
+            assert!(from.iter().all(said), "a shard is named that did not answer: {from:?}");
+        }
+        let first_whole = second.iter().all(|p| p.from.as_ref().unwrap().len() as u32 == slices);
+        if body["all_in"] == true {
+            assert!(first_whole && shards.len() == 5, "called whole: {body}");
+        }
+        assert!(shards.len() >= 4, "four of five at least: {body}");
+        shards.len()
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        let _ = self.broker.take().map(thread::JoinHandle::join);
+    }
+}
+
+fn well(part: &Part) -> Fate {
+    Fate::Answer(f64::from(part.shard), 2)
+}
+
+#[test]
+fn all_at_once_is_whole_and_details_come_from_the_best() {
+    let stage = Stage::new(|_, part| well(part));
+    // Enough queries for times to be learnt: the answers stay the same.
+    for i in 0..12 {
+        let id = format!("a{i}");
+        let (status, body) = stage.answer(stage.send(&id, 8));
+        assert_eq!((status, &body["all_in"]), (200, &Json::Bool(true)), "{body}");
+        assert_eq!(stage.check(&id, 8, &body), 5);
+        let shards: BTreeSet<u32> = stage.second(&id).iter().map(|p| p.shard).collect();
+        assert_eq!(shards, (3..8).collect());
+    }
+}
+
+#[test]
+fn a_withheld_first_part_makes_the_answer_partial_at_the_least_share_and_below_it_there_is_none() {
+    // Of ten slices two are withheld by all: exactly the least share. Of the other query three are.
+    let stage = Stage::new(|_, part| {
+        let withheld = if part.query() == "b" { 2 } else { 3 };
+        if part.from.is_none() && part.shard < withheld {
+            Fate::Hang
+        } else {
+            well(part)
+        }
+    });
+    let (at, below) = (stage.send("b", 10), stage.send("c", 10));
+    let (status, body) = stage.answer(at);
+    assert_eq!((status, &body["all_in"]), (200, &Json::Bool(false)), "{body}");
+    stage.check("b", 10, &body);
+    let (status, _) = stage.answer(below);
+    assert!(status == 503 || status == 504, "{status}");
+    assert!(stage.second("c").is_empty(), "nothing is fetched for an answer that may not be given");
+}
+
+#[test]
+fn details_that_fail_at_the_least_share_leave_no_answer_and_one_less_leaves_a_partial_one() {
+    // Details of one shard, or of two, fail wherever they are asked for.
+    let stage = Stage::new(|_, part| {
+        let failing = if part.query() == "d" { 7..8 } else { 6..8 };
+        match part.from {
+            Some(_) if failing.contains(&part.shard) => Fate::Error,
+            _ => well(part),
+        }
+    });
+    let (status, body) = stage.answer(stage.send("d", 8));
+    assert_eq!((status, &body["all_in"]), (200, &Json::Bool(false)), "{body}");
+    assert_eq!(stage.check("d", 8, &body), 4);
+    let (status, _) = stage.answer(stage.send("e", 8));
+    assert!(status == 503 || status == 504, "{status}");
+}
+
+#[test]
+fn a_replica_that_breaks_between_the_phases_is_made_good_by_the_other() {
+    let stage = Stage::new(|node, part| match (node, &part.from) {
+        (0, Some(_)) => Fate::Break,
+        _ => well(part),
+    });
+    let (status, body) = stage.answer(stage.send("f", 6));
+    assert_eq!(status, 200, "{body}");
+    stage.check("f", 6, &body);
+    assert!(stage.nodes[1].ledger().answered.iter().any(|id| id.ends_with(".get")));
+}
+
+#[test]
+fn a_client_that_hangs_up_between_the_phases_has_its_parts_given_up() {
+    let stage = Stage::new(|_, part| if part.from.is_some() { Fate::Hang } else { well(part) });
+    let client = stage.send("g", 6);
+    stage.until_second("g");
+    drop(client);
+    let wanted: BTreeSet<String> = stage.second("g").into_iter().map(|p| p.id).collect();
+    stage.until_given_up(&wanted);
+}
+
+#[test]
+fn a_stop_between_the_phases_lets_the_second_end() {
+    let mut stage = Stage::new(|_, part| match part.from {
+        Some(_) => Fate::Answer(1.0, 300),
+        None => well(part),
+    });
+    let client = stage.send("h", 6);
+    stage.until_second("h");
+    drop(stage.stop.take());
+    let (status, body) = stage.answer(client);
+    assert_eq!((status, &body["all_in"]), (200, &Json::Bool(true)), "{body}");
+    stage.check("h", 6, &body);
+}
+
+#[test]
+fn a_second_phase_that_misses_the_aim_is_given_up_then_and_not_worked_on() {
+    // Nothing of the second phase is ever answered: at the aim what is left earns too little.
+    let stage = Stage::new(|_, part| if part.from.is_some() { Fate::Hang } else { well(part) });
+    let (status, _) = stage.answer(stage.send("i", 6));
+    assert_eq!(status, 503, "refused, harmless to try again");
+    let sent: BTreeSet<String> = stage.second("i").into_iter().map(|p| p.id).collect();
+    // One copy of each that is out is given up; of twins the other may have gone before.
+    assert!(!sent.is_empty());
+    stage.until_given_up(&sent);
+}
