--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -82,9 +82,9 @@
     #[test]
     fn requests_are_taken_off_one_by_one_when_they_are_whole() {
         let text = "POST /a?b=%20c HTTP/1.1\r\nContent-Length: 2\r\n\r\nxyGET / HTTP/1.1\r\n\r\n";
-        let mut held = text.as_bytes()[..48].to_vec();
+        let mut held = text.as_bytes()[..47].to_vec();
         assert_eq!(next(&mut held), Ok(None), "its body is not whole");
-        held.extend_from_slice(&text.as_bytes()[48..]);
+        held.extend_from_slice(&text.as_bytes()[47..]);
         let first = next(&mut held).unwrap().unwrap();
         assert_eq!((first.path(), first.parameter("b").as_deref()), ("/a", Some(" c")));
         assert_eq!(next(&mut held).unwrap().unwrap().target, "/");
