Do not give up wide second phases for nothing: their parts' chances are not independent

Cause: the chance that all parts of a second phase come in time was the product of theirs; a hundred likely parts were expected to earn nothing and the query was given up.

Change: the geometric mean of that product and of the least likely part's chance.

--- a/src/decide/phases/budget.rs
+++ b/src/decide/phases/budget.rs
@@ -160,7 +160,11 @@
         keep.extend(others.into_iter().take(least - keep.len()));
     }
     let weakest = keep.iter().map(|k| k.0).fold(1.0, f64::min);
-    let all: f64 = keep.iter().map(|k| k.0).product();
+    // Parts share servers and troubles: the chance that all come lies between that of parts that have nothing to do with
+    // each other and that of the least likely one; their middle is taken. Guards wide queries, which the product alone
+    // would give up for nothing.
+    let apart: f64 = keep.iter().map(|k| k.0).product();
+    let all = (apart * weakest).sqrt();
     let done = keep.len() + granted;
     let share = if done >= wanted { 1.0 } else { rules.partial * done as f64 / wanted.max(1) as f64 };
     let expected = share * (all + rules.late_share * (1.0 - all));
@@ -219,6 +223,15 @@
         assert!(shrunk.expected < 0.2, "but hopeless: {}", shrunk.expected);
     }
 
+    #[test]
+    fn a_wide_second_phase_of_likely_parts_is_not_hopeless() {
+        let wide = Rules { wanted: 100, floor: 1.0, ..rules() };
+        let all: Vec<Candidate> = (0..100).map(|slice| Candidate { slice, pending: Some(0.0) }).collect();
+        let shrunk = shrink(&wide, &mut times(), Time(MS), 142 * MS, &all, (100, 0));
+        assert_eq!(shrunk.keep.len(), 100);
+        assert!(shrunk.weakest < 0.99 && shrunk.expected > 0.2, "{} {}", shrunk.weakest, shrunk.expected);
+    }
+
     #[test]
     fn granted_slices_count_towards_the_least_share() {
         let two = &candidates([Some(9.0), Some(9.0), None, None, None])[..2];
