Let the frames' stand-in tell what it answers after the aim of its query

Need: a data node's ledger told what came after the wait of its part, not after its query's aim, which is what a second phase must not be worked on beyond.

Change: note_aim, and a ledger of what is answered after it; the test of a second phase that misses the aim asserts that nothing is.

--- a/standins/src/frames.rs
+++ b/standins/src/frames.rs
@@ -1,6 +1,7 @@
 //! A data node that speaks frames: a length, a letter and the rest. It answers parts by a script that tells first and
 //! second phase apart, and accounts for what it answered, what was given up and what came too late.
 
+use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -56,6 +57,15 @@
     pub given_up: Vec<String>,
     /// Ids whose answer was due later than the broker waits.
     pub late: Vec<String>,
+    /// Ids that were answered after the aim of their query, where the node was told one.
+    pub after_aim: Vec<String>,
+}
+
+/// The aim of queries, and when the first part of each came.
+#[derive(Default)]
+struct Aims {
+    aim: Option<Duration>,
+    began: HashMap<String, Instant>,
 }
 
 type Script = Arc<Mutex<Box<dyn FnMut(&Part) -> Fate + Send>>>;
@@ -67,6 +77,7 @@
     pub address: SocketAddr,
     script: Script,
     ledger: Arc<Mutex<Ledger>>,
+    aims: Arc<Mutex<Aims>>,
 }
 
 fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
@@ -107,7 +118,8 @@
     pub fn start(script: impl FnMut(&Part) -> Fate + Send + 'static) -> std::io::Result<Node> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let node = Node { address, script: Arc::new(Mutex::new(Box::new(script))), ledger: Arc::default() };
+        let script: Script = Arc::new(Mutex::new(Box::new(script)));
+        let node = Node { address, script, ledger: Arc::default(), aims: Arc::default() };
         let accepting = node.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -118,6 +130,18 @@
         Ok(node)
     }
 
+    /// From now on it notes what it answers later than this after the first part of a query came to it.
+    pub fn note_aim(&self, aim: Duration) {
+        self.aims.lock().unwrap_or_else(|e| e.into_inner()).aim = Some(aim);
+    }
+
+    /// Whether the aim of a query has passed; its first part begins it.
+    fn past_aim(&self, query: &str) -> bool {
+        let mut aims = self.aims.lock().unwrap_or_else(|e| e.into_inner());
+        let began = *aims.began.entry(query.into()).or_insert_with(Instant::now);
+        aims.aim.is_some_and(|aim| began.elapsed() > aim)
+    }
+
     /// What it did so far.
     #[must_use]
     pub fn ledger(&self) -> Ledger {
@@ -190,6 +214,7 @@
     fn take(&self, writer: &Arc<Mutex<TcpStream>>, part: Part) -> bool {
         let fate = (self.script.lock().unwrap_or_else(|e| e.into_inner()))(&part);
         self.books(|ledger| ledger.came.push(part.clone()));
+        self.past_aim(part.query());
         match fate {
             Fate::Hang => true,
             Fate::Break => false,
@@ -207,6 +232,9 @@
                         return;
                     }
                     let late = after > part.wait;
+                    if node.past_aim(part.query()) {
+                        node.books(|l| l.after_aim.push(part.id.clone()));
+                    }
                     let value = format!("{} OK {score} -\nv{}", part.id, part.shard);
                     // Noted first: whoever has the answer finds it in the ledger.
                     node.books(|l| if late { &mut l.late } else { &mut l.answered }.push(part.id));
--- a/tests/phases.rs
+++ b/tests/phases.rs
@@ -258,12 +258,16 @@
 
 #[test]
 fn a_second_phase_that_misses_the_aim_is_given_up_then_and_not_worked_on() {
-    // Nothing of the second phase is ever answered: at the aim what is left earns too little.
-    let stage = Stage::new(|_, part| if part.from.is_some() { Fate::Hang } else { well(part) });
+    // The second phase would be answered a second after the aim: at the aim what is left earns too little.
+    let stage = Stage::new(|_, part| if part.from.is_some() { Fate::Answer(1.0, 2_500) } else { well(part) });
+    // What is written just as it is given up is allowed for by half a second.
+    stage.nodes.iter().for_each(|n| n.note_aim(Duration::from_millis(2_000)));
     let (status, _) = stage.answer(stage.send("i", 6));
     assert_eq!(status, 503, "refused, harmless to try again");
     let sent: BTreeSet<String> = stage.second("i").into_iter().map(|p| p.id).collect();
     // One copy of each that is out is given up; of twins the other may have gone before.
     assert!(!sent.is_empty());
     stage.until_given_up(&sent);
+    thread::sleep(Duration::from_millis(1_500));
+    assert!(stage.ledgers().iter().all(|l| l.after_aim.is_empty()), "worked on after the aim");
 }
