--- a/lab/src/two_phase.rs
+++ b/lab/src/two_phase.rs
@@ -134,20 +134,7 @@
 /// The rules of the planner for the classes of two phases, with the settings that operators get by default.
 #[must_use]
 pub fn rules(settings: &Settings, prune: bool) -> Vec<Option<Rules>> {
-    let of = |class: &Class| {
-        (class.second_step > 0).then_some(Rules {
-            aim: class.aim,
-            late_share: class.late_share,
-            need: class.need,
-            floor: class.floor,
-            partial: class.partial,
-            wanted: class.second_step as usize,
-            probability: 0.9,
-            first_share: 0.6,
-            prune,
-            least_gain: 0.2,
-        })
-    };
+    let of = |class: &Class| (class.second_step > 0).then(|| Rules { prune, ..Rules::of(class) });
     settings.classes.iter().map(of).collect()
 }
 
--- a/src/config/operators.rs
+++ b/src/config/operators.rs
@@ -13,10 +13,6 @@
 /// The file, from the root; `LICHENSWITCH_CONFIG` names another.
 const FILE: &str = "deploy/lichenswitch.yaml";
 
-/// Defaults of a class that is planned: see `docs/operate/phases.md`.
-const PROBABILITY: f64 = 0.9;
-const LEAST_GAIN: f64 = 0.2;
-
 #[derive(Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct File {
@@ -135,17 +131,12 @@
     fn rules(&self, entry: Option<&PhasesClass>, class: &mut Class) -> Result<Rules, String> {
         let told = |pick: fn(&PhasesClass) -> &Option<Spanned<f64>>| entry.and_then(|e| pick(e).as_ref());
         class.first_share = self.share(told(|e| &e.first_share), "first_share", class.first_share)?;
+        let usual = Rules::of(class);
         Ok(Rules {
-            aim: class.aim,
-            late_share: class.late_share,
-            need: class.need,
-            floor: class.floor,
-            partial: class.partial,
-            wanted: class.second_step as usize,
-            probability: self.share(told(|e| &e.probability), "probability", PROBABILITY)?,
-            first_share: class.first_share,
-            prune: entry.and_then(|e| e.prune).unwrap_or(true),
-            least_gain: self.share(told(|e| &e.least_gain), "least_gain", LEAST_GAIN)?,
+            probability: self.share(told(|e| &e.probability), "probability", usual.probability)?,
+            prune: entry.and_then(|e| e.prune).unwrap_or(usual.prune),
+            least_gain: self.share(told(|e| &e.least_gain), "least_gain", usual.least_gain)?,
+            ..usual
         })
     }
 
--- a/src/decide/phases/mod.rs
+++ b/src/decide/phases/mod.rs
@@ -9,7 +9,7 @@
 pub mod learn;
 pub mod prune;
 
-use crate::interface::{Micros, QueryId, Time};
+use crate::interface::{Class, Micros, QueryId, Time};
 use budget::{Candidate, Missing, Times};
 use prune::{Bound, Race, Reach, Way};
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,7 +40,28 @@
     pub least_gain: f64,
 }
 
+/// What operators get where they say nothing: see `docs/operate/phases.md`.
+const PROBABILITY: f64 = 0.9;
+const LEAST_GAIN: f64 = 0.2;
+
 impl Rules {
+    /// The rules of a class with the settings that operators get by default.
+    #[must_use]
+    pub fn of(class: &Class) -> Rules {
+        Rules {
+            aim: class.aim,
+            late_share: class.late_share,
+            need: class.need,
+            floor: class.floor,
+            partial: class.partial,
+            wanted: class.second_step as usize,
+            probability: PROBABILITY,
+            first_share: class.first_share,
+            prune: true,
+            least_gain: LEAST_GAIN,
+        }
+    }
+
     /// The least parts of a second phase of so many: where an answer in part is allowed, the least share.
     #[must_use]
     pub fn least_parts(&self, wanted: usize) -> usize {
