--- a/lab/src/replay.rs
+++ b/lab/src/replay.rs
@@ -1,7 +1,7 @@
 //! `replay`: random days for the decision module alone, as a digest of every action. Two versions of the module
 //! that decide alike give the same digests for the same seeds.
 
-use crate::world::{mixed, MS};
+use crate::world::{mixed, whole_fleet, MS};
 use lichenswitch::interface::{
     Action, Budget, Class, Cold, Discovery, Event, Layout, Limits, Listed, Listing, Mode, Outcome, PartId,
     QueryId, Repeat, ServerId, Settings, Shard, Time, FIRST_SHARE,
@@ -226,14 +226,7 @@
     let mut rng = Xoshiro256PlusPlus::seed_from_u64(mixed(&[seed, 77]));
     let settings = settings(&mut rng);
     let cells = settings.layout.cells;
-    let line = |id| Listed {
-        server: ServerId(id),
-        cell: id % cells,
-        zone: id % 3,
-        mode: Mode::Ready,
-        started: None,
-    };
-    let mut pending = vec![Event::List(Listing::Whole((0..cells * 2).map(line).collect()))];
+    let mut pending = vec![Event::List(whole_fleet(cells * 2, cells))];
     let mut stage = Stage {
         rng,
         module: Coordinator::new(seed, settings.clone()),
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -193,6 +193,19 @@
     LogNormal::new(mean.ln() - variance / 2.0, variance.sqrt()).map_or(mean, |d| d.sample(rng))
 }
 
+/// The list of so many sound data nodes that take the cells in turn, and three zones.
+#[must_use]
+pub fn whole_fleet(nodes: u32, cells: u32) -> Listing {
+    let line = |id| Listed {
+        server: ServerId(id),
+        cell: id % cells,
+        zone: id % 3,
+        mode: Mode::Ready,
+        started: None,
+    };
+    Listing::Whole((0..nodes).map(line).collect())
+}
+
 impl World {
     /// A world whose broker works by these settings.
     #[must_use]
@@ -201,14 +214,7 @@
         let classes = settings.classes.clone();
         let mut core = Core::new(seed, settings, Contracts::default(), 1 << 30);
         core.plan_by(planner, false);
-        let line = |id| Listed {
-            server: ServerId(id),
-            cell: id % cells,
-            zone: id % 3,
-            mode: Mode::Ready,
-            started: None,
-        };
-        core.listed(Listing::Whole((0..scenario.nodes).map(line).collect()));
+        core.listed(whole_fleet(scenario.nodes, cells));
         let trouble = scenario.trouble;
         let ill = (f64::from(scenario.nodes) * trouble.share).round() as u32;
         let mut nodes = Vec::new();
