Spread calls to discovery over a time that grows with the fleet and with failures

Each news ends all watches at once, and their renewals do the same. About 50 brokers heard nothing at all: 88 still opened connections to 22 servers seconds after these were listed as draining or gone (2,983 refused connections), and none of them knew the successors.

Ruled out: the cost of lists (0.0001 of the price), the way to discovery (connections came up), watches that were never answered (all that were attached got their news).

At fault: Discovery::ready renewed at once, and the first Subscribe of the module comes at the first turn of each broker alike. src/decide/membership/pace.rs now says when a call may be made: the first within a spread of 60 ms a broker (the rate seen, 16 calls a second), renewals in the latter half of it, doubled by failures, with the rule on brokers that do not ask as the bound. Fleets whose calls fit into the gap of 200 ms, three brokers among them, ask at once as before.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -4,12 +4,13 @@
 use crate::config;
 use crate::contract::Contracts;
 use crate::core::{Command, Core};
+use crate::decide::membership::pace::Pace;
 use crate::decide::phases::Planner;
 use crate::discovery::{Directory, Discovery, Instance, Lifecycle};
 use crate::front::ogc::Ogc;
 use crate::front::platform::{Class, Platform};
 use crate::front::{Front, Sessions};
-use crate::interface::{Listing, Micros, Outcome, Time};
+use crate::interface::{self, Listing, Micros, Outcome, Time};
 use crate::net::{ConnId, Net, Owner, Ready, Signal, Timer};
 use crate::upstream::frames::Frames;
 use crate::upstream::ogc::Features;
@@ -207,6 +208,11 @@
             .map(|(name, c)| Class { name: name.clone(), repeat: c.repeat, deadline: c.deadline })
             .collect();
         let mut directory = Directory::new(told.zones);
+        let ask_every = match told.settings.discovery {
+            interface::Discovery::Ask(every) => every,
+            interface::Discovery::Push => 0,
+        };
+        let pace = Pace::new(told.seed, told.settings.instances, ask_every);
         let mut core = Core::new(told.seed, told.settings, Contracts::default(), told.memory);
         core.plan_by(Planner::new(told.phases.rules), told.phases.explain);
         let known = told.known.unwrap_or_default();
@@ -223,7 +229,7 @@
             pool,
             directory,
         ));
-        self.discovery = Some(Discovery::new(told.discovery, generation));
+        self.discovery = Some(Discovery::new(told.discovery, generation, pace));
         Ok(())
     }
 
--- /dev/null
+++ b/src/decide/membership/mod.rs
@@ -0,0 +1,3 @@
+//! What is believed of the data nodes and how it is kept fresh.
+
+pub mod pace;
--- /dev/null
+++ b/src/decide/membership/pace.rs
@@ -0,0 +1,236 @@
+//! When to call discovery. All brokers of a fleet share one discovery, which handles calls one after another and fails
+//! those that wait too long. Calls that come together fail together, and so do their repeats: each broker spreads its
+//! own over a time that grows with the fleet and that it corrects by what it sees. Nothing is agreed with the others.
+
+use crate::interface::{Micros, Time};
+use crate::stats::Dice;
+use std::fmt;
+
+/// What a call is taken to keep discovery busy for, until failures tell otherwise (microseconds). Measured with 100
+/// brokers: 16 calls a second.
+const CALL: Micros = 60_000;
+/// The same at the least, however many calls are answered.
+const CALL_LEAST: Micros = 15_000;
+/// A fleet whose calls fit into this is not spread: a watch continues if the next call comes within 200 ms.
+const GAP: Micros = 200_000;
+/// A call that failed makes the spread so many times as long, one that was answered so much of itself.
+const GROW: f64 = 2.0;
+const SHRINK: f64 = 0.9;
+/// Share of the time after which a broker that does not ask counts as told: longest pause after an answer.
+const PAUSE_MOST: f64 = 0.6;
+/// Longest spread after failures, in such times: after a failed call that time is four times as long.
+const FAILED_MOST: f64 = 2.0;
+
+/// Why a call is made then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// The calls of a fleet as small as this do not get in each other's way.
+    Few,
+    /// No list is known: nothing can be served before it.
+    NothingKnown,
+    /// The fleet may have started together.
+    Start,
+    /// News reaches all watches together.
+    Answered,
+    /// Discovery has more calls than it can handle, or is down.
+    Failed,
+}
+
+/// When the next call may be made, and why then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// Not before this.
+    pub at: Time,
+    /// The reason.
+    pub why: Why,
+    /// The time over which calls are spread by now, microseconds.
+    pub spread: Micros,
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}, calls spread over {} ms", self.why, self.spread / 1_000)
+    }
+}
+
+/// The pace of one broker's calls.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    dice: Dice,
+    /// How many brokers share discovery.
+    instances: u64,
+    /// A broker that has not asked for so long counts as told; 0: no such time is set.
+    ask_every: Micros,
+    spread: Micros,
+}
+
+impl Pace {
+    /// The pace of one of `instances` brokers; `ask_every` microseconds after its last call it counts as told.
+    #[must_use]
+    pub fn new(seed: u64, instances: u32, ask_every: Micros) -> Pace {
+        let instances = u64::from(instances.max(1));
+        // The seed of the module must not make the same draws here.
+        let dice = Dice(fastrand::Rng::with_seed(seed ^ 0x5bd1_e995_9e37_79b9));
+        let mut pace = Pace { dice, instances, ask_every, spread: instances * CALL };
+        pace.spread = pace.spread.min(pace.most(PAUSE_MOST));
+        pace
+    }
+
+    fn most(&self, share: f64) -> Micros {
+        if self.ask_every == 0 {
+            return Micros::MAX;
+        }
+        (self.ask_every as f64 * share) as Micros
+    }
+
+    /// Whether the calls of the whole fleet fit into the gap: the module's own waits after failures are enough then.
+    fn is_small(&self) -> bool {
+        self.instances * CALL < GAP
+    }
+
+    fn verdict(&mut self, from: Time, within: Micros, why: Why) -> Verdict {
+        if self.is_small() {
+            return Verdict { at: from, why: Why::Few, spread: self.spread };
+        }
+        Verdict { at: from.plus(self.dice.0.u64(0..=within)), why, spread: self.spread }
+    }
+
+    /// The first call after a start, or to another address; `known`: some list is held.
+    pub fn on_start(&mut self, now: Time, known: bool) -> Verdict {
+        if !known {
+            return Verdict { at: now, why: Why::NothingKnown, spread: self.spread };
+        }
+        self.verdict(now, self.spread.min(self.most(PAUSE_MOST)), Why::Start)
+    }
+
+    /// A call was answered: the next one may come after a pause, at the latter half of the spread, in which news
+    /// gathers. Guards discovery against all watches that one piece of news ends.
+    pub fn on_answer(&mut self, now: Time) -> Verdict {
+        let least = (self.instances * CALL_LEAST).min(self.spread);
+        self.spread = ((self.spread as f64 * SHRINK) as Micros).max(least);
+        let within = self.spread.min(self.most(PAUSE_MOST));
+        let from = if self.is_small() { now } else { now.plus(within / 2) };
+        self.verdict(from, within / 2, Why::Answered)
+    }
+
+    /// A call failed: it waited too long, or discovery is down. Guards discovery against repeats that wait in vain
+    /// behind each other.
+    pub fn on_failure(&mut self, now: Time) -> Verdict {
+        let longer = (self.spread as f64 * GROW) as Micros;
+        self.spread = longer.min(self.most(FAILED_MOST)).max(self.spread);
+        self.verdict(now, self.spread, Why::Failed)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::{BinaryHeap, VecDeque};
+
+    const EVERY: Micros = 10_000_000;
+    const SECOND: Micros = 1_000_000;
+
+    /// A discovery that works off one call after another and fails those that have waited for 2 s, in whose queue the
+    /// failed ones stay. News comes every second from the third to the tenth. Tells the calls made, the failed, and
+    /// how old at the worst and in the mean the list of a broker was from the fifth second on (seconds).
+    fn day(instances: u32, serve: Micros, paced: bool) -> (usize, usize, f64, f64) {
+        let mut paces: Vec<Pace> =
+            (0..instances).map(|i| Pace::new(u64::from(i), instances, EVERY)).collect();
+        // Calls to come, the latest last; calls that wait; watches; when each broker was last told all.
+        let mut calls: BinaryHeap<std::cmp::Reverse<(Time, usize)>> = BinaryHeap::new();
+        let (mut queue, mut watches): (VecDeque<(Time, usize)>, Vec<usize>) = (VecDeque::new(), Vec::new());
+        let mut told = vec![Time(0); instances as usize];
+        for (i, pace) in paces.iter_mut().enumerate() {
+            let at = if paced { pace.on_start(Time(0), true).at } else { Time(0) };
+            calls.push(std::cmp::Reverse((at, i)));
+        }
+        let (mut made, mut failed, mut worst, mut sum, mut looks) = (0, 0, 0, 0, 0);
+        let mut free = Time(0);
+        for now in (0..12 * SECOND).step_by(5_000).map(Time) {
+            let mut next = |i: usize, ok: bool, calls: &mut BinaryHeap<_>| {
+                let at = match (paced, ok) {
+                    (true, true) => paces[i].on_answer(now).at,
+                    (true, false) => paces[i].on_failure(now).at,
+                    (false, true) => now,
+                    (false, false) => now.plus(300_000),
+                };
+                calls.push(std::cmp::Reverse((at, i)));
+            };
+            while calls.peek().is_some_and(|c| c.0 .0 <= now) {
+                let Some(std::cmp::Reverse((_, i))) = calls.pop() else { break };
+                made += 1;
+                queue.push_back((now, i));
+            }
+            let old: Vec<usize> =
+                queue.iter().filter(|(at, _)| now.since(*at) == 2 * SECOND).map(|q| q.1).collect();
+            for i in old {
+                failed += 1;
+                next(i, false, &mut calls);
+            }
+            while free <= now {
+                let Some((at, i)) = queue.pop_front() else { break };
+                free = free.max(now).plus(serve);
+                if now.since(at) < 2 * SECOND {
+                    watches.push(i);
+                }
+            }
+            let newest = Time(now.0 / SECOND * SECOND).min(Time(10 * SECOND));
+            if newest >= Time(3 * SECOND) {
+                let behind = watches.extract_if(.., |i| told[*i] < newest).collect::<Vec<_>>();
+                for i in behind {
+                    told[i] = now;
+                    next(i, true, &mut calls);
+                }
+            }
+            if now >= Time(5 * SECOND) && now.0 % SECOND == 0 {
+                for at in &told {
+                    worst = worst.max(now.since(*at));
+                    (sum, looks) = (sum + now.since(*at), looks + 1);
+                }
+            }
+        }
+        (made, failed, worst as f64 / 1e6, sum as f64 / 1e6 / f64::from(looks))
+    }
+
+    #[test]
+    fn a_hundred_brokers_get_their_news_from_a_discovery_that_they_could_swamp() {
+        let (_, failed, _, mean) = day(100, 60_000, false);
+        assert!(failed > 300 && mean > 5.0, "at once they fail together, {failed} times, {mean:.1} s behind");
+        let (made, failed, worst, mean) = day(100, 60_000, true);
+        assert!(made < 260 && failed * 10 < made, "{failed} of {made} failed");
+        assert!(mean < 3.5 && worst < 9.0, "{mean:.1} s behind in the mean, {worst:.1} s at the worst");
+    }
+
+    #[test]
+    fn a_slower_discovery_is_called_less() {
+        let (swamped, fails, ..) = day(100, 120_000, false);
+        let (made, failed, ..) = day(100, 120_000, true);
+        assert!(made * 3 < swamped && failed * 3 < fails, "{failed} of {made} failed, {fails} of {swamped}");
+    }
+
+    #[test]
+    fn three_brokers_ask_at_once_and_go_on_watching() {
+        let mut pace = Pace::new(1, 3, EVERY);
+        for now in [Time(0), Time(SECOND)] {
+            assert_eq!((pace.on_start(now, true).at, pace.on_answer(now).at), (now, now));
+        }
+        assert_eq!(pace.on_answer(Time(5)).why, Why::Few);
+    }
+
+    #[test]
+    fn nobody_who_was_answered_is_silent_for_as_long_as_counts_as_told() {
+        for instances in [4, 30, 100, 5_000] {
+            let mut pace = Pace::new(3, instances, EVERY);
+            for i in 0..200 {
+                let now = Time(i * SECOND);
+                let failed = pace.on_failure(now);
+                assert!(failed.at.since(now) <= 2 * EVERY, "{failed}");
+                let (start, next) = (pace.on_start(now, true), pace.on_answer(now));
+                assert!(start.at.since(now).max(next.at.since(now)) <= EVERY * 6 / 10, "{next}");
+            }
+        }
+        let verdict = Pace::new(1, 100, 0).on_start(Time(0), false);
+        assert_eq!((verdict.at, verdict.why), (Time(0), Why::NothingKnown));
+        assert_eq!(verdict.to_string(), "NothingKnown, calls spread over 6000 ms");
+    }
+}
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,8 +1,10 @@
 //! Discovery: the list of data nodes, asked for once and then watched.
 //!
-//! The decision module says when to ask and how long to wait after a failure; a watch that was answered is
-//! renewed here at once, so that it goes on.
+//! The decision module says when to ask and how long to wait after a failure at least; a watch that was answered is
+//! renewed here. Neither is done before `decide::membership::pace` allows it: a small fleet's calls go at once, so that
+//! its watches go on, a large one's are spread.
 
+use crate::decide::membership::pace::Pace;
 use crate::http::{self, Parsed};
 use crate::interface::{Listed, Listing, Micros, Mode, ServerId, Time};
 use crate::net::{ConnId, Net, Owner, Pumped, Timer};
@@ -170,31 +172,50 @@
     call: Option<u64>,
     calls: u64,
     began: Time,
+    pace: Pace,
+    /// The next call is not made before this; unset until the first.
+    not_before: Option<Time>,
+    /// A call is to be made then, by a timer of the last number.
+    planned: bool,
 }
 
 impl Discovery {
     /// A client that has asked nothing yet.
     #[must_use]
-    pub fn new(address: SocketAddr, generation: Option<u64>) -> Self {
-        Discovery { address, generation, conn: None, call: None, calls: 0, began: Time(0) }
+    pub fn new(address: SocketAddr, generation: Option<u64>, pace: Pace) -> Self {
+        let (conn, call, calls, began) = (None, None, 0, Time(0));
+        let (not_before, planned) = (None, false);
+        Discovery { address, generation, conn, call, calls, began, pace, not_before, planned }
     }
 
-    /// Asks for changes from now on, unless that is under way. A failure to ask is reported like any other.
+    /// Asks for changes from now on, as soon as the pace allows, unless that is under way. A failure to ask is reported
+    /// like any other.
     pub fn subscribe(&mut self, net: &mut Net) -> Option<Listing> {
-        if self.call.is_some() {
+        if self.call.is_some() || self.planned {
+            return None;
+        }
+        let (now, known) = (net.clock.now(), self.generation.is_some());
+        let at = *self.not_before.get_or_insert_with(|| self.pace.on_start(now, known).at);
+        if at > now {
+            self.calls += 1;
+            self.planned = true;
+            net.wheel.set(at, Timer::Discovery(self.calls));
             return None;
         }
         self.ask(net).err().map(|()| self.fail(net))
     }
 
-    /// Asks at another address from now on. The whole list is asked for at once: versions count from where they
-    /// were told, and what the former address still had to tell is lost.
+    /// Asks at another address from now on. The whole list is asked for: versions count from where they were told, and
+    /// what the former address still had to tell is lost.
     pub fn move_to(&mut self, net: &mut Net, address: SocketAddr) -> Option<Listing> {
         if address == self.address {
             return None;
         }
         self.hang_up(net);
-        (self.address, self.generation) = (address, None);
+        // The list that is held is good until then: brokers that are told together do not ask together.
+        let at = self.pace.on_start(net.clock.now(), self.generation.is_some()).at;
+        (self.address, self.generation, self.not_before) = (address, None, Some(at));
+        self.planned = false;
         self.subscribe(net)
     }
 
@@ -222,6 +243,7 @@
 
     fn fail(&mut self, net: &mut Net) -> Listing {
         self.hang_up(net);
+        self.not_before = Some(self.pace.on_failure(net.clock.now()).at);
         Listing::Failed
     }
 
@@ -233,8 +255,12 @@
         }
     }
 
-    /// A call's timer: its connection should be up by now, or its answer here.
+    /// A call's timer: it may be made now, its connection should be up by now, or its answer here.
     pub fn timer(&mut self, net: &mut Net, call: u64) -> Option<Listing> {
+        if self.planned && self.calls == call {
+            self.planned = false;
+            return self.subscribe(net);
+        }
         if self.call != Some(call) {
             return None;
         }
@@ -281,6 +307,7 @@
         }
         let whole = list.reset || self.generation.is_none();
         self.generation = Some(list.generation);
+        self.not_before = Some(self.pace.on_answer(net.clock.now()).at);
         let mut news = vec![match whole {
             true => Listing::Whole(directory.whole(&list.instances)),
             false => Listing::Changes(directory.changes(&list.instances)),
@@ -365,7 +392,7 @@
     fn another_address_is_asked_for_the_whole_list_at_once() {
         let [old, new] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
         let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
-        let mut client = Discovery::new(old.local_addr().unwrap(), Some(41));
+        let mut client = Discovery::new(old.local_addr().unwrap(), Some(41), Pace::new(1, 3, 0));
         client.subscribe(&mut net);
         let (mut left, _) = old.accept().unwrap();
         assert!(client.move_to(&mut net, old.local_addr().unwrap()).is_none() && client.call == Some(1));
@@ -384,7 +411,7 @@
     fn a_watch_is_renewed_at_once_and_a_failure_is_told() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
-        let mut client = Discovery::new(listener.local_addr().unwrap(), None);
+        let mut client = Discovery::new(listener.local_addr().unwrap(), None, Pace::new(1, 3, 0));
         assert!(client.subscribe(&mut net).is_none());
         let (mut stream, _) = listener.accept().unwrap();
         net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
