--- a/src/policy.rs
+++ b/src/policy.rs
@@ -748,7 +748,7 @@
 
     /// Whether a cold server has used up its allowance: nothing is sent, rather than push it over.
     fn closed(&self, s: &Server) -> bool {
-        self.cold_tokens(s).is_some_and(|tokens| tokens < 1.0)
+        self.cold_tokens(s).is_some_and(|(tokens, _)| tokens < 1.0)
     }
 
     /// Whether a part joins a call opened this turn.
@@ -803,9 +803,9 @@
         let parts = open.iter().map(|&i| (i, holders(i))).collect();
         let mut wanted = Wanted::new(parts, room > 1, |server| self.bid(&self.servers[&server], class));
         while let Some((server, mut parts)) = wanted.best(&mut self.rng) {
-            parts.truncate(
-                self.cold_tokens(&self.servers[&server]).map_or(room, |tokens| room.min(1 + tokens as usize)),
-            );
+            let cold = self.cold_tokens(&self.servers[&server]);
+            let share = |(tokens, sparse)| if sparse { room.min(1 + tokens as usize) } else { 1 };
+            parts.truncate(cold.map_or(room, share));
             parts.iter().for_each(|&i| self.send(id, i, server, out));
             wanted.sent(server, &parts, self.bid(&self.servers[&server], class));
         }
@@ -819,7 +819,7 @@
     fn send(&mut self, id: QueryId, i: usize, server: ServerId, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(s) = self.servers.get(&server) else { return };
-        let (tokens, joined) = (self.cold_tokens(s).unwrap_or(0.0), self.joins(s));
+        let (tokens, joined) = (self.cold_tokens(s).map_or(0.0, |t| t.0), self.joins(s));
         let Some(q) = self.queries.get(&id) else { return };
         let timeout = self.end_of(q).since(now).max(1);
         let fresh = q.ahead || self.class(q).repeat == Repeat::Unsafe || self.reaped();
@@ -967,10 +967,10 @@
     /// capacity each instance has its share, a warm server working off some parts in a common answer time, or
     /// as many times its own mean load: both stay under the rule in sum. Instances start at random points of
     /// their first part, since all hear of a start at once: else none would send for long, or all together.
-    /// Two parts may be saved up, and a call may take one more than there is: where each of many instances has
-    /// less than a part a window, their chance alone would use up half of a smaller allowance in vain.
+    /// With less than a part a window (`true`: of many instances each meets it seldom) two parts may be saved up
+    /// and a call may take one more than there is: chance would leave half of a smaller allowance unused.
     /// Harm: at a small share a shard with cold holders alone waits for the allowance.
-    fn cold_tokens(&self, s: &Server) -> Option<f64> {
+    fn cold_tokens(&self, s: &Server) -> Option<(f64, bool)> {
         let age = self.now.since(s.cold_from?) as f64 / self.set.cold.warm_after.max(1) as f64;
         let level = (age < 1.0).then_some(self.set.cold.share + (1.0 - self.set.cold.share) * age)?;
         let norm = self.norms.iter().map(|n| n.or(0.0)).fold(1_000.0, f64::max);
@@ -979,8 +979,9 @@
         let allowed = level * self.set.cold.fall_multiple;
         let shared = allowed * COLD_PARTS / (norm * f64::from(self.set.instances));
         let rate = shared.max(self.answered as f64 / time * allowed.min(2.0));
-        let most = (rate * self.set.cold.fall_after as f64 / 3.0).max(2.0);
-        Some((s.cold_tokens + rate * self.now.since(s.filled_at) as f64).min(most).max(-most))
+        let window = rate * self.set.cold.fall_after as f64;
+        let (sparse, most) = if window < 1.0 { (true, 2.0) } else { (false, (window / 3.0).max(1.0)) };
+        Some(((s.cold_tokens + rate * self.now.since(s.filled_at) as f64).min(most).max(-most), sparse))
     }
 }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -11,6 +11,9 @@
 const SECOND: Micros = 1_000 * MS;
 const START: Time = Time(1_000_000 * MS);
 
+/// An answer to come: when, at which broker, of which part and attempt, from which server and after how long.
+type Answer = (Time, usize, u64, u16, ServerId, Micros);
+
 /// Brokers that share nothing but servers in a ring, each shard held by two. Every query wants some neighbouring shards.
 struct Fleet {
     brokers: Vec<Coordinator>,
@@ -21,8 +24,7 @@
     now: Time,
     next: u64,
     dice: fastrand::Rng,
-    /// Answers to come: when, at which broker, of which part and attempt, from which server and after how long.
-    answers: BinaryHeap<Reverse<(Time, usize, u64, u16, ServerId, Micros)>>,
+    answers: BinaryHeap<Reverse<Answer>>,
     attempts: BTreeMap<u64, u16>,
     /// All sends: when, by which broker, and where to.
     sent: Vec<(Time, usize, ServerId)>,
@@ -127,7 +129,7 @@
             let broker = self.dice.usize(0..self.brokers.len());
             self.query(broker);
             // Whoever waits for an allowance looks at it now and then.
-            if self.next % 8 == 0 {
+            if self.next.is_multiple_of(8) {
                 (0..self.brokers.len()).for_each(|b| self.turn(b, vec![Event::Wake]));
             }
         }
