Renew watches at once again: only the beginnings of watches are spread

At fault: Pace::on_answer, which made a pause. It goes at once now; the first call and repeats are spread as before.

--- a/src/decide/membership/pace.rs
+++ b/src/decide/membership/pace.rs
@@ -1,6 +1,7 @@
 //! When to call discovery. All brokers of a fleet share one discovery, which handles calls one after another and fails
-//! those that wait too long. Calls that come together fail together, and so do their repeats: each broker spreads its
-//! own over a time that grows with the fleet and that it corrects by what it sees. Nothing is agreed with the others.
+//! those that wait too long; only a watch that goes on costs it nothing. First calls that come together fail together,
+//! and so do their repeats: each broker spreads its own over a time that grows with the fleet and that it corrects by
+//! what it sees. Nothing is agreed with the others.
 
 use crate::interface::{Micros, Time};
 use crate::stats::Dice;
@@ -11,13 +12,13 @@
 const CALL: Micros = 60_000;
 /// The same at the least, however many calls are answered.
 const CALL_LEAST: Micros = 15_000;
-/// A fleet whose calls fit into this is not spread: a watch continues if the next call comes within 200 ms.
+/// The calls of a fleet that fit into this are not spread.
 const GAP: Micros = 200_000;
 /// A call that failed makes the spread so many times as long, one that was answered so much of itself.
 const GROW: f64 = 2.0;
 const SHRINK: f64 = 0.9;
-/// Share of the time after which a broker that does not ask counts as told: longest pause after an answer.
-const PAUSE_MOST: f64 = 0.6;
+/// Share of the time after which a broker that does not ask counts as told: longest wait before the first call.
+const START_MOST: f64 = 0.6;
 /// Longest spread after failures, in such times: after a failed call that time is four times as long.
 const FAILED_MOST: f64 = 2.0;
 
@@ -30,7 +31,7 @@
     NothingKnown,
     /// The fleet may have started together.
     Start,
-    /// News reaches all watches together.
+    /// The watch goes on if the next call comes within 200 ms.
     Answered,
     /// Discovery has more calls than it can handle, or is down.
     Failed,
@@ -72,7 +73,7 @@
         // The seed of the module must not make the same draws here.
         let dice = Dice(fastrand::Rng::with_seed(seed ^ 0x5bd1_e995_9e37_79b9));
         let mut pace = Pace { dice, instances, ask_every, spread: instances * CALL };
-        pace.spread = pace.spread.min(pace.most(PAUSE_MOST));
+        pace.spread = pace.spread.min(pace.most(START_MOST));
         pace
     }
 
@@ -100,17 +101,15 @@
         if !known {
             return Verdict { at: now, why: Why::NothingKnown, spread: self.spread };
         }
-        self.verdict(now, self.spread.min(self.most(PAUSE_MOST)), Why::Start)
+        self.verdict(now, self.spread.min(self.most(START_MOST)), Why::Start)
     }
 
-    /// A call was answered: the next one may come after a pause, at the latter half of the spread, in which news
-    /// gathers. Guards discovery against all watches that one piece of news ends.
+    /// A call was answered: the next one goes at once, which makes the watch go on. Measured: discovery takes the
+    /// renewals of 100 watches together, while it fails new calls that come faster than 16 a second.
     pub fn on_answer(&mut self, now: Time) -> Verdict {
         let least = (self.instances * CALL_LEAST).min(self.spread);
         self.spread = ((self.spread as f64 * SHRINK) as Micros).max(least);
-        let within = self.spread.min(self.most(PAUSE_MOST));
-        let from = if self.is_small() { now } else { now.plus(within / 2) };
-        self.verdict(from, within / 2, Why::Answered)
+        Verdict { at: now, why: Why::Answered, spread: self.spread }
     }
 
     /// A call failed: it waited too long, or discovery is down. Guards discovery against repeats that wait in vain
@@ -131,7 +130,7 @@
     const SECOND: Micros = 1_000_000;
 
     /// A discovery that works off one call after another and fails those that have waited for 2 s, in whose queue the
-    /// failed ones stay. News comes every second from the third to the tenth. Tells the calls made, the failed, and
+    /// failed ones stay; a watch that is renewed within 200 ms goes on. News comes every second from the third to the tenth. Tells the calls made, the failed, and
     /// how old at the worst and in the mean the list of a broker was from the fifth second on (seconds).
     fn day(instances: u32, serve: Micros, paced: bool) -> (usize, usize, f64, f64) {
         let mut paces: Vec<Pace> =
@@ -147,15 +146,6 @@
         let (mut made, mut failed, mut worst, mut sum, mut looks) = (0, 0, 0, 0, 0);
         let mut free = Time(0);
         for now in (0..12 * SECOND).step_by(5_000).map(Time) {
-            let mut next = |i: usize, ok: bool, calls: &mut BinaryHeap<_>| {
-                let at = match (paced, ok) {
-                    (true, true) => paces[i].on_answer(now).at,
-                    (true, false) => paces[i].on_failure(now).at,
-                    (false, true) => now,
-                    (false, false) => now.plus(300_000),
-                };
-                calls.push(std::cmp::Reverse((at, i)));
-            };
             while calls.peek().is_some_and(|c| c.0 .0 <= now) {
                 let Some(std::cmp::Reverse((_, i))) = calls.pop() else { break };
                 made += 1;
@@ -165,7 +155,8 @@
                 queue.iter().filter(|(at, _)| now.since(*at) == 2 * SECOND).map(|q| q.1).collect();
             for i in old {
                 failed += 1;
-                next(i, false, &mut calls);
+                let at = if paced { paces[i].on_failure(now).at } else { now.plus(300_000) };
+                calls.push(std::cmp::Reverse((at, i)));
             }
             while free <= now {
                 let Some((at, i)) = queue.pop_front() else { break };
@@ -176,10 +167,9 @@
             }
             let newest = Time(now.0 / SECOND * SECOND).min(Time(10 * SECOND));
             if newest >= Time(3 * SECOND) {
-                let behind = watches.extract_if(.., |i| told[*i] < newest).collect::<Vec<_>>();
-                for i in behind {
+                for &i in &watches {
                     told[i] = now;
-                    next(i, true, &mut calls);
+                    assert!(paces[i].on_answer(now).at.since(now) < GAP, "the watch goes on");
                 }
             }
             if now >= Time(5 * SECOND) && now.0 % SECOND == 0 {
@@ -197,8 +187,8 @@
         let (_, failed, _, mean) = day(100, 60_000, false);
         assert!(failed > 300 && mean > 5.0, "at once they fail together, {failed} times, {mean:.1} s behind");
         let (made, failed, worst, mean) = day(100, 60_000, true);
-        assert!(made < 260 && failed * 10 < made, "{failed} of {made} failed");
-        assert!(mean < 3.5 && worst < 9.0, "{mean:.1} s behind in the mean, {worst:.1} s at the worst");
+        assert!(made < 120 && failed == 0, "{failed} of {made} failed");
+        assert!(mean < 0.5, "{mean:.1} s behind in the mean, {worst:.1} s at the worst");
     }
 
     #[test]
@@ -214,7 +204,7 @@
         for now in [Time(0), Time(SECOND)] {
             assert_eq!((pace.on_start(now, true).at, pace.on_answer(now).at), (now, now));
         }
-        assert_eq!(pace.on_answer(Time(5)).why, Why::Few);
+        assert_eq!(pace.on_failure(Time(5)).why, Why::Few);
     }
 
     #[test]
@@ -226,7 +216,7 @@
                 let failed = pace.on_failure(now);
                 assert!(failed.at.since(now) <= 2 * EVERY, "{failed}");
                 let (start, next) = (pace.on_start(now, true), pace.on_answer(now));
-                assert!(start.at.since(now).max(next.at.since(now)) <= EVERY * 6 / 10, "{next}");
+                assert!(start.at.since(now) <= EVERY * 6 / 10 && next.at == now, "{start}, {next}");
             }
         }
         let verdict = Pace::new(1, 100, 0).on_start(Time(0), false);
