Hold faults against servers that a broker meets seldom for eight meetings, not two

A broker meets a server every 2 s; what it holds against it fell under the threshold after 6 s, so 100 brokers tried each slow server in turn, and each try costs a query half its aim.

At fault: Coordinator::memory, FAULT_PARTS 2 and at most 16 s. Now 8 meetings and at most 32 s; where a server is met once a second or more, as by three brokers, the 8 s hold as before (the digests of small fleets are unchanged).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,10 +37,11 @@
 /// An unanswered attempt goes on counting against its server for this multiple of the class's aim.
 const GHOST_AIMS: f64 = 3.0;
 /// Faded share of bad ends above which a server is passed over; what halves it: this long (microseconds), or
-/// the time in which a server gets so many parts of this instance, up to as many times as long.
+/// the time in which a server gets so many parts of this instance, up to MEMORY_MOST times as long.
 const FAULTY: f64 = 0.3;
 const FAULT_HALF: f64 = 8_000_000.0;
-const FAULT_PARTS: f64 = 2.0;
+const FAULT_PARTS: f64 = 8.0;
+const MEMORY_MOST: f64 = 4.0;
 /// Answer times this many times the common one begin to count as bad, and this many are fully bad.
 const SLOW_FROM: f64 = 2.0;
 const SLOW_FULL: f64 = 5.0;
@@ -486,7 +487,7 @@
     /// Time that halves what is held against a server: the less often one is met, the longer it must last.
     fn memory(&self) -> f64 {
         let between = self.now.since(self.began) as f64 * self.ready as f64 / self.answered.max(1) as f64;
-        (FAULT_PARTS * between).clamp(FAULT_HALF, FAULT_PARTS * FAULT_HALF)
+        (FAULT_PARTS * between).clamp(FAULT_HALF, MEMORY_MOST * FAULT_HALF)
     }
 
     /// What is wrong with the way to a zone, where ends are far worse than at the best zone (alike is load).
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -161,3 +161,22 @@
     let sent = fleet.parts_to(25, begun, fleet.now);
     assert!(sent > 180, "{sent} parts in 6 s");
 }
+
+#[test]
+fn a_slow_server_that_each_broker_meets_seldom_is_not_tried_by_all_of_them_in_turn() {
+    let mut fleet = Fleet::new(100, 20, 6);
+    fleet.takes.insert(ServerId(5), 400 * MS);
+    fleet.play(200.0, 8 * SECOND);
+    let learnt = fleet.now;
+    fleet.play(200.0, 12 * SECOND);
+    // Sound ones get 60 a second. What is held against it must last until a broker would meet it again.
+    let sent = fleet.parts_to(5, learnt, fleet.now) as f64 / 12.0;
+    assert!(sent < 15.0, "{sent:.1} parts a second");
+    // And it is not left out for ever: once it is well, it is met again and trusted.
+    fleet.takes.clear();
+    fleet.play(200.0, 30 * SECOND);
+    let well = fleet.now;
+    fleet.play(200.0, 10 * SECOND);
+    let sent = fleet.parts_to(5, well, fleet.now) as f64 / 10.0;
+    assert!(sent > 40.0, "{sent:.1} parts a second");
+}
