Greet only new connections to nodes that may stand still, not all of them

Checked: the greeting was brought in for parts that were read after their query's end by nodes that had just started; nothing shows that nodes listed as started long ago need it.

At fault: Pool::room, which made each link with a greeting due. Now it is due where the list told a start within the time to warm, for 10 s after a connection broke with something out or was left mute, and beside a mute connection.

Test: a node that started long ago gets its call at once; after a broken connection the next one is greeted.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -146,9 +146,19 @@
     /// Closes the connections to nodes that are gone; one that still carries calls ends when it falls idle.
     fn leave_gone(&mut self, net: &mut Net) {
         for server in self.directory.take_gone() {
-            self.pool.close_idle(net, server);
+            self.pool.leave(net, server);
         }
     }
+
+    /// Takes in news of the list: the core gets it, and the pool is told of nodes that have just started.
+    fn listed(&mut self, news: Listing) {
+        if let Listing::Changes(lines) | Listing::Whole(lines) | Listing::Cached(lines) = &news {
+            let warm_after = self.core.settings().cold.warm_after;
+            let started = lines.iter().filter_map(|line| Some((line.server, line.started?)));
+            started.for_each(|(server, at)| self.pool.beware(server, at.plus(warm_after)));
+        }
+        self.core.listed(news);
+    }
 }
 
 /// Writes a line for the operators. Guards against a crash when nobody reads the log any more: the line is lost.
@@ -217,18 +227,14 @@
         core.plan_by(Planner::new(told.phases.rules), told.phases.explain);
         let known = told.known.unwrap_or_default();
         let generation = (!known.instances.is_empty()).then_some(known.generation);
-        core.listed(Listing::Cached(directory.whole(&known.instances)));
+        let known = Listing::Cached(directory.whole(&known.instances));
         let pool = Pool::new(Frames, limits(told.connections));
         let address = self.listen(Owner::Platform, told.listen)?;
         log(&format!("{} listens on {address}", told.name));
-        self.platform = Some(Service::new(
-            Owner::Platform,
-            Platform::new(classes),
-            Sessions::new(told.memory),
-            core,
-            pool,
-            directory,
-        ));
+        let (front, sessions) = (Platform::new(classes), Sessions::new(told.memory));
+        let mut service = Service::new(Owner::Platform, front, sessions, core, pool, directory);
+        service.listed(known);
+        self.platform = Some(service);
         self.discovery = Some(Discovery::new(told.discovery, generation, pace));
         Ok(())
     }
@@ -326,7 +332,7 @@
 
     fn listed(&mut self, news: impl IntoIterator<Item = Listing>) {
         if let Some(service) = &mut self.platform {
-            news.into_iter().for_each(|news| service.core.listed(news));
+            news.into_iter().for_each(|news| service.listed(news));
         }
     }
 
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -38,7 +38,8 @@
     const CEILING: usize;
     /// An answer that has begun is whole after this long, or never.
     const STALL: Micros;
-    /// What a new connection begins with, where the node answers that; no call is written before it has.
+    /// What a new connection to a node that may stand still begins with, where the node answers that; no call is
+    /// written before it has.
     fn greeting(&self) -> Option<Vec<u8>>;
     /// Writes a call and tells the names of its parts.
     fn call(&self, parts: &[Dispatch<Self::Job>], host: SocketAddr, out: &mut Vec<u8>) -> Vec<Self::Name>;
@@ -169,6 +170,8 @@
 const USUAL_PACE: f64 = 0.02;
 /// Most connections to one data node.
 const LINKS: usize = 16;
+/// After a connection was left or broke under a part, new ones to that node are greeted for so long.
+const WARY: Micros = 10_000_000;
 /// Settled parts that are remembered for a connection.
 const SETTLED: usize = 256;
 
@@ -180,6 +183,8 @@
     by_server: HashMap<ServerId, Vec<ConnId>>,
     /// The connection that each attempt is out on.
     attempts: HashMap<u64, ConnId>,
+    /// Nodes whose new connections are greeted, and until when.
+    wary: HashMap<ServerId, Time>,
     /// Usual time from a call to an answer.
     usual: Fading,
     ended: Vec<Ended>,
@@ -192,7 +197,20 @@
     pub fn new(wire: W, limits: Limits) -> Self {
         let (links, by_server, attempts) = (HashMap::new(), HashMap::new(), HashMap::new());
         let (usual, ended, log) = (Fading::default(), Vec::new(), Vec::new());
-        Pool { wire, limits, links, by_server, attempts, usual, ended, log }
+        Pool { wire, limits, links, by_server, attempts, wary: HashMap::new(), usual, ended, log }
+    }
+
+    /// New connections to this node are greeted until then: it has just started, or connections to it broke. A greeting
+    /// is work for the node and, where each of many brokers opens many connections, a good part of all its work.
+    pub fn beware(&mut self, server: ServerId, until: Time) {
+        let at = self.wary.entry(server).or_insert(until);
+        *at = until.max(*at);
+    }
+
+    /// Forgets what is known of a node that is gone, and closes the connections to it that carry nothing.
+    pub fn leave(&mut self, net: &mut Net, server: ServerId) {
+        self.wary.remove(&server);
+        self.close_idle(net, server);
     }
 
     /// Ends of attempts and log lines since the last time.
@@ -316,9 +334,11 @@
         };
         match connected {
             Ok(id) => {
-                known.push(id);
                 let (waiting, calls, settled) = (VecDeque::new(), Vec::new(), VecDeque::new());
-                let greeting = Greeting::Due;
+                // One beside others that are mute: the node itself may stand still.
+                let mute = known.iter().any(|id| self.links.get(id).is_some_and(|l| l.mute));
+                let wary = mute || self.wary.get(&server).is_some_and(|&until| net.clock.now() < until);
+                let greeting = if wary { Greeting::Due } else { Greeting::Done };
                 let link = Link {
                     server,
                     address,
@@ -330,6 +350,7 @@
                     mute: false,
                     outdone: None,
                 };
+                known.push(id);
                 self.links.insert(id, link);
                 let at = net.clock.now().plus(self.limits.connect);
                 net.wheel.set(at, Timer::Conn(id));
@@ -487,6 +508,7 @@
     fn broken(&mut self, net: &mut Net, id: ConnId) {
         let written = net.get(id).map_or(0, crate::net::Conn::written);
         let Some(link) = self.links.get_mut(&id) else { return net.close(id) };
+        let (server, carried) = (link.server, !link.idle() || link.mute);
         for attempt in link.waiting.drain(..).flatten().map(|p| p.attempt) {
             self.attempts.remove(&attempt);
             self.ended.push(Ended { attempt, outcome: Outcome::ConnectFailed, value: None });
@@ -498,6 +520,9 @@
                 self.ended.push(Ended { attempt: part.attempt, outcome, value: None });
             }
         }
+        if carried {
+            self.beware(server, net.clock.now().plus(WARY));
+        }
         self.drop_link(net, id);
     }
 
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -21,7 +21,10 @@
 impl Stage {
     fn new(limits: Limits) -> Stage {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        Stage { net: Net::new(64).unwrap(), pool: Pool::new(Frames, limits), listener, attempts: 0 }
+        let mut pool = Pool::new(Frames, limits);
+        // Most tests are of a node that has just started.
+        pool.beware(SERVER, Time(u64::MAX));
+        Stage { net: Net::new(64).unwrap(), pool, listener, attempts: 0 }
     }
 
     /// Sends a call of one part and tells its attempt.
@@ -343,3 +346,27 @@
     assert_eq!(stage.ended(), [(three, Outcome::Ok), (one, Outcome::Cancelled)]);
     assert_eq!(stage.pool.links.len(), 1);
 }
+
+#[test]
+fn only_nodes_that_may_stand_still_are_greeted() {
+    let mut stage = Stage::new(LIMITS);
+    stage.pool.leave(&mut stage.net, SERVER);
+    let first = stage.send("x");
+    let (mut node, _) = stage.listener.accept().unwrap();
+    assert!(stage.ended().is_empty());
+    let written = || {
+        let mut bytes = [0; 5];
+        node.read_exact(&mut bytes).unwrap();
+        bytes[4]
+    };
+    assert_eq!({ written }(), b'R', "a call, and no probe before it");
+    // The connection breaks under the part: the next one is greeted.
+    drop(node);
+    assert_eq!(stage.ended(), [(first, Outcome::Reset)]);
+    stage.send("x");
+    let (mut node, _) = stage.listener.accept().unwrap();
+    assert!(stage.ended().is_empty());
+    let mut bytes = [0; 5];
+    node.read_exact(&mut bytes).unwrap();
+    assert_eq!(&bytes, b"\0\0\0\x01G");
+}
