--- a/src/broker.rs
+++ b/src/broker.rs
@@ -350,6 +350,7 @@
             let news = discovery.subscribe(&mut self.net);
             self.listed(news);
         }
+        self.discovery.iter_mut().flat_map(Discovery::take_log).for_each(|line| log(&line));
     }
 
     /// Reads the configuration again and moves to the address of discovery that it names; all else in it holds
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -177,6 +177,7 @@
     not_before: Option<Time>,
     /// A call is to be made then, by a timer of the last number.
     planned: bool,
+    log: Vec<String>,
 }
 
 impl Discovery {
@@ -185,7 +186,13 @@
     pub fn new(address: SocketAddr, generation: Option<u64>, pace: Pace) -> Self {
         let (conn, call, calls, began) = (None, None, 0, Time(0));
         let (not_before, planned) = (None, false);
-        Discovery { address, generation, conn, call, calls, began, pace, not_before, planned }
+        let log = Vec::new();
+        Discovery { address, generation, conn, call, calls, began, pace, not_before, planned, log }
+    }
+
+    /// Log lines since the last time.
+    pub fn take_log(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.log)
     }
 
     /// Asks for changes from now on, as soon as the pace allows, unless that is under way. A failure to ask is reported
@@ -243,7 +250,13 @@
 
     fn fail(&mut self, net: &mut Net) -> Listing {
         self.hang_up(net);
-        self.not_before = Some(self.pace.on_failure(net.clock.now()).at);
+        let now = net.clock.now();
+        let verdict = self.pace.on_failure(now);
+        self.not_before = Some(verdict.at);
+        let (after, next) = (now.since(self.began) / 1_000, verdict.at.since(now) / 1_000);
+        self.log.push(format!(
+            "discovery: call failed after {after} ms, next in {next} ms at the soonest: {verdict}"
+        ));
         Listing::Failed
     }
 
@@ -434,4 +447,60 @@
         drop(stream);
         assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
     }
+
+    /// Runs the loop and the client's timers until the client has asked, and takes the connection.
+    fn asked(net: &mut Net, client: &mut Discovery, listener: &TcpListener) -> TcpStream {
+        listener.set_nonblocking(true).unwrap();
+        for _ in 0..1_000 {
+            net.wait(Some(net.clock.now().plus(10_000))).unwrap();
+            let now = net.clock.now();
+            for timer in net.wheel.due(now) {
+                if let Timer::Discovery(call) = timer {
+                    client.timer(net, call);
+                }
+            }
+            if let Ok((stream, _)) = listener.accept() {
+                stream.set_nonblocking(false).unwrap();
+                let id = client.conn.unwrap();
+                net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+                client.ready(net, id, &mut Directory::default());
+                return stream;
+            }
+        }
+        panic!("never asked");
+    }
+
+    #[test]
+    fn one_of_many_brokers_asks_when_its_turn_has_come_and_only_once() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
+        let pace = Pace::new(5, 4, 0);
+        let first = pace.clone().on_start(Time(0), true).at;
+        assert!(first > Time(10_000), "this seed has to wait");
+        let mut client = Discovery::new(listener.local_addr().unwrap(), Some(41), pace);
+        let began = net.clock.now();
+        for _ in 0..3 {
+            assert!(client.subscribe(&mut net).is_none());
+            assert!(client.conn.is_none() && client.calls == 1, "one call is planned, and not made yet");
+        }
+        let mut stream = asked(&mut net, &mut client, &listener);
+        assert!(net.clock.now().since(began) >= first.0);
+        assert!(request(&mut stream).contains("since=41"));
+        // What fails is repeated later, however often the module asks meanwhile, and the drain is not missed.
+        answer(&mut stream, 503, "");
+        assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+        assert!(client.take_log()[0].contains("Failed, calls spread over 480 ms"));
+        let calls = client.calls;
+        client.not_before = Some(net.clock.now().plus(50_000));
+        for _ in 0..3 {
+            assert!(client.subscribe(&mut net).is_none() && client.calls == calls + 1);
+        }
+        let mut stream = asked(&mut net, &mut client, &listener);
+        assert!(request(&mut stream).contains("since=41"));
+        answer(&mut stream, 200, &LIST.replace("SERVING", "DRAINING"));
+        let told = news(&mut net, &mut client, &mut directory);
+        assert!(matches!(&told[..], [Listing::Whole(lines)] if lines[0].mode == Mode::Draining));
+        // The watch goes on at once.
+        assert!(request(&mut stream).contains("since=41"));
+    }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -9,6 +9,8 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 const SECOND: Micros = 1_000 * MS;
+/// A server that answers nothing.
+const SILENT: Micros = Micros::MAX;
 const START: Time = Time(1_000_000 * MS);
 
 /// An answer to come: when, at which broker, of which part and attempt, from which server and after how long.
@@ -28,8 +30,6 @@
     attempts: BTreeMap<u64, u16>,
     /// All sends: when, by which broker, and where to.
     sent: Vec<(Time, usize, ServerId)>,
-    /// Calls: sends of one broker to one server in one turn.
-    calls: usize,
 }
 
 impl Fleet {
@@ -51,7 +51,6 @@
             answers: BinaryHeap::new(),
             attempts: BTreeMap::new(),
             sent: Vec::new(),
-            calls: 0,
         };
         fleet.list(&Listing::Whole((0..cells).map(|cell| fleet.line(cell, cell, None)).collect()));
         fleet
@@ -79,11 +78,11 @@
         let mut out = Vec::new();
         self.brokers[broker].turn(self.now, events, &mut out);
         let sends = sends(&out);
-        let servers: std::collections::BTreeSet<ServerId> = sends.iter().map(|s| s.1).collect();
-        self.calls += servers.len();
+        self.cancel(broker, &out);
         for (part, server) in sends {
             let attempt = self.attempts.entry(part).or_insert(0);
             let took = self.takes.get(&server).copied().unwrap_or(30 * MS);
+            let took = took.min(timeout(&out, part));
             let answer = (self.now.plus(took), broker, part, *attempt, server, took);
             *attempt += 1;
             self.answers.push(Reverse(answer));
@@ -91,6 +90,21 @@
         }
     }
 
+    /// What a broker withdraws is not answered any more.
+    fn cancel(&mut self, broker: usize, out: &[Action]) {
+        for action in out {
+            let Action::Cancel { part, attempt } = action else { continue };
+            let is_it = |a: &Reverse<Answer>| (a.0 .2, a.0 .3) == (part.0, *attempt);
+            let Some(&Reverse((due, .., server, took))) = self.answers.iter().find(|a| is_it(a)) else {
+                continue;
+            };
+            self.answers.retain(|a| !is_it(a));
+            let elapsed = took - due.since(self.now);
+            let event = common::finished(part.0, *attempt, server, Outcome::Cancelled, elapsed);
+            self.turn(broker, vec![event]);
+        }
+    }
+
     fn query(&mut self, broker: usize) {
         let (id, number) = (self.next, self.next as u32);
         self.next += 1 + u64::from(self.parts);
@@ -119,7 +133,9 @@
                 }
                 self.answers.pop();
                 self.now = due;
-                let event = common::finished(part, attempt, server, Outcome::Ok, took);
+                let silent = self.takes.get(&server) == Some(&SILENT);
+                let outcome = if silent { Outcome::Timeout } else { Outcome::Ok };
+                let event = common::finished(part, attempt, server, outcome, took);
                 self.turn(broker, vec![event]);
             }
             self.now = at.min(end);
@@ -141,6 +157,15 @@
     }
 }
 
+/// How long an attempt's answer is waited for.
+fn timeout(out: &[Action], which: u64) -> Micros {
+    let wait = |a: &Action| match a {
+        Action::Send { part, timeout, .. } if part.0 == which => Some(*timeout),
+        _ => None,
+    };
+    out.iter().find_map(wait).unwrap_or(SILENT)
+}
+
 #[test]
 fn a_cold_server_of_a_large_fleet_gets_work_by_what_it_can_do() {
     let mut fleet = Fleet::new(100, 20, 6);
@@ -180,3 +205,69 @@
     let sent = fleet.parts_to(5, well, fleet.now) as f64 / 10.0;
     assert!(sent > 40.0, "{sent:.1} parts a second");
 }
+
+#[test]
+fn six_in_ten_servers_replaced_within_seven_seconds_leave_nothing_behind_and_are_not_rushed() {
+    let mut fleet = Fleet::new(100, 20, 6);
+    let (rate, load) = (200.0, 60.0);
+    fleet.play(rate, 5 * SECOND);
+    let mut begun = Vec::new();
+    for cell in (0..20).filter(|c| c % 5 < 3) {
+        begun.push((cell, fleet.now));
+        fleet.replace(cell, cell + 20);
+        fleet.play(rate, 7 * SECOND / 12);
+    }
+    fleet.play(rate, 5 * SECOND);
+    for (cell, at) in begun {
+        assert_eq!(fleet.parts_to(cell, at, fleet.now), 0, "nothing goes to {cell} once it is gone");
+        for ms in (0..6_000).step_by(100) {
+            let from = at.plus(ms * MS);
+            let level = 0.32 + 0.68 * ms as f64 / 18_000.0;
+            let sent = fleet.parts_to(cell + 20, from, from.plus(SECOND)) as f64;
+            assert!(
+                sent < 3.0 * level * load * 1.5,
+                "{sent} parts a second {ms} ms after the start of {cell}"
+            );
+        }
+        let last = fleet.now.minus(2 * SECOND);
+        let sent = fleet.parts_to(cell + 20, last, fleet.now);
+        assert!(sent > 30, "{cell} gets its share: {sent} parts in two seconds");
+    }
+}
+
+#[test]
+fn parts_move_off_a_zone_that_falls_silent_and_its_return_is_not_rushed() {
+    let mut fleet = Fleet::new(100, 21, 6);
+    let (rate, load) = (200.0, 57.0);
+    fleet.play(rate, 5 * SECOND);
+    let lost: Vec<u32> = (0..21).filter(|cell| cell % 3 == 1).collect();
+    for cell in &lost {
+        fleet.takes.insert(ServerId(*cell), SILENT);
+    }
+    let all = |fleet: &Fleet, from: Time| -> usize {
+        lost.iter().map(|cell| fleet.parts_to(*cell, from, fleet.now)).sum()
+    };
+    fleet.play(rate, 2 * SECOND);
+    let learnt = fleet.now;
+    fleet.play(rate, 2 * SECOND);
+    let share = all(&fleet, learnt) as f64 / (2.0 * load * lost.len() as f64);
+    assert!(share < 0.35, "{share:.2} of their usual parts two seconds after they fell silent");
+    // The list tells; then they are back, each as a new machine.
+    let begun = fleet.now;
+    for &cell in &lost {
+        fleet.replace(cell, cell + 21);
+    }
+    fleet.play(rate, 6 * SECOND);
+    assert_eq!(all(&fleet, begun), 0);
+    for cell in &lost {
+        for ms in (0..5_000).step_by(100) {
+            let from = begun.plus(ms * MS);
+            let level = 0.32 + 0.68 * ms as f64 / 18_000.0;
+            let sent = fleet.parts_to(cell + 21, from, from.plus(SECOND)) as f64;
+            assert!(
+                sent < 3.0 * level * load * 1.5,
+                "{sent} parts a second {ms} ms after the return of {cell}"
+            );
+        }
+    }
+}
