Close the first of two steps sooner where more brokers than servers meet these seldom

Nine in ten of the copied parts that come at all have come after 0.33 s, half of a report's aim; what is late then waits at a server that others have filled or at a slow one, and holds room there.

At fault: partial_after, one limit for fleets of every size. It is now eight tenths of itself with more instances than servers and less than a part a second to each; the digests of small fleets are unchanged.

Test: one of 100 brokers that meet three servers seldom closes at 0.48 of the aim, one of three, or one of 100 that meet them often, at 0.6 as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,6 +32,9 @@
 const LOST: f64 = 2.0;
 /// Share of the aim that the first of two steps may take.
 const FIRST_STEP: f64 = 0.6;
+/// Of its limit the first step takes this part where more instances than servers meet these seldom: what is late
+/// then is at servers that others fill, or slow ones not known yet, and waiting takes the second step's time.
+const FIRST_SPARSE: f64 = 0.8;
 /// Share of the aim before its end at which a partial answer is worth more than waiting.
 const PARTIAL_AT: f64 = 0.92;
 /// An unanswered attempt goes on counting against its server for this multiple of the class's aim.
@@ -627,7 +630,9 @@
     /// How long after its arrival a query is better answered in part than not yet.
     fn partial_after(&self, q: &Query) -> Micros {
         let first = q.step == 1 && self.class(q).second_step > 0;
-        scaled(self.class(q).aim, if first { self.class(q).first_share } else { PARTIAL_AT })
+        let sparse = self.set.instances as usize > self.ready && self.memory() > FAULT_HALF;
+        let share = self.class(q).first_share * if sparse { FIRST_SPARSE } else { 1.0 };
+        scaled(self.class(q).aim, if first { share } else { PARTIAL_AT })
     }
 
     fn answer(&mut self, id: QueryId, whole: bool, out: &mut Vec<Action>) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{class, sends, settings, MS};
+use common::{class, sends, settings, Stage, AIM, MS};
 use lichenswitch::interface::*;
 use lichenswitch::policy::Coordinator;
 use std::cmp::Reverse;
@@ -271,3 +271,37 @@
         }
     }
 }
+
+/// When the first of two steps is answered in part, as a share of the aim, by one of so many brokers at three servers
+/// which it meets this often; one of four parts is silent, and so is its copy.
+fn first_step_closed_at(instances: u32, between: Micros) -> f64 {
+    let mut stage =
+        Stage::new(Settings { instances, ..settings(Class { second_step: 2, floor: 0.7, ..class() }) });
+    let step = 10 * MS;
+    for _ in 0..20 {
+        let (id, events) = stage.query(&[0]);
+        let server = sends(&stage.after(between / 3, events))[0].1;
+        stage.after(step, vec![common::finished(id + 1, 0, server, Outcome::Ok, step)]);
+        stage.turn(vec![Event::Hangup(QueryId(id))]);
+    }
+    let (id, events) = stage.query(&[0, 1, 2, 3]);
+    let first = sends(&stage.after(step, events));
+    let begun = stage.now;
+    let answers = first.iter().filter(|s| s.0 != id + 4);
+    let answers = answers.map(|s| common::finished(s.0, 0, s.1, Outcome::Ok, step)).collect();
+    let mut out = stage.after(step, answers);
+    while !out.contains(&Action::Answer { query: QueryId(id), whole: false }) {
+        assert!(stage.now.since(begun) < AIM, "never closed");
+        out = stage.after(step, vec![Event::Wake]);
+    }
+    stage.now.since(begun) as f64 / AIM as f64
+}
+
+#[test]
+fn a_first_step_waits_less_where_many_brokers_meet_servers_seldom() {
+    let (many, few) = (first_step_closed_at(100, 3 * SECOND), first_step_closed_at(3, 3 * SECOND));
+    assert!((0.47..0.5).contains(&many), "{many}");
+    assert!((0.59..0.62).contains(&few), "three brokers wait as ever: {few}");
+    let often = first_step_closed_at(100, SECOND / 10);
+    assert!((0.59..0.62).contains(&often), "and so do many that meet servers often: {often}");
+}
