--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,8 +32,8 @@
 const LOST: f64 = 2.0;
 /// Share of the aim that the first of two steps may take.
 const FIRST_STEP: f64 = 0.6;
-/// Of its limit the first step takes this part where more instances than servers meet these seldom: what is late
-/// then is at servers that others fill, or slow ones not known yet, and waiting takes the second step's time.
+/// Of its limit the first step takes this part where more instances than servers meet these seldom: what is
+/// late then is at servers that others fill, or slow ones not known yet, and takes the second step's time.
 const FIRST_SPARSE: f64 = 0.8;
 /// Share of the aim before its end at which a partial answer is worth more than waiting.
 const PARTIAL_AT: f64 = 0.92;
@@ -973,8 +973,8 @@
     /// capacity each instance has its share, a warm server working off some parts in a common answer time, or
     /// as many times its own mean load: both stay under the rule in sum. Instances start at random points of
     /// their first part, since all hear of a start at once: else none would send for long, or all together.
-    /// With less than a part a window (`true`: of many instances each meets it seldom) two parts may be saved up
-    /// and a call may take one more than there is: chance would leave half of a smaller allowance unused.
+    /// With less than a part a window (`true`: of many instances each meets it seldom) two may be saved up, and
+    /// a call may take one more than there is: chance would leave half of a smaller allowance unused.
     /// Harm: at a small share a shard with cold holders alone waits for the allowance.
     fn cold_tokens(&self, s: &Server) -> Option<(f64, bool)> {
         let age = self.now.since(s.cold_from?) as f64 / self.set.cold.warm_after.max(1) as f64;
