--- a/src/policy.rs
+++ b/src/policy.rs
@@ -973,8 +973,8 @@
     /// capacity each instance has its share, a warm server working off some parts in a common answer time, or
     /// as many times its own mean load: both stay under the rule in sum. Instances start at random points of
     /// their first part, since all hear of a start at once: else none would send for long, or all together.
-    /// With less than a part a window (`true`: of many instances each meets it seldom) two may be saved up, and
-    /// a call may take one more than there is: chance would leave half of a smaller allowance unused.
+    /// With less than a part a window (`true`: of many instances each meets it seldom) two may be saved
+    /// up and a call take one more than there is: chance would leave half of a smaller one unused.
     /// Harm: at a small share a shard with cold holders alone waits for the allowance.
     fn cold_tokens(&self, s: &Server) -> Option<(f64, bool)> {
         let age = self.now.since(s.cold_from?) as f64 / self.set.cold.warm_after.max(1) as f64;
