Share descriptors by what is listed, with a place of its own for discovery

Ruled out: brokers that were late though told (those that had asked knew).

Change: src/decide/descriptors (pure): the data nodes' share follows the list, up to half; what clients leave unused is lent and given back; discovery has two places of its own. The pool closes the idle connection unused for longest before a new one is denied; a call without any waits 50 ms and ends as Moot, which core and module count neither as an attempt nor against the server. A call to discovery that could not begin is no failure of discovery, made again within 0.2 s. A part that all holders failed rests 0.1 s (before: four tries in 4 ms).

Tests on sockets fail without the fix: discovery with all else full, connections that take turns, calls that wait; bounds for 3 to 1,000 data nodes and 64 to 4,096 descriptors.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -78,7 +78,9 @@
         match timer {
             Timer::Attempt(owner, attempt) if owner == W::OWNER => {
                 let now = net.clock.now();
-                if self.core.ended(now, attempt, Outcome::Timeout, None) {
+                // What never left because this process lacked a descriptor is no silence of the node.
+                let outcome = if self.pool.is_parked(attempt) { Outcome::Moot } else { Outcome::Timeout };
+                if self.core.ended(now, attempt, outcome, None) {
                     self.pool.withdraw(net, attempt);
                 }
             }
@@ -89,12 +91,14 @@
             Timer::Clients(owner) if owner == self.owner => {
                 self.sessions.look(net, owner, &self.front, &mut self.core);
             }
-            Timer::Attempt(..) | Timer::Clients(_) | Timer::Discovery(_) => {}
+            // The next turn tends the calls that wait.
+            Timer::Attempt(..) | Timer::Clients(_) | Timer::Discovery(_) | Timer::Parked(_) => {}
         }
     }
 
     /// Hands in the ends of attempts, and takes a turn if it is time.
     fn turn(&mut self, net: &mut Net) {
+        self.pool.tend(net);
         self.collect(net.clock.now());
         let now = net.clock.now();
         if self.core.next_turn().is_none_or(|at| at > now) {
@@ -177,6 +181,8 @@
     reread: Option<Reread>,
     /// When the signal to stop came.
     stopping: Option<Time>,
+    /// That more data nodes are listed than the descriptors bear has been logged.
+    crowded: bool,
 }
 
 /// Reads the platform's configuration; `None`: there is none any more.
@@ -206,10 +212,18 @@
         }
         let sockets = platform.as_ref().map_or(config::SOCKETS, |told| told.sockets);
         let net = Net::new(sockets).map_err(|e| format!("poller: {e}"))?;
-        let mut broker =
-            Broker { net, platform: None, discovery: None, ogc: None, reread: None, stopping: None };
+        let mut broker = Broker {
+            net,
+            platform: None,
+            discovery: None,
+            ogc: None,
+            reread: None,
+            stopping: None,
+            crowded: false,
+        };
         platform.map_or(Ok(()), |told| broker.serve_platform(told))?;
         ogc.map_or(Ok(()), |told| broker.serve_ogc(told))?;
+        broker.listed(None);
         Ok(broker)
     }
 
@@ -313,7 +327,12 @@
             each_service!(self, |net, service| service.turn(net));
             self.subscribe();
             if self.net.resting() {
-                each_service!(self, |net, service| service.sessions.make_room(net, &mut service.core));
+                let owed = self.net.owed();
+                if owed > 0 {
+                    each_service!(self, |net, service| service.pool.yield_idle(net, owed));
+                } else {
+                    each_service!(self, |net, service| service.sessions.make_room(net, &mut service.core));
+                }
             }
             if self.stopping.is_some_and(|since| self.finished(since)) {
                 return Ok(());
@@ -335,6 +354,15 @@
         if let Some(service) = &mut self.platform {
             news.into_iter().for_each(|news| service.listed(news));
         }
+        let mut nodes = 0;
+        each_service!(self, |_net, service| nodes += service.directory.len());
+        self.net.listed(nodes);
+        let bears = self.net.bears();
+        if nodes > bears && !std::mem::replace(&mut self.crowded, true) {
+            log(&format!(
+                "{nodes} data nodes are listed, and limits.sockets bears {bears}: connections take turns"
+            ));
+        }
     }
 
     fn news(&mut self, id: ConnId) {
--- a/src/core/collect.rs
+++ b/src/core/collect.rs
@@ -9,13 +9,16 @@
         let Some(a) = self.attempts.remove(&attempt) else { return false };
         self.out.remove(&(a.part, a.number));
         let place = self.parts.get(&a.part).copied();
-        let part = place.and_then(|(query, i)| self.queries.get_mut(&query)?.parts.get_mut(i));
+        let mut part = place.and_then(|(query, i)| self.queries.get_mut(&query)?.parts.get_mut(i));
         let load = self.load.entry(a.server).or_default();
         *load = load.saturating_sub(1);
         if *load == 0 {
             self.load.remove(&a.server);
         }
         let mut outcome = outcome;
+        if let (Some(part), Outcome::Moot) = (&mut part, outcome) {
+            part.unsent += 1;
+        }
         if let (Some(part), Outcome::Ok, Some(value)) = (part, outcome, value) {
             if self.bytes + value.bytes.len() > self.most_bytes {
                 // Guards memory: what all queries hold is bounded, and a value beyond it is none.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -132,6 +132,8 @@
     weight: f64,
     second: bool,
     attempts: u16,
+    /// How many of them never left: they count as none.
+    unsent: u16,
     value: Option<Value>,
     /// Elements that are asked for, in the second step of a sorted answer.
     most: Option<usize>,
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -242,6 +242,8 @@
     let mut stage = Stage::new(0);
     stage.take(&[0]).unwrap();
     for _ in 0..4 {
+        // All holders have failed after two: the module rests before it tries them again.
+        stage.now = stage.now.plus(100_000);
         for send in sends(&stage.turn()) {
             stage.end(send.attempt, Outcome::Error, 0.0);
         }
@@ -274,3 +276,20 @@
     assert!(commands.is_empty(), "{commands:?}");
     assert!(stage.core.attempts.is_empty(), "its outcome is settled");
 }
+
+#[test]
+fn attempts_that_never_left_are_none_of_the_four_and_the_fifth_that_left_is_not_made() {
+    let mut stage = Stage::new(0);
+    stage.take(&[0]).unwrap();
+    let mut made = 0;
+    for round in 0..12 {
+        stage.now = stage.now.plus(100_000);
+        for send in sends(&stage.turn()) {
+            let left = round % 3 == 2;
+            made += usize::from(left);
+            stage.end(send.attempt, if left { Outcome::Error } else { Outcome::Moot }, 0.0);
+        }
+    }
+    assert_eq!(made, 4, "eight that never left took none of their places");
+    assert!(matches!(&replies(&stage.turn())[..], [Reply::Refused(_)]));
+}
--- /dev/null
+++ b/src/decide/descriptors/mod.rs
@@ -0,0 +1,296 @@
+//! How a broker's descriptors are shared between its clients, its data nodes and discovery.
+//!
+//! Owns the counts of what is open and the rule for what may be opened. It promises: discovery always has its place,
+//! whatever is full, since the rules on drains rest on what it tells; clients never hold more than their share, so
+//! that queries which were taken can be served; data nodes are never denied a connection within theirs while clients
+//! keep to that, and may borrow what clients leave unused; all together stay within what there is.
+//!
+//! The share of data nodes follows how many are listed: a connection for each and some beside, as far as half of all
+//! goes. Below that connections take turns: [`Verdict::Instead`] says that an idle one goes first.
+
+use std::fmt;
+
+/// Most connections to one data node. Guards descriptors and memory against one that takes connections and reads nothing.
+pub const LINKS: usize = 16;
+/// Descriptors set aside for discovery: its connection, and a second one while it is replaced.
+pub const DISCOVERY: usize = 2;
+/// Connections that the share of data nodes holds beside one for each: second ones to nodes that are mute or full,
+/// an eighth of the nodes at once and as many that come in a release before the old ones go, and some for few nodes.
+const BESIDE_PART: usize = 4;
+const BESIDE: usize = 8;
+/// Data nodes may have this part of all where it is of use to them, however few are listed.
+const NODES_LEAST: usize = 4;
+/// Of what clients may have and don't use, this part is not lent: clients that come find it at once, without waiting
+/// for a call to end.
+const KEPT: usize = 8;
+/// Clients' idle connections beyond this part of all are too many.
+const CROWD: usize = 4;
+
+/// Who a descriptor is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// Clients of any front.
+    Clients,
+    /// Data nodes.
+    Nodes,
+    /// Discovery.
+    Discovery,
+}
+
+/// Whether a connection may be opened, and the rule that says so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may.
+    Open(Why),
+    /// An idle connection to a data node has to be closed first; without one it waits.
+    Instead(Why),
+    /// It has to wait until another one of its side is closed.
+    Wait(Why),
+}
+
+/// The rule that led to a verdict, with its figures.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It is within the share of its side: so many are open of so many.
+    Share(usize, usize),
+    /// It is beyond the share, of what clients leave unused: so many are lent of so many.
+    Lent(usize, usize),
+    /// The share is used up: so many are open of so many.
+    Full(usize, usize),
+    /// The other side holds what it has borrowed: so many descriptors are in use of so many.
+    Borrowed(usize, usize),
+    /// The system gives this process no more.
+    System,
+}
+
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Why::Share(open, of) => write!(f, "{open} of {of} descriptors are in use"),
+            Why::Lent(open, of) => write!(f, "{open} of {of} descriptors that clients leave are in use"),
+            Why::Full(open, of) => write!(f, "all {of} descriptors are in use, {open} of them"),
+            Why::Borrowed(open, of) => write!(f, "{open} of {of} descriptors are in use, some lent"),
+            Why::System => f.write_str("the system gives no more descriptors"),
+        }
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (Verdict::Open(why) | Verdict::Instead(why) | Verdict::Wait(why)) = self;
+        why.fmt(f)
+    }
+}
+
+/// The books of the descriptors, and the rule.
+#[derive(Clone, Debug)]
+pub struct Shares {
+    /// For clients and data nodes together.
+    all: usize,
+    /// Data nodes that are listed.
+    listed: usize,
+    clients: usize,
+    nodes: usize,
+    discovery: usize,
+}
+
+impl Shares {
+    /// Shares of `descriptors`, those of discovery among them.
+    #[must_use]
+    pub fn new(descriptors: usize) -> Shares {
+        let all = descriptors.saturating_sub(DISCOVERY).max(2);
+        Shares { all, listed: 0, clients: 0, nodes: 0, discovery: 0 }
+    }
+
+    /// So many data nodes are listed now, of all services.
+    pub fn on_listed(&mut self, nodes: usize) {
+        self.listed = nodes;
+    }
+
+    /// A connection was opened.
+    pub fn on_opened(&mut self, side: Side) {
+        *self.count(side) += 1;
+    }
+
+    /// A connection was closed.
+    pub fn on_closed(&mut self, side: Side) {
+        let count = self.count(side);
+        debug_assert!(*count > 0, "each descriptor is given back once");
+        *count = count.saturating_sub(1);
+    }
+
+    fn count(&mut self, side: Side) -> &mut usize {
+        match side {
+            Side::Clients => &mut self.clients,
+            Side::Nodes => &mut self.nodes,
+            Side::Discovery => &mut self.discovery,
+        }
+    }
+
+    /// What is set aside for data nodes: what they need, but half of all at most; a quarter of all where they can use
+    /// it (before any is listed it is not known that they can't).
+    #[must_use]
+    pub fn of_nodes(&self) -> usize {
+        let usable = if self.listed == 0 { usize::MAX } else { self.listed.saturating_mul(LINKS) };
+        let needed = self.listed + self.listed / BESIDE_PART + BESIDE;
+        needed.max(self.all / NODES_LEAST).min(usable).clamp(1, self.all / 2)
+    }
+
+    /// What clients may hold.
+    #[must_use]
+    pub fn of_clients(&self) -> usize {
+        self.all - self.of_nodes()
+    }
+
+    /// What data nodes may hold beyond their share: what clients leave unused of theirs, but for a part of it.
+    fn lent(&self) -> usize {
+        let (share, unused) = (self.of_clients(), self.of_clients().saturating_sub(self.clients));
+        unused.saturating_sub((share / KEPT).max(1))
+    }
+
+    /// Whether a connection may be opened for this side.
+    #[must_use]
+    pub fn may_open(&self, side: Side) -> Verdict {
+        let (used, own) = (self.clients + self.nodes, self.of_nodes());
+        match side {
+            Side::Discovery if self.discovery < DISCOVERY => {
+                Verdict::Open(Why::Share(self.discovery, DISCOVERY))
+            }
+            Side::Discovery => Verdict::Wait(Why::Full(self.discovery, DISCOVERY)),
+            Side::Clients if self.clients >= self.of_clients() => {
+                Verdict::Wait(Why::Full(self.clients, self.of_clients()))
+            }
+            // Data nodes hold what they have borrowed: it is given back as it falls idle.
+            Side::Clients if used >= self.all => Verdict::Instead(Why::Borrowed(used, self.all)),
+            Side::Clients => Verdict::Open(Why::Share(self.clients, self.of_clients())),
+            // Clients hold more than their share of now, since more nodes are listed than before.
+            Side::Nodes if used >= self.all => Verdict::Instead(Why::Borrowed(used, self.all)),
+            Side::Nodes if self.nodes < own => Verdict::Open(Why::Share(self.nodes, own)),
+            Side::Nodes if self.nodes - own < self.lent() => {
+                Verdict::Open(Why::Lent(self.nodes - own, self.lent()))
+            }
+            Side::Nodes => Verdict::Instead(Why::Full(self.nodes, own + self.lent())),
+        }
+    }
+
+    /// Connections to data nodes beyond their share: so many are owed to clients that wait.
+    #[must_use]
+    pub fn owed(&self) -> usize {
+        self.nodes.saturating_sub(self.of_nodes())
+    }
+
+    /// Connections that clients hold beyond a quarter of all, or beyond their share: the idle among them may go.
+    #[must_use]
+    pub fn crowd(&self) -> usize {
+        self.clients.saturating_sub((self.all / CROWD).min(self.of_clients()))
+    }
+
+    /// How many data nodes these descriptors bear: a connection to each can stay open, with some beside, whatever
+    /// clients hold.
+    #[must_use]
+    pub fn bears(&self) -> usize {
+        (0..self.all).take_while(|n| n + n / BESIDE_PART + BESIDE <= self.all / 2).count().saturating_sub(1)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Fleets of 3 to 1,000 data nodes and processes of 64 to 4,096 descriptors.
+    fn sizes() -> impl Iterator<Item = (usize, usize)> {
+        let nodes = [3, 4, 12, 60, 100, 184, 200, 400, 1_000];
+        let descriptors = [64, 128, 256, 568, 664, 1_024, 2_048, 4_096];
+        nodes.into_iter().flat_map(move |n| descriptors.into_iter().map(move |d| (n, d)))
+    }
+
+    /// Opens connections until one is denied.
+    fn fill(shares: &mut Shares, side: Side) -> usize {
+        let mut opened = 0;
+        while matches!(shares.may_open(side), Verdict::Open(_)) {
+            shares.on_opened(side);
+            opened += 1;
+        }
+        opened
+    }
+
+    fn shares(nodes: usize, descriptors: usize) -> Shares {
+        let mut shares = Shares::new(descriptors);
+        shares.on_listed(nodes);
+        shares
+    }
+
+    #[test]
+    fn clients_that_take_all_they_get_leave_data_nodes_their_share_and_discovery_its_place() {
+        for (nodes, descriptors) in sizes() {
+            let mut shares = shares(nodes, descriptors);
+            let all = descriptors - DISCOVERY;
+            let clients = fill(&mut shares, Side::Clients);
+            assert_eq!(clients, shares.of_clients());
+            assert!(clients >= all / 2, "{nodes} nodes, {descriptors}: clients get {clients}");
+            let open = fill(&mut shares, Side::Nodes);
+            assert_eq!(open, shares.of_nodes(), "{nodes} nodes, {descriptors}");
+            let wanted = (nodes + nodes / 4 + 8).min(all / 2).min(nodes * LINKS);
+            assert!(open >= wanted, "{nodes} nodes, {descriptors}: {open} of {wanted}");
+            assert_eq!(fill(&mut shares, Side::Discovery), DISCOVERY);
+            assert!(clients + open + DISCOVERY <= descriptors);
+        }
+    }
+
+    #[test]
+    fn data_nodes_borrow_what_clients_leave_and_owe_it_to_those_that_come() {
+        for (nodes, descriptors) in sizes() {
+            let mut shares = shares(nodes, descriptors);
+            let open = fill(&mut shares, Side::Nodes);
+            let kept = shares.of_clients() - shares.owed();
+            assert!(open >= shares.of_nodes() && kept >= (shares.of_clients() / KEPT).max(1));
+            assert_eq!(fill(&mut shares, Side::Clients), kept, "these come at once");
+            match shares.may_open(Side::Clients) {
+                Verdict::Instead(Why::Borrowed(..)) => assert!(shares.owed() > 0),
+                Verdict::Wait(Why::Full(..)) => assert_eq!(shares.owed(), 0),
+                other => panic!("{nodes} nodes, {descriptors}: {other:?}"),
+            }
+            // What falls idle goes to clients until they have their share, and never to data nodes.
+            while shares.owed() > 0 {
+                shares.on_closed(Side::Nodes);
+                assert!(!matches!(shares.may_open(Side::Nodes), Verdict::Open(_)));
+                assert!(matches!(shares.may_open(Side::Clients), Verdict::Open(_)));
+                shares.on_opened(Side::Clients);
+            }
+            assert_eq!(shares.clients, shares.of_clients());
+            assert!(matches!(shares.may_open(Side::Clients), Verdict::Wait(_)));
+            assert!(matches!(shares.may_open(Side::Nodes), Verdict::Instead(_)));
+        }
+    }
+
+    #[test]
+    fn a_longer_list_moves_the_shares_and_idle_clients_make_room() {
+        let mut shares = shares(3, 640);
+        assert_eq!(fill(&mut shares, Side::Clients), 638 - 48, "three nodes can use 48 connections");
+        shares.on_listed(184);
+        assert_eq!((shares.of_nodes(), shares.of_clients()), (238, 400));
+        assert!(shares.crowd() >= 590 - 400, "what is beyond the share of now is too much");
+        assert_eq!(fill(&mut shares, Side::Nodes), 48, "what is free is theirs");
+        assert!(matches!(shares.may_open(Side::Nodes), Verdict::Instead(Why::Borrowed(638, 638))));
+        assert!(matches!(shares.may_open(Side::Clients), Verdict::Wait(Why::Full(590, 400))));
+        for _ in 0..190 {
+            shares.on_closed(Side::Clients);
+        }
+        assert_eq!(fill(&mut shares, Side::Nodes), 190);
+        assert_eq!(fill(&mut shares, Side::Clients), 0);
+    }
+
+    #[test]
+    fn the_nodes_that_some_descriptors_bear_stay_within_the_share_and_one_more_does_not() {
+        for descriptors in [64, 256, 568, 1_024, 4_096] {
+            let most = shares(1, descriptors).bears();
+            let fits = |nodes| {
+                let shares = shares(nodes, descriptors);
+                shares.of_nodes() >= nodes + nodes / BESIDE_PART + BESIDE
+            };
+            assert!(fits(most) && !fits(most + 1), "{descriptors}: {most}");
+        }
+        let table = [64, 568, 1_024, 4_096].map(|d| shares(1, d).bears());
+        assert_eq!(table, [19, 220, 403, 1_631], "without the process's own descriptors");
+    }
+}
--- a/src/decide/membership/pace.rs
+++ b/src/decide/membership/pace.rs
@@ -12,6 +12,8 @@
 const CALL: Micros = 60_000;
 /// The same at the least, however many calls are answered.
 const CALL_LEAST: Micros = 15_000;
+/// A call that could not be begun here is tried again after this long, up to twice.
+const UNMADE: Micros = 100_000;
 /// The calls of a fleet that fit into this are not spread.
 const GAP: Micros = 200_000;
 /// A call that failed makes the spread so many times as long, one that was answered so much of itself.
@@ -38,6 +40,8 @@
     Answered,
     /// Discovery has more calls than it can handle, or is down.
     Failed,
+    /// The call could not be begun here, and discovery has no part in that.
+    Unmade,
 }
 
 /// When the next call may be made, and why then.
@@ -120,6 +124,13 @@
         self.spread = longer.min(self.most(FAILED_MOST)).max(self.spread);
         self.verdict(now, self.spread, Why::Failed)
     }
+
+    /// A call could not be begun for a lack of this process's own. Guards the rule on drains: discovery is not too busy,
+    /// and to wait as if it were would leave this broker with an old list.
+    pub fn on_unmade(&mut self, now: Time) -> Verdict {
+        let at = now.plus(UNMADE + self.dice.0.u64(0..=UNMADE));
+        Verdict { at, why: Why::Unmade, spread: self.spread }
+    }
 }
 
 #[cfg(test)]
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions beside the module's: a folder each, without input or output, clock or threads. Events go in, verdicts with
 //! their reasons come out; time is an argument.
 
+pub mod descriptors;
 pub mod membership;
 pub mod phases;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -33,7 +33,7 @@
 pub struct QueryId(pub u64);
 
 /// Names a part of a query.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PartId(pub u64);
 
 /// Names a server. Says nothing of its place, kind or age.
@@ -41,7 +41,7 @@
 pub struct ServerId(pub u32);
 
 /// Number of a shard.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Shard(pub u32);
 
 /// What repeating a part of a class can do.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,10 +6,12 @@
 pub mod buffer;
 pub mod wheel;
 
+use crate::decide::descriptors::{Shares, Side, Verdict, Why};
 use crate::interface::Time;
 use buffer::Buffer;
 use polling::{Event, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
+use std::fmt;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
@@ -36,8 +38,30 @@
 }
 
 impl Owner {
-    fn is_client(self) -> bool {
-        matches!(self, Owner::Platform | Owner::Ogc)
+    fn side(self) -> Side {
+        match self {
+            Owner::Platform | Owner::Ogc => Side::Clients,
+            Owner::Frames | Owner::Features => Side::Nodes,
+            Owner::Discovery => Side::Discovery,
+        }
+    }
+}
+
+/// Why a connection could not be opened.
+#[derive(Debug)]
+pub enum Denied {
+    /// This process has no descriptor for it now: the other side has no part in that.
+    Lack(Why),
+    /// The system said no.
+    Failed(io::Error),
+}
+
+impl fmt::Display for Denied {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Denied::Lack(why) => why.fmt(f),
+            Denied::Failed(e) => e.fmt(f),
+        }
     }
 }
 
@@ -50,6 +74,8 @@
     Conn(ConnId),
     /// An answer that has begun on a connection should be whole.
     Answer(ConnId),
+    /// Calls to data nodes have waited for a descriptor.
+    Parked(Owner),
     /// The connections of clients are to be looked at.
     Clients(Owner),
     /// Discovery should have answered its call of this number.
@@ -170,10 +196,8 @@
     slots: Vec<Option<(ConnId, Conn)>>,
     free: Vec<usize>,
     next: usize,
-    clients: usize,
-    others: usize,
-    /// Most connections of clients, and to data nodes and discovery.
-    most: (usize, usize),
+    /// Who may open connections, and how many are open.
+    shares: Shares,
     listeners: Vec<(Owner, TcpListener)>,
     /// Accepting rests until a client's connection is given back.
     resting: bool,
@@ -185,19 +209,16 @@
 }
 
 impl Net {
-    /// A net that holds no more than `descriptors`, three quarters of them for clients.
+    /// A net that holds no more than `descriptors`.
     pub fn new(descriptors: usize) -> io::Result<Net> {
         let clock = Clock::default();
-        let most = descriptors.saturating_sub(RESERVED).max(8);
         Ok(Net {
             poller: Poller::new()?,
             events: Vec::new(),
             slots: Vec::new(),
             free: Vec::new(),
             next: 1,
-            clients: 0,
-            others: 0,
-            most: (most * 3 / 4, most / 4),
+            shares: Shares::new(descriptors.saturating_sub(RESERVED).max(8)),
             listeners: Vec::new(),
             resting: false,
             signals: Vec::new(),
@@ -294,7 +315,7 @@
         for (_, listener) in listeners.iter().filter(|l| l.0 == owner) {
             loop {
                 // Guards the descriptor budget: over it a process fails in places that can't say so.
-                if self.clients >= self.most.0 {
+                if !self.may_open(owner) {
                     self.resting = true;
                     break;
                 }
@@ -321,12 +342,51 @@
         }
     }
 
+    /// So many data nodes are listed now, by all services: what is set aside for them follows.
+    pub fn listed(&mut self, nodes: usize) {
+        self.shares.on_listed(nodes);
+        self.attend_again();
+    }
+
+    /// How many data nodes the descriptors bear, whatever clients hold.
+    #[must_use]
+    pub fn bears(&self) -> usize {
+        self.shares.bears()
+    }
+
+    fn may_open(&self, owner: Owner) -> bool {
+        matches!(self.shares.may_open(owner.side()), Verdict::Open(_))
+    }
+
+    /// Connections to data nodes that clients who wait have a right to: the idle among them may go.
+    #[must_use]
+    pub fn owed(&self) -> usize {
+        if self.resting {
+            self.shares.owed()
+        } else {
+            0
+        }
+    }
+
+    /// How the descriptors stand for data nodes, in words.
+    #[must_use]
+    pub fn why_short(&self) -> String {
+        self.shares.may_open(Side::Nodes).to_string()
+    }
+
     /// Starts to open a connection.
-    pub fn connect(&mut self, owner: Owner, address: SocketAddr) -> io::Result<ConnId> {
-        // Guards the descriptor budget: many data nodes that are slow to connect must not use it up.
-        if self.others >= self.most.1 {
-            return Err(io::Error::other("no descriptors left for data nodes"));
+    pub fn connect(&mut self, owner: Owner, address: SocketAddr) -> Result<ConnId, Denied> {
+        // Guards the descriptor budget, and what one side may take of it from the others.
+        match self.shares.may_open(owner.side()) {
+            Verdict::Open(_) => self.open(owner, address).map_err(|e| match e.raw_os_error() {
+                Some(EMFILE | ENFILE) => Denied::Lack(Why::System),
+                _ => Denied::Failed(e),
+            }),
+            Verdict::Instead(why) | Verdict::Wait(why) => Err(Denied::Lack(why)),
         }
+    }
+
+    fn open(&mut self, owner: Owner, address: SocketAddr) -> io::Result<ConnId> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         let up = match socket.connect(&address.into()) {
@@ -352,7 +412,7 @@
             self.free.push(index);
             return Err(e);
         }
-        *(if owner.is_client() { &mut self.clients } else { &mut self.others }) += 1;
+        self.shares.on_opened(owner.side());
         let (input, output, used) = (Buffer::default(), Buffer::default(), self.clock.now());
         let (queued, written, ended) = (0, 0, false);
         let heard = used;
@@ -438,12 +498,17 @@
         if let Some((_, conn)) = self.slots[index].take() {
             // A stream that can't be taken out of the poller is taken out by its close.
             let _ = self.poller.delete(&conn.stream);
-            *(if conn.owner.is_client() { &mut self.clients } else { &mut self.others }) -= 1;
+            self.shares.on_closed(conn.owner.side());
             self.free.push(index);
-            if self.resting && self.clients < self.most.0 {
-                self.resting = false;
-                self.attend(true);
-            }
+            self.attend_again();
+        }
+    }
+
+    /// Accepts again once there is room.
+    fn attend_again(&mut self) {
+        if self.resting && self.may_open(Owner::Platform) {
+            self.resting = false;
+            self.attend(true);
         }
     }
 
@@ -453,15 +518,18 @@
         self.resting
     }
 
-    /// Connections that clients hold beyond a third of their part of the budget: a quarter of all descriptors.
+    /// Connections that clients hold beyond a quarter of all descriptors.
     #[must_use]
     pub fn crowd(&self) -> usize {
-        self.clients.saturating_sub(self.most.0 / 3)
+        self.shares.crowd()
     }
 }
 
 /// What the system answers to a connect that goes on in the background.
 const EINPROGRESS: i32 = 115;
+/// What it answers when this process, or the whole system, may have no more descriptors.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
 
 #[cfg(test)]
 mod tests {
@@ -477,9 +545,10 @@
     fn beyond_the_budget_clients_wait_until_a_connection_is_given_back() {
         let mut net = Net::new(RESERVED + 16).unwrap();
         let address = net.listen(Owner::Platform, "127.0.0.1:0".parse().unwrap()).unwrap();
-        let _clients: Vec<TcpStream> = (0..13).map(|_| TcpStream::connect(address).unwrap()).collect();
+        let _clients: Vec<TcpStream> = (0..8).map(|_| TcpStream::connect(address).unwrap()).collect();
         let mut open = Vec::new();
-        while open.len() < 12 {
+        // Two of the 16 are discovery's, half of the others is for data nodes while it is not known how many there are.
+        while open.len() < 7 {
             assert!(knocks(&mut net));
             open.extend(net.accept(Owner::Platform));
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -15,7 +15,6 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 // ---- Tuned values ------------------------------------------------------------------------------------
-
 /// Share of the aim (of a step's window) after which a part is copied. Lower: more copies in vain.
 const COPY_SHARE: f64 = 0.5;
 /// Copies to this share of recent parts. Higher: heals faster, feeds an overload.
@@ -99,7 +98,6 @@
 const LOOK: Micros = 100_000;
 
 // ---- What is remembered ------------------------------------------------------------------------------
-
 #[derive(Default)]
 struct Server {
     cell: u32,
@@ -137,12 +135,15 @@
     fate: Fate,
 }
 
+#[derive(Default)]
 struct Part {
     id: PartId,
     shard: Shard,
     weight: f64,
     step: u8,
     tries: Vec<Try>,
+    /// Those of them that never left: none of the attempts allowed.
+    unsent: usize,
     done: bool,
     /// Its first lateness has been counted against its server.
     late: bool,
@@ -256,7 +257,6 @@
     }
 
     // ---- A turn ------------------------------------------------------------------------------------------
-
     /// Takes in all events of this turn, then decides.
     pub fn turn(&mut self, now: Time, events: Vec<Event>, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -282,7 +282,7 @@
         let soon = self.now.plus(LOOK);
         let partial = q.arrived.plus(self.partial_after(q));
         let mut due = self.end_of(q).min(if partial > self.now { partial } else { soon });
-        let again = |i: usize| (q.parts[i].tries.len() as u32) < self.set.limits.attempts;
+        let again = |i: usize| q.parts[i].made() < self.set.limits.attempts as usize;
         if q.agenda.idle().next().is_some() || q.agenda.due(self.now).any(again) {
             due = due.min(soon);
         }
@@ -300,7 +300,6 @@
     }
 
     // ---- Taking in events --------------------------------------------------------------------------------
-
     fn take_in(&mut self, event: Event, out: &mut Vec<Action>) {
         if matches!(event, Event::Query { .. } | Event::Part { .. }) && self.set.limits.budget.is_some() {
             self.taken.add(self.now);
@@ -335,10 +334,9 @@
                 let Some(&id) = self.numbers.get(&number) else { return };
                 let Some(q) = self.queries.get_mut(&id) else { return };
                 let step = q.step;
-                let new = Part { id: part, shard, weight, step, tries: Vec::new(), done: false, late: false };
                 q.agenda.rest(q.parts.len());
                 self.parts.insert(part, (id, q.parts.len()));
-                q.parts.push(new);
+                q.parts.push(Part { id: part, shard, weight, step, ..Part::default() });
                 (q.count, q.once, q.total, q.due) = (q.count + 1, q.once + 1, q.total + weight, self.now);
             }
             Event::Hangup(id) => self.forget(id, out),
@@ -411,6 +409,7 @@
         let Some(p) = q.parts.get_mut(i) else { return };
         let Some(this) = p.tries.get_mut(usize::from(attempt)) else { return };
         this.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+        p.unsent += usize::from(outcome == Outcome::Moot);
         if outcome == Outcome::Reset && !(broken && flight.idle) {
             q.ahead |= !q.answered;
             q.broke.insert(flight.server);
@@ -442,7 +441,6 @@
     }
 
     // ---- Health of servers -------------------------------------------------------------------------------
-
     /// Whether an attempt of a class at a server will end well and in time, as the faded share of bad ends.
     /// Errors and silence count by class, silence half for the others, what befalls the connection for all.
     /// Guards against servers that fail, hang, stall, slow down, lose answers or connections, for one class
@@ -539,7 +537,6 @@
     }
 
     // ---- Ends of queries ---------------------------------------------------------------------------------
-
     fn class(&self, q: &Query) -> &Class {
         &self.set.classes[q.class]
     }
@@ -564,7 +561,7 @@
     /// Whether the rules allow another attempt of a part now.
     fn may_send(&self, q: &Query, p: &Part, copy: bool) -> bool {
         let copies = self.set.limits.second_copies && self.class(q).repeat == Repeat::Safe;
-        if p.tries.len() as u32 >= self.set.limits.attempts || copy && !copies {
+        if p.made() >= self.set.limits.attempts as usize || copy && !copies {
             return false;
         }
         match self.class(q).repeat {
@@ -699,7 +696,6 @@
     }
 
     // ---- Admission ---------------------------------------------------------------------------------------
-
     /// How long a part of this class sent to a server now is expected to take: the server's recent answer
     /// time (which holds what peers send; it fades towards the common one), scaled by own parts pending now
     /// against then; no less than the age of the oldest part younger than any answered there: an older one
@@ -738,7 +734,6 @@
     }
 
     // ---- Choice of replicas ------------------------------------------------------------------------------
-
     fn holders(&self, shard: Shard) -> impl Iterator<Item = (ServerId, &Server)> {
         let (cells, width) = (self.set.layout.cells, self.set.layout.width);
         let near = (0..width.min(cells)).map(move |j| (shard.0 % cells + j) % cells);
@@ -776,12 +771,16 @@
     fn dispatch(&mut self, id: QueryId, out: &mut Vec<Action>) {
         let Some(q) = self.queries.get(&id) else { return };
         let after = self.copy_after(q);
-        let (mut open, mut again) = (Vec::new(), Vec::new());
+        let (now, mut open, mut again) = (self.now, Vec::new(), Vec::new());
         for i in q.agenda.now(self.now) {
             let p = &q.parts[i];
             match p.tries.last() {
                 None => open.push(i),
-                Some(_) if p.out().next().is_none() && self.may_send(q, p, false) => again.push((i, false)),
+                // Guards the attempts left: where all holders failed they would be spent within some turns.
+                Some(t) if p.out().next().is_none() => {
+                    let rests = p.tries.len() >= self.set.layout.width as usize && now < t.sent.plus(LOOK);
+                    again.extend((!rests && self.may_send(q, p, false)).then_some((i, false)));
+                }
                 Some(t) if self.now >= t.sent.plus(after / p.tries.len() as u64) => {
                     again.extend(self.may_send(q, p, true).then_some((i, true)));
                 }
@@ -933,7 +932,6 @@
     }
 
     // ---- The list and cold servers ------------------------------------------------------------------------
-
     fn listed(&mut self, listing: Listing) {
         if listing == Listing::Failed {
             self.ask_at = Some(self.now.plus(self.ask_gap / 2 + self.rng.0.u64(0..=self.ask_gap)));
@@ -992,8 +990,11 @@
 }
 
 // ---- Small helpers -----------------------------------------------------------------------------------
-
 impl Part {
+    /// Attempts that were made.
+    fn made(&self) -> usize {
+        self.tries.len() - self.unsent
+    }
     /// Its attempts that are out.
     fn out(&self) -> impl Iterator<Item = u16> + '_ {
         (0u16..).zip(&self.tries).filter(|(_, t)| t.fate == Fate::Out).map(|(i, _)| i)
@@ -1004,7 +1005,6 @@
 fn pending(s: &Server) -> f64 {
     f64::from(s.calls.iter().map(|c| c.left).sum::<u32>())
 }
-
 fn scaled(time: Micros, by: f64) -> Micros {
     (time as f64 * by) as Micros
 }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -6,9 +6,10 @@
 pub mod ogc;
 
 use crate::core::{Dispatch, Value};
+use crate::decide::descriptors::LINKS;
 use crate::interface::{Micros, Outcome, ServerId, Time};
 use crate::net::buffer::Buffer;
-use crate::net::{ConnId, Net, Owner, Pumped, Timer};
+use crate::net::{ConnId, Denied, Net, Owner, Pumped, Timer};
 use crate::stats::Fading;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -139,6 +140,22 @@
     }
 }
 
+/// A call that no descriptor was to be had for.
+struct Parked<J> {
+    server: ServerId,
+    address: SocketAddr,
+    parts: Vec<Dispatch<J>>,
+    since: Time,
+}
+
+/// Why there is no connection for a call.
+enum Closed {
+    /// This process has no descriptor left for it.
+    Ours,
+    /// The node takes none, or holds too many that bring nothing.
+    Theirs,
+}
+
 /// How an attempt ended that was given to a pool.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ended {
@@ -168,10 +185,13 @@
 const MUTE_MOST: Micros = 1_000_000;
 /// How fast the usual answer time is learnt.
 const USUAL_PACE: f64 = 0.02;
-/// Most connections to one data node.
-const LINKS: usize = 16;
+/// A call that finds no descriptor waits for one for so long: well under half of any aim, after which the module
+/// would take its silence for the node's. Its parts are then told as never sent, and the module may choose anew.
+const PARKED: Micros = 50_000;
 /// After a connection was left or broke under a part, new ones to that node are greeted for so long.
 const WARY: Micros = 10_000_000;
+/// Lines that calls had to wait for a descriptor come this long apart at least.
+const TOLD: Micros = 5_000_000;
 /// Settled parts that are remembered for a connection.
 const SETTLED: usize = 256;
 
@@ -185,6 +205,11 @@
     attempts: HashMap<u64, ConnId>,
     /// Nodes whose new connections are greeted, and until when.
     wary: HashMap<ServerId, Time>,
+    /// Calls that wait for a descriptor, oldest first.
+    parked: VecDeque<Parked<W::Job>>,
+    /// Calls that had to wait since that was last logged, and when it was.
+    short: u64,
+    told: Option<Time>,
     /// Usual time from a call to an answer.
     usual: Fading,
     ended: Vec<Ended>,
@@ -197,7 +222,8 @@
     pub fn new(wire: W, limits: Limits) -> Self {
         let (links, by_server, attempts) = (HashMap::new(), HashMap::new(), HashMap::new());
         let (usual, ended, log) = (Fading::default(), Vec::new(), Vec::new());
-        Pool { wire, limits, links, by_server, attempts, wary: HashMap::new(), usual, ended, log }
+        let (wary, parked, short, told) = (HashMap::new(), VecDeque::new(), 0, None);
+        Pool { wire, limits, links, by_server, attempts, wary, parked, short, told, usual, ended, log }
     }
 
     /// New connections to this node are greeted until then: it has just started, or connections to it broke. A greeting
@@ -231,15 +257,79 @@
         address: SocketAddr,
         parts: Vec<Dispatch<W::Job>>,
     ) {
-        let Some(id) = self.room(net, server, address) else {
-            let failed = parts.iter().map(|p| (p.attempt, Outcome::ConnectFailed, None));
-            self.ended.extend(failed.map(|(attempt, outcome, value)| Ended { attempt, outcome, value }));
-            return;
-        };
-        let Some(link) = self.links.get_mut(&id) else { return };
-        self.attempts.extend(parts.iter().map(|p| (p.attempt, id)));
-        link.waiting.push_back(parts);
-        self.write(net, id);
+        let since = net.clock.now();
+        let call = Parked { server, address, parts, since };
+        // Those that wait already go first, but only a call that needs a new connection waits behind them.
+        if let Err(call) = self.place(net, call) {
+            self.short(net, since);
+            net.wheel.set(since.plus(PARKED), Timer::Parked(W::OWNER));
+            self.parked.push_back(call);
+        }
+    }
+
+    /// Gives a call to a connection, or ends it if its node takes none; the call again if it needs a descriptor and
+    /// there is none.
+    fn place(&mut self, net: &mut Net, call: Parked<W::Job>) -> Result<(), Parked<W::Job>> {
+        match self.room(net, call.server, call.address) {
+            Ok(id) => {
+                let Some(link) = self.links.get_mut(&id) else { return Ok(()) };
+                self.attempts.extend(call.parts.iter().map(|p| (p.attempt, id)));
+                link.waiting.push_back(call.parts);
+                self.write(net, id);
+                Ok(())
+            }
+            Err(Closed::Theirs) => {
+                self.end_parts(&call.parts, Outcome::ConnectFailed);
+                Ok(())
+            }
+            Err(Closed::Ours) => Err(call),
+        }
+    }
+
+    fn end_parts(&mut self, parts: &[Dispatch<W::Job>], outcome: Outcome) {
+        self.ended.extend(parts.iter().map(|p| Ended { attempt: p.attempt, outcome, value: None }));
+    }
+
+    /// Notes that a call has to wait for a descriptor. Guards the log, which would have thousands of such lines.
+    fn short(&mut self, net: &Net, now: Time) {
+        self.short += 1;
+        if self.told.is_none_or(|at| now.since(at) >= TOLD) {
+            let (count, why) = (self.short, net.why_short());
+            self.log.push(format!("calls that had to wait for a descriptor: {count}; {why}"));
+            (self.short, self.told) = (0, Some(now));
+        }
+    }
+
+    /// Tends the calls that wait for a descriptor: in their order they get what has become free; those that have
+    /// waited for too long are told as never sent.
+    pub fn tend(&mut self, net: &mut Net) {
+        let now = net.clock.now();
+        while let Some(call) = self.parked.pop_front() {
+            if let Err(call) = self.place(net, call) {
+                self.parked.push_front(call);
+                break;
+            }
+        }
+        while self.parked.front().is_some_and(|c| now.since(c.since) >= PARKED) {
+            let Some(call) = self.parked.pop_front() else { return };
+            self.end_parts(&call.parts, Outcome::Moot);
+        }
+    }
+
+    /// Closes so many idle connections, those unused for longest first: second ones to a node before only ones, whose
+    /// loss costs the next call there a handshake. Tells how many were closed.
+    pub fn yield_idle(&mut self, net: &mut Net, count: usize) -> usize {
+        let idle = self.links.iter().filter(|(_, link)| link.idle());
+        let mut idle: Vec<(bool, Time, ConnId)> = idle
+            .filter_map(|(id, link)| {
+                let only = self.by_server.get(&link.server).is_none_or(|known| known.len() < 2);
+                Some((only, net.get(*id)?.used, *id))
+            })
+            .collect();
+        idle.sort_unstable();
+        idle.truncate(count);
+        idle.iter().for_each(|&(.., id)| self.drop_link(net, id));
+        idle.len()
     }
 
     /// Writes the calls that wait for a connection, while it takes them.
@@ -310,8 +400,9 @@
         }
     }
 
-    /// A connection with room for a call: one that is up, one that is being opened, or a new one.
-    fn room(&mut self, net: &mut Net, server: ServerId, address: SocketAddr) -> Option<ConnId> {
+    /// A connection with room for a call: one that is up, one that is being opened, or a new one, for which an idle one
+    /// to another node is closed if need be.
+    fn room(&mut self, net: &mut Net, server: ServerId, address: SocketAddr) -> Result<ConnId, Closed> {
         self.listen(net, server);
         let (streams, known) = (self.limits.streams.max(1), self.by_server.entry(server).or_default());
         let fits = |id: &&ConnId| {
@@ -325,13 +416,16 @@
         // The oldest that is up, so that those opened for a short rush fall idle again.
         let mut open = known.iter().filter(fits);
         if let Some(&id) = open.clone().find(up).or_else(|| open.next()) {
-            return Some(id);
+            return Ok(id);
         }
-        // Guards descriptors and memory against a node that takes connections and reads nothing.
-        let connected = match known.len() < LINKS {
+        let mut connected = match known.len() < LINKS {
             true => net.connect(W::OWNER, address),
-            false => Err(std::io::Error::other("too many connections to it")),
+            false => Err(Denied::Failed(std::io::Error::other("too many connections to it"))),
         };
+        if matches!(connected, Err(Denied::Lack(_))) && self.yield_idle(net, 1) > 0 {
+            connected = net.connect(W::OWNER, address);
+        }
+        let known = self.by_server.entry(server).or_default();
         match connected {
             Ok(id) => {
                 let (waiting, calls, settled) = (VecDeque::new(), Vec::new(), VecDeque::new());
@@ -357,21 +451,26 @@
                 self.links.insert(id, link);
                 let at = net.clock.now().plus(self.limits.connect);
                 net.wheel.set(at, Timer::Conn(id));
-                Some(id)
+                Ok(id)
             }
-            Err(e) => {
+            Err(denied) => {
                 if known.is_empty() {
                     self.by_server.remove(&server);
                 }
-                self.log.push(format!("connect to server {} failed: {e}", server.0));
-                None
+                match denied {
+                    Denied::Lack(_) => Err(Closed::Ours),
+                    Denied::Failed(e) => {
+                        self.log.push(format!("connect to server {} failed: {e}", server.0));
+                        Err(Closed::Theirs)
+                    }
+                }
             }
         }
     }
 
     /// Gives up an attempt: the node is told, unless its call never left.
     pub fn withdraw(&mut self, net: &mut Net, attempt: u64) {
-        let Some(id) = self.attempts.remove(&attempt) else { return };
+        let Some(id) = self.attempts.remove(&attempt) else { return self.unpark(attempt) };
         if let Some(server) = self.links.get(&id).map(|l| l.server) {
             self.listen(net, server);
         }
@@ -396,6 +495,18 @@
         }
     }
 
+    /// Takes a part out of those that wait for a descriptor.
+    fn unpark(&mut self, attempt: u64) {
+        self.parked.iter_mut().for_each(|call| call.parts.retain(|p| p.attempt != attempt));
+        self.parked.retain(|call| !call.parts.is_empty());
+    }
+
+    /// Whether an attempt still waits for a descriptor.
+    #[must_use]
+    pub fn is_parked(&self, attempt: u64) -> bool {
+        self.parked.iter().flat_map(|call| &call.parts).any(|p| p.attempt == attempt)
+    }
+
     /// Closes the connections to a server that carry nothing.
     pub fn close_idle(&mut self, net: &mut Net, server: ServerId) {
         let known = self.by_server.get(&server).cloned().unwrap_or_default();
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -29,15 +29,47 @@
 
     /// Sends a call of one part and tells its attempt.
     fn send(&mut self, text: &str) -> u64 {
+        self.send_to(SERVER, text)
+    }
+
+    fn send_to(&mut self, server: ServerId, text: &str) -> u64 {
         self.attempts += 1;
         let (attempt, shard) = (self.attempts, Shard(self.attempts as u32));
         let job = Rc::new(Job { id: "q".into(), text: text.into(), key: None });
         let part = Dispatch { attempt, job, shard, first: None, most: None, wait: 1_000_000 };
         let address = self.listener.local_addr().unwrap();
-        self.pool.send(&mut self.net, SERVER, address, vec![part]);
+        self.pool.send(&mut self.net, server, address, vec![part]);
         attempt
     }
 
+    /// One call to each of as many servers as there are descriptors for, and the servers' ends of their connections.
+    fn fill(&mut self) -> Vec<TcpStream> {
+        // Answers are slow as a rule: nothing is mute while this test takes its time.
+        self.pool.usual.add(60e6, 1.0);
+        let mut streams = Vec::new();
+        while self.pool.parked.is_empty() {
+            self.send_to(ServerId(100 + streams.len() as u32), "x");
+            if self.pool.parked.is_empty() {
+                streams.push(self.accept_silently());
+            }
+        }
+        streams
+    }
+
+    /// Runs the loop, tending those that wait, until something ends.
+    fn tended(&mut self) -> Vec<(u64, Outcome)> {
+        for _ in 0..200 {
+            self.net.wait(Some(self.net.clock.now().plus(10_000))).unwrap();
+            self.pump();
+            self.pool.tend(&mut self.net);
+            let (ended, _) = self.pool.take_ended();
+            if !ended.is_empty() {
+                return ended.into_iter().map(|e| (e.attempt, e.outcome)).collect();
+            }
+        }
+        panic!("nothing ended");
+    }
+
     /// Runs the loop until an attempt has ended, or for a moment if none does.
     fn ended(&mut self) -> Vec<(u64, Outcome)> {
         for _ in 0..20 {
@@ -96,6 +128,11 @@
     String::from_utf8(rest).unwrap()
 }
 
+/// Whether the broker has closed its end.
+fn ended(stream: &mut TcpStream) -> bool {
+    stream.read_to_end(&mut Vec::new()).is_ok()
+}
+
 fn answer(stream: &mut TcpStream, line: &str) {
     let mut bytes = (line.len() as u32 + 2).to_be_bytes().to_vec();
     bytes.extend_from_slice(format!("Y{line}\n").as_bytes());
@@ -379,3 +416,68 @@
     stage.send("x");
     assert_eq!(stage.pool.wary.len(), 1, "only the one that has just started");
 }
+
+#[test]
+fn a_call_without_a_descriptor_waits_and_is_told_as_never_sent() {
+    let mut stage = Stage::new(LIMITS);
+    let streams = stage.fill();
+    let open = streams.len();
+    assert!(open >= 19, "half of 38 at the least: {open}");
+    let late = stage.attempts;
+    assert!(stage.pool.is_parked(late) && !stage.pool.is_parked(1));
+    let (ended, log) = stage.pool.take_ended();
+    assert!(ended.is_empty(), "nobody has failed: {ended:?}");
+    assert!(
+        log.len() == 1 && log[0].contains("had to wait for a descriptor: 1; all 35 descriptors"),
+        "{log:?}"
+    );
+    assert_eq!(stage.tended(), [(late, Outcome::Moot)]);
+    assert_eq!(stage.pool.links.len(), open, "those with work stay");
+    // One that is given up while it waits is gone without a word.
+    let given_up = stage.send_to(ServerId(99), "x");
+    stage.pool.withdraw(&mut stage.net, given_up);
+    assert!(!stage.pool.is_parked(given_up) && stage.pool.parked.is_empty());
+}
+
+#[test]
+fn a_call_that_waits_gets_the_first_connection_that_falls_idle() {
+    let mut stage = Stage::new(LIMITS);
+    let mut streams = stage.fill();
+    let (late, open) = (stage.attempts, streams.len());
+    answer(&mut streams[3], "q.4 OK 1 -");
+    assert_eq!(stage.tended(), [(4, Outcome::Ok)]);
+    stage.pool.tend(&mut stage.net);
+    assert!(stage.pool.parked.is_empty() && stage.pool.links.len() == open);
+    let mut stream = stage.accept_silently();
+    assert!(frame(&mut stream).starts_with(&format!("Rq.{late} ")));
+    assert!(ended(&mut streams[3]), "the idle one was closed");
+}
+
+#[test]
+fn the_connection_unused_for_longest_makes_room_and_a_second_one_to_a_node_before_that() {
+    let mut stage = Stage::new(LIMITS);
+    let mut streams = stage.fill();
+    let late = stage.attempts;
+    stage.pool.withdraw(&mut stage.net, late);
+    let idle = |stage: &mut Stage, streams: &mut Vec<TcpStream>, i: usize| {
+        answer(&mut streams[i], &format!("q.{} OK 1 -", i + 1));
+        assert_eq!(stage.tended(), [(i as u64 + 1, Outcome::Ok)]);
+    };
+    for i in [5, 2, 7] {
+        idle(&mut stage, &mut streams, i);
+    }
+    stage.send_to(ServerId(98), "x");
+    let _other = stage.accept_silently();
+    assert!(ended(&mut streams[5]));
+    // A second connection to the node of 7, opened while the first was full.
+    for _ in 0..3 {
+        stage.send_to(ServerId(107), "x");
+    }
+    let mut second = stage.accept_silently();
+    assert!(ended(&mut streams[2]));
+    assert!(frame(&mut second).starts_with("R"));
+    answer(&mut second, &format!("q.{} OK 1 -", stage.attempts));
+    assert_eq!(stage.tended(), [(stage.attempts, Outcome::Ok)]);
+    assert_eq!(stage.pool.yield_idle(&mut stage.net, 5), 1, "none that carries a call goes");
+    assert!(ended(&mut second));
+}
