Confirm lists that go back a version or are empty before they are believed

An empty whole list made a broker forget all its data nodes; a list that went back a version undid what was told since; a line without a cell counted as one of cell 0, so that parts of its shards went to a node that holds others; an unreadable list was told as a failed call without a reason.

Change: decide::membership::doubt (pure): such a list waits while the whole list is asked for at once, and what that says is taken. If it does not come within 1 s, what the doubted list wants stopped is stopped, since the rule on drains counts from when it was heard. Lines without a known cell are left aside, or keep their last cell if the node is known. Each is logged with its reason.

Tests on sockets: five unreadable lists, empty ones confirmed and not, older ones confirmed and not, lines without cells.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -232,7 +232,7 @@
         let classes = classes
             .map(|(name, c)| Class { name: name.clone(), repeat: c.repeat, deadline: c.deadline })
             .collect();
-        let mut directory = Directory::new(told.zones);
+        let mut directory = Directory::new(told.zones).with_cells(told.settings.layout.cells);
         let ask_every = match told.settings.discovery {
             interface::Discovery::Ask(every) => every,
             interface::Discovery::Push => 0,
@@ -262,7 +262,7 @@
             instance_id: node.name.clone(),
             host_port: node.address.to_string(),
             zone: node.zone.clone(),
-            cell: node.cell,
+            cell: Some(node.cell),
             lifecycle: Lifecycle::Serving,
             started_at_ms: 0,
         };
@@ -319,9 +319,8 @@
             let now = self.net.clock.now();
             for timer in self.net.wheel.due(now) {
                 each_service!(self, |net, service| service.timer(net, timer));
-                if let (Timer::Discovery(call), Some(discovery)) = (timer, &mut self.discovery) {
-                    let news = discovery.timer(&mut self.net, call);
-                    self.listed(news);
+                if let Timer::Discovery(call) = timer {
+                    self.discovery_due(call);
                 }
             }
             each_service!(self, |net, service| service.turn(net));
@@ -365,6 +364,14 @@
         }
     }
 
+    fn discovery_due(&mut self, call: u64) {
+        if let (Some(discovery), Some(service)) = (&mut self.discovery, &mut self.platform) {
+            let news = discovery.timer(&mut self.net, call, &mut service.directory);
+            service.leave_gone(&mut self.net);
+            self.listed(news);
+        }
+    }
+
     fn news(&mut self, id: ConnId) {
         if let (Some(discovery), Some(service)) = (&mut self.discovery, &mut self.platform) {
             let news = discovery.ready(&mut self.net, id, &mut service.directory);
@@ -379,7 +386,9 @@
             let news = discovery.subscribe(&mut self.net);
             self.listed(news);
         }
-        self.discovery.iter_mut().flat_map(Discovery::take_log).for_each(|line| log(&line));
+        let lines = self.discovery.iter_mut().flat_map(Discovery::take_log);
+        let lines = lines.chain(self.platform.iter_mut().flat_map(|s| s.directory.take_log()));
+        lines.for_each(|line| log(&line));
     }
 
     /// Reads the configuration again and moves to the address of discovery that it names; all else in it holds
--- /dev/null
+++ b/src/decide/membership/doubt.rs
@@ -0,0 +1,129 @@
+//! Lists that may be wrong: one that goes back a version, one that says that nobody is there. Neither is believed at once,
+//! and neither is left aside: the whole list is asked for, and what that says is taken. If it can't be had in time, what
+//! the doubted list wants stopped is stopped, since the rule on drains counts from when it was heard.
+
+use crate::interface::{Micros, Time};
+use std::fmt;
+
+/// A doubted list is confirmed within this, or what it wants stopped is stopped (microseconds): half of the two seconds
+/// after which nothing new may go to a node that drains or is gone.
+pub const CONFIRM: Micros = 1_000_000;
+
+/// What is told of a list as it comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Its version.
+    pub generation: u64,
+    /// Whether it is the whole list.
+    pub whole: bool,
+    /// Its lines.
+    pub lines: usize,
+}
+
+/// Why a list was taken or doubted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Nothing speaks against it.
+    Sound,
+    /// The whole list was asked for since another one was doubted: there is nobody else to ask.
+    Confirmed,
+    /// It is of the first version, where the second is held.
+    Older(u64, u64),
+    /// It is whole and empty, while so many data nodes are known.
+    Empty(usize),
+}
+
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Why::Sound => f.write_str("sound"),
+            Why::Confirmed => f.write_str("the whole list, asked for to confirm"),
+            Why::Older(told, held) => write!(f, "version {told}, while {held} is held"),
+            Why::Empty(known) => write!(f, "empty, while {known} data nodes are known"),
+        }
+    }
+}
+
+/// What is to be done with a list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is taken.
+    Take(Why),
+    /// It is kept until the whole list has come, or until then.
+    Confirm(Why, Time),
+}
+
+/// Judges lists as they come.
+#[derive(Clone, Debug, Default)]
+pub struct Doubt {
+    /// The whole list has been asked for to confirm one that was doubted.
+    asked: bool,
+}
+
+impl Doubt {
+    /// A list has come, while version `held` of it and `known` data nodes are held.
+    pub fn on_list(&mut self, now: Time, told: Told, held: Option<u64>, known: usize) -> Verdict {
+        // Guards against doubting for ever: a discovery that begins its versions anew, or has no nodes, is believed then.
+        if std::mem::take(&mut self.asked) && told.whole {
+            return Verdict::Take(Why::Confirmed);
+        }
+        let why = match held {
+            Some(held) if told.generation < held => Why::Older(told.generation, held),
+            _ if told.whole && told.lines == 0 && known > 0 => Why::Empty(known),
+            _ => return Verdict::Take(Why::Sound),
+        };
+        self.asked = true;
+        Verdict::Confirm(why, now.plus(CONFIRM))
+    }
+
+    /// The whole list did not come.
+    pub fn on_failure(&mut self) {
+        self.asked = false;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NOW: Time = Time(5_000_000);
+
+    fn told(generation: u64, whole: bool, lines: usize) -> Told {
+        Told { generation, whole, lines }
+    }
+
+    #[test]
+    fn sound_lists_are_taken_and_the_first_one_whatever_it_says() {
+        let mut doubt = Doubt::default();
+        for (list, held, known) in [
+            (told(7, true, 3), None, 0),
+            (told(7, true, 0), None, 0),
+            (told(8, false, 0), Some(8), 3),
+            (told(9, false, 2), Some(8), 3),
+            (told(9, true, 1), Some(8), 200),
+        ] {
+            assert_eq!(doubt.on_list(NOW, list, held, known), Verdict::Take(Why::Sound), "{list:?}");
+        }
+    }
+
+    #[test]
+    fn older_and_empty_lists_are_confirmed_once_and_then_believed() {
+        let cases = [
+            (told(7, false, 2), Why::Older(7, 8)),
+            (told(7, true, 2), Why::Older(7, 8)),
+            (told(9, true, 0), Why::Empty(3)),
+        ];
+        for (list, why) in cases {
+            let mut doubt = Doubt::default();
+            assert_eq!(doubt.on_list(NOW, list, Some(8), 3), Verdict::Confirm(why, NOW.plus(CONFIRM)));
+            let whole = told(list.generation, true, 0);
+            assert_eq!(doubt.on_list(NOW, whole, None, 3), Verdict::Take(Why::Confirmed), "{why}");
+            assert!(matches!(doubt.on_list(NOW, list, Some(8), 3), Verdict::Confirm(..)), "doubted anew");
+            doubt.on_failure();
+            assert!(
+                matches!(doubt.on_list(NOW, list, Some(8), 3), Verdict::Confirm(..)),
+                "nothing confirmed it"
+            );
+        }
+    }
+}
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -4,6 +4,7 @@
 //! renewed here. Neither is done before `decide::membership::pace` allows it: a small fleet's calls go at once, so that
 //! its watches go on, a large one's are spread.
 
+use crate::decide::membership::doubt::{Doubt, Told, Verdict};
 use crate::decide::membership::pace::Pace;
 use crate::http::{self, Parsed};
 use crate::interface::{Listed, Listing, Micros, Mode, ServerId, Time};
@@ -18,6 +19,8 @@
 const PATIENCE: Micros = 1_500_000;
 /// A connection that is not up after this long never comes up.
 const CONNECT: Micros = 500_000;
+/// The number of the timer that ends a doubted list's time; calls are numbered from 1.
+const CONFIRMED: u64 = 0;
 /// Longest list that is read.
 const CEILING: usize = 4 * 1024 * 1024;
 
@@ -45,9 +48,9 @@
     /// Name of its zone.
     #[serde(default)]
     pub zone: String,
-    /// Its cell.
+    /// Its cell, where the line tells it.
     #[serde(default)]
-    pub cell: u32,
+    pub cell: Option<u32>,
     /// Its state.
     pub lifecycle: Lifecycle,
     /// Unix time of its last start; 0: long ago.
@@ -75,9 +78,19 @@
 pub struct Directory {
     zones: Vec<String>,
     ids: HashMap<String, ServerId>,
-    nodes: HashMap<ServerId, (String, Option<SocketAddr>)>,
+    nodes: HashMap<ServerId, Node>,
+    /// How many cells there are; `None`: it is not known.
+    cells: Option<u32>,
     next: u32,
     gone: Vec<ServerId>,
+    log: Vec<String>,
+}
+
+/// What is noted of a data node.
+struct Node {
+    name: String,
+    address: Option<SocketAddr>,
+    cell: u32,
 }
 
 impl Directory {
@@ -87,16 +100,27 @@
         Directory { zones, ..Directory::default() }
     }
 
+    /// The same where there are so many cells: lines of others are left aside.
+    #[must_use]
+    pub fn with_cells(self, cells: u32) -> Self {
+        Directory { cells: Some(cells), ..self }
+    }
+
+    /// Log lines since the last time.
+    pub fn take_log(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.log)
+    }
+
     /// Where a data node listens.
     #[must_use]
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.nodes.get(&server).and_then(|n| n.1)
+        self.nodes.get(&server).and_then(|n| n.address)
     }
 
     /// The name that discovery has for it.
     #[must_use]
     pub fn name(&self, server: ServerId) -> &str {
-        self.nodes.get(&server).map_or("?", |n| &n.0)
+        self.nodes.get(&server).map_or("?", |n| &n.name)
     }
 
     /// How many data nodes are listed.
@@ -122,41 +146,58 @@
 
     /// Notes changed lines and gives them to the module in its own terms.
     pub fn changes(&mut self, instances: &[Instance]) -> Vec<Listed> {
-        let line = |node: &Instance| {
-            let deleted = node.lifecycle == Lifecycle::Deleted;
-            let known = self.ids.get(&node.instance_id).copied();
-            let server = match known {
-                Some(server) => server,
-                None if deleted => return None,
-                None => {
-                    let server = ServerId(self.next);
-                    self.next += 1;
-                    self.ids.insert(node.instance_id.clone(), server);
-                    self.nodes.insert(server, (node.instance_id.clone(), None));
-                    server
-                }
-            };
-            // A line without a usable address keeps the last one.
-            if let (Ok(address), Some(noted)) = (node.host_port.parse(), self.nodes.get_mut(&server)) {
-                noted.1 = Some(address);
-            }
-            if deleted {
-                self.give_back(&node.instance_id);
+        instances.iter().filter_map(|node| self.change(node)).collect()
+    }
+
+    fn change(&mut self, node: &Instance) -> Option<Listed> {
+        let deleted = node.lifecycle == Lifecycle::Deleted;
+        let known = self.ids.get(&node.instance_id).copied();
+        // Guards data nodes: one whose cell is not known would be sent parts of shards that it does not hold. One that
+        // is known keeps its cell, since whether it drains counts.
+        let told = node.cell.filter(|cell| self.cells.is_none_or(|cells| *cell < cells));
+        let noted = known.and_then(|server| self.nodes.get(&server)).map(|n| n.cell);
+        if told.is_none() && !deleted {
+            let what = node.cell.map_or("no cell".into(), |cell| format!("cell {cell}, which there is not"));
+            let then = if noted.is_some() { "it keeps its last one" } else { "the line is left aside" };
+            self.log.push(format!("discovery: {} has {what}: {then}", node.instance_id));
+        }
+        let cell = match told.or(noted) {
+            Some(cell) => cell,
+            None if deleted && known.is_some() => 0,
+            None => return None,
+        };
+        let server = match known {
+            Some(server) => server,
+            None if deleted => return None,
+            None => {
+                let server = ServerId(self.next);
+                self.next += 1;
+                self.ids.insert(node.instance_id.clone(), server);
+                let new = Node { name: node.instance_id.clone(), address: None, cell };
+                self.nodes.insert(server, new);
+                server
             }
-            Some(Listed {
-                server,
-                cell: node.cell,
-                zone: self.zones.iter().position(|z| *z == node.zone).map_or(u32::MAX, |z| z as u32),
-                mode: match node.lifecycle {
-                    Lifecycle::Serving => Mode::Ready,
-                    // To be in a state that is not known is no reason to be sent anything.
-                    Lifecycle::Draining | Lifecycle::Unknown => Mode::Draining,
-                    Lifecycle::Deleted => Mode::Gone,
-                },
-                started: (node.started_at_ms > 0).then_some(Time(node.started_at_ms.saturating_mul(1_000))),
-            })
         };
-        instances.iter().filter_map(line).collect()
+        if let Some(noted) = self.nodes.get_mut(&server) {
+            noted.cell = cell;
+            // A line without a usable address keeps the last one.
+            noted.address = node.host_port.parse().ok().or(noted.address);
+        }
+        if deleted {
+            self.give_back(&node.instance_id);
+        }
+        Some(Listed {
+            server,
+            cell,
+            zone: self.zones.iter().position(|z| *z == node.zone).map_or(u32::MAX, |z| z as u32),
+            mode: match node.lifecycle {
+                Lifecycle::Serving => Mode::Ready,
+                // To be in a state that is not known is no reason to be sent anything.
+                Lifecycle::Draining | Lifecycle::Unknown => Mode::Draining,
+                Lifecycle::Deleted => Mode::Gone,
+            },
+            started: (node.started_at_ms > 0).then_some(Time(node.started_at_ms.saturating_mul(1_000))),
+        })
     }
 
     /// Gives back what is known of a node that is gone. Guards memory: on a long day most nodes are replaced often,
@@ -197,6 +238,9 @@
     not_before: Option<Time>,
     /// A call is to be made then, by a timer of the last number.
     planned: bool,
+    doubt: Doubt,
+    /// A list that waits to be confirmed, and until when.
+    doubted: Option<(List, Time)>,
     log: Vec<String>,
 }
 
@@ -206,8 +250,21 @@
     pub fn new(address: SocketAddr, generation: Option<u64>, pace: Pace) -> Self {
         let (conn, call, calls, began) = (None, None, 0, Time(0));
         let (not_before, planned) = (None, false);
-        let log = Vec::new();
-        Discovery { address, generation, conn, call, calls, began, pace, not_before, planned, log }
+        let (doubt, doubted, log) = (Doubt::default(), None, Vec::new());
+        Discovery {
+            address,
+            generation,
+            conn,
+            call,
+            calls,
+            began,
+            pace,
+            not_before,
+            planned,
+            doubt,
+            doubted,
+            log,
+        }
     }
 
     /// Log lines since the last time.
@@ -217,9 +274,9 @@
 
     /// Asks for changes from now on, as soon as the pace allows, unless that is under way. A failure to ask is reported
     /// like any other.
-    pub fn subscribe(&mut self, net: &mut Net) -> Option<Listing> {
+    pub fn subscribe(&mut self, net: &mut Net) -> Vec<Listing> {
         if self.call.is_some() || self.planned {
-            return None;
+            return Vec::new();
         }
         let (now, known) = (net.clock.now(), self.generation.is_some());
         let at = *self.not_before.get_or_insert_with(|| self.pace.on_start(now, known).at);
@@ -227,28 +284,28 @@
             self.calls += 1;
             self.planned = true;
             net.wheel.set(at, Timer::Discovery(self.calls));
-            return None;
+            return Vec::new();
         }
-        self.ask(net).err().and_then(|why| self.not_asked(net, why))
+        self.ask(net).err().map_or_else(Vec::new, |why| self.not_asked(net, why))
     }
 
     /// A call could not be made. Guards the rule on drains: discovery has not failed, and a broker that waited as if it
     /// had would not hear of a change for seconds after the others.
-    fn not_asked(&mut self, net: &mut Net, why: Unasked) -> Option<Listing> {
-        let Unasked::Local(why) = why else { return Some(self.fail(net)) };
+    fn not_asked(&mut self, net: &mut Net, why: Unasked) -> Vec<Listing> {
+        let Unasked::Local(why) = why else { return self.fail(net, "the connection broke") };
         let verdict = self.pace.on_unmade(net.clock.now());
         self.log.push(format!("discovery: no call could be made: {why}; {verdict}"));
         self.calls += 1;
         (self.not_before, self.planned) = (Some(verdict.at), true);
         net.wheel.set(verdict.at, Timer::Discovery(self.calls));
-        None
+        Vec::new()
     }
 
     /// Asks at another address from now on. The whole list is asked for: versions count from where they were told, and
     /// what the former address still had to tell is lost.
-    pub fn move_to(&mut self, net: &mut Net, address: SocketAddr) -> Option<Listing> {
+    pub fn move_to(&mut self, net: &mut Net, address: SocketAddr) -> Vec<Listing> {
         if address == self.address {
-            return None;
+            return Vec::new();
         }
         self.hang_up(net);
         // The list that is held is good until then: brokers that are told together do not ask together.
@@ -284,16 +341,31 @@
         (net.flush(conn, false) == Pumped::Alive).then_some(()).ok_or(Unasked::Broken)
     }
 
-    fn fail(&mut self, net: &mut Net) -> Listing {
+    fn fail(&mut self, net: &mut Net, what: &str) -> Vec<Listing> {
         self.hang_up(net);
+        self.doubt.on_failure();
         let now = net.clock.now();
         let verdict = self.pace.on_failure(now);
         self.not_before = Some(verdict.at);
         let (after, next) = (now.since(self.began) / 1_000, verdict.at.since(now) / 1_000);
         self.log.push(format!(
-            "discovery: call failed after {after} ms, next in {next} ms at the soonest: {verdict}"
+            "discovery: call failed after {after} ms: {what}; next in {next} ms at the soonest: {verdict}"
+        ));
+        vec![Listing::Failed]
+    }
+
+    /// A doubted list was not confirmed in time: what it wants stopped is stopped. What it says of others is not believed.
+    fn unconfirmed(&mut self, directory: &mut Directory) -> Vec<Listing> {
+        let Some((list, _)) = self.doubted.take() else { return Vec::new() };
+        self.log.push(format!(
+            "discovery: version {} was not confirmed: what it wants stopped is stopped",
+            list.generation
         ));
-        Listing::Failed
+        if list.instances.is_empty() {
+            return vec![Listing::Whole(directory.whole(&[]))];
+        }
+        let ends = list.instances.into_iter().filter(|i| i.lifecycle != Lifecycle::Serving);
+        vec![Listing::Changes(directory.changes(&ends.collect::<Vec<_>>()))]
     }
 
     /// Ends the connection: the one place where it is given back.
@@ -305,22 +377,29 @@
     }
 
     /// A call's timer: it may be made now, its connection should be up by now, or its answer here.
-    pub fn timer(&mut self, net: &mut Net, call: u64) -> Option<Listing> {
+    pub fn timer(&mut self, net: &mut Net, call: u64, directory: &mut Directory) -> Vec<Listing> {
+        if call == CONFIRMED {
+            let due = self.doubted.as_ref().is_some_and(|(_, at)| net.clock.now() >= *at);
+            return if due { self.unconfirmed(directory) } else { Vec::new() };
+        }
         if self.planned && self.calls == call {
             self.planned = false;
             return self.subscribe(net);
         }
         if self.call != Some(call) {
-            return None;
+            return Vec::new();
         }
         let wait = if self.generation.is_some() { WATCH } else { 0 };
         let end = self.began.plus(wait + PATIENCE);
         let up = self.conn.and_then(|id| net.get(id)).is_some_and(|c| c.up);
-        if !up || net.clock.now() >= end {
-            return Some(self.fail(net));
+        if !up {
+            return self.fail(net, "it never came up");
+        }
+        if net.clock.now() >= end {
+            return self.fail(net, "no answer");
         }
         net.wheel.set(end, Timer::Discovery(call));
-        None
+        Vec::new()
     }
 
     /// Reads what has come. An answer is news, and the watch is renewed at once.
@@ -342,25 +421,46 @@
                 self.hang_up(net);
                 return Vec::new();
             }
-            _ => return vec![self.fail(net)],
+            _ => return self.fail(net, "the connection broke, or what came is no answer"),
         };
         if self.call.take().is_none() {
             self.hang_up(net);
             return Vec::new();
         }
-        let list =
-            (answer.status == 200).then(|| serde_json::from_slice::<List>(&answer.body).ok()).flatten();
-        let Some(list) = list else { return vec![self.fail(net)] };
+        let list = match answer.status {
+            200 => serde_json::from_slice::<List>(&answer.body).map_err(|e| format!("unreadable list: {e}")),
+            status => Err(format!("answered with {status}")),
+        };
+        let list = match list {
+            Ok(list) => list,
+            Err(what) => return self.fail(net, &what),
+        };
         if ended || !answer.keep_alive {
             self.hang_up(net);
         }
+        let now = net.clock.now();
+        self.not_before = Some(self.pace.on_answer(now).at);
         let whole = list.reset || self.generation.is_none();
-        self.generation = Some(list.generation);
-        self.not_before = Some(self.pace.on_answer(net.clock.now()).at);
-        let mut news = vec![match whole {
-            true => Listing::Whole(directory.whole(&list.instances)),
-            false => Listing::Changes(directory.changes(&list.instances)),
-        }];
+        let told = Told { generation: list.generation, whole, lines: list.instances.len() };
+        let mut news = match self.doubt.on_list(now, told, self.generation, directory.len()) {
+            Verdict::Take(_) => {
+                self.doubted = None;
+                self.generation = Some(list.generation);
+                vec![match whole {
+                    true => Listing::Whole(directory.whole(&list.instances)),
+                    false => Listing::Changes(directory.changes(&list.instances)),
+                }]
+            }
+            Verdict::Confirm(why, until) => {
+                self.log.push(format!("discovery: a list is doubted, the whole one is asked for: {why}"));
+                // Of several in a row the first one's time counts: it was heard then.
+                let until = self.doubted.as_ref().map_or(until, |(_, first)| until.min(*first));
+                // The whole list is asked for; the timer is one that no call has.
+                (self.generation, self.doubted) = (None, Some((list, until)));
+                net.wheel.set(until, Timer::Discovery(CONFIRMED));
+                Vec::new()
+            }
+        };
         news.extend(self.subscribe(net));
         news
     }
@@ -444,8 +544,8 @@
         let mut client = Discovery::new(old.local_addr().unwrap(), Some(41), Pace::new(1, 3, 0));
         client.subscribe(&mut net);
         let (mut left, _) = old.accept().unwrap();
-        assert!(client.move_to(&mut net, old.local_addr().unwrap()).is_none() && client.call == Some(1));
-        assert!(client.move_to(&mut net, new.local_addr().unwrap()).is_none());
+        assert!(client.move_to(&mut net, old.local_addr().unwrap()).is_empty() && client.call == Some(1));
+        assert!(client.move_to(&mut net, new.local_addr().unwrap()).is_empty());
         assert_eq!(left.read_to_end(&mut Vec::new()).unwrap(), 0, "the watch at the old address is over");
         let (mut stream, _) = new.accept().unwrap();
         net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
@@ -461,7 +561,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
         let mut client = Discovery::new(listener.local_addr().unwrap(), None, Pace::new(1, 3, 0));
-        assert!(client.subscribe(&mut net).is_none());
+        assert!(client.subscribe(&mut net).is_empty());
         let (mut stream, _) = listener.accept().unwrap();
         net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
         client.ready(&mut net, client.conn.unwrap(), &mut directory);
@@ -475,7 +575,7 @@
         assert!(request(&mut stream).contains("since=42"));
         answer(&mut stream, 503, "");
         assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
-        assert!(client.subscribe(&mut net).is_none(), "it asks again when told to");
+        assert!(client.subscribe(&mut net).is_empty(), "it asks again when told to");
         let (mut stream, _) = listener.accept().unwrap();
         net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
         client.ready(&mut net, client.conn.unwrap(), &mut directory);
@@ -492,7 +592,7 @@
             let now = net.clock.now();
             for timer in net.wheel.due(now) {
                 if let Timer::Discovery(call) = timer {
-                    client.timer(net, call);
+                    client.timer(net, call, &mut Directory::default());
                 }
             }
             if let Ok((stream, _)) = listener.accept() {
@@ -516,7 +616,7 @@
         let mut client = Discovery::new(listener.local_addr().unwrap(), Some(41), pace);
         let began = net.clock.now();
         for _ in 0..3 {
-            assert!(client.subscribe(&mut net).is_none());
+            assert!(client.subscribe(&mut net).is_empty());
             assert!(client.conn.is_none() && client.calls == 1, "one call is planned, and not made yet");
         }
         let mut stream = asked(&mut net, &mut client, &listener);
@@ -529,7 +629,7 @@
         let calls = client.calls;
         client.not_before = Some(net.clock.now().plus(50_000));
         for _ in 0..3 {
-            assert!(client.subscribe(&mut net).is_none() && client.calls == calls + 1);
+            assert!(client.subscribe(&mut net).is_empty() && client.calls == calls + 1);
         }
         let mut stream = asked(&mut net, &mut client, &listener);
         assert!(request(&mut stream).contains("since=41"));
@@ -561,7 +661,7 @@
             take_all(&mut net, Owner::Frames, at).len() + take_all(&mut net, Owner::Platform, at).len();
         assert_eq!(held, 38, "all of 64 but 24 of the process's own and two for discovery");
         let mut client = Discovery::new(discovery.local_addr().unwrap(), Some(41), Pace::new(1, 3, 0));
-        assert_eq!((client.subscribe(&mut net), client.call), (None, Some(1)));
+        assert!(client.subscribe(&mut net).is_empty() && client.call == Some(1));
         let (mut stream, _) = discovery.accept().unwrap();
         net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
         client.ready(&mut net, client.conn.unwrap(), &mut directory);
@@ -580,7 +680,7 @@
         let others: Vec<TcpStream> = held.iter().map(|_| listener.accept().unwrap().0).collect();
         // One of 300 brokers: after a failure it would wait for up to 12 s.
         let mut client = Discovery::new(at, None, Pace::new(1, 300, 10_000_000));
-        assert!(client.subscribe(&mut net).is_none() && client.call.is_none());
+        assert!(client.subscribe(&mut net).is_empty() && client.call.is_none());
         let (now, next) = (net.clock.now(), client.not_before.unwrap());
         assert!(client.planned && next.since(now) <= 200_000);
         let line = client.take_log().remove(0);
@@ -591,4 +691,117 @@
         assert!(request(&mut stream).starts_with("GET /registry/instances HTTP/1.1"));
         drop(others);
     }
+
+    /// A client that holds version 41 with one node and watches, and its discovery's end of the connection.
+    fn watching() -> (Net, Discovery, Directory, TcpListener, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default().with_cells(8));
+        let mut client = Discovery::new(listener.local_addr().unwrap(), None, Pace::new(1, 3, 0));
+        client.subscribe(&mut net);
+        let (mut stream, _) = listener.accept().unwrap();
+        net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+        client.ready(&mut net, client.conn.unwrap(), &mut directory);
+        request(&mut stream);
+        answer(&mut stream, 200, LIST);
+        assert_eq!(news(&mut net, &mut client, &mut directory).len(), 1);
+        assert!(request(&mut stream).contains("since=41"));
+        (net, client, directory, listener, stream)
+    }
+
+    /// Runs the loop until the client asks for the whole list, which none of its news may come before.
+    fn asks_whole(net: &mut Net, client: &mut Discovery, directory: &mut Directory, stream: &mut TcpStream) {
+        let before = client.calls;
+        while client.calls == before {
+            net.wait(Some(net.clock.now().plus(100_000))).unwrap();
+            let told = client.ready(net, client.conn.unwrap(), directory);
+            assert!(told.is_empty(), "it is not believed yet: {told:?}");
+        }
+        assert!(request(stream).starts_with("GET /registry/instances HTTP/1.1\r\n"));
+    }
+
+    const EMPTY: &str = r#"{"generation":42,"reset":true,"instances":[]}"#;
+
+    #[test]
+    fn an_unreadable_list_changes_nothing_and_is_told() {
+        for bad in ["", "{", "[]", r#"{"generation":"x"}"#, r#"{"generation":42,"instances":[{"cell":1}]}"#] {
+            let (mut net, mut client, mut directory, _listener, mut stream) = watching();
+            answer(&mut stream, 200, bad);
+            assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed], "{bad}");
+            assert!(client.take_log()[0].contains("unreadable list: "), "{bad}");
+            assert_eq!((directory.len(), client.generation), (1, Some(41)), "{bad}");
+        }
+    }
+
+    #[test]
+    fn an_empty_list_is_confirmed_before_it_is_believed() {
+        for (second, left) in [(LIST, 1), (EMPTY, 0)] {
+            let (mut net, mut client, mut directory, _listener, mut stream) = watching();
+            answer(&mut stream, 200, EMPTY);
+            asks_whole(&mut net, &mut client, &mut directory, &mut stream);
+            let line = client.take_log().remove(0);
+            assert!(
+                line.contains("doubted") && line.contains("empty, while 1 data nodes are known"),
+                "{line}"
+            );
+            assert_eq!(directory.len(), 1);
+            answer(&mut stream, 200, second);
+            let told = news(&mut net, &mut client, &mut directory);
+            assert!(matches!(&told[..], [Listing::Whole(lines)] if lines.len() == left), "{told:?}");
+            assert!(directory.len() == left && client.doubted.is_none());
+        }
+    }
+
+    #[test]
+    fn a_list_that_goes_back_is_confirmed_and_its_drains_are_kept_if_nobody_confirms_it() {
+        let back = LIST.replace("41", "40").replace("true", "false").replace("SERVING", "DRAINING");
+        // Confirmed: what the whole list says holds, whatever its version.
+        let (mut net, mut client, mut directory, _listener, mut stream) = watching();
+        answer(&mut stream, 200, &back);
+        asks_whole(&mut net, &mut client, &mut directory, &mut stream);
+        assert!(client.take_log()[0].contains("version 40, while 41 is held"));
+        answer(&mut stream, 200, &LIST.replace("41", "7"));
+        let told = news(&mut net, &mut client, &mut directory);
+        assert!(matches!(&told[..], [Listing::Whole(lines)] if lines[0].mode == Mode::Ready));
+        assert!(request(&mut stream).contains("since=7"), "versions count from there");
+        // Not confirmed: the drain was heard, and is kept within the time for it; who serves is not believed.
+        let serves = r#"{"instanceId":"s-2","hostPort":"10.1.0.19:8080","cell":1,"lifecycle":"SERVING"}"#;
+        let back = back.replace("}]}", &format!("}},{serves}]}}"));
+        let (mut net, mut client, mut directory, _listener, mut stream) = watching();
+        answer(&mut stream, 200, &back);
+        asks_whole(&mut net, &mut client, &mut directory, &mut stream);
+        let until = client.doubted.as_ref().unwrap().1;
+        assert!(client.timer(&mut net, CONFIRMED, &mut directory).is_empty(), "there is time yet");
+        answer(&mut stream, 503, "");
+        assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+        while net.clock.now() < until {
+            net.wait(Some(until)).unwrap();
+        }
+        let told = client.timer(&mut net, CONFIRMED, &mut directory);
+        let is_kept = |lines: &[Listed]| lines.len() == 1 && lines[0].mode == Mode::Draining;
+        assert!(matches!(&told[..], [Listing::Changes(lines)] if is_kept(lines)), "{told:?}");
+        assert!(client.timer(&mut net, CONFIRMED, &mut directory).is_empty(), "once");
+    }
+
+    #[test]
+    fn a_line_without_a_known_cell_is_left_aside_and_one_that_is_known_keeps_its_cell() {
+        let list: List = serde_json::from_str(LIST).unwrap();
+        let mut directory = Directory::default().with_cells(8);
+        let line = |id: &str, cell, lifecycle| Instance {
+            instance_id: id.into(),
+            cell,
+            lifecycle,
+            ..list.instances[0].clone()
+        };
+        let bad = [line("new", None, Lifecycle::Serving), line("far", Some(8), Lifecycle::Serving)];
+        assert!(directory.whole(&bad).is_empty() && directory.is_empty());
+        let log = directory.take_log();
+        assert!(log[0].contains("new has no cell: the line is left aside"), "{log:?}");
+        assert!(log[1].contains("far has cell 8, which there is not"), "{log:?}");
+        directory.changes(&[line("old", Some(3), Lifecycle::Serving)]);
+        let told = directory.changes(&[line("old", None, Lifecycle::Draining)]);
+        assert_eq!((told[0].cell, told[0].mode), (3, Mode::Draining), "that it drains counts");
+        assert!(directory.take_log()[0].contains("it keeps its last one"));
+        let gone = directory.changes(&[line("old", None, Lifecycle::Deleted)]);
+        assert!(gone[0].mode == Mode::Gone && directory.is_empty() && directory.take_log().is_empty());
+    }
 }
