Tell which brokers are believed alive by SWIM, and end the circle of config, front and inventory

Need: duties that only one broker holds stand on a view of the fleet; the program had no notion of another broker. config -> front::ogc -> inventory -> config was a circle, and config is opened next.

Change: src/decide/fleet (pure) gives foca, SWIM without input or output, its time. Time in which this process stood still stops its clock for the fleet, so that a broker that wakes declares nobody dead; who was declared dead and is not comes back under a later life; absent seeds are knocked at, so that the halves of a cut find together. Collection is a record of config now, and reading a file is the inventory's own. Nothing uses the view yet.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -8,9 +8,8 @@
 
 use crate::contract::{Contract, Contracts};
 use crate::discovery::List;
-use crate::front::ogc::Collection;
-use crate::interface::{Discovery, Layout, Repeat, Settings};
-use crate::inventory::Inventory;
+use crate::interface::{Discovery, Layout, Micros, Repeat, Settings};
+use crate::inventory::{read_text, Inventory};
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 use std::net::SocketAddr;
@@ -56,6 +55,21 @@
     pub phases: Phases,
 }
 
+/// A collection that clients of the OGC front may read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Collection {
+    /// Its id in paths.
+    pub id: String,
+    /// Its title.
+    pub title: String,
+    /// Index of the class under whose rules it is read.
+    pub class: usize,
+    /// The same for sorted answers, which take two steps.
+    pub sorted: usize,
+    /// How long a client is taken to wait.
+    pub wait: Micros,
+}
+
 /// Descriptors that a broker may hold where it is told no limit, and at most.
 pub const SOCKETS: usize = 1_024;
 /// Megabytes that a broker may use where it is told no limit.
@@ -84,16 +98,11 @@
     text.parse().map_err(|_| format!("{key}: {text:?} is no address of the form IP:PORT"))
 }
 
-/// Reads a file as text.
-pub(crate) fn file(path: &Path) -> Result<String, String> {
-    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
-}
-
 impl Platform {
     /// Reads the configuration from the environment and the file that it names; `None` without such a file.
     pub fn from_env(env: impl Fn(&str) -> Option<String>) -> Result<Option<Platform>, String> {
         let Some(path) = env("NODE_CONFIG") else { return Ok(None) };
-        let text = file(Path::new(&path)).map_err(|e| format!("NODE_CONFIG: {e}"))?;
+        let text = read_text(Path::new(&path)).map_err(|e| format!("NODE_CONFIG: {e}"))?;
         Platform::parse(&text, env).map(Some)
     }
 
@@ -215,8 +224,8 @@
         let inventory = Inventory::load(&beside(&inventory.value))?;
         let (mut settings, classes, connections) = match (&read.settings, platform) {
             (Some(told), _) => {
-                let text =
-                    file(&beside(&told.value)).map_err(|e| here(told.referenced.line(), "settings", e))?;
+                let text = read_text(&beside(&told.value))
+                    .map_err(|e| here(told.referenced.line(), "settings", e))?;
                 let site = settings::Site::parse(text.as_bytes())
                     .map_err(|e| here(told.referenced.line(), "settings", e))?;
                 (site.settings, site.classes, site.connections)
--- a/src/config/operators.rs
+++ b/src/config/operators.rs
@@ -1,11 +1,11 @@
 //! The operators' file, `deploy/lichenswitch.yaml`: what the platform does not tell. Each section is off when it is
 //! absent, and so is all when the file is.
 
-use super::{file, OgcFile};
+use super::{Collection, OgcFile};
 use crate::contract::Contract;
 use crate::decide::phases::Rules;
-use crate::front::ogc::Collection;
 use crate::interface::{Class, Settings};
+use crate::inventory::read_text;
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 use std::path::{Path, PathBuf};
@@ -75,7 +75,7 @@
 
     /// Reads the file. Paths in it start from its folder.
     pub fn load(path: &Path) -> Result<Operators, String> {
-        let text = file(path)?;
+        let text = read_text(path)?;
         // A file of comments alone is an empty one.
         let empty = text.lines().all(|l| l.trim().is_empty() || l.trim_start().starts_with('#'));
         let read: File = if empty {
--- /dev/null
+++ b/src/decide/fleet/mod.rs
@@ -0,0 +1,300 @@
+//! Which brokers are believed alive, and how sure that is. The protocol is SWIM with suspicion before death, by the
+//! library `foca`, which does no input or output; this module gives it time, and keeps two promises beside it:
+//!
+//! - *a slow observer doubts itself first*: time in which this process stood still counts against nobody. Its clock for
+//!   the fleet stops with it, so that a broker that wakes does not declare dead all whose answers it slept through;
+//! - *who was declared dead and is not comes back by itself*, under a later life, which wins over what is still told of
+//!   the former one.
+//!
+//! Messages go in and verdicts come out; who carries them is not known here.
+
+use crate::interface::{Micros, Time};
+use foca::{AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification};
+use foca::{PeriodicParams, PostcardCodec};
+use rand_xoshiro::rand_core::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+
+/// A broker as others know it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where it listens for other brokers.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its life: later ones are greater, microseconds of Unix time at their beginning.
+    pub life: u64,
+}
+
+impl Identity for Member {
+    type Addr = String;
+
+    fn renew(&self) -> Option<Self> {
+        Some(Member { life: self.life + 1, ..self.clone() })
+    }
+
+    fn addr(&self) -> String {
+        self.name.clone()
+    }
+
+    fn win_addr_conflict(&self, adversary: &Self) -> bool {
+        self.life > adversary.life
+    }
+}
+
+/// How the fleet is watched.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rules {
+    /// A member is asked this often, a different one each time, all in turn (microseconds).
+    pub probe: Micros,
+    /// After this long without its answer others are asked to ask it (microseconds); below `probe` by half or more.
+    pub patience: Micros,
+    /// So many others are.
+    pub helpers: usize,
+    /// One that is suspected and does not refute it for so long is declared dead (microseconds).
+    pub suspicion: Micros,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules { probe: 500_000, patience: 150_000, helpers: 3, suspicion: 2_000_000 }
+    }
+}
+
+/// Calls that come later than this after they were due show that this process stood still (microseconds): several times
+/// what a busy turn of the loop takes.
+const STOOD_STILL: Micros = 250_000;
+/// A member that was declared dead is held as such for this long, so that old news does not bring it back.
+const DEAD_FOR: Duration = Duration::from_secs(60);
+/// Bytes of a message at most: some tens of news fit.
+const PACKET: usize = 1_400;
+/// News is passed on so many times by each who hears it.
+const TRANSMISSIONS: u8 = 10;
+/// News is told to some others this often beside (microseconds).
+const GOSSIP: Micros = 200_000;
+/// Who stands alone knocks at the seeds this often (microseconds), and members that were declared dead are told so as
+/// often, so that both sides of a cut find together.
+const KNOCK: Micros = 2_000_000;
+
+/// Why the view of the fleet has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It was heard of for the first time, or again.
+    Heard,
+    /// Neither it nor any helper answered, and nobody refuted the suspicion in time.
+    Silent,
+    /// It came under a later life.
+    Reborn,
+    /// Others had declared this broker dead: it goes on under a later life.
+    Buried,
+}
+
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Why::Heard => "it was heard of",
+            Why::Silent => "it left or answered nobody, and nobody refuted that in time",
+            Why::Reborn => "it came under a later life",
+            Why::Buried => "others had declared this broker dead",
+        })
+    }
+}
+
+/// What follows from an event.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// These bytes are for that member.
+    Send(Member, Vec<u8>),
+    /// A member is believed alive now.
+    Up(Member, Why),
+    /// It is not any more.
+    Down(Member, Why),
+    /// This broker goes on as this member.
+    Renewed(Member, Why),
+}
+
+type Swim = Foca<Member, PostcardCodec, Xoshiro256PlusPlus, NoCustomBroadcast>;
+
+/// One broker's view of the fleet.
+pub struct Fleet {
+    swim: Swim,
+    own: Member,
+    seeds: Vec<Member>,
+    /// What is due, by time on the fleet's clock, then in the order that it was asked for.
+    timers: BTreeMap<(Time, u64), foca::Timer<Member>>,
+    asked: u64,
+    knock_at: Time,
+    /// How long this process stood still in all: the fleet's clock is behind by so much.
+    stood_still: Micros,
+    alive: BTreeMap<String, Member>,
+    refused: u64,
+}
+
+impl Fleet {
+    /// The view of `own`, which knows of these others; nothing is sent before the first [`Fleet::on_time`].
+    #[must_use]
+    pub fn new(now: Time, own: Member, seeds: Vec<Member>, rules: Rules, seed: u64) -> Fleet {
+        let length = Duration::from_micros;
+        let config = Config {
+            probe_period: length(rules.probe.max(2)),
+            probe_rtt: length(rules.patience.clamp(1, rules.probe.max(2) / 2)),
+            num_indirect_probes: NonZeroUsize::new(rules.helpers).unwrap_or(NonZeroUsize::MIN),
+            max_transmissions: NonZeroU8::new(TRANSMISSIONS).unwrap_or(NonZeroU8::MIN),
+            suspect_to_down_after: length(rules.suspicion.max(1)),
+            remove_down_after: Some(DEAD_FOR),
+            max_packet_size: NonZeroUsize::new(PACKET).unwrap_or(NonZeroUsize::MIN),
+            notify_down_members: true,
+            periodic_announce: None,
+            periodic_announce_to_down_members: None,
+            // What is new goes to some others beside the probes: a suspicion is refuted well before its end.
+            periodic_gossip: Some(PeriodicParams {
+                frequency: length(GOSSIP),
+                num_members: NonZeroUsize::new(KNOCKS).unwrap_or(NonZeroUsize::MIN),
+            }),
+        };
+        let swim = Foca::new(own.clone(), config, Xoshiro256PlusPlus::seed_from_u64(seed), PostcardCodec);
+        let seeds = seeds.into_iter().filter(|s| s.name != own.name).collect();
+        let (timers, alive) = (BTreeMap::new(), BTreeMap::new());
+        Fleet { swim, own, seeds, timers, asked: 0, knock_at: now, stood_still: 0, alive, refused: 0 }
+    }
+
+    /// This broker as others know it.
+    #[must_use]
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// The others that are believed alive, by name.
+    #[must_use]
+    pub fn alive(&self) -> &BTreeMap<String, Member> {
+        &self.alive
+    }
+
+    /// Messages that made no sense, or were not for this broker.
+    #[must_use]
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+
+    /// The fleet's clock: it stops while this process stands still.
+    fn local(&self, now: Time) -> Time {
+        now.minus(self.stood_still)
+    }
+
+    /// When [`Fleet::on_time`] is to be called next.
+    #[must_use]
+    pub fn next(&self) -> Time {
+        let due = self.timers.keys().next().map_or(self.knock_at, |k| k.0.min(self.knock_at));
+        due.plus(self.stood_still)
+    }
+
+    /// Time has come: what is due is done. To be called when [`Fleet::next`] says, and before messages that had to wait
+    /// are handed in, since that it comes late shows that this process stood still.
+    pub fn on_time(&mut self, now: Time) -> Vec<Verdict> {
+        let late = now.since(self.next());
+        if late > STOOD_STILL {
+            // Guards the others: what they answered meanwhile lies unread, and nobody has failed to answer.
+            self.stood_still += late;
+        }
+        let (local, mut told) = (self.local(now), Vec::new());
+        if self.knock_at <= local {
+            self.knock_at = local.plus(KNOCK);
+            self.knock(local, &mut told);
+        }
+        // What becomes due by what is done here waits for the next call: a call always ends.
+        let later = self.timers.split_off(&(local.plus(1), 0));
+        for (_, timer) in std::mem::replace(&mut self.timers, later) {
+            let mut out = AccumulatingRuntime::new();
+            // A timer of a probe that is over is none: the library says so by an error, and nothing is lost.
+            let _ = self.swim.handle_timer(timer, &mut out);
+            self.carry(local, &mut out, &mut told);
+        }
+        told
+    }
+
+    /// Says to the seeds that this broker is there: to all that are not believed alive, one after the other in time.
+    fn knock(&mut self, local: Time, told: &mut Vec<Verdict>) {
+        let absent: Vec<&Member> = self.seeds.iter().filter(|s| !self.alive.contains_key(&s.name)).collect();
+        if absent.is_empty() {
+            return;
+        }
+        // Guards seeds against a fleet that starts together: each knocks at some, in an order of its own.
+        let (count, start) = (absent.len(), (local.0 / KNOCK).wrapping_add(self.own.life) as usize);
+        let some = (0..count.min(KNOCKS)).map(|i| absent[(start + i) % count].clone()).collect::<Vec<_>>();
+        for seed in some {
+            let mut out = AccumulatingRuntime::new();
+            let _ = self.swim.announce(seed, &mut out);
+            self.carry(local, &mut out, told);
+        }
+    }
+
+    /// A message has come.
+    pub fn on_message(&mut self, now: Time, bytes: &[u8]) -> Vec<Verdict> {
+        let (local, mut told) = (self.local(now), Vec::new());
+        let mut out = AccumulatingRuntime::new();
+        if self.swim.handle_data(bytes, &mut out).is_err() {
+            self.refused += 1;
+        }
+        self.carry(local, &mut out, &mut told);
+        told
+    }
+
+    /// This broker stops: the others are told, so that nobody has to find it out.
+    pub fn on_stop(&mut self, now: Time) -> Vec<Verdict> {
+        let (local, mut told) = (self.local(now), Vec::new());
+        let mut out = AccumulatingRuntime::new();
+        let _ = self.swim.leave_cluster(&mut out);
+        self.carry(local, &mut out, &mut told);
+        told
+    }
+
+    /// The life under which a member is believed alive.
+    fn life_of(&self, name: &str) -> Option<u64> {
+        self.alive.get(name).map(|m| m.life)
+    }
+
+    fn carry(&mut self, local: Time, out: &mut AccumulatingRuntime<Member>, told: &mut Vec<Verdict>) {
+        while let Some((after, timer)) = out.to_schedule() {
+            self.asked += 1;
+            self.timers.insert((local.plus(after.as_micros() as Micros), self.asked), timer);
+        }
+        while let Some((to, bytes)) = out.to_send() {
+            told.push(Verdict::Send(to, bytes.to_vec()));
+        }
+        while let Some(note) = out.to_notify() {
+            match note {
+                OwnedNotification::MemberUp(member) => {
+                    self.alive.insert(member.name.clone(), member.clone());
+                    told.push(Verdict::Up(member, Why::Heard));
+                }
+                // Of a former life nobody has to hear that it is over.
+                OwnedNotification::MemberDown(member) if self.life_of(&member.name) <= Some(member.life) => {
+                    let known = self.alive.remove(&member.name);
+                    told.extend(known.map(|_| Verdict::Down(member, Why::Silent)));
+                }
+                OwnedNotification::Rename(_, member) if self.alive.contains_key(&member.name) => {
+                    self.alive.insert(member.name.clone(), member.clone());
+                    told.push(Verdict::Up(member, Why::Reborn));
+                }
+                OwnedNotification::Rejoin(member) => {
+                    self.own = member.clone();
+                    told.push(Verdict::Renewed(member, Why::Buried));
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Seeds that are knocked at at once.
+const KNOCKS: usize = 3;
+
+#[cfg(test)]
+mod tests;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,5 +2,6 @@
 //! their reasons come out; time is an argument.
 
 pub mod descriptors;
+pub mod fleet;
 pub mod membership;
 pub mod phases;
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -2,6 +2,7 @@
 //! become one feature collection, marked complete only if nothing is missing.
 
 use super::{Front, Verdict};
+use crate::config::Collection;
 use crate::contract::Breach;
 use crate::core::{Refusal, Reply, Request, Value};
 use crate::decide::phases::prune::{Key, Way};
@@ -18,21 +19,6 @@
 use time::format_description::well_known::Rfc3339;
 use time::OffsetDateTime;
 
-/// A collection that clients may read.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Collection {
-    /// Its id in paths.
-    pub id: String,
-    /// Its title.
-    pub title: String,
-    /// Index of the class under whose rules it is read.
-    pub class: usize,
-    /// The same for sorted answers, which take two steps.
-    pub sorted: usize,
-    /// How long a client is taken to wait.
-    pub wait: Micros,
-}
-
 /// The front.
 pub struct Ogc {
     title: String,
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -64,6 +64,11 @@
     pub teams: Vec<Team>,
 }
 
+/// Reads a file of the operators as text; the error names it.
+pub(crate) fn read_text(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
 /// The kinds of rows, the keys of each, and whether there must be any.
 const KINDS: [(&str, &[&str], bool); 5] = [
     ("zones", &["name"], true),
@@ -174,7 +179,7 @@
 
 fn yaml_rows(path: &Path) -> Result<Rows, String> {
     let file = path.display().to_string();
-    let text = crate::config::file(path)?;
+    let text = read_text(path)?;
     let read: BTreeMap<String, Spanned<Vec<YamlRow>>> = serde_saphyr::from_str(&text).map_err(|e| {
         let line = e.location().map_or(0, |l| l.line());
         format!("{file}:{line}: {}", e.to_string().lines().next().unwrap_or_default())
