Let brokers talk and tell which of them are alive, with a rig of processes to show it

Need: duties that only one broker holds stand on brokers that hear of each other, and on tests in which processes die, stand still and are cut off; the program and its tests knew one broker only.

Change: src/peer, brokers' talk on the broker's loop: one way a connection, greeting with cluster and version, bounded messages, queues, connections and reading, spread reconnects. Company joins it to decide::fleet. The section peers of the operators' file turns it on; without it nothing listens. Descriptors for it have a place of their own. standins::rig starts processes with a link for each direction between two of them, which loses, delays, doubles, holds, cuts and resets; a ledger of all, and a checker of deaths that is tested with planted ones.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -12,6 +12,7 @@
 use crate::front::{Front, Sessions};
 use crate::interface::{self, Listing, Micros, Outcome, Time};
 use crate::net::{ConnId, Net, Owner, Ready, Signal, Timer};
+use crate::peer::company::Company;
 use crate::upstream::frames::Frames;
 use crate::upstream::ogc::Features;
 use crate::upstream::{Limits, Pool, Wire};
@@ -177,6 +178,8 @@
     platform: Option<Service<Platform, Frames>>,
     discovery: Option<Discovery>,
     ogc: Option<Service<Ogc, Features>>,
+    /// Other brokers, where they talk.
+    company: Option<Company>,
     /// Reads the platform's configuration again.
     reread: Option<Reread>,
     /// When the signal to stop came.
@@ -217,6 +220,7 @@
             platform: None,
             discovery: None,
             ogc: None,
+            company: None,
             reread: None,
             stopping: None,
             crowded: false,
@@ -280,6 +284,15 @@
         self.net.listen(owner, address).map_err(|e| format!("listen: {address}: {e}"))
     }
 
+    /// Talks with other brokers from now on.
+    ///
+    /// # Errors
+    /// When the address for them can't be listened on.
+    pub fn join(&mut self, told: config::Peers) -> Result<(), String> {
+        self.company = Some(Company::new(&mut self.net, told)?);
+        Ok(())
+    }
+
     /// Where clients connect, by the owner of the listener.
     #[must_use]
     pub fn addresses(&self) -> Vec<(Owner, SocketAddr)> {
@@ -301,8 +314,18 @@
     pub fn run(&mut self) -> io::Result<()> {
         loop {
             let until = self.next_turn();
-            for ready in self.net.wait(until)? {
+            let all_ready = self.net.wait(until)?;
+            if let Some(company) = &mut self.company {
+                company.on_time(&mut self.net);
+            }
+            for ready in all_ready {
                 match ready {
+                    Ready::Listener(Owner::PeerIn) => {
+                        self.company.iter_mut().for_each(|c| c.accept(&mut self.net));
+                    }
+                    Ready::Conn(id, Owner::PeerIn | Owner::PeerOut) => {
+                        self.company.iter_mut().for_each(|c| c.ready(&mut self.net, id));
+                    }
                     Ready::Listener(owner) => each_service!(self, |net, service| {
                         if service.owner == owner {
                             service.accept(net);
@@ -346,7 +369,8 @@
         let room = self.net.resting().then(|| self.net.clock.now().plus(ROOM_LOOK));
         let platform = self.platform.as_ref().and_then(|s| s.core.next_turn());
         let ogc = self.ogc.as_ref().and_then(|s| s.core.next_turn());
-        [stop, room, platform, ogc].into_iter().flatten().min()
+        let company = self.company.as_ref().map(Company::next);
+        [stop, room, platform, ogc, company].into_iter().flatten().min()
     }
 
     fn listed(&mut self, news: impl IntoIterator<Item = Listing>) {
@@ -388,6 +412,7 @@
         }
         let lines = self.discovery.iter_mut().flat_map(Discovery::take_log);
         let lines = lines.chain(self.platform.iter_mut().flat_map(|s| s.directory.take_log()));
+        let lines = lines.chain(self.company.iter_mut().flat_map(Company::take_log));
         lines.for_each(|line| log(&line));
     }
 
@@ -417,6 +442,7 @@
         let now = self.net.clock.now();
         self.stopping = Some(now);
         log("stopping: finishing what was taken");
+        self.company.iter_mut().for_each(|c| c.on_stop(&mut self.net));
         each_service!(self, |_net, service| {
             let waits = service.core.settings().classes.iter().map(|c| c.deadline);
             let killed = waits.max().unwrap_or_default().max(KILLED);
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,9 +2,11 @@
 //! defaults. Every message names the faulty key.
 
 pub mod operators;
+pub mod peers;
 pub mod settings;
 
 pub use operators::{Operators, Phases};
+pub use peers::Peers;
 
 use crate::contract::{Contract, Contracts};
 use crate::discovery::List;
--- a/src/config/operators.rs
+++ b/src/config/operators.rs
@@ -1,6 +1,7 @@
 //! The operators' file, `deploy/lichenswitch.yaml`: what the platform does not tell. Each section is off when it is
 //! absent, and so is all when the file is.
 
+use super::peers::PeersFile;
 use super::{Collection, OgcFile};
 use crate::contract::Contract;
 use crate::decide::phases::Rules;
@@ -20,6 +21,8 @@
     ogc: Option<OgcFile>,
     #[serde(default)]
     phases: Option<PhasesFile>,
+    #[serde(default)]
+    peers: Option<PeersFile>,
 }
 
 #[derive(Deserialize)]
@@ -59,6 +62,7 @@
 pub struct Operators {
     pub(super) path: PathBuf,
     pub(super) ogc: Option<OgcFile>,
+    pub(super) peers: Option<PeersFile>,
     phases: Option<PhasesFile>,
 }
 
@@ -86,7 +90,7 @@
                 format!("{}:{line}: {}", path.display(), e.to_string().lines().next().unwrap_or_default())
             })?
         };
-        Ok(Operators { path: path.into(), ogc: read.ogc, phases: read.phases })
+        Ok(Operators { path: path.into(), ogc: read.ogc, peers: read.peers, phases: read.phases })
     }
 
     /// A message about a key in a line of the file.
--- /dev/null
+++ b/src/config/peers.rs
@@ -0,0 +1,214 @@
+//! The section `peers` of the operators' file: brokers' talk. Without it there is none.
+
+use super::{address, Operators, Platform};
+use crate::decide::fleet::{Member, Rules};
+use crate::interface::Micros;
+use serde::Deserialize;
+use serde_saphyr::Spanned;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Longest name of a cluster, broker or zone, in bytes: they travel with messages.
+const NAME: usize = 64;
+/// Bounds of the times, milliseconds.
+const PROBE: (u64, u64) = (20, 60_000);
+const SUSPICION: (u64, u64) = (100, 600_000);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct PeersFile {
+    cluster: Spanned<String>,
+    listen: Spanned<String>,
+    #[serde(default)]
+    advertise: Option<Spanned<String>>,
+    #[serde(default)]
+    name: Option<Spanned<String>>,
+    #[serde(default)]
+    zone: Option<Spanned<String>>,
+    #[serde(default)]
+    known: Vec<KnownFile>,
+    #[serde(default)]
+    probe_ms: Option<Spanned<u64>>,
+    #[serde(default)]
+    suspicion_ms: Option<Spanned<u64>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct KnownFile {
+    name: Spanned<String>,
+    address: Spanned<String>,
+    #[serde(default)]
+    zone: Option<Spanned<String>>,
+}
+
+/// How this broker talks with others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peers {
+    /// Whom it talks with: those of the same cluster.
+    pub cluster: String,
+    /// Where it listens for them.
+    pub listen: SocketAddr,
+    /// Its name, zone and the address that it tells others; its life begins with its start.
+    pub own: Member,
+    /// Some others, by which it finds the fleet. Their addresses hold here, whatever they say of themselves.
+    pub known: Vec<Member>,
+    /// How the fleet is watched.
+    pub rules: Rules,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+impl Peers {
+    /// Where the known ones are reached, by name.
+    #[must_use]
+    pub fn ways(&self) -> BTreeMap<String, SocketAddr> {
+        self.known.iter().map(|m| (m.name.clone(), m.address)).collect()
+    }
+
+    /// Reads the section; `None` where there is none. Name and zone are by default the platform's.
+    pub fn load(operators: &Operators, platform: Option<&Platform>) -> Result<Option<Peers>, String> {
+        let Some(read) = &operators.peers else { return Ok(None) };
+        let fault = |line: u64, key: &str, why: &str| operators.fault(line, key, why);
+        let named = |told: &Spanned<String>, key: &str| {
+            let text = told.value.trim();
+            if text.is_empty() || text.len() > NAME {
+                return Err(fault(
+                    told.referenced.line(),
+                    key,
+                    &format!("{text:?} has not 1 to {NAME} bytes"),
+                ));
+            }
+            Ok(text.to_string())
+        };
+        let at = |told: &Spanned<String>, key: &str| {
+            let line = told.referenced.line();
+            let address = address(&told.value, key).map_err(|why| operators.fault(line, "peers", &why))?;
+            match address.ip().is_unspecified() && key != "listen" || address.port() == 0 {
+                true => Err(fault(line, key, &format!("{address} is nowhere to connect to"))),
+                false => Ok(address),
+            }
+        };
+        let or_platform = |told: &Option<Spanned<String>>, key: &str, platform: Option<&String>| match told {
+            Some(told) => named(told, key),
+            None => {
+                platform.cloned().ok_or_else(|| operators.fault(0, key, "missing, and so is NODE_CONFIG"))
+            }
+        };
+        let listen = at(&read.listen, "listen")?;
+        let advertised = match &read.advertise {
+            Some(told) => at(told, "advertise")?,
+            None if listen.ip().is_unspecified() => {
+                let why = "missing, and listen names no one address";
+                return Err(fault(read.listen.referenced.line(), "advertise", why));
+            }
+            None => listen,
+        };
+        let zone = platform.and_then(|p| p.zones.get(p.settings.zone as usize));
+        let own = Member {
+            name: or_platform(&read.name, "name", platform.map(|p| &p.name))?,
+            address: advertised,
+            zone: or_platform(&read.zone, "zone", zone)?,
+            life: 0,
+        };
+        let mut known: Vec<Member> = Vec::new();
+        for told in &read.known {
+            let name = named(&told.name, "name")?;
+            if known.iter().any(|m| m.name == name) {
+                return Err(fault(told.name.referenced.line(), "name", &format!("{name:?} is there twice")));
+            }
+            let zone = told.zone.as_ref().map_or(Ok(String::new()), |zone| named(zone, "zone"))?;
+            known.push(Member { name, address: at(&told.address, "address")?, zone, life: 0 });
+        }
+        // The same file may serve all brokers: a broker need not know itself.
+        known.retain(|m| m.name != own.name);
+        let usual = Rules::default();
+        let time =
+            |told: &Option<Spanned<u64>>, key: &str, (least, most): (u64, u64), usual: Micros| match told {
+                Some(t) if t.value < least || t.value > most => Err(fault(
+                    t.referenced.line(),
+                    key,
+                    &format!("{} is not within {least} to {most}", t.value),
+                )),
+                told => Ok(told.as_ref().map_or(usual, |t| t.value * 1_000)),
+            };
+        let probe = time(&read.probe_ms, "probe_ms", PROBE, usual.probe)?;
+        let suspicion = time(&read.suspicion_ms, "suspicion_ms", SUSPICION, usual.suspicion)?;
+        if suspicion < 2 * probe {
+            let line =
+                read.suspicion_ms.as_ref().or(read.probe_ms.as_ref()).map_or(0, |t| t.referenced.line());
+            let why = format!(
+                "{} ms is less than two probes of {} ms: nobody could refute it",
+                suspicion / 1_000,
+                probe / 1_000
+            );
+            return Err(fault(line, "suspicion_ms", &why));
+        }
+        let patience = usual.patience * probe / usual.probe;
+        Ok(Some(Peers {
+            cluster: named(&read.cluster, "cluster")?,
+            listen,
+            own,
+            known,
+            rules: Rules { probe, patience, suspicion, ..usual },
+            seed: platform.map_or(0, |p| p.seed),
+        }))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing::Folder;
+
+    fn load(text: &str) -> Result<Option<Peers>, String> {
+        let folder = Folder::new(&[("f.yaml", text)]);
+        Peers::load(&Operators::load(&folder.path().join("f.yaml"))?, None)
+    }
+
+    const SOUND: &str =
+        "peers:\n  cluster: c\n  listen: 127.0.0.1:9000\n  name: n0\n  zone: a\n  known:\n    \
+        - {name: n0, address: \"127.0.0.1:9000\"}\n    - {name: n1, address: \"127.0.0.1:9001\", zone: b}\n";
+
+    #[test]
+    fn the_section_is_read_with_its_defaults_and_a_broker_does_not_know_itself() {
+        assert_eq!(load("phases:\n  explain: false\n"), Ok(None));
+        let peers = load(SOUND).unwrap().unwrap();
+        assert_eq!(
+            (peers.known.len(), peers.known[0].name.as_str(), peers.rules),
+            (1, "n1", Rules::default())
+        );
+        assert_eq!(peers.own.address, peers.listen);
+        let quick = load(&format!("{SOUND}  probe_ms: 100\n  suspicion_ms: 400\n")).unwrap().unwrap();
+        assert_eq!(
+            (quick.rules.probe, quick.rules.patience, quick.rules.suspicion),
+            (100_000, 30_000, 400_000)
+        );
+    }
+
+    #[test]
+    fn each_fault_is_told_with_its_line_and_key() {
+        let long = "n".repeat(NAME + 1);
+        let cases = [
+            ("cluster: c", "cluster: \"\"", "f.yaml:2: cluster: \"\" has not 1 to 64 bytes"),
+            ("name: n1", &format!("name: {long}"), "f.yaml:8: name: "),
+            ("listen: 127.0.0.1:9000", "listen: here", "f.yaml:3: peers: listen: \"here\" is no address"),
+            ("listen: 127.0.0.1:9000", "listen: 0.0.0.0:9000", "f.yaml:3: advertise: missing"),
+            ("listen: 127.0.0.1:9000", "listen: 127.0.0.1:0", "f.yaml:3: listen: 127.0.0.1:0 is nowhere"),
+            ("127.0.0.1:9001", "0.0.0.0:9001", "f.yaml:8: address: 0.0.0.0:9001 is nowhere"),
+            ("name: n1", "name: n0", "f.yaml:8: name: \"n0\" is there twice"),
+            ("  zone: a\n", "  zone: a\n  probe_ms: 1\n", "f.yaml:6: probe_ms: 1 is not within 20 to 60000"),
+            (
+                "  zone: a\n",
+                "  zone: a\n  suspicion_ms: 900\n",
+                "f.yaml:6: suspicion_ms: 900 ms is less than two probes",
+            ),
+            ("  zone: a\n", "", "zone: missing, and so is NODE_CONFIG"),
+            ("  zone: a\n", "  zone: a\n  colour: red\n", "f.yaml:6: "),
+        ];
+        for (from, to, why) in cases {
+            let told = load(&SOUND.replacen(from, to, 1)).unwrap_err();
+            assert!(told.contains(why), "{told}, not {why}");
+        }
+    }
+}
--- a/src/decide/descriptors/mod.rs
+++ b/src/decide/descriptors/mod.rs
@@ -35,6 +35,10 @@
     Nodes,
     /// Discovery.
     Discovery,
+    /// Other brokers that have connected, where brokers talk.
+    PeersIn,
+    /// Other brokers that were connected to.
+    PeersOut,
 }
 
 /// Whether a connection may be opened, and the rule that says so.
@@ -92,6 +96,10 @@
     clients: usize,
     nodes: usize,
     discovery: usize,
+    /// Set aside for other brokers in each direction, and open.
+    peers: usize,
+    peers_in: usize,
+    peers_out: usize,
 }
 
 impl Shares {
@@ -99,7 +107,13 @@
     #[must_use]
     pub fn new(descriptors: usize) -> Shares {
         let all = descriptors.saturating_sub(DISCOVERY).max(2);
-        Shares { all, listed: 0, clients: 0, nodes: 0, discovery: 0 }
+        Shares { all, listed: 0, clients: 0, nodes: 0, discovery: 0, peers: 0, peers_in: 0, peers_out: 0 }
+    }
+
+    /// Brokers talk: so many descriptors in each direction are set aside for that, at most a sixteenth of all.
+    pub fn on_peers(&mut self, each: usize) {
+        let each = each.min(self.all / 16).max(1);
+        (self.peers, self.all) = (each, self.all - 2 * each);
     }
 
     /// So many data nodes are listed now, of all services.
@@ -124,6 +138,8 @@
             Side::Clients => &mut self.clients,
             Side::Nodes => &mut self.nodes,
             Side::Discovery => &mut self.discovery,
+            Side::PeersIn => &mut self.peers_in,
+            Side::PeersOut => &mut self.peers_out,
         }
     }
 
@@ -157,6 +173,13 @@
                 Verdict::Open(Why::Share(self.discovery, DISCOVERY))
             }
             Side::Discovery => Verdict::Wait(Why::Full(self.discovery, DISCOVERY)),
+            Side::PeersIn | Side::PeersOut => {
+                let open = if side == Side::PeersIn { self.peers_in } else { self.peers_out };
+                match open < self.peers {
+                    true => Verdict::Open(Why::Share(open, self.peers)),
+                    false => Verdict::Wait(Why::Full(open, self.peers)),
+                }
+            }
             Side::Clients if self.clients >= self.of_clients() => {
                 Verdict::Wait(Why::Full(self.clients, self.of_clients()))
             }
--- a/src/decide/fleet/mod.rs
+++ b/src/decide/fleet/mod.rs
@@ -8,6 +8,8 @@
 //!
 //! Messages go in and verdicts come out; who carries them is not known here.
 
+pub mod redial;
+
 use crate::interface::{Micros, Time};
 use foca::{AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification};
 use foca::{PeriodicParams, PostcardCodec};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod interface;
 pub mod inventory;
 pub mod net;
+pub mod peer;
 pub mod policy;
 pub mod stats;
 #[cfg(test)]
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use lichenswitch::broker::Broker;
-use lichenswitch::config::{Ogc, Operators, Platform};
+use lichenswitch::config::{Ogc, Operators, Peers, Platform};
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use std::io;
 use std::os::unix::net::UnixStream;
@@ -22,7 +22,9 @@
     let operators = Operators::from_env(env)?;
     let platform = Platform::from_env(env)?.map(|told| told.apply(&operators)).transpose()?;
     let ogc = Ogc::load(&operators, platform.as_ref())?;
+    let peers = Peers::load(&operators, platform.as_ref())?;
     let mut broker = Broker::new(platform, ogc)?;
+    peers.map_or(Ok(()), |told| broker.join(told))?;
     broker.stop_on(stop?).map_err(|e| format!("signal: {e}"))?;
     let reread = Box::new(move || Platform::from_env(env));
     broker.reload_on(reload?, reread).map_err(|e| format!("signal: {e}"))?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -35,6 +35,10 @@
     Features,
     /// Discovery.
     Discovery,
+    /// Other brokers that have connected, where brokers talk.
+    PeerIn,
+    /// Other brokers that were connected to.
+    PeerOut,
 }
 
 impl Owner {
@@ -43,6 +47,8 @@
             Owner::Platform | Owner::Ogc => Side::Clients,
             Owner::Frames | Owner::Features => Side::Nodes,
             Owner::Discovery => Side::Discovery,
+            Owner::PeerIn => Side::PeersIn,
+            Owner::PeerOut => Side::PeersOut,
         }
     }
 }
@@ -316,6 +322,13 @@
             loop {
                 // Guards the descriptor budget: over it a process fails in places that can't say so.
                 if !self.may_open(owner) {
+                    if owner == Owner::PeerIn {
+                        // Clients don't wait for peers: one too many is closed, and comes again later.
+                        match listener.accept() {
+                            Err(e) if e.kind() != io::ErrorKind::Interrupted => break,
+                            _ => continue,
+                        }
+                    }
                     self.resting = true;
                     break;
                 }
@@ -342,6 +355,11 @@
         }
     }
 
+    /// Sets so many descriptors aside for other brokers, in each direction.
+    pub fn set_aside_for_peers(&mut self, each: usize) {
+        self.shares.on_peers(each);
+    }
+
     /// So many data nodes are listed now, by all services: what is set aside for them follows.
     pub fn listed(&mut self, nodes: usize) {
         self.shares.on_listed(nodes);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod features;
 pub mod frames;
 pub mod http;
+pub mod relay;
+pub mod rig;
