Keep news of the fleet alive for as long as a suspicion lasts, and measure the fleet's view

Cause: a broker cut off for 1.5 s came back and was declared dead 1.5 s later (a test of 20 offsets in virtual time): with ten transmissions a small fleet had said the suspicion to all it reaches within 0.7 s, so the one suspected never heard of it. TRANSMISSIONS in src/decide/fleet is 40 now, for longer than a suspicion lasts; no death at any offset.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod fleet;
+pub mod members;
 pub mod node;
 pub mod replay;
 pub mod scale;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Args, Parser, Subcommand};
-use lichenswitch_lab::{replay, scale, two_phase};
+use lichenswitch_lab::{fleet, members, replay, scale, two_phase};
 use serde::Serialize;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -23,6 +23,25 @@
     TwoPhase(TwoPhaseArgs),
     /// Random days for the module alone, as digests of its actions.
     Replay(Common),
+    /// What a view of the fleet costs and how soon it is right, at 9, 30 and 300 brokers.
+    Members(Common),
+    /// A fleet of processes with faults between them.
+    Fleet(FleetArgs),
+}
+
+#[derive(Args)]
+struct FleetArgs {
+    #[command(flatten)]
+    common: Common,
+    /// The broker.
+    #[arg(long, default_value = "target/release/lichenswitch")]
+    program: PathBuf,
+    /// How many of it.
+    #[arg(long, default_value_t = 9, value_parser = clap::value_parser!(u64).range(2..=60))]
+    brokers: u64,
+    /// Faults, one after the other.
+    #[arg(long, default_value_t = 12)]
+    faults: usize,
 }
 
 #[derive(Args)]
@@ -88,6 +107,31 @@
             }
             write(&common, &days)
         }
+        Experiment::Members(common) => {
+            let all: Vec<_> = [9, 30, 300].iter().map(|n| members::play(common.seed, *n, 6)).collect();
+            println!(
+                "{:>8} {:>10} {:>10} {:>22} {:>8} {:>6}",
+                "brokers", "agreed ms", "bytes/s", "detected ms", "told", "false"
+            );
+            for f in &all {
+                let detected =
+                    format!("{} / {} / {}", f.detected_ms_p50, f.detected_ms_p99, f.detected_ms_most);
+                let told = format!("{}/{}", f.told, f.to_be_told);
+                let bytes = f.peer_bytes_per_s_each;
+                println!(
+                    "{:>8} {:>10} {bytes:>10.0} {detected:>22} {told:>8} {:>6}",
+                    f.brokers, f.agreed_ms, f.false_deaths
+                );
+            }
+            write(&common, &all)
+        }
+        Experiment::Fleet(args) => {
+            let ran = fleet::run(&args.program, args.common.seed, args.brokers as usize, args.faults);
+            ran.and_then(|report| {
+                println!("{report:#?}");
+                write(&args.common, &report)
+            })
+        }
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/decide/fleet/mod.rs
+++ b/src/decide/fleet/mod.rs
@@ -77,8 +77,9 @@
 const DEAD_FOR: Duration = Duration::from_secs(60);
 /// Bytes of a message at most: some tens of news fit.
 const PACKET: usize = 1_400;
-/// News is passed on so many times by each who hears it.
-const TRANSMISSIONS: u8 = 10;
+/// News is passed on so many times by each who hears it: three times each [`GOSSIP`], so for longer than a suspicion lasts
+/// by default. Guards one that was cut off and is back: it hears of the suspicion in time to refute it.
+const TRANSMISSIONS: u8 = 40;
 /// News is told to some others this often beside (microseconds).
 const GOSSIP: Micros = 200_000;
 /// Who stands alone knocks at the seeds this often (microseconds), and members that were declared dead are told so as
--- a/src/decide/fleet/tests.rs
+++ b/src/decide/fleet/tests.rs
@@ -245,3 +245,23 @@
     let (few, many) = (rate(9, 20), rate(100, 40));
     assert!(many < 1.5 * few && few < 1.5 * many, "{few:.0} and {many:.0} bytes a second each");
 }
+
+/// The case that the stopped clock is for: a suspicion is open as this process stops, and is refuted while it sleeps. What
+/// ends the suspicion lies unread when its time is over.
+#[test]
+fn a_suspicion_that_was_refuted_while_this_process_stood_still_is_no_death() {
+    for offset in 0..20 {
+        let mut world = World::new(5);
+        world.run(20 * SECOND + offset * 100_000);
+        world.gets_through = Box::new(|_, from, to| from != 3 && to != 3);
+        world.run(SECOND + SECOND / 2);
+        world.gets_through = Box::new(|_, _, _| true);
+        world.stopped[1] = world.now.plus(6 * SECOND);
+        world.run(12 * SECOND);
+        let by_it: Vec<_> = world.told.iter().filter(|t| t.1 == 1 && !t.3).collect();
+        assert!(by_it.iter().all(|t| t.2 != "n3"), "offset {offset}: {by_it:?}");
+        let of_it = world.told.iter().filter(|t| t.2 == "n3" && !t.3).count();
+        assert_eq!(of_it, 0, "offset {offset}: it was back in time to refute it");
+        assert!(world.agrees(), "offset {offset}");
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -61,6 +61,8 @@
     address: Option<SocketAddr>,
     queue: Queue,
     redial: Redial,
+    /// When the connection was begun.
+    since: Time,
     /// That it can't be reached has been logged.
     told: bool,
 }
@@ -202,7 +204,8 @@
         }
         match connected {
             Ok(id) => {
-                self.outs.entry(name.into()).or_default().conn = Some(id);
+                let out = self.outs.entry(name.into()).or_default();
+                (out.conn, out.since) = (Some(id), net.clock.now());
                 if let Some(conn) = net.get_mut(id) {
                     conn.send(&wire::greeting(&self.greeting));
                 }
@@ -248,7 +251,6 @@
             net.close(id);
             return Vec::new();
         };
-        let was_up = net.get(id).is_some_and(|c| c.up);
         let pumped = net.pump(id, wire::LONGEST);
         // A peer says nothing here but why it does not listen.
         let said =
@@ -261,12 +263,6 @@
             (None, Pumped::Broken) => self.lost(net, &name, "it broke"),
             (None, Pumped::Alive) if ended => self.lost(net, &name, "it ended"),
             (None, Pumped::Alive) => {
-                if let Some(out) = self.outs.get_mut(&name).filter(|_| net.get(id).is_some_and(|c| c.up)) {
-                    out.redial.on_success();
-                    if !was_up && std::mem::take(&mut out.told) {
-                        self.log.push(format!("peer {name}: can be spoken to again"));
-                    }
-                }
                 self.pour(net, &name);
             }
         }
@@ -383,6 +379,13 @@
                 continue;
             };
             let quiet = now.since(conn.used);
+            // Guards peers that take connections and end them: only one that lasts counts as a way.
+            if conn.up && conn.flushed() && now.since(out.since) >= WHOLE {
+                out.redial.on_success();
+                if std::mem::take(&mut out.told) {
+                    self.log.push(format!("peer {name}: can be spoken to again"));
+                }
+            }
             match (conn.up, conn.flushed()) {
                 (false, _) if quiet >= CONNECT => self.lost(net, &name, "it never came up"),
                 (true, false) if quiet >= UNREAD => self.lost(net, &name, "it reads nothing"),
