Try parts whose holders are all full again at once; rest only where nobody is there

Change: a part rests only where its last attempt could not connect and all its holders were tried; those turned away are tried again in the next turn, as before. What led to the rest, four attempts in 4 ms for want of descriptors, ends as attempts that never left since then.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -128,13 +128,11 @@
     NeverRan,
     MayHaveRun,
 }
-
 struct Try {
     server: ServerId,
     sent: Time,
     fate: Fate,
 }
-
 #[derive(Default)]
 struct Part {
     id: PartId,
@@ -142,13 +140,13 @@
     weight: f64,
     step: u8,
     tries: Vec<Try>,
-    /// Those of them that never left: none of the attempts allowed.
+    /// Those of them that never left, which are none of the attempts allowed; the last met nobody there.
     unsent: usize,
+    unmet: bool,
     done: bool,
     /// Its first lateness has been counted against its server.
     late: bool,
 }
-
 #[derive(Default)]
 struct Query {
     number: u32,
@@ -410,6 +408,7 @@
         let Some(this) = p.tries.get_mut(usize::from(attempt)) else { return };
         this.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         p.unsent += usize::from(outcome == Outcome::Moot);
+        p.unmet = outcome == Outcome::ConnectFailed;
         if outcome == Outcome::Reset && !(broken && flight.idle) {
             q.ahead |= !q.answered;
             q.broke.insert(flight.server);
@@ -776,9 +775,10 @@
             let p = &q.parts[i];
             match p.tries.last() {
                 None => open.push(i),
-                // Guards the attempts left: where all holders failed they would be spent within some turns.
+                // Guards the attempts left where nobody is at any holder; a full one may have a place soon.
                 Some(t) if p.out().next().is_none() => {
-                    let rests = p.tries.len() >= self.set.layout.width as usize && now < t.sent.plus(LOOK);
+                    let all = p.unmet && p.tries.len() >= self.set.layout.width as usize;
+                    let rests = all && now < t.sent.plus(LOOK);
                     again.extend((!rests && self.may_send(q, p, false)).then_some((i, false)));
                 }
                 Some(t) if self.now >= t.sent.plus(after / p.tries.len() as u64) => {
