--- /dev/null
+++ b/src/decide/duty/fence.rs
@@ -0,0 +1,85 @@
+//! The receiver's side: what an old holder still sends is not taken.
+
+use super::{Duty, FenceNumber};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Why an effect was taken or not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It carries the highest fence that was seen here.
+    Present,
+    /// It carries a higher one than any before: the duty has a new holder.
+    Newer(FenceNumber),
+    /// It carries a lower one: its holder is none any more.
+    Older(FenceNumber),
+    /// It carries none.
+    Bare,
+}
+
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Why::Present => f.write_str("its fence is the present one"),
+            Why::Newer(before) => write!(f, "its fence is newer than {}", before.0),
+            Why::Older(seen) => write!(f, "its fence is older than {}, which was seen", seen.0),
+            Why::Bare => f.write_str("it carries no fence"),
+        }
+    }
+}
+
+/// Whether an effect is taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is.
+    Take(Why),
+    /// It is not.
+    Refuse(Why),
+}
+
+/// The highest fences that a receiver has seen.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Fence {
+    seen: BTreeMap<Duty, FenceNumber>,
+}
+
+impl Fence {
+    /// An effect under a duty has come.
+    pub fn on_effect(&mut self, duty: &Duty, fence: FenceNumber) -> Verdict {
+        let seen = self.seen.get(duty).copied().unwrap_or_default();
+        match fence {
+            FenceNumber(0) => Verdict::Refuse(Why::Bare),
+            _ if fence < seen => Verdict::Refuse(Why::Older(seen)),
+            _ if fence == seen => Verdict::Take(Why::Present),
+            _ => {
+                self.seen.insert(duty.clone(), fence);
+                Verdict::Take(Why::Newer(seen))
+            }
+        }
+    }
+
+    /// The highest fence seen under a duty.
+    #[must_use]
+    pub fn seen(&self, duty: &Duty) -> FenceNumber {
+        self.seen.get(duty).copied().unwrap_or_default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_highest_fence_seen_and_higher_ones_are_taken_by_duty() {
+        let (mut fence, caller, prober) = (Fence::default(), Duty("caller".into()), Duty("prober".into()));
+        let number = FenceNumber;
+        assert_eq!(fence.on_effect(&caller, number(0)), Verdict::Refuse(Why::Bare));
+        assert_eq!(fence.on_effect(&caller, number(5)), Verdict::Take(Why::Newer(number(0))));
+        assert_eq!(fence.on_effect(&caller, number(5)), Verdict::Take(Why::Present));
+        assert_eq!(fence.on_effect(&caller, number(4)), Verdict::Refuse(Why::Older(number(5))));
+        assert_eq!(fence.on_effect(&prober, number(4)), Verdict::Take(Why::Newer(number(0))), "another duty");
+        assert_eq!(fence.on_effect(&caller, number(9)), Verdict::Take(Why::Newer(number(5))));
+        assert_eq!(fence.on_effect(&caller, number(5)), Verdict::Refuse(Why::Older(number(9))));
+        assert_eq!((fence.seen(&caller), fence.seen(&prober)), (number(9), number(4)));
+    }
+}
--- /dev/null
+++ b/src/decide/duty/grants.rs
@@ -0,0 +1,192 @@
+//! The voters' side: who holds what, as it follows from an agreed log. Each voter applies the same entries in the same
+//! order and comes to the same grants; no clock decides there. Clocks decide only when a voter says that a lease is over,
+//! and that too is an entry, which counts only if no renewal has come before it in the log.
+
+use super::{Duty, FenceNumber, Holder, Terms};
+use crate::interface::Time;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// What is put into the agreed log.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Entry {
+    /// A broker asks for a duty, to get it or to keep it.
+    Ask(Duty, Holder),
+    /// The holder of this fence gives the duty back.
+    GiveBack(Duty, FenceNumber),
+    /// A voter has waited for the end of the lease that was renewed so many times under this fence.
+    Over(Duty, FenceNumber, u64),
+}
+
+/// What an entry led to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The duty was granted, under a new fence.
+    Granted(FenceNumber, Why),
+    /// Its holder keeps it, under the same one.
+    Renewed(FenceNumber),
+    /// Somebody else holds it.
+    Refused(Holder, FenceNumber),
+    /// It is free.
+    Freed(Why),
+    /// The entry is about a lease that is none any more.
+    Stale,
+}
+
+/// Why a duty was free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Nobody had it.
+    Unheld,
+    /// Its holder gave it back.
+    GivenBack,
+    /// Its lease was over.
+    Over,
+}
+
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Why::Unheld => "nobody had it",
+            Why::GivenBack => "its holder gave it back",
+            Why::Over => "its lease was over",
+        })
+    }
+}
+
+/// A duty that is held.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Grant {
+    to: Holder,
+    fence: FenceNumber,
+    renewals: u64,
+    /// When this voter learnt of the last renewal, by its own clock: never before its holder asked.
+    learnt: Time,
+}
+
+/// What is granted, as one voter knows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Grants {
+    last: FenceNumber,
+    held: BTreeMap<Duty, Grant>,
+}
+
+impl Grants {
+    /// The next entry of the log. A voter that was restarted is given all of it again, with the time of now: it learns of
+    /// leases later than it did before, and waits longer.
+    pub fn on_entry(&mut self, now: Time, entry: &Entry) -> Verdict {
+        match entry {
+            Entry::Ask(duty, by) => self.ask(now, duty, by),
+            Entry::GiveBack(duty, fence) => self.free(duty, *fence, None, Why::GivenBack),
+            Entry::Over(duty, fence, renewals) => self.free(duty, *fence, Some(*renewals), Why::Over),
+        }
+    }
+
+    fn ask(&mut self, now: Time, duty: &Duty, by: &Holder) -> Verdict {
+        let why = match self.held.get_mut(duty) {
+            Some(grant) if grant.to == *by => {
+                (grant.renewals, grant.learnt) = (grant.renewals + 1, now);
+                return Verdict::Renewed(grant.fence);
+            }
+            // A later life of the holder waits like any other: a process of its name that was only stopped may wake.
+            Some(grant) => return Verdict::Refused(grant.to.clone(), grant.fence),
+            None => Why::Unheld,
+        };
+        self.last = FenceNumber(self.last.0 + 1);
+        let grant = Grant { to: by.clone(), fence: self.last, renewals: 0, learnt: now };
+        self.held.insert(duty.clone(), grant);
+        Verdict::Granted(self.last, why)
+    }
+
+    fn free(&mut self, duty: &Duty, fence: FenceNumber, renewals: Option<u64>, why: Why) -> Verdict {
+        let is_it = |g: &&Grant| g.fence == fence && renewals.is_none_or(|count| g.renewals == count);
+        if self.held.get(duty).filter(is_it).is_none() {
+            return Verdict::Stale;
+        }
+        self.held.remove(duty);
+        Verdict::Freed(why)
+    }
+
+    /// Leases that are over by now, by this voter's clock: what it is to put into the log.
+    #[must_use]
+    pub fn over(&self, now: Time, terms: Terms) -> Vec<Entry> {
+        let over = self.held.iter().filter(|(_, g)| now.since(g.learnt) >= terms.awaited());
+        over.map(|(duty, g)| Entry::Over(duty.clone(), g.fence, g.renewals)).collect()
+    }
+
+    /// When the next lease is over.
+    #[must_use]
+    pub fn next(&self, terms: Terms) -> Option<Time> {
+        self.held.values().map(|g| g.learnt.plus(terms.awaited())).min()
+    }
+
+    /// Who holds a duty, under which fence.
+    #[must_use]
+    pub fn holder(&self, duty: &Duty) -> Option<(&Holder, FenceNumber)> {
+        self.held.get(duty).map(|g| (&g.to, g.fence))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TERMS: Terms = Terms { lease: 3_000_000, drift: 100_000 };
+
+    fn ask(name: &str, life: u64) -> Entry {
+        Entry::Ask(Duty("d".into()), Holder { name: name.into(), life })
+    }
+
+    #[test]
+    fn a_duty_has_one_holder_until_its_lease_is_over_and_fences_grow() {
+        let (mut grants, duty, number) = (Grants::default(), Duty("d".into()), FenceNumber);
+        assert_eq!(grants.on_entry(Time(0), &ask("a", 1)), Verdict::Granted(number(1), Why::Unheld));
+        let a = Holder { name: "a".into(), life: 1 };
+        assert_eq!(grants.on_entry(Time(5), &ask("b", 1)), Verdict::Refused(a, number(1)));
+        assert_eq!(grants.next(TERMS), Some(Time(3_300_001)));
+        assert!(grants.over(Time(3_300_000), TERMS).is_empty());
+        let over = grants.over(Time(3_300_001), TERMS).remove(0);
+        // A renewal that comes first in the log makes the end stale, whatever clocks say.
+        assert_eq!(grants.on_entry(Time(3_300_001), &ask("a", 1)), Verdict::Renewed(number(1)));
+        assert_eq!(grants.on_entry(Time(3_300_002), &over), Verdict::Stale);
+        let over = grants.over(Time(9_000_000), TERMS).remove(0);
+        assert_eq!(grants.on_entry(Time(9_000_000), &over), Verdict::Freed(Why::Over));
+        assert_eq!(grants.on_entry(Time(9_000_000), &over), Verdict::Stale, "twice");
+        assert_eq!(grants.on_entry(Time(9_000_001), &ask("b", 1)), Verdict::Granted(number(2), Why::Unheld));
+        let late = Entry::GiveBack(duty.clone(), number(1));
+        assert_eq!(grants.on_entry(Time(9_000_002), &late), Verdict::Stale, "that fence is none any more");
+        let back = Entry::GiveBack(duty.clone(), number(2));
+        assert_eq!(grants.on_entry(Time(9_000_003), &back), Verdict::Freed(Why::GivenBack));
+        assert!(grants.holder(&duty).is_none());
+    }
+
+    #[test]
+    fn a_later_life_of_the_holder_waits_for_the_end_of_the_lease_like_any_other() {
+        let mut grants = Grants::default();
+        grants.on_entry(Time(0), &ask("a", 1));
+        let former = Holder { name: "a".into(), life: 1 };
+        assert_eq!(grants.on_entry(Time(1), &ask("a", 2)), Verdict::Refused(former, FenceNumber(1)));
+        let over = grants.over(Time(4_000_000), TERMS).remove(0);
+        grants.on_entry(Time(4_000_000), &over);
+        assert_eq!(
+            grants.on_entry(Time(4_000_001), &ask("a", 2)),
+            Verdict::Granted(FenceNumber(2), Why::Unheld)
+        );
+        assert!(matches!(grants.on_entry(Time(4_000_002), &ask("a", 1)), Verdict::Refused(..)));
+    }
+
+    #[test]
+    fn voters_come_to_the_same_grants_by_the_same_log_whatever_their_clocks_say() {
+        let over = Entry::Over(Duty("d".into()), FenceNumber(1), 0);
+        let log = [ask("a", 1), ask("b", 1), over, ask("b", 1), ask("a", 1)];
+        let replay = |at: u64, step: u64| {
+            let mut grants = Grants::default();
+            let told: Vec<Verdict> =
+                log.iter().enumerate().map(|(i, e)| grants.on_entry(Time(at + i as u64 * step), e)).collect();
+            (told, grants.holder(&Duty("d".into())).map(|h| (h.0.name.clone(), h.1)))
+        };
+        assert_eq!(replay(0, 1), replay(77_000_000, 5_000_000));
+        assert_eq!(replay(0, 1).1, Some(("b".into(), FenceNumber(2))));
+    }
+}
--- /dev/null
+++ b/src/decide/duty/hold.rs
@@ -0,0 +1,182 @@
+//! The holder's side: whether this broker may act under a duty now. It is never sure that it holds one, only that nobody
+//! else can yet.
+
+use super::{FenceNumber, Terms};
+use crate::interface::{Micros, Time};
+use std::fmt;
+
+/// A lease is asked for anew when so much of it has passed, parts of a hundred: two more tries fit into the rest.
+const RENEW_AT: u64 = 33;
+/// A broker that has asked in vain asks again after this part of a lease.
+const AGAIN: u64 = 10;
+
+/// Why it may act, or not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Its lease lasts for so long by its own count (microseconds).
+    Leased(Micros),
+    /// Its lease has run out by its own count, so long ago (microseconds).
+    RanOut(Micros),
+    /// It has none.
+    None,
+    /// It has given it back.
+    GivenBack,
+}
+
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Why::Leased(left) => write!(f, "leased for {} ms more", left / 1_000),
+            Why::RanOut(since) => write!(f, "the lease ran out {} ms ago", since / 1_000),
+            Why::None => f.write_str("no lease"),
+            Why::GivenBack => f.write_str("given back"),
+        }
+    }
+}
+
+/// Whether an effect may be made now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may, and has to carry this fence.
+    Act(FenceNumber, Why),
+    /// It may not.
+    Refrain(Why),
+}
+
+/// One duty at a broker that holds it or would like to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Hold {
+    fence: FenceNumber,
+    /// When it asked for the lease that it has: the lease is counted from there.
+    from: Option<Time>,
+    /// The ask that is out: its number and time. Answers to earlier ones are late: their lease is counted from an ask whose
+    /// time is not known any more.
+    asked: Option<(u64, Time)>,
+    asks: u64,
+    given_back: bool,
+}
+
+impl Default for Hold {
+    fn default() -> Self {
+        Hold { fence: FenceNumber(0), from: None, asked: None, asks: 0, given_back: false }
+    }
+}
+
+impl Hold {
+    /// When it is to ask next, to get or to keep the duty.
+    #[must_use]
+    pub fn ask_at(&self, terms: Terms) -> Time {
+        let renew = self.from.map_or(Time(0), |from| from.plus(terms.held() / 100 * RENEW_AT));
+        let again = self.asked.map_or(Time(0), |(_, at)| at.plus(terms.lease / AGAIN));
+        renew.max(again)
+    }
+
+    /// It asks now; tells the number that the answer has to name. The lease that it gets is counted from here.
+    pub fn on_ask(&mut self, now: Time) -> u64 {
+        self.asks += 1;
+        self.asked = Some((self.asks, now));
+        self.given_back = false;
+        self.asks
+    }
+
+    /// It was granted, under this fence, in answer to the ask of this number. `false`: that answer comes too late to be of
+    /// use.
+    pub fn on_grant(&mut self, ask: u64, fence: FenceNumber) -> bool {
+        let Some((_, at)) = self.asked.filter(|(number, _)| *number == ask && !self.given_back) else {
+            return false;
+        };
+        // Guards against an answer that the network held back: a fence only grows.
+        if fence < self.fence {
+            return false;
+        }
+        (self.asked, self.from, self.fence) = (None, Some(at), fence);
+        true
+    }
+
+    /// It was refused: somebody else has it. What it still had is over, since the voters know better.
+    pub fn on_refusal(&mut self, ask: u64) {
+        if self.asked.is_some_and(|(number, _)| number == ask) {
+            self.from = None;
+        }
+    }
+
+    /// It gives the duty back, at a planned stop or since it can't do it; tells the fence to name to the voters. Nothing is
+    /// done under it from here on.
+    pub fn on_give_back(&mut self) -> Option<FenceNumber> {
+        (self.from, self.asked, self.given_back) = (None, None, true);
+        (self.fence != FenceNumber(0)).then_some(self.fence)
+    }
+
+    /// Whether an effect may be made now. To be asked before each, by a clock that does not stop with the process.
+    #[must_use]
+    pub fn check(&self, now: Time, terms: Terms) -> Verdict {
+        let Some(from) = self.from else {
+            return Verdict::Refrain(if self.given_back { Why::GivenBack } else { Why::None });
+        };
+        let (gone, held) = (now.since(from), terms.held());
+        if gone >= held || now < from {
+            return Verdict::Refrain(Why::RanOut(gone.saturating_sub(held)));
+        }
+        Verdict::Act(self.fence, Why::Leased(held - gone))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TERMS: Terms = Terms { lease: 3_000_000, drift: 100_000 };
+    const T: fn(u64) -> Time = |ms| Time(1_000_000_000 + ms * 1_000);
+
+    #[test]
+    fn a_lease_counts_from_before_it_was_asked_for_less_the_drift() {
+        let mut hold = Hold::default();
+        assert_eq!(hold.check(T(0), TERMS), Verdict::Refrain(Why::None));
+        let ask = hold.on_ask(T(0));
+        assert!(hold.on_grant(ask, FenceNumber(7)), "the answer took two seconds");
+        assert_eq!(hold.check(T(2_000), TERMS), Verdict::Act(FenceNumber(7), Why::Leased(699_999)));
+        assert!(matches!(hold.check(T(2_700), TERMS), Verdict::Refrain(Why::RanOut(_))));
+        // It was stopped and wakes much later, or its clock went back: it does not act.
+        assert!(matches!(hold.check(T(900_000), TERMS), Verdict::Refrain(Why::RanOut(_))));
+        assert!(matches!(hold.check(Time(5), TERMS), Verdict::Refrain(Why::RanOut(0))));
+    }
+
+    #[test]
+    fn late_answers_give_no_lease_and_renewals_keep_it() {
+        let mut hold = Hold::default();
+        let first = hold.on_ask(T(0));
+        let second = hold.on_ask(T(1_000));
+        assert!(!hold.on_grant(first, FenceNumber(1)), "its ask is over");
+        assert!(hold.on_grant(second, FenceNumber(2)) && !hold.on_grant(second, FenceNumber(3)), "once");
+        assert_eq!(hold.ask_at(TERMS), T(1_000).plus(TERMS.held() / 100 * RENEW_AT));
+        let renewal = hold.on_ask(T(2_000));
+        assert!(
+            matches!(hold.check(T(2_500), TERMS), Verdict::Act(FenceNumber(2), _)),
+            "it goes on meanwhile"
+        );
+        assert_eq!(hold.ask_at(TERMS), T(2_300), "and asks again if nothing comes");
+        assert!(hold.on_grant(renewal, FenceNumber(2)));
+        assert_eq!(hold.check(T(2_000), TERMS), Verdict::Act(FenceNumber(2), Why::Leased(TERMS.held())));
+        let held_back = hold.on_ask(T(3_000));
+        assert!(!hold.on_grant(held_back, FenceNumber(1)), "a fence only grows");
+    }
+
+    #[test]
+    fn what_is_refused_or_given_back_is_over_at_once() {
+        let mut hold = Hold::default();
+        let ask = hold.on_ask(T(0));
+        hold.on_grant(ask, FenceNumber(3));
+        let renewal = hold.on_ask(T(1_000));
+        hold.on_refusal(ask);
+        assert!(matches!(hold.check(T(1_100), TERMS), Verdict::Act(..)), "that was about another ask");
+        hold.on_refusal(renewal);
+        assert_eq!(hold.check(T(1_100), TERMS), Verdict::Refrain(Why::None));
+        let ask = hold.on_ask(T(2_000));
+        hold.on_grant(ask, FenceNumber(4));
+        let out = hold.on_ask(T(2_100));
+        assert_eq!(hold.on_give_back(), Some(FenceNumber(4)));
+        assert!(!hold.on_grant(out, FenceNumber(4)), "it has asked before it gave it back");
+        assert_eq!(hold.check(T(2_200), TERMS), Verdict::Refrain(Why::GivenBack));
+        assert_eq!(Hold::default().on_give_back(), None);
+    }
+}
