Keep up the watch at the agent where lists are pushed, and settle doubts within the rule

Cause: where lists are pushed, an agent of the broker's machine holds them and has to be called like any discovery. The module asks for lists only where they must be asked for (src/policy.rs, end of `turn`), the broker called only when the module asked (src/broker.rs, `subscribe`) and renewed a watch only after an answer (src/discovery.rs, `ready`). So no call was ever made, and the broker worked by its first list.

Change: decide::membership::pace has a pace for the agent: at once, calls of 1 s, a failed one repeated after 0.1 s, not spread by the number of brokers. The broker keeps that watch up itself; its failures are logged once in a row. Tests: on sockets (tests/platform.rs; fails with the broker's line taken out) and in virtual time.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -237,11 +237,10 @@
             .map(|(name, c)| Class { name: name.clone(), repeat: c.repeat, deadline: c.deadline })
             .collect();
         let mut directory = Directory::new(told.zones).with_cells(told.settings.layout.cells);
-        let ask_every = match told.settings.discovery {
-            interface::Discovery::Ask(every) => every,
-            interface::Discovery::Push => 0,
+        let pace = match told.settings.discovery {
+            interface::Discovery::Ask(every) => Pace::new(told.seed, told.settings.instances, every),
+            interface::Discovery::Push => Pace::at_agent(told.seed),
         };
-        let pace = Pace::new(told.seed, told.settings.instances, ask_every);
         let mut core = Core::new(told.seed, told.settings, Contracts::default(), told.memory);
         core.plan_by(Planner::new(told.phases.rules), told.phases.explain);
         let known = told.known.unwrap_or_default();
@@ -254,7 +253,8 @@
         let mut service = Service::new(Owner::Platform, front, sessions, core, pool, directory);
         service.listed(known);
         self.platform = Some(service);
-        self.discovery = Some(Discovery::new(told.discovery, generation, pace));
+        let discovery = Discovery::new(told.discovery, generation, pace);
+        self.discovery = Some(discovery.stopping_within(told.stop_within));
         Ok(())
     }
 
@@ -405,7 +405,9 @@
     }
 
     fn subscribe(&mut self) {
-        let asked = self.platform.as_mut().is_some_and(|s| std::mem::take(&mut s.subscribe));
+        let mut asked = self.platform.as_mut().is_some_and(|s| std::mem::take(&mut s.subscribe));
+        // The module asks for nothing where lists are pushed: what the agent of this machine holds is fetched all the same.
+        asked |= self.discovery.as_ref().is_some_and(Discovery::goes_on);
         if let (true, Some(discovery)) = (asked, &mut self.discovery) {
             let news = discovery.subscribe(&mut self.net);
             self.listed(news);
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -1,9 +1,14 @@
 //! Reads the settings of an instance from their JSON text, for the broker and the drill alike.
 
 use super::Connections;
-use crate::interface::{Budget, Class, Cold, Discovery, Layout, Limits, Repeat, Settings, FIRST_SHARE};
+use crate::interface::{
+    Budget, Class, Cold, Discovery, Layout, Limits, Micros, Repeat, Settings, FIRST_SHARE,
+};
 use serde::Deserialize;
 
+/// The rule on drains where the settings don't tell it (microseconds).
+const STOP_WITHIN: Micros = 2_000_000;
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Facts {
@@ -105,6 +110,7 @@
     cold_us: u64,
     fall_multiple: f64,
     fall_us: u64,
+    stop_sending_within_us: u64,
     min_extra: Option<f64>,
     further_ratio: Option<f64>,
     budget_span_us: Option<u64>,
@@ -119,6 +125,7 @@
             cold_us: cold.warm_after,
             fall_multiple: cold.fall_multiple,
             fall_us: cold.fall_after,
+            stop_sending_within_us: STOP_WITHIN,
             min_extra: None,
             further_ratio: None,
             budget_span_us: None,
@@ -145,6 +152,8 @@
     pub zones: Vec<String>,
     /// Connections to data nodes.
     pub connections: Connections,
+    /// Within this after it was told that a node drains or is gone, nothing new goes there (microseconds).
+    pub stop_within: Micros,
 }
 
 impl Site {
@@ -162,7 +171,8 @@
             idle: allowed.conn_idle_us,
         };
         let classes = facts.classes.into_iter().map(|c| c.name).collect();
-        Ok(Site { settings, classes, zones: facts.zones, connections })
+        let stop_within = facts.rules.stop_sending_within_us;
+        Ok(Site { settings, classes, zones: facts.zones, connections, stop_within })
     }
 }
 
--- a/src/decide/membership/pace.rs
+++ b/src/decide/membership/pace.rs
@@ -2,6 +2,10 @@
 //! those that wait too long; only a watch that goes on costs it nothing. First calls that come together fail together,
 //! and so do their repeats: each broker spreads its own over a time that grows with the fleet and that it corrects by
 //! what it sees. Nothing is agreed with the others.
+//!
+//! Where lists are pushed, an agent of the broker's own machine holds them: calls to it cost nobody anything, and while
+//! it has nothing to tell since discovery is down, it is silent. There the watch is kept up by short calls, and what
+//! fails is repeated soon.
 
 use crate::interface::{Micros, Time};
 use crate::stats::Dice;
@@ -14,6 +18,14 @@
 const CALL_LEAST: Micros = 15_000;
 /// A call that could not be begun here is tried again after this long, up to twice.
 const UNMADE: Micros = 100_000;
+/// A call to the agent of the own machine that failed is repeated after this long: half of the 200 ms within which a
+/// watch goes on.
+const AGENT: Micros = 100_000;
+/// How long a watch waits for news, and how long its answer may take beside that (microseconds).
+const SHARED: Watch = Watch { wait: 20_000_000, patience: 1_500_000 };
+/// The same at the agent of the own machine, which answers at once: one that fell silent is asked anew before the
+/// two seconds have passed after which what it has to tell counts as told.
+const OWN: Watch = Watch { wait: 1_000_000, patience: 500_000 };
 /// The calls of a fleet that fit into this are not spread.
 const GAP: Micros = 200_000;
 /// A call that failed makes the spread so many times as long, one that was answered so much of itself.
@@ -27,6 +39,15 @@
 /// That time where none is set (microseconds): a discovery that was down for long is asked again all the same.
 const EVERY: Micros = 10_000_000;
 
+/// The times of one call (microseconds).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Watch {
+    /// For so long it waits for news, where a list is held.
+    pub wait: Micros,
+    /// So much longer its answer may take.
+    pub patience: Micros,
+}
+
 /// Why a call is made then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Why {
@@ -42,6 +63,8 @@
     Failed,
     /// The call could not be begun here, and discovery has no part in that.
     Unmade,
+    /// The agent of the own machine holds the list, and calls cost it nothing.
+    Agent,
 }
 
 /// When the next call may be made, and why then.
@@ -70,6 +93,8 @@
     /// A broker that has not asked for so long counts as told; 0: no such time is set.
     ask_every: Micros,
     spread: Micros,
+    /// Discovery is an agent of this machine, which nobody else calls.
+    agent: bool,
 }
 
 impl Pace {
@@ -79,11 +104,33 @@
         let instances = u64::from(instances.max(1));
         // The seed of the module must not make the same draws here.
         let dice = Dice(fastrand::Rng::with_seed(seed ^ 0x5bd1_e995_9e37_79b9));
-        let mut pace = Pace { dice, instances, ask_every, spread: instances * CALL };
+        let mut pace = Pace { dice, instances, ask_every, spread: instances * CALL, agent: false };
         pace.spread = pace.spread.min(pace.most(START_MOST));
         pace
     }
 
+    /// The pace of a broker whose lists are pushed to an agent of its own machine.
+    #[must_use]
+    pub fn at_agent(seed: u64) -> Pace {
+        Pace { agent: true, spread: 0, ..Pace::new(seed, 1, 0) }
+    }
+
+    /// Whether the watch is kept up without being asked for.
+    #[must_use]
+    pub fn goes_on(&self) -> bool {
+        self.agent
+    }
+
+    /// The times of a call.
+    #[must_use]
+    pub fn watch(&self) -> Watch {
+        if self.agent {
+            OWN
+        } else {
+            SHARED
+        }
+    }
+
     fn most(&self, share: f64) -> Micros {
         let every = if self.ask_every == 0 { EVERY } else { self.ask_every };
         (every as f64 * share) as Micros
@@ -95,6 +142,10 @@
     }
 
     fn verdict(&mut self, from: Time, within: Micros, why: Why) -> Verdict {
+        if self.agent {
+            let pause = if why == Why::Failed { AGENT } else { 0 };
+            return Verdict { at: from.plus(pause), why: Why::Agent, spread: 0 };
+        }
         if self.is_small() {
             return Verdict { at: from, why: Why::Few, spread: self.spread };
         }
@@ -112,6 +163,9 @@
     /// A call was answered: the next one goes at once, which makes the watch go on. Measured: discovery takes the
     /// renewals of 100 watches together, while it fails new calls that come faster than 16 a second.
     pub fn on_answer(&mut self, now: Time) -> Verdict {
+        if self.agent {
+            return self.verdict(now, 0, Why::Answered);
+        }
         let least = (self.instances * CALL_LEAST).min(self.spread);
         self.spread = ((self.spread as f64 * SHRINK) as Micros).max(least);
         Verdict { at: now, why: Why::Answered, spread: self.spread }
@@ -120,6 +174,9 @@
     /// A call failed: it waited too long, or discovery is down. Guards discovery against repeats that wait in vain
     /// behind each other.
     pub fn on_failure(&mut self, now: Time) -> Verdict {
+        if self.agent {
+            return self.verdict(now, 0, Why::Failed);
+        }
         let longer = (self.spread as f64 * GROW) as Micros;
         self.spread = longer.min(self.most(FAILED_MOST)).max(self.spread);
         self.verdict(now, self.spread, Why::Failed)
@@ -218,6 +275,24 @@
         assert_eq!(pace.on_failure(Time(5)).why, Why::Few);
     }
 
+    #[test]
+    fn the_agent_of_the_own_machine_is_called_at_once_and_again_within_the_gap_however_many_brokers_there_are(
+    ) {
+        let mut pace = Pace::at_agent(1);
+        assert!(pace.goes_on() && !Pace::new(1, 3, EVERY).goes_on());
+        for i in 0..200 {
+            let now = Time(i * SECOND);
+            let asked = [pace.on_start(now, false), pace.on_start(now, true), pace.on_answer(now)];
+            assert!(asked.iter().all(|v| v.at == now), "{asked:?}");
+            let failed = pace.on_failure(now);
+            assert!(failed.at > now && failed.at.since(now) < GAP, "{failed}");
+            assert!(pace.on_unmade(now).at.since(now) <= GAP);
+        }
+        // One that is silent is asked anew in time.
+        let watch = pace.watch();
+        assert!(watch.wait + watch.patience + GAP < 2 * SECOND, "{watch:?}");
+    }
+
     #[test]
     fn nobody_who_was_answered_is_silent_for_as_long_as_counts_as_told() {
         for (instances, every) in [(4, EVERY), (30, EVERY), (100, EVERY), (5_000, EVERY), (100, 0)] {
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,8 +1,9 @@
 //! Discovery: the list of data nodes, asked for once and then watched.
 //!
-//! The decision module says when to ask and how long to wait after a failure at least; a watch that was answered is
-//! renewed here. Neither is done before `decide::membership::pace` allows it: a small fleet's calls go at once, so that
-//! its watches go on, a large one's are spread.
+//! The decision module says when to ask and how long to wait after a failure at least; where lists are pushed to an
+//! agent of this machine it says nothing, and the watch is kept up from the start on. A watch that was answered is
+//! renewed here. None of it is done before `decide::membership::pace` allows it: a small fleet's calls go at once, so
+//! that its watches go on, a large one's are spread.
 
 use crate::decide::membership::doubt::{Doubt, Told, Verdict};
 use crate::decide::membership::pace::Pace;
@@ -13,12 +14,10 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
-/// How long a watch waits for news.
-const WATCH: Micros = 20_000_000;
-/// How long discovery may take beside that.
-const PATIENCE: Micros = 1_500_000;
 /// A connection that is not up after this long never comes up.
 const CONNECT: Micros = 500_000;
+/// Within this after it was told that a node drains or is gone, a broker stops sending to it, where nothing else is set.
+const STOP_WITHIN: Micros = 2_000_000;
 /// The number of the timer that ends a doubted list's time; calls are numbered from 1.
 const CONFIRMED: u64 = 0;
 /// Longest list that is read.
@@ -233,6 +232,8 @@
     call: Option<u64>,
     calls: u64,
     began: Time,
+    /// Calls that failed since one was answered.
+    failed: u32,
     pace: Pace,
     /// The next call is not made before this; unset until the first.
     not_before: Option<Time>,
@@ -250,7 +251,7 @@
     pub fn new(address: SocketAddr, generation: Option<u64>, pace: Pace) -> Self {
         let (conn, call, calls, began) = (None, None, 0, Time(0));
         let (not_before, planned) = (None, false);
-        let (doubt, doubted, log) = (Doubt::default(), None, Vec::new());
+        let (doubt, doubted, log) = (Doubt::new(STOP_WITHIN), None, Vec::new());
         Discovery {
             address,
             generation,
@@ -258,6 +259,7 @@
             call,
             calls,
             began,
+            failed: 0,
             pace,
             not_before,
             planned,
@@ -267,6 +269,18 @@
         }
     }
 
+    /// The same where nothing new may go to a node `micros` after it was told to drain.
+    #[must_use]
+    pub fn stopping_within(self, micros: Micros) -> Self {
+        Discovery { doubt: Doubt::new(micros), ..self }
+    }
+
+    /// Whether it is to ask again without being told to.
+    #[must_use]
+    pub fn goes_on(&self) -> bool {
+        self.pace.goes_on()
+    }
+
     /// Log lines since the last time.
     pub fn take_log(&mut self) -> Vec<String> {
         std::mem::take(&mut self.log)
@@ -328,7 +342,7 @@
         self.conn = Some(conn);
         let target = match self.generation {
             Some(since) => {
-                format!("/registry/instances?since={since}&timeout_ms={}", WATCH / 1_000)
+                format!("/registry/instances?since={since}&timeout_ms={}", self.pace.watch().wait / 1_000)
             }
             None => "/registry/instances".into(),
         };
@@ -348,9 +362,13 @@
         let verdict = self.pace.on_failure(now);
         self.not_before = Some(verdict.at);
         let (after, next) = (now.since(self.began) / 1_000, verdict.at.since(now) / 1_000);
-        self.log.push(format!(
-            "discovery: call failed after {after} ms: {what}; next in {next} ms at the soonest: {verdict}"
-        ));
+        self.failed += 1;
+        // Guards the log: an agent that is down is asked ten times a second.
+        if self.failed == 1 || !self.pace.goes_on() {
+            self.log.push(format!(
+                "discovery: call failed after {after} ms: {what}; next in {next} ms at the soonest: {verdict}"
+            ));
+        }
         vec![Listing::Failed]
     }
 
@@ -389,8 +407,9 @@
         if self.call != Some(call) {
             return Vec::new();
         }
-        let wait = if self.generation.is_some() { WATCH } else { 0 };
-        let end = self.began.plus(wait + PATIENCE);
+        let watch = self.pace.watch();
+        let wait = if self.generation.is_some() { watch.wait } else { 0 };
+        let end = self.began.plus(wait + watch.patience);
         let up = self.conn.and_then(|id| net.get(id)).is_some_and(|c| c.up);
         if !up {
             return self.fail(net, "it never came up");
@@ -439,6 +458,9 @@
             self.hang_up(net);
         }
         let now = net.clock.now();
+        if std::mem::take(&mut self.failed) > 1 {
+            self.log.push("discovery: it answers again".into());
+        }
         self.not_before = Some(self.pace.on_answer(now).at);
         let whole = list.reset || self.generation.is_none();
         let told = Told { generation: list.generation, whole, lines: list.instances.len() };
@@ -639,6 +661,48 @@
         // The watch goes on at once.
         assert!(request(&mut stream).contains("since=41"));
     }
+
+    #[test]
+    fn an_agent_of_the_own_machine_is_asked_again_soon_and_its_doubted_lists_are_settled_within_the_rule() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
+        let client = Discovery::new(listener.local_addr().unwrap(), None, Pace::at_agent(1));
+        let mut client = client.stopping_within(500_000);
+        assert!(client.goes_on() && client.subscribe(&mut net).is_empty());
+        let (mut stream, _) = listener.accept().unwrap();
+        net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+        client.ready(&mut net, client.conn.unwrap(), &mut directory);
+        assert!(request(&mut stream).starts_with("GET /registry/instances HTTP/1.1"));
+        answer(&mut stream, 200, LIST);
+        assert!(matches!(&news(&mut net, &mut client, &mut directory)[..], [Listing::Whole(_)]));
+        assert!(request(&mut stream).contains("since=41&timeout_ms=1000 "));
+        answer(&mut stream, 200, EMPTY);
+        let heard = net.clock.now();
+        asks_whole(&mut net, &mut client, &mut directory, &mut stream);
+        let until = client.doubted.as_ref().unwrap().1;
+        assert!(until.since(heard) >= 250_000 && until.since(net.clock.now()) <= 250_000);
+        drop(stream);
+        assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+        let pause = client.not_before.unwrap().since(net.clock.now());
+        assert!(pause <= 100_000 && client.take_log()[1].contains("Agent"), "{pause}");
+        // It is down for long: told once, and once more when it is back.
+        for _ in 0..3 {
+            client.subscribe(&mut net);
+            let mut stream = asked(&mut net, &mut client, &listener);
+            request(&mut stream);
+            drop(stream);
+            assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+        }
+        let lines = client.take_log();
+        assert!(!lines.iter().any(|l| l.contains("failed")), "{lines:?}");
+        client.subscribe(&mut net);
+        let mut stream = asked(&mut net, &mut client, &listener);
+        request(&mut stream);
+        answer(&mut stream, 200, LIST);
+        assert!(matches!(&news(&mut net, &mut client, &mut directory)[..], [Listing::Whole(_)]));
+        assert_eq!(client.take_log(), ["discovery: it answers again"]);
+    }
+
     /// Takes descriptors for an owner until there are none left.
     fn take_all(net: &mut Net, owner: Owner, at: SocketAddr) -> Vec<ConnId> {
         let mut taken = Vec::new();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -108,6 +108,11 @@
     }
 
     fn with(settings: &str) -> Platformed {
+        Platformed::listed(settings, discovery)
+    }
+
+    /// A broker that knows a list of one node, before the discovery that is given its listener and that list.
+    fn listed(settings: &str, discovery: impl FnOnce(TcpListener, String) + Send + 'static) -> Platformed {
         let (node, list) =
             (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
         let (node_at, list_at) = (node.local_addr().unwrap(), list.local_addr().unwrap());
@@ -359,3 +364,61 @@
     stage.broker.take().unwrap().join().unwrap();
     assert!(TcpStream::connect(stage.address).is_err(), "it no longer listens");
 }
+
+/// The next connection to a stand-in discovery, and what is asked on it.
+fn call(listener: &TcpListener) -> (TcpStream, String) {
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let target = next_call(&stream);
+    (stream, target)
+}
+
+fn next_call(mut stream: &TcpStream) -> String {
+    let mut held = Vec::new();
+    while !held.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        held.push(byte[0]);
+    }
+    String::from_utf8(held).unwrap().split(' ').nth(1).unwrap().into()
+}
+
+fn tell(mut stream: &TcpStream, list: String) {
+    let answer = Response::new(200, "application/json", list);
+    stream.write_all(&answer.encode(true, false)).unwrap();
+}
+
+#[test]
+fn where_lists_are_pushed_the_watch_is_kept_up_from_the_start_and_a_drain_is_heeded() {
+    let (told, calls) = mpsc::channel();
+    let pushed = SETTINGS.replace("subscribe", "automatic");
+    let stage = Platformed::listed(&pushed, move |listener, list| {
+        let drains = list.replace("\"generation\":1", "\"generation\":2").replace("SERVING", "DRAINING");
+        let serves = list.replace("\"generation\":1", "\"generation\":3");
+        // Each answer is held back until the test has seen the call before it.
+        let (stream, first) = call(&listener);
+        told.send(first).unwrap();
+        tell(&stream, drains);
+        told.send(next_call(&stream)).unwrap();
+        // The agent falls silent: it is asked anew, and goes on where it was.
+        let (stream, anew) = call(&listener);
+        told.send(anew).unwrap();
+        tell(&stream, serves);
+        told.send(next_call(&stream)).unwrap();
+        drop(stream);
+        told.send(call(&listener).1).unwrap();
+    });
+    let next = || calls.recv_timeout(Duration::from_secs(20)).unwrap();
+    assert!(next().starts_with("/registry/instances?since=1&timeout_ms="));
+    assert!(next().contains("since=2"), "the watch goes on");
+    // The only node drains: nothing is sent there until the silent agent, asked anew, has told that it serves.
+    let mut client = stage.connect();
+    client.write_all(&query("fleet-search", "a", &[1])).unwrap();
+    assert_eq!(answer(&mut client).status, 503);
+    assert!(next().contains("since=2"), "asked anew");
+    assert!(next().contains("since=3"));
+    client.write_all(&query("fleet-search", "b", &[2])).unwrap();
+    assert!(serve(&stage, 1)[0].contains("b.2 2 "), "the first that is sent");
+    assert_eq!(answer(&mut client).status, 200);
+    assert!(next().contains("since=3"), "a broken watch is begun again");
+}
