Let queries beyond a tenant's quota wait less, and suspect a server at two late parts

(3) Read, not measured: keys come in the cookie `k` there and only the affinity of parts was read, so that a marked retry took the oldest start of its class.

Change: stats::Quotas, told through Settings and Event::Query; admission's queue is shorter by the root of overShareWorth beyond a quota, a retry keeps its first try's gain. FAULTY is 0.55 where a server is met often and 0.3 where seldom; LATE_PACE 0.45; a part turned away as full weighs like a broken connection, as it must pass the new bound at once. The cookie is read. Tests: guards (both; the first was seen to fail without the factor), stats, front, settings, drill.

--- a/lab/src/replay.rs
+++ b/lab/src/replay.rs
@@ -114,7 +114,15 @@
         let (count, first) = (self.rng.random_range(1..=wide), self.rng.random_range(0..shards));
         let deadline = self.now.plus(self.rng.random_range(500..3_000) * MS);
         let (key, again) = (self.rng.random_range(0..4), self.rng.random_bool(0.2));
-        events.push(Event::Query { query, number, class: class as u16, deadline, key, again });
+        events.push(Event::Query {
+            query,
+            number,
+            class: class as u16,
+            deadline,
+            key,
+            again,
+            tenant: u32::MAX,
+        });
         self.open.insert(query, Open { number, class, parts: BTreeMap::new(), second: false });
         for i in 0..count {
             self.part(query, Shard((first + i) % shards), 1.0 / f64::from(count), events);
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -398,6 +398,7 @@
             deadline,
             key: 0,
             again: false,
+            tenant: u32::MAX,
             team: None,
             parts: (0..parts).map(|i| (Shard((first + i) % self.shards), weight)).collect(),
             top: self.scenario.mix[class].top.map(|k| (k, Way::Down)),
--- a/src/bin/lichenswitch-drill/codec.rs
+++ b/src/bin/lichenswitch-drill/codec.rs
@@ -169,10 +169,10 @@
             let shard = f.f32();
             let (options, class) = (f.u16(), f.u16());
             let (amount, query) = (f.f32(), number(f.f32(), "query number")?);
-            let deadline = Time(f.u64());
+            let (deadline, tenant) = (Time(f.u64()), f.u32());
             if shard < 0.0 {
                 let again = options & 2 != 0;
-                Event::Query { query: QueryId(id), number: query, class, deadline, key, again }
+                Event::Query { query: QueryId(id), number: query, class, deadline, key, again, tenant }
             } else {
                 let weight = if amount.is_finite() { f64::from(amount) } else { 0.0 };
                 let shard = Shard(number(shard, "shard")?);
--- a/src/bin/lichenswitch-drill/tests.rs
+++ b/src/bin/lichenswitch-drill/tests.rs
@@ -46,7 +46,7 @@
 }
 
 fn request(who: u32, id: u64, shard: f32, amount: f32, deadline: u64) -> Vec<u8> {
-    let fields: [&[u8]; 10] = [
+    let fields: [&[u8]; 11] = [
         &le(who),
         &id.to_le_bytes(),
         &le(0),
@@ -57,6 +57,7 @@
         &amount.to_le_bytes(),
         &5f32.to_le_bytes(),
         &deadline.to_le_bytes(),
+        &le(3),
     ];
     record(16, &fields)
 }
@@ -101,6 +102,7 @@
             deadline: Time(777),
             key: 99,
             again: false,
+            tenant: 3,
         }),
         event(Event::Part { part: PartId(41), number: 5, shard: Shard(6), weight: 0.25 }),
         event(Event::Hangup(QueryId(40))),
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -249,7 +249,7 @@
         let pool = Pool::new(Frames, limits(told.connections));
         let address = self.listen(Owner::Platform, told.listen)?;
         log(&format!("{} listens on {address}", told.name));
-        let (front, sessions) = (Platform::new(classes), Sessions::new(told.memory));
+        let (front, sessions) = (Platform::new(classes, told.tenants), Sessions::new(told.memory));
         let mut service = Service::new(Owner::Platform, front, sessions, core, pool, directory);
         service.listed(known);
         self.platform = Some(service);
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -53,6 +53,8 @@
     pub zones: Vec<String>,
     /// Connections to data nodes.
     pub connections: Connections,
+    /// Names of the tenants, in the order of the module's quotas.
+    pub tenants: Vec<String>,
     /// Within this after it was told that a node drains or is gone, nothing new goes there (microseconds).
     pub stop_within: Micros,
     /// How queries of two phases are planned.
@@ -143,6 +145,7 @@
             classes: site.classes,
             zones: site.zones,
             connections: site.connections,
+            tenants: site.tenants,
             stop_within: site.stop_within,
             phases: Phases::default(),
         })
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -22,10 +22,14 @@
     #[serde(default)]
     peers_total: u32,
     #[serde(default)]
+    over_share_worth: Option<f64>,
+    #[serde(default)]
     resolution_us: u64,
     #[serde(default)]
     rules: Rules,
     #[serde(default)]
+    tenants: Vec<TenantFacts>,
+    #[serde(default)]
     worth_by: String,
     #[serde(default)]
     zone: u32,
@@ -33,6 +37,14 @@
     zones: Vec<String>,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct TenantFacts {
+    #[serde(default)]
+    name: String,
+    quota_per_s: f64,
+}
+
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Clients {
@@ -152,6 +164,8 @@
     pub zones: Vec<String>,
     /// Connections to data nodes.
     pub connections: Connections,
+    /// Names of the tenants, in the order of the module's quotas.
+    pub tenants: Vec<String>,
     /// Within this after it was told that a node drains or is gone, nothing new goes there (microseconds).
     pub stop_within: Micros,
 }
@@ -171,8 +185,9 @@
             idle: allowed.conn_idle_us,
         };
         let classes = facts.classes.into_iter().map(|c| c.name).collect();
+        let tenants = facts.tenants.into_iter().map(|t| t.name).collect();
         let stop_within = facts.rules.stop_sending_within_us;
-        Ok(Site { settings, classes, zones: facts.zones, connections, stop_within })
+        Ok(Site { settings, classes, zones: facts.zones, connections, tenants, stop_within })
     }
 }
 
@@ -214,6 +229,8 @@
     let least = figure(rules.min_extra.unwrap_or(0.0), "minExtra")?;
     let share = figure(rules.further_ratio.unwrap_or(0.0), "furtherRatio")?;
     let budget = rules.budget_span_us.map(|window| Budget { window, least, share });
+    let quotas = facts.tenants.iter().map(|t| figure(t.quota_per_s, "quotaPerS"));
+    let quotas = quotas.collect::<Result<_, _>>()?;
     Ok(Settings {
         classes,
         limits: Limits {
@@ -247,5 +264,7 @@
         marks_retry: facts.clients.marks_retry,
         worth_by_work: facts.worth_by == "work",
         instances: facts.peers_total.max(1),
+        quotas,
+        over_quota: figure(facts.over_share_worth.unwrap_or(1.0), "overShareWorth")?,
     })
 }
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -26,6 +26,20 @@
     assert_eq!(read.known.unwrap().generation, 41);
 }
 
+#[test]
+fn tenants_and_the_rule_on_drains_are_read_and_absent_ones_have_their_defaults() {
+    let read = parse(CONFIG).unwrap();
+    assert_eq!((read.stop_within, read.tenants.len(), read.settings.over_quota), (2_000_000, 0, 1.0));
+    let told = r#""settings":{"rules":{"stopSendingWithinUs":500000},"overShareWorth":0.2,
+        "tenants":[{"name":"a","portion":0.6,"quotaPerS":12.5},{"name":"b","portion":0.4,"quotaPerS":8}],"#;
+    let read = parse(&CONFIG.replace(r#""settings":{"#, told)).unwrap();
+    assert_eq!((read.stop_within, read.tenants), (500_000, vec!["a".to_string(), "b".to_string()]));
+    assert_eq!((read.settings.quotas, read.settings.over_quota), (vec![12.5, 8.0], 0.2));
+    let faulty = told.replace("12.5", "-1");
+    let why = parse(&CONFIG.replace(r#""settings":{"#, &faulty)).unwrap_err();
+    assert_eq!(why, "settings: quotaPerS is -1");
+}
+
 #[test]
 fn messages_name_the_faulty_key() {
     for (good, bad, key) in [
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -81,6 +81,7 @@
             deadline: request.deadline,
             key: request.key,
             again: request.again,
+            tenant: request.tenant,
         });
         self.deadlines.insert((request.deadline, id));
         self.queries.insert(
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -34,6 +34,8 @@
     pub key: u64,
     /// Marked by the client as a further try.
     pub again: bool,
+    /// Index of the tenant that asks, among those of the settings; `u32::MAX`: none of them.
+    pub tenant: u32,
     /// Team that asks, where teams have contracts.
     pub team: Option<String>,
     /// Its shards, each with the weight of its part.
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -71,8 +71,17 @@
 
     fn take_parts(&mut self, parts: Vec<(Shard, f64)>) -> Result<QueryId, Refusal> {
         let deadline = self.now.plus(2_000 * MS);
-        let request =
-            Request { class: 0, deadline, key: 0, again: false, team: None, parts, top: None, job: "job" };
+        let request = Request {
+            class: 0,
+            deadline,
+            key: 0,
+            again: false,
+            tenant: u32::MAX,
+            team: None,
+            parts,
+            top: None,
+            job: "job",
+        };
         self.core.take(self.now, request)
     }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -412,7 +412,7 @@
             let session = sessions.open.get_mut(id).unwrap();
             (session.since, session.asked) = (now.minus(SPARED * (40 - i)), true);
         }
-        let front = crate::front::platform::Platform::new(Vec::new());
+        let front = crate::front::platform::Platform::new(Vec::new(), Vec::new());
         core.end_by(now);
         sessions.look(&mut net, Owner::Platform, &front, &mut core);
         assert_eq!(sessions.open.len(), 20, "nobody has to go while the broker stops");
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -407,6 +407,7 @@
                 deadline: now.plus(collection.wait),
                 key: 0,
                 again: false,
+                tenant: u32::MAX,
                 team: request.header("req-owner").map(str::to_string),
                 parts: job.targets.keys().map(|&shard| (Shard(shard), weight)).collect(),
                 top,
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -23,6 +23,8 @@
 /// The front.
 pub struct Platform {
     classes: Vec<Class>,
+    /// Names of the tenants, in the order of the settings.
+    tenants: Vec<String>,
     taken: Taken,
     stopping: bool,
 }
@@ -77,12 +79,12 @@
 }
 
 impl Platform {
-    /// A front for these classes, in the order of the settings.
+    /// A front for these classes and tenants, in the order of the settings.
     #[must_use]
-    pub fn new(classes: Vec<Class>) -> Self {
+    pub fn new(classes: Vec<Class>, tenants: Vec<String>) -> Self {
         let open = classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let taken = Taken { ids: Default::default(), since: Time(0), open };
-        Platform { classes, taken, stopping: false }
+        Platform { classes, tenants, taken, stopping: false }
     }
 
     fn query(&mut self, now: Time, request: &http::Request) -> Result<Request<Job>, (u16, String)> {
@@ -118,13 +120,15 @@
         if !self.taken.note(now, id) {
             return Err((409, "Req-Id is that of another query".into()));
         }
-        let affinity = body.segments.iter().find_map(|s| s.affinity.as_deref());
+        let owner = request.header("req-owner");
+        let tenant = self.tenants.iter().position(|name| owner == Some(name));
         Ok(Request {
             class,
             deadline: now.plus(wait),
-            key: affinity.and_then(|a| u64::from_str_radix(a, 16).ok()).unwrap_or(0),
+            key: subject(request.header("cookie"), &body.segments),
             again: request.header("req-retry") == Some("1"),
-            team: request.header("req-owner").map(str::to_string),
+            tenant: tenant.map_or(u32::MAX, |i| i as u32),
+            team: owner.map(str::to_string),
             parts: body.segments.iter().map(|s| (Shard(s.segment), s.boost)).collect(),
             top: None,
             job: Job { id: id.to_string(), text: body.text, key: key.filter(|_| keyed).map(Into::into) },
@@ -132,6 +136,14 @@
     }
 }
 
+/// What a query is about: its cookie `k` where it has one, or else the first affinity of its parts; 0: not told.
+fn subject(cookie: Option<&str>, segments: &[Segment]) -> u64 {
+    let pairs = cookie.into_iter().flat_map(|c| c.split(';'));
+    let told = pairs.filter_map(|pair| pair.trim().strip_prefix("k=")).next();
+    let told = told.or_else(|| segments.iter().find_map(|s| s.affinity.as_deref()));
+    told.and_then(|hex| u64::from_str_radix(hex, 16).ok()).unwrap_or(0)
+}
+
 /// Whether a text can stand in a line of a frame, where spaces and commas part words.
 fn is_word(text: &str) -> bool {
     let sound = |b: u8| b.is_ascii_graphic() && b != b',';
@@ -220,7 +232,10 @@
 
     fn front() -> Platform {
         let class = |name: &str, repeat| Class { name: name.into(), repeat, deadline: 4_000_000 };
-        Platform::new(vec![class("search", Repeat::Safe), class("close", Repeat::Keyed(9))])
+        Platform::new(
+            vec![class("search", Repeat::Safe), class("close", Repeat::Keyed(9))],
+            vec!["acme".into()],
+        )
     }
 
     /// A sound query of the keyed class, with some headers replaced.
@@ -261,6 +276,30 @@
         assert_eq!(taken.job, job);
     }
 
+    #[test]
+    fn the_cookie_tells_what_a_query_is_about_and_its_owner_which_tenant_asks() {
+        let affine = BODY.replace("\"work\":9000", "\"affinity\":\"00000000000000ff\"");
+        for (cookie, body, key) in [
+            ("k=7f3a9c21e0b4d655", BODY, 0x7f3a_9c21_e0b4_d655),
+            ("a=b; k=10;c=d", &affine, 16),
+            ("kk=10", &affine, 255),
+            ("", &affine, 255),
+            ("k=", BODY, 0),
+            ("k=nothex", BODY, 0),
+            ("k=11112222333344445", BODY, 0),
+            ("", BODY, 0),
+        ] {
+            let asked = query(&[("cookie", cookie)], "/close", body);
+            let Verdict::Take(taken, ()) = front().read(Time(0), &asked) else { panic!("{cookie}") };
+            assert_eq!(taken.key, key, "{cookie}");
+        }
+        for (owner, tenant) in [("acme", 0), ("other", u32::MAX), ("", u32::MAX)] {
+            let asked = query(&[("req-owner", owner)], "/close", BODY);
+            let Verdict::Take(taken, ()) = front().read(Time(0), &asked) else { panic!("{owner}") };
+            assert_eq!(taken.tenant, tenant, "{owner}");
+        }
+    }
+
     #[test]
     fn bad_input_gets_the_status_that_says_so() {
         for (changes, path, body, expected) in [
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -171,6 +171,10 @@
     pub worth_by_work: bool,
     /// Number of instances that serve the same servers, this one included.
     pub instances: u32,
+    /// What each tenant may ask of all instances together, queries a second; empty: there are none.
+    pub quotas: Vec<f64>,
+    /// Worth of what a tenant asks beyond that, as a share of its class's worth.
+    pub over_quota: f64,
 }
 
 /// One class that is never repeated, one cell, no permissions: what is safe where nothing is known.
@@ -207,6 +211,8 @@
             marks_retry: false,
             worth_by_work: false,
             instances: 1,
+            quotas: Vec::new(),
+            over_quota: 1.0,
         }
     }
 }
@@ -297,6 +303,8 @@
         key: u64,
         /// Marked by the client as a further try.
         again: bool,
+        /// Index of the tenant that asks; without meaning where there are none.
+        tenant: u32,
     },
     /// A part of a query held, of its first or second step.
     Part {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,8 +1,5 @@
 //! Every decision of the co-ordinator. Its types, events and actions are in `src/interface.rs`.
 //!
-//! Contents: tuned values; what is remembered; a turn; taking in events; health of servers; ends of
-//! queries; admission; choice of replicas and further attempts; the list and cold servers; helpers.
-//!
 //! The ordinary path is BASIC with REQS (Friedman and Mosse 1996): a part goes to the replica with the fewest
 //! calls of this instance pending, is copied once at half its aim, and the losing twin is cancelled. All else
 //! is a guard with its condition at the code.
@@ -11,7 +8,7 @@
     Action, Budget, Class, Discovery, Event, Listed, Listing, Micros, Mode, Outcome, PartId, QueryId, Repeat,
     ServerId, Settings, Shard, Time,
 };
-use crate::stats::{faded, Aged, Agenda, Bid, Call, Dice, Fading, Wanted, WindowCount};
+use crate::stats::{faded, Aged, Agenda, Bid, Call, Dice, Fading, Quotas, Wanted, WindowCount};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 // ---- Tuned values ------------------------------------------------------------------------------------
@@ -38,20 +35,21 @@
 const PARTIAL_AT: f64 = 0.92;
 /// An unanswered attempt goes on counting against its server for this multiple of the class's aim.
 const GHOST_AIMS: f64 = 3.0;
-/// Faded share of bad ends above which a server is passed over; what halves it: this long (microseconds), or
-/// the time in which a server gets so many parts of this instance, up to MEMORY_MOST times as long.
-const FAULTY: f64 = 0.3;
+/// Faded share of bad ends above which a server is passed over: one met often must have been late twice, for
+/// it may only have stood still, one met seldom once. What halves it: this long (microseconds), or the time
+/// in which a server gets so many parts of this instance, up to MEMORY_MOST times as long.
+const FAULTY: [f64; 2] = [0.55, 0.3];
 const FAULT_HALF: f64 = 8_000_000.0;
 const FAULT_PARTS: f64 = 8.0;
 const MEMORY_MOST: f64 = 4.0;
 /// Answer times this many times the common one begin to count as bad, and this many are fully bad.
 const SLOW_FROM: f64 = 2.0;
 const SLOW_FULL: f64 = 5.0;
-/// How far one outcome moves that share: an answer (by its slowness), an error or a part turned away as full,
-/// one late at half its aim or timed out, a broken connection; how fast common answer times are learnt.
+/// How far one outcome moves that share: an answer (by its slowness), an error, one late at half its aim or
+/// timed out, a broken connection or a part turned away as full; how fast common answer times are learnt.
 const SLOW_PACE: f64 = 0.25;
 const ERROR_PACE: f64 = 0.4;
-const LATE_PACE: f64 = 0.5;
+const LATE_PACE: f64 = 0.45;
 const BROKEN_PACE: f64 = 0.6;
 const NORM_PACE: f64 = 0.05;
 /// How fast the share of bad ends at all servers of a zone follows, and how far it must be above that of the
@@ -155,6 +153,8 @@
     arrived: Time,
     deadline: Time,
     aim_at: Time,
+    /// Share of its class's worth that it has: less beyond its tenant's quota.
+    gain: f64,
     /// Time that it really has: to its aim, or to its end where that comes first or the aim has passed.
     window: Micros,
     step: u8,
@@ -222,8 +222,9 @@
     admit: f64,
     /// Mean worth of queries for their work.
     value: Fading,
-    /// Class, key and start of queries turned away, whose clients may be back.
-    away: VecDeque<(usize, u64, Time)>,
+    /// Class, key, start and gain of queries turned away, whose clients may be back.
+    away: VecDeque<(usize, u64, Time, f64)>,
+    quotas: Quotas,
     /// Class, key and time of queries stopped as poison.
     poison: Vec<(usize, u64, Time)>,
     /// The first turn, and the answers since.
@@ -249,6 +250,7 @@
             began: Time(u64::MAX),
             ask_at: Some(Time(0)),
             ask_gap: ASK_FIRST,
+            quotas: Quotas::new(&settings.quotas, settings.instances),
             set: settings,
             ..Coordinator::default()
         }
@@ -303,9 +305,9 @@
             self.taken.add(self.now);
         }
         match event {
-            Event::Query { query, number, class, deadline, key, again } => {
+            Event::Query { query, number, class, deadline, key, again, tenant } => {
                 let class = usize::from(class).min(self.set.classes.len().saturating_sub(1));
-                let aim_at = self.aim_of(class, key, again);
+                let (aim_at, gain) = self.start_of(class, key, again, tenant);
                 let (aim, patience) = (self.set.classes[class].aim, deadline.since(self.now));
                 let left = aim_at.since(self.now);
                 let window = if left > aim / 10 { left } else { aim }.min(patience);
@@ -318,6 +320,7 @@
                     deadline,
                     key,
                     aim_at,
+                    gain,
                     window,
                     step: 1,
                     step_at: self.now,
@@ -350,16 +353,18 @@
         }
     }
 
-    /// When the aim of a query is over, from the client's first try on. A further try is of a class and key
-    /// turned away before and, where clients mark such, marked. Guards against late tries that crowd out
-    /// fresh ones. Harm: unmarked, a fresh query of a hot key may be taken for one.
-    fn aim_of(&mut self, class: usize, key: u64, again: bool) -> Time {
+    /// When the aim of a query is over, from the client's first try on, and that try's gain. A further try is
+    /// of a class and key turned away before and, where clients mark such, marked. Guards against late tries
+    /// that crowd out fresh ones. Harm: unmarked, a fresh query of a hot key may be taken for one.
+    fn start_of(&mut self, class: usize, key: u64, again: bool, tenant: u32) -> (Time, f64) {
         let (classes, now) = (&self.set.classes, self.now);
-        self.away.retain(|&(class, _, began)| now.since(began) < classes[class].deadline);
+        self.away.retain(|a| now.since(a.2) < classes[a.0].deadline);
         let known = if self.set.marks_retry { again } else { key != 0 };
-        let back = self.away.iter().position(|&(cl, k, _)| known && cl == class && k == key);
-        let began = back.and_then(|i| self.away.remove(i)).map_or(now, |(.., began)| began);
-        began.plus(classes[class].aim)
+        let back = self.away.iter().position(|a| known && a.0 == class && a.1 == key);
+        let first = back.and_then(|i| self.away.remove(i)).map(|(.., began, gain)| (began, gain));
+        let fresh = || (now, if self.quotas.within(now, tenant) { 1.0 } else { self.set.over_quota });
+        let (began, gain) = first.unwrap_or_else(fresh);
+        (began.plus(classes[class].aim), gain)
     }
 
     /// A part of the present step that is not needed any more counts as answered.
@@ -477,10 +482,9 @@
             }
             Outcome::Error => self.blame(flight.server, class, 1.0, ERROR_PACE, out),
             Outcome::Timeout => self.silent(flight.server, class, flight.idle, out),
-            Outcome::Rejected => self.blame(flight.server, all, 1.0, ERROR_PACE, out),
             Outcome::Reset if self.lost(flight.idle, RESET_PACE) => {}
-            Outcome::ConnectFailed | Outcome::Reset => self.blame(flight.server, all, 1.0, BROKEN_PACE, out),
             Outcome::Cancelled | Outcome::Moot => {}
+            _ => self.blame(flight.server, all, 1.0, BROKEN_PACE, out),
         }
     }
 
@@ -529,10 +533,10 @@
         if which == all {
             self.zones.entry(s.zone).or_default().add(now, bad, ZONE_PACE, FAULT_HALF);
         }
-        let suspected = s.faults[which].left(now, half) > FAULTY;
+        let faulty = FAULTY[usize::from(half > FAULT_HALF)];
+        let suspected = s.faults[which].left(now, half) > faulty;
         let word = if suspected { "suspected" } else { "trusted again" };
-        let line = || Action::Log(format!("server {} {word}", id.0));
-        out.extend((suspected != (was > FAULTY)).then(line));
+        out.extend((suspected != (was > faulty)).then(|| Action::Log(format!("server {} {word}", id.0))));
     }
 
     // ---- Ends of queries ---------------------------------------------------------------------------------
@@ -668,7 +672,7 @@
         if untouched || self.class(q).repeat != Repeat::Unsafe {
             let half = self.set.limits.retry_after.unwrap_or(0) / 2;
             out.push(Action::Refuse { query: id, retry_after: half + self.rng.0.u64(0..=half) });
-            self.away.push_back((q.class, q.key, q.aim_at.minus(self.set.classes[q.class].aim)));
+            self.away.push_back((q.class, q.key, q.aim_at.minus(self.set.classes[q.class].aim), q.gain));
         } else {
             out.push(Action::Fail(id));
         }
@@ -689,9 +693,7 @@
         if self.numbers.get(&q.number) == Some(&id) {
             self.numbers.remove(&q.number);
         }
-        for p in q.parts {
-            self.parts.remove(&p.id);
-        }
+        q.parts.iter().for_each(|p| _ = self.parts.remove(&p.id));
     }
 
     // ---- Admission ---------------------------------------------------------------------------------------
@@ -711,7 +713,7 @@
     }
 
     /// Turns a query away at its arrival when one of its parts finds all replicas too far behind. The
-    /// queue that is let in is shorter for queries of less worth for their work, late ones among them.
+    /// queue that is let in is shorter for queries of less worth for their work, and beyond a tenant's quota.
     fn turned_away(&mut self, id: QueryId) -> bool {
         let Some(q) = self.queries.get(&id) else { return false };
         let class = self.class(q);
@@ -719,7 +721,7 @@
         let parts = q.parts.len() as f64 + f64::from(class.second_step) / 2.0;
         // Work is counted in parts and not by how long they take: in a jam all take long.
         let value = class.worth / if self.set.worth_by_work { 1.0 } else { parts.max(1.0) };
-        let dear = (value / self.value.or(value)).sqrt().clamp(VALUE_LEAST, VALUE_MOST);
+        let dear = (value / self.value.or(value)).sqrt().clamp(VALUE_LEAST, VALUE_MOST) * q.gain.sqrt();
         let most = window * self.admit * dear;
         // Of the holders that it would be sent to: a hung one, not heard of for a while, would look idle.
         let slowest = q.parts.iter().map(|p| {
@@ -761,7 +763,7 @@
         let half = self.memory();
         let fault = |which| s.faults.get(which).map_or(0.0, |f: &Aged| f.left(self.now, half));
         let fault = fault(class).max(fault(self.set.classes.len())).max(self.way_fault(s.zone));
-        let tier = if fault > FAULTY { 1 + (fault * 4.0) as u8 } else { 0 };
+        let tier = if fault > FAULTY[usize::from(half > FAULT_HALF)] { 1 + (fault * 4.0) as u8 } else { 0 };
         let pending = s.calls.iter().filter(|c| c.counts(self.now)).count();
         (tier, pending + usize::from(!self.joins(s)))
     }
@@ -794,9 +796,7 @@
             again.truncate(1 - open.len());
         }
         self.send_first(id, &open, out);
-        for (i, copy) in again {
-            self.send_again(id, i, copy, out);
-        }
+        again.into_iter().for_each(|(i, copy)| self.send_again(id, i, copy, out));
     }
 
     /// First attempts: each part to a replica with the fewest calls pending. Of equals the one that most
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -83,6 +83,36 @@
     }
 }
 
+/// What tenants may ask, in queries: each has a rate and may save up a second of it.
+#[derive(Clone, Debug, Default)]
+pub struct Quotas {
+    /// Queries a second, those saved up, and when they were counted.
+    tenants: Vec<(f64, f64, Time)>,
+}
+
+/// So much of its rate a tenant may save up (seconds).
+const QUOTA_SAVED: f64 = 1.0;
+
+impl Quotas {
+    /// The part of one of `instances` alike instances in these rates (queries a second).
+    #[must_use]
+    pub fn new(rates: &[f64], instances: u32) -> Self {
+        let share = |rate: &f64| rate / f64::from(instances.max(1));
+        let full = |rate: f64| (rate, (rate * QUOTA_SAVED).max(1.0), Time(0));
+        Quotas { tenants: rates.iter().map(share).map(full).collect() }
+    }
+    /// Counts a query and tells whether it is within the tenant's quota; one that is beyond takes nothing from it. A
+    /// tenant that there is not has no quota to go beyond.
+    pub fn within(&mut self, now: Time, tenant: u32) -> bool {
+        let Some((rate, saved, at)) = self.tenants.get_mut(tenant as usize) else { return true };
+        let gained = *rate * now.since(*at) as f64 / 1e6;
+        (*saved, *at) = ((*saved + gained).min((*rate * QUOTA_SAVED).max(1.0)), now);
+        let within = *saved >= 1.0;
+        *saved -= f64::from(u8::from(within));
+        within
+    }
+}
+
 /// One call to a server, or what is left of it: parts that ended unanswered keep it in the count.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Call {
@@ -288,6 +318,17 @@
         assert_eq!((agenda.now(Time(29)), agenda.next(Time(0))), (vec![1], Some(Time(30))));
     }
 
+    #[test]
+    fn what_is_beyond_a_quota_takes_nothing_from_it() {
+        // One of three instances has one query a second for each of two tenants.
+        let mut quotas = Quotas::new(&[3.0, 3.0], 3);
+        let now = Time(5_000_000);
+        assert!(quotas.within(now, 0) && !quotas.within(now, 0) && quotas.within(now, 1));
+        assert!(!quotas.within(now.plus(900_000), 0) && quotas.within(now.plus(1_000_000), 0));
+        assert!(!quotas.within(now.plus(1_000_000), 0));
+        assert!((0..5).all(|_| quotas.within(now, 2)), "no such tenant: no quota to go beyond");
+    }
+
     #[test]
     fn a_server_that_more_parts_can_share_is_wanted_more_until_its_bid_is_worse() {
         let bid = |rank| Bid { rank, joins: false, near: false };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -42,6 +42,8 @@
         marks_retry: false,
         worth_by_work: false,
         instances: 3,
+        quotas: Vec::new(),
+        over_quota: 1.0,
     }
 }
 
@@ -81,8 +83,15 @@
         self.next += 1 + shards.len() as u64;
         let number = id as u32;
         let deadline = self.now.plus(4 * AIM);
-        let mut events =
-            vec![Event::Query { query: QueryId(id), number, class: 0, deadline, key: 0, again: false }];
+        let mut events = vec![Event::Query {
+            query: QueryId(id),
+            number,
+            class: 0,
+            deadline,
+            key: 0,
+            again: false,
+            tenant: u32::MAX,
+        }];
         let weight = 1.0 / shards.len() as f64;
         events.extend((id + 1..).zip(shards).map(|(part, &shard)| Event::Part {
             part: PartId(part),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -110,7 +110,8 @@
         self.next += 1 + u64::from(self.parts);
         let deadline = self.now.plus(4 * SECOND);
         let query = QueryId(id);
-        let mut events = vec![Event::Query { query, number, class: 0, deadline, key: 0, again: false }];
+        let mut events =
+            vec![Event::Query { query, number, class: 0, deadline, key: 0, again: false, tenant: u32::MAX }];
         let (first, weight) = (self.dice.u32(0..2 * self.cells), 1.0 / f64::from(self.parts));
         events.extend((0..self.parts).map(|i| Event::Part {
             part: PartId(id + 1 + u64::from(i)),
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -172,6 +172,64 @@
     }
 }
 
+#[test]
+fn a_server_that_is_met_often_is_passed_over_when_it_is_late_twice_and_not_once() {
+    let mut stage = Stage::new(settings(class()));
+    (0..30).for_each(|_| stage.serve(20 * MS));
+    let mut late: Option<ServerId> = None;
+    let mut suspected = Vec::new();
+    while suspected.len() < 2 {
+        let (id, events) = stage.query(&[0]);
+        let server = sends(&stage.turn(events))[0].1;
+        if late.is_some_and(|first| first != server) {
+            stage.after(20 * MS, vec![finished(id + 1, 0, server, Outcome::Ok, 20 * MS)]);
+            continue;
+        }
+        late = Some(server);
+        let mut out = stage.after(AIM / 2, vec![Event::Wake]);
+        let copy = sends(&out)[0].1;
+        out.extend(stage.after(20 * MS, vec![finished(id + 1, 1, copy, Outcome::Ok, 20 * MS)]));
+        out.extend(stage.turn(vec![finished(id + 1, 0, server, Outcome::Cancelled, AIM / 2)]));
+        let told = |a: &Action| matches!(a, Action::Log(line) if line.ends_with("suspected"));
+        suspected.push(out.iter().any(told));
+        // What is still counted against it as pending ends meanwhile.
+        stage.after(3 * AIM, vec![Event::Wake]);
+    }
+    assert_eq!(suspected, [false, true]);
+}
+
+/// Makes the query that these events begin one of a tenant.
+fn of_tenant(events: &mut [Event], index: u32) {
+    if let Event::Query { tenant, .. } = &mut events[0] {
+        *tenant = index;
+    }
+}
+
+#[test]
+fn under_load_what_a_tenant_asks_beyond_its_quota_makes_room_for_the_others() {
+    let mut set = settings(class());
+    // This one of three instances has 40 and 4 a second of them; both tenants ask for 20.
+    (set.quotas, set.over_quota) = (vec![120.0, 12.0], 0.2);
+    let mut stage = Stage::new(set);
+    shares(&mut stage, 30, |_| (Outcome::Ok, 300 * MS));
+    let mut let_in = [0, 0];
+    let mut out: Vec<(Time, u64, ServerId)> = Vec::new();
+    for turn in 0..400 {
+        let tenant = turn % 2;
+        let (id, mut events) = stage.query(&[0]);
+        of_tenant(&mut events, tenant);
+        let done: Vec<_> = out.extract_if(.., |o| stage.now.since(o.0) >= 700 * MS).collect();
+        events.extend(done.iter().map(|o| finished(o.1, 0, o.2, Outcome::Ok, 700 * MS)));
+        for (part, server) in sends(&stage.after(25 * MS, events)) {
+            if part == id + 1 {
+                let_in[tenant as usize] += 1;
+                out.push((stage.now, part, server));
+            }
+        }
+    }
+    assert!(let_in[0] > 190 && let_in[1] < 175, "{let_in:?} of 200 each");
+}
+
 #[test]
 fn a_server_that_fails_one_class_is_passed_over_for_that_class_alone() {
     let mut set = settings(class());
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -124,6 +124,7 @@
                     deadline,
                     key: id % 3,
                     again: false,
+                    tenant: u32::MAX,
                 });
                 let parts: Vec<u64> = (id + 1..).take(shards.len()).collect();
                 let weight = 1.0 / parts.len() as f64;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -253,6 +253,7 @@
                 deadline,
                 key: 0,
                 again: false,
+                tenant: u32::MAX,
             };
             vec![query, Event::Part { part: PartId(id + 1), number: id as u32, shard: Shard(0), weight: 1.0 }]
         };
