End all that is open before a stopped process may be killed, whoever waits longer

Cause: the platform kills a process 0.7 s after the longest wait of its clients, counted as 3 s where it is longer; src/broker.rs `stop` counted 3 s where it is shorter (`max(KILLED)` for `min`). A probe logged SIGTERM at 12.82 s, clients' waits of 1.0, 1.3 and 1.7 s, and the last sign of the process 2.5 s later, while it meant to take queries that end up to 3.5 s after the signal. The first deployment hid it: its waits are 4 and 7.5 s, and clients leave sooner.

Change: the lesser of both and 0.5 s; a query taken during the stop ends by then (core::intake), and is taken while there is time for its aim rather than for the whole wait of its client.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -22,7 +22,7 @@
 
 /// New connections keep arriving for so long after the signal to stop: the front layer learns of it late.
 const LISTEN_ON: Micros = 500_000;
-/// The process is killed later after the signal than the longest time of its clients, or than this where it is more.
+/// The process is killed later after the signal than the longest time of its clients, or than this where that is more.
 const KILLED: Micros = 3_000_000;
 /// After this long a stop does not wait for clients that read no answer.
 const STOP_MOST: Micros = 15_000_000;
@@ -447,7 +447,7 @@
         self.company.iter_mut().for_each(|c| c.on_stop(&mut self.net));
         each_service!(self, |_net, service| {
             let waits = service.core.settings().classes.iter().map(|c| c.deadline);
-            let killed = waits.max().unwrap_or_default().max(KILLED);
+            let killed = waits.max().unwrap_or_default().min(KILLED);
             service.core.end_by(now.plus(killed + LISTEN_ON));
             service.front.stop();
         });
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -41,8 +41,8 @@
 }
 
 impl<J> Core<J> {
-    /// From now on no query is taken that may be open later than this. Clients are served for as long as there is
-    /// time for it: when brokers are restarted in turn, some have nowhere else to go.
+    /// From now on no query is open later than this, and none is taken for whose aim there is no time left. Clients are
+    /// served for as long as there is: when brokers are restarted in turn, some have nowhere else to go.
     pub fn end_by(&mut self, at: Time) {
         self.end_by = Some(at);
     }
@@ -56,15 +56,20 @@
     /// Whether a query of some class would still be taken.
     #[must_use]
     pub fn takes(&self, now: Time) -> bool {
-        let shortest = self.settings.classes.iter().map(|c| c.deadline).min().unwrap_or_default();
+        let shortest = self.settings.classes.iter().map(|c| c.aim.min(c.deadline)).min().unwrap_or_default();
         self.end_by.is_none_or(|at| now.plus(shortest) <= at)
     }
 
     /// Takes a query. Its final answer comes as a command of a later turn.
-    pub fn take(&mut self, now: Time, request: Request<J>) -> Result<QueryId, Refusal> {
+    pub fn take(&mut self, now: Time, mut request: Request<J>) -> Result<QueryId, Refusal> {
         sound(&request.parts, self.settings.layout.shards)?;
-        if self.end_by.is_some_and(|at| request.deadline > at) {
-            return Err(Refusal::Stopping);
+        if let Some(at) = self.end_by {
+            let aim = self.settings.classes.get(request.class).map_or(0, |c| c.aim);
+            if request.deadline.min(now.plus(aim)) > at {
+                return Err(Refusal::Stopping);
+            }
+            // Guards the final answer: what is open when the process is killed gets none.
+            request.deadline = request.deadline.min(at);
         }
         // Guards memory: what is held is bounded, and the module never sees the query.
         if self.held >= self.settings.limits.held as usize {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -8,7 +8,7 @@
 use std::os::unix::net::UnixStream;
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const SETTINGS: &str = r#"{"allowed":{"maxAttempts":4,"mostHeld":40,"mayCancel":true,"secondCopies":true,
     "retryAfter":true,"maxRetryAfterUs":2000000,"maxStreams":32},
@@ -365,6 +365,23 @@
     assert!(TcpStream::connect(stage.address).is_err(), "it no longer listens");
 }
 
+#[test]
+fn what_is_open_gets_its_final_answer_before_the_process_may_be_killed_however_long_its_client_waits() {
+    // It may be killed 3.7 s after the signal where clients wait for longer than 3 s; these wait for 8 s.
+    let patient = SETTINGS.replace("4000000", "1000000").replace("\"lateShare\":0.1", "\"lateShare\":1.0");
+    let mut stage = Platformed::with(&patient);
+    let mut client = stage.connect();
+    drop(stage.stop.take());
+    let stopped = Instant::now();
+    client.write_all(&query("fleet-search", "i", &[1])).unwrap();
+    let held = stage.next();
+    // Nobody answers.
+    assert_ne!(answer(&mut client).status, 200);
+    assert!(stopped.elapsed() < Duration::from_secs(6), "and not when its client gives up");
+    stage.broker.take().unwrap().join().unwrap();
+    drop(held);
+}
+
 /// The next connection to a stand-in discovery, and what is asked on it.
 fn call(listener: &TcpListener) -> (TcpStream, String) {
     let (stream, _) = listener.accept().unwrap();
