Leave time for a connection in the window in which a keyed part may be repeated

Cause: the module checks a keyed part's window (src/policy.rs, `may_send`) as it decides, and the rule counts to when the attempt leaves; between the two it may wait for a connection (`connectTimeoutUs`, 0.25 s) and a descriptor (0.05 s). Read, not seen: on both deployments the late worth of such classes ends their queries before the window, so that it holds by luck of the settings.

Change: config::settings tells the broker's module a window shorter by the connect time-out and 0.1 s.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -6,6 +6,8 @@
 };
 use serde::Deserialize;
 
+/// An attempt may wait so long for a descriptor and a turn beside its connection (microseconds).
+const WAITS: Micros = 100_000;
 /// The rule on drains where the settings don't tell it (microseconds).
 const STOP_WITHIN: Micros = 2_000_000;
 
@@ -174,7 +176,7 @@
     /// Reads the JSON text of the settings; the broker can't do without the names of the classes.
     pub fn parse(text: &[u8]) -> Result<Site, String> {
         let facts: Facts = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
-        let settings = module(&facts)?;
+        let mut settings = module(&facts)?;
         if let Some(i) = facts.classes.iter().position(|c| c.name.is_empty()) {
             return Err(format!("settings: classes[{i}].name is missing"));
         }
@@ -184,6 +186,13 @@
             connect: allowed.connect_timeout_us,
             idle: allowed.conn_idle_us,
         };
+        // Guards the rule on repeats: the window counts to when an attempt leaves, and what the module sends may wait for
+        // a connection first.
+        for class in &mut settings.classes {
+            if let Repeat::Keyed(window) = &mut class.repeat {
+                *window = window.saturating_sub(allowed.connect_timeout_us + WAITS);
+            }
+        }
         let classes = facts.classes.into_iter().map(|c| c.name).collect();
         let tenants = facts.tenants.into_iter().map(|t| t.name).collect();
         let stop_within = facts.rules.stop_sending_within_us;
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -40,6 +40,18 @@
     assert_eq!(why, "settings: quotaPerS is -1");
 }
 
+#[test]
+fn the_module_is_told_a_window_that_leaves_time_for_a_connection() {
+    let keyed = |connect: &str, window: &str| {
+        let class = format!(r#""idempotency":"dedup","windowUs":{window}"#);
+        let text = CONFIG.replace(r#""idempotency":"retryable""#, &class);
+        let text = text.replace(r#""connectTimeoutUs":9"#, &format!(r#""connectTimeoutUs":{connect}"#));
+        parse(&text).unwrap().settings.classes[0].repeat
+    };
+    assert_eq!(keyed("250000", "2000000"), Repeat::Keyed(1_650_000));
+    assert_eq!(keyed("250000", "300000"), Repeat::Keyed(0), "never repeated where it may have run");
+}
+
 #[test]
 fn messages_name_the_faulty_key() {
     for (good, bad, key) in [
