--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -230,6 +230,33 @@
     assert!(let_in[0] > 190 && let_in[1] < 175, "{let_in:?} of 200 each");
 }
 
+#[test]
+fn a_further_try_keeps_the_gain_of_its_first_and_takes_nothing_from_the_quota() {
+    let mut set = settings(class());
+    // This one of three instances has one a second of them.
+    (set.quotas, set.over_quota, set.marks_retry) = (vec![3.0], 0.2, true);
+    let mut stage = Stage::new(set);
+    (0..12).for_each(|_| stage.serve(700 * MS));
+    let ask = |stage: &mut Stage, marked: bool| {
+        let (id, mut events) = stage.query(&[0]);
+        of_tenant(&mut events, 0);
+        if let Event::Query { again, .. } = &mut events[0] {
+            *again = marked;
+        }
+        (id, sends(&stage.after(MS, events)))
+    };
+    let (id, sent) = ask(&mut stage, false);
+    assert_eq!(sent.len(), 1, "within the quota");
+    assert!(ask(&mut stage, false).1.is_empty(), "beyond it");
+    stage.after(700 * MS, vec![finished(id + 1, 0, sent[0].1, Outcome::Ok, 700 * MS)]);
+    stage.after(350 * MS, vec![Event::Wake]);
+    assert!(
+        ask(&mut stage, true).1.is_empty(),
+        "beyond it as its first try was, though there is a place by now"
+    );
+    assert_eq!(ask(&mut stage, false).1.len(), 1, "which is left to the next one");
+}
+
 #[test]
 fn a_server_that_fails_one_class_is_passed_over_for_that_class_alone() {
     let mut set = settings(class());
