--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -526,6 +526,16 @@
         assert!(directory.changes(&[gone]).is_empty(), "one that was never listed is no news");
     }
 
+    #[test]
+    fn a_list_that_comes_indented_is_the_same_list() {
+        let value: serde_json::Value = serde_json::from_str(LIST).unwrap();
+        let pretty = serde_json::to_string_pretty(&value).unwrap().replace('\n', "\r\n\t ");
+        let [plain, indented] = [LIST, &pretty]
+            .map(|text| Directory::default().changes(&serde_json::from_str::<List>(text).unwrap().instances));
+        assert!(pretty.lines().count() > 10 && plain.len() == 1);
+        assert_eq!(plain, indented);
+    }
+
     #[test]
     fn what_is_known_of_a_node_goes_with_it_and_its_number_is_not_used_again() {
         let list: List = serde_json::from_str(LIST).unwrap();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -382,6 +382,46 @@
     drop(held);
 }
 
+#[test]
+fn after_the_stop_every_request_on_a_connection_that_stays_open_is_served_or_refused_at_once() {
+    // Aims of 0.3 s and waits of 0.6 s: what is taken ends within 1.1 s of the signal.
+    let mut stage = Platformed::with(&SETTINGS.replace("4000000", "300000").replace("9000000", "600000"));
+    let mut client = stage.connect();
+    drop(stage.stop.take());
+    let (mut served, mut refused, mut n) = (0, 0, 0);
+    loop {
+        n += 1;
+        if client.write_all(&query("fleet-search", &format!("q{n}"), &[1])).is_err() {
+            break;
+        }
+        // What is sent on is answered by the data node at once; what is not can only be a refusal.
+        if let Ok(mut got) = stage.got.recv_timeout(Duration::from_millis(50)) {
+            let id = got.parts()[0].clone();
+            assert_eq!(id, format!("q{n}.1"), "one call for each");
+            got.answer(&format!("{id} OK 1 -\nv"));
+        }
+        let mut first = [0];
+        match client.peek(&mut first) {
+            // Closed between requests: this one was not read, and its client sends it to another broker.
+            Ok(0) | Err(_) => break,
+            Ok(_) => {}
+        }
+        let response = answer(&mut client);
+        match response.status {
+            200 => served += 1,
+            503 => refused += 1,
+            status => panic!("{status}: {}", text(&response)),
+        }
+        assert!(served == 0 || refused == 0 || response.status == 503, "it takes none again");
+        if response.header("connection") == Some("close") {
+            assert_eq!(client.read(&mut [0; 10]).unwrap(), 0, "nothing more comes");
+            break;
+        }
+    }
+    assert!(served > 0, "{served} served, {refused} refused of {n}");
+    stage.broker.take().unwrap().join().unwrap();
+}
+
 /// The next connection to a stand-in discovery, and what is asked on it.
 fn call(listener: &TcpListener) -> (TcpStream, String) {
     let (stream, _) = listener.accept().unwrap();
