Let a broker that nobody heard go on without its opinions of others

So it is a broker that wrongly declares, and neither the checker nor a fault that lasts too long: decide::fleet let verdicts fall due that nobody could refute, since nobody heard the suspicion, and kept them across a renewal.

Change: while nobody answers (four probes, or a suspicion's time) no verdict falls due, for up to three suspicions more; once somebody answers, or the broker hears that it was buried, the library's state is begun anew with those it believes alive.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A fleet of processes whose brokers die, stand still and are cut off, from a seed: what each of them says of the others
 //! is judged, and what it costs is measured. Times are real, so figures differ from run to run; the faults do not.
 
-use lichenswitch_standins::rig::{agree, judge_deaths, Rig};
+use lichenswitch_standins::rig::{agree, judge_deaths, Entry, Rig};
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use serde::Serialize;
@@ -60,13 +60,35 @@
     Some(((figure(11)? + figure(12)?) / TICKS, figure(21)? * PAGE / f64::from(1 << 20)))
 }
 
-/// Starts so many brokers and lets faults befall them one after the other.
+/// Starts so many brokers and lets faults befall them one after the other; all that happened goes into `ledger`.
 ///
 /// # Errors
-/// When a process can't be started, or the fleet does not come to know itself after a fault.
-pub fn run(program: &Path, seed: u64, brokers: usize, faults: usize) -> Result<Report, String> {
+/// When a process can't be started, the fleet does not come to know itself after a fault, or the ledger can't be written.
+pub fn run(
+    program: &Path,
+    seed: u64,
+    brokers: usize,
+    faults: usize,
+    ledger: Option<&Path>,
+) -> Result<Report, String> {
     let mut dice = Xoshiro256PlusPlus::seed_from_u64(seed);
     let mut rig = Rig::new(program, brokers, seed).map_err(|e| e.to_string())?;
+    let ran = befall(&mut rig, &mut dice, seed, brokers, faults);
+    if let Some(path) = ledger {
+        let line = |e: &Entry| format!("{:.3} n{} {:?}\n", e.at.as_secs_f64(), e.who, e.what);
+        let lines: String = rig.ledger.all().iter().map(line).collect();
+        std::fs::write(path, lines).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    ran
+}
+
+fn befall(
+    rig: &mut Rig,
+    dice: &mut Xoshiro256PlusPlus,
+    seed: u64,
+    brokers: usize,
+    faults: usize,
+) -> Result<Report, String> {
     let mut report = Report { seed, brokers, ..Report::default() };
     let files: Result<Vec<_>, _> = (0..brokers).map(|who| rig.broker_files(who, "")).collect();
     let files = files.map_err(|e| e.to_string())?;
@@ -80,11 +102,11 @@
     };
     let listen =
         |rig: &Rig| rig.ledger.all().iter().filter(|e| format!("{e:?}").contains("peers: n")).count();
-    if !rig.until(MOST, |_| listen(&rig) == brokers) {
+    if !rig.until(MOST, |_| listen(rig) == brokers) {
         return Err("not all brokers listen".into());
     }
     report.started_ms = rig.now().as_millis() as u64;
-    knows(&rig, &all, "the start")?;
+    knows(rig, &all, "the start")?;
     report.agreed_ms = rig.now().as_millis() as u64;
     let (began, mut spent) = (rig.now(), 0.0);
     for _ in 0..faults {
@@ -97,20 +119,20 @@
                 spent += rig.pid(who).and_then(cost).map_or(0.0, |c| c.0);
                 let at = rig.now();
                 rig.kill(who);
-                knows(&rig, &living, "a kill")?;
+                knows(rig, &living, "a kill")?;
                 report.missed_ms.push((rig.now() - at).as_millis() as u64);
                 rig.start_broker(who, &files[who]).map_err(|e| e.to_string())?;
             }
             1 => {
                 report.stops += 1;
                 rig.stop(who);
-                knows(&rig, &living, "a stop")?;
+                knows(rig, &living, "a stop")?;
                 rig.go_on(who);
             }
             2 => {
                 report.cuts += 1;
                 others.iter().for_each(|to| rig.cut(who, *to, true));
-                knows(&rig, &living, "a cut")?;
+                knows(rig, &living, "a cut")?;
                 others.iter().for_each(|to| rig.cut(who, *to, false));
             }
             _ => {
@@ -123,7 +145,7 @@
                 rig.cut(who, to, false);
             }
         }
-        knows(&rig, &all, "a fault that is over")?;
+        knows(rig, &all, "a fault that is over")?;
     }
     let found = judge_deaths(&rig.ledger.all(), brokers, AFTER);
     (report.checked, report.false_deaths) = (found.checked, found.wrong.len());
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -42,6 +42,9 @@
     /// Faults, one after the other.
     #[arg(long, default_value_t = 12)]
     faults: usize,
+    /// Where all that happened goes, a line an entry.
+    #[arg(long)]
+    ledger: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -126,7 +129,8 @@
             write(&common, &all)
         }
         Experiment::Fleet(args) => {
-            let ran = fleet::run(&args.program, args.common.seed, args.brokers as usize, args.faults);
+            let (seed, brokers) = (args.common.seed, args.brokers as usize);
+            let ran = fleet::run(&args.program, seed, brokers, args.faults, args.ledger.as_deref());
             ran.and_then(|report| {
                 println!("{report:#?}");
                 write(&args.common, &report)
--- a/src/decide/fleet/mod.rs
+++ b/src/decide/fleet/mod.rs
@@ -3,16 +3,18 @@
 //!
 //! - *a slow observer doubts itself first*: time in which this process stood still counts against nobody. Its clock for
 //!   the fleet stops with it, so that a broker that wakes does not declare dead all whose answers it slept through;
+//! - *who is not heard doubts itself first, too*: while nobody answers this broker, it declares nobody dead, up to a bound,
+//!   and once somebody does, it goes on without the opinions that it formed meanwhile: nobody could refute them;
 //! - *who was declared dead and is not comes back by itself*, under a later life, which wins over what is still told of
-//!   the former one.
+//!   the former one, and without its opinions, for the same reason.
 //!
 //! Messages go in and verdicts come out; who carries them is not known here.
 
 pub mod redial;
 
 use crate::interface::{Micros, Time};
-use foca::{AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification};
-use foca::{PeriodicParams, PostcardCodec};
+use foca::{AccumulatingRuntime, Codec, Config, Foca, Header, Identity, Message, NoCustomBroadcast};
+use foca::{OwnedNotification, PeriodicParams, PostcardCodec, State, Timer};
 use rand_xoshiro::rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use serde::{Deserialize, Serialize};
@@ -82,6 +84,12 @@
 const TRANSMISSIONS: u8 = 40;
 /// News is told to some others this often beside (microseconds).
 const GOSSIP: Micros = 200_000;
+/// A broker is not heard once nobody has answered it for so many probes, or for the time of a suspicion where that is
+/// shorter: a suspicion that it raised itself is older then, whoever else has failed.
+const UNHEARD: u64 = 4;
+/// While it is not heard, its verdicts wait for so many times of a suspicion at most. Guards fleets of two, and those that
+/// have lost all others: there nobody will ever answer. The others have declared dead by then who was only cut off.
+const HELD_BACK: u64 = 2;
 /// Who stands alone knocks at the seeds this often (microseconds), and members that were declared dead are told so as
 /// often, so that both sides of a cut find together.
 const KNOCK: Micros = 2_000_000;
@@ -125,13 +133,41 @@
 
 type Swim = Foca<Member, PostcardCodec, Xoshiro256PlusPlus, NoCustomBroadcast>;
 
+/// The library's state of a broker that knows nobody yet.
+fn swim(own: &Member, rules: Rules, seed: u64) -> Swim {
+    let length = Duration::from_micros;
+    let config = Config {
+        probe_period: length(rules.probe.max(2)),
+        probe_rtt: length(rules.patience.clamp(1, rules.probe.max(2) / 2)),
+        num_indirect_probes: NonZeroUsize::new(rules.helpers).unwrap_or(NonZeroUsize::MIN),
+        max_transmissions: NonZeroU8::new(TRANSMISSIONS).unwrap_or(NonZeroU8::MIN),
+        suspect_to_down_after: length(rules.suspicion.max(1)),
+        remove_down_after: Some(DEAD_FOR),
+        max_packet_size: NonZeroUsize::new(PACKET).unwrap_or(NonZeroUsize::MIN),
+        notify_down_members: true,
+        periodic_announce: None,
+        periodic_announce_to_down_members: None,
+        // What is new goes to some others beside the probes: a suspicion is refuted well before its end.
+        periodic_gossip: Some(PeriodicParams {
+            frequency: length(GOSSIP),
+            num_members: NonZeroUsize::new(KNOCKS).unwrap_or(NonZeroUsize::MIN),
+        }),
+    };
+    let dice = Xoshiro256PlusPlus::seed_from_u64(seed ^ own.life);
+    Foca::new(own.clone(), config, dice, PostcardCodec)
+}
+
 /// One broker's view of the fleet.
 pub struct Fleet {
     swim: Swim,
     own: Member,
     seeds: Vec<Member>,
+    rules: Rules,
+    seed: u64,
+    /// When somebody last answered this broker, on the fleet's clock.
+    answered: Time,
     /// What is due, by time on the fleet's clock, then in the order that it was asked for.
-    timers: BTreeMap<(Time, u64), foca::Timer<Member>>,
+    timers: BTreeMap<(Time, u64), Timer<Member>>,
     asked: u64,
     knock_at: Time,
     /// How long this process stood still in all: the fleet's clock is behind by so much.
@@ -144,28 +180,24 @@
     /// The view of `own`, which knows of these others; nothing is sent before the first [`Fleet::on_time`].
     #[must_use]
     pub fn new(now: Time, own: Member, seeds: Vec<Member>, rules: Rules, seed: u64) -> Fleet {
-        let length = Duration::from_micros;
-        let config = Config {
-            probe_period: length(rules.probe.max(2)),
-            probe_rtt: length(rules.patience.clamp(1, rules.probe.max(2) / 2)),
-            num_indirect_probes: NonZeroUsize::new(rules.helpers).unwrap_or(NonZeroUsize::MIN),
-            max_transmissions: NonZeroU8::new(TRANSMISSIONS).unwrap_or(NonZeroU8::MIN),
-            suspect_to_down_after: length(rules.suspicion.max(1)),
-            remove_down_after: Some(DEAD_FOR),
-            max_packet_size: NonZeroUsize::new(PACKET).unwrap_or(NonZeroUsize::MIN),
-            notify_down_members: true,
-            periodic_announce: None,
-            periodic_announce_to_down_members: None,
-            // What is new goes to some others beside the probes: a suspicion is refuted well before its end.
-            periodic_gossip: Some(PeriodicParams {
-                frequency: length(GOSSIP),
-                num_members: NonZeroUsize::new(KNOCKS).unwrap_or(NonZeroUsize::MIN),
-            }),
-        };
-        let swim = Foca::new(own.clone(), config, Xoshiro256PlusPlus::seed_from_u64(seed), PostcardCodec);
+        let swim = swim(&own, rules, seed);
         let seeds = seeds.into_iter().filter(|s| s.name != own.name).collect();
-        let (timers, alive) = (BTreeMap::new(), BTreeMap::new());
-        Fleet { swim, own, seeds, timers, asked: 0, knock_at: now, stood_still: 0, alive, refused: 0 }
+        let (timers, alive, answered) = (BTreeMap::new(), BTreeMap::new(), now);
+        let (knock_at, asked, stood_still, refused) = (now, 0, 0, 0);
+        Fleet {
+            swim,
+            own,
+            seeds,
+            rules,
+            seed,
+            answered,
+            timers,
+            asked,
+            knock_at,
+            stood_still,
+            alive,
+            refused,
+        }
     }
 
     /// This broker as others know it.
@@ -213,7 +245,11 @@
         }
         // What becomes due by what is done here waits for the next call: a call always ends.
         let later = self.timers.split_off(&(local.plus(1), 0));
-        for (_, timer) in std::mem::replace(&mut self.timers, later) {
+        for ((due, _), timer) in std::mem::replace(&mut self.timers, later) {
+            if matches!(timer, Timer::ChangeSuspectToDown { .. }) && self.is_held_back(local, due) {
+                self.set(local.plus(self.rules.probe), timer);
+                continue;
+            }
             let mut out = AccumulatingRuntime::new();
             // A timer of a probe that is over is none: the library says so by an error, and nothing is lost.
             let _ = self.swim.handle_timer(timer, &mut out);
@@ -222,6 +258,49 @@
         told
     }
 
+    fn set(&mut self, at: Time, timer: Timer<Member>) {
+        self.asked += 1;
+        self.timers.insert((at, self.asked), timer);
+    }
+
+    /// For how long nobody has answered once this broker is not heard.
+    fn unheard(&self) -> Micros {
+        (UNHEARD * self.rules.probe).min(self.rules.suspicion)
+    }
+
+    /// Whether a verdict has to wait since this broker is not heard, and not for too long yet. Guards the others against
+    /// a broker whose words are lost on the way: to it all look dead, and once it is heard again it would say so.
+    fn is_held_back(&self, local: Time, due: Time) -> bool {
+        let silence = local.since(self.answered);
+        let most = self.unheard() + (HELD_BACK + 1) * self.rules.suspicion;
+        due <= local && silence >= self.unheard() && silence < most
+    }
+
+    /// Somebody has answered this broker. Whom it suspected while it was not heard could not hear of it, so not refute it
+    /// either, and what was to be told of it has been said in vain: it has no opinions then.
+    fn on_answered(&mut self, local: Time, told: &mut Vec<Verdict>) {
+        if local.since(self.answered) >= self.unheard() {
+            self.begin_anew(local, told);
+        }
+        self.answered = local;
+    }
+
+    /// This broker goes on without its opinions: those that it believes alive are asked anew, and the seeds are knocked at.
+    fn begin_anew(&mut self, local: Time, told: &mut Vec<Verdict>) {
+        let known: Vec<foca::Member<Member>> = self
+            .swim
+            .iter_members()
+            .map(|m| foca::Member::new(m.id().clone(), m.incarnation(), State::Alive))
+            .collect();
+        self.swim = swim(&self.own, self.rules, self.seed);
+        self.timers.clear();
+        (self.knock_at, self.answered) = (local, local);
+        let mut out = AccumulatingRuntime::new();
+        // Nothing in it can be refused: it is what the library itself has told.
+        let _ = self.swim.apply_many(known.into_iter(), false, &mut out);
+        self.carry(local, &mut out, told);
+    }
+
     /// Says to the seeds that this broker is there: to all that are not believed alive, one after the other in time.
     fn knock(&mut self, local: Time, told: &mut Vec<Verdict>) {
         let absent: Vec<&Member> = self.seeds.iter().filter(|s| !self.alive.contains_key(&s.name)).collect();
@@ -246,6 +325,12 @@
             self.refused += 1;
         }
         self.carry(local, &mut out, &mut told);
+        let header: Result<Header<Member>, _> = PostcardCodec.decode_header(bytes);
+        let answers =
+            |m: &Message<_>| matches!(m, Message::Ack(_) | Message::ForwardedAck { .. } | Message::Feed);
+        if header.is_ok_and(|h| answers(&h.message)) {
+            self.on_answered(local, &mut told);
+        }
         told
     }
 
@@ -264,18 +349,28 @@
     }
 
     fn carry(&mut self, local: Time, out: &mut AccumulatingRuntime<Member>, told: &mut Vec<Verdict>) {
+        let notes: Vec<_> = std::iter::from_fn(|| out.to_notify()).collect();
+        let renewed = notes.iter().find_map(|note| match note {
+            OwnedNotification::Rejoin(member) => Some(member.clone()),
+            _ => None,
+        });
+        if let Some(member) = renewed {
+            // What the library would say under the new life holds the opinions of the former: it is not said.
+            self.own = member.clone();
+            told.push(Verdict::Renewed(member, Why::Buried));
+            return self.begin_anew(local, told);
+        }
         while let Some((after, timer)) = out.to_schedule() {
-            self.asked += 1;
-            self.timers.insert((local.plus(after.as_micros() as Micros), self.asked), timer);
+            self.set(local.plus(after.as_micros() as Micros), timer);
         }
         while let Some((to, bytes)) = out.to_send() {
             told.push(Verdict::Send(to, bytes.to_vec()));
         }
-        while let Some(note) = out.to_notify() {
+        for note in notes {
             match note {
                 OwnedNotification::MemberUp(member) => {
-                    self.alive.insert(member.name.clone(), member.clone());
-                    told.push(Verdict::Up(member, Why::Heard));
+                    let known = self.alive.insert(member.name.clone(), member.clone());
+                    told.extend((known.as_ref() != Some(&member)).then_some(Verdict::Up(member, Why::Heard)));
                 }
                 // Of a former life nobody has to hear that it is over.
                 OwnedNotification::MemberDown(member) if self.life_of(&member.name) <= Some(member.life) => {
@@ -286,10 +381,6 @@
                     self.alive.insert(member.name.clone(), member.clone());
                     told.push(Verdict::Up(member, Why::Reborn));
                 }
-                OwnedNotification::Rejoin(member) => {
-                    self.own = member.clone();
-                    told.push(Verdict::Renewed(member, Why::Buried));
-                }
                 _ => {}
             }
         }
--- a/src/decide/fleet/tests.rs
+++ b/src/decide/fleet/tests.rs
@@ -265,3 +265,40 @@
         assert!(world.agrees(), "offset {offset}");
     }
 }
+
+#[test]
+fn who_was_not_heard_for_a_while_spreads_no_death_of_others() {
+    let (mut bad, mut of_it) = (Vec::new(), 0);
+    for (seed, length) in (0..24).flat_map(|o| [2_200, 2_800, 3_400, 5_000, 9_000, 15_000].map(|ms| (o, ms)))
+    {
+        let mut world = World::new(9);
+        world.run((20 + seed) * SECOND + seed * 37_000);
+        assert!(world.agrees());
+        world.told.clear();
+        // What it says is lost, what others say comes; every third time nothing comes either.
+        let (from, until) = (world.now, world.now.plus(length * 1_000));
+        let both = seed % 3 == 0;
+        world.gets_through =
+            Box::new(move |now, by, to| now < from || now >= until || by != 4 && !(both && to == 4));
+        world.run(length * 1_000 + 20 * SECOND);
+        let deaths = world.told.iter().filter(|t| !t.3);
+        bad.extend(deaths.clone().filter(|t| t.1 != 4 && t.2 != "n4").map(|t| (seed, length, t.clone())));
+        of_it += deaths.filter(|t| t.2 == "n4").count();
+        assert!(world.agrees(), "{seed}, {length}");
+    }
+    let mut by: BTreeMap<(u64, bool), usize> = BTreeMap::new();
+    bad.iter().for_each(|b| *by.entry((b.1, b.0 % 3 == 0)).or_default() += 1);
+    assert!(bad.is_empty() && of_it > 100, "{} of others, {of_it} of it: {by:?}", bad.len());
+}
+
+#[test]
+fn one_of_two_is_missed_though_nobody_else_could_answer() {
+    let mut world = World::new(2);
+    world.run(20 * SECOND);
+    world.dead[1] = true;
+    let died = world.now;
+    world.run(20 * SECOND);
+    let told: Vec<Micros> = world.told.iter().filter(|t| !t.3).map(|t| t.0.since(died)).collect();
+    let most = Rules::default().suspicion * (HELD_BACK + 2) + 4 * Rules::default().probe;
+    assert!(told.len() == 1 && told[0] <= most, "{told:?}");
+}
