Move interface and duty into packages of their own

Need: the agreed log builds on the duties' grants and on nothing else of the broker, so both need a place below it.

Change: src/interface.rs becomes the package interface, src/decide/duty the package decide/duty; the broker re-exports both under their former names.

--- a/src/decide/duty/grants.rs
+++ b/decide/duty/src/grants.rs
@@ -3,7 +3,7 @@
 //! and that too is an entry, which counts only if no renewal has come before it in the log.
 
 use super::{Duty, FenceNumber, Holder, Terms};
-use crate::interface::Time;
+use lichenswitch_interface::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
--- a/src/decide/duty/hold.rs
+++ b/decide/duty/src/hold.rs
@@ -2,7 +2,7 @@
 //! else can yet.
 
 use super::{FenceNumber, Terms};
-use crate::interface::{Micros, Time};
+use lichenswitch_interface::{Micros, Time};
 use std::fmt;
 
 /// A lease is asked for anew when so much of it has passed, parts of a hundred: two more tries fit into the rest.
--- a/src/decide/duty/mod.rs
+++ b/decide/duty/src/lib.rs
@@ -12,12 +12,16 @@
 //!
 //! The first two keep two brokers from acting at once while clocks keep to the drift; the third keeps effects of an old
 //! holder from being taken where its own check came too late, whatever its clock did in between.
+//!
+//! It touches plain values alone: no clock, no wire.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod fence;
 pub mod grants;
 pub mod hold;
 
-use crate::interface::Micros;
+use lichenswitch_interface::Micros;
 use serde::{Deserialize, Serialize};
 
 /// Names a duty.
--- a/src/decide/duty/model.rs
+++ b/decide/duty/src/model.rs
@@ -7,7 +7,7 @@
 use super::grants::{Entry, Grants, Verdict as Told};
 use super::hold::{Hold, Verdict as May};
 use super::{Duty, FenceNumber, Holder, Terms};
-use crate::interface::Time;
+use lichenswitch_interface::Time;
 use stateright::{Checker, Model, Property};
 
 /// What is done wrongly, to see that the checker finds it.
--- a/src/interface.rs
+++ b/interface/src/lib.rs
@@ -2,6 +2,11 @@
 //!
 //! The words are those of the field: a *query* is split into *parts*, one for each *shard*; any *replica*
 //! of a shard can answer a part; each send of a part is an *attempt* with one *outcome*.
+//!
+//! It owns these types and their defaults, and promises that they hold no state that changes by itself. It touches nothing
+//! else: the module, the core and every package of `decide` may use it.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 /// A point on the caller's clock, in microseconds. The clock only moves forward.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,7 +2,7 @@
 //! their reasons come out; time is an argument.
 
 pub mod descriptors;
-pub mod duty;
+pub use lichenswitch_duty as duty;
 pub mod fleet;
 pub mod membership;
 pub mod phases;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod discovery;
 pub mod front;
 pub mod http;
-pub mod interface;
+pub use lichenswitch_interface as interface;
 pub mod inventory;
 pub mod net;
 pub mod peer;
