--- /dev/null
+++ b/decide/agree/src/genesis.rs
@@ -0,0 +1,218 @@
+//! Who the voters are. A voter is its name and its memory: one whose memory is lost is another one, and what it promised
+//! under the former is not known to it any more. So each draws an identity when it begins without memory, keeps it, and tells
+//! it to the others; the first that has heard of all of them names them in a genesis, which never changes. Whoever
+//! comes with another identity than the genesis names does not vote.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// A voter with its memory.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Identity {
+    /// The broker's name.
+    pub name: String,
+    /// Drawn when its memory began; not 0.
+    pub memory: u64,
+}
+
+/// The voters of a fleet, by name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Genesis(Vec<Identity>);
+
+impl Genesis {
+    /// The voters.
+    #[must_use]
+    pub fn voters(&self) -> &[Identity] {
+        &self.0
+    }
+
+    /// Tells one genesis from another (FNV-1a, 64 bits, of names and memories).
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let bytes = self.0.iter().flat_map(|v| v.name.bytes().chain([0]).chain(v.memory.to_be_bytes()));
+        bytes.fold(0xcbf2_9ce4_8422_2325, |hash, b| (hash ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+    }
+}
+
+/// What a voter says of itself to the others until all have begun.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Who {
+    /// It.
+    pub identity: Identity,
+    /// The genesis that it goes by, if it has begun.
+    pub begun: Option<Genesis>,
+}
+
+/// Whether a voter votes, and why not.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It has not heard of all the others yet: of these.
+    Waits(Vec<String>),
+    /// It is one of the genesis.
+    Named,
+    /// The fleet has begun with another memory of it: it does not vote.
+    Forgot(Identity),
+    /// The fleet has begun without one of its name.
+    Unnamed,
+}
+
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Why::Waits(names) => write!(f, "nothing was heard yet of {}", names.join(", ")),
+            Why::Named => f.write_str("it is one of the voters"),
+            Why::Forgot(was) => {
+                write!(f, "the fleet knows {} by another memory: this one does not vote", was.name)
+            }
+            Why::Unnamed => f.write_str("the fleet has begun without it: it does not vote"),
+        }
+    }
+}
+
+/// One voter's way to the genesis.
+#[derive(Clone, Debug)]
+pub struct Gather {
+    own: Identity,
+    heard: BTreeMap<String, Option<Identity>>,
+    begun: Option<Genesis>,
+    why: Why,
+}
+
+impl Gather {
+    /// The voter `own` of those named, which the operators' file names; `begun`: the genesis that it has kept.
+    ///
+    /// ```
+    /// use lichenswitch_agree::genesis::{Gather, Identity, Why};
+    /// let own = |name: &str, memory| Identity { name: name.into(), memory };
+    /// let names: Vec<String> = ["a", "b", "c"].map(Into::into).into();
+    /// let mut a = Gather::new(own("a", 1), &names, None);
+    /// let mut b = Gather::new(own("b", 2), &names, None);
+    /// let c = Gather::new(own("c", 3), &names, None);
+    /// assert!(!a.on_who(&b.who()), "one is missing");
+    /// assert!(a.on_who(&c.who()), "it has just begun");
+    /// assert!(b.on_who(&a.who()) && b.genesis() == a.genesis());
+    /// // c comes back without its memory: it is another one.
+    /// let mut c = Gather::new(own("c", 4), &names, None);
+    /// assert!(!c.on_who(&a.who()));
+    /// assert_eq!(c.why(), &Why::Forgot(own("c", 3)));
+    /// ```
+    #[must_use]
+    pub fn new(own: Identity, names: &[String], begun: Option<Genesis>) -> Gather {
+        let mut heard: BTreeMap<String, Option<Identity>> = names.iter().map(|n| (n.clone(), None)).collect();
+        heard.insert(own.name.clone(), Some(own.clone()));
+        let mut gather = Gather { own, heard, begun: None, why: Why::Waits(Vec::new()) };
+        match begun {
+            Some(genesis) => drop(gather.adopt(&genesis)),
+            None => drop(gather.complete()),
+        }
+        gather
+    }
+
+    /// What it says of itself.
+    #[must_use]
+    pub fn who(&self) -> Who {
+        Who { identity: self.own.clone(), begun: self.begun.clone() }
+    }
+
+    /// The genesis by which it votes, if it does.
+    #[must_use]
+    pub fn genesis(&self) -> Option<&Genesis> {
+        self.begun.as_ref()
+    }
+
+    /// Whether it votes, or why not.
+    #[must_use]
+    pub fn why(&self) -> &Why {
+        &self.why
+    }
+
+    /// Another voter has said who it is. `true`: this one votes from now on, once it has kept the genesis.
+    pub fn on_who(&mut self, who: &Who) -> bool {
+        if self.begun.is_some() {
+            return false;
+        }
+        if let Some(genesis) = &who.begun {
+            return self.adopt(genesis);
+        }
+        if let Some(place) = self.heard.get_mut(&who.identity.name) {
+            *place = Some(who.identity.clone());
+        }
+        // Guards against a second genesis: who knows that the fleet has begun without it gathers no other.
+        matches!(self.why, Why::Waits(_)) && self.complete()
+    }
+
+    fn adopt(&mut self, genesis: &Genesis) -> bool {
+        let named = genesis.0.iter().find(|v| v.name == self.own.name);
+        self.why = match named {
+            Some(v) if *v == self.own => Why::Named,
+            Some(v) => Why::Forgot(v.clone()),
+            None => Why::Unnamed,
+        };
+        if self.why == Why::Named {
+            self.begun = Some(genesis.clone());
+        }
+        self.begun.is_some()
+    }
+
+    fn complete(&mut self) -> bool {
+        let missing = self.heard.iter().filter(|(_, heard)| heard.is_none()).map(|(name, _)| name.clone());
+        let missing: Vec<String> = missing.collect();
+        if !missing.is_empty() {
+            self.why = Why::Waits(missing);
+            return false;
+        }
+        let genesis = Genesis(self.heard.values().flatten().cloned().collect());
+        self.adopt(&genesis)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn identity(name: &str, memory: u64) -> Identity {
+        Identity { name: name.into(), memory }
+    }
+
+    fn names() -> Vec<String> {
+        ["a", "b", "c"].map(Into::into).into()
+    }
+
+    #[test]
+    fn all_come_to_one_genesis_in_whatever_order_they_hear_of_each_other() {
+        for order in 0..64usize {
+            let mut all: Vec<Gather> = (0..3)
+                .map(|i| Gather::new(identity(["a", "b", "c"][i], i as u64 + 1), &names(), None))
+                .collect();
+            let mut chance = order as u64;
+            for _ in 0..100 {
+                chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                let (to, from) = ((chance >> 33) as usize % 3, (chance >> 40) as usize % 3);
+                let who = all[from].who();
+                all[to].on_who(&who);
+            }
+            assert!(all.iter().all(|g| g.genesis().is_some() && g.genesis() == all[0].genesis()), "{order}");
+        }
+    }
+
+    #[test]
+    fn who_has_forgotten_votes_neither_in_the_old_genesis_nor_in_another_one() {
+        let mut all =
+            [("a", 1), ("b", 2), ("c", 3)].map(|(n, m)| Gather::new(identity(n, m), &names(), None));
+        let whos = [0, 1, 2].map(|i| all[i].who());
+        assert!(whos[1..].iter().fold(false, |_, who| all[0].on_who(who)));
+        let mut late = Gather::new(identity("b", 9), &names(), None);
+        assert!(!late.on_who(&all[0].who()));
+        assert_eq!(late.why().to_string(), "the fleet knows b by another memory: this one does not vote");
+        assert!(
+            !late.on_who(&whos[0]) && !late.on_who(&whos[2]) && late.genesis().is_none(),
+            "no second one"
+        );
+        let mut stranger = Gather::new(identity("d", 4), &names(), None);
+        assert!(!stranger.on_who(&all[0].who()) && stranger.why() == &Why::Unnamed);
+        // With its memory it comes back as it was, though nobody else is there.
+        let back = Gather::new(identity("a", 1), &names(), all[0].genesis().cloned());
+        assert_eq!(back.genesis(), all[0].genesis());
+    }
+}
--- a/decide/duty/src/grants.rs
+++ b/decide/duty/src/grants.rs
@@ -65,6 +65,14 @@
     learnt: Time,
 }
 
+/// What is granted, without what a voter's clock has to do with it: the same at all voters that have applied as much of
+/// the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Told {
+    last: FenceNumber,
+    held: Vec<(Duty, Holder, FenceNumber, u64)>,
+}
+
 /// What is granted, as one voter knows it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Grants {
@@ -83,6 +91,33 @@
         }
     }
 
+    /// What is granted, to be told to a voter that was away.
+    ///
+    /// ```
+    /// use lichenswitch_duty::{grants::{Entry, Grants}, Duty, Holder};
+    /// use lichenswitch_interface::Time;
+    /// let mut grants = Grants::default();
+    /// let (duty, holder) = (Duty("d".into()), Holder { name: "a".into(), life: 1 });
+    /// grants.on_entry(Time(5), &Entry::Ask(duty.clone(), holder.clone()));
+    /// let back = Grants::from_told(Time(9_000), &grants.told());
+    /// assert_eq!(back.holder(&duty), grants.holder(&duty));
+    /// ```
+    #[must_use]
+    pub fn told(&self) -> Told {
+        let line = |(duty, g): (&Duty, &Grant)| (duty.clone(), g.to.clone(), g.fence, g.renewals);
+        Told { last: self.last, held: self.held.iter().map(line).collect() }
+    }
+
+    /// The grants of a voter that learns of all of them now: it waits for the end of each lease from here on, so no
+    /// shorter than one that was there.
+    #[must_use]
+    pub fn from_told(now: Time, told: &Told) -> Grants {
+        let grant = |(duty, to, fence, renewals): &(Duty, Holder, FenceNumber, u64)| {
+            (duty.clone(), Grant { to: to.clone(), fence: *fence, renewals: *renewals, learnt: now })
+        };
+        Grants { last: told.last, held: told.held.iter().map(grant).collect() }
+    }
+
     fn ask(&mut self, now: Time, duty: &Duty, by: &Holder) -> Verdict {
         let why = match self.held.get_mut(duty) {
             Some(grant) if grant.to == *by => {
