Join the voters' log to the brokers' talk, and grant leases of a duty by it

Need: leases and fences were tested and used by nothing; a fleet could not yet decide who may do what only one may.

Change: src/peer/council.rs brings decide::agree to the talk: voters find their genesis, keep before they speak, vote; any broker asks them in turn for the duties that the operators' file names (peers.voters, folder, duties, lease_ms), checks its own lease and gives it back at a stop. standins::rig has a checker of holders, lab an experiment with faults from a seed.

Kept::get_entries gives nothing beyond what the storage knows to be decided; without that line two tests in virtual time fail, which now compare the grants of all voters too. Voters' numbers in the library are their places in the genesis: it allocates a table up to the greatest.

--- a/decide/agree/src/kept.rs
+++ b/decide/agree/src/kept.rs
@@ -59,13 +59,25 @@
     pub fn from_records(records: &[Record]) -> Result<Kept, String> {
         let mut kept = Kept::default();
         for (place, record) in records.iter().enumerate() {
-            let changes: Vec<Change> = postcard::from_bytes(&record.0)
-                .map_err(|_| format!("record {} of {} can't be read", place + 1, records.len()))?;
-            changes.into_iter().for_each(|change| kept.apply(change));
+            let known = kept.extend(record);
+            known.map_err(|()| format!("record {} of {} can't be read", place + 1, records.len()))?;
         }
         Ok(kept)
     }
 
+    /// Applies a record that is kept already.
+    pub(crate) fn extend(&mut self, record: &Record) -> Result<(), ()> {
+        let changes: Vec<Change> = postcard::from_bytes(&record.0).map_err(|_| ())?;
+        changes.into_iter().for_each(|change| self.apply(change));
+        Ok(())
+    }
+
+    /// Records that are still to be kept.
+    #[must_use]
+    pub fn take_records(&self) -> Vec<Record> {
+        take(&self.journal)
+    }
+
     /// The identity under which it was kept.
     #[must_use]
     pub fn identity(&self) -> Option<&Identity> {
@@ -200,6 +212,10 @@
     }
 
     fn get_entries(&self, from: usize, to: usize) -> StorageResult<Vec<Entry>> {
+        // Guards the state: where a voter is sent what it lacks as a difference, the library (0.2.4) asks for its own decided
+        // entries by the index that will be decided then, before it writes that. What is not decided is no part of a
+        // state, and entries are asked for one by one nowhere else before they are decided.
+        let to = to.min(self.decided);
         let at = |index: usize| index.checked_sub(self.trimmed);
         let range = at(from).zip(at(to)).and_then(|(from, to)| self.log.get(from..to));
         Ok(range.map(<[Entry]>::to_vec).unwrap_or_default())
--- a/decide/agree/src/voter.rs
+++ b/decide/agree/src/voter.rs
@@ -52,10 +52,18 @@
     }
 }
 
+/// What the library calls a voter: its place in the genesis, from 1. It keeps a table up to the greatest of these numbers, so
+/// a memory's own number would not do.
+fn place(genesis: &Genesis, voter: &Identity) -> u64 {
+    1 + genesis.voters().iter().position(|v| v == voter).unwrap_or_default() as u64
+}
+
 /// One voter.
 pub struct Voter {
     paxos: OmniPaxos<Entry, Kept>,
     journal: Journal,
+    /// What has been kept so far.
+    memory: Kept,
     genesis: Genesis,
     own: Identity,
     terms: Terms,
@@ -84,21 +92,22 @@
         let config = OmniPaxosConfig {
             cluster_config: ClusterConfig {
                 configuration_id: 1,
-                nodes: genesis.voters().iter().map(|v| v.memory).collect(),
+                nodes: (1..=genesis.voters().len() as u64).collect(),
                 flexible_quorum: None,
             },
             server_config: ServerConfig {
-                pid: own.memory,
+                pid: place(&genesis, &own),
                 election_tick_timeout: ELECTION_TICKS,
                 resend_message_tick_timeout: RESEND_TICKS,
                 ..ServerConfig::default()
             },
         };
-        let journal = kept.journal();
+        let (journal, memory) = (kept.journal(), kept.clone());
         let paxos = config.build(kept).map_err(|e| format!("voters: {e:?}"))?;
         let mut voter = Voter {
             paxos,
             journal,
+            memory,
             genesis,
             own,
             terms,
@@ -126,6 +135,12 @@
         self.applied
     }
 
+    /// All that it has told to keep so far, as one record.
+    #[must_use]
+    pub fn memory(&self) -> Record {
+        self.memory.whole()
+    }
+
     /// Its genesis.
     #[must_use]
     pub fn genesis(&self) -> &Genesis {
@@ -171,14 +186,14 @@
     /// A message of another voter has come.
     pub fn on_message(&mut self, now: Time, bytes: &[u8]) -> Vec<Verdict> {
         let read: Result<(u64, Message<Entry>), _> = postcard::from_bytes(bytes);
-        let (voters, own) = (self.genesis.voters(), self.own.memory);
-        // Guards the log: a word of another genesis, or of a voter that has forgotten, is about another log.
+        let (voters, own) = (self.genesis.voters().len() as u64, place(&self.genesis, &self.own));
+        // Guards the log: a word of another genesis is about another log, and who has forgotten has none to speak by.
         match read {
             Ok((digest, message))
                 if digest == self.genesis.digest()
                     && message.get_receiver() == own
                     && message.get_sender() != own
-                    && voters.iter().any(|v| v.memory == message.get_sender()) =>
+                    && (1..=voters).contains(&message.get_sender()) =>
             {
                 self.paxos.handle_incoming(message);
             }
@@ -190,7 +205,7 @@
     /// A connection to or from another voter is there again after it was lost: what was on its way may be missing.
     pub fn on_reconnected(&mut self, now: Time, name: &str) -> Vec<Verdict> {
         if let Some(voter) = self.genesis.voters().iter().find(|v| v.name == name && **v != self.own) {
-            self.paxos.reconnected(voter.memory);
+            self.paxos.reconnected(place(&self.genesis, voter));
         }
         self.told(now)
     }
@@ -233,23 +248,31 @@
         told
     }
 
+    /// The voter at a place of the genesis, from 1.
+    fn at(&self, place: u64) -> Option<&Identity> {
+        self.genesis.voters().get((place as usize).checked_sub(1)?)
+    }
+
     fn told(&mut self, now: Time) -> Vec<Verdict> {
         let learnt = self.learn(now);
         let mut out = Vec::new();
         self.paxos.take_outgoing_messages(&mut out);
         let records = take(&self.journal);
+        for record in &records {
+            // It was written a moment ago.
+            let _ = self.memory.extend(record);
+        }
         let mut told = Vec::new();
         told.extend((!records.is_empty()).then_some(Verdict::Keep(records)));
         let digest = self.genesis.digest();
         for message in out {
-            let to = self.genesis.voters().iter().find(|v| v.memory == message.get_receiver());
+            let to = self.at(message.get_receiver());
             let bytes = postcard::to_stdvec(&(digest, &message)).ok();
             told.extend(to.zip(bytes).map(|(to, bytes)| Verdict::Send(to.clone(), bytes)));
         }
         told.extend(learnt);
         let number = self.paxos.get_promise().n;
-        let leads = self.paxos.get_current_leader().map(|(memory, _)| memory);
-        let leads = self.genesis.voters().iter().find(|v| Some(v.memory) == leads).cloned();
+        let leads = self.paxos.get_current_leader().and_then(|(place, _)| self.at(place)).cloned();
         if let Some(leads) =
             leads.filter(|l| self.leader.as_ref().is_none_or(|(who, n)| who != l || *n != number))
         {
--- a/decide/agree/src/voter/tests.rs
+++ b/decide/agree/src/voter/tests.rs
@@ -42,7 +42,7 @@
 impl World {
     fn new(count: usize, seed: u64) -> World {
         let names: Vec<String> = (0..count).map(name).collect();
-        let identity = |i: usize| Identity { name: name(i), memory: 100 + i as u64 };
+        let identity = |i: usize| Identity { name: name(i), memory: u64::MAX / 2 + i as u64 };
         let mut gathers: Vec<Gather> = (0..count).map(|i| Gather::new(identity(i), &names, None)).collect();
         let whos: Vec<_> = gathers.iter().map(Gather::who).collect();
         let mut disks = Vec::new();
@@ -177,7 +177,9 @@
     fn agree(&self) -> bool {
         let all = (0..self.voters.len()).filter(|i| self.voters[*i].is_some()).map(|i| self.decided[i]);
         let all: Vec<usize> = all.collect();
-        self.differ == 0 && all.iter().all(|d| *d == all[0])
+        // And what follows from it is the same, whether it came by entries or by snapshots.
+        let grants: Vec<_> = self.voters.iter().flatten().map(|v| v.grants().told()).collect();
+        self.differ == 0 && all.iter().all(|d| *d == all[0]) && grants.iter().all(|g| *g == grants[0])
     }
 }
 
@@ -352,8 +354,8 @@
     }
     assert_eq!(voter.refused(), 200);
     let message = Message::<Entry>::BLE(omnipaxos::messages::ballot_leader_election::BLEMessage {
-        from: 101,
-        to: 100,
+        from: 2,
+        to: 1,
         msg: omnipaxos::messages::ballot_leader_election::HeartbeatMsg::Request(
             omnipaxos::messages::ballot_leader_election::HeartbeatRequest { round: 1 },
         ),
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod council;
 pub mod fleet;
 pub mod members;
 pub mod node;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Args, Parser, Subcommand};
-use lichenswitch_lab::{fleet, members, replay, scale, two_phase};
+use lichenswitch_lab::{council, fleet, members, replay, scale, two_phase};
 use serde::Serialize;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -27,6 +27,8 @@
     Members(Common),
     /// A fleet of processes with faults between them.
     Fleet(FleetArgs),
+    /// Voters and holders of a duty as processes, with faults between them.
+    Council(FleetArgs),
 }
 
 #[derive(Args)]
@@ -39,6 +41,9 @@
     /// How many of it.
     #[arg(long, default_value_t = 9, value_parser = clap::value_parser!(u64).range(2..=60))]
     brokers: u64,
+    /// How many of them vote, where they do.
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(3..=7))]
+    voters: u64,
     /// Faults, one after the other.
     #[arg(long, default_value_t = 12)]
     faults: usize,
@@ -128,6 +133,14 @@
             }
             write(&common, &all)
         }
+        Experiment::Council(args) => {
+            let (seed, brokers, voters) = (args.common.seed, args.brokers as usize, args.voters as usize);
+            let ran = council::run(&args.program, seed, brokers, voters, args.faults, args.ledger.as_deref());
+            ran.and_then(|report| {
+                println!("{report:#?}");
+                write(&args.common, &report)
+            })
+        }
         Experiment::Fleet(args) => {
             let (seed, brokers) = (args.common.seed, args.brokers as usize);
             let ran = fleet::run(&args.program, seed, brokers, args.faults, args.ledger.as_deref());
--- a/src/config/peers.rs
+++ b/src/config/peers.rs
@@ -1,18 +1,28 @@
 //! The section `peers` of the operators' file: brokers' talk. Without it there is none.
 
 use super::{address, Operators, Platform};
+use crate::decide::duty::Terms;
 use crate::decide::fleet::{Member, Rules};
 use crate::interface::Micros;
+use crate::peer::council;
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// Longest name of a cluster, broker or zone, in bytes: they travel with messages.
 const NAME: usize = 64;
 /// Bounds of the times, milliseconds.
 const PROBE: (u64, u64) = (20, 60_000);
 const SUSPICION: (u64, u64) = (100, 600_000);
+const LEASE: (u64, u64) = (500, 600_000);
+/// How many voters there may be: one of three may fail, three of seven.
+const VOTERS: (usize, usize) = (3, 7);
+/// Default lease (microseconds), and how far clocks may be off, millionths: two hundred times what crystals are, since
+/// clocks of virtual machines are slewed.
+const USUAL_LEASE: Micros = 3_000_000;
+const DRIFT: u64 = 20_000;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -31,6 +41,14 @@
     probe_ms: Option<Spanned<u64>>,
     #[serde(default)]
     suspicion_ms: Option<Spanned<u64>>,
+    #[serde(default)]
+    voters: Vec<Spanned<String>>,
+    #[serde(default)]
+    folder: Option<Spanned<String>>,
+    #[serde(default)]
+    duties: Vec<Spanned<String>>,
+    #[serde(default)]
+    lease_ms: Option<Spanned<u64>>,
 }
 
 #[derive(Deserialize)]
@@ -57,6 +75,8 @@
     pub rules: Rules,
     /// For random numbers.
     pub seed: u64,
+    /// The voters' log and the duties; `None`: no voters are named.
+    pub council: Option<council::Rules>,
 }
 
 impl Peers {
@@ -145,7 +165,47 @@
             return Err(fault(line, "suspicion_ms", &why));
         }
         let patience = usual.patience * probe / usual.probe;
+        let lease = time(&read.lease_ms, "lease_ms", LEASE, USUAL_LEASE)?;
+        let names = |told: &[Spanned<String>], key: &str| {
+            let mut names: Vec<String> = Vec::new();
+            for name in told {
+                let line = name.referenced.line();
+                let name = named(name, key)?;
+                if names.contains(&name) {
+                    return Err(fault(line, key, &format!("{name:?} is there twice")));
+                }
+                names.push(name);
+            }
+            Ok(names)
+        };
+        let (voters, duties) = (names(&read.voters, "voters")?, names(&read.duties, "duties")?);
+        let folder = read.folder.as_ref().map(|told| match told.value.trim() {
+            "" => Err(fault(told.referenced.line(), "folder", "it names no folder")),
+            path => Ok(PathBuf::from(path)),
+        });
+        let folder = folder.transpose()?;
+        let first = read.voters.first().map_or(0, |v| v.referenced.line());
+        if !voters.is_empty() && !(VOTERS.0..=VOTERS.1).contains(&voters.len()) {
+            let why = format!("{} are named, {} to {} can agree", voters.len(), VOTERS.0, VOTERS.1);
+            return Err(fault(first, "voters", &why));
+        }
+        let knows = |name: &String| *name == own.name || known.iter().any(|m| m.name == *name);
+        if let Some((name, told)) = voters.iter().zip(&read.voters).find(|(name, _)| !knows(name)) {
+            let why = format!("{name:?} is not among known: nobody could find it");
+            return Err(fault(told.referenced.line(), "voters", &why));
+        }
+        if voters.is_empty() {
+            let orphan =
+                read.duties.first().map(|d| (d, "duties")).or(read.folder.as_ref().map(|f| (f, "folder")));
+            if let Some((told, key)) = orphan {
+                let why = "there are no voters to agree on anything: name three to seven";
+                return Err(fault(told.referenced.line(), key, why));
+            }
+        }
+        let terms = Terms { lease, drift: DRIFT };
+        let council = (!voters.is_empty()).then_some(council::Rules { voters, folder, duties, terms });
         Ok(Some(Peers {
+            council,
             cluster: named(&read.cluster, "cluster")?,
             listen,
             own,
@@ -204,6 +264,24 @@
                 "f.yaml:6: suspicion_ms: 900 ms is less than two probes",
             ),
             ("  zone: a\n", "", "zone: missing, and so is NODE_CONFIG"),
+            (
+                "  zone: a\n",
+                "  zone: a\n  voters: [n0, n1]\n",
+                "f.yaml:6: voters: 2 are named, 3 to 7 can agree",
+            ),
+            (
+                "  zone: a\n",
+                "  zone: a\n  voters: [n0, n1, n9]\n",
+                "f.yaml:6: voters: \"n9\" is not among known: nobody could find it",
+            ),
+            ("  zone: a\n", "  zone: a\n  voters: [n0, n1, n1]\n", "f.yaml:6: voters: \"n1\" is there twice"),
+            ("  zone: a\n", "  zone: a\n  duties: [d]\n", "f.yaml:6: duties: there are no voters to agree"),
+            ("  zone: a\n", "  zone: a\n  folder: \"\"\n", "f.yaml:6: folder: it names no folder"),
+            (
+                "  zone: a\n",
+                "  zone: a\n  lease_ms: 5\n",
+                "f.yaml:6: lease_ms: 5 is not within 500 to 600000",
+            ),
             ("  zone: a\n", "  zone: a\n  colour: red\n", "f.yaml:6: "),
         ];
         for (from, to, why) in cases {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,7 @@
 //! their reasons come out; time is an argument.
 
 pub mod descriptors;
+pub use lichenswitch_agree as agree;
 pub use lichenswitch_duty as duty;
 pub mod fleet;
 pub mod membership;
--- a/src/peer/company.rs
+++ b/src/peer/company.rs
@@ -1,7 +1,9 @@
 //! The company of other brokers: brokers' talk and the view of the fleet that it carries, for the broker's loop.
 
-use super::{Heard, Talk, MOST};
+use super::council::{Council, Words};
+use super::{Heard, Talk, What, MOST};
 use crate::config::Peers;
+use crate::decide::duty::Holder;
 use crate::decide::fleet::{Fleet, Member, Verdict};
 use crate::interface::Time;
 use crate::net::{ConnId, Net, Owner};
@@ -10,6 +12,10 @@
 pub struct Company {
     talk: Talk,
     fleet: Fleet,
+    /// The voters' log and the duties, where the operators' file names voters.
+    council: Option<Council>,
+    /// Peers that the file names.
+    known: Vec<Member>,
     log: Vec<String>,
 }
 
@@ -17,7 +23,7 @@
     /// A broker that listens for others already; tells where in its log.
     ///
     /// # Errors
-    /// When the address can't be listened on.
+    /// When the address can't be listened on, or the folder can't be used.
     pub fn new(net: &mut Net, told: Peers) -> Result<Company, String> {
         let now = net.clock.now();
         let own = Member { life: now.0, ..told.own.clone() };
@@ -30,21 +36,26 @@
         let seed = told.seed ^ own.life;
         let talk = Talk::new(now, told.cluster.clone(), own.clone(), ways, seed);
         let line = format!("peers: {} of {} in cluster {} listens on {at}", own.name, own.zone, told.cluster);
-        let fleet = Fleet::new(now, own, told.known, told.rules, seed);
-        Ok(Company { talk, fleet, log: vec![line] })
+        let holder = Holder { name: own.name.clone(), life: own.life };
+        let council =
+            told.council.map(|rules| Council::new(now, &told.cluster, holder, rules)).transpose()?;
+        let fleet = Fleet::new(now, own, told.known.clone(), told.rules, seed);
+        Ok(Company { talk, fleet, council, known: told.known, log: vec![line] })
     }
 
     /// Log lines since the last time.
     pub fn take_log(&mut self) -> Vec<String> {
         let mut lines = self.talk.take_log();
         lines.append(&mut self.log);
+        lines.extend(self.council.iter_mut().flat_map(Council::take_log));
         lines
     }
 
     /// When [`Company::on_time`] is to be called next.
     #[must_use]
     pub fn next(&self) -> Time {
-        self.talk.next().min(self.fleet.next())
+        let council = self.council.as_ref().map_or(Time(u64::MAX), Council::next);
+        self.talk.next().min(self.fleet.next()).min(council)
     }
 
     /// Does what is due. To be called before what is ready is read: messages that had to wait since this process stood
@@ -59,6 +70,10 @@
             let heard = self.talk.on_time(net);
             self.hear(net, heard);
         }
+        if let Some(council) = self.council.as_mut().filter(|c| c.next() <= now) {
+            let words = council.on_time(now);
+            self.pass_on(net, words);
+        }
     }
 
     /// Peers wait to be accepted.
@@ -75,14 +90,42 @@
 
     /// This broker stops: the others are told.
     pub fn on_stop(&mut self, net: &mut Net) {
-        let told = self.fleet.on_stop(net.clock.now());
+        let now = net.clock.now();
+        let words = self.council.as_mut().map(|c| c.on_stop(now)).unwrap_or_default();
+        self.pass_on(net, words);
+        let told = self.fleet.on_stop(now);
         self.carry(net, told);
     }
 
+    /// Says the council's words to those whom they are for.
+    fn pass_on(&mut self, net: &mut Net, words: Words) {
+        for (name, bytes) in words {
+            let known = self.fleet.alive().get(&name).or_else(|| self.known.iter().find(|m| m.name == name));
+            // Of whom nothing is known, nobody waits: the log says it again.
+            if let Some(to) = known.cloned() {
+                self.talk.say_council(net, &to, bytes);
+            }
+        }
+    }
+
     fn hear(&mut self, net: &mut Net, heard: Vec<Heard>) {
-        for word in heard {
-            let told = self.fleet.on_message(net.clock.now(), &word.bytes);
-            self.carry(net, told);
+        for Heard { from, what } in heard {
+            let now = net.clock.now();
+            match (what, &mut self.council) {
+                (What::Fleet(bytes), _) => {
+                    let told = self.fleet.on_message(now, &bytes);
+                    self.carry(net, told);
+                }
+                (What::Council(bytes), Some(council)) => {
+                    let words = council.on_word(now, &from.name, &bytes);
+                    self.pass_on(net, words);
+                }
+                (What::Greeting, Some(council)) => {
+                    let words = council.on_way(now, &from.name);
+                    self.pass_on(net, words);
+                }
+                (What::Council(_) | What::Greeting, None) => {}
+            }
         }
     }
 
--- /dev/null
+++ b/src/peer/council.rs
@@ -0,0 +1,449 @@
+//! The council: the voters' agreed log over the talk, and the duties that this broker would like to hold.
+//!
+//! It owns the voter's file, the asks that wait for an answer, and what this broker holds. It promises: nothing is said
+//! before what it rests on is kept, a broker that can't keep does not vote, and whether it holds a duty is asked of its
+//! own lease each time. It decides nothing itself: `decide::agree` and `decide::duty` do.
+
+use crate::decide::agree::genesis::{Gather, Identity, Who, Why};
+use crate::decide::agree::kept::{Kept, Record};
+use crate::decide::agree::state::Entry;
+use crate::decide::agree::{Verdict, Voter};
+use crate::decide::duty::grants::{Entry as Grant, Verdict as Granted};
+use crate::decide::duty::hold::{Hold, Verdict as May};
+use crate::decide::duty::{Duty, FenceNumber, Holder, Terms};
+use crate::interface::{Micros, Time};
+use lichenswitch_keep::Keep;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+/// Voters that have not begun say who they are this often (microseconds).
+const GATHER: Micros = 500_000;
+/// How often it looks at what it holds (microseconds): a lease that runs out is told so soon after it has.
+const LOOK: Micros = 25_000;
+/// Whoever was refused a duty asks again after this many hundredths of a lease.
+const REFUSED: u64 = 30;
+/// Asks of others that wait for the log, at most, and for how many leases: whoever asked has asked again by then.
+const WAITING: usize = 256;
+const WAITS: u64 = 2;
+
+/// How the council is held, as the operators' file says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rules {
+    /// The voters, by name.
+    pub voters: Vec<String>,
+    /// Where this broker keeps its memory, if it votes; `None`: in the process alone.
+    pub folder: Option<PathBuf>,
+    /// Duties that this broker would like to hold.
+    pub duties: Vec<String>,
+    /// How long leases last.
+    pub terms: Terms,
+}
+
+/// What one broker's council says to another's.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Said {
+    /// Who a voter is.
+    Who(Who),
+    /// A message of the log.
+    Log(Vec<u8>),
+    /// Its sender asks for a duty; the number comes back with the answer.
+    Ask(Duty, Holder, u64),
+    /// The log's answer: under which fence it is granted, if it is.
+    Answer(Duty, u64, Option<FenceNumber>),
+    /// By what its sender knows, which may be old, somebody else holds it: nothing was entered.
+    Elsewhere(Duty),
+    /// Its sender gives a duty back.
+    GiveBack(Duty, FenceNumber),
+}
+
+/// Words for others, by name.
+pub type Words = Vec<(String, Vec<u8>)>;
+
+/// Whether this broker votes.
+enum Seat {
+    /// It is none of the voters.
+    Reader,
+    /// It waits for the genesis.
+    Gathers(Box<(Gather, Kept)>),
+    /// It votes.
+    Votes(Box<Voter>),
+    /// It does not, though it is named.
+    Abstains,
+}
+
+struct Holding {
+    hold: Hold,
+    /// Not asked for before this.
+    not_before: Time,
+    /// The fence under which it was held at the last look.
+    held: Option<FenceNumber>,
+}
+
+/// One broker in the council.
+pub struct Council {
+    own: Holder,
+    rules: Rules,
+    seat: Seat,
+    keep: Option<Keep>,
+    holdings: BTreeMap<Duty, Holding>,
+    /// Asks that were put into the log here: whose, by which number, from whom, when.
+    asks: Vec<(Duty, Holder, u64, String, Time)>,
+    /// The voter that is asked next.
+    asked: usize,
+    gather_at: Time,
+    look_at: Time,
+    log: Vec<String>,
+}
+
+fn words(to: &str, said: &Said) -> (String, Vec<u8>) {
+    // Plain values in memory can always be written.
+    (to.into(), postcard::to_stdvec(said).unwrap_or_default())
+}
+
+impl Council {
+    /// The council of `own` in a cluster.
+    ///
+    /// # Errors
+    /// When the folder can't be used, or holds records that this version can't read.
+    pub fn new(now: Time, cluster: &str, own: Holder, rules: Rules) -> Result<Council, String> {
+        let holding = || Holding { hold: Hold::default(), not_before: now, held: None };
+        let holdings = rules.duties.iter().map(|d| (Duty(d.clone()), holding())).collect();
+        let mut council = Council {
+            own,
+            rules,
+            seat: Seat::Reader,
+            keep: None,
+            holdings,
+            asks: Vec::new(),
+            asked: 0,
+            gather_at: now,
+            look_at: now,
+            log: Vec::new(),
+        };
+        if council.rules.voters.contains(&council.own.name) {
+            council.sit(now, cluster)?;
+        }
+        Ok(council)
+    }
+
+    /// Takes this voter's seat, with the memory that it has.
+    fn sit(&mut self, now: Time, cluster: &str) -> Result<(), String> {
+        let mut records = Vec::new();
+        if let Some(folder) = self.rules.folder.clone() {
+            let fault = |e: &dyn std::fmt::Display| format!("peers: folder: {}: {e}", folder.display());
+            let owner = format!("{cluster} {}", self.own.name);
+            let (keep, found) = Keep::open(&folder, &owner).map_err(|e| fault(&e))?;
+            if let Some((path, why)) = &found.aside {
+                self.log.push(format!("council: {why}; it is set aside as {}", path.display()));
+            }
+            if found.torn > 0 {
+                self.log
+                    .push(format!("council: {} bytes whose writing was cut off are left aside", found.torn));
+            }
+            records = found.records.into_iter().map(Record).collect();
+            self.keep = Some(keep);
+        } else {
+            self.log.push("council: no folder: what this voter promises ends with its process".into());
+        }
+        let mut kept = Kept::from_records(&records).map_err(|why| format!("peers: folder: {why}"))?;
+        if kept.identity().is_none() {
+            // Two lives of a broker do not begin in the same microsecond, and names tell brokers apart.
+            let name = self.own.name.bytes().fold(0u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
+            let memory = (self.own.life ^ name.rotate_left(40)).max(1);
+            kept.begin(Identity { name: self.own.name.clone(), memory });
+        }
+        let Some(identity) = kept.identity().cloned() else { return Ok(()) };
+        let gather = Gather::new(identity, &self.rules.voters, kept.genesis().cloned());
+        self.seat = Seat::Gathers(Box::new((gather, kept)));
+        self.flush_gathering();
+        self.begin(now);
+        Ok(())
+    }
+
+    /// Keeps what the gathering has noted; without that it does not vote.
+    fn flush_gathering(&mut self) {
+        let Seat::Gathers(gathering) = &self.seat else { return };
+        let records = gathering.1.take_records();
+        if !self.kept(&records) {
+            self.seat = Seat::Abstains;
+        }
+    }
+
+    /// Keeps records; `false`: it failed, and this broker votes no more.
+    fn kept(&mut self, records: &[Record]) -> bool {
+        let Some(keep) = &mut self.keep else { return true };
+        let records: Vec<Vec<u8>> = records.iter().map(|r| r.0.clone()).collect();
+        if let Err(e) = if records.is_empty() { Ok(()) } else { keep.append(&records) } {
+            self.log
+                .push(format!("council: its folder can't be written: {e}; it does not vote from here on"));
+            return false;
+        }
+        true
+    }
+
+    /// Votes from here on, if the genesis names it.
+    fn begin(&mut self, now: Time) {
+        let Seat::Gathers(gathering) = &self.seat else { return };
+        let (gather, kept) = &**gathering;
+        match (gather.why(), gather.genesis()) {
+            (Why::Named, Some(genesis)) => {
+                let names: Vec<&str> = genesis.voters().iter().map(|v| v.name.as_str()).collect();
+                let line = format!("council: votes, genesis {:x} ({})", genesis.digest(), names.join(", "));
+                match Voter::new(now, kept.clone(), self.rules.terms) {
+                    Ok(voter) => {
+                        self.log.push(format!("{line}, {} entries known", voter.applied()));
+                        self.seat = Seat::Votes(Box::new(voter));
+                    }
+                    Err(why) => {
+                        self.log.push(format!("council: does not vote: {why}"));
+                        self.seat = Seat::Abstains;
+                    }
+                }
+            }
+            (Why::Waits(_), _) => {}
+            (why, _) => {
+                self.log.push(format!("council: does not vote: {why}"));
+                self.seat = Seat::Abstains;
+            }
+        }
+    }
+
+    /// Log lines since the last time.
+    pub fn take_log(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.log)
+    }
+
+    /// Under which fence this broker may act for a duty now, if it may.
+    #[must_use]
+    pub fn may_act(&self, now: Time, duty: &Duty) -> Option<FenceNumber> {
+        match self.holdings.get(duty)?.hold.check(now, self.rules.terms) {
+            May::Act(fence, _) => Some(fence),
+            May::Refrain(_) => None,
+        }
+    }
+
+    /// When [`Council::on_time`] is to be called next.
+    #[must_use]
+    pub fn next(&self) -> Time {
+        let mut next = Time(u64::MAX);
+        match &self.seat {
+            Seat::Votes(voter) => next = next.min(voter.next()),
+            Seat::Gathers(_) => next = next.min(self.gather_at),
+            Seat::Reader | Seat::Abstains => {}
+        }
+        if self.holdings.is_empty() {
+            next
+        } else {
+            next.min(self.look_at)
+        }
+    }
+
+    /// Time has come.
+    pub fn on_time(&mut self, now: Time) -> Words {
+        let mut out = Words::new();
+        if now >= self.look_at {
+            self.look_at = now.plus(LOOK);
+            self.look(now, &mut out);
+        }
+        match &mut self.seat {
+            Seat::Votes(voter) => {
+                let told = voter.on_time(now);
+                self.carry(now, told, &mut out);
+            }
+            Seat::Gathers(gathering) if now >= self.gather_at => {
+                self.gather_at = now.plus(GATHER);
+                let who = Said::Who(gathering.0.who());
+                let others = self.rules.voters.iter().filter(|v| **v != self.own.name);
+                out.extend(others.map(|v| words(v, &who)));
+            }
+            _ => {}
+        }
+        out
+    }
+
+    /// Looks at what it holds: tells what began and what is over, and asks where it is time.
+    fn look(&mut self, now: Time, out: &mut Words) {
+        let terms = self.rules.terms;
+        let mut asks = Vec::new();
+        for (duty, holding) in &mut self.holdings {
+            let verdict = holding.hold.check(now, terms);
+            let held = match verdict {
+                May::Act(fence, _) => Some(fence),
+                May::Refrain(_) => None,
+            };
+            if held != holding.held {
+                self.log.push(match verdict {
+                    May::Act(fence, why) => format!("duty {}: held under fence {}: {why}", duty.0, fence.0),
+                    May::Refrain(why) => format!("duty {}: not held: {why}", duty.0),
+                });
+                holding.held = held;
+            }
+            if now >= holding.not_before && now >= holding.hold.ask_at(terms) {
+                asks.push((duty.clone(), holding.hold.on_ask(now)));
+            }
+        }
+        for (duty, number) in asks {
+            // One after the other in turn: a voter that is cut off, or gone, answers nobody.
+            let voter = self.rules.voters[self.asked % self.rules.voters.len()].clone();
+            self.asked += 1;
+            let ask = Said::Ask(duty, self.own.clone(), number);
+            out.extend(self.say(now, &voter, ask));
+        }
+    }
+
+    /// Another broker's council has said something.
+    pub fn on_word(&mut self, now: Time, from: &str, bytes: &[u8]) -> Words {
+        match postcard::from_bytes::<Said>(bytes) {
+            Ok(said) => self.hear(now, from, said),
+            // It is of a version that says more: what it wants is not known here.
+            Err(_) => Words::new(),
+        }
+    }
+
+    /// A way to or from another broker is there again.
+    pub fn on_way(&mut self, now: Time, name: &str) -> Words {
+        let mut out = Words::new();
+        if let Seat::Votes(voter) = &mut self.seat {
+            let told = voter.on_reconnected(now, name);
+            self.carry(now, told, &mut out);
+        }
+        out
+    }
+
+    /// This broker stops: what it holds it gives back.
+    pub fn on_stop(&mut self, now: Time) -> Words {
+        let mut out = Words::new();
+        for (duty, holding) in std::mem::take(&mut self.holdings) {
+            let mut hold = holding.hold;
+            let held = matches!(hold.check(now, self.rules.terms), May::Act(..));
+            if let Some(fence) = hold.on_give_back().filter(|_| held) {
+                self.log.push(format!("duty {}: not held: given back", duty.0));
+                let back = Said::GiveBack(duty, fence);
+                // To all: the first that enters it counts, and this broker does not wait for answers any more.
+                let voters = self.rules.voters.clone();
+                for voter in voters {
+                    out.extend(self.say(now, &voter, back.clone()));
+                }
+            }
+        }
+        out
+    }
+
+    fn hear(&mut self, now: Time, from: &str, said: Said) -> Words {
+        let mut out = Words::new();
+        match (said, &mut self.seat) {
+            (Said::Who(who), Seat::Gathers(gathering)) if who.identity.name == from => {
+                let (gather, kept) = &mut **gathering;
+                let was = gather.why().clone();
+                if let (true, Some(genesis)) = (gather.on_who(&who), gather.genesis()) {
+                    kept.begun(genesis.clone());
+                }
+                if was != *gather.why() {
+                    self.flush_gathering();
+                    self.begin(now);
+                }
+            }
+            (Said::Who(who), Seat::Votes(voter)) if who.begun.is_none() => {
+                let own = voter.genesis().voters().iter().find(|v| v.name == self.own.name).cloned();
+                let begun = Some(voter.genesis().clone());
+                out.extend(own.map(|identity| words(from, &Said::Who(Who { identity, begun }))));
+            }
+            (Said::Log(bytes), Seat::Votes(voter)) => {
+                let told = voter.on_message(now, &bytes);
+                self.carry(now, told, &mut out);
+            }
+            (Said::Ask(duty, holder, number), Seat::Votes(voter)) if holder.name == from => {
+                // Guards the log against those who would be refused; that this voter may be behind only makes them ask again.
+                if voter.grants().holder(&duty).is_some_and(|(held_by, _)| *held_by != holder) {
+                    return self.say(now, from, Said::Elsewhere(duty));
+                }
+                let old = |at: Time| now.since(at) > WAITS * self.rules.terms.lease;
+                self.asks.retain(|a| !old(a.4));
+                if self.asks.len() < WAITING {
+                    self.asks.push((duty.clone(), holder.clone(), number, from.into(), now));
+                    let told = voter.on_entry(now, Entry { grant: Grant::Ask(duty, holder), number });
+                    self.carry(now, told, &mut out);
+                }
+            }
+            (Said::GiveBack(duty, fence), Seat::Votes(voter)) => {
+                let told = voter.on_entry(now, Entry { grant: Grant::GiveBack(duty, fence), number: 0 });
+                self.carry(now, told, &mut out);
+            }
+            (Said::Answer(duty, number, fence), _) => {
+                if let Some(holding) = self.holdings.get_mut(&duty) {
+                    match fence {
+                        Some(fence) => drop(holding.hold.on_grant(number, fence)),
+                        None => {
+                            holding.hold.on_refusal(number);
+                            holding.not_before = now.plus(self.rules.terms.lease / 100 * REFUSED);
+                        }
+                    }
+                }
+            }
+            (Said::Elsewhere(duty), _) => {
+                // Who holds it knows better than a voter that was away, and asks the next one.
+                let holds = self.may_act(now, &duty).is_some();
+                let after = now.plus(self.rules.terms.lease / 100 * REFUSED);
+                if let Some(holding) = self.holdings.get_mut(&duty).filter(|_| !holds) {
+                    holding.not_before = after;
+                }
+            }
+            // Not for this broker as it is: whoever said it says it to another one.
+            _ => {}
+        }
+        out
+    }
+
+    fn say(&mut self, now: Time, to: &str, said: Said) -> Words {
+        match to == self.own.name {
+            true => self.hear(now, to, said),
+            false => vec![words(to, &said)],
+        }
+    }
+
+    /// Carries out a voter's verdicts, in order.
+    fn carry(&mut self, now: Time, told: Vec<Verdict>, out: &mut Words) {
+        for verdict in told {
+            match verdict {
+                Verdict::Keep(records) => {
+                    if !self.kept(&records) {
+                        // Guards the others: what could not be kept must not be told.
+                        self.seat = Seat::Abstains;
+                        return;
+                    }
+                }
+                Verdict::Send(to, bytes) => out.push(words(&to.name, &Said::Log(bytes))),
+                Verdict::Decided(_, entry, granted) => self.decided(now, &entry, &granted, out),
+                Verdict::Caught(place) => {
+                    self.log.push(format!("council: caught up to entry {place} by a snapshot"));
+                }
+                Verdict::Led(who, why) => self.log.push(format!("council: {} leads: {why}", who.name)),
+            }
+        }
+        if self.keep.as_ref().is_some_and(Keep::is_large) {
+            self.shorten();
+        }
+    }
+
+    fn decided(&mut self, now: Time, entry: &Entry, granted: &Granted, out: &mut Words) {
+        let Grant::Ask(duty, holder) = &entry.grant else { return };
+        let waits = |a: &(Duty, Holder, u64, String, Time)| (&a.0, &a.1, a.2) == (duty, holder, entry.number);
+        let Some(at) = self.asks.iter().position(waits) else { return };
+        let (duty, _, number, from, _) = self.asks.swap_remove(at);
+        let fence = match granted {
+            Granted::Granted(fence, _) | Granted::Renewed(fence) => Some(*fence),
+            _ => None,
+        };
+        out.extend(self.say(now, &from, Said::Answer(duty, number, fence)));
+    }
+
+    /// One record takes the place of all in the file.
+    fn shorten(&mut self) {
+        let (Seat::Votes(voter), Some(keep)) = (&self.seat, &mut self.keep) else { return };
+        if let Err(e) = keep.replace(&voter.memory().0) {
+            // What was kept before stays, and goes on.
+            self.log.push(format!("council: its folder's file could not be shortened: {e}"));
+        }
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,6 +7,7 @@
 //! at spread times, and only if something is to be said.
 
 pub mod company;
+pub mod council;
 mod queue;
 mod wire;
 
@@ -43,8 +44,19 @@
 pub struct Heard {
     /// By whom, as it greeted.
     pub from: Member,
+    /// What.
+    pub what: What,
+}
+
+/// See [`Heard`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    /// It has opened a connection: what it said on a former one may be lost.
+    Greeting,
     /// For `decide::fleet`.
-    pub bytes: Vec<u8>,
+    Fleet(Vec<u8>),
+    /// For [`council`].
+    Council(Vec<u8>),
 }
 
 /// A connection that a peer has opened.
@@ -153,10 +165,19 @@
         self.ins.extend(ids.into_iter().map(|id| (id, In { from: None, begun: Some(now) })));
     }
 
-    /// Says something to a peer, now or once there is a way; `keep`: other words are dropped for it. `false`: there is no
-    /// room for it.
+    /// Says something of the fleet to a peer, now or once there is a way; `keep`: other words are dropped for it. `false`:
+    /// there is no room for it.
     pub fn say(&mut self, net: &mut Net, to: &Member, bytes: Vec<u8>, keep: bool) -> bool {
-        let Some(message) = wire::message(&Word::Fleet(bytes)) else { return false };
+        self.speak(net, to, &Word::Fleet(bytes), keep)
+    }
+
+    /// The same with something of the council. It may be dropped: the log says again what was lost.
+    pub fn say_council(&mut self, net: &mut Net, to: &Member, bytes: Vec<u8>) -> bool {
+        self.speak(net, to, &Word::Council(bytes), false)
+    }
+
+    fn speak(&mut self, net: &mut Net, to: &Member, word: &Word, keep: bool) -> bool {
+        let Some(message) = wire::message(word) else { return false };
         let out = self.outs.entry(to.name.clone()).or_default();
         out.address = Some(self.ways.get(&to.name).copied().unwrap_or(to.address));
         let before = out.queue.dropped;
@@ -299,6 +320,7 @@
             self.taken += 1;
             let read = match &state.from {
                 None => wire::read_greeting(content, &self.greeting.cluster).map(|g| {
+                    heard.push(Heard { from: g.from.clone(), what: What::Greeting });
                     state.from = Some(g.from);
                     None
                 }),
@@ -309,7 +331,11 @@
             match read {
                 Ok(Some((from, Word::Fleet(bytes)))) => {
                     self.figures.heard += 1;
-                    heard.push(Heard { from, bytes });
+                    heard.push(Heard { from, what: What::Fleet(bytes) });
+                }
+                Ok(Some((from, Word::Council(bytes)))) => {
+                    self.figures.heard += 1;
+                    heard.push(Heard { from, what: What::Council(bytes) });
                 }
                 Ok(None) => {}
                 Ok(Some((_, Word::Refused(_)))) => {
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -52,6 +52,7 @@
         if self.talk.next() <= self.net.clock.now() {
             heard.extend(self.talk.on_time(&mut self.net));
         }
+        heard.retain(|h| h.what != What::Greeting);
         heard
     }
 
@@ -113,8 +114,9 @@
             break;
         }
     }
-    let words: Vec<_> = heard.iter().map(|h| (h.from.name.as_str(), h.bytes.as_slice())).collect();
-    assert_eq!(words, [("p", &b"three"[..]), ("p", b"fours")]);
+    let words: Vec<_> = heard.iter().map(|h| (h.from.name.as_str(), &h.what)).collect();
+    let fleet = |bytes: &[u8]| What::Fleet(bytes.to_vec());
+    assert_eq!(words, [("p", &fleet(b"three")), ("p", &fleet(b"fours"))]);
     let figures = stage.talk.figures();
     assert_eq!((figures.said, figures.heard, figures.dropped), (2, 2, 0));
 }
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -152,6 +152,12 @@
         self.ledger.note(self.began, from, Event::Link(to, !cut));
     }
 
+    /// A folder for what processes keep; it goes with the rig.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// Writes a file for processes, and tells where it is.
     ///
     /// # Errors
@@ -367,6 +373,71 @@
     found
 }
 
+/// Judges who held a duty when, by what brokers said (`duty D: held under fence N: ...`, `duty D: not held: ...`, which names
+/// how long ago a lease ran out): no two at a time, and under fences that grow. One that stands still does nothing, so
+/// it holds nothing then; once it goes on it has `wakes` to find out.
+#[must_use]
+pub fn judge_holders(entries: &[Entry], duty: &str, wakes: Duration) -> Findings {
+    let mut found = Findings::default();
+    // Who holds since when, whether it runs, and the spans of each that are over.
+    let mut holds: BTreeMap<usize, Duration> = BTreeMap::new();
+    let mut stopped: BTreeMap<usize, Duration> = BTreeMap::new();
+    let mut spans: Vec<(Duration, Duration, usize)> = Vec::new();
+    let (mut fence, mut fenced_by) = (0, None);
+    let (held, over) = (format!("duty {duty}: held under fence "), format!("duty {duty}: not held"));
+    let mut wrong: Vec<Entry> = Vec::new();
+    for entry in entries {
+        let who = entry.who;
+        let mut ends = |at: Duration, holds: &mut BTreeMap<usize, Duration>| {
+            if let Some(from) = holds.remove(&who) {
+                spans.extend((at > from).then_some((from, at, who)));
+            }
+        };
+        match &entry.what {
+            Event::Killed | Event::Ended(_) | Event::Started => ends(entry.at, &mut holds),
+            Event::Stopped => drop(stopped.insert(who, entry.at)),
+            Event::Continued => {
+                // What it held when it was stopped it held until then, as far as others have to do with it.
+                let at = stopped.remove(&who).unwrap_or(entry.at);
+                if holds.contains_key(&who) {
+                    ends(at, &mut holds);
+                    holds.insert(who, entry.at + wakes);
+                }
+            }
+            Event::Said(line) if line.contains(&over) => {
+                let ago = line.split("ran out ").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+                ends(entry.at.saturating_sub(Duration::from_millis(ago.unwrap_or(0))), &mut holds);
+            }
+            Event::Said(line) => {
+                let Some(rest) = line.split(&held).nth(1) else { continue };
+                let number: u64 = rest.split(':').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+                found.checked += 1;
+                if number < fence || number == fence && fenced_by != Some(who) {
+                    wrong.push(entry.clone());
+                }
+                (fence, fenced_by) = (fence.max(number), Some(who));
+                holds.insert(who, entry.at);
+            }
+            Event::Link(..) => {}
+        }
+    }
+    // Who is not said to have let go of it holds it to the end, and beyond.
+    let last = entries.last().map_or(Duration::ZERO, |e| e.at) + Duration::from_millis(1);
+    spans.extend(
+        holds.iter().map(|(who, from)| (*from, stopped.get(who).copied().unwrap_or(last).max(*from), *who)),
+    );
+    spans.sort_unstable();
+    for (i, span) in spans.iter().enumerate() {
+        let later = spans[i + 1..].iter().find(|s| s.2 != span.2 && s.0 < span.1);
+        let what = |s: &(Duration, Duration, usize)| {
+            Event::Said(format!("n{} holds {duty} beside n{}", s.2, span.2))
+        };
+        wrong.extend(later.map(|s| Entry { at: s.0, who: s.2, what: what(s) }));
+    }
+    found.wrong = wrong;
+    found
+}
+
 impl Drop for Rig {
     fn drop(&mut self) {
         for (_, mut process) in std::mem::take(&mut self.processes) {
@@ -390,6 +461,28 @@
     }
 
     /// The checker is checked: it must find what was planted, and nothing else.
+    #[test]
+    fn planted_holders_at_a_time_and_fences_that_do_not_grow_are_found() {
+        let held = |at, who, fence: u64| {
+            entry(at, who, Event::Said(format!("x: duty d: held under fence {fence}: y")))
+        };
+        let over = |at, who, ago: u64| {
+            entry(at, who, Event::Said(format!("x: duty d: not held: the lease ran out {ago} ms ago")))
+        };
+        let judge = |entries: &[Entry]| judge_holders(entries, "d", Duration::from_secs(1)).wrong.len();
+        assert_eq!(judge(&[held(1, 0, 1), over(4, 0, 0), held(5, 1, 2), held(6, 1, 2)]), 0);
+        assert_eq!(judge(&[held(1, 0, 1), held(5, 1, 2), over(6, 0, 0)]), 1, "two at a time");
+        assert_eq!(judge(&[held(1, 0, 1), held(5, 1, 2), over(6, 0, 1_500)]), 0, "told late");
+        assert_eq!(judge(&[held(1, 0, 1), held(5, 1, 2)]), 1, "and never over");
+        assert_eq!(judge(&[held(1, 0, 1), entry(3, 0, Event::Killed), held(5, 1, 2)]), 0);
+        assert_eq!(judge(&[held(1, 0, 2), over(4, 0, 0), held(5, 1, 2)]), 1, "the same fence");
+        assert_eq!(judge(&[held(1, 0, 2), over(4, 0, 0), held(5, 1, 1)]), 1, "an older one");
+        let stopped =
+            [held(1, 0, 1), entry(2, 0, Event::Stopped), held(5, 1, 2), entry(8, 0, Event::Continued)];
+        assert_eq!(judge(&[&stopped[..], &[over(8, 0, 4_000)]].concat()), 0, "it stood still meanwhile");
+        assert_eq!(judge(&[&stopped[..], &[over(12, 0, 0)]].concat()), 1, "it did not find out");
+    }
+
     #[test]
     fn a_planted_wrong_death_is_found_and_explained_ones_are_not() {
         let before = Duration::from_secs(5);
