Tell each broker where it stands among the voters, by the count of a lease

Need: a broker has to know of itself whether the fleet hears it, before anything of the fleet's may rest on it.

Change: decide::agree::standing, pure: joined, doubtful, cut off, a stranger, by who has heard the broker since before it asked, less the drift; src/peer/council.rs asks three times a lease and logs changes. A stranger asks for no duty, and voters that know of no grant grant none for a lease, so that a fleet whose voters have all forgotten does not grant beside a lease of the former genesis. lab council also loses, doubles, delays and holds back messages.

--- a/decide/agree/src/lib.rs
+++ b/decide/agree/src/lib.rs
@@ -1,6 +1,7 @@
 //! The log that the voters of a fleet agree on, and what follows from it: who holds which duty.
 //!
-//! It owns what a voter has promised and accepted, and the grants that follow from what was decided. It promises, for any
+//! It owns what a voter has promised and accepted, the grants that follow from what was decided, and a broker's [`standing`]
+//! among the voters. It promises, for any
 //! loss, delay, repetition and cut of messages, and any kill and restart of voters with their memory:
 //!
 //! - *one log*: what two voters decided at one place is the same, and nothing decided changes;
@@ -17,6 +18,7 @@
 
 pub mod genesis;
 pub mod kept;
+pub mod standing;
 pub mod state;
 pub mod voter;
 
--- a/lab/src/council.rs
+++ b/lab/src/council.rs
@@ -1,6 +1,7 @@
 //! Voters and holders as processes under faults from a seed: who held a duty when is judged. Times are real, so figures
 //! differ from run to run; the faults do not.
 
+use lichenswitch_standins::relay::Faults;
 use lichenswitch_standins::rig::{judge_holders, Entry, Event, Rig};
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -24,7 +25,8 @@
     pub brokers: usize,
     /// See `brokers`.
     pub voters: usize,
-    /// Faults by kind: killed, killed without its folder, stopped, split, ways cut.
+    /// Faults by kind: killed, killed without its folder, stopped, split, ways cut, all ways rough (a fifth of the messages
+    /// lost, a fifth doubled, all late), what one says held back and let go all together.
     pub kills: usize,
     /// See `kills`.
     pub forgot: usize,
@@ -34,6 +36,10 @@
     pub splits: usize,
     /// See `kills`.
     pub ways: usize,
+    /// See `kills`.
+    pub rough: usize,
+    /// See `kills`.
+    pub held: usize,
     /// Times that the duty was said to be held.
     pub checked: usize,
     /// Two that held it at a time, or a fence that did not grow.
@@ -116,11 +122,11 @@
         let drawn = dice.random_range(0..brokers);
         let who = held_by.filter(|_| dice.random_bool(0.6)).unwrap_or(drawn);
         let (since, at, befalls) = (rig.ledger.all().len(), rig.now(), held_by == Some(who));
-        let pause = Duration::from_millis(dice.random_range(100..4_000));
+        let pause = Duration::from_millis(dice.random_range(100..5_000));
         let over = |rig: &Rig| {
             rig.until(pause, |_| false);
         };
-        match dice.random_range(0..5) {
+        match dice.random_range(0..7) {
             kind @ 0..=1 => {
                 rig.kill(who);
                 over(rig);
@@ -151,6 +157,22 @@
                 over(rig);
                 ways().filter(|(a, b)| across(*a, *b)).for_each(|(a, b)| rig.cut(a, b, false));
             }
+            4 => {
+                report.rough += 1;
+                let ways =
+                    || all.iter().flat_map(|a| all.iter().map(move |b| (*a, *b))).filter(|(a, b)| a != b);
+                let rough = Faults { lost: 0.2, twice: 0.2, delay_ms: 20, ..Faults::default() };
+                ways().for_each(|(a, b)| rig.link(a, b).set(rough));
+                over(rig);
+                ways().for_each(|(a, b)| rig.link(a, b).set(Faults::default()));
+            }
+            5 => {
+                report.held += 1;
+                let to: Vec<usize> = all.iter().filter(|t| **t != who).copied().collect();
+                to.iter().for_each(|t| rig.link(who, *t).set(Faults { held: true, ..Faults::default() }));
+                over(rig);
+                to.iter().for_each(|t| rig.link(who, *t).set(Faults::default()));
+            }
             _ => {
                 report.ways += 1;
                 let to: Vec<usize> =
--- a/src/peer/council.rs
+++ b/src/peer/council.rs
@@ -6,6 +6,7 @@
 
 use crate::decide::agree::genesis::{Gather, Identity, Who, Why};
 use crate::decide::agree::kept::{Kept, Record};
+use crate::decide::agree::standing::{Hearing, Standing};
 use crate::decide::agree::state::Entry;
 use crate::decide::agree::{Verdict, Voter};
 use crate::decide::duty::grants::{Entry as Grant, Verdict as Granted};
@@ -51,6 +52,10 @@
     Ask(Duty, Holder, u64),
     /// The log's answer: under which fence it is granted, if it is.
     Answer(Duty, u64, Option<FenceNumber>),
+    /// Its sender asks whether it is heard.
+    Hear(u64),
+    /// A voter that votes has heard it: the number of its ask, and the voter's genesis.
+    Heard(u64, u64),
     /// By what its sender knows, which may be old, somebody else holds it: nothing was entered.
     Elsewhere(Duty),
     /// Its sender gives a duty back.
@@ -87,6 +92,11 @@
     seat: Seat,
     keep: Option<Keep>,
     holdings: BTreeMap<Duty, Holding>,
+    /// Who has heard this broker, and how it stood at the last look.
+    hearing: Hearing,
+    stood: Option<Standing>,
+    /// A voter that knows of no grant grants none before this: see [`Council::begin`].
+    grants_from: Time,
     /// Asks that were put into the log here: whose, by which number, from whom, when.
     asks: Vec<(Duty, Holder, u64, String, Time)>,
     /// The voter that is asked next.
@@ -109,7 +119,11 @@
     pub fn new(now: Time, cluster: &str, own: Holder, rules: Rules) -> Result<Council, String> {
         let holding = || Holding { hold: Hold::default(), not_before: now, held: None };
         let holdings = rules.duties.iter().map(|d| (Duty(d.clone()), holding())).collect();
+        let hearing = Hearing::new(rules.voters.len(), rules.terms);
         let mut council = Council {
+            hearing,
+            stood: None,
+            grants_from: now,
             own,
             rules,
             seat: Seat::Reader,
@@ -192,6 +206,10 @@
                 let line = format!("council: votes, genesis {:x} ({})", genesis.digest(), names.join(", "));
                 match Voter::new(now, kept.clone(), self.rules.terms) {
                     Ok(voter) => {
+                        // Guards who still holds a duty by a genesis that all voters have forgotten: its lease is over first.
+                        if voter.applied() == 0 {
+                            self.grants_from = now.plus(self.rules.terms.awaited());
+                        }
                         self.log.push(format!("{line}, {} entries known", voter.applied()));
                         self.seat = Seat::Votes(Box::new(voter));
                     }
@@ -232,11 +250,13 @@
             Seat::Gathers(_) => next = next.min(self.gather_at),
             Seat::Reader | Seat::Abstains => {}
         }
-        if self.holdings.is_empty() {
-            next
-        } else {
-            next.min(self.look_at)
-        }
+        next.min(self.look_at)
+    }
+
+    /// Where this broker stands among the voters.
+    #[must_use]
+    pub fn standing(&self, now: Time) -> Standing {
+        self.hearing.standing(now).0
     }
 
     /// Time has come.
@@ -264,9 +284,27 @@
 
     /// Looks at what it holds: tells what began and what is over, and asks where it is time.
     fn look(&mut self, now: Time, out: &mut Words) {
+        let (standing, why) = self.hearing.standing(now);
+        // Guards the log: nothing is said of a start, before anybody could have heard it.
+        if self.stood.is_some_and(|stood| stood != standing)
+            || self.stood.is_none() && standing == Standing::Joined
+        {
+            self.log.push(format!("standing: {standing}: {why}"));
+            self.stood = Some(standing);
+        }
+        if now >= self.hearing.ask_at() {
+            let hear = Said::Hear(self.hearing.on_ask(now));
+            for voter in self.rules.voters.clone() {
+                out.extend(self.say(now, &voter, hear.clone()));
+            }
+        }
         let terms = self.rules.terms;
         let mut asks = Vec::new();
         for (duty, holding) in &mut self.holdings {
+            // A stranger has nothing to ask of a fleet that it does not know.
+            if standing == Standing::Stranger {
+                holding.not_before = now.plus(LOOK);
+            }
             let verdict = holding.hold.check(now, terms);
             let held = match verdict {
                 May::Act(fence, _) => Some(fence),
@@ -355,7 +393,8 @@
             }
             (Said::Ask(duty, holder, number), Seat::Votes(voter)) if holder.name == from => {
                 // Guards the log against those who would be refused; that this voter may be behind only makes them ask again.
-                if voter.grants().holder(&duty).is_some_and(|(held_by, _)| *held_by != holder) {
+                let elsewhere = voter.grants().holder(&duty).is_some_and(|(held_by, _)| *held_by != holder);
+                if elsewhere || now < self.grants_from {
                     return self.say(now, from, Said::Elsewhere(duty));
                 }
                 let old = |at: Time| now.since(at) > WAITS * self.rules.terms.lease;
@@ -381,6 +420,11 @@
                     }
                 }
             }
+            (Said::Hear(number), Seat::Votes(voter)) => {
+                let heard = Said::Heard(number, voter.genesis().digest());
+                return self.say(now, from, heard);
+            }
+            (Said::Heard(number, genesis), _) => self.hearing.on_answer(from, number, genesis),
             (Said::Elsewhere(duty), _) => {
                 // Who holds it knows better than a voter that was away, and asks the next one.
                 let holds = self.may_act(now, &duty).is_some();
--- a/tests/council.rs
+++ b/tests/council.rs
@@ -122,7 +122,10 @@
     council.cut(&[third], true);
     let fourth = council.holder(&others(5, third), since);
     council.says(third, since, "duty compiler: not held");
+    council.says(third, since, "standing: doubtful: the last majority of the voters heard it");
+    let since = council.count();
     council.cut(&[third], false);
+    council.says(third, since, "standing: joined: ");
     // One that is asked to end gives it back: nobody waits for the end of its lease.
     let since = council.count();
     assert_eq!(council.rig.end(fourth), Some(0));
@@ -214,3 +217,21 @@
     assert_eq!(all.len(), 1, "{all:?}");
     assert!(council.sound() >= 2);
 }
+
+#[test]
+fn who_is_cut_off_knows_it_and_a_fleet_that_has_begun_anew_is_a_stranger_to_who_knew_the_former() {
+    let mut council = Council::new(4, 3, 5);
+    (0..4).for_each(|who| council.says(who, 0, "standing: joined: "));
+    let since = council.count();
+    council.cut(&[3], true);
+    council.says(3, since, "standing: cut off: the last majority of the voters heard it");
+    council.cut(&[3], false);
+    council.says(3, since, "standing: joined: ");
+    // All voters lose their memories at once: they begin anew, and the broker that knew the former genesis says so.
+    (0..3).for_each(|who| council.rig.kill(who));
+    (0..3).for_each(|who| std::fs::remove_dir_all(council.memory(who)).unwrap());
+    let since = council.count();
+    (0..3).for_each(|who| council.start(who));
+    council.says(3, since, "standing: a stranger: the fleet has begun anew: genesis");
+    (0..3).for_each(|who| council.says(who, since, "standing: joined: "));
+}
