Take a duty back from its holder alone

Cause, found by reading: a voter entered what any broker said of a duty being given back, by fence and without a look at who said it (src/peer/council.rs, hear). A broker that named another's fence would have freed a duty that is held, and a second one could have had it beside the first.

Change: a voter enters it only from the holder that its log names; one that is behind leaves it to the others.

--- a/src/peer/council.rs
+++ b/src/peer/council.rs
@@ -405,7 +405,10 @@
                     self.carry(now, told, &mut out);
                 }
             }
-            (Said::GiveBack(duty, fence), Seat::Votes(voter)) => {
+            // Guards the holder: nobody else gives back what it acts under. A voter that is behind leaves it to the others.
+            (Said::GiveBack(duty, fence), Seat::Votes(voter))
+                if voter.grants().holder(&duty).is_some_and(|(held_by, _)| held_by.name == from) =>
+            {
                 let told = voter.on_entry(now, Entry { grant: Grant::GiveBack(duty, fence), number: 0 });
                 self.carry(now, told, &mut out);
             }
@@ -559,6 +562,15 @@
             table.now.since(START) >= TERMS.awaited(),
             "somebody may hold it by a genesis that is forgotten"
         );
+        let (other, duty) = ((holder + 1) % 4, Duty("d".into()));
+        let fence = table.councils[holder].may_act(table.now, &duty).unwrap();
+        let back = postcard::to_stdvec(&Said::GiveBack(duty, fence)).unwrap();
+        table.deliver(other, (0..3).map(|v| (format!("n{v}"), back.clone())).collect());
+        assert_eq!(table.until_held(5_000), Some(holder), "only the holder gives it back");
+        assert!((0..3).all(|v| match &table.councils[v].seat {
+            Seat::Votes(voter) => voter.grants().holder(&Duty("d".into())).is_some(),
+            _ => false,
+        }));
         let words = table.councils[holder].on_stop(table.now);
         table.deliver(holder, words);
         assert!(table.holders().is_empty(), "nothing is done under it from here on");
