Move inline test modules to test files, by moves alone

Change: each body stands in `tests.rs` beside its module, dedented outside of string literals, with a line that names the module; nothing else is touched.

--- a/src/contract.rs
+++ b/src/contract.rs
@@ -89,38 +89,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn contracts() -> Contracts {
-        let rates = Contract { classes: vec![0], rate: Some(2.0), budget: None };
-        let strict = Budget { window: 10, least: 1.0, share: 0.1 };
-        let open = Contract { classes: vec![], rate: None, budget: Some(strict) };
-        Contracts::new([("rates".into(), rates), ("open".into(), open)])
-    }
-
-    #[test]
-    fn without_contracts_nothing_is_checked() {
-        assert_eq!(Contracts::default().admit(Time(1), None, 9), Ok(()));
-        assert_eq!(Contracts::default().budget(), None);
-    }
-
-    #[test]
-    fn classes_and_rates_are_those_agreed() {
-        let mut c = contracts();
-        let now = Time(1_000_000);
-        assert_eq!(c.admit(now, None, 0), Err(Breach::UnknownTeam));
-        assert_eq!(c.admit(now, Some("else"), 0), Err(Breach::UnknownTeam));
-        assert_eq!(c.admit(now, Some("rates"), 1), Err(Breach::Class));
-        assert_eq!(c.admit(now, Some("rates"), 0), Ok(()));
-        assert_eq!(c.admit(now, Some("rates"), 0), Ok(()));
-        assert_eq!(c.admit(now, Some("rates"), 0), Err(Breach::Rate(500_000)));
-        assert_eq!(c.admit(now.plus(500_000), Some("rates"), 0), Ok(()));
-        assert_eq!(c.admit(now, Some("open"), 7), Ok(()));
-    }
-
-    #[test]
-    fn the_strictest_budget_reaches_the_module() {
-        assert_eq!(contracts().budget(), Some(Budget { window: 10, least: 1.0, share: 0.1 }));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/discovery/tests.rs
@@ -0,0 +1,417 @@
+//! Tests of `discovery`.
+
+use super::*;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+
+const LIST: &str = r#"{"generation":41,"reset":true,"instances":[
+        {"instanceId":"s-1","hostPort":"10.1.0.18:8080","zone":"b","machineType":"m2","cell":3,
+         "lifecycle":"SERVING","weight":1.0,"startedAtMs":5}]}"#;
+
+#[test]
+fn a_list_is_put_in_the_modules_terms_and_ids_stay() {
+    let list: List = serde_json::from_str(LIST).unwrap();
+    let mut directory = Directory::new(vec!["a".into(), "b".into()]);
+    let first = directory.changes(&list.instances);
+    assert_eq!((first[0].cell, first[0].zone, first[0].mode), (3, 1, Mode::Ready));
+    assert_eq!(first[0].started, Some(Time(5_000)));
+    assert_eq!(directory.address(first[0].server), Some("10.1.0.18:8080".parse().unwrap()));
+    let gone =
+        Instance { lifecycle: Lifecycle::Deleted, host_port: String::new(), ..list.instances[0].clone() };
+    let second = directory.changes(std::slice::from_ref(&gone));
+    assert_eq!((second[0].server, second[0].mode), (first[0].server, Mode::Gone));
+    assert!(directory.changes(&[gone]).is_empty(), "one that was never listed is no news");
+}
+
+#[test]
+fn a_list_that_comes_indented_is_the_same_list() {
+    let value: serde_json::Value = serde_json::from_str(LIST).unwrap();
+    let pretty = serde_json::to_string_pretty(&value).unwrap().replace('\n', "\r\n\t ");
+    let [plain, indented] = [LIST, &pretty]
+        .map(|text| Directory::default().changes(&serde_json::from_str::<List>(text).unwrap().instances));
+    assert!(pretty.lines().count() > 10 && plain.len() == 1);
+    assert_eq!(plain, indented);
+}
+
+#[test]
+fn what_is_known_of_a_node_goes_with_it_and_its_number_is_not_used_again() {
+    let list: List = serde_json::from_str(LIST).unwrap();
+    let mut directory = Directory::default();
+    let node = |i: u32| Instance { instance_id: format!("s-{i}"), ..list.instances[0].clone() };
+    let gone = |i| Instance { lifecycle: Lifecycle::Deleted, ..node(i) };
+    for i in 0..100 {
+        assert_eq!(directory.whole(&[node(i)])[0].server, ServerId(i));
+    }
+    directory.changes(&[gone(99)]);
+    assert_eq!((directory.ids.len(), directory.nodes.len()), (0, 0));
+    assert_eq!(directory.take_gone().len(), 100);
+    assert_eq!(directory.changes(&[node(7)])[0].server, ServerId(100));
+}
+
+/// Runs the loop until the client has news.
+fn news(net: &mut Net, client: &mut Discovery, directory: &mut Directory) -> Vec<Listing> {
+    for _ in 0..1_000 {
+        let until = net.clock.now().plus(100_000);
+        for ready in net.wait(Some(until)).unwrap() {
+            if let crate::net::Ready::Conn(id, _) = ready {
+                let news = client.ready(net, id, directory);
+                if !news.is_empty() {
+                    return news;
+                }
+            }
+        }
+    }
+    panic!("no news");
+}
+
+fn request(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        bytes.push(byte[0]);
+    }
+    String::from_utf8(bytes).unwrap()
+}
+
+fn answer(stream: &mut TcpStream, status: u16, body: &str) {
+    let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all((head + body).as_bytes()).unwrap();
+}
+
+#[test]
+fn another_address_is_asked_for_the_whole_list_at_once() {
+    let [old, new] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
+    let mut client = Discovery::new(old.local_addr().unwrap(), Some(41), Pace::new(1, 3, 0));
+    client.subscribe(&mut net);
+    let (mut left, _) = old.accept().unwrap();
+    assert!(client.move_to(&mut net, old.local_addr().unwrap()).is_empty() && client.call == Some(1));
+    assert!(client.move_to(&mut net, new.local_addr().unwrap()).is_empty());
+    assert_eq!(left.read_to_end(&mut Vec::new()).unwrap(), 0, "the watch at the old address is over");
+    let (mut stream, _) = new.accept().unwrap();
+    net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+    client.ready(&mut net, client.conn.unwrap(), &mut directory);
+    assert!(request(&mut stream).starts_with("GET /registry/instances HTTP/1.1\r\n"));
+    answer(&mut stream, 200, LIST);
+    assert!(matches!(&news(&mut net, &mut client, &mut directory)[..], [Listing::Whole(_)]));
+    assert!(request(&mut stream).contains("since=41"));
+}
+
+#[test]
+fn a_watch_is_renewed_at_once_and_a_failure_is_told() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
+    let mut client = Discovery::new(listener.local_addr().unwrap(), None, Pace::new(1, 3, 0));
+    assert!(client.subscribe(&mut net).is_empty());
+    let (mut stream, _) = listener.accept().unwrap();
+    net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+    client.ready(&mut net, client.conn.unwrap(), &mut directory);
+    assert!(request(&mut stream).starts_with("GET /registry/instances HTTP/1.1\r\n"));
+    answer(&mut stream, 200, LIST);
+    let first = news(&mut net, &mut client, &mut directory);
+    assert!(matches!(&first[..], [Listing::Whole(lines)] if lines.len() == 1));
+    assert!(request(&mut stream).starts_with("GET /registry/instances?since=41&timeout_ms=2000 "));
+    answer(&mut stream, 200, r#"{"generation":42,"reset":false,"instances":[]}"#);
+    assert!(matches!(&news(&mut net, &mut client, &mut directory)[..], [Listing::Changes(_)]));
+    assert!(request(&mut stream).contains("since=42"));
+    answer(&mut stream, 503, "");
+    assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+    assert!(client.subscribe(&mut net).is_empty(), "it asks again when told to");
+    let (mut stream, _) = listener.accept().unwrap();
+    net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+    client.ready(&mut net, client.conn.unwrap(), &mut directory);
+    assert!(request(&mut stream).contains("since=42"));
+    drop(stream);
+    assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+}
+
+/// Runs the loop and the client's timers until the client has asked, and takes the connection.
+fn asked(net: &mut Net, client: &mut Discovery, listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    for _ in 0..1_000 {
+        net.wait(Some(net.clock.now().plus(10_000))).unwrap();
+        let now = net.clock.now();
+        for timer in net.wheel.due(now) {
+            if let Timer::Discovery(call) = timer {
+                client.timer(net, call, &mut Directory::default());
+            }
+        }
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).unwrap();
+            let id = client.conn.unwrap();
+            net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+            client.ready(net, id, &mut Directory::default());
+            return stream;
+        }
+    }
+    panic!("never asked");
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_in_time_whoever_asks_and_what_it_missed_is_read() {
+    let (mut net, mut client, mut directory, listener, silent) = watching_of(Pace::new(1, 300, 10_000_000));
+    let begun = client.began;
+    let mut news = Vec::new();
+    while news.is_empty() {
+        net.wait(Some(net.clock.now().plus(50_000))).unwrap();
+        for timer in net.wheel.due(net.clock.now()) {
+            if let Timer::Discovery(call) = timer {
+                news.extend(client.timer(&mut net, call, &mut directory));
+            }
+        }
+    }
+    assert_eq!(news, [Listing::Failed]);
+    let line = client.take_log().remove(0);
+    assert!(line.contains("no answer") && line.contains("Silent"), "{line}");
+    assert!(client.planned, "it goes on without being told to");
+    let mut stream = asked(&mut net, &mut client, &listener);
+    assert!(net.clock.now().since(begun) < 6_000_000, "what it missed counts as told by then");
+    assert!(request(&mut stream).contains("since=41&timeout_ms=2000 "));
+    answer(&mut stream, 200, &LIST.replace("SERVING", "DRAINING"));
+    let told = self::news(&mut net, &mut client, &mut directory);
+    assert!(matches!(&told[..], [Listing::Whole(lines)] if lines[0].mode == Mode::Draining));
+    drop(silent);
+}
+
+#[test]
+fn one_of_many_brokers_asks_when_its_turn_has_come_and_only_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
+    let pace = Pace::new(5, 4, 0);
+    let first = pace.clone().on_start(Time(0), true).at;
+    assert!(first > Time(10_000), "this seed has to wait");
+    let mut client = Discovery::new(listener.local_addr().unwrap(), Some(41), pace);
+    let began = net.clock.now();
+    for _ in 0..3 {
+        assert!(client.subscribe(&mut net).is_empty());
+        assert!(client.conn.is_none() && client.calls == 1, "one call is planned, and not made yet");
+    }
+    let mut stream = asked(&mut net, &mut client, &listener);
+    assert!(net.clock.now().since(began) >= first.0);
+    assert!(request(&mut stream).contains("since=41"));
+    // What fails is repeated later, however often the module asks meanwhile, and the drain is not missed.
+    answer(&mut stream, 503, "");
+    assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+    assert!(client.take_log()[0].contains("Failed, calls spread over 480 ms"));
+    let calls = client.calls;
+    client.not_before = Some(net.clock.now().plus(50_000));
+    for _ in 0..3 {
+        assert!(client.subscribe(&mut net).is_empty() && client.calls == calls + 1);
+    }
+    let mut stream = asked(&mut net, &mut client, &listener);
+    assert!(request(&mut stream).contains("since=41"));
+    answer(&mut stream, 200, &LIST.replace("SERVING", "DRAINING"));
+    let told = news(&mut net, &mut client, &mut directory);
+    assert!(matches!(&told[..], [Listing::Whole(lines)] if lines[0].mode == Mode::Draining));
+    // The watch goes on at once.
+    assert!(request(&mut stream).contains("since=41"));
+}
+
+#[test]
+fn an_agent_of_the_own_machine_is_asked_again_soon_and_its_doubted_lists_are_settled_within_the_rule() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
+    let client = Discovery::new(listener.local_addr().unwrap(), None, Pace::at_agent(1));
+    let mut client = client.stopping_within(500_000);
+    assert!(client.goes_on() && client.subscribe(&mut net).is_empty());
+    let (mut stream, _) = listener.accept().unwrap();
+    net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+    client.ready(&mut net, client.conn.unwrap(), &mut directory);
+    assert!(request(&mut stream).starts_with("GET /registry/instances HTTP/1.1"));
+    answer(&mut stream, 200, LIST);
+    assert!(matches!(&news(&mut net, &mut client, &mut directory)[..], [Listing::Whole(_)]));
+    assert!(request(&mut stream).contains("since=41&timeout_ms=1000 "));
+    answer(&mut stream, 200, EMPTY);
+    let heard = net.clock.now();
+    asks_whole(&mut net, &mut client, &mut directory, &mut stream);
+    let until = client.doubted.as_ref().unwrap().1;
+    assert!(until.since(heard) >= 250_000 && until.since(net.clock.now()) <= 250_000);
+    drop(stream);
+    assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+    let pause = client.not_before.unwrap().since(net.clock.now());
+    assert!(pause <= 100_000 && client.take_log()[1].contains("Agent"), "{pause}");
+    // It is down for long: told once, and once more when it is back.
+    for _ in 0..3 {
+        client.subscribe(&mut net);
+        let mut stream = asked(&mut net, &mut client, &listener);
+        request(&mut stream);
+        drop(stream);
+        assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+    }
+    let lines = client.take_log();
+    assert!(!lines.iter().any(|l| l.contains("failed")), "{lines:?}");
+    client.subscribe(&mut net);
+    let mut stream = asked(&mut net, &mut client, &listener);
+    request(&mut stream);
+    answer(&mut stream, 200, LIST);
+    assert!(matches!(&news(&mut net, &mut client, &mut directory)[..], [Listing::Whole(_)]));
+    assert_eq!(client.take_log(), ["discovery: it answers again"]);
+}
+
+/// Takes descriptors for an owner until there are none left.
+fn take_all(net: &mut Net, owner: Owner, at: SocketAddr) -> Vec<ConnId> {
+    let mut taken = Vec::new();
+    loop {
+        match net.connect(owner, at) {
+            Ok(id) => taken.push(id),
+            Err(Denied::Lack(_)) => return taken,
+            Err(Denied::Failed(e)) => panic!("{e}"),
+        }
+    }
+}
+
+#[test]
+fn discovery_has_its_place_when_data_nodes_and_clients_hold_all_they_can() {
+    let [discovery, nodes] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default());
+    net.listed(200);
+    let at = nodes.local_addr().unwrap();
+    let held = take_all(&mut net, Owner::Frames, at).len() + take_all(&mut net, Owner::Platform, at).len();
+    assert_eq!(held, 38, "all of 64 but 24 of the process's own and two for discovery");
+    let mut client = Discovery::new(discovery.local_addr().unwrap(), Some(41), Pace::new(1, 3, 0));
+    assert!(client.subscribe(&mut net).is_empty() && client.call == Some(1));
+    let (mut stream, _) = discovery.accept().unwrap();
+    net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+    client.ready(&mut net, client.conn.unwrap(), &mut directory);
+    assert!(request(&mut stream).contains("since=41"));
+    answer(&mut stream, 200, &LIST.replace("SERVING", "DRAINING"));
+    let told = news(&mut net, &mut client, &mut directory);
+    assert!(matches!(&told[..], [Listing::Whole(lines)] if lines[0].mode == Mode::Draining));
+}
+
+#[test]
+fn a_call_that_can_not_be_begun_is_no_failure_of_discovery_and_is_made_soon() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut net = Net::new(64).unwrap();
+    let at = listener.local_addr().unwrap();
+    let held = take_all(&mut net, Owner::Discovery, at);
+    let others: Vec<TcpStream> = held.iter().map(|_| listener.accept().unwrap().0).collect();
+    // One of 300 brokers: after a failure it would wait for up to 12 s.
+    let mut client = Discovery::new(at, None, Pace::new(1, 300, 10_000_000));
+    assert!(client.subscribe(&mut net).is_empty() && client.call.is_none());
+    let (now, next) = (net.clock.now(), client.not_before.unwrap());
+    assert!(client.planned && next.since(now) <= 200_000);
+    let line = client.take_log().remove(0);
+    assert!(line.starts_with("discovery: no call could be made: all 2 descriptors are in use"), "{line}");
+    assert!(line.ends_with("Unmade, calls spread over 6000 ms"), "the spread stays: {line}");
+    held.into_iter().for_each(|id| net.close(id));
+    let mut stream = asked(&mut net, &mut client, &listener);
+    assert!(request(&mut stream).starts_with("GET /registry/instances HTTP/1.1"));
+    drop(others);
+}
+
+/// A client that holds version 41 with one node and watches, and its discovery's end of the connection.
+fn watching() -> (Net, Discovery, Directory, TcpListener, TcpStream) {
+    watching_of(Pace::new(1, 3, 0))
+}
+
+/// The same at a pace.
+fn watching_of(pace: Pace) -> (Net, Discovery, Directory, TcpListener, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut net, mut directory) = (Net::new(64).unwrap(), Directory::default().with_cells(8));
+    let mut client = Discovery::new(listener.local_addr().unwrap(), None, pace);
+    client.subscribe(&mut net);
+    let (mut stream, _) = listener.accept().unwrap();
+    net.wait(Some(net.clock.now().plus(1_000_000))).unwrap();
+    client.ready(&mut net, client.conn.unwrap(), &mut directory);
+    request(&mut stream);
+    answer(&mut stream, 200, LIST);
+    assert_eq!(news(&mut net, &mut client, &mut directory).len(), 1);
+    assert!(request(&mut stream).contains("since=41"));
+    (net, client, directory, listener, stream)
+}
+
+/// Runs the loop until the client asks for the whole list, which none of its news may come before.
+fn asks_whole(net: &mut Net, client: &mut Discovery, directory: &mut Directory, stream: &mut TcpStream) {
+    let before = client.calls;
+    while client.calls == before {
+        net.wait(Some(net.clock.now().plus(100_000))).unwrap();
+        let told = client.ready(net, client.conn.unwrap(), directory);
+        assert!(told.is_empty(), "it is not believed yet: {told:?}");
+    }
+    assert!(request(stream).starts_with("GET /registry/instances HTTP/1.1\r\n"));
+}
+
+const EMPTY: &str = r#"{"generation":42,"reset":true,"instances":[]}"#;
+
+#[test]
+fn an_unreadable_list_changes_nothing_and_is_told() {
+    for bad in ["", "{", "[]", r#"{"generation":"x"}"#, r#"{"generation":42,"instances":[{"cell":1}]}"#] {
+        let (mut net, mut client, mut directory, _listener, mut stream) = watching();
+        answer(&mut stream, 200, bad);
+        assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed], "{bad}");
+        assert!(client.take_log()[0].contains("unreadable list: "), "{bad}");
+        assert_eq!((directory.len(), client.generation), (1, Some(41)), "{bad}");
+    }
+}
+
+#[test]
+fn an_empty_list_is_confirmed_before_it_is_believed() {
+    for (second, left) in [(LIST, 1), (EMPTY, 0)] {
+        let (mut net, mut client, mut directory, _listener, mut stream) = watching();
+        answer(&mut stream, 200, EMPTY);
+        asks_whole(&mut net, &mut client, &mut directory, &mut stream);
+        let line = client.take_log().remove(0);
+        assert!(line.contains("doubted") && line.contains("empty, while 1 data nodes are known"), "{line}");
+        assert_eq!(directory.len(), 1);
+        answer(&mut stream, 200, second);
+        let told = news(&mut net, &mut client, &mut directory);
+        assert!(matches!(&told[..], [Listing::Whole(lines)] if lines.len() == left), "{told:?}");
+        assert!(directory.len() == left && client.doubted.is_none());
+    }
+}
+
+#[test]
+fn a_list_that_goes_back_is_confirmed_and_its_drains_are_kept_if_nobody_confirms_it() {
+    let back = LIST.replace("41", "40").replace("true", "false").replace("SERVING", "DRAINING");
+    // Confirmed: what the whole list says holds, whatever its version.
+    let (mut net, mut client, mut directory, _listener, mut stream) = watching();
+    answer(&mut stream, 200, &back);
+    asks_whole(&mut net, &mut client, &mut directory, &mut stream);
+    assert!(client.take_log()[0].contains("version 40, while 41 is held"));
+    answer(&mut stream, 200, &LIST.replace("41", "7"));
+    let told = news(&mut net, &mut client, &mut directory);
+    assert!(matches!(&told[..], [Listing::Whole(lines)] if lines[0].mode == Mode::Ready));
+    assert!(request(&mut stream).contains("since=7"), "versions count from there");
+    // Not confirmed: the drain was heard, and is kept within the time for it; who serves is not believed.
+    let serves = r#"{"instanceId":"s-2","hostPort":"10.1.0.19:8080","cell":1,"lifecycle":"SERVING"}"#;
+    let back = back.replace("}]}", &format!("}},{serves}]}}"));
+    let (mut net, mut client, mut directory, _listener, mut stream) = watching();
+    answer(&mut stream, 200, &back);
+    asks_whole(&mut net, &mut client, &mut directory, &mut stream);
+    let until = client.doubted.as_ref().unwrap().1;
+    assert!(client.timer(&mut net, CONFIRMED, &mut directory).is_empty(), "there is time yet");
+    answer(&mut stream, 503, "");
+    assert_eq!(news(&mut net, &mut client, &mut directory), [Listing::Failed]);
+    while net.clock.now() < until {
+        net.wait(Some(until)).unwrap();
+    }
+    let told = client.timer(&mut net, CONFIRMED, &mut directory);
+    let is_kept = |lines: &[Listed]| lines.len() == 1 && lines[0].mode == Mode::Draining;
+    assert!(matches!(&told[..], [Listing::Changes(lines)] if is_kept(lines)), "{told:?}");
+    assert!(client.timer(&mut net, CONFIRMED, &mut directory).is_empty(), "once");
+}
+
+#[test]
+fn a_line_without_a_known_cell_is_left_aside_and_one_that_is_known_keeps_its_cell() {
+    let list: List = serde_json::from_str(LIST).unwrap();
+    let mut directory = Directory::default().with_cells(8);
+    let line = |id: &str, cell, lifecycle| Instance {
+        instance_id: id.into(),
+        cell,
+        lifecycle,
+        ..list.instances[0].clone()
+    };
+    let bad = [line("new", None, Lifecycle::Serving), line("far", Some(8), Lifecycle::Serving)];
+    assert!(directory.whole(&bad).is_empty() && directory.is_empty());
+    let log = directory.take_log();
+    assert!(log[0].contains("new has no cell: the line is left aside"), "{log:?}");
+    assert!(log[1].contains("far has cell 8, which there is not"), "{log:?}");
+    directory.changes(&[line("old", Some(3), Lifecycle::Serving)]);
+    let told = directory.changes(&[line("old", None, Lifecycle::Draining)]);
+    assert_eq!((told[0].cell, told[0].mode), (3, Mode::Draining), "that it drains counts");
+    assert!(directory.take_log()[0].contains("it keeps its last one"));
+    let gone = directory.changes(&[line("old", None, Lifecycle::Deleted)]);
+    assert!(gone[0].mode == Mode::Gone && directory.is_empty() && directory.take_log().is_empty());
+}
--- /dev/null
+++ b/src/http/tests.rs
@@ -0,0 +1,75 @@
+//! Tests of `http`.
+
+use super::*;
+use crate::testing::{garbage, random_cuts};
+
+const POST: &[u8] = b"POST /a?x=1 HTTP/1.1\r\nHost: h\r\nReq-Id: 7\r\nContent-Length: 3\r\n\r\nabc";
+const CHUNKS: &[u8] =
+    b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;e=1\r\nc\r\n0\r\nT: 1\r\n\r\n";
+
+#[test]
+fn messages_are_whole_only_at_their_last_byte_however_they_are_cut() {
+    random_cuts(&[POST, CHUNKS], |bytes| match request(bytes).unwrap() {
+        Parsed::Partial(_) => None,
+        Parsed::Whole(r, used) => {
+            assert_eq!(r.body, b"abc");
+            assert_eq!(r.path(), "/a");
+            Some(used)
+        }
+    });
+    let answer: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{}\n\r\n0\r\n\r\n";
+    random_cuts(&[answer], |bytes| match response(bytes, false, 100).unwrap() {
+        Parsed::Partial(_) => None,
+        Parsed::Whole(r, used) => (r.body == b"{}\n").then_some(used),
+    });
+}
+
+#[test]
+fn garbage_never_panics() {
+    // What bad clients send besides: two lengths, a negative one, and half a body.
+    let both: &[u8] = b"POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    let below: &[u8] = b"POST /a HTTP/1.1\r\nContent-Length: -3\r\n\r\nabc";
+    let half: &[u8] = b"POST /a HTTP/1.1\r\nContent-Length: 60000000\r\n\r\nabc";
+    garbage(&[POST, CHUNKS, both, below, half], |bytes| {
+        let _ = request(bytes);
+        let _ = response(bytes, true, 50);
+    });
+}
+
+#[test]
+fn what_can_not_be_read_gets_the_status_that_says_so() {
+    let status = |head: &str| request(head.as_bytes()).unwrap_err().0;
+    assert_eq!(status("NONSENSE\r\n\r\n"), 400);
+    assert_eq!(status("GET / HTTP/3.0\r\n\r\n"), 505);
+    assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n"), 413);
+    assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"), 400);
+    assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: \r\n\r\n"), 400);
+    assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"), 400);
+    assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"), 400);
+    assert_eq!(status("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n"), 501);
+    assert_eq!(status("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n"), 413);
+    assert_eq!(status("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxx\r\n"), 400);
+    assert_eq!(status(&format!("GET / HTTP/1.1\r\nA: {}", "a".repeat(HEAD))), 431);
+}
+
+#[test]
+fn connections_stay_open_unless_a_side_says_close() {
+    let kept = |head: &str| match request(head.as_bytes()).unwrap() {
+        Parsed::Whole(r, _) => r.keep_alive,
+        Parsed::Partial(_) => panic!("partial"),
+    };
+    assert!(kept("GET / HTTP/1.1\r\n\r\n"));
+    assert!(!kept("GET / HTTP/1.1\r\nConnection: Close\r\n\r\n"));
+    assert!(!kept("GET / HTTP/1.0\r\n\r\n"));
+    let waits = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n";
+    assert_eq!(request(waits).unwrap(), Parsed::Partial(true));
+    let until_end = b"HTTP/1.1 200 OK\r\n\r\nabc";
+    assert_eq!(response(until_end, false, 9).unwrap(), Parsed::Partial(false));
+    assert!(matches!(response(until_end, true, 9).unwrap(), Parsed::Whole(r, _) if !r.keep_alive));
+}
+
+#[test]
+fn values_can_not_forge_headers() {
+    let bytes = Response::new(200, "text/plain", "x").with("a", "b\r\nc: d").encode(true, false);
+    assert!(String::from_utf8(bytes).unwrap().contains("a: bc: d\r\n"));
+}
--- /dev/null
+++ b/src/net/tests.rs
@@ -0,0 +1,28 @@
+//! Tests of `net`.
+
+use super::*;
+
+/// Whether a listener is ready within a moment.
+fn knocks(net: &mut Net) -> bool {
+    let until = net.clock.now().plus(200_000);
+    net.wait(Some(until)).unwrap().contains(&Ready::Listener(Owner::Platform))
+}
+
+#[test]
+fn beyond_the_budget_clients_wait_until_a_connection_is_given_back() {
+    let mut net = Net::new(RESERVED + 16).unwrap();
+    let address = net.listen(Owner::Platform, "127.0.0.1:0".parse().unwrap()).unwrap();
+    let _clients: Vec<TcpStream> = (0..8).map(|_| TcpStream::connect(address).unwrap()).collect();
+    let mut open = Vec::new();
+    // Two of the 16 are discovery's, half of the others is for data nodes while it is not known how many there are.
+    while open.len() < 7 {
+        assert!(knocks(&mut net));
+        open.extend(net.accept(Owner::Platform));
+    }
+    assert!(net.accept(Owner::Platform).is_empty() && net.resting());
+    assert!(!knocks(&mut net), "a listener that can't be served does not spin the loop");
+    net.close(open[0]);
+    assert!(net.get(open[0]).is_none() && !net.resting() && knocks(&mut net));
+    let last = net.accept(Owner::Platform);
+    assert!(last.len() == 1 && last[0] != open[0], "names are never reused");
+}
--- /dev/null
+++ b/src/stats/tests.rs
@@ -0,0 +1,45 @@
+//! Tests of `stats`.
+
+use super::*;
+
+#[test]
+fn an_agenda_tells_what_is_to_be_looked_at_and_when() {
+    let mut agenda = Agenda::default();
+    agenda.rest(2);
+    agenda.look(0, Time(10));
+    agenda.look(1, Time(20));
+    assert_eq!((agenda.now(Time(9)), agenda.next(Time(9))), (vec![2], Some(Time(10))));
+    assert_eq!((agenda.now(Time(10)), agenda.next(Time(10))), (vec![0, 2], Some(Time(20))));
+    agenda.look(0, Time(30));
+    agenda.rest(1);
+    agenda.settled(2);
+    assert_eq!((agenda.now(Time(29)), agenda.next(Time(0))), (vec![1], Some(Time(30))));
+}
+
+#[test]
+fn what_is_beyond_a_quota_takes_nothing_from_it() {
+    // One of three instances has one query a second for each of two tenants.
+    let mut quotas = Quotas::new(&[3.0, 3.0], 3);
+    let now = Time(5_000_000);
+    assert!(quotas.within(now, 0) && !quotas.within(now, 0) && quotas.within(now, 1));
+    assert!(!quotas.within(now.plus(900_000), 0) && quotas.within(now.plus(1_000_000), 0));
+    assert!(!quotas.within(now.plus(1_000_000), 0));
+    assert!((0..5).all(|_| quotas.within(now, 2)), "no such tenant: no quota to go beyond");
+}
+
+#[test]
+fn a_server_that_more_parts_can_share_is_wanted_more_until_its_bid_is_worse() {
+    let bid = |rank| Bid { rank, joins: false, near: false };
+    // Server 3 takes nothing; 1 is best for the parts 0 to 2, 2 for part 3.
+    let parts = vec![(0, vec![1, 2]), (1, vec![1, 2]), (2, vec![1, 3]), (3, vec![2, 3])];
+    let ranks = |server: i32| bid([None, Some(1), Some(2), None][server as usize]);
+    let mut wanted = Wanted::new(parts, true, ranks);
+    let mut dice = Dice::default();
+    assert_eq!(wanted.best(&mut dice), Some((1, vec![0, 1, 2])));
+    wanted.sent(1, &[0], bid(Some(3)));
+    assert_eq!(wanted.best(&mut dice), Some((2, vec![1, 3])), "part 1 goes to the better one now");
+    wanted.sent(2, &[1, 3], bid(Some(3)));
+    assert_eq!(wanted.best(&mut dice), Some((1, vec![2])));
+    wanted.sent(1, &[2], bid(None));
+    assert_eq!(wanted.best(&mut dice), None);
+}
