Recall what has not left as soon as its client has gone, floods or not

Cause, found by reading: where the settings forbid cancels, cancel_open (src/policy.rs) withdraws nothing, so that a part which waited for its connection or a descriptor was sent after its client had left; where they allow them it was withdrawn at the module's next turn, however far off (resolutionUs). A client that waits was read up to 148 KB (CEILING) and no further, so that an end behind more than that went unseen until its query's end.

Change: the core names what is out as a query ends (Command::Recall, take_recalls), the pool takes back what has not left, ahead of all other work of the loop's pass; others that share the call go on. What a waiting client sends beyond what is held of a request is dropped, and its connection ends with the answer that is due.

Measured: tests/gone.rs and two files of unit tests on real connections, each order forced: the connection that comes up after the client has left (a full backlog), the flood, the pipelined request, the end behind the request.

--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -441,6 +441,8 @@
                 }
                 Command::Reply(query, reply) => self.reply(query, &reply),
                 Command::CloseIdle(server) => self.note(&[4, u64::from(server.0)]),
+                // Here an attempt leaves in the moment in which it is asked for.
+                Command::Recall(_) => {}
                 Command::Subscribe => self.note(&[5]),
                 Command::Log(_) => self.note(&[6]),
             }
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -99,6 +99,10 @@
 
     /// Hands in the ends of attempts, and takes a turn if it is time.
     fn turn(&mut self, net: &mut Net) {
+        // First of all, and not at the next turn of the module: what waits for a connection might leave before that.
+        for attempt in self.core.take_recalls() {
+            self.recall(net, attempt);
+        }
         self.pool.tend(net);
         self.collect(net.clock.now());
         let now = net.clock.now();
@@ -120,6 +124,7 @@
                     }
                 }
                 Command::Withdraw(attempt) => self.pool.withdraw(net, attempt),
+                Command::Recall(attempt) => self.recall(net, attempt),
                 Command::CloseIdle(server) => self.pool.close_idle(net, server),
                 Command::Reply(query, reply) => {
                     self.sessions.answer(net, query, reply, &mut self.front, &mut self.core);
@@ -131,6 +136,13 @@
         self.collect(net.clock.now());
     }
 
+    /// Ends an attempt that has not left yet; one that has goes on as its class says.
+    fn recall(&mut self, net: &mut Net, attempt: u64) {
+        if self.pool.recall(net, attempt) {
+            self.core.ended(net.clock.now(), attempt, Outcome::Moot, None);
+        }
+    }
+
     fn collect(&mut self, now: Time) {
         let (ended, lines) = self.pool.take_ended();
         for end in ended {
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -154,6 +154,9 @@
         self.bytes -= q.parts.iter().filter_map(|p| p.value.as_ref()).map(|v| v.bytes.len()).sum::<usize>();
         for part in &q.parts {
             self.parts.remove(&part.id);
+            // Guards against parts that nobody waits for: one that still waits for a connection is sent by nobody.
+            let out = (0..part.attempts).filter_map(|number| self.out.get(&(part.id, number)));
+            self.recalls.extend(out);
         }
         Some(q)
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -118,6 +118,9 @@
     Send(ServerId, Vec<Dispatch<J>>),
     /// Give up an attempt that is out. Its outcome is already settled.
     Withdraw(u64),
+    /// The query of an attempt that is out has ended: where the attempt has not left yet it is not to leave any more, whether
+    /// or not servers may be told that one is given up.
+    Recall(u64),
     /// Close idle connections to a server.
     CloseIdle(ServerId),
     /// Give a client its final answer.
@@ -194,6 +197,8 @@
     attempts: HashMap<u64, Attempt>,
     /// Attempts that are out, by part and number.
     out: HashMap<(PartId, u16), u64>,
+    /// Attempts that were out as their queries ended, since that was last told.
+    recalls: Vec<u64>,
     /// Queries and parts held, and bytes of their values.
     held: usize,
     bytes: usize,
@@ -230,6 +235,7 @@
             parts: HashMap::new(),
             attempts: HashMap::new(),
             out: HashMap::new(),
+            recalls: Vec::new(),
             held: 0,
             bytes: 0,
             next_id: 1,
@@ -289,7 +295,13 @@
         let events = std::mem::take(&mut self.inbox);
         self.module.turn(now, events, &mut actions);
         self.carry_out(now, actions, &mut commands);
+        commands.extend(self.recalls.drain(..).map(Command::Recall));
         commands.extend(self.lines.drain(..).map(Command::Log));
         commands
     }
+
+    /// Attempts to be recalled at once, ahead of the next turn, which may be some time off.
+    pub fn take_recalls(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.recalls)
+    }
 }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -257,6 +257,25 @@
     assert!(replies(&commands).is_empty());
 }
 
+#[test]
+fn attempts_of_a_query_that_has_ended_are_recalled_at_once_and_leave_nothing_in_the_books() {
+    let mut set = settings(0);
+    set.limits.cancel = false;
+    let mut stage = Stage::with(set);
+    let query = stage.take(&[0, 1]).unwrap();
+    let mut sent: Vec<u64> = sends(&stage.turn()).iter().map(|s| s.attempt).collect();
+    stage.core.hangup(query);
+    let mut recalled = stage.core.take_recalls();
+    sent.sort_unstable();
+    recalled.sort_unstable();
+    assert!(sent.len() == 2 && recalled == sent, "{sent:?}, {recalled:?}");
+    recalled.iter().for_each(|a| stage.end(*a, Outcome::Moot, 0.0));
+    let commands = stage.turn();
+    assert!(commands.iter().all(|c| !matches!(c, Command::Withdraw(_) | Command::Recall(_))), "{commands:?}");
+    assert!(stage.core.attempts.is_empty() && stage.core.out.is_empty() && stage.core.load.is_empty());
+    assert_eq!((stage.core.held, stage.core.bytes), (0, 0));
+}
+
 #[test]
 fn a_query_that_is_given_up_is_answered_in_the_same_turn_with_advice() {
     let mut stage = Stage::new(0);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -172,10 +172,25 @@
             }
             State::Closing => self.last(net, id),
             State::Lingering => self.read_on(net, id),
-            State::Waiting(..) => {}
+            State::Waiting(..) => self.overhear(net, id),
         }
     }
 
+    /// What a client sends while it waits is kept for later, but not more than is held of any request, nor of all. Guards
+    /// against clients that are gone unseen: their end lies behind what they sent. So beyond that it is dropped, and the
+    /// connection ends with the answer that is due.
+    fn overhear(&mut self, net: &mut Net, id: ConnId) {
+        let held = net.get(id).map_or(0, |conn| conn.input.bytes().len());
+        if held < CEILING && (held <= http::HEAD || self.bytes(net) <= self.most_bytes) {
+            return;
+        }
+        let Some(session) = self.open.get_mut(&id) else { return };
+        if let State::Waiting(_, keep, _) = &mut session.state {
+            *keep = false;
+        }
+        self.read_on(net, id);
+    }
+
     /// Reads requests until one has to be waited for.
     fn requests<F: Front<Context = C>>(
         &mut self,
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -3,6 +3,8 @@
 use super::*;
 use crate::contract::Contracts;
 use crate::interface::Settings;
+use crate::upstream::frames::Job;
+use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 
 /// So many clients, connected, and their connections, oldest first.
@@ -60,3 +62,45 @@
     left.sort_unstable();
     assert_eq!(left, ids[11..], "a quarter of the 38 descriptors that are not discovery's stays");
 }
+
+/// A request of the platform's front for one shard.
+const QUERY: &[u8] = b"POST /a HTTP/1.1\r\nReq-Id: 1\r\nReq-Deadline-Ms: 900\r\nContent-Length: 48\r\n\r\n\
+    {\"segments\":[{\"segment\":0,\"boost\":1}],\"text\":\"\"}";
+
+fn platform() -> crate::front::platform::Platform {
+    let class =
+        platform::Class { name: "a".into(), repeat: crate::interface::Repeat::Safe, deadline: 900_000 };
+    platform::Platform::new(vec![class], Vec::new())
+}
+
+/// Lets the sessions read what is there.
+fn read(net: &mut Net, sessions: &mut Sessions<()>, front: &mut platform::Platform, core: &mut Core<Job>) {
+    for ready in net.wait(Some(net.clock.now().plus(1_000_000))).unwrap() {
+        if let crate::net::Ready::Conn(id, _) = ready {
+            sessions.ready(net, id, front, core);
+        }
+    }
+}
+
+#[test]
+fn a_query_that_is_read_together_with_its_clients_end_is_not_taken() {
+    let (mut net, mut sessions) = (Net::new(64).unwrap(), Sessions::<()>::new(32 << 20));
+    let mut core = Core::new(1, Settings::default(), Contracts::default(), 32 << 20);
+    let (mut clients, _) = connected(&mut net, &mut sessions, 2);
+    let mut front = platform();
+    // Both are there before anything is read: the whole request, and behind it the end.
+    clients[0].write_all(QUERY).unwrap();
+    clients[0].shutdown(Shutdown::Write).unwrap();
+    read(&mut net, &mut sessions, &mut front, &mut core);
+    assert_eq!((core.held_queries(), sessions.open.len()), (0, 1));
+    // The same request is one that is taken; the end comes after it, and before the module's turn.
+    clients[1].write_all(QUERY).unwrap();
+    read(&mut net, &mut sessions, &mut front, &mut core);
+    assert_eq!(core.held_queries(), 1);
+    clients[1].shutdown(Shutdown::Write).unwrap();
+    read(&mut net, &mut sessions, &mut front, &mut core);
+    assert_eq!((core.held_queries(), sessions.open.len(), sessions.waiting.len()), (0, 0, 0));
+    let now = net.clock.now().plus(1_000_000);
+    let sends = core.turn(now).into_iter().filter(|c| matches!(c, crate::core::Command::Send(..))).count();
+    assert_eq!(sends, 0);
+}
--- /dev/null
+++ b/tests/gone.rs
@@ -0,0 +1,167 @@
+//! Clients that have gone: no attempt begins for them any more, whatever stands between their end and the broker.
+
+mod platformed;
+
+use platformed::*;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Whether the broker has read all that was done before on other connections: it answers this.
+fn has_read_on(stage: &Platformed) {
+    let mut probe = stage.connect();
+    probe.write_all(b"GET /health/live HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
+    assert_eq!(answer(&mut probe).status, 200);
+}
+
+/// A data node to which no connection comes up before it accepts: its queue is full.
+struct Late {
+    listener: TcpListener,
+    fillers: Vec<socket2::Socket>,
+}
+
+impl Late {
+    fn new() -> Late {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener: TcpListener = socket.into();
+        let address = listener.local_addr().unwrap();
+        let fill = |_| {
+            let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            socket.set_nonblocking(true).unwrap();
+            // It is on its way, and stays so.
+            let _ = socket.connect(&address.into());
+            socket
+        };
+        let fillers = (0..4).map(fill).collect();
+        Late { listener, fillers }
+    }
+
+    /// From now on connections come up; the first frame that comes on any of them.
+    fn first_frame(mut self) -> String {
+        self.fillers.clear();
+        self.listener.set_nonblocking(true).unwrap();
+        let (began, mut open) = (Instant::now(), Vec::<TcpStream>::new());
+        loop {
+            assert!(began.elapsed() < Duration::from_secs(20), "nothing comes");
+            if let Ok((stream, _)) = self.listener.accept() {
+                stream.set_nonblocking(true).unwrap();
+                open.push(stream);
+            }
+            for stream in &mut open {
+                let mut held = [0; 4096];
+                if let Ok(n @ 5..) = stream.read(&mut held) {
+                    return String::from_utf8_lossy(&held[4..n]).into_owned();
+                }
+            }
+            std::thread::yield_now();
+        }
+    }
+}
+
+/// Connections to this address that are being opened and not up.
+fn being_opened(address: SocketAddr) -> usize {
+    let SocketAddr::V4(v4) = address else { panic!("loopback") };
+    let remote = format!("{:08X}:{:04X} 02", u32::from_le_bytes(v4.ip().octets()), v4.port());
+    std::fs::read_to_string("/proc/net/tcp").unwrap().lines().filter(|l| l.contains(&remote)).count()
+}
+
+/// The client leaves while its part waits for a connection; the connection comes up after that. With `cancel` false nodes
+/// may not be told that parts are given up, and `resolution_us` is the time between two turns of the module.
+fn leaves_before_the_connection(cancel: bool, resolution_us: u64, leave: impl Fn(TcpStream)) {
+    let late = Late::new();
+    let address = late.listener.local_addr().unwrap();
+    let settings = SETTINGS
+        .replace("\"mayCancel\":true", &format!("\"mayCancel\":{cancel}"))
+        .replace("\"resolutionUs\":5000", &format!("\"resolutionUs\":{resolution_us}"))
+        .replace("\"maxStreams\":32", "\"maxStreams\":32,\"connectTimeoutUs\":60000000")
+        .replace("4000000", "40000000")
+        .replace("9000000", "90000000");
+    // Time enough for seldom turns.
+    let query = |id: &str, shard| {
+        let bytes = String::from_utf8(query("fleet-search", id, &[shard])).unwrap();
+        bytes.replace("Ms: 8000", "Ms: 60000").into_bytes()
+    };
+    let stage = Platformed::before(&settings, address);
+    let before = being_opened(address);
+    let mut gone = stage.connect();
+    gone.write_all(&query("gone", 1)).unwrap();
+    while being_opened(address) == before {
+        std::thread::yield_now();
+    }
+    leave(gone);
+    has_read_on(&stage);
+    let mut stays = stage.connect();
+    stays.write_all(&query("stays", 2)).unwrap();
+    let frame = late.first_frame();
+    assert!(frame.starts_with("Rstays.2 2 ") && !frame.contains("gone"), "the first that is sent: {frame}");
+}
+
+fn reset(stream: TcpStream) {
+    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+#[test]
+fn a_part_that_waits_for_a_connection_is_never_sent_once_its_client_has_gone() {
+    leaves_before_the_connection(true, 5_000, drop);
+}
+
+#[test]
+fn nor_where_nodes_may_not_be_told_that_parts_are_given_up() {
+    leaves_before_the_connection(false, 5_000, drop);
+    leaves_before_the_connection(false, 5_000, reset);
+}
+
+#[test]
+fn nor_where_the_module_takes_its_turns_seldom() {
+    // The connection is up after the second that the system takes to try again.
+    leaves_before_the_connection(true, 3_000_000, drop);
+}
+
+#[test]
+fn a_client_that_sends_much_behind_its_request_and_goes_is_seen_to_have_gone() {
+    for leave in [drop::<TcpStream>, reset] {
+        let stage = Platformed::new();
+        let mut client = stage.connect();
+        client.write_all(&query("fleet-search", "g", &[1])).unwrap();
+        let got = stage.next();
+        assert_eq!(got.parts(), ["g.1"]);
+        // Far more than is held of any request: its end lies behind that.
+        client.set_write_timeout(Some(Duration::from_secs(1))).unwrap();
+        let sent = (0..16).map(|_| client.write_all(&[b'x'; 1 << 20])).all(|r| r.is_ok());
+        let left = Instant::now();
+        leave(client);
+        assert_eq!(stage.next().frame, "Ag.1");
+        assert!(sent && left.elapsed() < Duration::from_millis(1_000), "{:?}", left.elapsed());
+    }
+}
+
+#[test]
+fn a_client_that_sends_much_behind_its_request_and_stays_has_its_answer_and_then_the_end() {
+    let stage = Platformed::new();
+    let mut client = stage.connect();
+    client.write_all(&query("fleet-search", "g", &[1])).unwrap();
+    let mut got = stage.next();
+    client.write_all(&vec![b'x'; 4 << 20]).unwrap();
+    has_read_on(&stage);
+    got.answer("g.1 OK 1 -\nv");
+    let response = answer(&mut client);
+    assert_eq!((response.status, response.header("connection")), (200, Some("close")));
+    assert_eq!(client.read(&mut [0; 10]).unwrap(), 0);
+}
+
+#[test]
+fn a_request_pipelined_behind_another_by_a_client_that_goes_is_never_sent() {
+    let stage = Platformed::new();
+    let mut client = stage.connect();
+    client.write_all(&query("fleet-search", "one", &[1])).unwrap();
+    let mut got = stage.next();
+    client.write_all(&query("fleet-search", "two", &[2])).unwrap();
+    client.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(stage.next().frame, "Aone.1", "whoever ends its side has gone");
+    got.answer("one.1 OK 1 -\nv");
+    let mut other = stage.connect();
+    other.write_all(&query("fleet-search", "three", &[3])).unwrap();
+    assert!(stage.next().frame.starts_with("Rthree.3 3 "), "the next that is sent");
+}
--- /dev/null
+++ b/tests/platformed/mod.rs
@@ -0,0 +1,251 @@
+//! A broker with the platform's front on loopback, before a discovery and a data node of which the test holds both ends.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use lichenswitch::broker::Broker;
+use lichenswitch::config::Platform;
+use lichenswitch::http::{self, Parsed, Response};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread;
+use std::time::Duration;
+
+pub const SETTINGS: &str = r#"{"allowed":{"maxAttempts":4,"mostHeld":40,"mayCancel":true,"secondCopies":true,
+    "retryAfter":true,"maxRetryAfterUs":2000000,"maxStreams":32},
+    "classes":[
+      {"name":"fleet-search","objectiveUs":4000000,"deadlineUs":9000000,"idempotency":"retryable","gain":1.0,
+        "lateShare":0.1},
+      {"name":"network-report","objectiveUs":4000000,"deadlineUs":9000000,"idempotency":"retryable","gain":3.0,
+        "lateShare":0.1}],
+    "discovery":"subscribe","resolutionUs":5000,"zones":["a"],
+    "familyInfo":{"partsACall":8,"sets":1,"width":1,"classFetch":[0,2],"classPartial":[0.9,0.8],
+      "minShare":[1.0,0.8],"needByClass":[1.0,1.0]}}"#;
+
+/// A frame that a data node got, and the connection to answer on.
+pub struct Got {
+    pub frame: String,
+    pub stream: TcpStream,
+}
+
+impl Got {
+    /// Ids of the parts of a call.
+    pub fn parts(&self) -> Vec<String> {
+        let lines = self.frame.trim_start_matches('R').split('\n');
+        lines
+            .filter_map(|l| l.rsplit("text").next()?.split(' ').next())
+            .filter(|l| l.contains('.'))
+            .map(Into::into)
+            .collect()
+    }
+
+    pub fn answer(&mut self, line: &str) {
+        let mut bytes = (line.len() as u32 + 1).to_be_bytes().to_vec();
+        bytes.push(b'Y');
+        bytes.extend_from_slice(line.as_bytes());
+        self.stream.write_all(&bytes).unwrap();
+    }
+}
+
+/// Hands on every frame that comes in on any connection.
+pub fn data_node(listener: TcpListener, got: Sender<Got>) {
+    for stream in listener.incoming().flatten() {
+        let got = got.clone();
+        thread::spawn(move || {
+            let mut reading = stream.try_clone().unwrap();
+            loop {
+                let mut length = [0; 4];
+                if reading.read_exact(&mut length).is_err() {
+                    return;
+                }
+                let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+                if reading.read_exact(&mut frame).is_err() {
+                    return;
+                }
+                if frame == b"G" {
+                    (&stream).write_all(b"\0\0\0\x03GOK").unwrap();
+                    continue;
+                }
+                let frame = String::from_utf8(frame).unwrap();
+                if got.send(Got { frame, stream: stream.try_clone().unwrap() }).is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Answers the first call with the list and leaves watches open.
+pub fn discovery(listener: TcpListener, list: String) {
+    for mut stream in listener.incoming().flatten() {
+        let list = list.clone();
+        thread::spawn(move || {
+            let mut held = Vec::new();
+            let mut chunk = [0; 1024];
+            while let Ok(n @ 1..) = stream.read(&mut chunk) {
+                held.extend_from_slice(&chunk[..n]);
+                while let Ok(Parsed::Whole(request, used)) = http::request(&held) {
+                    held.drain(..used);
+                    if request.query().is_empty() {
+                        let answer = Response::new(200, "application/json", list.clone());
+                        stream.write_all(&answer.encode(true, false)).unwrap();
+                    }
+                }
+            }
+        });
+    }
+}
+
+pub struct Platformed {
+    pub address: SocketAddr,
+    pub got: Receiver<Got>,
+    pub stop: Option<UnixStream>,
+    pub broker: Option<thread::JoinHandle<()>>,
+}
+
+impl Platformed {
+    pub fn new() -> Platformed {
+        Platformed::with(SETTINGS)
+    }
+
+    pub fn with(settings: &str) -> Platformed {
+        Platformed::listed(settings, discovery)
+    }
+
+    /// A broker that knows a list of one node, before the discovery that is given its listener and that list.
+    pub fn listed(
+        settings: &str,
+        discovery: impl FnOnce(TcpListener, String) + Send + 'static,
+    ) -> Platformed {
+        let node = TcpListener::bind("127.0.0.1:0").unwrap();
+        let node_at = node.local_addr().unwrap();
+        let (told, got) = mpsc::channel();
+        thread::spawn(move || data_node(node, told));
+        Platformed::start(settings, node_at, got, discovery)
+    }
+
+    /// A broker whose only data node listens there and is the test's own.
+    pub fn before(settings: &str, node_at: SocketAddr) -> Platformed {
+        Platformed::start(settings, node_at, mpsc::channel().1, discovery)
+    }
+
+    fn start(
+        settings: &str,
+        node_at: SocketAddr,
+        got: Receiver<Got>,
+        discovery: impl FnOnce(TcpListener, String) + Send + 'static,
+    ) -> Platformed {
+        let list = TcpListener::bind("127.0.0.1:0").unwrap();
+        let list_at = list.local_addr().unwrap();
+        let text = format!(
+            r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"s","hostPort":"{node_at}","zone":"a",
+            "machineType":"m","cell":0,"lifecycle":"SERVING","weight":1.0,"startedAtMs":0}}]}}"#
+        );
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{list_at}","seed":"1","known":{text},
+            "limits":{{"memory_mb":16}},
+            "settings":{settings}}}"#
+        );
+        thread::spawn(move || discovery(list, text));
+        let (stop, signal) = UnixStream::pair().unwrap();
+        let (told, address) = mpsc::channel();
+        let broker = thread::spawn(move || {
+            let mut broker = Broker::new(Some(Platform::parse(&config, |_| None).unwrap()), None).unwrap();
+            broker.stop_on(signal).unwrap();
+            told.send(broker.addresses()[0].1).unwrap();
+            broker.run().unwrap();
+        });
+        let address = address.recv().unwrap();
+        Platformed { address, got, stop: Some(stop), broker: Some(broker) }
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream
+    }
+
+    pub fn next(&self) -> Got {
+        self.got.recv_timeout(Duration::from_secs(20)).unwrap()
+    }
+}
+
+impl Drop for Platformed {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        let _ = self.broker.take().map(thread::JoinHandle::join);
+    }
+}
+
+pub fn body(segments: &[u32]) -> String {
+    let boost = 1.0 / segments.len() as f64;
+    let segments: Vec<String> =
+        segments.iter().map(|s| format!(r#"{{"segment":{s},"boost":{boost}}}"#)).collect();
+    format!(r#"{{"segments":[{}],"text":"text"}}"#, segments.join(","))
+}
+
+pub fn head(class: &str, id: &str) -> String {
+    format!(
+        "POST /{class} HTTP/1.1\r\nHost: h\r\nReq-Id: {id}\r\nReq-Kind: {class}\r\nReq-Deadline-Ms: 8000\r\n"
+    )
+}
+
+pub fn query(class: &str, id: &str, segments: &[u32]) -> Vec<u8> {
+    let body = body(segments);
+    format!("{}Content-Length: {}\r\n\r\n{body}", head(class, id), body.len()).into_bytes()
+}
+
+/// Reads one response.
+pub fn answer(stream: &mut TcpStream) -> Response {
+    let (mut held, mut chunk) = (Vec::new(), [0; 4096]);
+    loop {
+        let n = stream.read(&mut chunk).unwrap();
+        held.extend_from_slice(&chunk[..n]);
+        match http::response(&held, n == 0, 1 << 20).unwrap() {
+            Parsed::Whole(response, _) => return response,
+            Parsed::Partial(_) => assert!(n > 0, "ended early"),
+        }
+    }
+}
+
+pub fn text(response: &Response) -> String {
+    String::from_utf8(response.body.clone()).unwrap()
+}
+
+/// Answers parts until `count` have been; tells the frames.
+pub fn serve(stage: &Platformed, count: usize) -> Vec<String> {
+    let (mut served, mut frames) = (0, Vec::new());
+    while served < count {
+        let mut got = stage.next();
+        for id in got.parts() {
+            let score = id.split('.').nth(1).unwrap().to_string();
+            got.answer(&format!("{id} OK {score} -\nv{score}"));
+            served += 1;
+        }
+        frames.push(got.frame);
+    }
+    frames
+}
+
+/// The next connection to a stand-in discovery, and what is asked on it.
+pub fn call(listener: &TcpListener) -> (TcpStream, String) {
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let target = next_call(&stream);
+    (stream, target)
+}
+
+pub fn next_call(mut stream: &TcpStream) -> String {
+    let mut held = Vec::new();
+    while !held.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        held.push(byte[0]);
+    }
+    String::from_utf8(held).unwrap().split(' ').nth(1).unwrap().into()
+}
+
+pub fn tell(mut stream: &TcpStream, list: String) {
+    let answer = Response::new(200, "application/json", list);
+    stream.write_all(&answer.encode(true, false)).unwrap();
+}
