Keep a cold server's budget for the sum of all brokers, few or many, even or uneven

Cause, found by reading cold_tokens in src/policy.rs and shown in virtual time: a broker's part was the greater of an equal share and its load's; each of many saved up two parts, which came together when the server's neighbours went; a call could take one more than there was; a broker without any answer took the server for one of 1,500 parts a second (norm from 1 ms).

Change: half of the allowance is shared alike, half by traffic; where a broker has less than a part a window, chance decides in each window, by its part over one and a half times its usual traffic; parts saved up and parts of a call follow the root of the budget; without an answer the longest aim stands for the usual answer time. Fate, Try and Flight, which only hold what is remembered, move to stats.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod cold;
 pub mod council;
 pub mod discovery;
 pub mod fleet;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Args, Parser, Subcommand};
-use lichenswitch_lab::{council, discovery, fleet, members, replay, scale, two_phase};
+use lichenswitch_lab::{cold, council, discovery, fleet, members, replay, scale, two_phase};
 use serde::Serialize;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -25,6 +25,8 @@
     Replay(Common),
     /// What a view of the fleet costs and how soon it is right, at 9, 30 and 300 brokers.
     Members(Common),
+    /// What all brokers together send to a server that has just started, against what it is allowed.
+    Cold(ColdArgs),
     /// How soon a fleet hears of a change after discovery was down, by the calls that it handles in a second.
     Discovery(Common),
     /// A fleet of processes with faults between them.
@@ -64,6 +66,15 @@
     json: Option<PathBuf>,
 }
 
+#[derive(Args)]
+struct ColdArgs {
+    #[command(flatten)]
+    common: Common,
+    /// How many seeds, from that one on.
+    #[arg(long, default_value_t = 100)]
+    seeds: u64,
+}
+
 #[derive(Args)]
 struct ScaleArgs {
     #[command(flatten)]
@@ -135,6 +146,11 @@
             }
             write(&common, &all)
         }
+        Experiment::Cold(args) => {
+            let all = cold::run(args.common.seed, args.seeds);
+            print!("{}", cold::table(&all));
+            write(&args.common, &all)
+        }
         Experiment::Discovery(common) => {
             let all = discovery::run(common.seed, 10);
             print!("{}", discovery::table(&all));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,7 +8,9 @@
     Action, Budget, Class, Discovery, Event, Listed, Listing, Micros, Mode, Outcome, PartId, QueryId, Repeat,
     ServerId, Settings, Shard, Time,
 };
-use crate::stats::{faded, Aged, Agenda, Bid, Call, Dice, Fading, Quotas, Wanted, WindowCount};
+use crate::stats::{
+    drawn, faded, Aged, Agenda, Bid, Call, Dice, Fading, Fate, Flight, Quotas, Try, Wanted, WindowCount,
+};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 // ---- Tuned values ------------------------------------------------------------------------------------
@@ -73,8 +75,13 @@
 const VALUE_PACE: f64 = 0.05;
 const VALUE_LEAST: f64 = 0.5;
 const VALUE_MOST: f64 = 1.3;
-/// Parts that a warm server works off in a common answer time: it has cores, and the time holds waiting.
+/// Parts that a warm server works off in a common answer time (it has cores, the time holds waiting); part of
+/// its allowance while cold that instances share alike, the rest goes by traffic; parts that may be saved;
+/// answers after which an instance knows its traffic.
 const COLD_PARTS: f64 = 1.5;
+const COLD_ALIKE: f64 = 0.5;
+const COLD_SAVED: f64 = 2.0;
+const COLD_KNOWN: u64 = 20;
 /// A query is turned away when its slowest part is expected to need more than a share of its aim: at first,
 /// and within these bounds as answers come in time (a step) or late (a cut, if they had so much of the aim).
 const ADMIT: f64 = 1.2;
@@ -120,17 +127,6 @@
     proved: Time,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum Fate {
-    Out,
-    NeverRan,
-    MayHaveRun,
-}
-struct Try {
-    server: ServerId,
-    sent: Time,
-    fate: Fate,
-}
 #[derive(Default)]
 struct Part {
     id: PartId,
@@ -180,22 +176,12 @@
     have: f64,
 }
 
-struct Flight {
-    server: ServerId,
-    call: u64,
-    sent: Time,
-    norm: usize,
-    /// Own parts pending there when it was sent.
-    depth: f64,
-    /// It went on a connection that had been idle.
-    idle: bool,
-}
-
 /// One co-ordinator: the decisions of one broker.
 #[derive(Default)]
 pub struct Coordinator {
     set: Settings,
     rng: Dice,
+    salt: u64,
     now: Time,
     servers: BTreeMap<ServerId, Server>,
     /// The ready servers of each cell, and how many there are in all.
@@ -244,6 +230,7 @@
     pub fn new(seed: u64, settings: Settings) -> Self {
         Coordinator {
             rng: Dice(fastrand::Rng::with_seed(seed)),
+            salt: seed,
             norms: vec![Fading::default(); settings.classes.len() * 2],
             copy_tokens: COPY_SAVED / 2.0,
             admit: ADMIT,
@@ -750,7 +737,7 @@
 
     /// Whether a cold server has used up its allowance: nothing is sent, rather than push it over.
     fn closed(&self, s: &Server) -> bool {
-        self.cold_tokens(s).is_some_and(|(tokens, _)| tokens < 1.0)
+        self.cold_tokens(s).is_some_and(|(_, call)| call == 0)
     }
 
     /// Whether a part joins a call opened this turn.
@@ -809,8 +796,7 @@
         let mut wanted = Wanted::new(parts, room > 1, |server| self.bid(&self.servers[&server], class));
         while let Some((server, mut parts)) = wanted.best(&mut self.rng) {
             let cold = self.cold_tokens(&self.servers[&server]);
-            let share = |(tokens, sparse)| if sparse { room.min(1 + tokens as usize) } else { 1 };
-            parts.truncate(cold.map_or(room, share));
+            parts.truncate(cold.map_or(room, |(_, call)| room.min(call)));
             parts.iter().for_each(|&i| self.send(id, i, server, out));
             wanted.sent(server, &parts, self.bid(&self.servers[&server], class));
         }
@@ -956,7 +942,10 @@
     }
 
     fn list_line(&mut self, line: &Listed) {
-        let (now, first) = (self.now, self.rng.0.f64());
+        // Instances start at random points of their first part, since all hear of a start at once: else none
+        // would send for long, or all together. One that knows its traffic is held by chance.
+        let known = f64::from(u8::from(self.answered >= COLD_KNOWN));
+        let (now, first) = (self.now, self.rng.0.f64() + known);
         let s = self.servers.entry(line.server).or_default();
         (s.cell, s.zone, s.mode) = (line.cell, line.zone, line.mode);
         if let Some(started) = line.started {
@@ -967,25 +956,34 @@
         }
     }
 
-    /// Allowance of a cold server by now, in parts; `None` once warm. Of what the rule allows of the present
-    /// capacity each instance has its share, a warm server working off some parts in a common answer time, or
-    /// as many times its own mean load: both stay under the rule in sum. Instances start at random points of
-    /// their first part, since all hear of a start at once: else none would send for long, or all together.
-    /// With less than a part a window (`true`: of many instances each meets it seldom) two may be saved
-    /// up and a call take one more than there is: chance would leave half of a smaller one unused.
-    /// Harm: at a small share a shard with cold holders alone waits for the allowance.
-    fn cold_tokens(&self, s: &Server) -> Option<(f64, bool)> {
-        let age = self.now.since(s.cold_from?) as f64 / self.set.cold.warm_after.max(1) as f64;
-        let level = (age < 1.0).then_some(self.set.cold.share + (1.0 - self.set.cold.share) * age)?;
-        let norm = self.norms.iter().map(|n| n.or(0.0)).fold(1_000.0, f64::max);
-        let ready = self.ready.max(1) as f64;
-        let time = (self.now.since(self.began) + self.set.cold.fall_after) as f64 * ready;
-        let allowed = level * self.set.cold.fall_multiple;
-        let shared = allowed * COLD_PARTS / (norm * f64::from(self.set.instances));
-        let rate = shared.max(self.answered as f64 / time * allowed.min(2.0));
-        let window = rate * self.set.cold.fall_after as f64;
-        let (sparse, most) = if window < 1.0 { (true, 2.0) } else { (false, (window / 3.0).max(1.0)) };
-        Some(((s.cold_tokens + rate * self.now.since(s.filled_at) as f64).min(most).max(-most), sparse))
+    /// Allowance of a cold server by now, in parts, and how many a call may hold (0: it is closed); `None` once
+    /// warm. Of what the rule allows of the present capacity each instance has its part; they sum to less. Less
+    /// than one a window is saved up, since a sparse instance seldom has work as it falls due; there chance
+    /// decides in each window whether the server is open, by the allowance over what its shards may ask for:
+    /// what many have saved up does not come together. Harm: a shard with cold holders alone waits.
+    fn cold_tokens(&self, s: &Server) -> Option<(f64, usize)> {
+        let (from, cold, now) = (s.cold_from?, &self.set.cold, self.now);
+        let age = now.since(from) as f64 / cold.warm_after.max(1) as f64;
+        let allowed = (age < 1.0).then_some(cold.share + (1.0 - cold.share) * age)? * cold.fall_multiple;
+        // An instance that has had no answer yet knows no more than what is wanted.
+        let aim = self.set.classes.iter().map(|c| c.aim as f64).fold(1_000.0, f64::max);
+        let norm = self.norms.iter().map(|n| n.or(0.0)).fold(0.0, f64::max);
+        let works = COLD_PARTS / if norm > 0.0 { norm.max(1_000.0) } else { aim };
+        let time = (now.since(self.began) + cold.fall_after) as f64 * self.ready.max(1) as f64;
+        let mean = self.answered as f64 / time;
+        let alike = COLD_ALIKE * works / f64::from(self.set.instances);
+        let rate = allowed * (alike + (1.0 - COLD_ALIKE) * mean);
+        let window = rate * cold.fall_after as f64;
+        // Parts that come together: no more of them than chance may bring beyond the allowance of all.
+        let together = (allowed * works * cold.fall_after as f64).sqrt() / 3.5;
+        let sparse = window < 1.0;
+        let most = if sparse { COLD_SAVED.min(1.0 + together) } else { (window / 4.0).max(1.0) };
+        let tokens = (s.cold_tokens + rate * now.since(s.filled_at) as f64).clamp(-most, most);
+        let chance = drawn(self.salt ^ from.0.rotate_left(20) ^ u64::from(s.cell), now, cold.fall_after);
+        let asked = (1.0 + f64::from(self.set.layout.width)) / 2.0 * mean;
+        let open = tokens >= 1.0 && (!sparse || chance * asked <= rate);
+        let more = if sparse { tokens.min(together).max(0.0) as usize } else { 0 };
+        Some((tokens, if open { 1 + more } else { 0 }))
     }
 }
 
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -1,6 +1,6 @@
 //! Plain containers for what the decision module remembers. Every parameter is passed in.
 
-use crate::interface::{Micros, Time};
+use crate::interface::{Micros, ServerId, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A seeded source of chance.
@@ -13,6 +13,54 @@
     }
 }
 
+/// A number from 0 to 1 that is drawn anew in each window, which begins at a point of its own for each seed. It is the same
+/// whenever it is asked for.
+#[must_use]
+pub fn drawn(seed: u64, now: Time, window: Micros) -> f64 {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let slice = (now.0 + rng.u64(0..=window)) / window.max(1);
+    fastrand::Rng::with_seed(rng.u64(..) ^ slice.rotate_left(40)).f64()
+}
+
+/// What has become of an attempt, as far as its part may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fate {
+    /// It is out.
+    Out,
+    /// It has ended, and never ran.
+    NeverRan,
+    /// It has ended, and may have run.
+    MayHaveRun,
+}
+
+/// An attempt of a part, as the part remembers it.
+#[derive(Clone, Copy, Debug)]
+pub struct Try {
+    /// Where it was sent.
+    pub server: ServerId,
+    /// When.
+    pub sent: Time,
+    /// What has become of it.
+    pub fate: Fate,
+}
+
+/// An attempt that is out, as its server is judged by it.
+#[derive(Clone, Copy, Debug)]
+pub struct Flight {
+    /// Where it was sent.
+    pub server: ServerId,
+    /// The call that it travelled in.
+    pub call: u64,
+    /// When.
+    pub sent: Time,
+    /// Index of the common answer time that it is measured by.
+    pub norm: usize,
+    /// Own parts pending there when it was sent.
+    pub depth: f64,
+    /// It went on a connection that had been idle.
+    pub idle: bool,
+}
+
 /// A mean in which older samples fade.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Fading {
