End resting connections by a half-close, and be ready only with a list

Cause, found by reading: idle connections and those of a stop were closed (Sessions::close_unused, look) though a request may lie unread, which resets them and what was written before; /health/ready said 200 with no list at all; the shares of descriptors followed limits.sockets alone, where the system may give less, so that idle clients took discovery's place; an accept that failed for want of a descriptor left a listener that stays ready, and the loop spun.

Change: this side ends first, what still comes is read and dropped, the client's end or 3 s (0.4 s while the broker stops) closes; readiness begins with a list that may be acted on; shares are of the lesser of the two limits; after a failed accept listeners rest until the next look (50 ms).

Two tests asserted readiness without a list; they now assert 503 before it and 200 after it.

--- a/lab/src/cold.rs
+++ b/lab/src/cold.rs
@@ -61,9 +61,12 @@
     pub served: f64,
 }
 
+/// An answer to come: when, at which broker, of which part and attempt, and from which server.
+type Answer = (Time, usize, u64, u16, u32);
+
 struct World {
     brokers: Vec<Coordinator>,
-    answers: BinaryHeap<Reverse<(Time, usize, u64, u16, u32)>>,
+    answers: BinaryHeap<Reverse<Answer>>,
     attempts: BTreeMap<u64, u16>,
     takes: Micros,
     watched: u32,
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -11,7 +11,7 @@
 use crate::front::platform::{Class, Platform};
 use crate::front::{Front, Sessions};
 use crate::interface::{self, Listing, Micros, Outcome, Time};
-use crate::net::{ConnId, Net, Owner, Ready, Signal, Timer};
+use crate::net::{self, ConnId, Net, Owner, Ready, Signal, Timer};
 use crate::peer::company::Company;
 use crate::upstream::frames::Frames;
 use crate::upstream::ogc::Features;
@@ -174,6 +174,10 @@
             let ready = lines.iter().filter(|line| line.mode == interface::Mode::Ready);
             let started = ready.filter_map(|line| Some((line.server, line.started?)));
             started.for_each(|(server, at)| self.pool.beware(server, at.plus(warm_after)));
+            // An empty list of before the start is none: nothing can be served by it.
+            if !matches!(&news, Listing::Cached(lines) if lines.is_empty()) {
+                self.front.listed();
+            }
         }
         self.core.listed(news);
     }
@@ -226,6 +230,8 @@
             );
         }
         let sockets = platform.as_ref().map_or(config::SOCKETS, |told| told.sockets);
+        // Guards discovery's own place: shares of more than the system gives would be taken by whoever comes first.
+        let sockets = sockets.min(net::system_limit().unwrap_or(sockets));
         let net = Net::new(sockets).map_err(|e| format!("poller: {e}"))?;
         let mut broker = Broker {
             net,
@@ -360,6 +366,9 @@
             }
             each_service!(self, |net, service| service.turn(net));
             self.subscribe();
+            if self.net.resting() {
+                self.net.attend_again();
+            }
             if self.net.resting() {
                 // What data nodes have borrowed goes first; where all of that carries calls, idle clients make room.
                 let (owed, mut closed) = (self.net.owed(), 0);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -35,6 +35,9 @@
     fn malformed(&self, status: u16, why: &str) -> Response;
     /// Whether the broker is about to end.
     fn stop(&mut self);
+    /// A list of data nodes is here that may be acted on: clients may come. Until then a front that tells whether it is ready
+    /// says that it is not.
+    fn listed(&mut self) {}
 }
 
 /// Most bytes held of a client's requests: a body in small chunks is larger on the wire than in memory.
@@ -43,6 +46,8 @@
 const ARRIVAL: Micros = 2_000_000;
 /// How long a client may take to end its side once the last answer is written.
 const LINGER: Micros = 3_000_000;
+/// The same while the broker ends: it may be killed 0.2 s after the last moment of an answer.
+const STOP_LINGER: Micros = 400_000;
 /// A client that takes nothing of an answer for so long has gone.
 const UNREAD: Micros = 10_000_000;
 /// A connection between requests is closed after this long.
@@ -81,6 +86,8 @@
     Stays,
     /// Its request took too long to arrive: the client is told so.
     ToldOff,
+    /// It rests, and ends without a loss.
+    Ends,
     Closes,
 }
 
@@ -96,7 +103,8 @@
             State::Reading if !conn.flushed() => unread,
             State::Reading if !conn.input.is_empty() && age >= ARRIVAL => return Due::ToldOff,
             State::Reading if !conn.input.is_empty() => false,
-            State::Reading => age >= if self.asked { IDLE } else { ARRIVAL },
+            State::Reading if age >= if self.asked { IDLE } else { ARRIVAL } => return Due::Ends,
+            State::Reading => false,
         };
         if closes {
             Due::Closes
@@ -271,14 +279,21 @@
     /// The last answer is being written. Once it is, this side ends, and what the client still sends is read and
     /// dropped: a close with bytes unread would reset the connection before the client has the answer.
     fn last(&mut self, net: &mut Net, id: ConnId) {
-        let (Some(session), Some(conn)) = (self.open.get_mut(&id), net.get_mut(id)) else { return };
-        if conn.flushed() {
-            conn.end_output();
-            (session.state, session.since) = (State::Lingering, net.clock.now());
-            self.read_on(net, id);
+        if net.get(id).is_some_and(Conn::flushed) {
+            self.half_close(net, id);
         }
     }
 
+    /// Ends this side of a connection. Guards the answers before it, and a request that crosses the end: with bytes unread a
+    /// close resets the connection. What is read after this is sent on by nobody; the client sees the end, and asks anew.
+    fn half_close(&mut self, net: &mut Net, id: ConnId) {
+        let now = net.clock.now();
+        let (Some(session), Some(conn)) = (self.open.get_mut(&id), net.get_mut(id)) else { return };
+        conn.end_output();
+        (session.state, session.since) = (State::Lingering, now);
+        self.read_on(net, id);
+    }
+
     fn read_on(&mut self, net: &mut Net, id: ConnId) {
         if let Some(conn) = net.get_mut(id) {
             conn.input.consume(conn.input.bytes().len());
@@ -319,6 +334,7 @@
             match due {
                 Due::Stays => {}
                 Due::ToldOff => self.tell_off(net, id, &front.malformed(408, "the request took too long")),
+                Due::Ends => self.half_close(net, id),
                 Due::Closes => self.close(net, id, core),
             }
         }
@@ -365,12 +381,20 @@
         self.stopping = true;
     }
 
-    /// Closes connections between requests; tells how many are left.
+    /// Ends connections between requests, and closes those whose clients do not end theirs soon; tells how many are left.
     pub fn close_unused<J>(&mut self, net: &mut Net, core: &mut Core<J>) -> usize {
+        let now = net.clock.now();
         let unused = |id: &ConnId| net.get(*id).is_none_or(|c| c.input.is_empty() && c.flushed());
-        let reading = self.open.iter().filter(|(_, s)| matches!(s.state, State::Reading | State::Lingering));
-        let ids: Vec<ConnId> = reading.map(|(id, _)| *id).filter(|id| unused(id)).collect();
-        ids.into_iter().for_each(|id| self.close(net, id, core));
+        let (mut rest, mut over) = (Vec::new(), Vec::new());
+        for (id, session) in &self.open {
+            match session.state {
+                State::Reading if unused(id) => rest.push(*id),
+                State::Lingering if now.since(session.since) >= STOP_LINGER => over.push(*id),
+                _ => {}
+            }
+        }
+        rest.into_iter().for_each(|id| self.half_close(net, id));
+        over.into_iter().for_each(|id| self.close(net, id, core));
         self.open.len()
     }
 }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -26,6 +26,8 @@
     /// Names of the tenants, in the order of the settings.
     tenants: Vec<String>,
     taken: Taken,
+    /// A list of data nodes is here.
+    listed: bool,
     stopping: bool,
 }
 
@@ -84,7 +86,7 @@
     pub fn new(classes: Vec<Class>, tenants: Vec<String>) -> Self {
         let open = classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let taken = Taken { ids: Default::default(), since: Time(0), open };
-        Platform { classes, tenants, taken, stopping: false }
+        Platform { classes, tenants, taken, listed: false, stopping: false }
     }
 
     fn query(&mut self, now: Time, request: &http::Request) -> Result<Request<Job>, (u16, String)> {
@@ -173,6 +175,7 @@
                 Verdict::Reply(plain(405, "health is read by GET").with("allow", "GET, HEAD"))
             }
             "/health/ready" if self.stopping => Verdict::Reply(plain(503, "stopping")),
+            "/health/ready" if !self.listed => Verdict::Reply(plain(503, "no list of data nodes yet")),
             "/health/live" | "/health/ready" => Verdict::Reply(plain(200, "ok")),
             _ => match self.query(now, request) {
                 Ok(query) => Verdict::Take(Box::new(query), ()),
@@ -220,6 +223,10 @@
     fn stop(&mut self) {
         self.stopping = true;
     }
+
+    fn listed(&mut self) {
+        self.listed = true;
+    }
 }
 
 #[cfg(test)]
--- a/src/front/platform/tests.rs
+++ b/src/front/platform/tests.rs
@@ -127,7 +127,7 @@
 }
 
 #[test]
-fn readiness_ends_with_the_stop_and_life_does_not() {
+fn readiness_begins_with_a_list_and_ends_with_the_stop_and_life_does_not() {
     let mut front = front();
     let health = |front: &mut Platform, path: &str| {
         let request = http::Request { method: "GET".into(), target: path.into(), ..Default::default() };
@@ -136,6 +136,8 @@
             Verdict::Take(..) => 0,
         }
     };
+    assert_eq!((health(&mut front, "/health/ready"), health(&mut front, "/health/live")), (503, 200));
+    front.listed();
     assert_eq!((health(&mut front, "/health/ready"), health(&mut front, "/health/live")), (200, 200));
     front.stop();
     assert_eq!((health(&mut front, "/health/ready"), health(&mut front, "/health/live")), (503, 200));
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -4,7 +4,7 @@
 use crate::contract::Contracts;
 use crate::interface::Settings;
 use crate::upstream::frames::Job;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 
 /// So many clients, connected, and their connections, oldest first.
@@ -104,3 +104,58 @@
     let sends = core.turn(now).into_iter().filter(|c| matches!(c, crate::core::Command::Send(..))).count();
     assert_eq!(sends, 0);
 }
+
+/// A client that has had an answer and not read it, and whose next request is there and not read by the broker.
+fn crossing(
+    net: &mut Net,
+    sessions: &mut Sessions<()>,
+    core: &mut Core<Job>,
+) -> (TcpStream, platform::Platform) {
+    let (mut clients, _) = connected(net, sessions, 1);
+    let mut front = platform();
+    clients[0].write_all(b"GET /health/live HTTP/1.1\r\n\r\n").unwrap();
+    read(net, sessions, &mut front, core);
+    clients[0].write_all(QUERY).unwrap();
+    let client = clients.remove(0);
+    client.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
+    (client, front)
+}
+
+#[test]
+fn a_request_that_crosses_the_end_of_a_resting_connection_is_sent_by_nobody_and_resets_nothing() {
+    for idle in [true, false] {
+        let (mut net, mut sessions) = (Net::new(64).unwrap(), Sessions::<()>::new(32 << 20));
+        let mut core = Core::new(1, Settings::default(), Contracts::default(), 32 << 20);
+        let (mut client, mut front) = crossing(&mut net, &mut sessions, &mut core);
+        if idle {
+            let long = net.clock.now().minus(IDLE);
+            sessions.open.values_mut().for_each(|s| s.since = long);
+            sessions.look(&mut net, Owner::Platform, &front, &mut core);
+        } else {
+            assert_eq!(sessions.close_unused(&mut net, &mut core), 1, "it is left to its client to end it");
+        }
+        read(&mut net, &mut sessions, &mut front, &mut core);
+        assert_eq!(core.held_queries(), 0, "what is read after the end is dropped");
+        let mut text = String::new();
+        client.read_to_string(&mut text).expect("an end, and no reset");
+        assert!(text.starts_with("HTTP/1.1 200 ") && text.ends_with("ok\n"), "{text}");
+        // Its client ends it as well: nothing is left.
+        drop(client);
+        read(&mut net, &mut sessions, &mut front, &mut core);
+        assert!(sessions.open.is_empty());
+    }
+}
+
+#[test]
+fn a_client_that_never_ends_its_side_is_closed_in_time_while_the_broker_stops() {
+    let (mut net, mut sessions) = (Net::new(64).unwrap(), Sessions::<()>::new(32 << 20));
+    let mut core = Core::<Job>::new(1, Settings::default(), Contracts::default(), 32 << 20);
+    let (clients, ids) = connected(&mut net, &mut sessions, 1);
+    assert_eq!(sessions.close_unused(&mut net, &mut core), 1);
+    assert_eq!(sessions.close_unused(&mut net, &mut core), 1, "there is time yet");
+    let early = net.clock.now().minus(STOP_LINGER);
+    sessions.open.get_mut(&ids[0]).unwrap().since = early;
+    assert_eq!(sessions.close_unused(&mut net, &mut core), 0);
+    assert!(net.get(ids[0]).is_none());
+    drop(clients);
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -335,7 +335,14 @@
                 match listener.accept() {
                     Ok((stream, _)) => taken.extend(self.add(stream, owner, true)),
                     Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    Err(_) => break,
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                    // One that left before it was accepted is no reason to leave the others waiting.
+                    Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                    // Guards the loop: the system has no descriptor or memory for it, and a listener stays ready.
+                    Err(_) => {
+                        self.resting = true;
+                        break;
+                    }
                 }
             }
         }
@@ -522,8 +529,8 @@
         }
     }
 
-    /// Accepts again once there is room.
-    fn attend_again(&mut self) {
+    /// Accepts again once there is room. Where the system itself had none, that shows in the next try.
+    pub fn attend_again(&mut self) {
         if self.resting && self.may_open(Owner::Platform) {
             self.resting = false;
             self.attend(true);
@@ -543,6 +550,18 @@
     }
 }
 
+/// Descriptors that the system gives this process at the most, where it tells.
+#[must_use]
+pub fn system_limit() -> Option<usize> {
+    soft_limit(&std::fs::read_to_string("/proc/self/limits").ok()?)
+}
+
+/// The soft limit on open files in the system's table of limits; `None`: there is none, or it is not told.
+fn soft_limit(table: &str) -> Option<usize> {
+    let line = table.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 /// What the system answers to a connect that goes on in the background.
 const EINPROGRESS: i32 = 115;
 /// What it answers when this process, or the whole system, may have no more descriptors.
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -26,3 +26,13 @@
     let last = net.accept(Owner::Platform);
     assert!(last.len() == 1 && last[0] != open[0], "names are never reused");
 }
+
+#[test]
+fn the_systems_limit_on_open_files_is_read_from_its_table() {
+    let table = "Limit                     Soft Limit           Hard Limit           Units\n\
+        Max processes             95788                95788                processes\n\
+        Max open files            1024                 524288               files\n";
+    assert_eq!(soft_limit(table), Some(1_024));
+    assert_eq!(soft_limit(&table.replace("1024 ", "unlimited ")), None);
+    assert_eq!(soft_limit("no table"), None);
+}
--- a/tests/programs.rs
+++ b/tests/programs.rs
@@ -35,8 +35,11 @@
     let mut lines = BufReader::new(broker.stderr.take().unwrap()).lines();
     let line = lines.find(|l| l.as_ref().unwrap().contains("listens on ")).unwrap().unwrap();
     let address = line.rsplit(' ').next().unwrap();
+    let live = ask(address, "GET /health/live HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assert!(live.starts_with("HTTP/1.1 200 "), "{live}");
+    // Discovery is down and no list is known: clients are not to come yet.
     let ready = ask(address, "GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n");
-    assert!(ready.starts_with("HTTP/1.1 200 "), "{ready}");
+    assert!(ready.starts_with("HTTP/1.1 503 "), "{ready}");
     let bad = ask(address, "NONSENSE\r\n\r\n");
     assert!(bad.starts_with("HTTP/1.1 400 "), "{bad}");
     // No data node is known: the module gives up at once, and says when to come back.
@@ -86,8 +89,19 @@
     asked.read_exact(&mut head).unwrap();
     assert_eq!(&head, b"GET /registry/instances HTTP");
     let address = listens.rsplit(' ').next().unwrap();
-    let ready = ask(address, "GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n");
-    assert!(ready.starts_with("HTTP/1.1 200 "), "{ready}");
+    let ready = || ask(address, "GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assert!(ready().starts_with("HTTP/1.1 503 "), "not before the list is here");
+    let list = r#"{"generation":1,"reset":true,"instances":[]}"#;
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+    asked.write_all(answer.as_bytes()).unwrap();
+    // The watch that follows shows that the list was read.
+    let mut rest = Vec::new();
+    while !String::from_utf8_lossy(&rest).contains("since=1") {
+        let mut byte = [0];
+        asked.read_exact(&mut byte).unwrap();
+        rest.push(byte[0]);
+    }
+    assert!(ready().starts_with("HTTP/1.1 200 "), "and then at once");
     signal("-TERM");
     signal("-HUP");
     line_with("stopping");
