Let no keyed repeat leave after its window, and rest retries where copies are forbidden

Cause of the first, by reading: the module's window is told shorter by the connect time-out and 0.1 s, but a connection that is up may be greeted, and the call waits for that answer as long as the node takes (Greeting::Sent in src/upstream/mod.rs); what is written then may be past the window. Change: the core gives each repeat of a keyed part the last moment in which it may leave, counted from the first attempt that may have run; the pool ends as never sent what its connection has held back beyond it and the time that a connection may take.

Cause of the second: NOT shown, a guess by reading. After attempts that this broker itself withdraws (a query that broke two connections, or a mute connection) the retry goes in the next turn to another server, and may be there before the first has heard. Change: where the settings allow no second copies, a part rests 20 ms after an attempt that may have run.

--- a/src/core/collect.rs
+++ b/src/core/collect.rs
@@ -19,6 +19,11 @@
         if let (Some(part), Outcome::Moot) = (&mut part, outcome) {
             part.unsent += 1;
         }
+        if let Some(part) =
+            part.as_mut().filter(|p| outcome.never_ran() && p.ran.is_some_and(|r| r.0 == a.number))
+        {
+            part.ran = None;
+        }
         if let (Some(part), Outcome::Ok, Some(value)) = (part, outcome, value) {
             if self.bytes + value.bytes.len() > self.most_bytes {
                 // Guards memory: what all queries hold is bounded, and a value beyond it is none.
--- a/src/core/dispatch.rs
+++ b/src/core/dispatch.rs
@@ -1,7 +1,7 @@
 //! Dispatch: what the module asks for becomes commands; sends of a turn to one server share a call.
 
 use super::{Attempt, Command, Core, Dispatch};
-use crate::interface::{Action, Event, Micros, Outcome, PartId, ServerId, Time};
+use crate::interface::{Action, Event, Micros, Outcome, PartId, Repeat, ServerId, Time};
 use std::collections::HashMap;
 
 /// The calls of a turn.
@@ -50,6 +50,7 @@
             return self.inbox.push(event);
         };
         let (deadline, job, first) = (q.deadline, q.job.clone(), q.first.clone());
+        let repeat = self.settings.classes[q.class].repeat;
         let Some(p) = q.parts.get_mut(i) else { return };
         let number = p.attempts;
         p.attempts += 1;
@@ -69,7 +70,13 @@
         self.attempts.insert(attempt, Attempt { part, number, server, sent: now, pending });
         self.out.insert((part, number), attempt);
         let first = first.filter(|_| p.second);
-        let dispatch = Dispatch { attempt, job, shard: p.shard, first, most: p.most, wait };
+        // Guards the rule on repeats: what waits for its connection may leave long after it was decided.
+        let leave_by = match (repeat, p.ran) {
+            (Repeat::Keyed(window), Some((_, ran))) => Some(ran.plus(window)),
+            _ => None,
+        };
+        p.ran = p.ran.or(Some((number, now)));
+        let dispatch = Dispatch { attempt, job, shard: p.shard, first, most: p.most, wait, leave_by };
         if let Some((id, _)) = place {
             self.planner.on_sent(now, id, p.shard.0, f64::from(pending));
         }
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -132,7 +132,8 @@
         let q = self.queries.get_mut(&query)?;
         self.parts.insert(part, (query, q.parts.len()));
         let (value, proved) = (None, false);
-        q.parts.push(Part { id: part, shard, weight, second, attempts: 0, unsent: 0, value, most, proved });
+        let (attempts, unsent, ran) = (0, 0, None);
+        q.parts.push(Part { id: part, shard, weight, second, attempts, unsent, value, most, proved, ran });
         self.held += 1;
         self.inbox.push(Event::Part { part, number: q.number, shard, weight });
         Some(part)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -109,6 +109,9 @@
     pub most: Option<usize>,
     /// How long its answer will be waited for.
     pub wait: Micros,
+    /// Where an attempt before it may have run and a repeat is dropped for a time only: the moment in which the module lets a
+    /// repeat leave at the latest.
+    pub leave_by: Option<Time>,
 }
 
 /// What the core wants done.
@@ -144,6 +147,8 @@
     most: Option<usize>,
     /// It was proved to be unneeded: it counts as in.
     proved: bool,
+    /// The first of its attempts that may have run, and when that was sent.
+    ran: Option<(u16, Time)>,
 }
 
 impl Part {
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -356,3 +356,26 @@
         assert!(matches!(&told[..], [Reply::Served { whole: true, .. }]), "{parts} parts: {told:?}");
     }
 }
+
+#[test]
+fn a_keyed_repeat_may_leave_until_the_window_of_the_first_attempt_that_may_have_run_is_over() {
+    let mut set = settings(0);
+    set.classes[0].repeat = Repeat::Keyed(500 * MS);
+    let mut stage = Stage::with(set);
+    stage.take(&[0]).unwrap();
+    let first = sends(&stage.turn()).remove(0);
+    assert_eq!(first.leave_by, None, "nothing has run yet");
+    // It never ran: the next one is as good as the first.
+    stage.end(first.attempt, Outcome::ConnectFailed, 0.0);
+    let second = sends(&stage.turn()).remove(0);
+    let sent = stage.now;
+    assert_eq!(second.leave_by, None);
+    stage.now = stage.now.plus(50 * MS);
+    stage.end(second.attempt, Outcome::Error, 0.0);
+    let third = sends(&stage.turn()).remove(0);
+    assert_eq!(third.leave_by, Some(sent.plus(500 * MS)));
+    // One that did not leave moves nothing.
+    stage.end(third.attempt, Outcome::Moot, 0.0);
+    let fourth = sends(&stage.turn()).remove(0);
+    assert_eq!(fourth.leave_by, Some(sent.plus(500 * MS)));
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -99,8 +99,10 @@
 /// First wait before asking for the list again; doubles up to the most (microseconds).
 const ASK_FIRST: Micros = 300_000;
 const ASK_MOST: Micros = 4_000_000;
-/// Longest sleep between two looks at what is held (microseconds).
+/// Longest sleep between two looks at what is held; where no second copies are allowed, how long a part rests
+/// after an attempt that may have run, of whose end the server may hear late (microseconds).
 const LOOK: Micros = 100_000;
+const TRAVEL: Micros = 20_000;
 
 // ---- What is remembered ------------------------------------------------------------------------------
 #[derive(Default)]
@@ -138,8 +140,7 @@
     unsent: usize,
     unmet: bool,
     done: bool,
-    /// Its first lateness has been counted against its server.
-    late: bool,
+    late: bool, // Its first lateness has been counted against its server.
 }
 #[derive(Default)]
 struct Query {
@@ -165,8 +166,7 @@
     /// When it has to be looked at again, if nothing befalls it before.
     due: Time,
     parts: Vec<Part>,
-    /// A part has been answered, of whichever step.
-    answered: bool,
+    answered: bool, // A part, of whichever step.
     /// Of the present step: parts to look at, how many there are and how many are not done with fewer than
     /// two attempts, weight of all and of those done.
     agenda: Agenda,
@@ -266,7 +266,7 @@
     /// When a query has to be looked at again: at its end, when it may be answered in part, when a part is to
     /// be copied, and soon while something that it wants to send is withheld.
     fn due_of(&self, q: &Query) -> Time {
-        let soon = self.now.plus(LOOK);
+        let soon = self.now.plus(if self.set.limits.second_copies { LOOK } else { TRAVEL });
         let partial = q.arrived.plus(self.partial_after(q));
         let mut due = self.end_of(q).min(if partial > self.now { partial } else { soon });
         let again = |i: usize| q.parts[i].made() < self.set.limits.attempts as usize;
@@ -399,6 +399,7 @@
         let Some(p) = q.parts.get_mut(i) else { return };
         let Some(this) = p.tries.get_mut(usize::from(attempt)) else { return };
         this.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+        this.ended = self.now;
         p.unsent += usize::from(outcome == Outcome::Moot);
         p.unmet = outcome == Outcome::ConnectFailed;
         if outcome == Outcome::Reset && !(broken && flight.idle) {
@@ -767,7 +768,8 @@
                 // Guards the attempts left where nobody is at any holder; a full one may have a place soon.
                 Some(t) if p.out().next().is_none() => {
                     let all = p.unmet && p.tries.len() >= self.set.layout.width as usize;
-                    let rests = all && now < t.sent.plus(LOOK);
+                    let told = self.set.limits.second_copies || t.fate == Fate::NeverRan;
+                    let rests = all && now < t.sent.plus(LOOK) || !told && now < t.ended.plus(TRAVEL);
                     again.extend((!rests && self.may_send(q, p, false)).then_some((i, false)));
                 }
                 Some(t) if self.now >= t.sent.plus(after / p.tries.len() as u64) => {
@@ -841,7 +843,7 @@
             let rate = COPY_RATE * self.copy_use.or(1.0).max(least);
             self.copy_tokens = (self.copy_tokens + rate).min(COPY_SAVED);
         }
-        p.tries.push(Try { server, sent: now, fate: Fate::Out });
+        p.tries.push(Try { server, sent: now, ended: now, fate: Fate::Out });
         q.once -= usize::from(p.tries.len() == 2);
         q.agenda.look(i, now.plus(copy_after / p.tries.len() as u64));
         out.push(Action::Send { part: p.id, server, timeout });
@@ -956,9 +958,9 @@
         }
     }
 
-    /// Allowance of a cold server by now, in parts, and how many a call may hold (0: it is closed); `None` once
-    /// warm. Of what the rule allows of the present capacity each instance has its part; they sum to less. Less
-    /// than one a window is saved up, since a sparse instance seldom has work as it falls due; there chance
+    /// Allowance of a cold server by now, in parts, and how many a call may hold (0: it is closed); `None` if
+    /// warm. Of what the rule allows of the present capacity each instance has its part; they sum to less.
+    /// Less than one a window is saved up, since a sparse instance seldom has work as it comes; there chance
     /// decides in each window whether the server is open, by the allowance over what its shards may ask for:
     /// what many have saved up does not come together. Harm: a shard with cold holders alone waits.
     fn cold_tokens(&self, s: &Server) -> Option<(f64, usize)> {
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -40,6 +40,8 @@
     pub server: ServerId,
     /// When.
     pub sent: Time,
+    /// When it ended, once it has.
+    pub ended: Time,
     /// What has become of it.
     pub fate: Fate,
 }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -351,7 +351,20 @@
                 }
                 continue;
             }
-            let Some(parts) = link.waiting.pop_front() else { return };
+            let Some(mut parts) = link.waiting.pop_front() else { return };
+            // Guards the rule on repeats: a connection that comes up late, or a node that is slow to answer its greeting, has
+            // held this back for longer than the window bears.
+            let waits = self.limits.connect + PARKED;
+            let late = |p: &Dispatch<W::Job>| p.leave_by.is_some_and(|at| now > at.plus(waits));
+            let (kept, over): (Vec<_>, Vec<_>) = parts.drain(..).partition(|p| !late(p));
+            for part in over {
+                self.attempts.remove(&part.attempt);
+                self.ended.push(Ended { attempt: part.attempt, outcome: Outcome::Moot, value: None });
+            }
+            if kept.is_empty() {
+                continue;
+            }
+            let parts = kept;
             let mut bytes = Vec::new();
             let names = self.wire.call(&parts, link.address, &mut bytes);
             let out =
--- a/src/upstream/ogc/tests.rs
+++ b/src/upstream/ogc/tests.rs
@@ -78,8 +78,15 @@
     let host = SocketAddr::from(([127, 0, 0, 1], 9));
     let ask = Ask::Sorted { sort: Rc::new(sort(5)), most: 5, node: None, all: false };
     let job = Rc::new(Job { targets: [(0, "/c/items?bbox=0".to_string())].into(), ask });
-    let part =
-        Dispatch { attempt: 1, job, shard: crate::interface::Shard(0), first: None, most: None, wait: 1 };
+    let part = Dispatch {
+        attempt: 1,
+        job,
+        shard: crate::interface::Shard(0),
+        first: None,
+        most: None,
+        wait: 1,
+        leave_by: None,
+    };
     let mut out = Vec::new();
     let names = wire.call(std::slice::from_ref(&part), host, &mut out);
     assert!(out.starts_with(b"GET /c/items?bbox=0&sortby=-battery&limit=1 HTTP/1.1"));
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -36,7 +36,7 @@
         self.attempts += 1;
         let (attempt, shard) = (self.attempts, Shard(self.attempts as u32));
         let job = Rc::new(Job { id: "q".into(), text: text.into(), key: None });
-        let part = Dispatch { attempt, job, shard, first: None, most: None, wait: 1_000_000 };
+        let part = Dispatch { attempt, job, shard, first: None, most: None, wait: 1_000_000, leave_by: None };
         let address = self.listener.local_addr().unwrap();
         self.pool.send(&mut self.net, server, address, vec![part]);
         attempt
@@ -163,7 +163,8 @@
     let job = Rc::new(Job::default());
     let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     assert_ne!(address, gone);
-    let part = Dispatch { attempt: 9, job, shard: Shard(0), first: None, most: None, wait: 1 };
+    let part =
+        Dispatch { attempt: 9, job, shard: Shard(0), first: None, most: None, wait: 1, leave_by: None };
     stage.pool.send(&mut stage.net, SERVER, gone, vec![part]);
     assert_eq!(stage.ended(), [(9, Outcome::ConnectFailed)]);
     assert!(stage.pool.links.is_empty() && stage.pool.by_server.is_empty());
@@ -502,7 +503,7 @@
 fn call(count: u64) -> Vec<Dispatch<Job>> {
     let part = |attempt: u64| {
         let job = Rc::new(Job { id: format!("q{attempt}"), text: "x".into(), key: None });
-        Dispatch { attempt, job, shard: Shard(1), first: None, most: None, wait: 9_000_000 }
+        Dispatch { attempt, job, shard: Shard(1), first: None, most: None, wait: 9_000_000, leave_by: None }
     };
     (1..=count).map(part).collect()
 }
@@ -571,3 +572,27 @@
         assert!(stage.pool.links.is_empty() && stage.pool.attempts.is_empty());
     }
 }
+
+#[test]
+fn a_repeat_that_its_connection_has_held_back_beyond_its_window_never_leaves() {
+    for (late, leaves) in [(true, false), (false, true)] {
+        let mut stage = Stage::new(Limits { connect: 100_000, ..LIMITS });
+        let now = stage.net.clock.now();
+        // The module let it leave until a while ago: what a connection may take has been added, and is over or not.
+        let leave_by = if late { now.minus(150_000) } else { now.plus(60_000_000) };
+        let address = stage.listener.local_addr().unwrap();
+        let mut parts = call(2);
+        parts[0].leave_by = Some(leave_by);
+        stage.pool.send(&mut stage.net, SERVER, address, parts);
+        // The node is slow to answer the greeting, which the call waits for.
+        let mut stream = stage.accept_silently();
+        assert_eq!(frame(&mut stream), "G");
+        stream.write_all(b"\0\0\0\x03GOK").unwrap();
+        stage.net.wait(None).unwrap();
+        stage.pump();
+        let sent = frame(&mut stream);
+        assert!(sent.contains("q2.1 1 ") && sent.contains("q1.1 1 ") == leaves, "{late}: {sent}");
+        let ended: Vec<_> = stage.pool.take_ended().0.into_iter().map(|e| (e.attempt, e.outcome)).collect();
+        assert_eq!(ended, if late { vec![(1, Outcome::Moot)] } else { Vec::new() });
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -318,3 +318,25 @@
         assert_eq!(sends(&stage.after(20 * MS, vec![Event::Wake])).len(), 1, "after a tenth of a second");
     }
 }
+
+#[test]
+fn where_no_second_copies_are_allowed_a_retry_waits_until_the_server_has_heard_of_the_end() {
+    for outcome in [Outcome::Cancelled, Outcome::Reset] {
+        for copies in [false, true] {
+            let mut set = settings(class());
+            set.limits.second_copies = copies;
+            let mut stage = Stage::new(set);
+            let (id, events) = stage.query(&[0]);
+            let server = sends(&stage.turn(events))[0].1;
+            let ended = finished(id + 1, 0, server, outcome, 9 * MS);
+            let at_once = sends(&stage.after(9 * MS, vec![ended])).len();
+            let mut soon = 0;
+            for _ in 0..3 {
+                soon += sends(&stage.after(5 * MS, vec![Event::Wake])).len();
+            }
+            let later = sends(&stage.after(10 * MS, vec![Event::Wake])).len();
+            let sent = if copies { (1, 0, 0) } else { (0, 0, 1) };
+            assert_eq!((at_once, soon, later), sent, "{outcome:?}, copies {copies}");
+        }
+    }
+}
