--- a/src/broker.rs
+++ b/src/broker.rs
@@ -163,6 +163,7 @@
     /// Closes the connections to nodes that are gone; one that still carries calls ends when it falls idle.
     fn leave_gone(&mut self, net: &mut Net) {
         for server in self.directory.take_gone() {
+            self.pool.hold_back(server);
             self.pool.leave(net, server);
         }
     }
@@ -171,7 +172,10 @@
     fn listed(&mut self, news: Listing) {
         if let Listing::Changes(lines) | Listing::Whole(lines) | Listing::Cached(lines) = &news {
             let warm_after = self.core.settings().cold.warm_after;
-            let ready = lines.iter().filter(|line| line.mode == interface::Mode::Ready);
+            let (ready, ends): (Vec<_>, Vec<_>) =
+                lines.iter().partition(|line| line.mode == interface::Mode::Ready);
+            ends.into_iter().for_each(|line: &interface::Listed| self.pool.hold_back(line.server));
+            let ready = ready.into_iter();
             let started = ready.filter_map(|line| Some((line.server, line.started?)));
             started.for_each(|(server, at)| self.pool.beware(server, at.plus(warm_after)));
             // An empty list of before the start is none: nothing can be served by it.
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -233,6 +233,21 @@
         *at = until.max(*at);
     }
 
+    /// This node drains or is gone: what still waits to leave for it is ended as never sent, so that the module may choose
+    /// anew. Guards the rule on drains: a connection, a greeting or a descriptor may be waited for, for longer than it allows.
+    pub fn hold_back(&mut self, server: ServerId) {
+        let mut held = Vec::new();
+        for id in self.by_server.get(&server).into_iter().flatten() {
+            held.extend(self.links.get_mut(id).into_iter().flat_map(|l| l.waiting.drain(..)).flatten());
+        }
+        let (here, others) = std::mem::take(&mut self.parked).into_iter().partition(|c| c.server == server);
+        self.parked = others;
+        let here: VecDeque<Parked<W::Job>> = here;
+        held.extend(here.into_iter().flat_map(|call| call.parts));
+        held.iter().for_each(|p| _ = self.attempts.remove(&p.attempt));
+        self.end_parts(&held, Outcome::Moot);
+    }
+
     /// Forgets what is known of a node that is gone, and closes the connections to it that carry nothing.
     pub fn leave(&mut self, net: &mut Net, server: ServerId) {
         self.wary.remove(&server);
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -596,3 +596,34 @@
         assert_eq!(ended, if late { vec![(1, Outcome::Moot)] } else { Vec::new() });
     }
 }
+
+#[test]
+fn what_waits_to_leave_for_a_node_that_drains_never_does() {
+    let mut stage = Stage::new(LIMITS);
+    let (one, two) = (stage.send("x"), stage.send("x"));
+    // Its greeting is on the way: both calls wait for the answer. Then the drain is told.
+    let mut stream = stage.accept_silently();
+    assert_eq!(frame(&mut stream), "G");
+    stage.pool.hold_back(SERVER);
+    assert_eq!(stage.ended(), [(one, Outcome::Moot), (two, Outcome::Moot)]);
+    assert!(stage.pool.attempts.is_empty());
+    stream.write_all(b"\0\0\0\x03GOK").unwrap();
+    stage.net.wait(None).unwrap();
+    stage.pump();
+    // The node serves again: the first that comes is new.
+    stage.send("x");
+    assert!(frame(&mut stream).starts_with("Rq.3 3 "));
+}
+
+#[test]
+fn what_waits_for_a_descriptor_for_a_node_that_drains_is_told_as_never_sent() {
+    let mut stage = Stage::new(LIMITS);
+    let streams = stage.fill();
+    let (attempt, server) = (stage.attempts, ServerId(100 + streams.len() as u32));
+    stage.pool.hold_back(ServerId(1_000));
+    assert!(stage.pool.is_parked(attempt), "another node's drain moves nothing");
+    stage.pool.hold_back(server);
+    assert!(!stage.pool.is_parked(attempt));
+    let ended: Vec<_> = stage.pool.take_ended().0.into_iter().map(|e| (e.attempt, e.outcome)).collect();
+    assert_eq!(ended, [(attempt, Outcome::Moot)]);
+}
