--- a/src/policy.rs
+++ b/src/policy.rs
@@ -958,11 +958,10 @@
         }
     }
 
-    /// Allowance of a cold server by now, in parts, and how many a call may hold (0: it is closed); `None` if
-    /// warm. Of what the rule allows of the present capacity each instance has its part; they sum to less.
-    /// Less than one a window is saved up, since a sparse instance seldom has work as it comes; there chance
-    /// decides in each window whether the server is open, by the allowance over what its shards may ask for:
-    /// what many have saved up does not come together. Harm: a shard with cold holders alone waits.
+    /// Allowance of a cold server by now, in parts, and how many a call may hold (0: it is closed). Of what
+    /// the rule allows each instance has its part; they sum to less. Less than one a window is saved, as a
+    /// sparse instance seldom has work as it comes; there chance decides in each window whether the server is
+    /// open, by its part over what its shards may ask for. Harm: a shard with cold holders alone waits.
     fn cold_tokens(&self, s: &Server) -> Option<(f64, usize)> {
         let (from, cold, now) = (s.cold_from?, &self.set.cold, self.now);
         let age = now.since(from) as f64 / cold.warm_after.max(1) as f64;
@@ -975,10 +974,11 @@
         let mean = self.answered as f64 / time;
         let alike = COLD_ALIKE * works / f64::from(self.set.instances);
         let rate = allowed * (alike + (1.0 - COLD_ALIKE) * mean);
-        let window = rate * cold.fall_after as f64;
-        // Parts that come together: no more of them than chance may bring beyond the allowance of all.
         let together = (allowed * works * cold.fall_after as f64).sqrt() / 3.5;
-        let sparse = window < 1.0;
+        let sparse = rate * (cold.fall_after as f64) < 1.0;
+        // Where few instances meet it often, chance adds less than it may: by the root of the allowance.
+        let rate = if sparse { rate } else { rate * (1.0 + 0.35 / together.max(1.0)) };
+        let window = rate * cold.fall_after as f64;
         let most = if sparse { COLD_SAVED.min(1.0 + together) } else { (window / 4.0).max(1.0) };
         let tokens = (s.cold_tokens + rate * now.since(s.filled_at) as f64).clamp(-most, most);
         let chance = drawn(self.salt ^ from.0.rotate_left(20) ^ u64::from(s.cell), now, cold.fall_after);
