--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -237,6 +237,8 @@
     pub fn listen(&mut self, owner: Owner, address: SocketAddr) -> io::Result<SocketAddr> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
+        // Guards an upgrade: the next process begins to listen while this one still serves.
+        socket.set_reuse_port(true)?;
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
         socket.listen(BACKLOG)?;
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -36,3 +36,14 @@
     assert_eq!(soft_limit(&table.replace("1024 ", "unlimited ")), None);
     assert_eq!(soft_limit("no table"), None);
 }
+
+#[test]
+fn the_next_process_listens_where_this_one_does() {
+    let [mut first, mut second] = [(); 2].map(|()| Net::new(RESERVED + 16).unwrap());
+    let address = first.listen(Owner::Platform, "127.0.0.1:0".parse().unwrap()).unwrap();
+    assert_eq!(second.listen(Owner::Platform, address).unwrap(), address);
+    // The system deals connections out between the two; with one of them gone all come to the other.
+    first.stop_listening();
+    let _client = TcpStream::connect(address).unwrap();
+    assert!(knocks(&mut second) && second.accept(Owner::Platform).len() == 1);
+}
