Answer operators at an address of their own: health, cordon and uncordon

Design: a thread of its own with its own table of connections and its own descriptors (up to 32 callers, the oldest makes room), which meets the loop in a few locks held for a copy each. Not taken: the calls on the clients' loop, which would wait for whatever a pass does; and marking the module's servers, which a list that comes in between undoes. What is out by hand is a wanted state of its own (decide/management, pure); the directory lays it over each line of the list. What is put back counts as started just then, since the list may hear of the restart late.

--- /dev/null
+++ b/decide/management/src/siblings.rs
@@ -0,0 +1,74 @@
+//! Several processes of one broker, as they run side by side during an upgrade.
+//!
+//! For limits and rules they count as one broker. So each takes an equal part of what is allowed to one for as long as it
+//! sees another; a process that has just begun takes its part from its first moment on.
+
+/// What a process tells the others of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Its number.
+    pub process: u32,
+    /// It serves: it has a list of servers and takes clients.
+    pub ready: bool,
+    /// It listens on the very socket of the one before, so that what waits there is its own too.
+    pub same_door: bool,
+}
+
+/// Parts that a broker's limits are to be cut into while these others are alive.
+#[must_use]
+pub fn parts(others: &[Told]) -> u32 {
+    1 + others.len() as u32
+}
+
+/// What a process that is told to stop does with the clients that wait at the door.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    /// They are another one's too: it leaves them at once, and its own clients have somewhere else to go.
+    Left(Why),
+    /// It takes them for as long as clients may still come.
+    Served(Why),
+}
+
+/// The reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// This process serves at the same socket.
+    Sibling(u32),
+    /// This one is ready too, but at a socket of its own: what waits at this one would be reset with it.
+    OwnSocket(u32),
+    /// Nobody else is ready.
+    Alone,
+}
+
+/// What to do with the door at the stop.
+#[must_use]
+pub fn door(others: &[Told]) -> Door {
+    let ready = || others.iter().filter(|o| o.ready);
+    match (ready().find(|o| o.same_door), ready().next()) {
+        (Some(o), _) => Door::Left(Why::Sibling(o.process)),
+        (None, Some(o)) => Door::Served(Why::OwnSocket(o.process)),
+        (None, None) => Door::Served(Why::Alone),
+    }
+}
+
+impl Told {
+    /// As it is written for the others.
+    #[must_use]
+    pub fn line(&self) -> String {
+        format!("{} {} {}\n", self.process, u8::from(self.ready), u8::from(self.same_door))
+    }
+
+    /// Reads such a line. What can't be read is somebody who is there and not ready: it may be about to write.
+    #[must_use]
+    pub fn read(process: u32, line: &str) -> Told {
+        let words: Vec<&str> = line.split_ascii_whitespace().collect();
+        let (ready, same_door) = match words[..] {
+            [told, ready, door] if told.parse() == Ok(process) => (ready == "1", door == "1"),
+            _ => (false, false),
+        };
+        Told { process, ready, same_door }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -6,16 +6,18 @@
 use crate::core::{Command, Core};
 use crate::decide::membership::pace::Pace;
 use crate::decide::phases::Planner;
-use crate::discovery::{Directory, Discovery, Instance, Lifecycle};
+use crate::discovery::{ByHand, Directory, Discovery, Instance, Lifecycle};
 use crate::front::ogc::Ogc;
 use crate::front::platform::{Class, Platform};
 use crate::front::{Front, Sessions};
 use crate::interface::{self, Listing, Micros, Outcome, Time};
+use crate::management::{self, Desk, Orders};
 use crate::net::{self, ConnId, Net, Owner, Ready, Signal, Timer};
 use crate::peer::company::Company;
 use crate::upstream::frames::Frames;
 use crate::upstream::ogc::Features;
 use crate::upstream::{Limits, Pool, Wire};
+use lichenswitch_management::health::Standing;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -200,6 +202,8 @@
     ogc: Option<Service<Ogc, Features>>,
     /// Other brokers, where they talk.
     company: Option<Company>,
+    /// Operators, where they call.
+    desk: Option<Desk>,
     /// Reads the platform's configuration again.
     reread: Option<Reread>,
     /// When the signal to stop came.
@@ -227,6 +231,15 @@
 impl Broker {
     /// A broker that listens already: once this returns, clients are served.
     pub fn new(platform: Option<config::Platform>, ogc: Option<config::Ogc>) -> Result<Broker, String> {
+        Broker::managed(platform, ogc, None)
+    }
+
+    /// The same with operators who call.
+    pub fn managed(
+        platform: Option<config::Platform>,
+        ogc: Option<config::Ogc>,
+        mut desk: Option<Desk>,
+    ) -> Result<Broker, String> {
         if platform.is_none() && ogc.is_none() {
             return Err(
                 "NODE_CONFIG: not set, and deploy/lichenswitch.yaml has no ogc.listen: nothing to serve"
@@ -236,13 +249,18 @@
         let sockets = platform.as_ref().map_or(config::SOCKETS, |told| told.sockets);
         // Guards discovery's own place: shares of more than the system gives would be taken by whoever comes first.
         let sockets = sockets.min(net::system_limit().unwrap_or(sockets));
-        let net = Net::new(sockets).map_err(|e| format!("poller: {e}"))?;
+        let set_aside = desk.as_ref().map_or(0, |_| management::set_aside(sockets));
+        let mut net = Net::new(sockets - set_aside).map_err(|e| format!("poller: {e}"))?;
+        if let Some(woken) = desk.as_mut().and_then(Desk::take_woken) {
+            net.watch_signal(Signal::Orders, woken).map_err(|e| format!("orders: {e}"))?;
+        }
         let mut broker = Broker {
             net,
             platform: None,
             discovery: None,
             ogc: None,
             company: None,
+            desk,
             reread: None,
             stopping: None,
             crowded: false,
@@ -259,6 +277,8 @@
             .map(|(name, c)| Class { name: name.clone(), repeat: c.repeat, deadline: c.deadline })
             .collect();
         let mut directory = Directory::new(told.zones).with_cells(told.settings.layout.cells);
+        // Before any list: nothing is to be sent to what is out by hand.
+        self.desk.iter().for_each(|desk| _ = directory.set_by_hand(by_hand(&desk.orders())));
         let pace = match told.settings.discovery {
             interface::Discovery::Ask(every) => Pace::new(told.seed, told.settings.instances, every),
             interface::Discovery::Push => Pace::at_agent(told.seed),
@@ -359,6 +379,7 @@
                     }
                     Ready::Signal(Signal::Stop) => self.stop(),
                     Ready::Signal(Signal::Reload) => self.reload(),
+                    Ready::Signal(Signal::Orders) => self.heed(),
                 }
             }
             let now = self.net.clock.now();
@@ -381,6 +402,7 @@
                     each_service!(self, |net, service| service.sessions.make_room(net, &mut service.core));
                 }
             }
+            self.tell_standing();
             if self.stopping.is_some_and(|since| self.finished(since)) {
                 return Ok(());
             }
@@ -395,13 +417,17 @@
         let platform = self.platform.as_ref().and_then(|s| s.core.next_turn());
         let ogc = self.ogc.as_ref().and_then(|s| s.core.next_turn());
         let company = self.company.as_ref().map(Company::next);
-        [stop, room, platform, ogc, company].into_iter().flatten().min()
+        let desk = self.desk.as_ref().map(Desk::next);
+        [stop, room, platform, ogc, company, desk].into_iter().flatten().min()
     }
 
     fn listed(&mut self, news: impl IntoIterator<Item = Listing>) {
         if let Some(service) = &mut self.platform {
             news.into_iter().for_each(|news| service.listed(news));
         }
+        if let (Some(desk), Some(service)) = (&self.desk, &self.platform) {
+            desk.on_listed(service.directory.names());
+        }
         let mut nodes = 0;
         each_service!(self, |_net, service| nodes += service.directory.len());
         self.net.listed(nodes);
@@ -460,6 +486,25 @@
         }
     }
 
+    /// Does what operators want now.
+    fn heed(&mut self) {
+        self.net.clear_signal(Signal::Orders);
+        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
+        let lines = service.directory.set_by_hand(by_hand(&desk.orders()));
+        let news = (!lines.is_empty()).then_some(Listing::Changes(lines));
+        self.listed(news);
+    }
+
+    /// Tells operators how it stands.
+    fn tell_standing(&mut self) {
+        let now = self.net.clock.now();
+        let (Some(desk), Some(service)) = (&mut self.desk, &self.platform) else { return };
+        if desk.next() <= now {
+            let (listed, stopping) = (service.front.is_listed(), self.stopping.is_some());
+            desk.on_standing(now, Standing { listens: true, listed, stopping, ..Standing::default() });
+        }
+    }
+
     fn stop(&mut self) {
         self.net.clear_signal(Signal::Stop);
         // Guards the end: it comes in time however often it is asked for.
@@ -497,6 +542,15 @@
     }
 }
 
+/// What is set by hand, as the directory takes it.
+fn by_hand(orders: &Orders) -> ByHand {
+    let wanted = &orders.wanted;
+    ByHand {
+        out: wanted.cordoned.keys().cloned().collect(),
+        back: wanted.back.iter().map(|(id, at)| (id.clone(), Time(*at))).collect(),
+    }
+}
+
 fn limits(told: config::Connections) -> Limits {
     Limits { streams: told.streams, connect: told.connect, idle: told.idle }
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -37,6 +37,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where operators call, if they do.
+    pub management: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Most descriptors.
@@ -86,6 +88,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    mgmt: Option<String>,
     seed: Option<String>,
     #[serde(default)]
     limits: Limits,
@@ -120,6 +123,7 @@
         };
         let listen = told(file.listen, "listen", "NODE_LISTEN")?;
         let discovery = told(file.discovery, "discovery", "NODE_DISCOVERY")?;
+        let management = file.mgmt.or_else(|| env("NODE_MGMT"));
         let seed = file.seed.unwrap_or_else(|| "0".into());
         let seed =
             u64::from_str_radix(&seed, 16).map_err(|_| format!("seed: {seed:?} is not hexadecimal"))?;
@@ -137,6 +141,7 @@
             name: told(file.name, "name", "NODE_NAME")?,
             listen: address(&listen, "listen")?,
             discovery: address(&discovery, "discovery")?,
+            management: management.map(|told| address(&told, "mgmt")).transpose()?,
             seed,
             sockets,
             memory: memory.saturating_mul(1 << 20),
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -11,7 +11,7 @@
 use crate::interface::{Listed, Listing, Micros, Mode, ServerId, Time};
 use crate::net::{ConnId, Denied, Net, Owner, Pumped, Timer};
 use serde::Deserialize;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// A connection that is not up after this long never comes up.
@@ -82,14 +82,37 @@
     cells: Option<u32>,
     next: u32,
     gone: Vec<ServerId>,
+    by_hand: ByHand,
     log: Vec<String>,
 }
 
+/// What operators have set by hand, over what the list says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ByHand {
+    /// Data nodes that are out, by id: they drain, whatever the list says.
+    pub out: BTreeSet<String>,
+    /// Data nodes that were put back, and when: they may have been started anew at any moment before.
+    pub back: BTreeMap<String, Time>,
+}
+
+impl ByHand {
+    /// A line of the list with what is set by hand over it. One that was put back counts as started just then, where the list
+    /// knows of no later start: it was out so that it could be restarted, and the list may hear of that late or never.
+    fn over(&self, name: &str, told: Listed) -> Listed {
+        if told.mode == Mode::Ready && self.out.contains(name) {
+            return Listed { mode: Mode::Draining, ..told };
+        }
+        Listed { started: told.started.max(self.back.get(name).copied()), ..told }
+    }
+}
+
 /// What is noted of a data node.
 struct Node {
     name: String,
     address: Option<SocketAddr>,
     cell: u32,
+    /// As the list has it.
+    told: Option<Listed>,
 }
 
 impl Directory {
@@ -172,7 +195,7 @@
                 let server = ServerId(self.next);
                 self.next += 1;
                 self.ids.insert(node.instance_id.clone(), server);
-                let new = Node { name: node.instance_id.clone(), address: None, cell };
+                let new = Node { name: node.instance_id.clone(), address: None, cell, told: None };
                 self.nodes.insert(server, new);
                 server
             }
@@ -185,7 +208,7 @@
         if deleted {
             self.give_back(&node.instance_id);
         }
-        Some(Listed {
+        let told = Listed {
             server,
             cell,
             zone: self.zones.iter().position(|z| *z == node.zone).map_or(u32::MAX, |z| z as u32),
@@ -196,7 +219,32 @@
                 Lifecycle::Deleted => Mode::Gone,
             },
             started: (node.started_at_ms > 0).then_some(Time(node.started_at_ms.saturating_mul(1_000))),
-        })
+        };
+        if let Some(noted) = self.nodes.get_mut(&server) {
+            noted.told = Some(told);
+        }
+        Some(self.by_hand.over(&node.instance_id, told))
+    }
+
+    /// Takes over what is set by hand, and gives the module the lines that differ by that.
+    pub fn set_by_hand(&mut self, by_hand: ByHand) -> Vec<Listed> {
+        let before = std::mem::replace(&mut self.by_hand, by_hand);
+        let noted = self.nodes.values().filter_map(|n| Some((&n.name, n.told?)));
+        let lines = noted.map(|(name, told)| (before.over(name, told), self.by_hand.over(name, told)));
+        lines.filter(|(was, is)| was != is).map(|(_, is)| is).collect()
+    }
+
+    /// Ids of all that are listed.
+    #[must_use]
+    pub fn names(&self) -> BTreeSet<String> {
+        self.nodes.values().map(|n| n.name.clone()).collect()
+    }
+
+    /// How many that are listed are out by hand.
+    #[must_use]
+    pub fn out_by_hand(&self) -> BTreeSet<ServerId> {
+        let out = self.nodes.iter().filter(|(_, n)| self.by_hand.out.contains(&n.name));
+        out.map(|(server, _)| *server).collect()
     }
 
     /// Gives back what is known of a node that is gone. Guards memory: on a long day most nodes are replaced often,
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -89,6 +89,12 @@
         Platform { classes, tenants, taken, listed: false, stopping: false }
     }
 
+    /// Whether a list of data nodes is here.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
     fn query(&mut self, now: Time, request: &http::Request) -> Result<Request<Job>, (u16, String)> {
         let bad = |why: String| (400, why);
         let name = request.path().trim_start_matches('/').split('/').next().unwrap_or_default();
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,8 +3,9 @@
 
 use lichenswitch::broker::Broker;
 use lichenswitch::config::{Ogc, Operators, Peers, Platform};
+use lichenswitch::management::Desk;
 use signal_hook::consts::{SIGHUP, SIGTERM};
-use std::io;
+use std::io::{self, Write};
 use std::os::unix::net::UnixStream;
 use std::process::ExitCode;
 
@@ -23,7 +24,9 @@
     let platform = Platform::from_env(env)?.map(|told| told.apply(&operators)).transpose()?;
     let ogc = Ogc::load(&operators, platform.as_ref())?;
     let peers = Peers::load(&operators, platform.as_ref())?;
-    let mut broker = Broker::new(platform, ogc)?;
+    let desk = platform.as_ref().and_then(|told| Desk::open(told).transpose()).transpose();
+    let desk = desk.map_err(|e| e.to_string())?;
+    let mut broker = Broker::managed(platform, ogc, desk)?;
     peers.map_or(Ok(()), |told| broker.join(told))?;
     broker.stop_on(stop?).map_err(|e| format!("signal: {e}"))?;
     let reread = Box::new(move || Platform::from_env(env));
@@ -31,7 +34,23 @@
     broker.run().map_err(|e| format!("loop: {e}"))
 }
 
+/// Lines of the parts that log by level, as JSON.
+fn log_lines() {
+    let line = |to: &mut env_logger::fmt::Formatter, record: &log::Record| {
+        let at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let told = serde_json::json!({
+            "at": at.as_micros() as f64 / 1e6,
+            "level": record.level().as_str(),
+            "part": record.target(),
+            "line": record.args().to_string(),
+        });
+        writeln!(to, "{told}")
+    };
+    env_logger::Builder::new().filter_level(log::LevelFilter::Info).parse_default_env().format(line).init();
+}
+
 fn main() -> ExitCode {
+    log_lines();
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
--- /dev/null
+++ b/src/management/mod.rs
@@ -0,0 +1,308 @@
+//! Operators' calls: one line a connection at an address of their own, answered by a thread that waits for nobody.
+//!
+//! The thread owns its listener, its callers and the wanted state; the loop that serves clients owns all else. They meet in
+//! `Shared`, where each leaves what the other wants to know and neither holds a lock for longer than a copy takes. So an
+//! answer comes in time however much the loop has to do, and however many callers hold connections without a whole call.
+
+use crate::config::Platform;
+use crate::decide::descriptors::DISCOVERY;
+use crate::interface::{Micros, Time};
+use crate::net::{Conn, ConnId, Net, Owner, Pumped, Ready};
+use lichenswitch_management::call::{self, Call, Change};
+use lichenswitch_management::health::{self, Standing};
+use lichenswitch_management::wanted::{Refused, Verdict, Wanted};
+use std::collections::{BTreeSet, HashMap};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+
+/// How often the loop tells how it stands.
+const BEAT: Micros = 100_000;
+/// How often the thread looks round when nobody calls.
+const LOOK: Micros = 100_000;
+/// A caller without a whole line is let go after this long.
+const PATIENCE: Micros = 10_000_000;
+/// How long a caller may take to end its side once it has its answer.
+const LINGER: Micros = 1_000_000;
+/// Callers that are heard at once, where descriptors allow it, and at least.
+const CALLERS: usize = 32;
+const CALLERS_LEAST: usize = 4;
+/// One in so many of a broker's descriptors may be a caller's.
+const CALLERS_PART: usize = 12;
+/// Descriptors of the thread beside its callers: listener, poller, and one for work on files.
+const BESIDE: usize = 6;
+
+/// Why operators can't call.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// There is no poller or thread for it.
+    #[error("management: {0}")]
+    System(#[from] io::Error),
+}
+
+/// What the loop and the thread leave for each other.
+struct Shared {
+    /// Servers that discovery lists.
+    listed: Mutex<Arc<BTreeSet<String>>>,
+    standing: Mutex<Standing>,
+    orders: Mutex<Arc<Orders>>,
+    /// Wakes the loop.
+    wake: UnixStream,
+}
+
+/// What the loop is to do.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Orders {
+    /// What operators want.
+    pub wanted: Wanted,
+}
+
+/// A lock that a panic elsewhere does not close: what it guards is always whole.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    fn orders(&self) -> Arc<Orders> {
+        lock(&self.orders).clone()
+    }
+
+    fn order(&self, orders: Orders) {
+        *lock(&self.orders) = Arc::new(orders);
+        // A pipe that is full wakes the loop all the same.
+        let _ = (&self.wake).write(&[1]);
+    }
+}
+
+/// Descriptors that operators' calls take of so many.
+#[must_use]
+pub fn set_aside(sockets: usize) -> usize {
+    (sockets / CALLERS_PART).clamp(CALLERS_LEAST, CALLERS) + BESIDE
+}
+
+/// The loop's side.
+pub struct Desk {
+    shared: Arc<Shared>,
+    /// Can be read whenever there are new orders.
+    woken: Option<UnixStream>,
+    /// When the others were last told how this process stands.
+    told: Time,
+}
+
+impl Desk {
+    /// Starts the thread that answers operators, where an address is set for it.
+    ///
+    /// # Errors
+    /// When the system gives no poller or no thread. An address in use is no error: it is tried again.
+    pub fn open(told: &Platform) -> Result<Option<Desk>, Failure> {
+        let Some(address) = told.management else { return Ok(None) };
+        let (wake, woken) = UnixStream::pair()?;
+        wake.set_nonblocking(true)?;
+        let shared = Arc::new(Shared {
+            listed: Mutex::default(),
+            standing: Mutex::default(),
+            orders: Mutex::default(),
+            wake,
+        });
+        let callers = set_aside(told.sockets) - BESIDE;
+        // Of all connections a part is kept for servers and discovery, of which there are none here.
+        let net = Net::of_connections(callers * 3 / 2 + DISCOVERY + 2)?;
+        let mut clerk =
+            Clerk { shared: shared.clone(), net, address, listens: false, callers: HashMap::new() };
+        thread::Builder::new().name("management".into()).spawn(move || clerk.run())?;
+        Ok(Some(Desk { shared, woken: Some(woken), told: Time(0) }))
+    }
+
+    /// The stream that can be read whenever there are new orders; once.
+    pub fn take_woken(&mut self) -> Option<UnixStream> {
+        self.woken.take()
+    }
+
+    /// What the loop is to do now.
+    #[must_use]
+    pub fn orders(&self) -> Arc<Orders> {
+        self.shared.orders()
+    }
+
+    /// Tells which servers are listed.
+    pub fn on_listed(&self, names: BTreeSet<String>) {
+        *lock(&self.shared.listed) = Arc::new(names);
+    }
+
+    /// When the thread is to be told next how the process stands.
+    #[must_use]
+    pub fn next(&self) -> Time {
+        self.told.plus(BEAT)
+    }
+
+    /// Tells how the process stands.
+    pub fn on_standing(&mut self, now: Time, standing: Standing) {
+        self.told = now;
+        *lock(&self.shared.standing) = Standing { beat: now, ..standing };
+    }
+}
+
+/// A caller.
+struct Caller {
+    /// When it came, or got its answer.
+    since: Time,
+    answered: bool,
+}
+
+/// The thread's side.
+struct Clerk {
+    shared: Arc<Shared>,
+    net: Net,
+    address: SocketAddr,
+    listens: bool,
+    callers: HashMap<ConnId, Caller>,
+}
+
+impl Clerk {
+    fn run(&mut self) {
+        loop {
+            self.listen();
+            let until = self.net.clock.now().plus(LOOK);
+            match self.net.wait(Some(until)) {
+                Ok(all_ready) => all_ready.into_iter().for_each(|ready| self.ready(ready)),
+                Err(e) => {
+                    log::error!("the wait for operators' calls failed: {e}");
+                    thread::sleep(std::time::Duration::from_micros(LOOK));
+                }
+            }
+            self.look();
+        }
+    }
+
+    /// Listens, if it does not yet. Guards a start beside a process that has the address: it is tried again.
+    fn listen(&mut self) {
+        if self.listens {
+            return;
+        }
+        match self.net.listen(Owner::Operators, self.address) {
+            Ok(address) => {
+                self.listens = true;
+                log::info!("operators call at {address}");
+            }
+            Err(e) => log::warn!("operators can't call at {} yet: {e}", self.address),
+        }
+    }
+
+    fn ready(&mut self, ready: Ready) {
+        match ready {
+            Ready::Listener(_) => self.accept(),
+            Ready::Conn(id, _) => self.heard(id),
+            Ready::Signal(_) => {}
+        }
+    }
+
+    /// Accepts all that wait. Guards callers that have something to say against those that hold connections: who came
+    /// first, or has its answer, makes room.
+    fn accept(&mut self) {
+        loop {
+            for id in self.net.accept(Owner::Operators) {
+                self.callers.insert(id, Caller { since: self.net.clock.now(), answered: false });
+                // What was sent with the connection is read before anybody has to make room.
+                self.heard(id);
+            }
+            if !self.net.resting() {
+                return;
+            }
+            let first = self.callers.iter().min_by_key(|(_, c)| (!c.answered, c.since)).map(|(id, _)| *id);
+            let Some(id) = first else { return };
+            self.close(id);
+        }
+    }
+
+    fn heard(&mut self, id: ConnId) {
+        let pumped = self.net.pump(id, call::LONGEST + 1);
+        let (Some(caller), Some(conn)) = (self.callers.get(&id), self.net.get_mut(id)) else { return };
+        if pumped != Pumped::Alive {
+            return self.close(id);
+        }
+        if caller.answered {
+            conn.input.consume(conn.input.bytes().len());
+            return match conn.ended {
+                true if conn.flushed() => self.close(id),
+                _ => self.end(id),
+            };
+        }
+        let bytes = conn.input.bytes();
+        let end = bytes.iter().position(|b| *b == b'\n').map(|at| at + 1);
+        // A line that its caller ends with its side is whole too.
+        let end = end.or((conn.ended || bytes.len() > call::LONGEST).then_some(bytes.len()));
+        match end {
+            None => {}
+            Some(0) => self.close(id),
+            Some(end) => {
+                let line = bytes[..end].to_vec();
+                self.answer(id, &line);
+            }
+        }
+    }
+
+    fn answer(&mut self, id: ConnId, line: &[u8]) {
+        let now = self.net.clock.now();
+        let answer = match call::read(line) {
+            Err(why) => format!("fail {why}\n"),
+            Ok(Call::Health) => match health::ready(now, &lock(&self.shared.standing)) {
+                Ok(()) => "ok ready\n".into(),
+                Err(why) => format!("fail {why}\n"),
+            },
+            Ok(Call::Counters) => "fail there are no figures yet\n".into(),
+            Ok(Call::Change(change)) => match self.change(now, &change) {
+                Ok(said) => format!("ok {said}\n"),
+                Err(why) => format!("fail {why}\n"),
+            },
+        };
+        if let Some(caller) = self.callers.get_mut(&id) {
+            *caller = Caller { since: now, answered: true };
+        }
+        if let Some(conn) = self.net.get_mut(id) {
+            conn.input.consume(conn.input.bytes().len());
+            conn.send(answer.as_bytes());
+        }
+        match self.net.flush(id, false) {
+            Pumped::Alive => self.end(id),
+            _ => self.close(id),
+        }
+    }
+
+    /// Ends this side once the answer is out; what its caller still sends is read and dropped, since a close with bytes
+    /// unread would take the answer with it.
+    fn end(&mut self, id: ConnId) {
+        if let Some(conn) = self.net.get_mut(id).filter(|c| Conn::flushed(c)) {
+            conn.end_output();
+        }
+    }
+
+    fn change(&mut self, now: Time, change: &Change) -> Result<String, Refused> {
+        let listed = lock(&self.shared.listed).clone();
+        let orders = self.shared.orders();
+        match orders.wanted.on_change(now, change, |id| listed.contains(id))? {
+            Verdict::Same(why) => Ok(why.to_string()),
+            Verdict::Set(wanted, why) => {
+                log::info!("by hand: {why}");
+                self.shared.order(Orders { wanted });
+                Ok(why.to_string())
+            }
+        }
+    }
+
+    /// Lets those go whose time is over.
+    fn look(&mut self) {
+        let now = self.net.clock.now();
+        let most = |c: &Caller| if c.answered { LINGER } else { PATIENCE };
+        let over = self.callers.iter().filter(|(_, c)| now.since(c.since) >= most(c));
+        let over: Vec<ConnId> = over.map(|(id, _)| *id).collect();
+        over.into_iter().for_each(|id| self.close(id));
+    }
+
+    /// Ends a caller's connection: the one place where it is given back.
+    fn close(&mut self, id: ConnId) {
+        self.callers.remove(&id);
+        self.net.close(id);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -39,12 +39,14 @@
     PeerIn,
     /// Other brokers that were connected to.
     PeerOut,
+    /// Operators, in a net of their own.
+    Operators,
 }
 
 impl Owner {
     fn side(self) -> Side {
         match self {
-            Owner::Platform | Owner::Ogc => Side::Clients,
+            Owner::Platform | Owner::Ogc | Owner::Operators => Side::Clients,
             Owner::Frames | Owner::Features => Side::Nodes,
             Owner::Discovery => Side::Discovery,
             Owner::PeerIn => Side::PeersIn,
@@ -106,6 +108,8 @@
     Stop,
     /// To read the configuration again.
     Reload,
+    /// To look at what operators want: it comes from a thread of this process.
+    Orders,
 }
 
 /// A clock that only moves forward and starts at the system's time, so that start times can be compared.
@@ -217,6 +221,11 @@
 impl Net {
     /// A net that holds no more than `descriptors`.
     pub fn new(descriptors: usize) -> io::Result<Net> {
+        Net::of_connections(descriptors.saturating_sub(RESERVED).max(8))
+    }
+
+    /// A net of so many connections.
+    pub fn of_connections(most: usize) -> io::Result<Net> {
         let clock = Clock::default();
         Ok(Net {
             poller: Poller::new()?,
@@ -224,7 +233,7 @@
             slots: Vec::new(),
             free: Vec::new(),
             next: 1,
-            shares: Shares::new(descriptors.saturating_sub(RESERVED).max(8)),
+            shares: Shares::new(most),
             listeners: Vec::new(),
             resting: false,
             signals: Vec::new(),
--- /dev/null
+++ b/tests/management.rs
@@ -0,0 +1,163 @@
+//! Operators' calls: answered in time whatever the loop and other callers do, and heeded.
+
+mod platformed;
+
+use lichenswitch::config::Platform;
+use lichenswitch::management::Desk;
+use platformed::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+/// An answer is owed within this time.
+const OWED: Duration = Duration::from_secs(1);
+
+/// A desk whose broker's loop never comes round.
+fn desk_alone() -> (Desk, SocketAddr) {
+    let calls = free_address();
+    let config = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","mgmt":"{calls}","discovery":"127.0.0.1:1","settings":{SETTINGS}}}"#
+    );
+    let platform = Platform::parse(&config, |_| None).unwrap();
+    (Desk::open(&platform).unwrap().unwrap(), calls)
+}
+
+fn whole(mut stream: TcpStream) -> String {
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+#[test]
+fn calls_are_answered_in_time_though_the_loop_stands_still_and_hundreds_hold_connections() {
+    let (_desk, calls) = desk_alone();
+    drop(operator(calls));
+    let held: Vec<TcpStream> = (0..300)
+        .map(|i| {
+            let mut stream = operator(calls);
+            // Nothing, half a line, or a line without an end.
+            let says = [&b""[..], b"heal", &[b'x'; 700]][i % 3];
+            // One that has been let go already takes no more.
+            let _ = stream.write_all(says);
+            stream
+        })
+        .collect();
+    for line in ["health", "nonsense", "cordon s", "counters"] {
+        let begun = Instant::now();
+        let answer = asked(calls, line);
+        assert!(begun.elapsed() < OWED, "{line}: {:?}", begun.elapsed());
+        assert!(answer.starts_with("ok") || answer.starts_with("fail "), "{answer}");
+    }
+    assert!(asked(calls, "health").starts_with("fail "), "a loop that does not come round serves nobody");
+    drop(held);
+}
+
+#[test]
+fn a_line_may_come_in_pieces_without_its_end_or_with_more_behind_it() {
+    let (_desk, calls) = desk_alone();
+    let mut stream = operator(calls);
+    stream.set_nodelay(true).unwrap();
+    for byte in b"cordon nobody\r\n" {
+        stream.write_all(&[*byte]).unwrap();
+    }
+    assert_eq!(whole(stream), "fail no server \"nobody\" is listed or out\n");
+    let mut stream = operator(calls);
+    stream.write_all(b"cordon").unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    assert_eq!(whole(stream), "fail cordon needs the id of a server\n");
+    let mut stream = operator(calls);
+    stream.write_all(b"resume\nquiesce\n").unwrap();
+    assert_eq!(whole(stream), "ok clients were not sent away\n", "each connection carries one line");
+    let mut stream = operator(calls);
+    stream.write_all(&[b'x'; 600]).unwrap();
+    assert_eq!(whole(stream), "fail the line is longer than 512 bytes\n");
+}
+
+/// One change of the list, for the watch that is out.
+fn changed(generation: u64, node_at: &str, lifecycle: &str) -> String {
+    format!(
+        r#"{{"generation":{generation},"reset":false,"instances":[{{"instanceId":"s","hostPort":"{node_at}","zone":"a",
+        "machineType":"m","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}]}}"#
+    )
+}
+
+#[test]
+fn what_is_cordoned_gets_nothing_new_whatever_is_listed_until_one_uncordon() {
+    let (watches, watched) = mpsc::channel();
+    // Cold for two seconds and not very: what a node that was put back may be sent shows soon.
+    let rules = r#""rules":{"coldUs":2000000,"coldShare":0.5,"fallMultiple":3,"fallUs":1000000},"classes""#;
+    let settings = SETTINGS.replace("\"classes\"", rules).replace("4000000", "200000");
+    let (broker, calls) = Platformed::managed(&settings, move |listener, list| {
+        let (stream, _) = call(&listener);
+        tell(&stream, list.clone());
+        assert!(next_call(&stream).contains("since=1"));
+        watches.send((stream, list)).unwrap();
+    });
+    let (watch, list) = watched.recv().unwrap();
+    asked_until(calls, "health", "ok ");
+    assert_eq!(asked(calls, "cordon s"), "ok s is out\n");
+    assert_eq!(asked(calls, "cordon s"), "ok s is out already\n");
+    let mut client = broker.connect();
+    let refused = |client: &mut TcpStream, id: &str| {
+        client.write_all(&query("fleet-search", id, &[0])).unwrap();
+        assert_eq!(answer(client).status, 503, "{id}: nobody else holds the shard");
+    };
+    // The order is taken by the loop after the answer, well within what the rule on drains allows.
+    let begun = Instant::now();
+    loop {
+        client.write_all(&query("fleet-search", &format!("q{}", begun.elapsed().as_micros()), &[0])).unwrap();
+        match broker.got.recv_timeout(Duration::from_millis(200)) {
+            Ok(mut got) => got.parts().iter().for_each(|id| got.answer(&format!("{id} OK 1 -\nv"))),
+            Err(_) => break,
+        }
+        answer(&mut client);
+        assert!(begun.elapsed() < OWED);
+    }
+    assert_eq!(answer(&mut client).status, 503);
+    // Lists that have it as serving come in between.
+    let node_at = list.split("hostPort\":\"").nth(1).unwrap().split('"').next().unwrap();
+    tell(&watch, changed(2, node_at, "SERVING"));
+    assert!(next_call(&watch).contains("since=2"));
+    refused(&mut client, "after-a-change");
+    tell(&watch, list.replace("\"generation\":1", "\"generation\":3"));
+    assert!(next_call(&watch).contains("since=3"));
+    refused(&mut client, "after-a-whole-list");
+    assert!(broker.got.try_recv().is_err());
+    assert!(asked(calls, "uncordon s").starts_with("ok s is used again"));
+    assert_eq!(asked(calls, "uncordon s"), "ok s was not out\n");
+    // It is one that has just started, and gets its first part within its allowance.
+    let begun = Instant::now();
+    for id in 0.. {
+        client.write_all(&query("fleet-search", &format!("back-{id}"), &[0])).unwrap();
+        if let Ok(mut got) = broker.got.recv_timeout(Duration::from_millis(100)) {
+            got.parts().iter().for_each(|id| got.answer(&format!("{id} OK 1 -\nv")));
+            assert_eq!(answer(&mut client).status, 200);
+            break;
+        }
+        assert_eq!(answer(&mut client).status, 503);
+        assert!(begun.elapsed() < Duration::from_secs(5), "used again within 5 s");
+    }
+}
+
+#[test]
+fn what_drains_by_the_list_drains_after_the_uncordon_too() {
+    let (watches, watched) = mpsc::channel();
+    let (broker, calls) = Platformed::managed(SETTINGS, move |listener: TcpListener, list| {
+        let (stream, _) = call(&listener);
+        tell(&stream, list.clone());
+        next_call(&stream);
+        watches.send((stream, list)).unwrap();
+    });
+    let (watch, list) = watched.recv().unwrap();
+    let node_at = list.split("hostPort\":\"").nth(1).unwrap().split('"').next().unwrap();
+    asked_until(calls, "health", "ok ");
+    assert!(asked(calls, "cordon s").starts_with("ok "));
+    tell(&watch, changed(2, node_at, "DRAINING"));
+    next_call(&watch);
+    assert!(asked(calls, "uncordon s").starts_with("ok "));
+    let mut client = broker.connect();
+    client.write_all(&query("fleet-search", "1", &[0])).unwrap();
+    assert_eq!(answer(&mut client).status, 503);
+    assert!(broker.got.try_recv().is_err());
+}
--- a/tests/platformed/mod.rs
+++ b/tests/platformed/mod.rs
@@ -4,12 +4,13 @@
 use lichenswitch::broker::Broker;
 use lichenswitch::config::Platform;
 use lichenswitch::http::{self, Parsed, Response};
+use lichenswitch::management::Desk;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub const SETTINGS: &str = r#"{"allowed":{"maxAttempts":4,"mostHeld":40,"mayCancel":true,"secondCopies":true,
     "retryAfter":true,"maxRetryAfterUs":2000000,"maxStreams":32},
@@ -134,6 +135,30 @@
         node_at: SocketAddr,
         got: Receiver<Got>,
         discovery: impl FnOnce(TcpListener, String) + Send + 'static,
+    ) -> Platformed {
+        Platformed::start_with(settings, "", node_at, got, discovery)
+    }
+
+    /// The same with operators who call at an address that is told too.
+    pub fn managed(
+        settings: &str,
+        discovery: impl FnOnce(TcpListener, String) + Send + 'static,
+    ) -> (Platformed, SocketAddr) {
+        let node = TcpListener::bind("127.0.0.1:0").unwrap();
+        let node_at = node.local_addr().unwrap();
+        let (told, got) = mpsc::channel();
+        thread::spawn(move || data_node(node, told));
+        let calls = free_address();
+        let more = format!(r#""mgmt":"{calls}","#);
+        (Platformed::start_with(settings, &more, node_at, got, discovery), calls)
+    }
+
+    fn start_with(
+        settings: &str,
+        more: &str,
+        node_at: SocketAddr,
+        got: Receiver<Got>,
+        discovery: impl FnOnce(TcpListener, String) + Send + 'static,
     ) -> Platformed {
         let list = TcpListener::bind("127.0.0.1:0").unwrap();
         let list_at = list.local_addr().unwrap();
@@ -142,7 +167,7 @@
             "machineType":"m","cell":0,"lifecycle":"SERVING","weight":1.0,"startedAtMs":0}}]}}"#
         );
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{list_at}","seed":"1","known":{text},
+            r#"{{{more}"name":"n0","listen":"127.0.0.1:0","discovery":"{list_at}","seed":"1","known":{text},
             "limits":{{"memory_mb":16}},
             "settings":{settings}}}"#
         );
@@ -150,7 +175,9 @@
         let (stop, signal) = UnixStream::pair().unwrap();
         let (told, address) = mpsc::channel();
         let broker = thread::spawn(move || {
-            let mut broker = Broker::new(Some(Platform::parse(&config, |_| None).unwrap()), None).unwrap();
+            let platform = Platform::parse(&config, |_| None).unwrap();
+            let desk = Desk::open(&platform).unwrap();
+            let mut broker = Broker::managed(Some(platform), None, desk).unwrap();
             broker.stop_on(signal).unwrap();
             told.send(broker.addresses()[0].1).unwrap();
             broker.run().unwrap();
@@ -177,6 +204,48 @@
     }
 }
 
+/// An address that nobody listens at.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// An operator's connection, as soon as calls are answered there.
+pub fn operator(address: SocketAddr) -> TcpStream {
+    let begun = Instant::now();
+    loop {
+        match TcpStream::connect(address) {
+            Ok(stream) => {
+                stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+                return stream;
+            }
+            Err(e) => assert!(begun.elapsed() < Duration::from_secs(20), "{e}"),
+        }
+        thread::yield_now();
+    }
+}
+
+/// An operator's call: the whole answer.
+pub fn asked(address: SocketAddr, line: &str) -> String {
+    let mut stream = operator(address);
+    stream.write_all(format!("{line}\n").as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+/// Asks until the answer begins like this.
+pub fn asked_until(address: SocketAddr, line: &str, begins: &str) -> String {
+    let begun = Instant::now();
+    loop {
+        let answer = asked(address, line);
+        if answer.starts_with(begins) {
+            return answer;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(20), "{answer}");
+        thread::yield_now();
+    }
+}
+
 pub fn body(segments: &[u32]) -> String {
     let boost = 1.0 / segments.len() as f64;
     let segments: Vec<String> =
