Send clients away on quiesce, and take them again on resume

Design: stages by the time since the call (decide/management leave, pure): not ready and each answer the last of its connection; from 0.5 s on, when the front layer has noticed, what rests is half-closed; from 1.7 s on nothing is taken and what still arrives is told so, so that at 4 s nothing is here that came in the last two. Not taken: closing all at once, which sends clients back here through a front that has not noticed, and stopping as for SIGTERM, which ends queries.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -18,6 +18,7 @@
 use crate::upstream::ogc::Features;
 use crate::upstream::{Limits, Pool, Wire};
 use lichenswitch_management::health::Standing;
+use lichenswitch_management::leave;
 use lichenswitch_management::siblings::{self, Door};
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -527,18 +528,27 @@
         let lines = service.directory.set_by_hand(by_hand(&desk.orders()));
         let news = (!lines.is_empty()).then_some(Listing::Changes(lines));
         self.listed(news);
+        self.send_away();
         // The next process may be ready just after this one was told to stop.
         if self.stopping.is_some() {
             self.leave_door();
         }
     }
 
+    /// Sends clients away, as far as that is due, or takes them again.
+    fn send_away(&mut self) {
+        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
+        let stage = leave::stage(desk.orders().wanted.quiesced.map(Time), self.net.clock.now());
+        service.sessions.send_away(&mut self.net, stage, &mut service.front, &mut service.core);
+    }
+
     /// Tells operators how it stands.
     fn tell_standing(&mut self) {
         let now = self.net.clock.now();
         if self.desk.as_ref().is_none_or(|desk| desk.next() > now) {
             return;
         }
+        self.send_away();
         if self.stopping.is_none() {
             // It is tried again: an address that can't be had for another reason is told by its being not ready.
             let _ = self.open_door();
@@ -546,7 +556,8 @@
         let (Some(desk), Some(service)) = (&mut self.desk, &self.platform) else { return };
         let (listens, listed) = (self.door.is_none(), service.front.is_listed());
         let stopping = self.stopping.is_some();
-        desk.on_standing(now, Standing { listens, listed, stopping, ..Standing::default() });
+        let away = desk.orders().wanted.quiesced.is_some();
+        desk.on_standing(now, Standing { listens, listed, stopping, away, beat: now });
     }
 
     fn stop(&mut self) {
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -12,7 +12,7 @@
     Busy(Option<Micros>),
     /// The team's contract does not allow it.
     Contract(Breach),
-    /// The broker is about to end, sooner than the query may.
+    /// The broker is about to end, sooner than the query may, or sends clients away.
     Stopping,
     /// Its parts make no sense.
     Malformed(&'static str),
@@ -47,6 +47,11 @@
         self.end_by = Some(at);
     }
 
+    /// Whether queries are refused until further notice, as they are when the broker stops.
+    pub fn hold_off(&mut self, on: bool) {
+        self.held_off = on;
+    }
+
     /// Whether it takes queries as if it never ended.
     #[must_use]
     pub fn goes_on(&self) -> bool {
@@ -63,6 +68,9 @@
     /// Takes a query. Its final answer comes as a command of a later turn.
     pub fn take(&mut self, now: Time, mut request: Request<J>) -> Result<QueryId, Refusal> {
         sound(&request.parts, self.settings.layout.shards)?;
+        if self.held_off {
+            return Err(Refusal::Stopping);
+        }
         if let Some(at) = self.end_by {
             let aim = self.settings.classes.get(request.class).map_or(0, |c| c.aim);
             if request.deadline.min(now.plus(aim)) > at {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -216,6 +216,8 @@
     wake: Option<Time>,
     /// All that is taken must have ended by then.
     end_by: Option<Time>,
+    /// Nothing is taken for now.
+    held_off: bool,
 }
 
 /// Query numbers stay below this: the module's wire carries them as 32-bit floats.
@@ -249,6 +251,7 @@
             turned: Time(0),
             wake: Some(Time(0)),
             end_by: None,
+            held_off: false,
         }
     }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -9,6 +9,7 @@
 use crate::http::{self, Parsed, Response};
 use crate::interface::{Micros, QueryId, Time};
 use crate::net::{Conn, ConnId, Net, Owner, Pumped, Timer};
+use lichenswitch_management::leave::Stage;
 use std::collections::HashMap;
 
 /// What a front makes of a request.
@@ -35,6 +36,8 @@
     fn malformed(&self, status: u16, why: &str) -> Response;
     /// Whether the broker is about to end.
     fn stop(&mut self);
+    /// Whether clients are sent away. A front that tells whether it is ready says that it is not while they are.
+    fn send_away(&mut self, _away: bool) {}
     /// A list of data nodes is here that may be acted on: clients may come. Until then a front that tells whether it is ready
     /// says that it is not.
     fn listed(&mut self) {}
@@ -131,6 +134,8 @@
     /// A look at all connections is due.
     looks: bool,
     stopping: bool,
+    /// Whether clients are sent away, and how far that has come.
+    away: Stage,
 }
 
 impl<C> Sessions<C> {
@@ -138,7 +143,7 @@
     #[must_use]
     pub fn new(memory: usize) -> Self {
         let (open, waiting) = (HashMap::new(), HashMap::new());
-        Sessions { open, waiting, most_bytes: memory / 8, looks: false, stopping: false }
+        Sessions { open, waiting, most_bytes: memory / 8, looks: false, stopping: false, away: Stage::Served }
     }
 
     /// Bytes held of requests that are not whole or not answered yet.
@@ -258,7 +263,7 @@
     }
 
     fn write(&mut self, net: &mut Net, id: ConnId, response: &Response, keep_alive: bool, head: bool) {
-        let keep = keep_alive && response.keep_alive && !self.stopping;
+        let keep = keep_alive && response.keep_alive && !self.stopping && self.away == Stage::Served;
         let now = net.clock.now();
         let (Some(session), Some(conn)) = (self.open.get_mut(&id), net.get_mut(id)) else { return };
         (session.state, session.since) = (if keep { State::Reading } else { State::Closing }, now);
@@ -376,6 +381,30 @@
         }
     }
 
+    /// Sends clients away, as far as the stage says; connections that rest are ended where it does.
+    pub fn send_away<F: Front<Context = C>>(
+        &mut self,
+        net: &mut Net,
+        stage: Stage,
+        front: &mut F,
+        core: &mut Core<F::Job>,
+    ) {
+        if std::mem::replace(&mut self.away, stage) != stage {
+            front.send_away(stage != Stage::Served);
+            core.hold_off(stage == Stage::Refused);
+        }
+        if stage >= Stage::Closed {
+            self.close_unused(net, core);
+        }
+        if stage == Stage::Refused {
+            // What is still arriving would be a request of just now when it is whole.
+            let arriving = |s: &Session| s.state == State::Reading;
+            let arriving: Vec<_> = self.open.iter().filter(|(_, s)| arriving(s)).map(|(id, _)| *id).collect();
+            let answer = front.malformed(503, "clients are sent away");
+            arriving.into_iter().for_each(|id| self.tell_off(net, id, &answer));
+        }
+    }
+
     /// From now on connections are closed after their answer.
     pub fn stop(&mut self) {
         self.stopping = true;
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -29,6 +29,8 @@
     /// A list of data nodes is here.
     listed: bool,
     stopping: bool,
+    /// Clients are sent away.
+    away: bool,
 }
 
 /// Ids of the queries taken of late, in two generations: each is remembered for as long as a query can be open, and
@@ -86,7 +88,7 @@
     pub fn new(classes: Vec<Class>, tenants: Vec<String>) -> Self {
         let open = classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let taken = Taken { ids: Default::default(), since: Time(0), open };
-        Platform { classes, tenants, taken, listed: false, stopping: false }
+        Platform { classes, tenants, taken, listed: false, stopping: false, away: false }
     }
 
     /// Whether a list of data nodes is here.
@@ -181,6 +183,7 @@
                 Verdict::Reply(plain(405, "health is read by GET").with("allow", "GET, HEAD"))
             }
             "/health/ready" if self.stopping => Verdict::Reply(plain(503, "stopping")),
+            "/health/ready" if self.away => Verdict::Reply(plain(503, "clients are sent away")),
             "/health/ready" if !self.listed => Verdict::Reply(plain(503, "no list of data nodes yet")),
             "/health/live" | "/health/ready" => Verdict::Reply(plain(200, "ok")),
             _ => match self.query(now, request) {
@@ -230,6 +233,10 @@
         self.stopping = true;
     }
 
+    fn send_away(&mut self, away: bool) {
+        self.away = away;
+    }
+
     fn listed(&mut self) {
         self.listed = true;
     }
--- a/tests/management.rs
+++ b/tests/management.rs
@@ -161,3 +161,67 @@
     assert_eq!(answer(&mut client).status, 503);
     assert!(broker.got.try_recv().is_err());
 }
+
+/// How a connection ends: what came on it, within what time since then.
+fn ended(stream: &mut TcpStream, since: Instant) -> (String, Duration) {
+    let mut came = Vec::new();
+    stream.read_to_end(&mut came).unwrap();
+    (String::from_utf8(came).unwrap(), since.elapsed())
+}
+
+#[test]
+fn clients_that_are_sent_away_are_told_then_closed_and_nothing_read_is_lost() {
+    let (broker, calls) = Platformed::managed(SETTINGS, discovery);
+    asked_until(calls, "health", "ok ");
+    let [mut waits, mut rests, mut arrives, mut uses] = [(); 4].map(|()| broker.connect());
+    waits.write_all(&query("fleet-search", "waits", &[0])).unwrap();
+    let mut out = broker.next();
+    for stream in [&mut rests, &mut uses] {
+        stream.write_all(b"GET /health/ready HTTP/1.1\r\n\r\n").unwrap();
+        let ready = answer(stream);
+        assert!(ready.status == 200 && ready.keep_alive);
+    }
+    let begun = Instant::now();
+    assert_eq!(asked(calls, "quiesce"), "ok clients are sent away\n");
+    // One call later the loop has heard of it.
+    assert_eq!(asked_until(calls, "health", "fail "), "fail clients are sent away\n");
+    let whole = query("fleet-search", "arrives", &[0]);
+    arrives.write_all(&whole[..whole.len() - 1]).unwrap();
+    // Who is here and has not heard of it is served, and told with the answer.
+    uses.write_all(&query("fleet-search", "uses", &[0])).unwrap();
+    let mut got = broker.next();
+    got.parts().iter().for_each(|id| got.answer(&format!("{id} OK 1 -\nv")));
+    let served = answer(&mut uses);
+    assert!(served.status == 200 && !served.keep_alive, "{served:?}");
+    let mut asks = broker.connect();
+    asks.write_all(b"GET /health/ready HTTP/1.1\r\n\r\n").unwrap();
+    let ready = answer(&mut asks);
+    assert!(ready.status == 503 && !ready.keep_alive, "{ready:?}");
+    let (came, after) = ended(&mut rests, begun);
+    assert!(
+        came.is_empty() && after >= Duration::from_millis(500) && after < Duration::from_secs(2),
+        "{after:?}"
+    );
+    let (came, after) = ended(&mut arrives, begun);
+    assert!(came.starts_with("HTTP/1.1 503 ") && after < Duration::from_secs(2), "{after:?} {came}");
+    // Nothing new is taken any more; what was taken long before is waited for, and answered.
+    let mut late = broker.connect();
+    late.write_all(&query("fleet-search", "late", &[0])).unwrap();
+    let refused = answer(&mut late);
+    assert!(refused.status == 503 && !refused.keep_alive);
+    out.parts().iter().for_each(|id| out.answer(&format!("{id} OK 1 -\nv")));
+    let (came, _) = ended(&mut waits, begun);
+    assert!(came.starts_with("HTTP/1.1 200 ") && came.contains("connection: close"), "{came}");
+    assert!(broker.got.try_recv().is_err(), "what was refused was sent nowhere");
+    // Back to work.
+    let begun = Instant::now();
+    assert_eq!(asked(calls, "resume"), "ok back to work\n");
+    asked_until(calls, "health", "ok ");
+    assert!(begun.elapsed() < OWED);
+    let mut back = broker.connect();
+    back.write_all(&query("fleet-search", "back", &[0])).unwrap();
+    let mut got = broker.next();
+    got.parts().iter().for_each(|id| got.answer(&format!("{id} OK 1 -\nv")));
+    let served = answer(&mut back);
+    assert!(served.status == 200 && served.keep_alive);
+}
