Count what ends in the core's books and what is written whole, and tell operators

Design: the core tallies by class where a query is released or refused, the pool where a call's last byte is written; the loop adds them to prometheus-client's atomic counters, the operators' thread writes them out. The library writes the operators' form itself (svc_NAME_total{kind=..}, with HELP and TYPE lines); only the line eof is ours. Parts are remembered in stats.rs, by moves, which makes room in the module.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -542,6 +542,17 @@
         service.sessions.send_away(&mut self.net, stage, &mut service.front, &mut service.core);
     }
 
+    /// Tells operators what was counted.
+    fn tell_figures(&mut self) {
+        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
+        for (class, attempts) in service.pool.take_written() {
+            service.core.on_written(class, attempts);
+        }
+        desk.metrics().add(&service.core.take_tallies());
+        let ejected = service.directory.out_by_hand() + service.core.avoided();
+        desk.metrics().set(service.core.held_queries(), service.directory.len(), ejected);
+    }
+
     /// Tells operators how it stands.
     fn tell_standing(&mut self) {
         let now = self.net.clock.now();
@@ -553,6 +564,7 @@
             // It is tried again: an address that can't be had for another reason is told by its being not ready.
             let _ = self.open_door();
         }
+        self.tell_figures();
         let (Some(desk), Some(service)) = (&mut self.desk, &self.platform) else { return };
         let (listens, listed) = (self.door.is_none(), service.front.is_listed());
         let stopping = self.stopping.is_some();
--- a/src/core/answer.rs
+++ b/src/core/answer.rs
@@ -32,14 +32,16 @@
     }
 
     pub(super) fn refuse(&mut self, query: QueryId, after: Micros, commands: &mut Vec<Command<J>>) {
-        if self.release(query).is_some() {
+        if let Some(q) = self.release(query) {
+            self.tallies[q.class].refused += 1;
             let advice = self.settings.limits.retry_after.map(|most| after.min(most)).filter(|&a| a > 0);
             commands.push(Command::Reply(query, Reply::Refused(advice)));
         }
     }
 
     pub(super) fn fail(&mut self, query: QueryId, commands: &mut Vec<Command<J>>) {
-        if self.release(query).is_some() {
+        if let Some(q) = self.release(query) {
+            self.tallies[q.class].failed += 1;
             commands.push(Command::Reply(query, Reply::Failed));
         }
     }
--- a/src/core/dispatch.rs
+++ b/src/core/dispatch.rs
@@ -49,7 +49,7 @@
             let event = Event::Finished { part, attempt, server, outcome: Outcome::Moot, elapsed: 0 };
             return self.inbox.push(event);
         };
-        let (deadline, job, first) = (q.deadline, q.job.clone(), q.first.clone());
+        let (deadline, job, first, class) = (q.deadline, q.job.clone(), q.first.clone(), q.class);
         let repeat = self.settings.classes[q.class].repeat;
         let Some(p) = q.parts.get_mut(i) else { return };
         let number = p.attempts;
@@ -76,7 +76,7 @@
             _ => None,
         };
         p.ran = p.ran.or(Some((number, now)));
-        let dispatch = Dispatch { attempt, job, shard: p.shard, first, most: p.most, wait, leave_by };
+        let dispatch = Dispatch { attempt, job, class, shard: p.shard, first, most: p.most, wait, leave_by };
         if let Some((id, _)) = place {
             self.planner.on_sent(now, id, p.shard.0, f64::from(pending));
         }
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -66,7 +66,21 @@
     }
 
     /// Takes a query. Its final answer comes as a command of a later turn.
-    pub fn take(&mut self, now: Time, mut request: Request<J>) -> Result<QueryId, Refusal> {
+    pub fn take(&mut self, now: Time, request: Request<J>) -> Result<QueryId, Refusal> {
+        let class = request.class;
+        let taken = self.admit(now, request);
+        if let (Err(refusal), Some(tally)) = (&taken, self.tallies.get_mut(class)) {
+            match refusal {
+                Refusal::Busy(_) | Refusal::Stopping | Refusal::Contract(Breach::Rate(_)) => {
+                    tally.refused += 1
+                }
+                Refusal::Contract(_) | Refusal::Malformed(_) => tally.failed += 1,
+            }
+        }
+        taken
+    }
+
+    fn admit(&mut self, now: Time, mut request: Request<J>) -> Result<QueryId, Refusal> {
         sound(&request.parts, self.settings.layout.shards)?;
         if self.held_off {
             return Err(Refusal::Stopping);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -101,6 +101,8 @@
     pub attempt: u64,
     /// What front and upstream know of the query.
     pub job: Rc<J>,
+    /// Index of the query's class.
+    pub class: usize,
     /// The part's shard.
     pub shard: Shard,
     /// Set for parts of the second step.
@@ -114,6 +116,19 @@
     pub leave_by: Option<Time>,
 }
 
+/// What was counted of a class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Requests served, whole or in part.
+    pub served: u64,
+    /// Requests refused: trying again is harmless.
+    pub refused: u64,
+    /// Requests failed.
+    pub failed: u64,
+    /// Attempts written whole to a data node.
+    pub attempts: u64,
+}
+
 /// What the core wants done.
 #[derive(Clone, Debug)]
 pub enum Command<J> {
@@ -204,6 +219,8 @@
     out: HashMap<(PartId, u16), u64>,
     /// Attempts that were out as their queries ended, since that was last told.
     recalls: Vec<u64>,
+    /// What ended since that was last told, by class.
+    tallies: Vec<Tally>,
     /// Queries and parts held, and bytes of their values.
     held: usize,
     bytes: usize,
@@ -229,6 +246,7 @@
     pub fn new(seed: u64, settings: Settings, contracts: Contracts, memory: usize) -> Self {
         Core {
             most_bytes: memory / 4,
+            tallies: vec![Tally::default(); settings.classes.len()],
             module: Coordinator::new(seed, settings.clone()),
             settings,
             contracts,
@@ -266,6 +284,25 @@
         &self.settings
     }
 
+    /// How many of the servers in the list are passed over by choice now.
+    #[must_use]
+    pub fn avoided(&self) -> usize {
+        self.module.avoided()
+    }
+
+    /// What ended, and what was written whole, since the last time, by class.
+    pub fn take_tallies(&mut self) -> Vec<Tally> {
+        let none = vec![Tally::default(); self.tallies.len()];
+        std::mem::replace(&mut self.tallies, none)
+    }
+
+    /// So many attempts of a class were written whole to data nodes.
+    pub fn on_written(&mut self, class: usize, attempts: u64) {
+        if let Some(tally) = self.tallies.get_mut(class) {
+            tally.attempts += attempts;
+        }
+    }
+
     /// Queries held.
     #[must_use]
     pub fn held_queries(&self) -> usize {
--- a/src/core/phases.rs
+++ b/src/core/phases.rs
@@ -127,6 +127,7 @@
     /// Gives a query its answer from the parts that are in; `whole`: as far as its last step goes.
     pub(super) fn served(&mut self, query: QueryId, whole: bool, commands: &mut Vec<Command<J>>) {
         let Some(q) = self.release(query) else { return };
+        self.tallies[q.class].served += 1;
         let second = q.first.is_some();
         let mut gaps: Vec<Shard> = q.parts.iter().filter(|p| !p.is_in()).map(|p| p.shard).collect();
         gaps.extend(&q.left_out);
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -242,9 +242,8 @@
 
     /// How many that are listed are out by hand.
     #[must_use]
-    pub fn out_by_hand(&self) -> BTreeSet<ServerId> {
-        let out = self.nodes.iter().filter(|(_, n)| self.by_hand.out.contains(&n.name));
-        out.map(|(server, _)| *server).collect()
+    pub fn out_by_hand(&self) -> usize {
+        self.nodes.values().filter(|n| self.by_hand.out.contains(&n.name)).count()
     }
 
     /// Gives back what is known of a node that is gone. Guards memory: on a long day most nodes are replaced often,
--- a/src/management/mod.rs
+++ b/src/management/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod folder;
 pub mod handover;
+pub mod metrics;
 
 use crate::config::Platform;
 use crate::decide::descriptors::DISCOVERY;
@@ -16,6 +17,7 @@
 use lichenswitch_management::health::{self, Standing, Unready};
 use lichenswitch_management::siblings::Told;
 use lichenswitch_management::wanted::{Refused, Verdict, Wanted};
+use metrics::Metrics;
 use std::collections::{BTreeSet, HashMap};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -50,6 +52,8 @@
 
 /// What the loop and the thread leave for each other.
 struct Shared {
+    /// The figures.
+    metrics: Metrics,
     /// Servers that discovery lists.
     listed: Mutex<Arc<BTreeSet<String>>>,
     standing: Mutex<Standing>,
@@ -124,6 +128,7 @@
         let (wake, woken) = UnixStream::pair()?;
         wake.set_nonblocking(true)?;
         let shared = Arc::new(Shared {
+            metrics: Metrics::new(&told.classes),
             listed: Mutex::default(),
             standing: Mutex::default(),
             orders: Mutex::new(Arc::new(Orders { wanted, others })),
@@ -203,6 +208,12 @@
         self.told.plus(BEAT)
     }
 
+    /// The figures.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
     /// Tells how the process stands.
     pub fn on_standing(&mut self, now: Time, standing: Standing) {
         self.told = now;
@@ -358,7 +369,7 @@
                 Ok(()) => "ok ready\n".into(),
                 Err(why) => format!("fail {why}\n"),
             },
-            Ok(Call::Counters) => "fail there are no figures yet\n".into(),
+            Ok(Call::Counters) => format!("ok\n{}eof\n", self.shared.metrics.text()),
             Ok(Call::Change(change)) => match self.change(now, &change) {
                 Ok(said) => format!("ok {said}\n"),
                 Err(why) => format!("fail {why}\n"),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,7 +9,7 @@
     ServerId, Settings, Shard, Time,
 };
 use crate::stats::{
-    drawn, faded, Aged, Agenda, Bid, Call, Dice, Fading, Fate, Flight, Quotas, Try, Wanted, WindowCount,
+    drawn, faded, Aged, Agenda, Bid, Call, Dice, Fading, Fate, Flight, Part, Quotas, Try, Wanted, WindowCount,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -99,6 +99,8 @@
 /// First wait before asking for the list again; doubles up to the most (microseconds).
 const ASK_FIRST: Micros = 300_000;
 const ASK_MOST: Micros = 4_000_000;
+/// A server that is passed over counts as avoided once nothing went there or came back for so long.
+const AVOIDED: Micros = 1_000_000;
 /// Longest sleep between two looks at what is held; where no second copies are allowed, how long a part rests
 /// after an attempt that may have run, of whose end the server may hear late (microseconds).
 const LOOK: Micros = 100_000;
@@ -129,19 +131,6 @@
     proved: Time,
 }
 
-#[derive(Default)]
-struct Part {
-    id: PartId,
-    shard: Shard,
-    weight: f64,
-    step: u8,
-    tries: Vec<Try>,
-    /// Those of them that never left, which are none of the attempts allowed; the last met nobody there.
-    unsent: usize,
-    unmet: bool,
-    done: bool,
-    late: bool, // Its first lateness has been counted against its server.
-}
 #[derive(Default)]
 struct Query {
     number: u32,
@@ -736,6 +725,16 @@
         open.min_by_key(|(_, s)| self.rank(s, class)).map(|(_, s)| pending(s))
     }
 
+    /// How many of the ready servers are avoided by choice: passed over for queries of some class, and nothing
+    /// has been sent there for a while, though something would have gone to one that is not avoided.
+    #[must_use]
+    pub fn avoided(&self) -> usize {
+        let rests = |s: &Server| pending(s) == 0.0 && self.now.since(s.used) > AVOIDED;
+        let classes = 0..self.set.classes.len();
+        let passed_over = |s: &&Server| rests(s) && classes.clone().any(|class| self.rank(s, class).0 > 0);
+        self.servers.values().filter(|s| s.mode == Mode::Ready).filter(passed_over).count()
+    }
+
     /// Whether a cold server has used up its allowance: nothing is sent, rather than push it over.
     fn closed(&self, s: &Server) -> bool {
         self.cold_tokens(s).is_some_and(|(_, call)| call == 0)
@@ -990,17 +989,6 @@
 }
 
 // ---- Small helpers -----------------------------------------------------------------------------------
-impl Part {
-    /// Attempts that were made.
-    fn made(&self) -> usize {
-        self.tries.len() - self.unsent
-    }
-    /// Its attempts that are out.
-    fn out(&self) -> impl Iterator<Item = u16> + '_ {
-        (0u16..).zip(&self.tries).filter(|(_, t)| t.fate == Fate::Out).map(|(i, _)| i)
-    }
-}
-
 /// Own parts out at a server.
 fn pending(s: &Server) -> f64 {
     f64::from(s.calls.iter().map(|c| c.left).sum::<u32>())
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -1,6 +1,6 @@
 //! Plain containers for what the decision module remembers. Every parameter is passed in.
 
-use crate::interface::{Micros, ServerId, Time};
+use crate::interface::{Micros, PartId, ServerId, Shard, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A seeded source of chance.
@@ -46,6 +46,41 @@
     pub fate: Fate,
 }
 
+/// A part of a query, as the module remembers it.
+#[derive(Debug, Default)]
+pub struct Part {
+    /// Names it.
+    pub id: PartId,
+    /// Its shard.
+    pub shard: Shard,
+    /// Its share of its step.
+    pub weight: f64,
+    /// Its step, from 1.
+    pub step: u8,
+    /// Its attempts, in order.
+    pub tries: Vec<Try>,
+    /// Those of them that never left, which are none of the attempts allowed; the last met nobody there.
+    pub unsent: usize,
+    /// See `unsent`.
+    pub unmet: bool,
+    /// It is in.
+    pub done: bool,
+    /// Its first lateness has been counted against its server.
+    pub late: bool,
+}
+
+impl Part {
+    /// Attempts that were made.
+    #[must_use]
+    pub fn made(&self) -> usize {
+        self.tries.len() - self.unsent
+    }
+    /// Its attempts that are out.
+    pub fn out(&self) -> impl Iterator<Item = u16> + '_ {
+        (0u16..).zip(&self.tries).filter(|(_, t)| t.fate == Fate::Out).map(|(i, _)| i)
+    }
+}
+
 /// An attempt that is out, as its server is judged by it.
 #[derive(Clone, Copy, Debug)]
 pub struct Flight {
--- a/src/upstream/frames/tests.rs
+++ b/src/upstream/frames/tests.rs
@@ -8,7 +8,16 @@
 fn dispatch(shard: u32, key: Option<&str>, first: Option<FirstStep>) -> Dispatch<Job> {
     let job = Job { id: "9b1f".into(), text: "c41e77d0".into(), key: key.map(Into::into) };
     let (job, first) = (Rc::new(job), first.map(Rc::new));
-    Dispatch { attempt: 1, job, shard: Shard(shard), first, most: None, wait: 239_500, leave_by: None }
+    Dispatch {
+        attempt: 1,
+        job,
+        class: 0,
+        shard: Shard(shard),
+        first,
+        most: None,
+        wait: 239_500,
+        leave_by: None,
+    }
 }
 
 fn written(parts: &[Dispatch<Job>]) -> String {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -68,6 +68,8 @@
     /// Where its bytes end among all that are written there.
     end: u64,
     parts: Vec<Out<N>>,
+    /// Classes of the parts that it was made of, until they are counted as written.
+    unwritten: Vec<usize>,
 }
 
 /// How far a new connection has come.
@@ -213,6 +215,8 @@
     /// Usual time from a call to an answer.
     usual: Fading,
     ended: Vec<Ended>,
+    /// Parts whose call was written whole since that was last told, by class.
+    written: HashMap<usize, u64>,
     log: Vec<String>,
 }
 
@@ -223,7 +227,22 @@
         let (links, by_server, attempts) = (HashMap::new(), HashMap::new(), HashMap::new());
         let (usual, ended, log) = (Fading::default(), Vec::new(), Vec::new());
         let (wary, parked, short, told) = (HashMap::new(), VecDeque::new(), 0, None);
-        Pool { wire, limits, links, by_server, attempts, wary, parked, short, told, usual, ended, log }
+        let written = HashMap::new();
+        Pool {
+            wire,
+            limits,
+            links,
+            by_server,
+            attempts,
+            wary,
+            parked,
+            short,
+            told,
+            usual,
+            ended,
+            written,
+            log,
+        }
     }
 
     /// New connections to this node are greeted until then: it has just started, or connections to it broke. A greeting
@@ -259,6 +278,23 @@
         (std::mem::take(&mut self.ended), std::mem::take(&mut self.log))
     }
 
+    /// How many parts of each class were written whole to data nodes since the last time.
+    pub fn take_written(&mut self) -> HashMap<usize, u64> {
+        std::mem::take(&mut self.written)
+    }
+
+    /// Counts the calls whose last byte has been written.
+    fn count_written(&mut self, net: &Net, id: ConnId) {
+        let written = net.get(id).map_or(0, crate::net::Conn::written);
+        let Some(link) = self.links.get_mut(&id) else { return };
+        // They are written in order: those not counted yet are the last ones.
+        for call in link.calls.iter_mut().rev().take_while(|c| !c.unwritten.is_empty()) {
+            if call.end <= written {
+                call.unwritten.drain(..).for_each(|class| *self.written.entry(class).or_default() += 1);
+            }
+        }
+    }
+
     /// Idle connections are closed after this long: before the node does it, so that no call crosses its end.
     fn idle(&self) -> Micros {
         self.limits.idle / 5 * 4
@@ -384,8 +420,11 @@
             let names = self.wire.call(&parts, link.address, &mut bytes);
             let out =
                 names.into_iter().zip(&parts).map(|(part, p)| Out { part, attempt: p.attempt }).collect();
-            link.calls.push(Call { sent: now, end: conn.send(&bytes), parts: out });
-            if net.flush(id, false) != Pumped::Alive {
+            let unwritten = parts.iter().map(|p| p.class).collect();
+            link.calls.push(Call { sent: now, end: conn.send(&bytes), parts: out, unwritten });
+            let flushed = net.flush(id, false);
+            self.count_written(net, id);
+            if flushed != Pumped::Alive {
                 return self.broken(net, id);
             }
         }
@@ -583,6 +622,7 @@
         }
         let (up, now) = (net.get(id).is_some_and(|c| c.up), net.clock.now());
         let pumped = net.pump(id, W::CEILING);
+        self.count_written(net, id);
         let read = self.read(net, id);
         let done = net.get(id).is_none_or(|c| c.ended || c.input.bytes().len() >= W::CEILING);
         if up && net.get(id).is_some_and(|c| c.heard >= now) {
--- a/src/upstream/ogc/tests.rs
+++ b/src/upstream/ogc/tests.rs
@@ -81,6 +81,7 @@
     let part = Dispatch {
         attempt: 1,
         job,
+        class: 0,
         shard: crate::interface::Shard(0),
         first: None,
         most: None,
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -36,7 +36,16 @@
         self.attempts += 1;
         let (attempt, shard) = (self.attempts, Shard(self.attempts as u32));
         let job = Rc::new(Job { id: "q".into(), text: text.into(), key: None });
-        let part = Dispatch { attempt, job, shard, first: None, most: None, wait: 1_000_000, leave_by: None };
+        let part = Dispatch {
+            attempt,
+            job,
+            class: 0,
+            shard,
+            first: None,
+            most: None,
+            wait: 1_000_000,
+            leave_by: None,
+        };
         let address = self.listener.local_addr().unwrap();
         self.pool.send(&mut self.net, server, address, vec![part]);
         attempt
@@ -163,8 +172,16 @@
     let job = Rc::new(Job::default());
     let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     assert_ne!(address, gone);
-    let part =
-        Dispatch { attempt: 9, job, shard: Shard(0), first: None, most: None, wait: 1, leave_by: None };
+    let part = Dispatch {
+        attempt: 9,
+        job,
+        class: 0,
+        shard: Shard(0),
+        first: None,
+        most: None,
+        wait: 1,
+        leave_by: None,
+    };
     stage.pool.send(&mut stage.net, SERVER, gone, vec![part]);
     assert_eq!(stage.ended(), [(9, Outcome::ConnectFailed)]);
     assert!(stage.pool.links.is_empty() && stage.pool.by_server.is_empty());
@@ -503,7 +520,16 @@
 fn call(count: u64) -> Vec<Dispatch<Job>> {
     let part = |attempt: u64| {
         let job = Rc::new(Job { id: format!("q{attempt}"), text: "x".into(), key: None });
-        Dispatch { attempt, job, shard: Shard(1), first: None, most: None, wait: 9_000_000, leave_by: None }
+        Dispatch {
+            attempt,
+            job,
+            class: 0,
+            shard: Shard(1),
+            first: None,
+            most: None,
+            wait: 9_000_000,
+            leave_by: None,
+        }
     };
     (1..=count).map(part).collect()
 }
--- a/tests/management.rs
+++ b/tests/management.rs
@@ -225,3 +225,61 @@
     let served = answer(&mut back);
     assert!(served.status == 200 && served.keep_alive);
 }
+
+/// The value of a figure.
+fn figure(told: &str, name: &str) -> u64 {
+    let line = told.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.unwrap_or_else(|| panic!("{name} is not in {told}")).parse().unwrap()
+}
+
+/// Asks for the figures until these are so.
+fn figures_until(calls: SocketAddr, expected: &[(&str, u64)]) {
+    let begun = Instant::now();
+    loop {
+        let told = asked(calls, "counters");
+        assert!(told.starts_with("ok\n") && told.ends_with("\neof\n"), "{told}");
+        if expected.iter().all(|(name, value)| figure(&told, name) == *value) {
+            return;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(5), "{expected:?} in {told}");
+    }
+}
+
+#[test]
+fn figures_tell_what_ended_how_what_is_held_and_which_nodes_are_there() {
+    let (broker, calls) = Platformed::managed(SETTINGS, discovery);
+    asked_until(calls, "health", "ok ");
+    let none = ["ok", "shed", "errors", "tries"].map(|n| format!("svc_{n}_total{{kind=\"network-report\"}}"));
+    let none: Vec<(&str, u64)> = none.iter().map(|name| (name.as_str(), 0)).collect();
+    figures_until(calls, &none);
+    figures_until(calls, &[("svc_active", 0), ("svc_pool_size", 1), ("svc_pool_ejected", 0)]);
+    let mut client = broker.connect();
+    let mut ask = |id: &str, says: &str| {
+        client.write_all(&query("fleet-search", id, &[0])).unwrap();
+        let mut got = broker.next();
+        got.parts().iter().for_each(|id| got.answer(&format!("{id} {says}")));
+        answer(&mut client).status
+    };
+    assert_eq!([ask("a", "OK 1 -\nv"), ask("b", "OK 1 -\nv")], [200, 200]);
+    let kind = |name: &str| format!("svc_{name}_total{{kind=\"fleet-search\"}}");
+    let (ok, shed, errors, tries) = (kind("ok"), kind("shed"), kind("errors"), kind("tries"));
+    let of = |values: [u64; 4]| {
+        [(&*ok, values[0]), (&*shed, values[1]), (&*errors, values[2]), (&*tries, values[3])]
+    };
+    figures_until(calls, &of([2, 0, 0, 2]));
+    // A part that is out: its query is held, its attempt counts as soon as it is written.
+    let mut second = broker.connect();
+    second.write_all(&query("fleet-search", "c", &[0])).unwrap();
+    let mut out = broker.next();
+    figures_until(calls, &[of([2, 0, 0, 3])[3], ("svc_active", 1)]);
+    out.parts().iter().for_each(|id| out.answer(&format!("{id} OK 1 -\nv")));
+    assert_eq!(answer(&mut second).status, 200);
+    // What makes no sense has failed; with the only node out a query is refused, and nothing is sent.
+    second.write_all(&query("fleet-search", "d", &[0, 0])).unwrap();
+    assert_eq!(answer(&mut second).status, 400);
+    assert!(asked(calls, "cordon s").starts_with("ok "));
+    figures_until(calls, &[("svc_active", 0), ("svc_pool_size", 1), ("svc_pool_ejected", 1)]);
+    second.write_all(&query("fleet-search", "e", &[0])).unwrap();
+    assert_eq!(answer(&mut second).status, 503);
+    figures_until(calls, &of([3, 1, 1, 3]));
+}
