Share what one broker may hold and do between its processes of an upgrade

Cause (by reading): each of two processes took the descriptors, memory, retries, quotas and cold servers' allowance of a whole broker, and for rules and limits they are one. Design: what is held (descriptors, memory, queries) is cut into as many parts as processes live; what may be done (sends to cold servers, further attempts, quotas) into those that stay: a process that leaves its clients to a ready one gives its part up at once, and says so in its file, so that there is never more than one broker's part in force. A cold server gets of two processes at most 1.4 times what it gets of one (tests/scale.rs).

--- a/decide/management/src/health.rs
+++ b/decide/management/src/health.rs
@@ -14,6 +14,8 @@
     pub listed: bool,
     /// It was told to stop.
     pub stopping: bool,
+    /// It leaves its clients to another process of the broker.
+    pub leaving: bool,
     /// Clients are sent away.
     pub away: bool,
     /// When its loop last came round.
--- a/decide/management/src/siblings.rs
+++ b/decide/management/src/siblings.rs
@@ -1,10 +1,11 @@
 //! Several processes of one broker, as they run side by side during an upgrade.
 //!
 //! For limits and rules they count as one broker. So each takes an equal part of what is allowed to one for as long as it
-//! sees another; a process that has just begun takes its part from its first moment on.
+//! sees another; a process that has just begun takes its part from its first moment on. One that leaves its clients to
+//! another keeps what it holds, but not what it may do with servers that bear little: that goes to those that stay.
 
 /// What a process tells the others of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Told {
     /// Its number.
     pub process: u32,
@@ -12,12 +13,28 @@
     pub ready: bool,
     /// It listens on the very socket of the one before, so that what waits there is its own too.
     pub same_door: bool,
+    /// It was told to stop, and leaves its clients to another one that serves.
+    pub leaving: bool,
 }
 
-/// Parts that a broker's limits are to be cut into while these others are alive.
+/// Parts of what is allowed to one broker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Parts {
+    /// What is held, as connections and memory, is cut into so many.
+    pub held: u32,
+    /// What may be done, as sends to cold servers and further attempts, is cut into so many; `None`: nothing of it is
+    /// this process's.
+    pub done: Option<u32>,
+}
+
+/// Those of a process that runs alone.
+pub const ALONE: Parts = Parts { held: 1, done: Some(1) };
+
+/// This process's parts while these others are alive.
 #[must_use]
-pub fn parts(others: &[Told]) -> u32 {
-    1 + others.len() as u32
+pub fn parts(leaving: bool, others: &[Told]) -> Parts {
+    let stay = others.iter().filter(|o| !o.leaving).count() as u32;
+    Parts { held: 1 + others.len() as u32, done: (!leaving || stay == 0).then_some(1 + stay) }
 }
 
 /// What a process that is told to stop does with the clients that wait at the door.
@@ -43,7 +60,7 @@
 /// What to do with the door at the stop.
 #[must_use]
 pub fn door(others: &[Told]) -> Door {
-    let ready = || others.iter().filter(|o| o.ready);
+    let ready = || others.iter().filter(|o| o.ready && !o.leaving);
     match (ready().find(|o| o.same_door), ready().next()) {
         (Some(o), _) => Door::Left(Why::Sibling(o.process)),
         (None, Some(o)) => Door::Served(Why::OwnSocket(o.process)),
@@ -55,18 +72,22 @@
     /// As it is written for the others.
     #[must_use]
     pub fn line(&self) -> String {
-        format!("{} {} {}\n", self.process, u8::from(self.ready), u8::from(self.same_door))
+        let [ready, same_door, leaving] = [self.ready, self.same_door, self.leaving].map(u8::from);
+        format!("{} {ready} {same_door} {leaving}\n", self.process)
     }
 
     /// Reads such a line. What can't be read is somebody who is there and not ready: it may be about to write.
     #[must_use]
     pub fn read(process: u32, line: &str) -> Told {
         let words: Vec<&str> = line.split_ascii_whitespace().collect();
-        let (ready, same_door) = match words[..] {
-            [told, ready, door] if told.parse() == Ok(process) => (ready == "1", door == "1"),
-            _ => (false, false),
+        let [ready, same_door, leaving] = match words[..] {
+            [told, ref flags @ ..] if told.parse() == Ok(process) => match flags {
+                [ready, door, leaving] => [ready, door, leaving].map(|flag| *flag == "1"),
+                _ => [false; 3],
+            },
+            _ => [false; 3],
         };
-        Told { process, ready, same_door }
+        Told { process, ready, same_door, leaving }
     }
 }
 
--- a/interface/src/lib.rs
+++ b/interface/src/lib.rs
@@ -354,6 +354,9 @@
     },
     /// News of the list of servers.
     List(Listing),
+    /// What is allowed to this instance is shared alike by so many of its processes from now on, this one included; `None`:
+    /// by others alone, as this one is about to end.
+    Processes(Option<u32>),
     /// A wake-up asked for is due.
     Wake,
 }
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -19,7 +19,7 @@
 use crate::upstream::{Limits, Pool, Wire};
 use lichenswitch_management::health::Standing;
 use lichenswitch_management::leave;
-use lichenswitch_management::siblings::{self, Door};
+use lichenswitch_management::siblings::{self, Door, Parts};
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -209,6 +209,10 @@
     /// The platform's clients are to be listened for, by this name and at this address; that it is in use has been logged.
     door: Option<(String, SocketAddr)>,
     kept_out: bool,
+    /// This process leaves its clients to another one of the broker.
+    leaving: bool,
+    /// Its parts of what is allowed to the broker.
+    parts: Parts,
     /// Reads the platform's configuration again.
     reread: Option<Reread>,
     /// When the signal to stop came.
@@ -268,12 +272,15 @@
             desk,
             door: None,
             kept_out: false,
+            leaving: false,
+            parts: siblings::ALONE,
             reread: None,
             stopping: None,
             crowded: false,
         };
         platform.map_or(Ok(()), |told| broker.serve_platform(told))?;
         ogc.map_or(Ok(()), |told| broker.serve_ogc(told))?;
+        broker.share();
         broker.listed(None);
         Ok(broker)
     }
@@ -521,9 +528,28 @@
         }
     }
 
+    /// Takes this process's part of what the broker may do.
+    fn share(&mut self) {
+        let Some(desk) = &self.desk else { return };
+        let parts = siblings::parts(self.leaving, &desk.orders().others);
+        if std::mem::replace(&mut self.parts, parts) != parts {
+            let done = parts.done.map_or("nothing".into(), |of| format!("1 of {of}"));
+            log(&format!(
+                "this process has 1 of {} of what the broker holds, {done} of what it may do",
+                parts.held
+            ));
+        }
+        self.net.share(parts.held);
+        each_service!(self, |_net, service| {
+            service.core.share(parts);
+            service.sessions.share(parts.held);
+        });
+    }
+
     /// Does what operators want now.
     fn heed(&mut self) {
         self.net.clear_signal(Signal::Orders);
+        self.share();
         let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
         let lines = service.directory.set_by_hand(by_hand(&desk.orders()));
         let news = (!lines.is_empty()).then_some(Listing::Changes(lines));
@@ -569,7 +595,7 @@
         let (listens, listed) = (self.door.is_none(), service.front.is_listed());
         let stopping = self.stopping.is_some();
         let away = desk.orders().wanted.quiesced.is_some();
-        desk.on_standing(now, Standing { listens, listed, stopping, away, beat: now });
+        desk.on_standing(now, Standing { listens, listed, stopping, leaving: self.leaving, away, beat: now });
     }
 
     fn stop(&mut self) {
@@ -600,22 +626,25 @@
     fn leave_door(&mut self) -> bool {
         let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return false };
         desk.close_door();
-        match siblings::door(&desk.others()) {
+        let told = match siblings::door(&desk.others()) {
             Door::Left(siblings::Why::Sibling(process)) => {
-                log(&format!("process {process} serves at the same socket: new clients are left to it"));
-                service.sessions.stop();
                 self.net.leave(Owner::Platform);
-                true
-            }
-            Door::Served(siblings::Why::OwnSocket(process)) => {
-                log(&format!(
-                    "process {process} serves at a socket of its own: who waits at this one is served here"
-                ));
-                service.sessions.stop();
-                true
+                Some(format!("process {process} serves at the same socket: new clients are left to it"))
             }
-            Door::Left(_) | Door::Served(_) => false,
+            Door::Served(siblings::Why::OwnSocket(process)) => Some(format!(
+                "process {process} serves at a socket of its own: who waits here is served here"
+            )),
+            Door::Left(_) | Door::Served(_) => None,
+        };
+        if told.is_some() {
+            service.sessions.stop();
+        }
+        // Where that one has gone meanwhile this one serves those who are here as if there had been none.
+        if std::mem::replace(&mut self.leaving, told.is_some()) != told.is_some() {
+            log(&told.unwrap_or_else(|| "nobody else serves any more".into()));
         }
+        self.share();
+        self.leaving
     }
 
     /// Whether all that was taken is finished. What waits at a listener counts as taken, so it is accepted until the
--- a/src/core/collect.rs
+++ b/src/core/collect.rs
@@ -8,6 +8,7 @@
     pub fn ended(&mut self, now: Time, attempt: u64, outcome: Outcome, value: Option<Value>) -> bool {
         let Some(a) = self.attempts.remove(&attempt) else { return false };
         self.out.remove(&(a.part, a.number));
+        let most_bytes = self.most_bytes();
         let place = self.parts.get(&a.part).copied();
         let mut part = place.and_then(|(query, i)| self.queries.get_mut(&query)?.parts.get_mut(i));
         let load = self.load.entry(a.server).or_default();
@@ -25,7 +26,7 @@
             part.ran = None;
         }
         if let (Some(part), Outcome::Ok, Some(value)) = (part, outcome, value) {
-            if self.bytes + value.bytes.len() > self.most_bytes {
+            if self.bytes + value.bytes.len() > most_bytes {
                 // Guards memory: what all queries hold is bounded, and a value beyond it is none.
                 outcome = Outcome::Error;
             } else if part.value.is_none() {
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -94,7 +94,7 @@
             request.deadline = request.deadline.min(at);
         }
         // Guards memory: what is held is bounded, and the module never sees the query.
-        if self.held >= self.settings.limits.held as usize {
+        if self.held >= (self.settings.limits.held / self.parts_of.held) as usize {
             return Err(Refusal::Busy(self.settings.limits.retry_after.map(|most| most / 2)));
         }
         self.contracts.admit(now, request.team.as_deref(), request.class).map_err(Refusal::Contract)?;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -18,6 +18,7 @@
 use crate::decide::phases::Planner;
 use crate::interface::{Event, Listing, Micros, PartId, QueryId, ServerId, Settings, Shard, Time};
 use crate::policy::Coordinator;
+use lichenswitch_management::siblings::{Parts, ALONE};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
@@ -233,6 +234,8 @@
     wake: Option<Time>,
     /// All that is taken must have ended by then.
     end_by: Option<Time>,
+    /// This process's parts of what is allowed to the broker.
+    parts_of: Parts,
     /// Nothing is taken for now.
     held_off: bool,
 }
@@ -269,6 +272,7 @@
             turned: Time(0),
             wake: Some(Time(0)),
             end_by: None,
+            parts_of: ALONE,
             held_off: false,
         }
     }
@@ -284,6 +288,18 @@
         &self.settings
     }
 
+    /// From now on this process has these parts of what is allowed to the broker.
+    pub fn share(&mut self, parts: Parts) {
+        if std::mem::replace(&mut self.parts_of, parts).done != parts.done {
+            self.inbox.push(Event::Processes(parts.done));
+        }
+    }
+
+    /// Most bytes of values that may be held now.
+    fn most_bytes(&self) -> usize {
+        self.most_bytes / self.parts_of.held as usize
+    }
+
     /// How many of the servers in the list are passed over by choice now.
     #[must_use]
     pub fn avoided(&self) -> usize {
--- a/src/decide/descriptors/mod.rs
+++ b/src/decide/descriptors/mod.rs
@@ -91,6 +91,8 @@
 pub struct Shares {
     /// For clients and data nodes together.
     all: usize,
+    /// The same while this is the broker's only process.
+    alone: usize,
     /// Data nodes that are listed.
     listed: usize,
     clients: usize,
@@ -107,13 +109,29 @@
     #[must_use]
     pub fn new(descriptors: usize) -> Shares {
         let all = descriptors.saturating_sub(DISCOVERY).max(2);
-        Shares { all, listed: 0, clients: 0, nodes: 0, discovery: 0, peers: 0, peers_in: 0, peers_out: 0 }
+        Shares {
+            all,
+            alone: all,
+            listed: 0,
+            clients: 0,
+            nodes: 0,
+            discovery: 0,
+            peers: 0,
+            peers_in: 0,
+            peers_out: 0,
+        }
     }
 
     /// Brokers talk: so many descriptors in each direction are set aside for that, at most a sixteenth of all.
     pub fn on_peers(&mut self, each: usize) {
         let each = each.min(self.all / 16).max(1);
         (self.peers, self.all) = (each, self.all - 2 * each);
+        self.alone -= 2 * each;
+    }
+
+    /// So many processes of this broker run side by side now: each has its part. What is open beyond it goes as it falls idle.
+    pub fn on_processes(&mut self, processes: u32) {
+        self.all = (self.alone / processes.max(1) as usize).max(2);
     }
 
     /// So many data nodes are listed now, of all services.
--- a/src/decide/descriptors/tests.rs
+++ b/src/decide/descriptors/tests.rs
@@ -98,3 +98,24 @@
     let table = [64, 568, 1_024, 4_096].map(|d| shares(1, d).bears());
     assert_eq!(table, [19, 220, 403, 1_631], "without the process's own descriptors");
 }
+
+#[test]
+fn processes_side_by_side_have_equal_parts_and_what_is_open_beyond_goes_as_it_falls_idle() {
+    let mut shares = shares(10, 362);
+    assert_eq!(fill(&mut shares, Side::Clients), 270);
+    shares.on_processes(2);
+    assert_eq!((shares.of_nodes(), shares.of_clients()), (45, 135));
+    assert!(matches!(shares.may_open(Side::Clients), Verdict::Wait(Why::Full(270, 135))));
+    assert!(
+        matches!(shares.may_open(Side::Nodes), Verdict::Instead(_)),
+        "clients hold it, and leave it in time"
+    );
+    assert!(
+        matches!(shares.may_open(Side::Discovery), Verdict::Open(_)),
+        "discovery has its place all the same"
+    );
+    assert!(shares.crowd() >= 135);
+    shares.on_processes(1);
+    assert_eq!((shares.of_nodes(), shares.of_clients()), (90, 270));
+    assert_eq!(fill(&mut shares, Side::Nodes), 90);
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -129,8 +129,9 @@
 pub struct Sessions<C> {
     open: HashMap<ConnId, Session>,
     waiting: HashMap<QueryId, (ConnId, C)>,
-    /// Most bytes held of requests that are not whole.
+    /// Most bytes held of requests that are not whole, by all processes of the broker, and how many those are.
     most_bytes: usize,
+    processes: u32,
     /// A look at all connections is due.
     looks: bool,
     stopping: bool,
@@ -143,7 +144,24 @@
     #[must_use]
     pub fn new(memory: usize) -> Self {
         let (open, waiting) = (HashMap::new(), HashMap::new());
-        Sessions { open, waiting, most_bytes: memory / 8, looks: false, stopping: false, away: Stage::Served }
+        Sessions {
+            open,
+            waiting,
+            most_bytes: memory / 8,
+            processes: 1,
+            looks: false,
+            stopping: false,
+            away: Stage::Served,
+        }
+    }
+
+    /// So many processes of this broker run side by side from now on.
+    pub fn share(&mut self, processes: u32) {
+        self.processes = processes.max(1);
+    }
+
+    fn most_bytes(&self) -> usize {
+        self.most_bytes / self.processes as usize
     }
 
     /// Bytes held of requests that are not whole or not answered yet.
@@ -194,7 +212,7 @@
     /// connection ends with the answer that is due.
     fn overhear(&mut self, net: &mut Net, id: ConnId) {
         let held = net.get(id).map_or(0, |conn| conn.input.bytes().len());
-        if held < CEILING && (held <= http::HEAD || self.bytes(net) <= self.most_bytes) {
+        if held < CEILING && (held <= http::HEAD || self.bytes(net) <= self.most_bytes()) {
             return;
         }
         let Some(session) = self.open.get_mut(&id) else { return };
@@ -226,7 +244,7 @@
                         return self.tell_off(net, id, &front.malformed(413, "request too large"));
                     }
                     // Guards memory against many large requests that arrive at once.
-                    if held > http::HEAD && self.bytes(net) > self.most_bytes {
+                    if held > http::HEAD && self.bytes(net) > self.most_bytes() {
                         return self.tell_off(net, id, &front.malformed(503, "too much is arriving"));
                     }
                     let (Some(session), Some(conn)) = (self.open.get_mut(&id), net.get_mut(id)) else {
--- a/src/management/folder.rs
+++ b/src/management/folder.rs
@@ -68,7 +68,7 @@
         if !found.is_dir() || found.uid() != user {
             return Err(Failure::NotOurs(path));
         }
-        let told = Told { process: std::process::id(), ready: false, same_door: false };
+        let told = Told { process: std::process::id(), ..Told::default() };
         let presence = present(&path, told).map_err(failed)?;
         Ok(Folder { path, owner: owner.into(), told, presence, seen: None })
     }
@@ -86,8 +86,8 @@
     }
 
     /// Tells the others how this process stands, if that has changed or somebody has taken its file away.
-    pub fn tell(&mut self, ready: bool, same_door: bool) -> Result<(), Failure> {
-        let told = Told { ready, same_door, ..self.told };
+    pub fn tell(&mut self, told: Told) -> Result<(), Failure> {
+        let told = Told { process: self.told.process, ..told };
         let path = self.path.join(format!("process-{}", told.process));
         if told == self.told && path.exists() {
             return Ok(());
--- a/src/management/folder/tests.rs
+++ b/src/management/folder/tests.rs
@@ -28,8 +28,12 @@
     }
 }
 
+fn told(process: u32) -> Told {
+    Told { process, ready: true, same_door: true, leaving: false }
+}
+
 fn other(folder: &Folder, process: u32) -> File {
-    present(folder.path(), Told { process, ready: true, same_door: true }).unwrap()
+    present(folder.path(), told(process)).unwrap()
 }
 
 fn cordon(id: &'static str) -> impl FnOnce(&Wanted) -> Result<Option<Wanted>, Refused> {
@@ -46,8 +50,7 @@
     assert_eq!(folder.others().unwrap(), [], "not oneself");
     let lives = other(&folder, 1);
     fs::write(folder.door(1), "").unwrap();
-    let told = Told { process: 1, ready: true, same_door: true };
-    assert_eq!(folder.others().unwrap(), [told]);
+    assert_eq!(folder.others().unwrap(), [told(1)]);
     // The kernel gives the lock back with the process.
     drop(lives);
     assert_eq!(folder.others().unwrap(), []);
@@ -60,7 +63,7 @@
     let folder = Folder::open(&root.0, "n0").unwrap();
     let lives = other(&folder, 1);
     lives.set_len(1).unwrap();
-    assert_eq!(folder.others().unwrap(), [Told { process: 1, ready: false, same_door: false }]);
+    assert_eq!(folder.others().unwrap(), [Told { process: 1, ..Told::default() }]);
 }
 
 #[test]
@@ -68,11 +71,11 @@
     let root = Root::new();
     let mut folder = Folder::open(&root.0, "n0").unwrap();
     let path = folder.path().join(format!("process-{}", std::process::id()));
-    folder.tell(true, false).unwrap();
-    assert!(fs::read_to_string(&path).unwrap().ends_with(" 1 0\n"));
+    folder.tell(Told { ready: true, ..Told::default() }).unwrap();
+    assert!(fs::read_to_string(&path).unwrap().ends_with(" 1 0 0\n"));
     fs::remove_file(&path).unwrap();
-    folder.tell(true, false).unwrap();
-    assert!(fs::read_to_string(&path).unwrap().ends_with(" 1 0\n"));
+    folder.tell(Told { ready: true, ..Told::default() }).unwrap();
+    assert!(fs::read_to_string(&path).unwrap().ends_with(" 1 0 0\n"));
     assert_matches!(File::open(&path).unwrap().try_lock_shared(), Err(TryLockError::WouldBlock));
     drop(folder);
     assert!(!path.exists(), "an end in order leaves nothing");
--- a/src/management/mod.rs
+++ b/src/management/mod.rs
@@ -393,7 +393,9 @@
     fn check_ready(&mut self, now: Time) -> Result<(), Unready> {
         let ready = health::ready(now, &lock(&self.shared.standing));
         if let Some(folder) = &mut self.folder {
-            folder.tell(ready.is_ok(), self.same_door).unwrap_or_else(|e| told_as(&e, ()));
+            let leaving = lock(&self.shared.standing).leaving;
+            let told = Told { ready: ready.is_ok(), same_door: self.same_door, leaving, ..Told::default() };
+            folder.tell(told).unwrap_or_else(|e| told_as(&e, ()));
         }
         ready
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -400,6 +400,12 @@
         self.shares.on_peers(each);
     }
 
+    /// So many processes of this broker run side by side now: descriptors are shared by them.
+    pub fn share(&mut self, processes: u32) {
+        self.shares.on_processes(processes);
+        self.attend_again();
+    }
+
     /// So many data nodes are listed now, by all services: what is set aside for them follows.
     pub fn listed(&mut self, nodes: usize) {
         self.shares.on_listed(nodes);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -202,6 +202,8 @@
     quotas: Quotas,
     /// Class, key and time of queries stopped as poison.
     poison: Vec<(usize, u64, Time)>,
+    /// Processes that share what is allowed to this instance.
+    processes: u32,
     /// The first turn, and the answers since.
     began: Time,
     answered: u64,
@@ -223,6 +225,7 @@
             norms: vec![Fading::default(); settings.classes.len() * 2],
             copy_tokens: COPY_SAVED / 2.0,
             admit: ADMIT,
+            processes: 1,
             began: Time(u64::MAX),
             ask_at: Some(Time(0)),
             ask_gap: ASK_FIRST,
@@ -325,6 +328,10 @@
             }
             Event::Probed { .. } => {} // It proves a process, not a service; none is sent.
             Event::List(listing) => self.listed(listing),
+            Event::Processes(count) => {
+                self.processes = count.map_or(u32::MAX, |count| count.max(1));
+                self.quotas.share(&self.set.quotas, self.set.instances.saturating_mul(self.processes));
+            }
             Event::Wake => self.wake_at = self.wake_at.filter(|&at| at > self.now),
         }
     }
@@ -915,7 +922,7 @@
         let budget = self.set.limits.budget.unwrap_or(free);
         let further = self.further.count(self.now, budget.window, true) + 1;
         let taken = self.taken.count(self.now, budget.window, false);
-        further as f64 <= budget.least + budget.share * taken as f64
+        further as f64 <= budget.least / f64::from(self.processes) + budget.share * taken as f64
     }
 
     // ---- The list and cold servers ------------------------------------------------------------------------
@@ -972,7 +979,7 @@
         let time = (now.since(self.began) + cold.fall_after) as f64 * self.ready.max(1) as f64;
         let mean = self.answered as f64 / time;
         let alike = COLD_ALIKE * works / f64::from(self.set.instances);
-        let rate = allowed * (alike + (1.0 - COLD_ALIKE) * mean);
+        let rate = allowed * (alike + (1.0 - COLD_ALIKE) * mean) / f64::from(self.processes);
         let together = (allowed * works * cold.fall_after as f64).sqrt() / 3.5;
         let sparse = rate * (cold.fall_after as f64) < 1.0;
         // Where few instances meet it often, chance adds less than it may: by the root of the allowance.
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -186,6 +186,13 @@
         let full = |rate: f64| (rate, (rate * QUOTA_SAVED).max(1.0), Time(0));
         Quotas { tenants: rates.iter().map(share).map(full).collect() }
     }
+    /// The same for another number of instances; what is saved up is cut to what the new rate allows.
+    pub fn share(&mut self, rates: &[f64], instances: u32) {
+        let alike = Quotas::new(rates, instances).tenants;
+        for ((rate, saved, _), (new, full, _)) in self.tenants.iter_mut().zip(alike) {
+            (*rate, *saved) = (new, saved.min(full));
+        }
+    }
     /// Counts a query and tells whether it is within the tenant's quota; one that is beyond takes nothing from it. A
     /// tenant that there is not has no quota to go beyond.
     pub fn within(&mut self, now: Time, tenant: u32) -> bool {
--- a/src/stats/tests.rs
+++ b/src/stats/tests.rs
@@ -43,3 +43,16 @@
     wanted.sent(1, &[2], bid(None));
     assert_eq!(wanted.best(&mut dice), None);
 }
+
+#[test]
+fn a_quota_that_is_shared_anew_keeps_no_more_saved_up_than_its_rate_allows() {
+    let (rates, now) = ([8.0], Time(5_000_000));
+    let mut quotas = Quotas::new(&rates, 1);
+    assert!((0..3).all(|_| quotas.within(now, 0)), "five are left of eight");
+    quotas.share(&rates, 4);
+    assert!((0..2).all(|_| quotas.within(now, 0)) && !quotas.within(now, 0));
+    assert!(!quotas.within(now.plus(400_000), 0) && quotas.within(now.plus(500_000), 0));
+    quotas.share(&rates, 1);
+    assert!(!quotas.within(now.plus(500_000), 0), "nothing is won by the change itself");
+    assert!(quotas.within(now.plus(625_000), 0));
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -231,19 +231,21 @@
     assert!(refused_again(false, false), "no marks: told by class and key");
 }
 
-/// Parts that a cold server gets of all instances, just restarted and busy, against what the rule lets it take.
-fn sent_to_a_cold_server(instances: u32, cold: Cold) -> f64 {
+/// Parts that a cold server gets of all instances, each of so many processes, just restarted and busy, against what the
+/// rule lets it take.
+fn sent_to_a_cold_server(instances: u32, processes: u32, cold: Cold) -> f64 {
     let mut set = settings(class());
     (set.instances, set.cold) = (instances, cold);
     set.layout = Layout { cells: 1, width: 1, shards: u32::MAX, parts_a_call: 1 };
     let (answer, level) = (100 * MS, set.cold.share);
     let mut total = 0;
-    for seed in 0..u64::from(instances) {
+    for seed in 0..u64::from(instances * processes) {
         let mut broker = Coordinator::new(seed, set.clone());
         let mut now = Time(1_000_000 * MS);
         let cold = Listed { started: Some(now), ..line(2, 0) };
         let mut out = Vec::new();
-        broker.turn(now, vec![Event::List(Listing::Cached(vec![line(1, 0)]))], &mut out);
+        let known = Event::List(Listing::Cached(vec![line(1, 0)]));
+        broker.turn(now, vec![Event::Processes(Some(processes)), known], &mut out);
         let ask = |id: u64, now: Time| {
             let deadline = now.plus(4 * AIM);
             let query = Event::Query {
@@ -281,11 +283,23 @@
         [(80, 0.25, 2.5, 2_000), (33, 0.16, 2.0, 1_500), (67, 0.2, 2.5, 3_000), (41, 0.19, 3.0, 3_000)];
     for (instances, share, fall_multiple, fall_ms) in figures {
         let cold = Cold { share, warm_after: 18_000 * MS, fall_multiple, fall_after: fall_ms * MS };
-        let part = sent_to_a_cold_server(instances, cold);
+        let part = sent_to_a_cold_server(instances, 1, cold);
         assert!(part > 0.0 && part < 1.0, "{instances} instances: {part} of the rule");
     }
 }
 
+#[test]
+fn processes_of_an_instance_send_a_cold_server_no_more_than_one_would() {
+    let cold = |share| Cold { share, warm_after: 18_000 * MS, fall_multiple: 3.0, fall_after: 3_000 * MS };
+    for (instances, share) in [(3, 0.32), (8, 0.3), (33, 0.16)] {
+        let [one, two] = [1, 2].map(|processes| sent_to_a_cold_server(instances, processes, cold(share)));
+        assert!(
+            two > 0.0 && two < 1.0 && two < one * 1.4,
+            "{instances} instances: {one} and {two} of the rule"
+        );
+    }
+}
+
 #[test]
 fn traffic_of_one_zone_goes_to_the_other_when_its_own_servers_are_busy() {
     let mut set = settings(class());
