Believe the list's start of a server that was restarted while it was out

Change: put back, it counts as started at the call back only where the list knows of no start since it was taken out.

--- a/decide/management/src/wanted.rs
+++ b/decide/management/src/wanted.rs
@@ -21,8 +21,8 @@
     pub revision: u64,
     /// Servers that are out, by id, and since when (microseconds of Unix time).
     pub cordoned: BTreeMap<String, u64>,
-    /// Servers that were put back of late, and when.
-    pub back: BTreeMap<String, u64>,
+    /// Servers that were put back of late: since when they had been out, and when they were put back.
+    pub back: BTreeMap<String, (u64, u64)>,
     /// Since when clients are sent away.
     pub quiesced: Option<u64>,
 }
@@ -105,7 +105,7 @@
         listed: impl Fn(&str) -> bool,
     ) -> Result<Verdict, Refused> {
         let mut next = Wanted { revision: self.revision + 1, ..self.clone() };
-        next.back.retain(|_, at| now.since(Time(*at)) < BACK);
+        next.back.retain(|_, (_, at)| now.since(Time(*at)) < BACK);
         let why = match change {
             Change::Cordon(id) if self.cordoned.contains_key(id) => {
                 return Ok(Verdict::Same(Why::WasOut(id.clone())));
@@ -118,8 +118,8 @@
                 Why::Out(id.clone())
             }
             Change::Uncordon(id) => match next.cordoned.remove(id) {
-                Some(_) => {
-                    next.back.insert(id.clone(), now.0);
+                Some(since) => {
+                    next.back.insert(id.clone(), (since, now.0));
                     Why::Back(id.clone())
                 }
                 None if listed(id) => return Ok(Verdict::Same(Why::WasIn(id.clone()))),
--- a/decide/management/src/wanted/tests.rs
+++ b/decide/management/src/wanted/tests.rs
@@ -31,7 +31,7 @@
     let again = once.on_change(NOW, &cordon("a"), listed);
     assert_eq!(again, Ok(Verdict::Same(Why::WasOut("a".into()))));
     let back = set(&once, uncordon("a"));
-    assert!(back.cordoned.is_empty() && back.back.get("a") == Some(&NOW.0));
+    assert!(back.cordoned.is_empty() && back.back.get("a") == Some(&(NOW.0, NOW.0)));
     assert_matches!(back.on_change(NOW, &uncordon("a"), listed), Ok(Verdict::Same(Why::WasIn(_))));
 }
 
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -671,7 +671,7 @@
     let wanted = &orders.wanted;
     ByHand {
         out: wanted.cordoned.keys().cloned().collect(),
-        back: wanted.back.iter().map(|(id, at)| (id.clone(), Time(*at))).collect(),
+        back: wanted.back.iter().map(|(id, (out, at))| (id.clone(), (Time(*out), Time(*at)))).collect(),
     }
 }
 
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -91,18 +91,25 @@
 pub struct ByHand {
     /// Data nodes that are out, by id: they drain, whatever the list says.
     pub out: BTreeSet<String>,
-    /// Data nodes that were put back, and when: they may have been started anew at any moment before.
-    pub back: BTreeMap<String, Time>,
+    /// Data nodes that were put back: since when they had been out, and when they were put back. They may have been started
+    /// anew at any moment between.
+    pub back: BTreeMap<String, (Time, Time)>,
 }
 
 impl ByHand {
     /// A line of the list with what is set by hand over it. One that was put back counts as started just then, where the list
-    /// knows of no later start: it was out so that it could be restarted, and the list may hear of that late or never.
+    /// knows of no start since it was taken out: it was out so that it could be restarted, and the list may hear of that late
+    /// or never.
     fn over(&self, name: &str, told: Listed) -> Listed {
         if told.mode == Mode::Ready && self.out.contains(name) {
             return Listed { mode: Mode::Draining, ..told };
         }
-        Listed { started: told.started.max(self.back.get(name).copied()), ..told }
+        match self.back.get(name) {
+            Some((out, back)) if told.started.is_none_or(|at| at < *out) => {
+                Listed { started: Some(*back), ..told }
+            }
+            _ => told,
+        }
     }
 }
 
--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -502,3 +502,31 @@
         assert_eq!(news(&mut net, &mut client, &mut directory).len(), 1);
     }
 }
+
+#[test]
+fn what_was_put_back_counts_as_just_started_unless_the_list_knows_of_a_start_since_it_was_out() {
+    let mut directory = Directory::new(vec!["a".into()]);
+    let node = |started_at_ms| Instance {
+        instance_id: "s".into(),
+        host_port: "127.0.0.1:1".into(),
+        zone: "a".into(),
+        cell: Some(0),
+        lifecycle: Lifecycle::Serving,
+        started_at_ms,
+    };
+    let back = BTreeMap::from([("s".to_string(), (Time(5_000_000), Time(9_000_000)))]);
+    directory.whole(&[node(0)]);
+    let out = ByHand { out: BTreeSet::from(["s".to_string()]), back: BTreeMap::new() };
+    assert_eq!(directory.set_by_hand(out).first().map(|l| l.mode), Some(Mode::Draining));
+    // The list hears of no restart, of one long ago, or of that for which it was out.
+    let lines = directory.set_by_hand(ByHand { out: BTreeSet::new(), back });
+    assert_eq!(
+        lines.iter().map(|l| (l.mode, l.started)).collect::<Vec<_>>(),
+        [(Mode::Ready, Some(Time(9_000_000)))]
+    );
+    let mut started = |ms| directory.changes(&[node(ms)])[0].started;
+    assert_eq!(
+        [started(4_999), started(7_000), started(11_000)],
+        [9_000, 7_000, 11_000].map(|ms| Some(Time(ms * 1_000)))
+    );
+}
