Use a server that is being taken out as the last resort for a moment

Design: a mode of its own, Leaving: for three fifths of the time that the rule allows such a server comes after all trusted ones, then it drains. Not taken: going on as before for that time, which leaves work there as it is restarted.

--- a/decide/management/src/siblings.rs
+++ b/decide/management/src/siblings.rs
@@ -81,10 +81,9 @@
     pub fn read(process: u32, line: &str) -> Told {
         let words: Vec<&str> = line.split_ascii_whitespace().collect();
         let [ready, same_door, leaving] = match words[..] {
-            [told, ref flags @ ..] if told.parse() == Ok(process) => match flags {
-                [ready, door, leaving] => [ready, door, leaving].map(|flag| *flag == "1"),
-                _ => [false; 3],
-            },
+            [told, ready, door, leaving] if told.parse() == Ok(process) => {
+                [ready, door, leaving].map(|flag| flag == "1")
+            }
             _ => [false; 3],
         };
         Told { process, ready, same_door, leaving }
--- a/decide/management/src/wanted.rs
+++ b/decide/management/src/wanted.rs
@@ -93,6 +93,17 @@
     Old(u64),
 }
 
+/// A server that was taken out may be sent what no other holder takes for this share of the time that the rule on drains
+/// allows; the rest is for whatever holds the loop up.
+const LEAVING: (u64, u64) = (3, 5);
+
+/// Whether a server that was taken out is sent nothing any more; `stop_within`: what the rule on drains allows after the
+/// answer to the call.
+#[must_use]
+pub fn is_out(since: Time, now: Time, stop_within: Micros) -> bool {
+    now.since(since) >= stop_within / LEAVING.1 * LEAVING.0
+}
+
 impl Wanted {
     /// What a change comes to; `listed` tells whether discovery lists a server.
     ///
--- a/decide/management/src/wanted/tests.rs
+++ b/decide/management/src/wanted/tests.rs
@@ -102,3 +102,10 @@
     let full = Wanted { cordoned, ..Wanted::default() };
     assert_eq!(full.on_change(NOW, &cordon("a"), listed), Err(Refused::TooMany));
 }
+
+#[test]
+fn what_was_taken_out_is_a_last_resort_for_a_part_of_the_time_that_the_rule_allows() {
+    let out = |ms: u64| is_out(NOW, NOW.plus(ms * 1_000), 2_000_000);
+    assert_eq!([out(0), out(1_199), out(1_200), out(60_000)], [false, false, true, true]);
+    assert!(is_out(NOW, NOW, 0), "where the rule allows no time there is none");
+}
--- a/interface/src/lib.rs
+++ b/interface/src/lib.rs
@@ -228,6 +228,8 @@
     /// Takes work.
     #[default]
     Ready,
+    /// Takes work for a moment yet, before it is taken out: it is sent only what no other holder takes well.
+    Leaving,
     /// Ends its work; nothing new may be sent.
     Draining,
     /// Is no longer there.
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -10,7 +10,7 @@
 use crate::front::ogc::Ogc;
 use crate::front::platform::{Class, Platform};
 use crate::front::{Front, Sessions};
-use crate::interface::{self, Listing, Micros, Outcome, Time};
+use crate::interface::{self, Listing, Micros, Mode, Outcome, Time};
 use crate::management::{self, Desk, Orders};
 use crate::net::{self, ConnId, Net, Owner, Ready, Signal, Timer};
 use crate::peer::company::Company;
@@ -20,6 +20,7 @@
 use lichenswitch_management::health::Standing;
 use lichenswitch_management::leave;
 use lichenswitch_management::siblings::{self, Door, Parts};
+use lichenswitch_management::wanted;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -177,7 +178,7 @@
         if let Listing::Changes(lines) | Listing::Whole(lines) | Listing::Cached(lines) = &news {
             let warm_after = self.core.settings().cold.warm_after;
             let (ready, ends): (Vec<_>, Vec<_>) =
-                lines.iter().partition(|line| line.mode == interface::Mode::Ready);
+                lines.iter().partition(|line| matches!(line.mode, Mode::Ready | Mode::Leaving));
             ends.into_iter().for_each(|line: &interface::Listed| self.pool.hold_back(line.server));
             let ready = ready.into_iter();
             let started = ready.filter_map(|line| Some((line.server, line.started?)));
@@ -209,6 +210,8 @@
     /// The platform's clients are to be listened for, by this name and at this address; that it is in use has been logged.
     door: Option<(String, SocketAddr)>,
     kept_out: bool,
+    /// What the rule on drains allows (microseconds).
+    stop_within: Micros,
     /// This process leaves its clients to another one of the broker.
     leaving: bool,
     /// Its parts of what is allowed to the broker.
@@ -272,6 +275,7 @@
             desk,
             door: None,
             kept_out: false,
+            stop_within: 0,
             leaving: false,
             parts: siblings::ALONE,
             reread: None,
@@ -292,7 +296,9 @@
             .collect();
         let mut directory = Directory::new(told.zones).with_cells(told.settings.layout.cells);
         // Before any list: nothing is to be sent to what is out by hand.
-        self.desk.iter().for_each(|desk| _ = directory.set_by_hand(by_hand(&desk.orders())));
+        self.stop_within = told.stop_within;
+        let now = self.net.clock.now();
+        self.desk.iter().for_each(|desk| _ = directory.set_by_hand(self.by_hand(&desk.orders(), now)));
         let pace = match told.settings.discovery {
             interface::Discovery::Ask(every) => Pace::new(told.seed, told.settings.instances, every),
             interface::Discovery::Push => Pace::at_agent(told.seed),
@@ -550,10 +556,7 @@
     fn heed(&mut self) {
         self.net.clear_signal(Signal::Orders);
         self.share();
-        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
-        let lines = service.directory.set_by_hand(by_hand(&desk.orders()));
-        let news = (!lines.is_empty()).then_some(Listing::Changes(lines));
-        self.listed(news);
+        self.set_by_hand();
         self.send_away();
         // The next process may be ready just after this one was told to stop.
         if self.stopping.is_some() {
@@ -561,6 +564,28 @@
         }
     }
 
+    /// Takes data nodes out that are out by hand, as far as that is due, or uses them again.
+    fn set_by_hand(&mut self) {
+        let Some(desk) = &self.desk else { return };
+        let by_hand = self.by_hand(&desk.orders(), self.net.clock.now());
+        let Some(service) = &mut self.platform else { return };
+        let lines = service.directory.set_by_hand(by_hand);
+        if !lines.is_empty() {
+            self.listed([Listing::Changes(lines)]);
+        }
+    }
+
+    /// What is set by hand, as the directory takes it.
+    fn by_hand(&self, orders: &Orders, now: Time) -> ByHand {
+        let wanted = &orders.wanted;
+        let cordoned = wanted.cordoned.iter().map(|(id, since)| (id.clone(), Time(*since)));
+        let is_out = |cordoned: &(String, Time)| wanted::is_out(cordoned.1, now, self.stop_within);
+        let (out, leaving): (Vec<_>, Vec<_>) = cordoned.partition(is_out);
+        let ids = |of: Vec<(String, Time)>| of.into_iter().map(|(id, _)| id).collect();
+        let back = wanted.back.iter().map(|(id, (out, at))| (id.clone(), (Time(*out), Time(*at))));
+        ByHand { out: ids(out), leaving: ids(leaving), back: back.collect() }
+    }
+
     /// Sends clients away, as far as that is due, or takes them again.
     fn send_away(&mut self) {
         let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
@@ -586,6 +611,7 @@
             return;
         }
         self.send_away();
+        self.set_by_hand();
         if self.stopping.is_none() {
             // It is tried again: an address that can't be had for another reason is told by its being not ready.
             let _ = self.open_door();
@@ -666,15 +692,6 @@
     }
 }
 
-/// What is set by hand, as the directory takes it.
-fn by_hand(orders: &Orders) -> ByHand {
-    let wanted = &orders.wanted;
-    ByHand {
-        out: wanted.cordoned.keys().cloned().collect(),
-        back: wanted.back.iter().map(|(id, (out, at))| (id.clone(), (Time(*out), Time(*at)))).collect(),
-    }
-}
-
 fn limits(told: config::Connections) -> Limits {
     Limits { streams: told.streams, connect: told.connect, idle: told.idle }
 }
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -91,6 +91,8 @@
 pub struct ByHand {
     /// Data nodes that are out, by id: they drain, whatever the list says.
     pub out: BTreeSet<String>,
+    /// Data nodes that were taken out just now: they are sent what nobody else takes for a moment yet.
+    pub leaving: BTreeSet<String>,
     /// Data nodes that were put back: since when they had been out, and when they were put back. They may have been started
     /// anew at any moment between.
     pub back: BTreeMap<String, (Time, Time)>,
@@ -104,6 +106,9 @@
         if told.mode == Mode::Ready && self.out.contains(name) {
             return Listed { mode: Mode::Draining, ..told };
         }
+        if told.mode == Mode::Ready && self.leaving.contains(name) {
+            return Listed { mode: Mode::Leaving, ..told };
+        }
         match self.back.get(name) {
             Some((out, back)) if told.started.is_none_or(|at| at < *out) => {
                 Listed { started: Some(*back), ..told }
@@ -250,7 +255,9 @@
     /// How many that are listed are out by hand.
     #[must_use]
     pub fn out_by_hand(&self) -> usize {
-        self.nodes.values().filter(|n| self.by_hand.out.contains(&n.name)).count()
+        let out =
+            |n: &&Node| [&self.by_hand.out, &self.by_hand.leaving].iter().any(|set| set.contains(&n.name));
+        self.nodes.values().filter(out).count()
     }
 
     /// Gives back what is known of a node that is gone. Guards memory: on a long day most nodes are replaced often,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -758,6 +758,8 @@
         let fault = |which| s.faults.get(which).map_or(0.0, |f: &Aged| f.left(self.now, half));
         let fault = fault(class).max(fault(self.set.classes.len())).max(self.way_fault(s.zone));
         let tier = if fault > FAULTY[usize::from(half > FAULT_HALF)] { 1 + (fault * 4.0) as u8 } else { 0 };
+        // One that is about to be taken out comes after all that are trusted.
+        let tier = tier.max(u8::from(s.mode == Mode::Leaving));
         let pending = s.calls.iter().filter(|c| c.counts(self.now)).count();
         (tier, pending + usize::from(!self.joins(s)))
     }
@@ -943,7 +945,7 @@
         self.servers.retain(|_, s| s.mode != Mode::Gone || pending(s) > 0.0);
         // What the list changed is summed up: no decision walks the fleet.
         (self.cells, self.ready) = (BTreeMap::new(), 0);
-        for (&id, s) in self.servers.iter().filter(|(_, s)| s.mode == Mode::Ready) {
+        for (&id, s) in self.servers.iter().filter(|(_, s)| matches!(s.mode, Mode::Ready | Mode::Leaving)) {
             self.cells.entry(s.cell % self.set.layout.cells).or_default().push(id);
             self.ready += 1;
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -340,3 +340,25 @@
         }
     }
 }
+
+#[test]
+fn a_server_that_is_being_taken_out_gets_only_what_no_trusted_holder_takes() {
+    let mut stage = Stage::new(settings(class()));
+    let leaving = Listed { mode: Mode::Leaving, ..line(1, 0) };
+    stage.turn(vec![Event::List(Listing::Changes(vec![leaving]))]);
+    for _ in 0..20 {
+        let (_, events) = stage.query(&[0]);
+        assert!(
+            sends(&stage.turn(events)).iter().all(|s| s.1 != ServerId(1)),
+            "however much the others have"
+        );
+    }
+    let gone = [2, 3].map(|id| Listed { mode: Mode::Gone, ..line(id, id - 1) });
+    stage.turn(vec![Event::List(Listing::Changes(gone.into()))]);
+    let (_, events) = stage.query(&[0]);
+    let sent = sends(&stage.turn(events));
+    assert!(!sent.is_empty() && sent.iter().all(|s| s.1 == ServerId(1)));
+    stage.turn(vec![Event::List(Listing::Changes(vec![Listed { mode: Mode::Draining, ..leaving }]))]);
+    let (_, events) = stage.query(&[0]);
+    assert!(sends(&stage.after(100 * MS, events)).is_empty(), "and then nothing");
+}
