Write the log by a thread, so that nobody who serves waits for its reader

Design: a bounded queue and a thread that writes; beyond it lines are lost, counted and told. Not taken: a standard error that does not block, which is shared with whoever else holds it. Result: src/lines/tests.rs, with a reader that stands still.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -21,7 +21,7 @@
 use lichenswitch_management::leave;
 use lichenswitch_management::siblings::{self, Door, Parts};
 use lichenswitch_management::wanted;
-use std::io::{self, Write};
+use std::io;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 
@@ -192,9 +192,9 @@
     }
 }
 
-/// Writes a line for the operators. Guards against a crash when nobody reads the log any more: the line is lost.
+/// Writes a line for the operators.
 pub fn log(line: &str) {
-    let _ = writeln!(io::stderr(), "lichenswitch: {line}");
+    crate::lines::write(format!("lichenswitch: {line}\n").into_bytes());
 }
 
 /// The broker: the service of the platform, that of the OGC front, or both, on one loop.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http;
 pub use lichenswitch_interface as interface;
 pub mod inventory;
+pub mod lines;
 pub mod management;
 pub mod net;
 pub mod peer;
--- a/src/main.rs
+++ b/src/main.rs
@@ -46,12 +46,16 @@
         });
         writeln!(to, "{told}")
     };
-    env_logger::Builder::new().filter_level(log::LevelFilter::Info).parse_default_env().format(line).init();
+    let mut lines = env_logger::Builder::new();
+    lines.filter_level(log::LevelFilter::Info).parse_default_env().format(line);
+    lines.target(env_logger::Target::Pipe(Box::<lichenswitch::lines::Stream>::default())).init();
 }
 
 fn main() -> ExitCode {
     log_lines();
-    match serve() {
+    let served = serve();
+    lichenswitch::lines::finish();
+    match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
             eprintln!("lichenswitch: {text}");
