--- a/tests/management.rs
+++ b/tests/management.rs
@@ -226,6 +226,32 @@
     assert!(served.status == 200 && served.keep_alive);
 }
 
+#[test]
+fn the_answers_are_those_of_the_operators_page() {
+    let page = include_str!("../docs/operate/operation.md");
+    let (_broker, calls) = Platformed::managed(SETTINGS, discovery);
+    asked_until(calls, "health", "ok ");
+    let named = |text: &str| text.trim_end().replace("\"s\"", "\"ID\"").replace("ok s ", "ok ID ");
+    for (call, begins) in [
+        ("health", "ok ready"),
+        ("cordon s", "ok ID is out"),
+        ("cordon s", "ok ID is out already"),
+        ("uncordon s", "ok ID is used again"),
+        ("uncordon s", "ok ID was not out"),
+        ("resume", "ok clients were not sent away"),
+        ("quiesce", "ok clients are sent away"),
+        ("resume", "ok back to work"),
+    ] {
+        let told = named(&asked(calls, call));
+        assert!(told.starts_with(begins) && page.contains(&format!("`{told}`")), "{call}: {told}");
+    }
+    let figures = asked(calls, "counters");
+    for line in figures.lines().filter(|line| line.starts_with("svc_")) {
+        let name = line.split(['{', ' ']).next().unwrap();
+        assert!(page.contains(&format!("`{name}")), "{name} is not on the page");
+    }
+}
+
 /// The value of a figure.
 fn figure(told: &str, name: &str) -> u64 {
     let line = told.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
