--- a/src/policy.rs
+++ b/src/policy.rs
@@ -732,8 +732,8 @@
         open.min_by_key(|(_, s)| self.rank(s, class)).map(|(_, s)| pending(s))
     }
 
-    /// How many of the ready servers are avoided by choice: passed over for queries of some class, and not sent
-    /// anything for a while.
+    /// How many of the ready servers are avoided by choice: passed over for queries of some class, and sent
+    /// nothing for a while.
     #[must_use]
     pub fn avoided(&self) -> usize {
         let rests = |s: &Server| pending(s) == 0.0 && self.now.since(s.used) > AVOIDED;
