Say the same warning about operators' calls once a minute

Cause (read again): an address or folder that can't be had is tried ten times a second, and each try wrote a line. Change: the same text is not logged again within a minute.

--- a/src/management/mod.rs
+++ b/src/management/mod.rs
@@ -25,11 +25,14 @@
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// How often the loop tells how it stands.
 const BEAT: Micros = 100_000;
 /// How often the thread looks round when nobody calls.
 const LOOK: Micros = 100_000;
+/// The same warning comes this long apart at least.
+const SAME: Duration = Duration::from_secs(60);
 /// A caller without a whole line is let go after this long.
 const PATIENCE: Micros = 10_000_000;
 /// How long a caller may take to end its side once it has its answer.
@@ -274,10 +277,21 @@
 
 /// Logs a failure, and goes on with something else.
 fn told_as<T>(failure: &folder::Failure, otherwise: T) -> T {
-    log::warn!("{failure}");
+    warn_once(&failure.to_string());
     otherwise
 }
 
+/// Logs a warning, but not the same again within a minute. Guards the log: what fails is tried ten times a second.
+fn warn_once(text: &str) {
+    static LAST: Mutex<Vec<(Instant, String)>> = Mutex::new(Vec::new());
+    let mut last = lock(&LAST);
+    last.retain(|(at, _)| at.elapsed() < SAME);
+    if last.iter().all(|(_, said)| said != text) {
+        log::warn!("{text}");
+        last.push((Instant::now(), text.into()));
+    }
+}
+
 impl Clerk {
     fn run(&mut self) {
         loop {
@@ -304,7 +318,7 @@
                 self.listens = true;
                 log::info!("operators call at {address}");
             }
-            Err(e) => log::warn!("operators can't call at {} yet: {e}", self.address),
+            Err(e) => warn_once(&format!("operators can't call at {} yet: {e}", self.address)),
         }
     }
 
