--- /dev/null
+++ b/fleet/src/main.rs
@@ -0,0 +1,3 @@
+//! Router fleet.
+#![forbid(unsafe_code)]
+fn main() {}
--- /dev/null
+++ b/wire/event_stream/src/lib.rs
@@ -0,0 +1,3 @@
+//! Server-sent events, cut anywhere.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
