--- /dev/null
+++ b/fleet/src/logging.rs
@@ -0,0 +1,1 @@
+//! The log: JSON lines on standard error.
