--- /dev/null
+++ b/decide/configuration/src/error.rs
@@ -0,0 +1,141 @@
+//! Why a configuration or an order is invalid.
+
+use thiserror::Error;
+
+/// Longest name that an error repeats (characters): a message stays short whatever was sent.
+const NAME_SHOWN: usize = 80;
+
+/// Why a configuration or an order is invalid. Each names the thing that is wrong.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ConfigurationError {
+    /// Longer than [`MAX_DOCUMENT_BYTES`](crate::MAX_DOCUMENT_BYTES).
+    #[error("the configuration has {bytes} bytes, and {most} are the most")]
+    TooLarge {
+        /// Its length.
+        bytes: usize,
+        /// The bound.
+        most: usize,
+    },
+    /// Nested deeper than [`MAX_DEPTH`](crate::MAX_DEPTH).
+    #[error("the configuration is nested deeper than {most} levels")]
+    TooDeep {
+        /// The bound.
+        most: usize,
+    },
+    /// Not UTF-8, not JSON, or cut short.
+    #[error("the configuration is not whole JSON in UTF-8")]
+    Unreadable,
+    /// A field is not there.
+    #[error("{place} has no `{field}`")]
+    MissingField {
+        /// Where.
+        place: String,
+        /// Which.
+        field: String,
+    },
+    /// A field is of another type than it has to be.
+    #[error("`{field}` of {place} is not {wanted}")]
+    WrongType {
+        /// Where.
+        place: String,
+        /// Which.
+        field: String,
+        /// What it has to be.
+        wanted: &'static str,
+    },
+    /// A field is given twice in one object.
+    #[error("{place} has `{field}` twice")]
+    DuplicateField {
+        /// Where.
+        place: String,
+        /// Which.
+        field: String,
+    },
+    /// An item of a list has no name, or an empty one.
+    #[error("item {index} of `{list}` has no name")]
+    MissingName {
+        /// The list.
+        list: String,
+        /// Which item, from 0.
+        index: usize,
+    },
+    /// Two items of a list have one name.
+    #[error("`{list}` has `{name}` twice")]
+    DuplicateName {
+        /// The list.
+        list: String,
+        /// The name.
+        name: String,
+    },
+    /// An update changes by name what is not a list of named items.
+    #[error("`{list}` is not a list of named items")]
+    NotANamedList {
+        /// The field.
+        list: String,
+    },
+    /// A route names a service that is not there.
+    #[error("route `{route}` names the service `{service}`, which is not known")]
+    UnknownService {
+        /// The route.
+        route: String,
+        /// The service.
+        service: String,
+    },
+    /// Two routes have the same host and prefix.
+    #[error("routes `{first}` and `{second}` have the same host and prefix")]
+    SamePlace {
+        /// The one that stands first.
+        first: String,
+        /// The other.
+        second: String,
+    },
+    /// The prefix of a route does not begin and end with a slash.
+    #[error("the prefix of route `{route}` does not begin and end with a slash")]
+    Prefix {
+        /// The route.
+        route: String,
+    },
+    /// The weights of a route add up to 0.
+    #[error("the weights of route `{route}` add up to 0")]
+    NoWeight {
+        /// The route.
+        route: String,
+    },
+    /// A weight of a route is below 0.
+    #[error("a weight of route `{route}` is below 0")]
+    NegativeWeight {
+        /// The route.
+        route: String,
+    },
+    /// The time-out of a route is 0.
+    #[error("the time-out of route `{route}` is 0")]
+    NoTimeout {
+        /// The route.
+        route: String,
+    },
+    /// The version is not above the one that it builds on.
+    #[error("version {version} is not above {current}")]
+    VersionNotAbove {
+        /// Version of the configuration.
+        version: u64,
+        /// The one that it has to be above.
+        current: u64,
+    },
+    /// `Base-Version` is missing.
+    #[error("the call has no `Base-Version`")]
+    MissingBaseVersion,
+    /// `Base-Version` is not a whole number.
+    #[error("`Base-Version` is not a whole number")]
+    UnreadableBaseVersion,
+    /// The path is not one of an order.
+    #[error("the path is not that of an order")]
+    UnknownPath,
+    /// An update came before any configuration.
+    #[error("there is no configuration yet that could be updated")]
+    NothingToUpdate,
+}
+
+/// A name as an error repeats it.
+pub(crate) fn shown(name: &str) -> String {
+    name.chars().take(NAME_SHOWN).collect()
+}
