--- a/decide/replication/src/lib.rs
+++ b/decide/replication/src/lib.rs
@@ -2,52 +2,31 @@
 //!
 //! It owns the algorithm of `docs/design/control.md`, sections 2 to 4, and promises what they say. It is pure: no input or output, clock or
 //! threads; time is an argument, and what is to be sent or written comes back as [`Output`]s.
+//!
+//! A caller makes a [`Replica`] by [`Replica::found`], [`Replica::recover`] or [`Replica::newcomer`], hands it what happens
+//! ([`Replica::on_message`], [`Replica::on_persisted`], [`Replica::tick`] at [`Replica::next_wake`]) and does, after each call and in order,
+//! what [`Replica::take_outputs`] says.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use rkyv::{Archive, Deserialize, Serialize};
-
-/// A point on the caller's steady clock, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Time(pub u64);
-
-/// Identity of a member, drawn when its empty disk was first used; never 0.
-#[derive(
-    Archive, Serialize, Deserialize, Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
-)]
-#[rkyv(derive(Debug), attr(allow(missing_docs)))]
-pub struct Identity(pub u64);
-
-/// A member that may vote.
-#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[rkyv(attr(allow(missing_docs)))]
-pub struct Member {
-    /// Who it is.
-    pub identity: Identity,
-    /// Where its peers reach it, `ip:port`.
-    pub address: String,
-}
-
-/// A term of office; ordered, and never used by two candidates.
-#[derive(
-    Archive, Serialize, Deserialize, Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
-)]
-#[rkyv(attr(allow(missing_docs)))]
-pub struct Epoch {
-    /// Rises with every candidacy.
-    pub counter: u64,
-    /// The candidate whose epoch it is.
-    pub primary: Identity,
-}
+mod durable;
+mod membership;
+mod message;
+mod output;
+mod replica;
+mod settings;
+mod state;
+mod status;
+mod types;
 
-/// Where a record stands; a later one compares greater.
-#[derive(
-    Archive, Serialize, Deserialize, Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
-)]
-#[rkyv(attr(allow(missing_docs)))]
-pub struct Position {
-    /// Epoch in which it was written.
-    pub epoch: Epoch,
-    /// Number, one above that of the record before it.
-    pub number: u64,
-}
+pub use durable::{DurableItem, Image, Record, RecoverError, Recovered, Update};
+pub use membership::{majority_of, Membership};
+pub use message::{Append, Body, DecodeError, Held, ImageChunk, Message, CHUNK_BYTES};
+pub use output::{HandOverReason, MembershipChange, Notice, Outcome, Output, StepDownReason};
+pub use replica::Replica;
+#[doc(hidden)]
+pub use settings::Faults;
+pub use settings::Settings;
+pub use state::{ReplicatedState, StateError};
+pub use status::{PeerStatus, RoleKind, Status};
+pub use types::{Epoch, Identity, Member, Position, RequestId, Ticket, Time};
--- /dev/null
+++ b/decide/replication/src/message.rs
@@ -0,0 +1,211 @@
+//! Messages between members. Each names its sender, and an answer the epoch and round it belongs to, so that one that is late,
+//! repeated or meant for another never counts.
+
+use rkyv::{Archive, Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::durable::Record;
+use crate::membership::Membership;
+use crate::types::{Epoch, Member, Position};
+
+/// Most bytes of an image in one message.
+pub const CHUNK_BYTES: usize = 32 * 1024;
+
+/// A message from one member to another.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq, Eq, Hash)]
+#[rkyv(attr(allow(missing_docs)))]
+pub struct Message {
+    /// Who sent it, and where answers go.
+    pub from: Member,
+    /// What it says.
+    pub body: Body,
+}
+
+/// What a message says.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq, Eq, Hash)]
+#[rkyv(attr(allow(missing_docs)))]
+pub enum Body {
+    /// Would you grant me this epoch? Changes nothing at the receiver.
+    PreVote {
+        /// The epoch that would be drawn.
+        epoch: Epoch,
+    },
+    /// Answer to [`Body::PreVote`].
+    PreVoteResponse {
+        /// As asked.
+        epoch: Epoch,
+        /// Whether it would be granted.
+        supported: bool,
+        /// Highest epoch that the sender has promised.
+        promised: Epoch,
+        /// What the sender holds.
+        held: Held,
+    },
+    /// Grant me this epoch.
+    Vote {
+        /// The candidate's epoch.
+        epoch: Epoch,
+        /// The primary handed its part on: it may be heard still.
+        take_over: bool,
+    },
+    /// The sender has promised the epoch, on disk.
+    Grant {
+        /// As asked.
+        epoch: Epoch,
+        /// What the sender held when it promised.
+        held: Held,
+    },
+    /// The sender has promised a higher epoch.
+    Refusal {
+        /// The epoch that is refused.
+        epoch: Epoch,
+        /// Highest epoch that the sender has promised.
+        promised: Epoch,
+    },
+    /// A heartbeat of the primary, with records if the receiver lacks some.
+    Append(Append),
+    /// Answer to [`Body::Append`], and sent again when a record has been synced.
+    AppendResponse {
+        /// Epoch of the primary.
+        epoch: Epoch,
+        /// Highest round heard in that epoch: the sender confirms the epoch for it.
+        round: u64,
+        /// Where the image on the sender's disk stands, synced.
+        synced: Option<Position>,
+        /// The sender's disk takes writes.
+        writable: bool,
+    },
+    /// Send me an image, from this chunk on.
+    ImageRequest {
+        /// Epoch under which it is asked for.
+        epoch: Epoch,
+        /// Which image; the newest if none.
+        position: Option<Position>,
+        /// Number of the first chunk that is wanted.
+        next: u32,
+    },
+    /// A piece of an image.
+    ImageChunk(ImageChunk),
+    /// I am no member and want to be one.
+    Knock,
+    /// Answer to [`Body::Knock`]: where to knock.
+    KnockResponse {
+        /// The primary that the sender knows.
+        primary: Option<Member>,
+        /// The members that the sender knows.
+        members: Vec<Member>,
+    },
+    /// I want to be a member no more.
+    Leave,
+    /// Answer to [`Body::Leave`] of the primary.
+    LeaveResponse {
+        /// Epoch of the primary.
+        epoch: Epoch,
+        /// The committed membership doesn't name the receiver.
+        removed: bool,
+        /// It stays a member, as the rest would bear too little; it may go.
+        stays: bool,
+    },
+    /// Primary to a voter: become primary now.
+    TakeOver {
+        /// Epoch of the primary.
+        epoch: Epoch,
+    },
+}
+
+/// Which image a member holds, and the membership in it.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq, Eq, Hash)]
+#[rkyv(attr(allow(missing_docs)))]
+pub struct Held {
+    /// Where the image stands.
+    pub position: Position,
+    /// The membership in it.
+    pub membership: Membership,
+}
+
+/// A heartbeat of the primary, with records if the receiver lacks some.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq, Eq, Hash)]
+#[rkyv(attr(allow(missing_docs)))]
+pub struct Append {
+    /// Epoch of the primary.
+    pub epoch: Epoch,
+    /// Number of the round that it asks to confirm.
+    pub round: u64,
+    /// A quorum has confirmed the primary of late.
+    pub in_contact: bool,
+    /// Where the primary's image stands.
+    pub head: Position,
+    /// The last position that is committed; default if none is under this epoch.
+    pub committed: Position,
+    /// Records, each standing on the one before it.
+    pub records: Vec<Record>,
+}
+
+/// A piece of an image.
+#[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq, Eq, Hash)]
+#[rkyv(attr(allow(missing_docs)))]
+pub struct ImageChunk {
+    /// Epoch under which it was asked for.
+    pub epoch: Epoch,
+    /// Which image it is of.
+    pub position: Position,
+    /// Number of the chunk, from 0.
+    pub number: u32,
+    /// Chunks of the whole.
+    pub total: u32,
+    /// CRC-32 of the whole.
+    pub checksum: u32,
+    /// The bytes, at most [`CHUNK_BYTES`].
+    pub bytes: Vec<u8>,
+}
+
+/// Bytes that are no message or item of this version.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{len} bytes are no {what}: {reason}")]
+pub struct DecodeError {
+    /// What they should have been.
+    pub what: &'static str,
+    /// How many there were.
+    pub len: usize,
+    /// What the deserialiser said.
+    pub reason: String,
+}
+
+impl Message {
+    /// The message as bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    /// The message that [`Self::encode`] wrote; checked.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let aligned = aligned(bytes);
+        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&aligned).map_err(|error| DecodeError {
+            what: "message",
+            len: bytes.len(),
+            reason: error.to_string(),
+        })
+    }
+}
+
+/// A value as bytes.
+pub(crate) fn encode<T>(value: &T) -> Vec<u8>
+where
+    T: for<'a> Serialize<
+        rkyv::api::high::HighSerializer<
+            rkyv::util::AlignedVec,
+            rkyv::ser::allocator::ArenaHandle<'a>,
+            rkyv::rancor::Error,
+        >,
+    >,
+{
+    let bytes = rkyv::to_bytes::<rkyv::rancor::Error>(value);
+    bytes.expect("a plain value is serialised into memory without an error").into_vec()
+}
+
+/// A copy at the alignment that the deserialiser needs.
+pub(crate) fn aligned(bytes: &[u8]) -> rkyv::util::AlignedVec {
+    let mut copy = rkyv::util::AlignedVec::with_capacity(bytes.len());
+    copy.extend_from_slice(bytes);
+    copy
+}
