--- a/wire/messages/src/lib.rs
+++ b/wire/messages/src/lib.rs
@@ -219,11 +219,20 @@
     Contact {
         /// Whether it is in contact with a confirmed primary.
         in_contact: bool,
+        /// The primary that it knows, by address; itself, where it is confirmed.
+        primary: Option<String>,
         /// Routers connected to it.
         routers: u32,
         /// Peers that it knows, by address.
         known: Vec<String>,
     },
+    /// The newest committed configuration, from the primary to a control machine that holds no copy of the state.
+    Configuration {
+        /// Its position.
+        position: ConfigurationPosition,
+        /// The whole document, JSON.
+        document: Vec<u8>,
+    },
 }
 
 /// All that travels on an internal connection.
