--- /dev/null
+++ b/wire/storage/src/storage.rs
@@ -0,0 +1,342 @@
+//! The ring: where the next block goes, and what to do after a failure.
+
+use std::path::{Path, PathBuf};
+
+use crate::block::{self, Header, Kind};
+use crate::error::StorageError;
+use crate::file_system::{write_all_at, FileSystem, RealFileSystem, StorageFile};
+use crate::finding::Finding;
+use crate::recovery;
+
+/// Share of a segment that may be used before an image is wanted (percent).
+const USED_PERCENT: u64 = 75;
+
+/// How a ring is laid out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StorageSettings {
+    /// Length of a segment (bytes), at least 4096. A segment becomes longer where an image takes more than half of it.
+    pub segment_bytes: u64,
+    /// Number of segments, at least 2. A ring that has more on disk keeps them.
+    pub segments: usize,
+    /// Whose files these are. Files that name another owner are set aside.
+    pub owner: String,
+}
+
+impl StorageSettings {
+    /// Four segments of 1 MiB.
+    #[must_use]
+    pub fn new(owner: &str) -> Self {
+        Self { segment_bytes: 1 << 20, segments: 4, owner: owner.to_owned() }
+    }
+}
+
+/// What was found when a storage was opened.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Recovered {
+    /// The newest whole image.
+    pub image: Option<Vec<u8>>,
+    /// The records after it, in order.
+    pub records: Vec<Vec<u8>>,
+    /// What was met besides. If any of them [loses state](Finding::loses_state), image and records are older than what was acknowledged.
+    pub findings: Vec<Finding>,
+}
+
+impl Recovered {
+    /// Whether nothing was ever stored.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.image.is_none() && self.records.is_empty()
+    }
+
+    /// Whether state that had been acknowledged is lost for certain. The disk should then be treated as a lost one.
+    #[must_use]
+    pub fn loses_state(&self) -> bool {
+        self.findings.iter().any(Finding::loses_state)
+    }
+}
+
+/// How full a storage is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Bytes of the present segment that are used.
+    pub used_bytes: u64,
+    /// Length of the present segment (bytes).
+    pub segment_bytes: u64,
+    /// Bytes of all segments.
+    pub disk_bytes: u64,
+    /// Whether the segment is nearly full: a new image should be stored.
+    pub wants_image: bool,
+}
+
+/// One file of the ring.
+pub(crate) struct Segment {
+    pub file: Box<dyn StorageFile>,
+    pub length: u64,
+}
+
+/// The segment that is being appended to.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Current {
+    pub segment: usize,
+    pub generation: u64,
+    /// Where the next block goes, and its number.
+    pub offset: u64,
+    pub sequence: u32,
+}
+
+/// A segment whose beginning was being written when a write failed.
+#[derive(Clone, Copy, Debug)]
+struct Unfinished {
+    segment: usize,
+    mark_offset: u64,
+}
+
+/// A ring of segments in a folder. All of its calls may block for as long as the disk does.
+pub struct Storage {
+    pub(crate) file_system: Box<dyn FileSystem>,
+    pub(crate) folder: PathBuf,
+    pub(crate) segment_bytes: u64,
+    pub(crate) owner: u64,
+    pub(crate) segments: Vec<Segment>,
+    pub(crate) current: Option<Current>,
+    /// Highest generation that was ever tried.
+    pub(crate) highest_generation: u64,
+    /// Damage was found: only an image may follow.
+    pub(crate) needs_image: bool,
+    unfinished: Option<Unfinished>,
+    /// A name was changed, and the folder not synced since.
+    names_unsynced: bool,
+}
+
+impl std::fmt::Debug for Storage {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Storage").field("folder", &self.folder).field("current", &self.current).finish()
+    }
+}
+
+impl Storage {
+    /// Opens the ring in a folder, which is made if it isn't there. What is recovered has been made to last, too.
+    ///
+    /// # Errors
+    /// When the settings make no ring, or the file system refuses: nothing is lost then, and it may be tried again.
+    pub fn open(folder: &Path, settings: &StorageSettings) -> Result<(Self, Recovered), StorageError> {
+        Self::open_with(Box::new(RealFileSystem), folder, settings)
+    }
+
+    /// Opens the ring in a folder of another file system.
+    ///
+    /// # Errors
+    /// As [`Storage::open`].
+    pub fn open_with(
+        file_system: Box<dyn FileSystem>,
+        folder: &Path,
+        settings: &StorageSettings,
+    ) -> Result<(Self, Recovered), StorageError> {
+        recovery::open(file_system, folder, settings)
+    }
+
+    pub(crate) fn new(file_system: Box<dyn FileSystem>, folder: &Path, settings: &StorageSettings) -> Self {
+        Self {
+            file_system,
+            folder: folder.to_owned(),
+            segment_bytes: settings.segment_bytes.next_multiple_of(block::SECTOR_BYTES as u64),
+            owner: block::owner_digest(&settings.owner),
+            segments: Vec::new(),
+            current: None,
+            highest_generation: 0,
+            needs_image: false,
+            unfinished: None,
+            names_unsynced: false,
+        }
+    }
+
+    /// Stores records behind all others: all of them or, after an error, none. They are synced when this returns.
+    ///
+    /// # Errors
+    /// When the segment is full or damaged, or the file system refuses. Nothing has changed then, except that after an error of
+    /// the file system the records may be found by a recovery, unless another call succeeded in between.
+    pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
+        if records.is_empty() {
+            return Ok(());
+        }
+        if self.needs_image {
+            return Err(StorageError::NeedsImage);
+        }
+        self.void_unfinished()?;
+        let current = match self.current {
+            Some(current) => current,
+            None => self.begin_segment(Kind::NoImage, &[])?,
+        };
+        let wanted = block::size_of(block::joined_length(records.iter().map(Vec::len))) as u64;
+        let left = self.segments[current.segment].length - current.offset;
+        if wanted > left {
+            return Err(StorageError::SegmentFull { wanted, left });
+        }
+        let bytes =
+            self.encode(Kind::Records, current.generation, current.sequence, &block::join_records(records))?;
+        self.write_synced(current.segment, current.offset, &bytes)?;
+        self.current =
+            Some(Current { offset: current.offset + wanted, sequence: current.sequence + 1, ..current });
+        Ok(())
+    }
+
+    /// Stores an image in place of the image and all records so far: it is there whole, or they are. It is synced when this returns.
+    ///
+    /// # Errors
+    /// When the file system refuses. What was stored before still counts then, except that a recovery may find the image,
+    /// unless another call succeeded in between.
+    pub fn replace(&mut self, image: &[u8]) -> Result<(), StorageError> {
+        self.void_unfinished()?;
+        self.begin_segment(Kind::Image, image)?;
+        self.needs_image = false;
+        Ok(())
+    }
+
+    /// Whether the segment is nearly full: [`Storage::replace`] should come soon.
+    #[must_use]
+    pub fn wants_image(&self) -> bool {
+        self.usage().wants_image
+    }
+
+    /// Whether these many records of these bytes altogether fit behind the others.
+    #[must_use]
+    pub fn fits(&self, records: usize, bytes: usize) -> bool {
+        let wanted = block::size_of(bytes + 4 * records) as u64;
+        match self.current {
+            Some(current) => wanted <= self.segments[current.segment].length - current.offset,
+            None => wanted + 2 * block::SECTOR_BYTES as u64 <= self.segment_bytes,
+        }
+    }
+
+    /// How full it is.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        let disk_bytes = self.segments.iter().map(|segment| segment.length).sum();
+        let (used_bytes, segment_bytes) = match self.current {
+            Some(current) => (current.offset, self.segments[current.segment].length),
+            None => (0, self.segment_bytes),
+        };
+        let wants_image = self.needs_image || used_bytes * 100 > segment_bytes * USED_PERCENT;
+        Usage { used_bytes, segment_bytes, disk_bytes, wants_image }
+    }
+
+    /// Begins the next segment of the ring: its first block, a sync, its mark, a sync.
+    fn begin_segment(&mut self, kind: Kind, payload: &[u8]) -> Result<Current, StorageError> {
+        let segment = self.current.map_or(0, |current| (current.segment + 1) % self.segments.len());
+        let generation = self.highest_generation + 1;
+        let beginning = self.encode(kind, generation, 0, payload)?;
+        self.make_room(segment, beginning.len() as u64)?;
+        let mark_offset = beginning.len() as u64;
+        self.highest_generation = generation;
+        self.unfinished = Some(Unfinished { segment, mark_offset });
+        self.write_synced(segment, 0, &beginning)?;
+        let offset = self.write_mark(segment, generation, mark_offset)?;
+        self.unfinished = None;
+        let current = Current { segment, generation, offset, sequence: 2 };
+        self.current = Some(current);
+        Ok(current)
+    }
+
+    /// Says on disk that the beginning of a segment has been synced. Returns where the next block goes.
+    pub(crate) fn write_mark(
+        &mut self,
+        segment: usize,
+        generation: u64,
+        offset: u64,
+    ) -> Result<u64, StorageError> {
+        let mark = self.encode(Kind::Mark, generation, 1, &[])?;
+        self.write_synced(segment, offset, &mark)?;
+        Ok(offset + mark.len() as u64)
+    }
+
+    /// Makes sure that a beginning that failed can't come back: without this, a recovery might take it for newer than
+    /// what is acknowledged from here on. The mark goes first, since a mark without a beginning would look like damage.
+    fn void_unfinished(&mut self) -> Result<(), StorageError> {
+        let Some(Unfinished { segment, mark_offset }) = self.unfinished else { return Ok(()) };
+        let nothing = [0; block::SECTOR_BYTES];
+        self.write_synced(segment, mark_offset, &nothing)?;
+        self.write_synced(segment, 0, &nothing)?;
+        self.unfinished = None;
+        Ok(())
+    }
+
+    /// Makes a segment long enough for a beginning and as much again: a longer file takes its place.
+    fn make_room(&mut self, segment: usize, beginning: u64) -> Result<(), StorageError> {
+        if 2 * beginning > self.segments[segment].length {
+            let length = (2 * beginning).next_multiple_of(self.segment_bytes);
+            self.put_longer(segment, length)?;
+        }
+        self.sync_names()
+    }
+
+    fn put_longer(&mut self, segment: usize, length: u64) -> Result<(), StorageError> {
+        let (path, beside) = (segment_path(&self.folder, segment), beside_path(&self.folder, segment));
+        let made = self.make_file(&beside, length).and_then(|file| {
+            self.file_system.rename(&beside, &path).map_err(StorageError::io("rename", &beside))?;
+            Ok(file)
+        });
+        match made {
+            Ok(file) => {
+                self.segments[segment] = Segment { file, length };
+                self.names_unsynced = true;
+                Ok(())
+            }
+            Err(error) => {
+                // It would take room on a full disk. If it can't be removed now, the next opening does.
+                let _ = self.file_system.remove(&beside);
+                Err(error)
+            }
+        }
+    }
+
+    /// A new file of zeros, synced. Its name lasts once the folder is synced.
+    pub(crate) fn make_file(&self, path: &Path, length: u64) -> Result<Box<dyn StorageFile>, StorageError> {
+        let mut file = self.file_system.create(path).map_err(StorageError::io("create", path))?;
+        file.set_length(length).map_err(StorageError::io("set the length of", path))?;
+        file.sync().map_err(StorageError::io("sync", path))?;
+        Ok(file)
+    }
+
+    fn sync_names(&mut self) -> Result<(), StorageError> {
+        if self.names_unsynced {
+            self.file_system.sync_folder(&self.folder).map_err(StorageError::io("sync", &self.folder))?;
+            self.names_unsynced = false;
+        }
+        Ok(())
+    }
+
+    fn encode(
+        &self,
+        kind: Kind,
+        generation: u64,
+        sequence: u32,
+        payload: &[u8],
+    ) -> Result<Vec<u8>, StorageError> {
+        let header = Header { kind, owner: self.owner, generation, sequence };
+        block::encode(header, payload).ok_or(StorageError::TooLong { bytes: payload.len() as u64 })
+    }
+
+    /// Writes bytes and syncs them.
+    pub(crate) fn write_synced(
+        &mut self,
+        segment: usize,
+        offset: u64,
+        bytes: &[u8],
+    ) -> Result<(), StorageError> {
+        let path = segment_path(&self.folder, segment);
+        let Segment { file, length } = &mut self.segments[segment];
+        debug_assert!(offset + bytes.len() as u64 <= *length, "a block goes beyond its segment");
+        write_all_at(file.as_mut(), offset, bytes).map_err(StorageError::io("write", &path))?;
+        file.sync().map_err(StorageError::io("sync", &path))
+    }
+}
+
+/// Name of a segment's file.
+pub(crate) fn segment_path(folder: &Path, segment: usize) -> PathBuf {
+    folder.join(format!("segment-{segment}"))
+}
+
+/// Name under which a segment's longer file is prepared.
+pub(crate) fn beside_path(folder: &Path, segment: usize) -> PathBuf {
+    folder.join(format!("segment-{segment}.new"))
+}
