--- /dev/null
+++ b/decide/registry/src/heartbeat.rs
@@ -0,0 +1,147 @@
+//! What a server says of itself with each heartbeat.
+
+use lichenswitch_messages::{ServerRecord, ServerState};
+use miniserde::json::{from_str, Number, Object, Value};
+use thiserror::Error;
+
+/// Longest heartbeat that is read (bytes). Real ones have some hundred; those that list many adapters a few thousand.
+pub const MAX_HEARTBEAT_BYTES: usize = 256 << 10;
+
+/// Why a heartbeat can't be taken.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum HeartbeatError {
+    /// Longer than [`MAX_HEARTBEAT_BYTES`].
+    #[error("the heartbeat has {bytes} bytes, and {MAX_HEARTBEAT_BYTES} are the most")]
+    TooLarge {
+        /// Its length.
+        bytes: usize,
+    },
+    /// Not UTF-8, not JSON, or cut short.
+    #[error("the heartbeat is not whole JSON in UTF-8")]
+    Unreadable,
+    /// JSON, but no object.
+    #[error("the heartbeat is not an object")]
+    NotAnObject,
+    /// A field that it must have is not there, or empty.
+    #[error("the heartbeat has no `{field}`")]
+    Missing {
+        /// Which.
+        field: &'static str,
+    },
+    /// A field is of another type than it has to be.
+    #[error("`{field}` of the heartbeat is not {wanted}")]
+    WrongType {
+        /// Which.
+        field: &'static str,
+        /// What it has to be.
+        wanted: &'static str,
+    },
+    /// A state that no server has.
+    #[error("`state` of the heartbeat is neither `ready` nor `draining`")]
+    UnknownState,
+}
+
+/// What a server says of itself. Fields that are not known here are passed over.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Its service.
+    pub service: String,
+    /// Where it takes requests, `host:port`.
+    pub address: String,
+    /// Its zone; empty where it tells none.
+    pub zone: String,
+    /// Version of its software; empty where it tells none.
+    pub version: String,
+    /// Requests that it works on at the same time; 0 where it does not tell.
+    pub capacity_slots: u32,
+    /// Its state; ready where it does not tell.
+    pub state: ServerState,
+    /// How much longer it stays slow from its start (milliseconds).
+    pub cold_remaining_ms: u64,
+    /// Rises with each call; 0 where it does not tell.
+    pub sequence_number: u64,
+}
+
+impl Heartbeat {
+    /// Reads the body of a heartbeat.
+    ///
+    /// # Errors
+    /// What is wrong with it, by name.
+    pub fn parse(body: &[u8]) -> Result<Heartbeat, HeartbeatError> {
+        if body.len() > MAX_HEARTBEAT_BYTES {
+            return Err(HeartbeatError::TooLarge { bytes: body.len() });
+        }
+        let text = std::str::from_utf8(body).map_err(|_| HeartbeatError::Unreadable)?;
+        match from_str(text).map_err(|_| HeartbeatError::Unreadable)? {
+            Value::Object(object) => Heartbeat::read(&object),
+            _ => Err(HeartbeatError::NotAnObject),
+        }
+    }
+
+    fn read(object: &Object) -> Result<Heartbeat, HeartbeatError> {
+        Ok(Heartbeat {
+            service: needed_text(object, "service")?,
+            address: needed_text(object, "address")?,
+            zone: text(object, "zone")?,
+            version: text(object, "version")?,
+            capacity_slots: u32::try_from(count(object, "capacitySlots")?).unwrap_or(u32::MAX),
+            state: state(object)?,
+            cold_remaining_ms: count(object, "coldRemainingMs")?,
+            sequence_number: count(object, "sequenceNumber")?,
+        })
+    }
+
+    /// The record that it makes of an instance.
+    #[must_use]
+    pub fn record(&self, instance: &str) -> ServerRecord {
+        ServerRecord {
+            instance: instance.to_owned(),
+            service: self.service.clone(),
+            address: self.address.clone(),
+            zone: self.zone.clone(),
+            capacity_slots: self.capacity_slots,
+            state: self.state,
+            sequence_number: self.sequence_number,
+            cold_remaining_ms: self.cold_remaining_ms,
+            unheard: false,
+        }
+    }
+}
+
+/// A text; empty where there is none.
+fn text(object: &Object, field: &'static str) -> Result<String, HeartbeatError> {
+    match object.get(field) {
+        None | Some(Value::Null) => Ok(String::new()),
+        Some(Value::String(text)) => Ok(text.clone()),
+        Some(_) => Err(HeartbeatError::WrongType { field, wanted: "a text" }),
+    }
+}
+
+fn needed_text(object: &Object, field: &'static str) -> Result<String, HeartbeatError> {
+    let text = text(object, field)?;
+    match text.is_empty() {
+        true => Err(HeartbeatError::Missing { field }),
+        false => Ok(text),
+    }
+}
+
+/// A number of 0 or more; 0 where there is none. Fractions are rounded up.
+fn count(object: &Object, field: &'static str) -> Result<u64, HeartbeatError> {
+    match object.get(field) {
+        None | Some(Value::Null) => Ok(0),
+        Some(Value::Number(Number::U64(n))) => Ok(*n),
+        Some(Value::Number(Number::F64(x))) if *x >= 0.0 => Ok(x.ceil() as u64),
+        Some(_) => Err(HeartbeatError::WrongType { field, wanted: "a number of 0 or more" }),
+    }
+}
+
+fn state(object: &Object) -> Result<ServerState, HeartbeatError> {
+    match text(object, "state")?.as_str() {
+        "" | "ready" => Ok(ServerState::Ready),
+        "draining" => Ok(ServerState::Draining),
+        _ => Err(HeartbeatError::UnknownState),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/decide/registry/src/heartbeat/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of `heartbeat`.
--- /dev/null
+++ b/decide/registry/src/table.rs
@@ -0,0 +1,393 @@
+//! The table of servers of one control machine.
+//!
+//! Records only grow in the lattice. Silence is not part of it: each machine judges it by when it, or another machine that told it,
+//! last heard a server.
+
+use crate::heartbeat::Heartbeat;
+use crate::lattice::{join, normalized, tombstone};
+use lichenswitch_messages::{ServerRecord, ServerState};
+use std::collections::{BTreeSet, HashMap};
+
+/// Intervals of silence after which a server is unheard: a last resort for routers.
+pub const UNHEARD_INTERVALS: u64 = 5;
+
+/// Intervals for which one instance must have been silent after another at the same address was heard, to be gone. A beat may come
+/// seconds late, so the first beat of an instance that is not known may be the last of one that has ended.
+pub const CONTEST_INTERVALS: u64 = 3;
+
+/// Silence after which a server is forgotten (microseconds).
+pub const FORGOTTEN_AFTER_US: u64 = 60_000_000;
+
+/// How long it is remembered that an instance is gone (microseconds): far longer than a beat may be late.
+pub const TOMBSTONE_KEPT_US: u64 = 120_000_000;
+
+/// Age up to which a tombstone is part of a snapshot (microseconds). Shorter than it is kept, so that machines do not tell each other
+/// for ever what both have dropped.
+pub const SNAPSHOT_TOMBSTONES_US: u64 = 60_000_000;
+
+/// The least between two looks (microseconds), as a share of the interval: what is decided is late by a quarter of it at most.
+const LOOKS_IN_INTERVAL: u64 = 4;
+
+/// What has changed, to be pushed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Records that are other ones now. For routers all of them; for other control machines those of [`Changes::news`].
+    pub records: Vec<ServerRecord>,
+    /// Instances whose records are no longer held. They are not gone: they have been silent for long, and may be heard again.
+    pub forgotten: Vec<String>,
+    /// How many of the first records have changed in the lattice; with the others only `unheard` has.
+    lattice: usize,
+}
+
+impl Changes {
+    /// Whether nothing has changed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.forgotten.is_empty()
+    }
+
+    /// The records that are news to other control machines, which judge silence by themselves.
+    #[must_use]
+    pub fn news(&self) -> &[ServerRecord] {
+        &self.records[..self.lattice]
+    }
+
+    fn push_news(&mut self, record: &ServerRecord) {
+        self.records.insert(self.lattice, record.clone());
+        self.lattice += 1;
+    }
+
+    fn push_heard(&mut self, record: &ServerRecord) {
+        self.records.push(record.clone());
+    }
+
+    /// Puts others behind these.
+    pub fn append(&mut self, others: Changes) {
+        let (news, heard) = others.records.split_at(others.lattice);
+        news.iter().for_each(|record| self.push_news(record));
+        heard.iter().for_each(|record| self.push_heard(record));
+        self.forgotten.extend(others.forgotten);
+    }
+}
+
+/// A server, with when it was heard.
+#[derive(Clone, Debug)]
+struct Entry {
+    record: ServerRecord,
+    /// When it was last heard, here or by a machine that told so; for one that is gone, when that was learnt.
+    since_us: u64,
+    /// Whether it was heard here after the last digest.
+    heard_here: bool,
+}
+
+impl Entry {
+    fn live(&self) -> bool {
+        self.record.state != ServerState::Gone
+    }
+}
+
+/// The table of servers.
+#[derive(Clone, Debug)]
+pub struct Registry {
+    interval_us: u64,
+    /// Since when this machine has been awake without a pause: silence before it says nothing.
+    awake_since_us: u64,
+    last_tick_us: u64,
+    entries: HashMap<String, Entry>,
+    /// Addresses at which there may be more than one live instance.
+    contested: BTreeSet<String>,
+}
+
+impl Registry {
+    /// An empty table of a machine that starts now; servers beat at this interval (microseconds).
+    #[must_use]
+    pub fn new(now: u64, interval_us: u64) -> Registry {
+        Registry {
+            interval_us: interval_us.max(1),
+            awake_since_us: now,
+            last_tick_us: now,
+            entries: HashMap::new(),
+            contested: BTreeSet::new(),
+        }
+    }
+
+    /// The interval has another value now (microseconds).
+    pub fn set_interval(&mut self, interval_us: u64) {
+        self.interval_us = interval_us.max(1);
+    }
+
+    /// A heartbeat has come here. A beat that is late, or comes from an instance that has left, changes nothing.
+    pub fn on_heartbeat(&mut self, now: u64, instance: &str, heartbeat: &Heartbeat) -> Changes {
+        let news = heartbeat.record(instance);
+        let fresh = self.entries.get(instance).is_none_or(|known| is_fresh(known, &news));
+        let displaced = match self.entries.contains_key(instance) {
+            true => Vec::new(),
+            false => self.displaced_by(now, &news),
+        };
+        let mut changes = self.take(now, &news);
+        if fresh {
+            changes.append(self.heard(now, instance));
+        }
+        for other in displaced {
+            changes.append(self.take(now, &tombstone(&other)));
+        }
+        changes
+    }
+
+    /// A server has said that it leaves, whether it said `draining` before or not, and whether it is known or not.
+    pub fn on_deregister(&mut self, now: u64, instance: &str) -> Changes {
+        self.take(now, &tombstone(instance))
+    }
+
+    /// Another control machine has sent a record.
+    pub fn merge(&mut self, now: u64, news: &ServerRecord) -> Changes {
+        self.take(now, news)
+    }
+
+    /// Another control machine has sent records.
+    pub fn merge_all(&mut self, now: u64, news: &[ServerRecord]) -> Changes {
+        let mut changes = Changes::default();
+        news.iter().for_each(|record| changes.append(self.take(now, record)));
+        changes
+    }
+
+    /// Another control machine has told whom it heard, and how many milliseconds ago.
+    pub fn merge_heard(&mut self, now: u64, heard: &[(String, u32)]) -> Changes {
+        let mut changes = Changes::default();
+        for (instance, ago_ms) in heard {
+            let at = now.saturating_sub(u64::from(*ago_ms) * 1_000);
+            changes.append(self.heard_elsewhere(now, at, instance));
+        }
+        changes
+    }
+
+    /// Looks at silence, tombstones and addresses that have more than one instance. To be called by [`Registry::next_wake`].
+    pub fn tick(&mut self, now: u64) -> Changes {
+        self.notice_pause(now);
+        let mut changes = self.settle_contests(now);
+        self.drop_old(now, &mut changes);
+        self.judge_silence(now, &mut changes);
+        changes
+    }
+
+    /// When to call [`Registry::tick`] next.
+    #[must_use]
+    pub fn next_wake(&self) -> u64 {
+        self.last_tick_us.saturating_add((self.interval_us / LOOKS_IN_INTERVAL).max(1))
+    }
+
+    /// All that a machine that starts has to know: live servers, and who has gone in the last minute.
+    #[must_use]
+    pub fn snapshot(&self, now: u64) -> Vec<ServerRecord> {
+        let told =
+            |entry: &&Entry| entry.live() || now.saturating_sub(entry.since_us) < SNAPSHOT_TOMBSTONES_US;
+        let mut records: Vec<_> =
+            self.entries.values().filter(told).map(|entry| entry.record.clone()).collect();
+        records.sort_by(|one, other| one.instance.cmp(&other.instance));
+        records
+    }
+
+    /// Who was heard here since this was last asked, with how many milliseconds ago.
+    pub fn take_heard_digest(&mut self, now: u64) -> Vec<(String, u32)> {
+        let mut digest = Vec::new();
+        for (instance, entry) in self.entries.iter_mut().filter(|(_, entry)| entry.heard_here && entry.live())
+        {
+            entry.heard_here = false;
+            let ago_ms = now.saturating_sub(entry.since_us) / 1_000;
+            digest.push((instance.clone(), u32::try_from(ago_ms).unwrap_or(u32::MAX)));
+        }
+        digest.sort();
+        digest
+    }
+
+    /// What is known of an instance.
+    #[must_use]
+    pub fn record(&self, instance: &str) -> Option<&ServerRecord> {
+        self.entries.get(instance).map(|entry| &entry.record)
+    }
+
+    /// Servers that are not gone, in no order.
+    pub fn live(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.entries.values().filter(|entry| entry.live()).map(|entry| &entry.record)
+    }
+
+    /// Records that are held, tombstones too.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Takes news into the table.
+    fn take(&mut self, now: u64, news: &ServerRecord) -> Changes {
+        match self.entries.contains_key(&news.instance) {
+            true => self.take_known(now, news),
+            false => self.take_new(now, news),
+        }
+    }
+
+    fn take_new(&mut self, now: u64, news: &ServerRecord) -> Changes {
+        let record = ServerRecord { unheard: false, ..normalized(news) };
+        if record.state != ServerState::Gone && self.live_at(&record.address).next().is_some() {
+            self.contested.insert(record.address.clone());
+        }
+        let mut changes = Changes::default();
+        changes.push_news(&record);
+        let entry = Entry { record, since_us: now, heard_here: false };
+        self.entries.insert(news.instance.clone(), entry);
+        changes
+    }
+
+    /// Newer news shows that the server was heard somewhere. Told on is only what matters to others: a beat that says the same again
+    /// is not.
+    fn take_known(&mut self, now: u64, news: &ServerRecord) -> Changes {
+        let mut changes = Changes::default();
+        let Some(entry) = self.entries.get_mut(&news.instance) else { return changes };
+        let before = entry.record.clone();
+        if !join(&mut entry.record, news) {
+            return changes;
+        }
+        entry.since_us = entry.since_us.max(now);
+        entry.record.unheard = false;
+        if tells_more(&before, &entry.record) {
+            changes.push_news(&entry.record);
+        } else if before.unheard {
+            changes.push_heard(&entry.record);
+        }
+        if entry.live() && before.address != entry.record.address {
+            self.contested.insert(entry.record.address.clone());
+        }
+        changes
+    }
+
+    /// A server was heard here.
+    fn heard(&mut self, now: u64, instance: &str) -> Changes {
+        match self.entries.get_mut(instance).filter(|entry| entry.live()) {
+            Some(entry) => entry.heard_here = true,
+            None => return Changes::default(),
+        }
+        self.heard_elsewhere(now, now, instance)
+    }
+
+    /// A server was heard at some time, here or elsewhere.
+    fn heard_elsewhere(&mut self, now: u64, at: u64, instance: &str) -> Changes {
+        let mut changes = Changes::default();
+        let unheard_after = self.unheard_after();
+        let Some(entry) = self.entries.get_mut(instance).filter(|entry| entry.live()) else { return changes };
+        entry.since_us = entry.since_us.max(at);
+        if entry.record.unheard && now.saturating_sub(entry.since_us) < unheard_after {
+            entry.record.unheard = false;
+            changes.push_heard(&entry.record);
+        }
+        changes
+    }
+
+    fn unheard_after(&self) -> u64 {
+        self.interval_us.saturating_mul(UNHEARD_INTERVALS)
+    }
+
+    fn contest_after(&self) -> u64 {
+        self.interval_us.saturating_mul(CONTEST_INTERVALS)
+    }
+
+    /// Live instances at an address.
+    fn live_at<'a>(&'a self, address: &'a str) -> impl Iterator<Item = &'a Entry> {
+        self.entries.values().filter(move |entry| entry.live() && entry.record.address == address)
+    }
+
+    /// Those that an instance that has just been heard for the first time ends, as it has their address. An instance that has begun
+    /// later has made fewer calls; where the newcomer has made more, its beat may be a late one, and silence decides.
+    fn displaced_by(&self, now: u64, newcomer: &ServerRecord) -> Vec<String> {
+        let ended = |entry: &&Entry| {
+            newcomer.sequence_number <= entry.record.sequence_number
+                || self.silence(now, entry) >= self.contest_after()
+        };
+        self.live_at(&newcomer.address).filter(ended).map(|entry| entry.record.instance.clone()).collect()
+    }
+
+    /// How long a server has been silent while this machine could hear it.
+    fn silence(&self, now: u64, entry: &Entry) -> u64 {
+        now.saturating_sub(entry.since_us.max(self.awake_since_us))
+    }
+
+    /// A machine that was frozen has not heard anybody meanwhile: silence counts from its waking.
+    fn notice_pause(&mut self, now: u64) {
+        if now.saturating_sub(self.last_tick_us) > self.interval_us {
+            self.awake_since_us = now;
+        }
+        self.last_tick_us = now;
+    }
+
+    /// At an address with several live instances, those are gone that fell silent well before another was heard.
+    fn settle_contests(&mut self, now: u64) -> Changes {
+        let mut changes = Changes::default();
+        for address in std::mem::take(&mut self.contested) {
+            for instance in self.outlived_at(&address) {
+                changes.append(self.take(now, &tombstone(&instance)));
+            }
+            if self.live_at(&address).count() > 1 {
+                self.contested.insert(address);
+            }
+        }
+        changes
+    }
+
+    fn outlived_at(&self, address: &str) -> Vec<String> {
+        let newest = self.live_at(address).map(|entry| entry.since_us).max().unwrap_or(0);
+        let outlived = |entry: &&Entry| newest.saturating_sub(entry.since_us) >= self.contest_after();
+        self.live_at(address).filter(outlived).map(|entry| entry.record.instance.clone()).collect()
+    }
+
+    fn drop_old(&mut self, now: u64, changes: &mut Changes) {
+        let awake = self.awake_since_us;
+        self.entries.retain(|instance, entry| {
+            if !entry.live() {
+                return now.saturating_sub(entry.since_us) < TOMBSTONE_KEPT_US;
+            }
+            let kept = now.saturating_sub(entry.since_us.max(awake)) < FORGOTTEN_AFTER_US;
+            if !kept {
+                changes.forgotten.push(instance.clone());
+            }
+            kept
+        });
+        changes.forgotten.sort();
+    }
+
+    fn judge_silence(&mut self, now: u64, changes: &mut Changes) {
+        let (awake, unheard_after) = (self.awake_since_us, self.unheard_after());
+        let mut fallen: Vec<&ServerRecord> = Vec::new();
+        for entry in self.entries.values_mut().filter(|entry| entry.live() && !entry.record.unheard) {
+            if now.saturating_sub(entry.since_us.max(awake)) >= unheard_after {
+                entry.record.unheard = true;
+                fallen.push(&entry.record);
+            }
+        }
+        fallen.sort_by(|one, other| one.instance.cmp(&other.instance));
+        fallen.into_iter().for_each(|record| changes.push_heard(record));
+    }
+}
+
+/// Whether a beat is not older than what is known.
+fn is_fresh(known: &Entry, news: &ServerRecord) -> bool {
+    news.sequence_number >= known.record.sequence_number
+}
+
+/// Whether a record tells others more than the one before: all but the number of the beat, and a cold time that only runs down.
+fn tells_more(before: &ServerRecord, after: &ServerRecord) -> bool {
+    let known = ServerRecord {
+        sequence_number: after.sequence_number,
+        cold_remaining_ms: before.cold_remaining_ms.max(after.cold_remaining_ms),
+        unheard: after.unheard,
+        ..before.clone()
+    };
+    let told = ServerRecord { cold_remaining_ms: known.cold_remaining_ms, ..after.clone() };
+    known != told || after.cold_remaining_ms > before.cold_remaining_ms
+}
+
+#[cfg(test)]
+mod tests;
