--- /dev/null
+++ b/wire/rpc/tests/frames.rs
@@ -0,0 +1,173 @@
+//! A reader gives out what was sent, or nothing.
+
+use assert_matches::assert_matches;
+use lichenswitch_rpc::{
+    decode, encode, encode_frame, encode_frame_into, FrameError, FrameReader, HEADER_BYTES,
+};
+use quickcheck::QuickCheck;
+
+const VERSION: u16 = 3;
+
+/// A value with what can be wrong in an archive: a choice, text, lists, a flag.
+#[derive(rkyv::Archive, rkyv::Serialize, rkyv::Deserialize, Clone, Debug, PartialEq)]
+enum Message {
+    Empty,
+    Text { text: String, flag: bool },
+    List(Vec<(u64, Option<String>)>),
+}
+
+fn frames_of(payloads: &[(u16, Vec<u8>)]) -> Vec<u8> {
+    payloads.iter().flat_map(|(kind, payload)| encode_frame(VERSION, *kind, payload).unwrap()).collect()
+}
+
+/// Pushes chunks and takes out all frames.
+fn read(chunks: &[&[u8]]) -> (Vec<(u16, Vec<u8>)>, Option<FrameError>) {
+    let (mut reader, mut frames) = (FrameReader::with_limit(VERSION, 1 << 16), Vec::new());
+    for chunk in chunks {
+        reader.push(chunk);
+        loop {
+            match reader.next_frame() {
+                Ok(Some(frame)) => frames.push((frame.kind, frame.payload.to_vec())),
+                Ok(None) => break,
+                Err(error) => return (frames, Some(error)),
+            }
+        }
+    }
+    (frames, None)
+}
+
+fn cut<'a>(bytes: &'a [u8], cuts: &[usize]) -> Vec<&'a [u8]> {
+    let mut places: Vec<usize> = cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect();
+    places.extend([0, bytes.len()]);
+    places.sort_unstable();
+    places.windows(2).map(|pair| &bytes[pair[0]..pair[1]]).collect()
+}
+
+#[test]
+fn frames_come_as_they_were_sent_wherever_they_are_cut() {
+    fn holds(payloads: Vec<(u16, Vec<u8>)>, cuts: Vec<usize>) -> bool {
+        read(&cut(&frames_of(&payloads), &cuts)) == (payloads, None)
+    }
+    QuickCheck::new().tests(5_000).quickcheck(holds as fn(Vec<(u16, Vec<u8>)>, Vec<usize>) -> bool);
+}
+
+#[test]
+fn a_changed_byte_gives_an_error_and_no_frame_that_was_not_sent() {
+    fn holds(payloads: Vec<(u16, Vec<u8>)>, place: usize, change: u8, cuts: Vec<usize>) -> bool {
+        let mut bytes = frames_of(&payloads);
+        if bytes.is_empty() || change == 0 {
+            return true;
+        }
+        let place = place % bytes.len();
+        bytes[place] ^= change;
+        let (frames, error) = read(&cut(&bytes, &cuts));
+        payloads.starts_with(&frames) && frames.len() < payloads.len() && error.is_some()
+    }
+    QuickCheck::new().tests(5_000).quickcheck(holds as fn(_, _, _, _) -> bool);
+}
+
+#[test]
+fn bytes_that_are_missing_or_too_many_give_no_frame_that_was_not_sent() {
+    fn holds(payloads: Vec<(u16, Vec<u8>)>, place: usize, gone: usize, more: Vec<u8>) -> bool {
+        let mut bytes = frames_of(&payloads);
+        let start = place % (bytes.len() + 1);
+        let end = (start + gone % 64).min(bytes.len());
+        bytes.splice(start..end, more);
+        let (frames, _) = read(&[&bytes]);
+        frames.iter().all(|frame| payloads.contains(frame))
+    }
+    QuickCheck::new().tests(5_000).quickcheck(holds as fn(_, _, _, _) -> bool);
+}
+
+#[test]
+fn any_bytes_give_no_frame() {
+    fn holds(bytes: Vec<u8>, cuts: Vec<usize>) -> bool {
+        read(&cut(&bytes, &cuts)).0.is_empty()
+    }
+    QuickCheck::new().tests(50_000).quickcheck(holds as fn(Vec<u8>, Vec<usize>) -> bool);
+}
+
+#[test]
+fn another_version_is_refused_by_name_from_its_sixth_byte() {
+    let frame = encode_frame(4, 0, b"").unwrap();
+    let mut reader = FrameReader::new(VERSION);
+    reader.push(&frame[..5]);
+    assert_eq!(reader.next_frame(), Ok(None));
+    reader.push(&frame[5..6]);
+    let error = reader.next_frame().unwrap_err();
+    assert_eq!(error, FrameError::OtherVersion { ours: 3, theirs: 4 });
+    assert_eq!(error.to_string(), "the other side speaks version 4 of the protocol, this side version 3");
+}
+
+#[test]
+fn another_protocol_is_refused_from_its_first_byte() {
+    let mut reader = FrameReader::new(VERSION);
+    reader.push(b"G");
+    assert_eq!(reader.next_frame(), Err(FrameError::NotOurs));
+    reader.push(&encode_frame(VERSION, 0, b"").unwrap());
+    assert_eq!(reader.next_frame(), Err(FrameError::NotOurs));
+    assert_eq!(reader.pending(), 1);
+}
+
+#[test]
+fn a_payload_over_the_limit_is_refused_on_both_sides() {
+    let mut out = b"before".to_vec();
+    assert_eq!(
+        encode_frame_into(&mut out, VERSION, 0, &[0; 101], 100),
+        Err(FrameError::TooLong { bytes: 101, limit: 100 })
+    );
+    assert_eq!(out, b"before");
+    let frame = encode_frame(VERSION, 0, &[0; 101]).unwrap();
+    let mut reader = FrameReader::with_limit(VERSION, 100);
+    reader.push(&frame[..HEADER_BYTES]);
+    assert_eq!(reader.next_frame(), Err(FrameError::TooLong { bytes: 101, limit: 100 }));
+    let whole = encode_frame(VERSION, 0, &vec![7; lichenswitch_rpc::DEFAULT_PAYLOAD_LIMIT_BYTES]).unwrap();
+    let mut reader = FrameReader::new(VERSION);
+    reader.push(&whole);
+    assert_matches!(reader.next_frame(), Ok(Some(frame)) if frame.payload.len() == 4 << 20);
+    assert_matches!(encode_frame(VERSION, 0, &vec![7; (4 << 20) + 1]), Err(FrameError::TooLong { .. }));
+}
+
+#[test]
+fn values_come_back_at_any_alignment() {
+    let messages = [
+        Message::Empty,
+        Message::Text { text: "a text that is longer than eight bytes".into(), flag: true },
+        Message::List(vec![(1, None), (2, Some("two".into()))]),
+    ];
+    for message in messages {
+        let bytes = encode(&message).unwrap();
+        for shift in 0..16 {
+            let mut shifted = vec![0; shift];
+            shifted.extend_from_slice(&bytes);
+            assert_eq!(decode::<Message>(&shifted[shift..]).unwrap(), message);
+        }
+    }
+}
+
+#[test]
+fn any_bytes_are_a_value_or_an_error() {
+    fn any(bytes: Vec<u8>) -> bool {
+        let _ = decode::<Message>(&bytes);
+        true
+    }
+    fn changed(
+        text: String,
+        list: Vec<(u64, Option<String>)>,
+        changes: Vec<(usize, u8)>,
+        cut: usize,
+    ) -> bool {
+        for message in [Message::Text { text, flag: false }, Message::List(list)] {
+            let mut bytes = encode(&message).unwrap();
+            for (place, change) in &changes {
+                let place = place % bytes.len();
+                bytes[place] ^= change;
+            }
+            let _ = decode::<Message>(&bytes);
+            let _ = decode::<Message>(&bytes[cut % bytes.len()..]);
+        }
+        true
+    }
+    QuickCheck::new().tests(20_000).quickcheck(any as fn(Vec<u8>) -> bool);
+    QuickCheck::new().tests(20_000).quickcheck(changed as fn(_, _, _, _) -> bool);
+}
