--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 pub mod control;
+pub mod envelopes;
 pub mod logging;
 pub mod router;
 pub mod settings;
