--- a/decide/replication/src/lib.rs
+++ b/decide/replication/src/lib.rs
@@ -12,6 +12,8 @@
 mod durable;
 mod membership;
 mod message;
+#[cfg(feature = "model")]
+pub mod model;
 mod output;
 mod replica;
 mod settings;
--- a/decide/replication/src/message.rs
+++ b/decide/replication/src/message.rs
@@ -74,6 +74,8 @@
         synced: Option<Position>,
         /// The sender's disk takes writes.
         writable: bool,
+        /// The sender has asked to leave.
+        leaving: bool,
     },
     /// Send me an image, from this chunk on.
     ImageRequest {
@@ -139,6 +141,8 @@
     pub committed: Position,
     /// Records, each standing on the one before it.
     pub records: Vec<Record>,
+    /// The records that the receiver lacks are no longer kept: it is to ask for the image.
+    pub take_image: bool,
 }
 
 /// A piece of an image.
--- /dev/null
+++ b/decide/replication/src/model/ledger.rs
@@ -0,0 +1,143 @@
+//! What clients were told, and whether it may be true.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::*;
+
+/// The replicated state of the model: all changes, in order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct History {
+    /// Numbers of the changes.
+    pub changes: Vec<u64>,
+}
+
+impl ReplicatedState for History {
+    fn encode(&self) -> Vec<u8> {
+        self.changes.iter().flat_map(|change| change.to_le_bytes()).collect()
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Self, StateError> {
+        if bytes.len() % 8 != 0 {
+            return Err(StateError::new("a history of half a change"));
+        }
+        let mut history = Self::default();
+        for change in bytes.chunks(8) {
+            history.apply(change)?;
+        }
+        Ok(history)
+    }
+
+    fn apply(&mut self, change: &[u8]) -> Result<(), StateError> {
+        let change = change.try_into().map_err(|_| StateError::new("a change is 8 bytes"))?;
+        self.changes.push(u64::from_le_bytes(change));
+        Ok(())
+    }
+}
+
+/// What a client asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Wanted {
+    /// This change.
+    Change(u64),
+    /// A state that holds at least as many changes.
+    AtLeast(usize),
+}
+
+/// What was asked, told and committed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Ledger {
+    /// The longest history that any node has called committed.
+    pub committed: Vec<u64>,
+    /// Where it stands.
+    pub position: Position,
+    /// Changes that were acknowledged.
+    pub acknowledged: BTreeSet<u64>,
+    /// Changes of which was said that they never will be.
+    pub refused: BTreeSet<u64>,
+    /// Confirmations that were given.
+    pub confirmed: u64,
+    /// The first thing that must not be.
+    pub violation: Option<String>,
+    asked: BTreeMap<(usize, RequestId), Wanted>,
+    last_change: u64,
+}
+
+impl Ledger {
+    /// A change that no other client has.
+    pub fn draw_change(&mut self) -> u64 {
+        self.last_change += 1;
+        self.last_change
+    }
+
+    pub(super) fn violate(&mut self, what: String) {
+        self.violation.get_or_insert(what);
+    }
+
+    pub(super) fn asked(&mut self, node: usize, request: RequestId, wanted: Wanted) {
+        self.asked.insert((node, request), wanted);
+    }
+
+    /// A process has ended: nobody will hear of what was asked of it.
+    pub(super) fn forget(&mut self, node: usize) {
+        self.asked.retain(|(of, _), _| *of != node);
+    }
+
+    /// A node calls a history committed.
+    pub(super) fn committed(&mut self, node: usize, position: Position, history: &[u64]) {
+        let known = &self.committed;
+        let extends = history.len() >= known.len() && history.starts_with(known);
+        if position >= self.position {
+            if !extends {
+                self.violate(format!(
+                    "node {node} commits {history:?} at {position}, but {known:?} was committed at {}",
+                    self.position
+                ));
+                return;
+            }
+            self.check_refused(node, history);
+            self.committed = history.to_vec();
+            self.position = position;
+        } else if !known.starts_with(history) {
+            self.violate(format!("node {node} commits {history:?} at {position}, beside {known:?}"));
+        }
+    }
+
+    fn check_refused(&mut self, node: usize, history: &[u64]) {
+        let distinct: BTreeSet<u64> = history.iter().copied().collect();
+        if distinct.len() != history.len() {
+            self.violate(format!("node {node} commits a change twice: {history:?}"));
+        }
+        if let Some(change) = distinct.intersection(&self.refused).next() {
+            self.violate(format!(
+                "node {node} commits change {change}, of which was said that it never will be"
+            ));
+        }
+    }
+
+    /// A request has ended.
+    pub(super) fn settled(&mut self, node: usize, request: RequestId, outcome: &Outcome, history: Vec<u64>) {
+        // A proposal that is refused at once is settled before it is entered; it was never anywhere.
+        let Some(wanted) = self.asked.remove(&(node, request)) else { return };
+        match (wanted, outcome) {
+            (Wanted::Change(change), Outcome::Committed(_)) => {
+                self.acknowledged.insert(change);
+                if !self.committed.contains(&change) {
+                    self.violate(format!("node {node} acknowledges {change}, which is not committed"));
+                }
+            }
+            (Wanted::Change(change), Outcome::NotPrimary | Outcome::Rejected(_)) => {
+                self.refused.insert(change);
+            }
+            (Wanted::Change(_), Outcome::Unknown) | (Wanted::AtLeast(_), Outcome::NotPrimary) => {}
+            (Wanted::AtLeast(least), Outcome::Confirmed(_)) => {
+                self.confirmed += 1;
+                if history.len() < least {
+                    self.violate(format!(
+                        "node {node} confirms {history:?}, but {least} changes were committed before it was asked"
+                    ));
+                }
+            }
+            (wanted, outcome) => self.violate(format!("node {node} settles {wanted:?} by {outcome:?}")),
+        }
+    }
+}
--- /dev/null
+++ b/decide/replication/src/model/timed.rs
@@ -0,0 +1,1 @@
+//! The world in one virtual time.
