Add a scripted model server, operator and stream client for the fleet

Cause: the fleet's tests need the other side of every wire, written from the published protocol alone. No product process was called yet.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,6 @@
-//! Scripted data nodes on loopback, each with faults by script and a ledger of what it did. They are written from the
-//! published protocols and share no code with the broker, so that they check its wires honestly.
+//! Scripted data nodes, model servers, operators and clients on loopback, with faults by script and a ledger of what each
+//! did. They are written from the published protocols and share no code with the brokers, so that they check their wires
+//! honestly.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -7,5 +8,8 @@
 pub mod features;
 pub mod frames;
 pub mod http;
+pub mod model_server;
+pub mod operator;
 pub mod relay;
 pub mod rig;
+pub mod stream_client;
--- /dev/null
+++ b/standins/src/operator/document.rs
@@ -0,0 +1,104 @@
+//! Configurations as the operator writes them.
+
+use serde_json::{json, Value};
+
+/// A route, as far as stand-ins set it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// Its host.
+    pub host: String,
+    /// Its prefix, with a slash at both ends.
+    pub prefix: String,
+    /// Its service.
+    pub service: String,
+    /// `timeoutMs`.
+    pub timeout_ms: u64,
+    /// `maxAttempts`.
+    pub attempts: u32,
+    /// `streamResume`.
+    pub resume: bool,
+}
+
+impl Route {
+    /// A streaming route to a service.
+    #[must_use]
+    pub fn new(name: &str, host: &str, prefix: &str, service: &str) -> Route {
+        let [name, host, prefix, service] = [name, host, prefix, service].map(String::from);
+        Route { name, host, prefix, service, timeout_ms: 5_000, attempts: 2, resume: true }
+    }
+
+    fn json(&self) -> Value {
+        json!({
+            "name": self.name,
+            "host": self.host,
+            "pathPrefix": self.prefix,
+            "kind": "streaming",
+            "timeoutMs": self.timeout_ms,
+            "targetLatencyMs": 500,
+            "priority": 0,
+            "service": self.service,
+            "maxAttempts": self.attempts,
+            "sessionAffinity": true,
+            "streamResume": self.resume,
+            "gap_aim_ms": 300,
+        })
+    }
+}
+
+/// A whole configuration of that version, with these routes and the services that they name.
+#[must_use]
+pub fn replace(version: u64, routes: &[Route]) -> String {
+    let mut names: Vec<&str> = routes.iter().map(|route| route.service.as_str()).collect();
+    names.sort_unstable();
+    names.dedup();
+    let service = |name: &&str| {
+        json!({
+            "name": name,
+            "healthCheckPath": "/health",
+            "maxConnections": 64,
+            "protocol": "h1",
+            "tlsEnabled": false,
+            "engine": {
+                "capacitySlots": 8,
+                "kvTokenCapacity": 100_000,
+                "kvTokenBytes": 163_840,
+                "bandwidthMbps": 180_000.0,
+                "stride": 4,
+                "models": [{"name": "m"}],
+            },
+        })
+    };
+    let document = json!({
+        "version": version,
+        "routes": routes.iter().map(Route::json).collect::<Vec<_>>(),
+        "services": names.iter().map(service).collect::<Vec<_>>(),
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 4_194_304,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+    });
+    document.to_string()
+}
+
+/// A change to that version: these routes come, or take the place of those of the same names; those names go.
+#[must_use]
+pub fn update(version: u64, routes: &[Route], removed: &[&str]) -> String {
+    let mut document = json!({"version": version});
+    if !routes.is_empty() {
+        document["upserts"] = json!({"routes": routes.iter().map(Route::json).collect::<Vec<_>>()});
+    }
+    if !removed.is_empty() {
+        document["removals"] = json!({ "routes": removed });
+    }
+    document.to_string()
+}
+
+/// The version of a document; `None`: it can't be read.
+#[must_use]
+pub fn version(document: &[u8]) -> Option<u64> {
+    serde_json::from_slice::<Value>(document).ok()?.get("version")?.as_u64()
+}
--- /dev/null
+++ b/standins/src/stream_client/tests.rs
@@ -0,0 +1,76 @@
+//! What a client makes of answers, whole, cut and wrong.
+
+use super::*;
+use crate::model_server::{Description, Fault, ModelServer};
+
+const SILENCE: Duration = Duration::from_secs(5);
+
+fn server() -> ModelServer {
+    let mut description = Description::new("i-1", "s", "z");
+    (description.first_event, description.between_events) = (Duration::ZERO, Duration::ZERO);
+    ModelServer::start(description, SocketAddr::from(([127, 0, 0, 1], 0))).expect("an address of loopback")
+}
+
+fn request(attempt: &str) -> StreamRequest {
+    StreamRequest::new("a.example", "/a/1", attempt, 16)
+}
+
+#[test]
+fn a_whole_stream_is_served_without_fault() {
+    let (server, mut told) = (server(), Vec::new());
+    let request = request("a1");
+    let streamed = request.send(server.address, SILENCE, |event| told.push(event.id)).expect("an answer");
+    assert!(streamed.is_served());
+    assert_eq!(told, [Some(1), Some(2), Some(3), Some(4)]);
+    assert!(streamed.faults(&request, &["a1"]).is_empty());
+}
+
+#[test]
+fn a_stream_is_taken_up_behind_the_last_event() {
+    let server = server();
+    let mut request = request("a2");
+    request.last_event_id = Some(2);
+    let streamed = request.send(server.address, SILENCE, |_| {}).expect("an answer");
+    let ids: Vec<_> = streamed.events.iter().map(|event| event.id).collect();
+    assert_eq!(ids, [Some(3), Some(4)]);
+    assert!(streamed.faults(&request, &["a2"]).is_empty());
+}
+
+#[test]
+fn a_stream_that_ends_early_is_not_served() {
+    let server = server();
+    for (fault, events) in [(Fault::CutAfter(2), 2), (Fault::CutInside(1), 1), (Fault::CutAfter(4), 4)] {
+        server.next_faults([Some(fault)]);
+        let streamed = request("a3").send(server.address, SILENCE, |_| {}).expect("a head");
+        assert_eq!((streamed.end, streamed.events.len()), (End::Cut, events), "{fault:?}");
+        assert!(!streamed.is_served());
+    }
+    server.next_faults([Some(Fault::MuteAfter(1))]);
+    let streamed = request("a4").send(server.address, Duration::from_millis(100), |_| {}).expect("a head");
+    assert_eq!(streamed.end, End::Silent);
+}
+
+#[test]
+fn what_breaks_rules_is_found() {
+    let server = server();
+    let request = request("a5");
+    let good = request.send(server.address, SILENCE, |_| {}).expect("an answer");
+    let with = |change: &dyn Fn(&mut Streamed)| {
+        let mut streamed = good.clone();
+        change(&mut streamed);
+        streamed.faults(&request, &["a5"])
+    };
+    let unsealed = with(&|streamed| streamed.head.fields.retain(|field| field.0 != "Response-Seal"));
+    assert_eq!(unsealed, [StreamFault::NoSeal]);
+    let missing = with(&|streamed| drop(streamed.events.remove(1)));
+    assert_eq!(missing, [StreamFault::Order(Some(1), Some(3))]);
+    let twice = with(&|streamed| streamed.events.insert(1, streamed.events[0].clone()));
+    assert_eq!(twice, [StreamFault::Order(Some(1), Some(1))]);
+    let early = with(&|streamed| drop(streamed.events.pop()));
+    assert_eq!(early, [StreamFault::EndsEarly]);
+    let other = with(&|streamed| streamed.events[2].data = "b7 3/4".into());
+    assert_eq!(other, [StreamFault::OtherRequest("b7".into())]);
+    server.next_faults([Some(Fault::WrongId)]);
+    let wrong = request.send(server.address, SILENCE, |_| {}).expect("an answer");
+    assert_eq!(wrong.faults(&request, &["a5"]), [StreamFault::OtherAttempt("0000000000000bad".into())]);
+}
