Add lichenswitch-demo: a fleet of three on loopback in one command

Change: standins::fleet_processes starts, stops, kills and wipes control and router processes by id, each fleet with a block of loopback addresses of its own; its demonstration shows a configuration, a stream and the status. Not yet run with the product.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod discovery;
 pub mod features;
+pub mod fleet_processes;
 pub mod frames;
 pub mod http;
 pub mod model_server;
