--- a/decide/replication/src/model/ledger.rs
+++ b/decide/replication/src/model/ledger.rs
@@ -17,7 +17,7 @@
     }
 
     fn decode(bytes: &[u8]) -> Result<Self, StateError> {
-        if bytes.len() % 8 != 0 {
+        if !bytes.len().is_multiple_of(8) {
             return Err(StateError::new("a history of half a change"));
         }
         let mut history = Self::default();
@@ -116,7 +116,7 @@
 
     /// A request has ended.
     pub(super) fn settled(&mut self, node: usize, request: RequestId, outcome: &Outcome, history: Vec<u64>) {
-        // A proposal that is refused at once is settled before it is entered; it was never anywhere.
+        // What a process that has ended was asked is forgotten.
         let Some(wanted) = self.asked.remove(&(node, request)) else { return };
         match (wanted, outcome) {
             (Wanted::Change(change), Outcome::Committed(_)) => {
--- a/decide/replication/src/model/walk.rs
+++ b/decide/replication/src/model/walk.rs
@@ -105,89 +105,165 @@
     sync: u64,
     client: u64,
     fault: u64,
-    burst: u64,
+    deliver: u64,
+    /// Steps between two changes of who is reached.
+    phase: usize,
+    /// Nodes out of 8 that are cut off or frozen in a phase.
+    apart: u64,
 }
 
 impl Chances {
     fn draw(dice: &mut Dice) -> Self {
         Self {
-            drop: [0, 2, 5, 15][dice.index(4)],
+            drop: [0, 1, 4, 10][dice.index(4)],
             repeat: [0, 1, 4][dice.index(3)],
-            tick: [1, 2, 4, 8][dice.index(4)],
-            sync: [8, 20, 40][dice.index(3)],
+            tick: [2, 4, 8][dice.index(3)],
+            sync: [10, 30][dice.index(2)],
             client: [4, 8][dice.index(2)],
-            fault: [1, 2, 4][dice.index(3)],
-            burst: [10, 30, 100][dice.index(3)],
+            fault: [0, 1, 2, 4][dice.index(4)],
+            deliver: [40, 100][dice.index(2)],
+            phase: [20, 60, 150, 400][dice.index(4)],
+            apart: [1, 2, 3][dice.index(3)],
         }
     }
 }
 
+/// How a node is reached in a phase of a walk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    /// As usual.
+    Whole,
+    /// Its process runs; what it sends and is sent waits.
+    Cut,
+    /// Its process stands still; clients' calls reach it when the phase ends.
+    Frozen,
+}
+
+/// The state of a walk beside the world.
+struct Course {
+    walk: Walk,
+    chances: Chances,
+    dice: Dice,
+    reach: Vec<Reach>,
+}
+
 /// One walk; the world at its end. Stops at the first violation.
 pub fn walk(mut world: World, walk: Walk) -> World {
     let mut dice = Dice(walk.seed);
     world.network_limit = 64;
     gather(&mut world, walk.voters);
     let chances = Chances::draw(&mut dice);
-    for _ in 0..walk.steps {
+    let reach = vec![Reach::Whole; world.nodes.len()];
+    let mut course = Course { walk, chances, dice, reach };
+    for step in 0..walk.steps {
         if world.ledger.violation.is_some() {
             break;
         }
-        step(&mut world, walk, chances, &mut dice);
+        if step % course.chances.phase == 0 {
+            course.next_phase(&mut world);
+        }
+        course.step(&mut world);
     }
     world
 }
 
-fn step(world: &mut World, walk: Walk, chances: Chances, dice: &mut Dice) {
-    let node = dice.index(world.nodes.len());
-    let mut roll = dice.below(100 + chances.burst);
-    let mut hit = |chance: u64| {
-        let is_hit = roll < chance;
-        roll = roll.saturating_sub(chance);
-        is_hit && {
-            roll = u64::MAX;
-            true
+impl Course {
+    fn next_phase(&mut self, world: &mut World) {
+        for index in 0..self.reach.len() {
+            let was_frozen = self.reach[index] == Reach::Frozen;
+            let apart = self.dice.below(8) < self.chances.apart;
+            self.reach[index] = match (apart, self.dice.one_in(2)) {
+                (false, _) => Reach::Whole,
+                (true, true) => Reach::Cut,
+                (true, false) => Reach::Frozen,
+            };
+            if was_frozen {
+                // The clock went on; what comes first may be a call.
+                world.act(&Action::Elapse(index, self.dice.below(2_000_000)));
+                if self.dice.one_in(2) {
+                    world.act(&Action::Confirm(index));
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, world: &mut World) {
+        let node = self.dice.index(world.nodes.len());
+        let runs = self.reach[node] != Reach::Frozen;
+        let chances = self.chances;
+        let table = [chances.tick, chances.sync, chances.client, chances.fault, chances.drop, chances.repeat];
+        let mut roll = self.dice.below(table.iter().sum::<u64>() + chances.deliver);
+        let mut choice = 0;
+        while choice < table.len() && roll >= table[choice] {
+            roll -= table[choice];
+            choice += 1;
+        }
+        match choice {
+            0 if runs => world.act(&Action::Tick(node)),
+            1 if runs => world.act(&Action::Sync(node)),
+            2 => self.client(world, node),
+            3 => self.fault(world, node),
+            4 => world.act(&Action::Drop(self.dice.index(world.network.len()))),
+            5 => self.message(world, true),
+            _ => self.message(world, false),
         }
-    };
-    if hit(chances.tick) {
-        world.act(&Action::Tick(node));
-    } else if hit(chances.sync) {
-        world.act(&Action::Sync(node));
-    } else if hit(chances.client) {
-        client(world, node, dice);
-    } else if hit(chances.fault) {
-        fault(world, walk, node, dice);
-    } else if hit(chances.drop) {
-        world.act(&Action::Drop(dice.index(world.network.len())));
-    } else if hit(chances.repeat) {
-        world.act(&Action::Repeat(dice.index(world.network.len())));
-    } else if !world.network.is_empty() {
-        world.act(&Action::Deliver(dice.index(world.network.len())));
-    } else {
-        world.act(&Action::Sync(node));
     }
-}
 
-fn client(world: &mut World, node: usize, dice: &mut Dice) {
-    let leads = |world: &World, at: usize| {
-        world.nodes[at].replica.as_ref().is_some_and(|replica| replica.is_serving())
-    };
-    let leaders: Vec<usize> = (0..world.nodes.len()).filter(|at| leads(world, *at)).collect();
-    let node = if leaders.is_empty() || dice.one_in(10) { node } else { leaders[dice.index(leaders.len())] };
-    world.act(&if dice.one_in(2) { Action::Propose(node) } else { Action::Confirm(node) });
-}
+    /// One message arrives whose ends are both reached.
+    fn message(&mut self, world: &mut World, again: bool) {
+        let whole = |index: usize| self.reach[index] == Reach::Whole;
+        let open = world.network.iter().enumerate();
+        let open = open.filter(|(_, envelope)| whole(envelope.from) && whole(envelope.to));
+        let open: Vec<usize> = open.map(|(at, _)| at).collect();
+        if open.is_empty() {
+            let waits = |node: &super::Node| !node.pending.is_empty();
+            if let Some(node) =
+                world.nodes.iter().position(waits).filter(|at| self.reach[*at] != Reach::Frozen)
+            {
+                world.act(&Action::Sync(node));
+            }
+            return;
+        }
+        let at = open[self.dice.index(open.len())];
+        world.act(&if again { Action::Repeat(at) } else { Action::Deliver(at) });
+    }
 
-fn fault(world: &mut World, walk: Walk, node: usize, dice: &mut Dice) {
-    if world.nodes[node].replica.is_none() {
-        return world.act(&Action::Restart(node));
+    fn client(&mut self, world: &mut World, node: usize) {
+        let serves = |world: &World, at: usize| {
+            let replica = world.nodes[at].replica.as_ref();
+            self.reach[at] != Reach::Frozen && replica.is_some_and(|replica| replica.is_serving())
+        };
+        let serving: Vec<usize> = (0..world.nodes.len()).filter(|at| serves(world, *at)).collect();
+        let any = serving.is_empty() || self.dice.one_in(10);
+        let node = if any { node } else { serving[self.dice.index(serving.len())] };
+        if self.reach[node] == Reach::Frozen {
+            return;
+        }
+        world.act(&if self.dice.one_in(2) { Action::Propose(node) } else { Action::Confirm(node) });
     }
-    let waiting = world.nodes[node].pending.len();
-    match dice.below(12) {
-        0..=3 => world.act(&Action::Crash(node, dice.index(waiting + 1))),
-        4 | 5 if walk.wipes => world.act(&Action::Wipe(node)),
-        6 | 7 if walk.leaves => world.act(&Action::Leave(node)),
-        8 => world.act(&Action::FailSync(node)),
-        9 => world.act(&Action::Elapse(node, 300_000 + dice.below(1_000_000))),
-        10 => world.act(&Action::Elapse(node, 6_000_000)),
-        _ => world.act(&Action::Tick(node)),
+
+    fn fault(&mut self, world: &mut World, node: usize) {
+        if world.nodes[node].replica.is_none() {
+            return world.act(&Action::Restart(node));
+        }
+        let waiting = world.nodes[node].pending.len();
+        match self.dice.below(14) {
+            0 | 1 => world.act(&Action::Crash(node, self.dice.index(waiting + 1))),
+            2..=5 => {
+                world.act(&Action::Crash(node, self.dice.index(waiting + 1)));
+                world.act(&Action::Restart(node));
+            }
+            6 | 7 if self.walk.wipes => {
+                world.act(&Action::Wipe(node));
+                if self.dice.one_in(2) {
+                    world.act(&Action::Restart(node));
+                }
+            }
+            8 | 9 if self.walk.leaves => world.act(&Action::Leave(node)),
+            10 => world.act(&Action::FailSync(node)),
+            11 => world.act(&Action::Elapse(node, 300_000 + self.dice.below(1_000_000))),
+            12 => world.act(&Action::Elapse(node, 6_000_000)),
+            _ => world.act(&Action::Tick(node)),
+        }
     }
 }
