Run groups of replicas in virtual time, and let a newcomer wait for who is in doubt

Cause: a newcomer that knocked within a second of a loss got a place beside the dead voter instead of its own.

--- a/decide/replication/src/model/mod.rs
+++ b/decide/replication/src/model/mod.rs
@@ -283,6 +283,14 @@
         self.collect(index);
     }
 
+    /// A node is told its time.
+    pub fn tick(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let Some(replica) = &mut node.replica else { return };
+        replica.tick(node.clock);
+        self.collect(index);
+    }
+
     /// A client proposes at a node.
     pub fn propose(&mut self, index: usize) {
         let node = &mut self.nodes[index];
--- a/decide/replication/src/replica/join.rs
+++ b/decide/replication/src/replica/join.rs
@@ -144,10 +144,16 @@
         let room = self.settings.most_voters.saturating_sub(membership.voters.len());
         let mut new = self.ready(now, primary);
         new.truncate(room);
+        // A voter that has just fallen silent may be gone for good: then the newcomer is to have its place, not one beside it.
+        let doubtful = self.settings.heartbeat_interval * 3;
+        let all_heard = membership.voters.iter().all(|voter| {
+            primary.peers.get(&voter.identity).is_none_or(|peer| now.since(peer.heard_at) <= doubtful)
+        });
+        let never = self.settings.faults.never_vote_out;
         // Two voters bear no loss, and lose what they have with the first: a sole founder waits for two.
         let waits = membership.voters.len() == 1 && new.len() == 1;
         let waited = now.since(primary.elected_at) >= self.settings.founding_wait;
-        if new.is_empty() || (waits && !waited) {
+        if new.is_empty() || (waits && !waited) || !(all_heard || never) {
             return None;
         }
         Some(MembershipChange::Add { new })
