Show by random faults in virtual time that a group goes on and becomes whole

Change: 200 groups of 4 to 6 voters, each through 12 faults of one node (crash, lost disk, freeze, cut both ways and one way, stalled disk, leaving), with losses and repeats of messages.

--- /dev/null
+++ b/decide/replication/tests/liveness.rs
@@ -0,0 +1,112 @@
+//! Random faults in virtual time, never more than a group must bear: it goes on, and is whole again when they end.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use lichenswitch_replication::model::timed::{Timed, Weather};
+use lichenswitch_replication::model::walk::Dice;
+use lichenswitch_replication::Settings;
+
+const SECOND: u64 = 1_000_000;
+/// Groups if the environment doesn't say (`REPLICATION_SEEDS`).
+const SEEDS: u64 = 200;
+
+fn number(name: &str, otherwise: u64) -> u64 {
+    std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(otherwise)
+}
+
+/// One fault of one node; how long it lasts. At most one node is faulty at a time.
+fn fault(timed: &mut Timed, node: usize, dice: &mut Dice) -> &'static str {
+    let lasts = 100_000 + dice.below(4 * SECOND);
+    match dice.below(8) {
+        0 => {
+            timed.crash(node);
+            timed.run_for(lasts);
+            timed.restart(node);
+            "crash"
+        }
+        1 => {
+            timed.wipe(node);
+            timed.run_for(lasts);
+            timed.restart(node);
+            "wipe"
+        }
+        2 => {
+            timed.freeze(node, lasts);
+            timed.run_for(lasts);
+            "freeze"
+        }
+        3 => {
+            timed.isolate(node);
+            timed.run_for(lasts);
+            "cut"
+        }
+        4 => {
+            (0..timed.world.nodes.len()).for_each(|other| timed.cut(other, node));
+            timed.run_for(lasts);
+            "deaf"
+        }
+        5 => {
+            (0..timed.world.nodes.len()).for_each(|other| timed.cut(node, other));
+            timed.run_for(lasts);
+            "mute"
+        }
+        6 => {
+            timed.stall_disk(node, lasts);
+            timed.run_for(lasts);
+            "stall"
+        }
+        _ => {
+            timed.call(node, |world| world.leave(node));
+            timed.run_for(lasts.min(SECOND));
+            timed.crash(node);
+            timed.run_for(lasts);
+            timed.restart(node);
+            "leave"
+        }
+    }
+}
+
+/// A group of `voters` through 12 faults, with changes and reads all along.
+fn run(voters: usize, seed: u64) {
+    let mut dice = Dice(seed ^ 0x5eed);
+    let mut timed = Timed::gathered(Settings::default(), voters, voters, seed);
+    timed.weather =
+        Weather { loss: [0, 200, 50][dice.index(3)], repeat: [0, 50][dice.index(2)], ..Weather::default() };
+    let mut done = Vec::new();
+    for _ in 0..12 {
+        let node = dice.index(voters);
+        let before = timed.world.ledger.acknowledged.len();
+        done.push((fault(&mut timed, node, &mut dice), node));
+        timed.heal();
+        let took = timed.commit_within(8 * SECOND);
+        let say = || format!("voters {voters}, seed {seed}, after {done:?}");
+        assert_eq!(timed.world.ledger.violation, None, "{}", say());
+        assert!(took.is_some(), "no change is committed within 8 s: {}", say());
+        assert!(timed.world.ledger.acknowledged.len() > before);
+        let whole = timed.run_until(15 * SECOND, |timed| timed.is_whole(voters));
+        assert!(whole.is_some(), "not whole within 15 s: {}", say());
+        if let Some(primary) = timed.world.serving() {
+            timed.call(primary, |world| world.confirm(primary));
+        }
+    }
+}
+
+#[test]
+fn groups_go_on_and_become_whole() {
+    let first = number("REPLICATION_FIRST_SEED", 0);
+    let last = first + number("REPLICATION_SEEDS", SEEDS);
+    let next = AtomicU64::new(first);
+    let one = || loop {
+        let seed = next.fetch_add(1, Ordering::Relaxed);
+        if seed >= last {
+            return;
+        }
+        run(4 + seed as usize % 3, seed);
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(one);
+        }
+    });
+    println!("{} groups of 4 to 6 voters through 12 faults each", last - first);
+}
