Move sockets and descriptors to packages that both programs use

Cause: the router of the fleet needs the poll loop, the table of connections, the timers and the shares of descriptors; they stood in the broker's package.

Change: `wire/net` and `decide/descriptors` are packages. No behaviour is changed.

--- a/src/decide/descriptors/mod.rs
+++ b/decide/descriptors/src/lib.rs
@@ -7,6 +7,8 @@
 //!
 //! The share of data nodes follows how many are listed: a connection for each and some beside, as far as half of all
 //! goes. Below that connections take turns: [`Verdict::Instead`] says that an idle one goes first.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use std::fmt;
 
--- a/src/net/mod.rs
+++ b/wire/net/src/lib.rs
@@ -1,14 +1,17 @@
 //! Sockets: the table of connections, the listeners, the wheel of timers and the wait for whatever is ready.
 //!
-//! [`Net`] owns every descriptor of the broker. A connection is opened by [`Net::connect`] or [`Net::accept`]
-//! and given back in one place, [`Net::close`].
+//! [`Net`] owns every descriptor of its program. A connection is opened by [`Net::connect`] or [`Net::accept`]
+//! and given back in one place, [`Net::close`]. What a program calls its connections, timers and signals is its own:
+//! [`Program`].
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod buffer;
 pub mod wheel;
 
-use crate::decide::descriptors::{Shares, Side, Verdict, Why};
-use crate::interface::Time;
 use buffer::Buffer;
+use lichenswitch_descriptors::{Shares, Side, Verdict, Why};
+use lichenswitch_interface::Time;
 use polling::{Event, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::fmt;
@@ -22,37 +25,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId(usize);
 
-/// Who a connection or listener belongs to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Owner {
-    /// Clients of the platform's protocol.
-    Platform,
-    /// Clients of the OGC front.
-    Ogc,
-    /// Data nodes that speak frames.
-    Frames,
-    /// Data nodes that speak OGC API Features.
-    Features,
-    /// Discovery.
-    Discovery,
-    /// Other brokers that have connected, where brokers talk.
-    PeerIn,
-    /// Other brokers that were connected to.
-    PeerOut,
-    /// Operators, in a net of their own.
-    Operators,
-}
-
-impl Owner {
-    fn side(self) -> Side {
-        match self {
-            Owner::Platform | Owner::Ogc | Owner::Operators => Side::Clients,
-            Owner::Frames | Owner::Features => Side::Nodes,
-            Owner::Discovery => Side::Discovery,
-            Owner::PeerIn => Side::PeersIn,
-            Owner::PeerOut => Side::PeersOut,
-        }
-    }
+/// What a program calls its connections, timers and signals.
+pub trait Program {
+    /// Who a connection or listener belongs to.
+    type Owner: Copy + Eq + fmt::Debug;
+    /// What a timer is for.
+    type Timer;
+    /// What a signal to the process asks for.
+    type Signal: Copy + Eq + fmt::Debug;
+    /// Whose descriptors the connections of an owner count to.
+    fn side(owner: Self::Owner) -> Side;
 }
 
 /// Why a connection could not be opened.
@@ -73,26 +55,9 @@
     }
 }
 
-/// What a timer is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Timer {
-    /// An attempt's time is over.
-    Attempt(Owner, u64),
-    /// A connection should be up, or may have been idle for too long.
-    Conn(ConnId),
-    /// An answer that has begun on a connection should be whole.
-    Answer(ConnId),
-    /// Calls to data nodes have waited for a descriptor.
-    Parked(Owner),
-    /// The connections of clients are to be looked at.
-    Clients(Owner),
-    /// Discovery should have answered its call of this number.
-    Discovery(u64),
-}
-
 /// Something that is ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ready {
+pub enum Ready<Owner, Signal> {
     /// A connection may be read from or written to.
     Conn(ConnId, Owner),
     /// A listener has connections to accept.
@@ -101,17 +66,6 @@
     Signal(Signal),
 }
 
-/// What a signal to the process asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Signal {
-    /// To finish what was taken, and end.
-    Stop,
-    /// To read the configuration again.
-    Reload,
-    /// To look at what operators want: it comes from a thread of this process.
-    Orders,
-}
-
 /// A clock that only moves forward and starts at the system's time, so that start times can be compared.
 pub struct Clock {
     origin: Instant,
@@ -134,7 +88,7 @@
 }
 
 /// One connection.
-pub struct Conn {
+pub struct Conn<Owner> {
     stream: TcpStream,
     owner: Owner,
     /// What has been read and not been used yet.
@@ -154,7 +108,7 @@
     interest: (bool, bool),
 }
 
-impl Conn {
+impl<Owner> Conn<Owner> {
     /// Queues bytes and tells where they end: they are out once [`Conn::written`] has reached that point.
     pub fn send(&mut self, bytes: &[u8]) -> u64 {
         self.output.push(bytes);
@@ -200,33 +154,33 @@
 const RESERVED: usize = 24;
 
 /// The table of connections, the listeners and the wheel.
-pub struct Net {
+pub struct Net<P: Program> {
     poller: Poller,
     events: Vec<Event>,
-    slots: Vec<Option<(ConnId, Conn)>>,
+    slots: Vec<Option<(ConnId, Conn<P::Owner>)>>,
     free: Vec<usize>,
     next: usize,
     /// Who may open connections, and how many are open.
     shares: Shares,
     /// In the order of their keys; `None`: closed.
-    listeners: Vec<(Owner, Option<TcpListener>)>,
+    listeners: Vec<(P::Owner, Option<TcpListener>)>,
     /// Accepting rests until a client's connection is given back.
     resting: bool,
-    signals: Vec<(Signal, UnixStream)>,
+    signals: Vec<(P::Signal, UnixStream)>,
     /// Timers.
-    pub wheel: Wheel<Timer>,
+    pub wheel: Wheel<P::Timer>,
     /// The clock.
     pub clock: Clock,
 }
 
-impl Net {
+impl<P: Program> Net<P> {
     /// A net that holds no more than `descriptors`.
-    pub fn new(descriptors: usize) -> io::Result<Net> {
+    pub fn new(descriptors: usize) -> io::Result<Net<P>> {
         Net::of_connections(descriptors.saturating_sub(RESERVED).max(8))
     }
 
     /// A net of so many connections.
-    pub fn of_connections(most: usize) -> io::Result<Net> {
+    pub fn of_connections(most: usize) -> io::Result<Net<P>> {
         let clock = Clock::default();
         Ok(Net {
             poller: Poller::new()?,
@@ -244,7 +198,7 @@
     }
 
     /// Listens for clients; tells the address, whose port the system may have chosen.
-    pub fn listen(&mut self, owner: Owner, address: SocketAddr) -> io::Result<SocketAddr> {
+    pub fn listen(&mut self, owner: P::Owner, address: SocketAddr) -> io::Result<SocketAddr> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
         // Guards an upgrade: the next process begins to listen while this one still serves.
@@ -256,7 +210,7 @@
     }
 
     /// Listens on a socket that listens already; tells the address.
-    pub fn adopt(&mut self, owner: Owner, listener: TcpListener) -> io::Result<SocketAddr> {
+    pub fn adopt(&mut self, owner: P::Owner, listener: TcpListener) -> io::Result<SocketAddr> {
         listener.set_nonblocking(true)?;
         let key = LISTENER_KEY + self.listeners.len();
         self.poller.add_with_mode(&listener, Event::readable(key), PollMode::Level)?;
@@ -267,19 +221,19 @@
 
     /// Where it listens, by owner.
     #[must_use]
-    pub fn addresses(&self) -> Vec<(Owner, SocketAddr)> {
+    pub fn addresses(&self) -> Vec<(P::Owner, SocketAddr)> {
         let address = |l: &Option<TcpListener>| l.as_ref()?.local_addr().ok();
         self.listeners.iter().filter_map(|(owner, l)| Some((*owner, address(l)?))).collect()
     }
 
     /// Another handle of the socket that `owner` listens on.
-    pub fn listener_of(&self, owner: Owner) -> io::Result<TcpListener> {
+    pub fn listener_of(&self, owner: P::Owner) -> io::Result<TcpListener> {
         let found = self.listeners.iter().find(|l| l.0 == owner).and_then(|l| l.1.as_ref());
         found.ok_or_else(|| io::Error::from(io::ErrorKind::NotConnected))?.try_clone()
     }
 
     /// Closes the listeners of `owner`.
-    pub fn leave(&mut self, owner: Owner) {
+    pub fn leave(&mut self, owner: P::Owner) {
         for (_, listener) in self.listeners.iter_mut().filter(|l| l.0 == owner) {
             if let Some(listener) = listener.take() {
                 // A listener that can't be taken out of the poller is taken out by its close.
@@ -290,12 +244,12 @@
 
     /// Closes all listeners.
     pub fn stop_listening(&mut self) {
-        let owners: Vec<Owner> = self.listeners.iter().map(|l| l.0).collect();
+        let owners: Vec<P::Owner> = self.listeners.iter().map(|l| l.0).collect();
         owners.into_iter().for_each(|owner| self.leave(owner));
     }
 
     /// Reports a signal whenever this stream can be read.
-    pub fn watch_signal(&mut self, signal: Signal, stream: UnixStream) -> io::Result<()> {
+    pub fn watch_signal(&mut self, signal: P::Signal, stream: UnixStream) -> io::Result<()> {
         stream.set_nonblocking(true)?;
         let key = SIGNAL_KEY + self.signals.len();
         self.poller.add_with_mode(&stream, Event::readable(key), PollMode::Level)?;
@@ -304,7 +258,7 @@
     }
 
     /// Waits until something is ready or `until` has come.
-    pub fn wait(&mut self, until: Option<Time>) -> io::Result<Vec<Ready>> {
+    pub fn wait(&mut self, until: Option<Time>) -> io::Result<Vec<Ready<P::Owner, P::Signal>>> {
         let until = [until, self.wheel.next()].into_iter().flatten().min();
         let timeout = until.map(|at| Duration::from_micros(at.since(self.clock.now())));
         self.events.clear();
@@ -326,7 +280,7 @@
     }
 
     /// Takes a signal's bytes, so that only the next one is reported.
-    pub fn clear_signal(&mut self, signal: Signal) {
+    pub fn clear_signal(&mut self, signal: P::Signal) {
         for (_, stream) in self.signals.iter_mut().filter(|s| s.0 == signal) {
             let mut bytes = [0; 64];
             loop {
@@ -347,14 +301,14 @@
 
     /// Accepts all that wait at the listeners of `owner`. With the budget used up the rest wait until a client's
     /// connection is given back.
-    pub fn accept(&mut self, owner: Owner) -> Vec<ConnId> {
+    pub fn accept(&mut self, owner: P::Owner) -> Vec<ConnId> {
         let mut taken = Vec::new();
         let listeners = std::mem::take(&mut self.listeners);
         for listener in listeners.iter().filter(|l| l.0 == owner).filter_map(|l| l.1.as_ref()) {
             loop {
                 // Guards the descriptor budget: over it a process fails in places that can't say so.
-                if !self.may_open(owner) {
-                    if owner == Owner::PeerIn {
+                if !self.may_open(P::side(owner)) {
+                    if P::side(owner) == Side::PeersIn {
                         // Clients don't wait for peers: one too many is closed, and comes again later.
                         match listener.accept() {
                             Err(e) if e.kind() != io::ErrorKind::Interrupted => break,
@@ -418,8 +372,8 @@
         self.shares.bears()
     }
 
-    fn may_open(&self, owner: Owner) -> bool {
-        matches!(self.shares.may_open(owner.side()), Verdict::Open(_))
+    fn may_open(&self, side: Side) -> bool {
+        matches!(self.shares.may_open(side), Verdict::Open(_))
     }
 
     /// Connections to data nodes that clients who wait have a right to: the idle among them may go.
@@ -439,9 +393,9 @@
     }
 
     /// Starts to open a connection.
-    pub fn connect(&mut self, owner: Owner, address: SocketAddr) -> Result<ConnId, Denied> {
+    pub fn connect(&mut self, owner: P::Owner, address: SocketAddr) -> Result<ConnId, Denied> {
         // Guards the descriptor budget, and what one side may take of it from the others.
-        match self.shares.may_open(owner.side()) {
+        match self.shares.may_open(P::side(owner)) {
             Verdict::Open(_) => self.open(owner, address).map_err(|e| match e.raw_os_error() {
                 Some(EMFILE | ENFILE) => Denied::Lack(Why::System),
                 _ => Denied::Failed(e),
@@ -450,7 +404,7 @@
         }
     }
 
-    fn open(&mut self, owner: Owner, address: SocketAddr) -> io::Result<ConnId> {
+    fn open(&mut self, owner: P::Owner, address: SocketAddr) -> io::Result<ConnId> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         let up = match socket.connect(&address.into()) {
@@ -461,7 +415,7 @@
         self.add(socket.into(), owner, up)
     }
 
-    fn add(&mut self, stream: TcpStream, owner: Owner, up: bool) -> io::Result<ConnId> {
+    fn add(&mut self, stream: TcpStream, owner: P::Owner, up: bool) -> io::Result<ConnId> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let index = self.free.pop().unwrap_or_else(|| {
@@ -476,7 +430,7 @@
             self.free.push(index);
             return Err(e);
         }
-        self.shares.on_opened(owner.side());
+        self.shares.on_opened(P::side(owner));
         let (input, output, used) = (Buffer::default(), Buffer::default(), self.clock.now());
         let (queued, written, ended) = (0, 0, false);
         let heard = used;
@@ -487,13 +441,13 @@
 
     /// The connection, if it is still there.
     #[must_use]
-    pub fn get(&self, id: ConnId) -> Option<&Conn> {
+    pub fn get(&self, id: ConnId) -> Option<&Conn<P::Owner>> {
         let slot = self.slots.get(id.0 & ((1 << INDEX_BITS) - 1))?.as_ref()?;
         (slot.0 == id).then_some(&slot.1)
     }
 
     /// The same, to change it.
-    pub fn get_mut(&mut self, id: ConnId) -> Option<&mut Conn> {
+    pub fn get_mut(&mut self, id: ConnId) -> Option<&mut Conn<P::Owner>> {
         let slot = self.slots.get_mut(id.0 & ((1 << INDEX_BITS) - 1))?.as_mut()?;
         (slot.0 == id).then_some(&mut slot.1)
     }
@@ -562,7 +516,7 @@
         if let Some((_, conn)) = self.slots[index].take() {
             // A stream that can't be taken out of the poller is taken out by its close.
             let _ = self.poller.delete(&conn.stream);
-            self.shares.on_closed(conn.owner.side());
+            self.shares.on_closed(P::side(conn.owner));
             self.free.push(index);
             self.attend_again();
         }
@@ -570,7 +524,7 @@
 
     /// Accepts again once there is room. Where the system itself had none, that shows in the next try.
     pub fn attend_again(&mut self) {
-        if self.resting && self.may_open(Owner::Platform) {
+        if self.resting && self.may_open(Side::Clients) {
             self.resting = false;
             self.attend(true);
         }
--- a/src/net/wheel.rs
+++ b/wire/net/src/wheel.rs
@@ -1,6 +1,6 @@
 //! Timers as coarse ticks on a wheel. A timer is never revoked: its owner disregards one that is stale.
 
-use crate::interface::{Micros, Time};
+use lichenswitch_interface::{Micros, Time};
 
 /// Length of a tick. Timers fire at the first tick at or after their time, never before it.
 pub const TICK: Micros = 2_000;
