--- a/wire/storage/src/block.rs
+++ b/wire/storage/src/block.rs
@@ -19,6 +19,9 @@
     Mark,
     /// Records.
     Records,
+    /// Nothing: it was put in the place of a block that must not count. It has the look of a block, so that a segment is known for
+    /// ours even if its writing was cut off.
+    Void,
 }
 
 impl Kind {
@@ -28,17 +31,24 @@
             Self::NoImage => 2,
             Self::Mark => 3,
             Self::Records => 4,
+            Self::Void => 5,
         }
     }
 
     fn from_code(code: u16) -> Option<Self> {
-        [Self::Image, Self::NoImage, Self::Mark, Self::Records].into_iter().find(|kind| kind.code() == code)
+        let kinds = [Self::Image, Self::NoImage, Self::Mark, Self::Records, Self::Void];
+        kinds.into_iter().find(|kind| kind.code() == code)
     }
 
     /// Whether a segment begins with it.
     pub(crate) fn is_beginning(self) -> bool {
         matches!(self, Self::Image | Self::NoImage)
     }
+
+    /// Whether it is only written once the beginning of its segment has been synced.
+    pub(crate) fn proves_beginning(self) -> bool {
+        matches!(self, Self::Mark | Self::Records)
+    }
 }
 
 /// What is said of a payload.
--- a/wire/storage/src/finding.rs
+++ b/wire/storage/src/finding.rs
@@ -9,7 +9,7 @@
     Owner,
     /// It is written in another version of the format.
     Format(u16),
-    /// It is no segment in any version.
+    /// It is no segment in any version. The remains of a segment's very first write, whose first part was lost, may look so, too.
     Unreadable,
 }
 
--- a/wire/storage/src/recovery.rs
+++ b/wire/storage/src/recovery.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
+use crate::block::SECTOR_BYTES;
 use crate::error::StorageError;
 use crate::file_system::{FileSystem, StorageFile};
 use crate::finding::{Finding, ForeignReason};
@@ -25,6 +26,9 @@
         return Err(StorageError::Settings("a segment has at least 4096 bytes"));
     }
     make_folders(file_system.as_ref(), folder)?;
+    if !(0..settings.segments).any(|segment| file_system.exists(&segment_path(folder, segment))) {
+        sync_names_above(file_system.as_ref(), folder)?;
+    }
     let mut storage = Storage::new(file_system, folder, settings);
     let mut search = Search::default();
     let found = look_over_files(&mut storage, settings.segments, &mut search)?;
@@ -33,23 +37,40 @@
     Ok((storage, recovered))
 }
 
-/// Makes a folder and those above it; each name is synced.
+/// Makes a folder and those above it.
 fn make_folders(file_system: &dyn FileSystem, folder: &Path) -> Result<(), StorageError> {
     if file_system.exists(folder) {
         return Ok(());
     }
-    let parent = folder.parent().filter(|parent| !parent.as_os_str().is_empty());
-    if let Some(parent) = parent {
+    if let Some(parent) = parent_of(folder) {
         make_folders(file_system, parent)?;
     }
     match file_system.create_folder(folder) {
-        Err(e) if e.kind() != io::ErrorKind::AlreadyExists => {
-            return Err(StorageError::io("create", folder)(e));
+        Err(e) if e.kind() != io::ErrorKind::AlreadyExists => Err(StorageError::io("create", folder)(e)),
+        _ => Ok(()),
+    }
+}
+
+fn parent_of(folder: &Path) -> Option<&Path> {
+    folder.parent().filter(|parent| !parent.as_os_str().is_empty())
+}
+
+/// Before the first use of a folder, makes its name and those above it last: whoever made them may have ended before its sync.
+fn sync_names_above(file_system: &dyn FileSystem, folder: &Path) -> Result<(), StorageError> {
+    for above in folder.ancestors().skip(1) {
+        let above = if above.as_os_str().is_empty() { Path::new(".") } else { above };
+        match file_system.sync_folder(above) {
+            Err(e) if !is_beyond_reach(e.kind()) => return Err(StorageError::io("sync", above)(e)),
+            _ => {}
         }
-        _ => {}
     }
-    let parent = parent.unwrap_or(Path::new("."));
-    file_system.sync_folder(parent).map_err(StorageError::io("sync", parent))
+    Ok(())
+}
+
+/// Whether a folder can't be synced because it isn't this process's to change: then it has made no name in it either.
+fn is_beyond_reach(kind: io::ErrorKind) -> bool {
+    use io::ErrorKind::{InvalidInput, NotFound, PermissionDenied, ReadOnlyFilesystem, Unsupported};
+    matches!(kind, PermissionDenied | ReadOnlyFilesystem | InvalidInput | NotFound | Unsupported)
 }
 
 /// What is known while the segments are looked over.
@@ -57,6 +78,8 @@
 struct Search {
     /// The newest segment with a whole beginning: its number, generation and bytes.
     newest: Option<(usize, u64, Vec<u8>)>,
+    /// Segments with a whole beginning.
+    whole: Vec<usize>,
     /// Highest generation that is proven to have been synced, and its segment.
     proven: Option<(u64, usize)>,
     /// Segments whose files weren't there.
@@ -70,6 +93,7 @@
             self.proven = Some((survey.proven_generation, segment));
         }
         if let Beginning::Whole { generation } = survey.beginning {
+            self.whole.push(segment);
             if generation > self.newest.as_ref().map_or(0, |(_, newest, _)| *newest) {
                 self.newest = Some((segment, generation, bytes));
             }
@@ -127,7 +151,9 @@
         }
         Err(e) => return Err(StorageError::io("open", &path)(e)),
     };
-    let bytes = file.read_all().map_err(StorageError::io("read", &path))?;
+    let mut bytes = file.read_all().map_err(StorageError::io("read", &path))?;
+    // A file whose length was lost ends where its last write did.
+    bytes.resize(bytes.len().next_multiple_of(SECTOR_BYTES), 0);
     let survey = segment::survey(&bytes, storage.owner);
     if let Beginning::Foreign(reason) = survey.beginning {
         set_aside(storage, segment, reason, search)?;
@@ -204,6 +230,7 @@
         storage.needs_image = true;
     }
     let Some((segment, generation, bytes)) = search.newest else {
+        void_next(storage, 0, &search.whole)?;
         return Ok(Recovered { findings, ..Recovered::default() });
     };
     let next = (segment + 1) % storage.segments.len();
@@ -213,6 +240,7 @@
             may_have_been_newest: missing == next,
         }),
     );
+    void_next(storage, next, &search.whole)?;
     let chain = segment::read_chain(&bytes, storage.owner, segment, generation);
     findings.extend(chain.finding.clone());
     storage.needs_image |= chain.finding.as_ref().is_some_and(Finding::loses_state);
@@ -220,8 +248,9 @@
     Ok(Recovered { image: chain.image, records: chain.records, findings })
 }
 
-/// Makes the last block last: whoever wrote it may have ended before its sync, or after a sync that failed. That it is there
-/// proves that all before it were synced.
+/// Makes what was found last, and what wasn't found stay away. Whoever wrote the last block may have ended before its sync, or after a
+/// sync that failed: then the disk may hold less than can be read now, or more. That the last block is there proves that
+/// all before it were synced.
 fn continue_chain(
     storage: &mut Storage,
     segment: usize,
@@ -231,7 +260,11 @@
 ) -> Result<(), StorageError> {
     let (mut offset, mut sequence) = (chain.offset as u64, chain.sequence);
     if !storage.needs_image {
-        storage.write_synced(segment, chain.last_offset as u64, &bytes[chain.last_offset..chain.offset])?;
+        let mut last = bytes[chain.last_offset..chain.offset].to_vec();
+        if offset < storage.segments[segment].length {
+            last.resize(last.len() + SECTOR_BYTES, 0);
+        }
+        storage.write_synced(segment, chain.last_offset as u64, &last)?;
         if sequence == 1 {
             offset = storage.write_mark(segment, generation, offset)?;
             sequence = 2;
@@ -240,3 +273,12 @@
     storage.current = Some(Current { segment, generation, offset, sequence });
     Ok(())
 }
+
+/// Clears the beginning of the segment that comes next, unless it is whole, and so an older one. A beginning that was voided may
+/// read as void, and yet be whole on the disk, if the sync of its voiding failed: it would come back as the newest.
+fn void_next(storage: &mut Storage, next: usize, whole: &[usize]) -> Result<(), StorageError> {
+    if whole.contains(&next) {
+        return Ok(());
+    }
+    storage.write_void(next, 0)
+}
--- a/wire/storage/src/segment.rs
+++ b/wire/storage/src/segment.rs
@@ -34,7 +34,7 @@
     for (_, header, _) in whole_blocks(bytes, 0, owner) {
         ours = true;
         survey.highest_generation = survey.highest_generation.max(header.generation);
-        if !header.kind.is_beginning() {
+        if header.kind.proves_beginning() {
             survey.proven_generation = survey.proven_generation.max(header.generation);
         }
     }
--- a/wire/storage/src/storage.rs
+++ b/wire/storage/src/storage.rs
@@ -253,13 +253,18 @@
     /// what is acknowledged from here on. The mark goes first, since a mark without a beginning would look like damage.
     fn void_unfinished(&mut self) -> Result<(), StorageError> {
         let Some(Unfinished { segment, mark_offset }) = self.unfinished else { return Ok(()) };
-        let nothing = [0; block::SECTOR_BYTES];
-        self.write_synced(segment, mark_offset, &nothing)?;
-        self.write_synced(segment, 0, &nothing)?;
+        self.write_void(segment, mark_offset)?;
+        self.write_void(segment, 0)?;
         self.unfinished = None;
         Ok(())
     }
 
+    /// Puts nothing in the place of a block.
+    pub(crate) fn write_void(&mut self, segment: usize, offset: u64) -> Result<(), StorageError> {
+        let void = self.encode(Kind::Void, 0, 0, &[])?;
+        self.write_synced(segment, offset, &void)
+    }
+
     /// Makes a segment long enough for a beginning and as much again: a longer file takes its place.
     fn make_room(&mut self, segment: usize, beginning: u64) -> Result<(), StorageError> {
         if 2 * beginning > self.segments[segment].length {
