--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod decide;
 pub mod discovery;
 pub mod front;
-pub mod http;
+pub use lichenswitch_http as http;
 pub use lichenswitch_interface as interface;
 pub mod inventory;
 pub mod lines;
@@ -22,7 +22,7 @@
 pub mod policy;
 pub mod stats;
 #[cfg(test)]
-mod testing;
+use lichenswitch_testing as testing;
 pub mod upstream;
 
 /// Compiles and runs the example of the README.
--- a/src/testing.rs
+++ b/testing/src/lib.rs
@@ -1,5 +1,7 @@
 //! Helpers of tests: for those of all parsers random cuts of valid messages and random garbage, by quickcheck from
 //! a fixed seed; for those of files a folder that is gone after the test.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use quickcheck::{Arbitrary, Gen};
 use std::path::{Path, PathBuf};
@@ -56,6 +58,7 @@
 
 impl Folder {
     /// A folder that holds these files.
+    #[must_use]
     pub fn new(files: &[(&str, &str)]) -> Folder {
         static COUNT: AtomicU32 = AtomicU32::new(0);
         let number = COUNT.fetch_add(1, Ordering::Relaxed);
@@ -66,6 +69,8 @@
         }
         Folder(path)
     }
+    /// Where it is.
+    #[must_use]
     pub fn path(&self) -> &Path {
         &self.0
     }
--- a/src/http.rs
+++ b/wire/http/src/lib.rs
@@ -1,4 +1,6 @@
 //! HTTP/1.1 messages: requests of clients, and responses of servers that this program asks.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use std::fmt::Write as _;
 
--- a/src/http/tests.rs
+++ b/wire/http/src/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of `http`.
 
 use super::*;
-use crate::testing::{garbage, random_cuts};
+use lichenswitch_testing::{garbage, random_cuts};
 
 const POST: &[u8] = b"POST /a?x=1 HTTP/1.1\r\nHost: h\r\nReq-Id: 7\r\nContent-Length: 3\r\n\r\nabc";
 const CHUNKS: &[u8] =
