Let a caller bound a request's body, and break a connection whose peer is gone

The control side takes bodies of 4 MiB where the brokers take 64 KiB. A machine that lost power or is cut off says nothing: without TCP_USER_TIMEOUT the system tries for minutes. Programs that set none are as before.

--- a/wire/http/src/lib.rs
+++ b/wire/http/src/lib.rs
@@ -236,6 +236,11 @@
 
 /// Reads a request from the bytes that a client has sent so far.
 pub fn request(bytes: &[u8]) -> Result<Parsed<Request>, Malformed> {
+    request_up_to(bytes, BODY)
+}
+
+/// The same, with a body of at most `most` bytes.
+pub fn request_up_to(bytes: &[u8], most: usize) -> Result<Parsed<Request>, Malformed> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     let used = match head.parse(bytes) {
@@ -248,7 +253,7 @@
         Err(_) => return Err(Malformed(400, "malformed head")),
     };
     let headers = text(head.headers)?;
-    let Some(found) = body(framing(&headers)?, &bytes[used..], BODY)? else {
+    let Some(found) = body(framing(&headers)?, &bytes[used..], most)? else {
         let waits = find(&headers, "expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"));
         return Ok(Parsed::Partial(waits && bytes.len() == used));
     };
--- a/wire/net/src/lib.rs
+++ b/wire/net/src/lib.rs
@@ -13,7 +13,7 @@
 use lichenswitch_descriptors::{Shares, Side, Verdict, Why};
 use lichenswitch_interface::Time;
 use polling::{Event, PollMode, Poller};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::fmt;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -35,6 +35,12 @@
     type Signal: Copy + Eq + fmt::Debug;
     /// Whose descriptors the connections of an owner count to.
     fn side(owner: Self::Owner) -> Side;
+    /// After this long without a sign that what was sent has arrived, a connection of this owner breaks. Without it the system goes on
+    /// trying for minutes where the other side has lost power or is cut off. `None`: as the system has it.
+    fn user_timeout(owner: Self::Owner) -> Option<Duration> {
+        let _ = owner;
+        None
+    }
 }
 
 /// Why a connection could not be opened.
@@ -418,6 +424,10 @@
     fn add(&mut self, stream: TcpStream, owner: P::Owner, up: bool) -> io::Result<ConnId> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
+        if let Some(timeout) = P::user_timeout(owner) {
+            // Where the system has no such option, silence is noticed by whoever listens for it.
+            let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(timeout));
+        }
         let index = self.free.pop().unwrap_or_else(|| {
             self.slots.push(None);
             self.slots.len() - 1
