--- /dev/null
+++ b/fleet/src/control/contact.rs
@@ -0,0 +1,219 @@
+//! What this machine tells of itself and of what is committed: to routers, to other control machines, and to those without a copy.
+
+use super::group::to_replica;
+use super::machine::Machine;
+use super::relayed_calls::Primary;
+use super::routers::{Committed, Push};
+use lichenswitch_interface::Time;
+use lichenswitch_messages::{ConfigurationPosition, ControlToRouter, Envelope, PeerMessage};
+use lichenswitch_net::ConnId;
+use lichenswitch_replication::Position;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// What others were told last.
+#[derive(Default)]
+pub(super) struct Told {
+    in_contact: bool,
+    /// Machines without a copy: the version that was sent to each, and on which connection.
+    relays: BTreeMap<SocketAddr, (ConnId, u64)>,
+}
+
+impl Machine {
+    /// Whether what is told here is in touch with a quorum.
+    pub(super) fn in_contact(&self, now: Time) -> bool {
+        let own = self.group.as_ref().is_some_and(|group| group.replica.in_contact(to_replica(now)));
+        self.leaving.is_none() && (own || self.feed.primary(now).is_some())
+    }
+
+    /// Tells at once that contact was lost or found.
+    pub(super) fn look_at_contact(&mut self, now: Time) {
+        let in_contact = self.in_contact(now);
+        if std::mem::replace(&mut self.told.in_contact, in_contact) == in_contact {
+            return;
+        }
+        log::info!(target: "control", in_contact = in_contact; "contact has changed");
+        self.tell_routers(now);
+        self.tell_peers(now);
+    }
+
+    /// Takes in what has been committed, and pushes it.
+    pub(super) fn look_at_committed(&mut self, now: Time) {
+        let Some(newest) = self.newest_committed() else { return };
+        log::info!(target: "control", version = newest.version; "configuration is committed");
+        let pushes = self.routers.push_configuration(&newest);
+        self.committed = Some(newest);
+        self.push_all(pushes);
+        self.feed_relays(now);
+    }
+
+    /// What is committed and newer than what was pushed.
+    fn newest_committed(&self) -> Option<Committed> {
+        let known = self.committed.as_ref().map_or(0, |known| known.version);
+        if let Some((position, state)) = self.group.as_ref().and_then(|group| group.replica.committed()) {
+            if let Some(document) = state.0.document().filter(|document| document.version() > known) {
+                let (position, version) = (configuration_position(position), document.version());
+                return Some(Committed { position, version, document: document.to_json().into() });
+            }
+        }
+        self.feed.committed().filter(|fed| fed.version > known).cloned()
+    }
+
+    pub(super) fn push_all(&mut self, pushes: Vec<Push>) {
+        for (id, message) in pushes {
+            self.links.send(&mut self.net, id, &Envelope::ToRouter(message));
+        }
+    }
+
+    /// A heartbeat to all routers.
+    pub(super) fn tell_routers(&mut self, now: Time) {
+        let connections = self.routers.connections();
+        if connections.is_empty() {
+            return;
+        }
+        if let Ok(bytes) = crate::envelopes::encode(&Envelope::ToRouter(self.router_heartbeat(now))) {
+            connections.into_iter().for_each(|id| self.links.send_bytes(&mut self.net, id, &bytes));
+        }
+    }
+
+    pub(super) fn router_heartbeat(&self, now: Time) -> ControlToRouter {
+        ControlToRouter::Heartbeat {
+            in_contact: self.in_contact(now),
+            control: self.control_machines(),
+            routers: self.routers_of_fleet(),
+        }
+    }
+
+    /// Routers that are members here and at the other control machines.
+    pub(super) fn routers_of_fleet(&self) -> u32 {
+        let elsewhere: u32 = self.peers.connected().map(|(_, peer)| peer.routers).sum();
+        elsewhere.saturating_add(u32::try_from(self.routers.count()).unwrap_or(u32::MAX))
+    }
+
+    /// Control machines that can be connected to: those in contact first, and voters before the others.
+    fn control_machines(&self) -> Vec<String> {
+        let voters: BTreeSet<SocketAddr> = self.voters().into_iter().collect();
+        let rank =
+            |address: &SocketAddr, in_contact: bool| (!in_contact, !voters.contains(address), *address);
+        let mut ranked: Vec<_> =
+            self.peers.connected().map(|(address, peer)| rank(&address, peer.in_contact)).collect();
+        if self.leaving.is_none() {
+            ranked.push(rank(&self.address, self.told.in_contact));
+        }
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(.., address)| address.to_string()).collect()
+    }
+
+    /// What this machine knows of its own place.
+    pub(super) fn contact_message(&self, now: Time) -> PeerMessage {
+        let primary = match self.primary(now) {
+            Primary::Here => Some(self.address),
+            Primary::At(address) => Some(address),
+            Primary::Unknown => None,
+        };
+        PeerMessage::Contact {
+            in_contact: self.in_contact(now),
+            primary: primary.map(|address| address.to_string()),
+            routers: u32::try_from(self.routers.count()).unwrap_or(u32::MAX),
+            known: self.peers.known(),
+        }
+    }
+
+    /// The word to all other control machines that is due now and then: place, and who was heard.
+    pub(super) fn digest(&mut self, now: Time) {
+        self.tell_peers(now);
+        let heard = self.servers.take_digest(now);
+        if !heard.is_empty() {
+            self.send_to_peers(&PeerMessage::Heard(heard));
+        }
+        if let Some(group) = &mut self.group {
+            let known = self.peers.iter().filter(|(_, peer)| peer.heard().is_some());
+            let known = known.map(|(address, _)| address.to_string()).collect();
+            group.replica.set_peers(known);
+        }
+    }
+
+    pub(super) fn tell_peers(&mut self, now: Time) {
+        let message = self.contact_message(now);
+        self.send_to_peers(&message);
+    }
+
+    /// A message to all that are connected.
+    pub(super) fn send_to_peers(&mut self, message: &PeerMessage) {
+        let connections: Vec<ConnId> =
+            self.peers.connected().filter_map(|(address, _)| self.peers.connection(address)).collect();
+        if connections.is_empty() {
+            return;
+        }
+        if let Ok(bytes) = crate::envelopes::encode(&Envelope::Peer(message.clone())) {
+            connections.into_iter().for_each(|id| self.links.send_bytes(&mut self.net, id, &bytes));
+        }
+    }
+
+    /// Machines that hold no copy of the state, and can be sent to.
+    fn relays(&self) -> Vec<(SocketAddr, ConnId)> {
+        let voters = self.voters();
+        let others = self.peers.connected().filter(|(address, _)| !voters.contains(address));
+        others.filter_map(|(address, _)| Some((address, self.peers.connection(address)?))).collect()
+    }
+
+    /// A primary in contact tells machines without a copy so, and what is committed.
+    pub(super) fn tell_relays(&mut self, now: Time) {
+        if self.primary(now) != Primary::Here || !self.in_contact(now) {
+            return;
+        }
+        let message = Envelope::Peer(self.contact_message(now));
+        for (_, id) in self.relays() {
+            self.links.send(&mut self.net, id, &message);
+        }
+        self.feed_relays(now);
+    }
+
+    /// The primary sends what is committed to those that lack it.
+    pub(super) fn feed_relays(&mut self, now: Time) {
+        let Some(committed) = self.committed.clone().filter(|_| self.primary(now) == Primary::Here) else {
+            return;
+        };
+        for (address, id) in self.relays() {
+            if self.told.relays.get(&address) != Some(&(id, committed.version)) {
+                self.told.relays.insert(address, (id, committed.version));
+                let (position, document) = (committed.position, committed.document.to_vec());
+                let message = Envelope::Peer(PeerMessage::Configuration { position, document });
+                self.links.send(&mut self.net, id, &message);
+            }
+        }
+    }
+
+    /// Tells what is new of servers, and answers the beats that brought it.
+    pub(super) fn tell_servers(&mut self, now: Time) -> bool {
+        if self.servers.has_changes() {
+            let connected: BTreeSet<SocketAddr> =
+                self.peers.connected().map(|(address, _)| address).collect();
+            let (changes, ack) = self.servers.take_changes(now, &connected);
+            let pushes = self.routers.push_servers(&changes.records);
+            self.push_all(pushes);
+            // What came from another control machine was told to all by that one.
+            if ack != 0 {
+                let records = changes.news().to_vec();
+                self.send_to_peers(&PeerMessage::Servers { ack, records, whole: false });
+            }
+        }
+        self.servers.settle(now);
+        let answers = self.servers.take_answers();
+        let busy = !answers.is_empty();
+        for (caller, held) in answers {
+            let response = super::on_call::beat_answer(held);
+            self.callers.answer(&mut self.net, caller, response);
+        }
+        busy
+    }
+}
+
+/// Where a configuration stands, for routers.
+fn configuration_position(position: Position) -> ConfigurationPosition {
+    ConfigurationPosition {
+        epoch: position.epoch.counter,
+        primary: position.epoch.primary.0,
+        number: position.number,
+    }
+}
--- /dev/null
+++ b/fleet/src/control/group.rs
@@ -0,0 +1,299 @@
+//! The replicated state as this machine holds it: a replica, and the disk that it writes to.
+//!
+//! It owns both, and promises that what the replica wants written is written in order, and told to it only once it has been synced. Without
+//! a disk the memory of the process is what there is.
+
+use super::program::{Net, Signal};
+use super::ControlError;
+use crate::settings::Settings;
+use lichenswitch_configuration::State;
+use lichenswitch_interface::Time;
+use lichenswitch_replication as replication;
+use lichenswitch_replication::{
+    DurableItem, Identity, Member, Output, Recovered, Replica, ReplicatedState, StateError, Ticket,
+};
+use lichenswitch_storage::{Job, Storage, StorageSettings, Usage, Writer};
+use log::{info, warn};
+use std::hash::BuildHasher;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+
+/// The state that all voters hold: configuration and history of orders.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct Replicated(pub(super) State);
+
+impl ReplicatedState for Replicated {
+    fn encode(&self) -> Vec<u8> {
+        self.0.encode()
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Self, StateError> {
+        State::decode(bytes).map(Replicated).map_err(|e| StateError::new(e.to_string()))
+    }
+
+    fn apply(&mut self, change: &[u8]) -> Result<(), StateError> {
+        self.0.apply(change).map_err(|e| StateError::new(e.to_string()))
+    }
+}
+
+/// Why a machine takes part in the group of voters, if it does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Eligibility {
+    /// It has a disk, or its loss is counted.
+    Durable,
+    /// Neither, but the first start names it as a seed: somebody has to begin where no machine has a disk.
+    Stopgap,
+    /// It forwards calls and holds no state that matters.
+    Relay,
+}
+
+impl Eligibility {
+    /// Of the machine of these settings.
+    pub(super) fn of(settings: &Settings) -> Eligibility {
+        let own = settings.listen.control_plane;
+        let seed = own.is_some_and(|own| settings.seed_nodes.contains(&own));
+        match settings.data_directory.is_some() || settings.loss_counted {
+            true => Eligibility::Durable,
+            false if settings.first_start && seed => Eligibility::Stopgap,
+            false => Eligibility::Relay,
+        }
+    }
+
+    /// Whether this machine takes part from its start on.
+    pub(super) fn begins(self, settings: &Settings) -> bool {
+        self == Eligibility::Durable || (self == Eligibility::Stopgap && founds(settings))
+    }
+}
+
+/// Whether this machine founds the group: once in the life of a system, by one machine that all name alike.
+fn founds(settings: &Settings) -> bool {
+    settings.first_start
+        && settings.listen.control_plane.is_some_and(|own| settings.seed_nodes.first() == Some(&own))
+}
+
+/// A replica, and where it writes.
+pub(super) struct Group {
+    pub(super) replica: Replica<Replicated>,
+    disk: Option<Disk>,
+    /// Items that are to be told as written, where there is no disk.
+    remembered: Option<Ticket>,
+}
+
+/// What a disk held.
+enum Contents {
+    /// Nothing, ever.
+    Nothing,
+    /// What can't be used: it counts as a disk that was lost.
+    Lost,
+    /// A member.
+    Member(Box<Recovered>),
+}
+
+/// The disk, by its writer.
+struct Disk {
+    writer: Writer,
+    usage: Usage,
+    /// The last failure, until something is written again.
+    failure: Option<String>,
+}
+
+/// Folder of the ring under the data directory.
+const FOLDER: &str = "control";
+/// Owner that the ring's files name.
+const OWNER: &str = "lichenswitch-fleet control";
+
+impl Group {
+    /// Starts with what the disk holds.
+    pub(super) fn start(
+        settings: &Settings,
+        address: String,
+        net: &mut Net,
+        now: Time,
+    ) -> Result<Group, ControlError> {
+        let (storage, contents) = match &settings.data_directory {
+            Some(directory) => {
+                let (storage, contents) = open(&directory.join(FOLDER))?;
+                (Some(storage), contents)
+            }
+            None => (None, Contents::Nothing),
+        };
+        let disk = storage.map(|storage| Disk::start(storage, net)).transpose()?;
+        let replica = replica(settings, address, contents, now);
+        Ok(Group { replica, disk, remembered: None })
+    }
+
+    /// Of the member.
+    pub(super) fn identity(&self) -> Identity {
+        self.replica.member().identity
+    }
+
+    /// What the replica wants done, but for what it wants written: that is begun here.
+    pub(super) fn take_outputs(&mut self, now: Time) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        loop {
+            for output in self.replica.take_outputs() {
+                match output {
+                    Output::Persist { ticket, item } => self.persist(ticket, &item),
+                    other => outputs.push(other),
+                }
+            }
+            match self.remembered.take() {
+                Some(ticket) => self.replica.on_persisted(to_replica(now), ticket),
+                None => return outputs,
+            }
+        }
+    }
+
+    fn persist(&mut self, ticket: Ticket, item: &DurableItem) {
+        let Some(disk) = &mut self.disk else {
+            self.remembered = Some(ticket);
+            return;
+        };
+        // A segment that is nearly full begins anew with everything that this item and those before it come to.
+        let image = if disk.usage.wants_image { self.replica.image_for(ticket) } else { None };
+        let item = image.as_ref().unwrap_or(item);
+        let job = match item {
+            DurableItem::Image(_) => {
+                disk.usage.wants_image = false;
+                Job::Replace(item.encode())
+            }
+            DurableItem::Promise(_) | DurableItem::Record(_) => Job::Append(vec![item.encode()]),
+        };
+        disk.writer.submit(ticket.0, job);
+    }
+
+    /// The writer has finished something.
+    pub(super) fn on_written(&mut self, now: Time) {
+        let Some(disk) = &mut self.disk else { return };
+        for completion in disk.writer.completions() {
+            let ticket = Ticket(completion.ticket);
+            match completion.result {
+                Ok(usage) => {
+                    if disk.failure.is_some() {
+                        info!(target: "control", "the disk takes writes again");
+                    }
+                    (disk.usage, disk.failure) = (usage, None);
+                    self.replica.on_persisted(to_replica(now), ticket);
+                }
+                Err(e) => {
+                    // It is tried again and again; the log needs to hear of it once.
+                    if disk.failure.is_none() {
+                        warn!(target: "control", error = e.to_string().as_str(); "the disk takes nothing");
+                    }
+                    disk.failure = Some(e.to_string());
+                    self.replica.on_persist_failed(to_replica(now), ticket);
+                }
+            }
+        }
+    }
+
+    /// When the replica wants to be woken; `None`: never.
+    pub(super) fn next_wake(&self) -> Option<Time> {
+        Some(Time(self.replica.next_wake().0)).filter(|at| at.0 < u64::MAX)
+    }
+
+    /// How full the disk is, and its last failure.
+    pub(super) fn disk(&self) -> Option<(Usage, usize, Option<&str>)> {
+        let disk = self.disk.as_ref()?;
+        Some((disk.usage, disk.writer.outstanding(), disk.failure.as_deref()))
+    }
+
+    /// Waits for what was handed to the disk. Called once, at the end of the process.
+    pub(super) fn close(self) {
+        if let Some(disk) = self.disk {
+            disk.writer.close();
+        }
+    }
+}
+
+/// A time, as the replica counts it.
+pub(super) fn to_replica(now: Time) -> replication::Time {
+    replication::Time(now.0)
+}
+
+impl Disk {
+    fn start(storage: Storage, net: &mut Net) -> Result<Disk, ControlError> {
+        let (ours, theirs) = UnixStream::pair()?;
+        net.watch_signal(Signal::Written, ours)?;
+        let usage = storage.usage();
+        Ok(Disk { writer: Writer::start(storage, theirs)?, usage, failure: None })
+    }
+}
+
+/// Opens the ring. What is not whole is treated as a lost disk: set aside, and begun anew with another identity.
+fn open(folder: &Path) -> Result<(Storage, Contents), ControlError> {
+    let (storage, found) = Storage::open(folder, &StorageSettings::new(OWNER))?;
+    for finding in &found.findings {
+        warn!(target: "control", finding:? = finding; "the disk is not as it was left");
+    }
+    if found.is_empty() {
+        let before = aside(folder).exists();
+        return Ok((storage, if before { Contents::Lost } else { Contents::Nothing }));
+    }
+    match read(&found) {
+        Ok(recovered) if !found.loses_state() => Ok((storage, Contents::Member(Box::new(recovered)))),
+        outcome => {
+            let reason = outcome.err().unwrap_or_else(|| "acknowledged state is missing".to_owned());
+            drop(storage);
+            set_aside(folder, &reason)?;
+            Ok((Storage::open(folder, &StorageSettings::new(OWNER))?.0, Contents::Lost))
+        }
+    }
+}
+
+fn read(found: &lichenswitch_storage::Recovered) -> Result<Recovered, String> {
+    let items = found.image.iter().chain(&found.records).map(|bytes| DurableItem::decode(bytes));
+    let items = items.collect::<Result<Vec<_>, _>>().map_err(|e| e.to_string())?;
+    Recovered::from_items(items).map_err(|e| e.to_string())
+}
+
+/// The folder gets another name. It is not deleted: a person may want to look at it. One that was set aside before goes.
+fn set_aside(folder: &Path, reason: &str) -> Result<(), ControlError> {
+    let aside = aside(folder);
+    warn!(target: "control", reason = reason, aside = aside.display().to_string().as_str(); "the disk counts as lost");
+    if aside.exists() {
+        std::fs::remove_dir_all(&aside)?;
+    }
+    std::fs::rename(folder, &aside)?;
+    let parent = folder.parent().unwrap_or(folder);
+    Ok(std::fs::File::open(parent)?.sync_all()?)
+}
+
+/// Where a folder that can't be used is put.
+fn aside(folder: &Path) -> PathBuf {
+    folder.with_extension("lost")
+}
+
+fn replica(settings: &Settings, address: String, contents: Contents, now: Time) -> Replica<Replicated> {
+    let figures = replication::Settings {
+        fault_tolerance: u32::try_from(settings.fault_tolerance.machines).unwrap_or(u32::MAX),
+        ..replication::Settings::default()
+    };
+    let (seed, now) = (fastrand::u64(..), to_replica(now));
+    let nothing = matches!(contents, Contents::Nothing);
+    if let Contents::Member(recovered) = contents {
+        match Replica::recover(figures.clone(), address.clone(), *recovered, seed, now) {
+            Ok(replica) => {
+                info!(target: "control", identity = replica.member().identity.to_string().as_str(); "the disk holds a member");
+                return replica;
+            }
+            Err(e) => {
+                warn!(target: "control", error = e.to_string().as_str(); "what the disk holds can't be read")
+            }
+        }
+    }
+    let member = Member { identity: draw_identity(&address), address };
+    if nothing && founds(settings) {
+        info!(target: "control", identity = member.identity.to_string().as_str(); "founds the group");
+        return Replica::found(figures, member, Replicated::default(), seed, now);
+    }
+    Replica::newcomer(figures, member, seed, now)
+}
+
+/// A number that no other member has, and none had: from the system's random numbers, the address and the time.
+pub(super) fn draw_identity(address: &str) -> Identity {
+    let hasher = std::collections::hash_map::RandomState::new();
+    let drawn =
+        hasher.hash_one((address, std::process::id(), std::time::SystemTime::now(), fastrand::u64(..)));
+    Identity(drawn.max(1))
+}
--- /dev/null
+++ b/fleet/src/control/on_call.rs
@@ -0,0 +1,190 @@
+//! Requests of servers and operators.
+
+use super::callers::error;
+use super::calls::{Call, Origin, Question};
+use super::machine::Machine;
+use super::primary_calls::Refusal;
+use super::relayed_calls::Step;
+use super::servers::Beat;
+use super::status;
+use lichenswitch_configuration::{judge_alone, parse_base_version, Order, OrderKind};
+use lichenswitch_http::{Request, Response};
+use lichenswitch_interface::Time;
+use lichenswitch_messages::{PeerMessage, RelayedAnswer};
+use lichenswitch_net::ConnId;
+use lichenswitch_registry::Heartbeat;
+
+/// Kind of all bodies.
+const JSON: &str = "application/json";
+
+/// What a request asks for.
+#[derive(Debug, PartialEq, Eq)]
+enum Target<'a> {
+    Order,
+    Describe,
+    Status,
+    Heartbeat(&'a str),
+    Deregister(&'a str),
+    /// There is such a path, for this method.
+    OtherMethod(&'static str),
+    Unknown,
+}
+
+impl Machine {
+    /// A whole request has come.
+    pub(super) fn on_request(&mut self, id: ConnId, request: &Request) {
+        let now = self.net.clock.now();
+        let response = match target(&request.method, request.path()) {
+            Target::Order => self.on_order(id, request, now),
+            Target::Describe => self.ask(id, Question::Describe, now),
+            Target::Status if request.query() == "primary" => self.ask(id, Question::Status, now),
+            Target::Status => Some(Response::new(200, JSON, status::machine(self, now))),
+            Target::Heartbeat(instance) => self.on_heartbeat(id, instance, request, now),
+            Target::Deregister(instance) => self.on_deregister(id, instance, now),
+            Target::OtherMethod(method) => {
+                Some(error(405, "the method is another one").with("allow", method))
+            }
+            Target::Unknown => Some(error(404, "there is no such path")),
+        };
+        if let Some(response) = response {
+            self.callers.answer(&mut self.net, id, response);
+        }
+    }
+
+    /// What is invalid in itself is refused here; all else is the primary's to judge.
+    fn on_order(&mut self, id: ConnId, request: &Request, now: Time) -> Option<Response> {
+        let base_version = match parse_base_version(request.header("base-version").map(str::as_bytes)) {
+            Ok(base_version) => base_version,
+            Err(e) => return Some(self.refuse(now, 0, e.to_string())),
+        };
+        let order = Order { path: request.path().to_owned(), base_version, body: request.body.clone() };
+        match judge_alone(&order) {
+            Ok(()) => self.ask(id, Question::Order(order), now),
+            Err(e) => Some(self.refuse(now, base_version, e.to_string())),
+        }
+    }
+
+    fn refuse(&mut self, now: Time, base_version: u64, reason: String) -> Response {
+        log::info!(target: "control", status = 400, base_version = base_version, reason = reason.as_str(); "order refused");
+        let response = error(400, &reason);
+        self.primary_calls.on_refused(Refusal { status: 400, base_version, reason, at: now });
+        response
+    }
+
+    fn ask(&mut self, id: ConnId, question: Question, now: Time) -> Option<Response> {
+        self.relayed_calls.take(Call { origin: Origin::Caller(id), question, arrived: now });
+        None
+    }
+
+    fn on_heartbeat(&mut self, id: ConnId, instance: &str, request: &Request, now: Time) -> Option<Response> {
+        if !self.takes_beats(now) {
+            return Some(beat_answer(false));
+        }
+        let heartbeat = match Heartbeat::parse(&request.body) {
+            Ok(heartbeat) => heartbeat,
+            Err(e) => return Some(error(400, &e.to_string())),
+        };
+        match self.servers.on_heartbeat(now, id, instance, &heartbeat) {
+            Beat::Known => Some(beat_answer(true)),
+            Beat::Waits => None,
+        }
+    }
+
+    fn on_deregister(&mut self, id: ConnId, instance: &str, now: Time) -> Option<Response> {
+        if !self.takes_beats(now) {
+            return Some(beat_answer(false));
+        }
+        match self.servers.on_deregister(now, id, instance) {
+            Beat::Known => Some(beat_answer(true)),
+            Beat::Waits => None,
+        }
+    }
+
+    fn takes_beats(&self, now: Time) -> bool {
+        self.in_contact(now) && self.servers.may_take_beats(now)
+    }
+
+    /// Hands calls on, and answers those that have ended.
+    pub(super) fn advance_calls(&mut self, now: Time) -> bool {
+        let mut busy = false;
+        self.relayed_calls.advance(now, self.primary(now));
+        for step in self.relayed_calls.take_steps() {
+            busy = true;
+            match step {
+                Step::Here(call) => self.take_as_primary(call, now),
+                Step::Send { to, id, call } => self.send_to_peer(to, PeerMessage::Call { id, call }),
+                Step::Answer(call, answer) => self.answer_call(&call, answer),
+            }
+        }
+        if let Some(group) = &mut self.group {
+            self.primary_calls.advance(now, &mut group.replica);
+        }
+        for (call, answer) in self.primary_calls.take_ended() {
+            busy = true;
+            match (call.origin, &answer) {
+                // Nothing was begun: another primary may take it yet.
+                (Origin::Caller(_), RelayedAnswer::NotPrimary) => self.relayed_calls.take_back(now, call),
+                _ => self.answer_call(&call, answer),
+            }
+        }
+        busy
+    }
+
+    fn take_as_primary(&mut self, call: Call, now: Time) {
+        match &mut self.group {
+            Some(group) => self.primary_calls.take(now, call, &mut group.replica),
+            None => self.relayed_calls.take_back(now, call),
+        }
+    }
+
+    fn answer_call(&mut self, call: &Call, answer: RelayedAnswer) {
+        match (call.origin, answer) {
+            (Origin::Peer { address, id }, answer) => {
+                self.send_to_peer(address, PeerMessage::Answer { id, answer })
+            }
+            (Origin::Caller(id), RelayedAnswer::Answer { status: 503, body }) => {
+                let response = Response::new(503, JSON, body).with("retry-after", "0.2");
+                self.callers.answer(&mut self.net, id, response);
+            }
+            (Origin::Caller(id), RelayedAnswer::Answer { status, body }) => {
+                self.callers.answer(&mut self.net, id, Response::new(status, JSON, body));
+            }
+            (Origin::Caller(id), RelayedAnswer::NotPrimary) => {
+                self.callers.answer(&mut self.net, id, error(503, "no primary is known that could answer"));
+            }
+            // It may have been taken: no status would be true.
+            (Origin::Caller(id), RelayedAnswer::Unknown) => self.callers.hang_up(&mut self.net, id),
+        }
+    }
+}
+
+/// The answer to a beat, by whether it is acknowledged.
+pub(super) fn beat_answer(acknowledged: bool) -> Response {
+    match acknowledged {
+        true => Response::new(200, JSON, "{}"),
+        false => error(503, "this machine can't vouch for a beat now"),
+    }
+}
+
+fn target<'a>(method: &str, path: &'a str) -> Target<'a> {
+    let (found, wanted) = match path {
+        "/configuration/describe" => (Target::Describe, "GET"),
+        "/status" => (Target::Status, "GET"),
+        _ if OrderKind::of_path(path).is_some() => (Target::Order, "POST"),
+        _ => (instance_target(path), "POST"),
+    };
+    match found {
+        Target::Unknown => Target::Unknown,
+        found if method == wanted => found,
+        _ => Target::OtherMethod(wanted),
+    }
+}
+
+fn instance_target(path: &str) -> Target<'_> {
+    let parts = path.strip_prefix("/instances/").and_then(|rest| rest.split_once('/'));
+    match parts {
+        Some((instance, "heartbeat")) if !instance.is_empty() => Target::Heartbeat(instance),
+        Some((instance, "deregister")) if !instance.is_empty() => Target::Deregister(instance),
+        _ => Target::Unknown,
+    }
+}
--- /dev/null
+++ b/fleet/src/control/on_internal.rs
@@ -0,0 +1,260 @@
+//! Messages of other processes of the fleet.
+
+use super::calls::{Call, Origin, Question};
+use super::feed::Feed;
+use super::group::to_replica;
+use super::links::End;
+use super::machine::Machine;
+use super::peers::Introduction;
+use super::relayed_calls::Primary;
+use super::routers::{Committed, Hello};
+use lichenswitch_configuration::Document;
+use lichenswitch_interface::Time;
+use lichenswitch_messages::{Envelope, PeerMessage, RelayedAnswer, RouterToControl, PROTOCOL_VERSION};
+use lichenswitch_net::ConnId;
+use lichenswitch_replication::Message;
+use log::{info, warn};
+use std::net::SocketAddr;
+
+impl Machine {
+    /// Something can be read from or written to a connection.
+    pub(super) fn on_link_ready(&mut self, id: ConnId) {
+        let now = self.net.clock.now();
+        let brought = self.links.ready(&mut self.net, id);
+        if brought.up {
+            self.on_up(id);
+        }
+        for envelope in brought.messages {
+            if let Err(reason) = self.on_envelope(id, envelope, now) {
+                return self.close_link(id, &reason);
+            }
+        }
+        if let Some(reason) = brought.broken {
+            self.close_link(id, &reason);
+        }
+    }
+
+    fn on_up(&mut self, id: ConnId) {
+        if matches!(self.links.end(id), Some(End::Peer(_))) {
+            let hello = Envelope::Peer(self.hello());
+            self.links.send(&mut self.net, id, &hello);
+        }
+    }
+
+    fn hello(&self) -> PeerMessage {
+        PeerMessage::Hello {
+            protocol: PROTOCOL_VERSION,
+            node: self.settings.node_name.clone(),
+            address: self.address.to_string(),
+            identity: self.identity,
+            eligible: self.eligibility == super::group::Eligibility::Durable,
+            known: self.peers.known(),
+        }
+    }
+
+    fn on_envelope(&mut self, id: ConnId, envelope: Envelope, now: Time) -> Result<(), String> {
+        match (envelope, self.links.end(id)) {
+            (
+                Envelope::Peer(PeerMessage::Hello { protocol, node, address, identity, eligible, known }),
+                Some(end),
+            ) => {
+                check_protocol(protocol, &node)?;
+                let address = address.parse().map_err(|_| format!("{node} has the address {address:?}"))?;
+                self.on_hello(id, end, address, Introduction { node, identity, eligible }, &known, now)
+            }
+            (Envelope::Peer(message), Some(End::Peer(address))) => {
+                self.peers.on_heard(address, now);
+                self.on_peer(address, message, now);
+                Ok(())
+            }
+            (Envelope::FromRouter(message), Some(End::Unknown | End::Router)) => {
+                self.on_router(id, message, now)
+            }
+            _ => Err("a message that does not belong on this connection".to_owned()),
+        }
+    }
+
+    /// A control machine has said who it is.
+    fn on_hello(
+        &mut self,
+        id: ConnId,
+        end: End,
+        address: SocketAddr,
+        introduction: Introduction,
+        known: &[String],
+        now: Time,
+    ) -> Result<(), String> {
+        if introduction.identity == self.identity || address == self.address {
+            if let End::Peer(dialled) = end {
+                self.peers.forget(dialled);
+            }
+            return Err("it is this machine itself".to_owned());
+        }
+        if let End::Peer(dialled) = end {
+            if dialled != address {
+                return Err(format!("{dialled} says that it is {address}"));
+            }
+        }
+        let connected = self.peers.connection(address).is_some();
+        let node = introduction.node.clone();
+        let older = self.peers.on_hello(address, id, introduction, now);
+        if end == End::Unknown {
+            self.links.set_end(id, End::Peer(address));
+            let hello = Envelope::Peer(self.hello());
+            self.links.send(&mut self.net, id, &hello);
+        }
+        if let Some(older) = older {
+            self.close_link(older, "replaced by a newer one");
+        }
+        self.peers.learn_all(known, now);
+        if !connected {
+            info!(target: "control", node = node.as_str(), address = address.to_string().as_str(); "peer is connected");
+            self.greet(id, now);
+        }
+        Ok(())
+    }
+
+    /// What a peer gets first: where this machine stands, and all servers.
+    fn greet(&mut self, id: ConnId, now: Time) {
+        let contact = self.contact_message(now);
+        self.send_to(id, contact);
+        let table = PeerMessage::Servers { ack: 0, records: self.servers.snapshot(now), whole: true };
+        self.send_to(id, table);
+    }
+
+    fn send_to(&mut self, id: ConnId, message: PeerMessage) {
+        self.links.send(&mut self.net, id, &Envelope::Peer(message));
+    }
+
+    /// Answers on the connection of the pair.
+    pub(super) fn send_to_peer(&mut self, address: SocketAddr, message: PeerMessage) {
+        if let Some(id) = self.peers.connection(address) {
+            self.send_to(id, message);
+        }
+    }
+
+    fn on_peer(&mut self, from: SocketAddr, message: PeerMessage, now: Time) {
+        match message {
+            // It was taken by `on_hello`.
+            PeerMessage::Hello { .. } => {}
+            PeerMessage::Replication(bytes) => self.on_replication(from, &bytes, now),
+            PeerMessage::Call { id, call } => self.on_relayed(Origin::Peer { address: from, id }, call, now),
+            PeerMessage::Answer { id, answer } => self.relayed_calls.on_answer(now, from, id, answer),
+            PeerMessage::Servers { ack, records, whole } => {
+                self.servers.on_records(now, &records, whole, self.is_in_contact(from));
+                if ack != 0 {
+                    self.send_to_peer(from, PeerMessage::ServersMerged { ack });
+                }
+            }
+            PeerMessage::ServersMerged { ack } => self.servers.on_merged(from, ack, self.is_in_contact(from)),
+            PeerMessage::Heard(heard) => {
+                if self.servers.on_heard(now, &heard) {
+                    self.send_to_peer(from, PeerMessage::ServersWanted);
+                }
+            }
+            PeerMessage::ServersWanted => {
+                let records = self.servers.snapshot(now);
+                self.send_to_peer(from, PeerMessage::Servers { ack: 0, records, whole: true });
+            }
+            PeerMessage::Contact { in_contact, primary, routers, known } => {
+                if let Some(peer) = self.peers.get_mut(from) {
+                    (peer.in_contact, peer.routers) = (in_contact, routers);
+                }
+                let primary = primary.and_then(|address| address.parse().ok());
+                self.feed.on_contact(now, from, in_contact, primary);
+                self.peers.learn_all(&known, now);
+            }
+            PeerMessage::Configuration { position, document } => on_fed(&mut self.feed, position, document),
+        }
+    }
+
+    fn is_in_contact(&self, address: SocketAddr) -> bool {
+        self.peers.get(address).is_some_and(|peer| peer.in_contact)
+    }
+
+    /// A message of replication counts only from whom it names as its sender.
+    fn on_replication(&mut self, from: SocketAddr, bytes: &[u8], now: Time) {
+        let Some(group) = &mut self.group else { return };
+        let message = match Message::decode(bytes) {
+            Ok(message) => message,
+            Err(e) => {
+                return warn!(target: "control", error = e.to_string().as_str(); "a message of replication can't be read")
+            }
+        };
+        let introduced = self.peers.get(from).and_then(|peer| peer.introduction.as_ref());
+        let known = introduced.is_some_and(|peer| peer.identity == message.from.identity.0);
+        if known && message.from.address.parse() == Ok(from) {
+            group.replica.on_message(to_replica(now), message);
+        }
+    }
+
+    /// A call that another control machine relays.
+    fn on_relayed(&mut self, origin: Origin, call: lichenswitch_messages::RelayedCall, now: Time) {
+        let Origin::Peer { address, id } = origin else { return };
+        let question = Question::of_relayed(call).filter(|_| self.primary(now) == Primary::Here);
+        match (question, &mut self.group) {
+            (Some(question), Some(group)) => {
+                let call = Call { origin, question, arrived: now };
+                self.primary_calls.take(now, call, &mut group.replica);
+            }
+            _ => self.send_to_peer(address, PeerMessage::Answer { id, answer: RelayedAnswer::NotPrimary }),
+        }
+    }
+
+    fn on_router(&mut self, id: ConnId, message: RouterToControl, now: Time) -> Result<(), String> {
+        match message {
+            RouterToControl::Hello { protocol, node, zone, process, configuration } => {
+                check_protocol(protocol, &node)?;
+                self.links.set_end(id, End::Router);
+                let heartbeat = self.router_heartbeat(now);
+                self.push_all(vec![(id, heartbeat)]);
+                let hello = Hello { node, zone, process, configuration };
+                let table = self.servers.snapshot(now);
+                let pushes = self.routers.on_hello(now, id, hello, self.committed.as_ref(), table);
+                self.push_all(pushes);
+            }
+            RouterToControl::Applied { push, configuration } => {
+                self.routers.on_applied(id, push, configuration)
+            }
+        }
+        Ok(())
+    }
+
+    /// Closes a connection, and tells the parts that used it.
+    pub(super) fn close_link(&mut self, id: ConnId, reason: &str) {
+        let now = self.net.clock.now();
+        match self.links.close(&mut self.net, id) {
+            Some(End::Peer(address)) => {
+                let was_connected = self.peers.connection(address).is_some();
+                self.peers.on_closed(address, id, now);
+                if was_connected && self.peers.connection(address).is_none() {
+                    info!(target: "control", address = address.to_string().as_str(), reason = reason; "peer is lost");
+                    self.relayed_calls.on_lost(address);
+                    self.servers.on_lost(address);
+                }
+            }
+            Some(End::Router) => self.routers.on_closed(id),
+            Some(End::Unknown) | None => {}
+        }
+    }
+}
+
+fn check_protocol(protocol: u16, node: &str) -> Result<(), String> {
+    match protocol == PROTOCOL_VERSION {
+        true => Ok(()),
+        false => Err(format!("{node} speaks version {protocol}, this machine version {PROTOCOL_VERSION}")),
+    }
+}
+
+/// The primary has sent what is committed. What can't be read is passed over: routers could not use it either.
+fn on_fed(feed: &mut Feed, position: lichenswitch_messages::ConfigurationPosition, document: Vec<u8>) {
+    match Document::parse(&document) {
+        Ok(parsed) => {
+            let version = parsed.version();
+            feed.on_configuration(Committed { position, version, document: document.into() });
+        }
+        Err(e) => {
+            warn!(target: "control", error = e.to_string().as_str(); "the primary has sent what can't be read")
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/control/routers.rs
@@ -0,0 +1,174 @@
+//! Routers that are connected to this machine: what each has been sent, and what it has in force.
+//!
+//! It owns the members and their connections. It promises: a router that connects gets the newest committed configuration, unless it has it,
+//! and the whole table of servers, and changes from then on; all that is pushed is numbered from 1 on each connection.
+
+use lichenswitch_interface::Time;
+use lichenswitch_messages::{ConfigurationPosition, ControlToRouter, ServerRecord};
+use lichenswitch_net::ConnId;
+use lichenswitch_registry::Members;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A router stays a member for so long without a connection: it may be on its way to another control machine.
+const LEASE: Duration = Duration::from_millis(1_000);
+/// Records in one message. Guards the loop of a router against one long message.
+const RECORDS_IN_MESSAGE: usize = 500;
+
+/// A committed configuration, to be pushed.
+#[derive(Clone, Debug)]
+pub(super) struct Committed {
+    pub(super) position: ConfigurationPosition,
+    pub(super) version: u64,
+    pub(super) document: Arc<[u8]>,
+}
+
+/// A router.
+#[derive(Clone, Debug)]
+pub(super) struct Router {
+    pub(super) node: String,
+    pub(super) zone: String,
+    process: u64,
+    /// Number of the last push.
+    pushed: u64,
+    /// Number up to which it has applied all.
+    pub(super) applied: u64,
+    /// The configuration that it has in force.
+    pub(super) configuration: Option<ConfigurationPosition>,
+    /// Version of the newest configuration that it was sent on this connection.
+    sent_version: Option<u64>,
+}
+
+/// What a router says in its first message.
+#[derive(Clone, Debug)]
+pub(super) struct Hello {
+    pub(super) node: String,
+    pub(super) zone: String,
+    pub(super) process: u64,
+    pub(super) configuration: Option<ConfigurationPosition>,
+}
+
+/// A message for a router.
+pub(super) type Push = (ConnId, ControlToRouter);
+
+/// The routers of this machine.
+pub(super) struct Routers {
+    connected: BTreeMap<ConnId, Router>,
+    members: Members,
+}
+
+impl Routers {
+    pub(super) fn new() -> Routers {
+        let lease = u64::try_from(LEASE.as_micros()).unwrap_or(u64::MAX);
+        Routers { connected: BTreeMap::new(), members: Members::new(lease) }
+    }
+
+    /// A router has connected. What it is to be sent first comes back.
+    pub(super) fn on_hello(
+        &mut self,
+        now: Time,
+        id: ConnId,
+        hello: Hello,
+        committed: Option<&Committed>,
+        table: Vec<ServerRecord>,
+    ) -> Vec<Push> {
+        if self.members.on_renewal(now.0, hello.process, &hello.node, &hello.zone) {
+            log::info!(target: "control", node = hello.node.as_str(), zone = hello.zone.as_str(); "router has connected");
+        }
+        let Hello { node, zone, process, configuration } = hello;
+        let router = Router { node, zone, process, pushed: 0, applied: 0, configuration, sent_version: None };
+        self.connected.insert(id, router);
+        let mut pushes = self.push_configuration_to(id, committed);
+        pushes.extend(self.push_servers_to(id, &table, true));
+        pushes
+    }
+
+    /// A router has applied all up to a number.
+    pub(super) fn on_applied(&mut self, id: ConnId, push: u64, configuration: Option<ConfigurationPosition>) {
+        if let Some(router) = self.connected.get_mut(&id) {
+            router.applied = router.applied.max(push);
+            router.configuration = configuration;
+        }
+    }
+
+    /// A router's connection is gone. Its lease runs on.
+    pub(super) fn on_closed(&mut self, id: ConnId) {
+        self.connected.remove(&id);
+    }
+
+    /// Renews the leases of all that are connected, and ends the others'.
+    pub(super) fn tick(&mut self, now: Time) {
+        for router in self.connected.values() {
+            self.members.on_renewal(now.0, router.process, &router.node, &router.zone);
+        }
+        for member in self.members.tick(now.0) {
+            log::info!(target: "control", node = member.node.as_str(); "router has gone");
+        }
+    }
+
+    /// Routers that are members here.
+    pub(super) fn count(&self) -> usize {
+        self.members.count()
+    }
+
+    /// Connections to routers.
+    pub(super) fn connections(&self) -> Vec<ConnId> {
+        self.connected.keys().copied().collect()
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Router> {
+        self.connected.values()
+    }
+
+    /// A configuration has been committed: those that lack it get it.
+    pub(super) fn push_configuration(&mut self, committed: &Committed) -> Vec<Push> {
+        self.connections()
+            .into_iter()
+            .flat_map(|id| self.push_configuration_to(id, Some(committed)))
+            .collect()
+    }
+
+    fn push_configuration_to(&mut self, id: ConnId, committed: Option<&Committed>) -> Vec<Push> {
+        let (Some(router), Some(committed)) = (self.connected.get_mut(&id), committed) else {
+            return Vec::new();
+        };
+        let holds = router.configuration.is_some_and(|position| position >= committed.position);
+        if holds || router.sent_version.is_some_and(|sent| sent >= committed.version) {
+            return Vec::new();
+        }
+        router.sent_version = Some(committed.version);
+        let push = router.next_push();
+        let (position, document) = (committed.position, committed.document.to_vec());
+        vec![(id, ControlToRouter::Configuration { push, position, document })]
+    }
+
+    /// Records of servers have changed.
+    pub(super) fn push_servers(&mut self, records: &[ServerRecord]) -> Vec<Push> {
+        if records.is_empty() {
+            return Vec::new();
+        }
+        self.connections().into_iter().flat_map(|id| self.push_servers_to(id, records, false)).collect()
+    }
+
+    fn push_servers_to(&mut self, id: ConnId, records: &[ServerRecord], whole: bool) -> Vec<Push> {
+        let Some(router) = self.connected.get_mut(&id) else { return Vec::new() };
+        let mut chunks: Vec<&[ServerRecord]> = records.chunks(RECORDS_IN_MESSAGE).collect();
+        if chunks.is_empty() {
+            chunks.push(&[]);
+        }
+        let last = chunks.len() - 1;
+        let message = |(place, chunk): (usize, &[ServerRecord])| {
+            let (push, whole) = (router.next_push(), whole && place == last);
+            (id, ControlToRouter::Servers { push, records: chunk.to_vec(), whole })
+        };
+        chunks.into_iter().enumerate().map(message).collect()
+    }
+}
+
+impl Router {
+    fn next_push(&mut self) -> u64 {
+        self.pushed += 1;
+        self.pushed
+    }
+}
--- /dev/null
+++ b/fleet/src/control/servers.rs
@@ -0,0 +1,264 @@
+//! Model servers at this machine: their beats, and who has to know of them before they are acknowledged.
+//!
+//! It owns the table and the beats that wait for their acknowledgement. It promises: news are told to all control machines that are connected
+//! and to this machine's routers at once; they are acknowledged once another control machine in contact holds them, where one is
+//! connected; and a beat that brings nothing new is acknowledged at once.
+
+use super::program::after;
+use crate::settings::Settings;
+use lichenswitch_interface::Time;
+use lichenswitch_messages::ServerRecord;
+use lichenswitch_net::ConnId;
+use lichenswitch_registry::{Changes, Heartbeat, Registry};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// After so long one other machine that holds the news is enough.
+const ALL_WAIT: Duration = Duration::from_millis(100);
+/// After so long news that no other machine holds are refused: the server goes on to the next control machine.
+const LONGEST_WAIT: Duration = Duration::from_millis(400);
+/// A machine that has just started waits so long for another one's table.
+const TABLE_WAIT: Duration = Duration::from_secs(2);
+
+/// What becomes of a beat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Beat {
+    /// It is acknowledged now.
+    Known,
+    /// It waits until its news are held elsewhere.
+    Waits,
+}
+
+/// News that wait to be held elsewhere.
+struct Wait {
+    ack: u64,
+    instances: Vec<String>,
+    callers: Vec<ConnId>,
+    /// Machines that were told and have not answered.
+    told: BTreeSet<SocketAddr>,
+    /// Whether a machine in contact holds them.
+    held: bool,
+    since: Time,
+}
+
+/// The table of servers, and what is to be told of it.
+pub(super) struct Servers {
+    registry: Registry,
+    started: Time,
+    /// A machine in contact has sent its whole table.
+    has_table: bool,
+    /// Changes that were not told yet.
+    changes: Changes,
+    /// Callers whose beats brought these changes, with their instances.
+    callers: Vec<(ConnId, String)>,
+    waits: Vec<Wait>,
+    /// Instances whose last news nobody else is known to hold.
+    unconfirmed: BTreeSet<String>,
+    next_ack: u64,
+    answers: Vec<(ConnId, bool)>,
+}
+
+impl Servers {
+    pub(super) fn new(settings: &Settings, now: Time) -> Servers {
+        Servers {
+            registry: Registry::new(now.0, interval(settings)),
+            started: now,
+            has_table: false,
+            changes: Changes::default(),
+            callers: Vec::new(),
+            waits: Vec::new(),
+            unconfirmed: BTreeSet::new(),
+            next_ack: 1,
+            answers: Vec::new(),
+        }
+    }
+
+    pub(super) fn on_settings(&mut self, settings: &Settings) {
+        self.registry.set_interval(interval(settings));
+    }
+
+    /// Whether this machine knows enough to take beats: silence before that says nothing of anybody.
+    pub(super) fn may_take_beats(&self, now: Time) -> bool {
+        self.has_table || after(self.started, TABLE_WAIT) <= now
+    }
+
+    pub(super) fn on_heartbeat(
+        &mut self,
+        now: Time,
+        caller: ConnId,
+        instance: &str,
+        beat: &Heartbeat,
+    ) -> Beat {
+        let changes = self.registry.on_heartbeat(now.0, instance, beat);
+        self.on_call(caller, instance, changes)
+    }
+
+    pub(super) fn on_deregister(&mut self, now: Time, caller: ConnId, instance: &str) -> Beat {
+        let changes = self.registry.on_deregister(now.0, instance);
+        self.on_call(caller, instance, changes)
+    }
+
+    fn on_call(&mut self, caller: ConnId, instance: &str, mut changes: Changes) -> Beat {
+        if let Some(wait) =
+            self.waits.iter_mut().find(|wait| wait.instances.iter().any(|waits| waits == instance))
+        {
+            // The same server again: it learns what becomes of the news that still wait.
+            wait.callers.push(caller);
+            self.changes.append(changes);
+            return Beat::Waits;
+        }
+        if changes.news().is_empty() && self.unconfirmed.contains(instance) {
+            // Nobody else held its news when they were told last.
+            if let Some(record) = self.registry.record(instance) {
+                changes = told_again(record);
+            }
+        }
+        let news = !changes.news().is_empty();
+        self.changes.append(changes);
+        if news || self.callers.iter().any(|(_, waits)| waits == instance) {
+            self.callers.push((caller, instance.to_owned()));
+            return Beat::Waits;
+        }
+        Beat::Known
+    }
+
+    /// Another control machine has sent records.
+    pub(super) fn on_records(&mut self, now: Time, records: &[ServerRecord], whole: bool, in_contact: bool) {
+        let changes = self.registry.merge_all(now.0, records);
+        self.changes.append(changes);
+        self.has_table |= whole && in_contact;
+    }
+
+    /// Another control machine has told whom it heard. Tells whether it named one that is not known here.
+    pub(super) fn on_heard(&mut self, now: Time, heard: &[(String, u32)]) -> bool {
+        let changes = self.registry.merge_heard(now.0, heard);
+        self.changes.append(changes);
+        heard.iter().any(|(instance, _)| self.registry.record(instance).is_none())
+    }
+
+    /// Another control machine holds the news of this number.
+    pub(super) fn on_merged(&mut self, from: SocketAddr, ack: u64, in_contact: bool) {
+        if let Some(wait) = self.waits.iter_mut().find(|wait| wait.ack == ack) {
+            wait.held |= wait.told.remove(&from) && in_contact;
+        }
+    }
+
+    /// No connection to that machine is left.
+    pub(super) fn on_lost(&mut self, address: SocketAddr) {
+        for wait in &mut self.waits {
+            wait.told.remove(&address);
+        }
+    }
+
+    /// Whether there are changes that were not told yet, or beats that wait for that.
+    pub(super) fn has_changes(&self) -> bool {
+        !self.changes.is_empty() || !self.callers.is_empty()
+    }
+
+    /// Changes since this was last asked: what is to be told to routers, and the number under which the news go to the machines
+    /// `told`, or 0 if nobody waits for them.
+    pub(super) fn take_changes(&mut self, now: Time, told: &BTreeSet<SocketAddr>) -> (Changes, u64) {
+        let changes = std::mem::take(&mut self.changes);
+        let callers = std::mem::take(&mut self.callers);
+        if callers.is_empty() {
+            return (changes, 0);
+        }
+        if told.is_empty() {
+            // Whoever connects later gets the whole table.
+            for (caller, instance) in callers {
+                self.unconfirmed.remove(&instance);
+                self.answers.push((caller, true));
+            }
+            return (changes, 0);
+        }
+        let ack = self.next_ack;
+        self.next_ack += 1;
+        let (callers, instances) = callers.into_iter().unzip();
+        self.waits.push(Wait { ack, instances, callers, told: told.clone(), held: false, since: now });
+        (changes, ack)
+    }
+
+    /// Ends waits whose outcome is known.
+    pub(super) fn settle(&mut self, now: Time) {
+        for wait in std::mem::take(&mut self.waits) {
+            match wait.outcome(now) {
+                None => self.waits.push(wait),
+                Some(held) => {
+                    for instance in wait.instances {
+                        match held {
+                            true => self.unconfirmed.remove(&instance),
+                            false => self.unconfirmed.insert(instance),
+                        };
+                    }
+                    self.answers.extend(wait.callers.into_iter().map(|caller| (caller, held)));
+                }
+            }
+        }
+    }
+
+    /// Callers whose beats are acknowledged, or refused, now.
+    pub(super) fn take_answers(&mut self) -> Vec<(ConnId, bool)> {
+        std::mem::take(&mut self.answers)
+    }
+
+    /// Looks at silence.
+    pub(super) fn tick(&mut self, now: Time) {
+        if self.registry.next_wake() > now.0 {
+            return;
+        }
+        let changes = self.registry.tick(now.0);
+        let silent = || changes.records.iter().filter(|record| record.unheard);
+        if let Some(first) = silent().next() {
+            log::info!(target: "control", servers = silent().count(), first = first.instance.as_str(); "servers are silent");
+        }
+        if let Some(first) = changes.forgotten.first() {
+            log::info!(target: "control", servers = changes.forgotten.len(), first = first.as_str(); "servers are forgotten");
+        }
+        for instance in &changes.forgotten {
+            self.unconfirmed.remove(instance);
+        }
+        self.changes.append(changes);
+    }
+
+    pub(super) fn take_digest(&mut self, now: Time) -> Vec<(String, u32)> {
+        self.registry.take_heard_digest(now.0)
+    }
+
+    pub(super) fn snapshot(&self, now: Time) -> Vec<ServerRecord> {
+        self.registry.snapshot(now.0)
+    }
+
+    pub(super) fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    pub(super) fn next_wake(&self) -> Option<Time> {
+        self.waits.iter().map(Wait::next_wake).min()
+    }
+}
+
+impl Wait {
+    /// Whether another machine holds the news; `None` while it is not known.
+    fn outcome(&self, now: Time) -> Option<bool> {
+        let waited = |most| after(self.since, most) <= now;
+        match self.held {
+            true => (self.told.is_empty() || waited(ALL_WAIT)).then_some(true),
+            false => (self.told.is_empty() || waited(LONGEST_WAIT)).then_some(false),
+        }
+    }
+
+    fn next_wake(&self) -> Time {
+        after(self.since, if self.held { ALL_WAIT } else { LONGEST_WAIT })
+    }
+}
+
+fn interval(settings: &Settings) -> u64 {
+    u64::try_from(settings.heartbeat_interval.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// A record that is told as news although it is known here.
+fn told_again(record: &ServerRecord) -> Changes {
+    let mut table = Registry::new(0, 1);
+    table.merge(0, record)
+}
--- /dev/null
+++ b/fleet/src/control/status.rs
@@ -0,0 +1,210 @@
+//! What a control machine shows of itself: JSON for `GET /status`, and for people.
+
+use super::group::{to_replica, Replicated};
+use super::machine::Machine;
+use super::program::elapsed;
+use lichenswitch_interface::Time;
+use lichenswitch_messages::ServerState;
+use lichenswitch_replication::{PeerStatus, Replica, RoleKind};
+use miniserde::Serialize;
+use std::collections::BTreeMap;
+
+#[derive(Serialize)]
+struct MachineStatus {
+    node: String,
+    address: String,
+    identity: String,
+    in_contact: bool,
+    leaving: bool,
+    configuration_version: u64,
+    group: Option<GroupStatus>,
+    peers: Vec<PeerLine>,
+    routers: Vec<RouterLine>,
+    routers_of_fleet: u32,
+    servers: BTreeMap<String, u64>,
+    refusals: Vec<RefusalLine>,
+    storage: Option<StorageLine>,
+}
+
+#[derive(Serialize)]
+struct GroupStatus {
+    role: String,
+    why_not_serving: String,
+    epoch: String,
+    primary: Option<String>,
+    head: String,
+    synced: Option<String>,
+    committed: Option<String>,
+    in_contact: bool,
+    writable: bool,
+    configuration_version: u64,
+    orders_kept: u64,
+    voters: Vec<VoterLine>,
+}
+
+#[derive(Serialize)]
+struct VoterLine {
+    identity: String,
+    address: String,
+    votes: bool,
+    silent_for_ms: Option<u64>,
+    synced: Option<String>,
+    leaving: bool,
+}
+
+#[derive(Serialize)]
+struct PeerLine {
+    address: String,
+    node: Option<String>,
+    connected: bool,
+    heard_ms_ago: Option<u64>,
+    in_contact: bool,
+    routers: u32,
+}
+
+#[derive(Serialize)]
+struct RouterLine {
+    node: String,
+    zone: String,
+    applied_pushes: u64,
+    configuration: Option<String>,
+}
+
+#[derive(Serialize)]
+struct RefusalLine {
+    status: u16,
+    base_version: u64,
+    reason: String,
+    ms_ago: u64,
+}
+
+#[derive(Serialize)]
+struct StorageLine {
+    used_bytes: u64,
+    segment_bytes: u64,
+    disk_bytes: u64,
+    outstanding_writes: u64,
+    failure: Option<String>,
+}
+
+/// The state of a machine as JSON.
+pub(super) fn machine(machine: &Machine, now: Time) -> String {
+    let ms_ago = |at: Time| u64::try_from(elapsed(at, now).as_millis()).unwrap_or(u64::MAX);
+    let peers = machine.peers.iter().map(|(address, peer)| PeerLine {
+        address: address.to_string(),
+        node: peer.introduction.as_ref().map(|peer| peer.node.clone()),
+        connected: machine.peers.connection(address).is_some(),
+        heard_ms_ago: peer.heard().map(ms_ago),
+        in_contact: peer.in_contact,
+        routers: peer.routers,
+    });
+    let routers = machine.routers.iter().map(|router| RouterLine {
+        node: router.node.clone(),
+        zone: router.zone.clone(),
+        applied_pushes: router.applied,
+        configuration: router.configuration.map(|at| format!("{}.{:x}/{}", at.epoch, at.primary, at.number)),
+    });
+    let refusals = machine.primary_calls.refusals().map(|refusal| RefusalLine {
+        status: refusal.status,
+        base_version: refusal.base_version,
+        reason: refusal.reason.clone(),
+        ms_ago: ms_ago(refusal.at),
+    });
+    let status = MachineStatus {
+        node: machine.settings.node_name.clone(),
+        address: machine.address.to_string(),
+        identity: format!("{:x}", machine.identity),
+        in_contact: machine.in_contact(now),
+        leaving: machine.leaving.is_some(),
+        configuration_version: machine.committed.as_ref().map_or(0, |committed| committed.version),
+        group: machine.group.as_ref().map(|group| group_status(&group.replica, now)),
+        peers: peers.collect(),
+        routers: routers.collect(),
+        routers_of_fleet: machine.routers_of_fleet(),
+        servers: servers(machine),
+        refusals: refusals.collect(),
+        storage: storage(machine),
+    };
+    miniserde::json::to_string(&status)
+}
+
+/// The state of the group as JSON, as the primary sees it.
+pub(super) fn group(replica: &Replica<Replicated>, now: Time) -> String {
+    miniserde::json::to_string(&group_status(replica, now))
+}
+
+fn group_status(replica: &Replica<Replicated>, now: Time) -> GroupStatus {
+    let status = replica.status(to_replica(now));
+    let state = replica.committed().map(|(_, state)| &state.0);
+    GroupStatus {
+        role: role(status.role).to_owned(),
+        why_not_serving: status.why,
+        epoch: status.promised.to_string(),
+        primary: status.primary.map(|member| member.address),
+        head: status.head.to_string(),
+        synced: status.synced.map(|at| at.to_string()),
+        committed: status.committed.map(|at| at.to_string()),
+        in_contact: status.in_contact,
+        writable: status.writable,
+        configuration_version: state.map_or(0, |state| state.version()),
+        orders_kept: state.map_or(0, |state| state.history_len() as u64),
+        voters: voters(&status.peers, &status.membership),
+    }
+}
+
+/// The primary knows when each was heard; all others know only who votes.
+fn voters(peers: &[PeerStatus], membership: &lichenswitch_replication::Membership) -> Vec<VoterLine> {
+    let seen = |peer: &PeerStatus| VoterLine {
+        identity: peer.identity.to_string(),
+        address: peer.member.address.clone(),
+        votes: peer.votes,
+        silent_for_ms: Some(peer.silent_for / 1_000),
+        synced: peer.synced.map(|at| at.to_string()),
+        leaving: peer.leaving,
+    };
+    let named = membership.all().filter(|member| peers.iter().all(|peer| peer.identity != member.identity));
+    let named = named.map(|member| VoterLine {
+        identity: member.identity.to_string(),
+        address: member.address.clone(),
+        votes: true,
+        silent_for_ms: None,
+        synced: None,
+        leaving: false,
+    });
+    peers.iter().map(seen).chain(named).collect()
+}
+
+fn role(role: RoleKind) -> &'static str {
+    match role {
+        RoleKind::Outsider => "outsider",
+        RoleKind::Voter => "voter",
+        RoleKind::Candidate => "candidate",
+        RoleKind::Primary { serving: true } => "primary",
+        RoleKind::Primary { serving: false } => "primary, not serving yet",
+    }
+}
+
+fn servers(machine: &Machine) -> BTreeMap<String, u64> {
+    let mut by_state = BTreeMap::new();
+    for server in machine.servers.registry().live() {
+        let state = match (server.state, server.unheard) {
+            (ServerState::Ready, false) => "ready",
+            (ServerState::Ready, true) => "ready, unheard",
+            (ServerState::Draining, _) => "draining",
+            (ServerState::Gone, _) => "gone",
+        };
+        *by_state.entry(state.to_owned()).or_insert(0) += 1;
+    }
+    by_state
+}
+
+fn storage(machine: &Machine) -> Option<StorageLine> {
+    let (usage, outstanding, failure) = machine.group.as_ref()?.disk()?;
+    Some(StorageLine {
+        used_bytes: usage.used_bytes,
+        segment_bytes: usage.segment_bytes,
+        disk_bytes: usage.disk_bytes,
+        outstanding_writes: outstanding as u64,
+        failure: failure.map(str::to_owned),
+    })
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,8 +5,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod check;
 pub mod control;
 pub mod envelopes;
 pub mod logging;
 pub mod router;
 pub mod settings;
+pub mod status;
--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -1,12 +1,13 @@
 //! The program of the fleet: a subcommand a role, and the command line for operators.
 //!
-//! It ends with 0 when it was told to end or has shown what was asked; 1 when a role can't go on or what was checked is not well; 2 when
-//! its settings or its arguments can't be used.
+//! Exit codes: 0 when it was told to end, or has shown what was asked; 1 when a role can't go on, when what was checked can't be used or when
+//! nobody answers; 2 when its settings or its arguments can't be used.
 #![forbid(unsafe_code)]
 
 use bpaf::Bpaf;
 use lichenswitch_fleet::settings::{self, Settings, SettingsError};
-use lichenswitch_fleet::{control, router};
+use lichenswitch_fleet::{check, control, logging, router, status};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -28,19 +29,46 @@
         #[bpaf(argument("FILE"))]
         settings: Option<PathBuf>,
     },
+    /// Show how a control machine and the fleet stand, as JSON.
+    #[bpaf(command)]
+    Status {
+        /// Settings file whose control machines are asked; without it, the one that LICHENSWITCH_CONFIG names.
+        #[bpaf(argument("FILE"))]
+        settings: Option<PathBuf>,
+        /// The control machine to ask, `ip:port` of its controlPlane.
+        #[bpaf(positional("ADDRESS"))]
+        address: Option<SocketAddr>,
+    },
+    /// Check a settings file, or an operator's configuration.
+    #[bpaf(command)]
+    Check {
+        /// The file.
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
 }
 
 /// Exit code for settings or arguments that can't be used.
 const EXIT_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
-    match command().run() {
+    let command = match command().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => {
+            failure.print_message(100);
+            // Help that was asked for is no failure.
+            return if failure.exit_code() == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_SETTINGS) };
+        }
+    };
+    match command {
         Command::Router { settings } => {
             role(settings, |settings, _| router::run(settings).map_err(Box::from))
         }
         Command::Control { settings } => {
             role(settings, |settings, path| control::run(settings, path).map_err(Box::from))
         }
+        Command::Status { settings, address } => shown(status::ask(settings, address)),
+        Command::Check { file } => shown(check::check(&file)),
     }
 }
 
@@ -54,12 +82,16 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    match run(settings, path) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("lichenswitch-fleet: {e}");
-            ExitCode::FAILURE
-        }
+    logging::start();
+    let outcome = run(settings, path);
+    if let Err(e) = &outcome {
+        log::error!(target: "main", error = e.to_string().as_str(); "the role can't go on");
+    }
+    logging::finish();
+    if outcome.is_ok() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
     }
 }
 
@@ -67,3 +99,16 @@
     let path = settings::path(option)?;
     Ok((Settings::read(&path)?, path))
 }
+
+fn shown<T: std::fmt::Display, E: std::fmt::Display>(outcome: Result<T, E>) -> ExitCode {
+    match outcome {
+        Ok(answer) => {
+            println!("{answer}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("lichenswitch-fleet: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/fleet/tests/control_servers.rs
@@ -0,0 +1,94 @@
+//! Servers and routers at control machines.
+
+mod control_support;
+
+use assert_matches::assert_matches;
+use control_support::{beat, call, configuration, wait_for, FakeRouter, Fleet};
+use lichenswitch_messages::{ControlToRouter, RouterToControl, ServerState};
+
+const REPLACE: &str = "/configuration/replace";
+
+#[test]
+fn beats_are_acknowledged_and_reach_the_routers_of_all_machines() {
+    let mut fleet = Fleet::of("beats", &[true, true, true]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
+
+    // A router gets a heartbeat, the configuration and the whole table first.
+    let mut near = FakeRouter::connect(fleet.machines[0].internal, "near");
+    assert_matches!(near.next(), ControlToRouter::Heartbeat { in_contact: true, control, .. } => {
+        assert!(control.contains(&fleet.machines[1].internal.to_string()), "{control:?}");
+    });
+    let (push, position, document) = near.next_of(|message| match message {
+        ControlToRouter::Configuration { push, position, document } => Some((push, position, document)),
+        _ => None,
+    });
+    assert_eq!((push, document), (1, configuration(1, 1).into_bytes()));
+    assert_matches!(near.next(), ControlToRouter::Servers { push: 2, whole: true, records } if records.is_empty());
+    near.say(RouterToControl::Applied { push: 2, configuration: Some(position) });
+    let mut far = FakeRouter::connect(fleet.machines[2].internal, "further");
+
+    let address = fleet.machines[0].control_plane;
+    let taken =
+        wait_for("a beat", || beat(address, "i-1", "ready", 1).ok().filter(|answer| answer.status == 200));
+    assert_eq!(taken.body, "{}");
+    for router in [&mut near, &mut far] {
+        let record = next_record(router, "i-1");
+        assert_eq!((record.service.as_str(), record.state), ("pool", ServerState::Ready));
+    }
+
+    // Another machine takes the next beats; draining and the end reach all.
+    let other = fleet.machines[1].control_plane;
+    assert_eq!(beat(other, "i-1", "ready", 2).unwrap().status, 200);
+    assert_eq!(beat(other, "i-1", "draining", 3).unwrap().status, 200);
+    for router in [&mut near, &mut far] {
+        assert_eq!(next_record(router, "i-1").state, ServerState::Draining);
+    }
+    assert_eq!(call(address, "POST", "/instances/i-1/deregister", &[], "").unwrap().status, 200);
+    for router in [&mut near, &mut far] {
+        assert_eq!(next_record(router, "i-1").state, ServerState::Gone);
+    }
+    // A beat that comes late brings nobody back.
+    assert_eq!(beat(other, "i-1", "ready", 2).unwrap().status, 200);
+    assert_eq!(call(other, "POST", "/instances/i-1/heartbeat", &[], "{").unwrap().status, 400);
+
+    // A new configuration is pushed, and what is in force is shown.
+    assert_eq!(fleet.order(REPLACE, 1, &configuration(2, 2)).status, 200);
+    for router in [&mut near, &mut far] {
+        let document = router.next_of(|message| match message {
+            ControlToRouter::Configuration { document, .. } => Some(document),
+            _ => None,
+        });
+        assert!(!document.is_empty());
+    }
+    wait_for("both routers are counted everywhere", || {
+        (0..3).all(|place| fleet.status(place).contains("\"routers_of_fleet\":2")).then_some(())
+    });
+    let shown =
+        format!("\"configuration\":\"{}.{:x}/{}\"", position.epoch, position.primary, position.number);
+    assert!(fleet.status(0).contains(&shown), "{}", fleet.status(0));
+}
+
+#[test]
+fn a_machine_that_starts_takes_the_table_of_the_others() {
+    let mut fleet = Fleet::of("table", &[true, true, true]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
+    let address = fleet.machines[0].control_plane;
+    wait_for("a beat", || beat(address, "i-7", "ready", 1).ok().filter(|answer| answer.status == 200));
+    fleet.kill(2);
+    fleet.start(2, false);
+    let mut router = FakeRouter::connect(fleet.machines[2].internal, "late");
+    assert_eq!(next_record(&mut router, "i-7").state, ServerState::Ready);
+}
+
+fn next_record(router: &mut FakeRouter, instance: &str) -> lichenswitch_messages::ServerRecord {
+    router.next_of(|message| match message {
+        ControlToRouter::Servers { records, .. } => {
+            records.into_iter().find(|record| record.instance == instance)
+        }
+        _ => None,
+    })
+}
--- a/fleet/tests/control_settings.rs
+++ b/fleet/tests/control_settings.rs
@@ -2,6 +2,7 @@
 
 use assert_matches::assert_matches;
 use lichenswitch_fleet::settings::{Settings, SettingsError};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 const GOOD: &str = r#"
@@ -42,7 +43,7 @@
     let settings = Settings::parse(GOOD).unwrap();
     assert_eq!(settings.node_name, "edge-a-1");
     assert_eq!(settings.internal_ports, (7300, 7315));
-    assert_eq!(settings.seeds_internal()[1], "10.2.0.14:7300".parse().unwrap());
+    assert_eq!(settings.seeds_internal()[1], "10.2.0.14:7300".parse::<SocketAddr>().unwrap());
     assert_eq!(settings.listen.control_plane, "10.1.0.10:8262".parse().ok());
     assert_eq!(settings.listen.frontend, None);
     assert_eq!(settings.fault_tolerance.machines, 2);
