Test digests' framing, draws by rounded weights, and older word of a server

Three of 17 faults that were planted in a copy had gone unseen: digests without lengths, a draw that may take a service without weight, and older word that shortens what is known.

--- a/decide/configuration/src/order/tests.rs
+++ b/decide/configuration/src/order/tests.rs
@@ -192,5 +192,7 @@
         assert_ne!(other.digest(), order.digest(), "{other:?}");
     }
     assert_eq!(order.digest(), order.clone().digest());
+    let (one, other) = (OrderDigest::of("x", 0x41, &[1]), OrderDigest::of("xA", 1 << 56, &[]));
+    assert_ne!(one, other, "their bytes are the same, one after the other");
     assert_eq!(OrderKind::of_path(OrderKind::Update.path()), Some(OrderKind::Update));
 }
--- a/decide/configuration/src/route/tests.rs
+++ b/decide/configuration/src/route/tests.rs
@@ -96,3 +96,9 @@
     assert_eq!(times("most") + times("few"), 1_000);
     assert_eq!((route.draw(0), route.draw(u64::MAX)), ("most", "few"));
 }
+
+#[test]
+fn a_service_without_weight_is_not_drawn_where_the_sum_of_weights_was_rounded() {
+    let route = read(&split(&[("a", 0.1), ("b", 0.2), ("c", 0.3), ("none", 0.0)])).expect("valid");
+    assert_eq!(route.draw(u64::MAX), "c");
+}
--- a/decide/registry/src/table/tests.rs
+++ b/decide/registry/src/table/tests.rs
@@ -138,6 +138,16 @@
     assert_eq!((changes.records.len(), changes.news().len(), unheard(&table, "i")), (1, 0, false));
 }
 
+#[test]
+fn older_word_of_a_server_does_not_shorten_what_is_known() {
+    let mut table = table();
+    run_to(&mut table, START + 3 * SECOND);
+    table.on_heartbeat(START + 3 * SECOND, "i", &beat("a:1", 1));
+    table.merge_heard(START + 3 * SECOND, &[("i".to_owned(), 2_900)]);
+    run_to(&mut table, START + 7 * SECOND);
+    assert!(!unheard(&table, "i"));
+}
+
 #[test]
 fn a_table_that_has_just_started_calls_nobody_unheard_for_five_intervals() {
     let mut table = table();
