Move core, module, its containers and the planner to packages

Cause: the router decides by the same module and keeps its requests in the same core.

Change: `core/` (with `contract`), `policy/`, `stats/` and `decide/phases/`, by moves alone; the broker's paths stay as re-exports. `Parts` of processes side by side, which core needs, moved from `decide/management` to `interface`, so that core has none of the operators' calls under it.

--- a/src/core/answer.rs
+++ b/core/src/answer.rs
@@ -1,7 +1,7 @@
 //! Answer: the end of a query, whole, partial, refused or failed, and the second step where a class has one.
 
 use super::{Command, Core, Reply};
-use crate::interface::{Event, Micros, QueryId, Time};
+use lichenswitch_interface::{Event, Micros, QueryId, Time};
 
 /// Sums of weights may fall short by this much.
 const ROUNDING: f64 = 1e-4;
--- a/src/core/collect.rs
+++ b/core/src/collect.rs
@@ -1,7 +1,7 @@
 //! Collect: outcomes of attempts come in, and with them the values of parts.
 
 use super::{Core, Value};
-use crate::interface::{Event, Outcome, ServerId, Time};
+use lichenswitch_interface::{Event, Outcome, ServerId, Time};
 
 impl<J> Core<J> {
     /// An attempt has ended. Only its first end counts; `false`: it had ended before.
--- a/src/contract.rs
+++ b/core/src/contract.rs
@@ -2,7 +2,7 @@
 //!
 //! They are checked at intake. Without any contract configured, as on the platform, nothing is checked.
 
-use crate::interface::{Budget, Micros, Time};
+use lichenswitch_interface::{Budget, Micros, Time};
 use std::collections::BTreeMap;
 
 /// What was agreed with one team.
--- a/src/core/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -1,7 +1,7 @@
 //! Dispatch: what the module asks for becomes commands; sends of a turn to one server share a call.
 
 use super::{Attempt, Command, Core, Dispatch};
-use crate::interface::{Action, Event, Micros, Outcome, PartId, Repeat, ServerId, Time};
+use lichenswitch_interface::{Action, Event, Micros, Outcome, PartId, Repeat, ServerId, Time};
 use std::collections::HashMap;
 
 /// The calls of a turn.
--- a/src/core/intake.rs
+++ b/core/src/intake.rs
@@ -2,7 +2,7 @@
 
 use super::{Core, Part, Query, Request};
 use crate::contract::Breach;
-use crate::interface::{Event, Micros, PartId, QueryId, Shard, Time};
+use lichenswitch_interface::{Event, Micros, PartId, QueryId, Shard, Time};
 use std::rc::Rc;
 
 /// Why a query was not taken.
--- a/src/core/mod.rs
+++ b/core/src/lib.rs
@@ -4,24 +4,28 @@
 //!
 //! A query goes through `intake`, `dispatch`, `collect` and `answer`, one file each; `phases` asks the planner of
 //! queries of two steps. Time is an argument.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 mod answer;
 mod collect;
+pub mod contract;
 mod dispatch;
 mod intake;
 mod phases;
 #[cfg(test)]
 mod tests;
 
-use crate::contract::Contracts;
-use crate::decide::phases::prune::{Key, Way};
-use crate::decide::phases::Planner;
-use crate::interface::{Event, Listing, Micros, PartId, QueryId, ServerId, Settings, Shard, Time};
-use crate::policy::Coordinator;
-use lichenswitch_management::siblings::{Parts, ALONE};
+use lichenswitch_interface::{
+    Event, Listing, Micros, PartId, Parts, QueryId, ServerId, Settings, Shard, Time, ALONE,
+};
+use lichenswitch_phases::prune::{Key, Way};
+use lichenswitch_phases::Planner;
+use lichenswitch_policy::Coordinator;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
+pub use contract::Contracts;
 pub use intake::Refusal;
 
 /// A query as a front hands it in.
--- a/src/core/phases.rs
+++ b/core/src/phases.rs
@@ -1,9 +1,9 @@
 //! Phases: what the planner of queries of two steps is told, and what it says is carried out.
 
 use super::{Attempt, Command, Core, FirstStep, Reply, Value};
-use crate::decide::phases::prune::Bound;
-use crate::decide::phases::{First, Goal, Plan, Verdict};
-use crate::interface::{Event, Micros, Outcome, QueryId, Shard, Time};
+use lichenswitch_interface::{Event, Micros, Outcome, QueryId, Shard, Time};
+use lichenswitch_phases::prune::Bound;
+use lichenswitch_phases::{First, Goal, Plan, Verdict};
 use std::rc::Rc;
 
 fn bound(shard: Shard, value: &Value) -> Option<Bound> {
--- a/src/core/tests.rs
+++ b/core/src/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the books: what the module asks for is carried out, and the rules hold whatever it asks.
 
 use super::*;
-use crate::interface::{
+use lichenswitch_interface::{
     Action, Budget, Class, Cold, Discovery, Layout, Limits, Listed, Mode, Outcome, Repeat, FIRST_SHARE,
 };
 
--- a/decide/management/src/siblings.rs
+++ b/decide/management/src/siblings.rs
@@ -4,6 +4,8 @@
 //! sees another; a process that has just begun takes its part from its first moment on. One that leaves its clients to
 //! another keeps what it holds, but not what it may do with servers that bear little: that goes to those that stay.
 
+pub use lichenswitch_interface::{Parts, ALONE};
+
 /// What a process tells the others of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Told {
@@ -17,19 +19,6 @@
     pub leaving: bool,
 }
 
-/// Parts of what is allowed to one broker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Parts {
-    /// What is held, as connections and memory, is cut into so many.
-    pub held: u32,
-    /// What may be done, as sends to cold servers and further attempts, is cut into so many; `None`: nothing of it is
-    /// this process's.
-    pub done: Option<u32>,
-}
-
-/// Those of a process that runs alone.
-pub const ALONE: Parts = Parts { held: 1, done: Some(1) };
-
 /// This process's parts while these others are alive.
 #[must_use]
 pub fn parts(leaving: bool, others: &[Told]) -> Parts {
--- a/src/decide/phases/budget.rs
+++ b/decide/phases/src/budget.rs
@@ -3,7 +3,7 @@
 
 use super::learn::Learnt;
 use super::Rules;
-use crate::interface::{Micros, Time};
+use lichenswitch_interface::{Micros, Time};
 
 /// A part of the first phase that is not in yet.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/decide/phases/learn.rs
+++ b/decide/phases/src/learn.rs
@@ -1,7 +1,7 @@
 //! What was learnt of the times of parts: decaying quantiles, scaled by how much was pending where a part went.
 
-use crate::interface::{Micros, Time};
 use hdrhistogram::Histogram;
+use lichenswitch_interface::{Micros, Time};
 
 /// Points of the table of quantiles.
 const POINTS: usize = 64;
--- a/src/decide/phases/mod.rs
+++ b/decide/phases/src/lib.rs
@@ -4,13 +4,15 @@
 //! The module (`policy`) goes on to choose servers, copies and further attempts. The planner tells it when a first phase
 //! is closed, which parts the second has, and which are not needed any more. Events go in with their time; verdicts come
 //! out with the figures behind them. Without rules for a class nothing is planned for it, and all is as the settings say.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod budget;
 pub mod learn;
 pub mod prune;
 
-use crate::interface::{Class, Micros, QueryId, Time};
 use budget::{Candidate, Missing, Times};
+use lichenswitch_interface::{Class, Micros, QueryId, Time};
 use prune::{Bound, Race, Reach, Way};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
--- a/interface/src/lib.rs
+++ b/interface/src/lib.rs
@@ -222,6 +222,19 @@
     }
 }
 
+/// Parts of what is allowed to one broker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Parts {
+    /// What is held, as connections and memory, is cut into so many.
+    pub held: u32,
+    /// What may be done, as sends to cold servers and further attempts, is cut into so many; `None`: nothing of it is
+    /// this process's.
+    pub done: Option<u32>,
+}
+
+/// Those of a process that runs alone.
+pub const ALONE: Parts = Parts { held: 1, done: Some(1) };
+
 /// State of a server as the list has it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
--- a/src/policy.rs
+++ b/policy/src/lib.rs
@@ -1,14 +1,16 @@
-//! Every decision of the co-ordinator. Its types, events and actions are in `src/interface.rs`.
+//! Every decision of the co-ordinator. Its types, events and actions are the package `interface`.
 //!
 //! The ordinary path is BASIC with REQS (Friedman and Mosse 1996): a part goes to the replica with the fewest
 //! calls of this instance pending, is copied once at half its aim, and the losing twin is cancelled. All else
 //! is a guard with its condition at the code.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
-use crate::interface::{
+use lichenswitch_interface::{
     Action, Budget, Class, Discovery, Event, Listed, Listing, Micros, Mode, Outcome, PartId, QueryId, Repeat,
     ServerId, Settings, Shard, Time,
 };
-use crate::stats::{
+use lichenswitch_stats::{
     drawn, faded, Aged, Agenda, Bid, Call, Dice, Fading, Fate, Flight, Part, Quotas, Try, Wanted, WindowCount,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,4 +6,4 @@
 pub use lichenswitch_duty as duty;
 pub mod fleet;
 pub mod membership;
-pub mod phases;
+pub use lichenswitch_phases as phases;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,23 +7,24 @@
 
 pub mod broker;
 pub mod config;
-pub mod contract;
-pub mod core;
 pub mod decide;
 pub mod discovery;
 pub mod front;
-pub use lichenswitch_http as http;
-pub use lichenswitch_interface as interface;
 pub mod inventory;
 pub mod lines;
 pub mod management;
 pub mod net;
 pub mod peer;
-pub mod policy;
-pub mod stats;
+pub mod upstream;
+
+pub use lichenswitch_core as core;
+pub use lichenswitch_core::contract;
+pub use lichenswitch_http as http;
+pub use lichenswitch_interface as interface;
+pub use lichenswitch_policy as policy;
+pub use lichenswitch_stats as stats;
 #[cfg(test)]
 use lichenswitch_testing as testing;
-pub mod upstream;
 
 /// Compiles and runs the example of the README.
 #[doc = include_str!("../README.md")]
--- a/src/stats.rs
+++ b/stats/src/lib.rs
@@ -1,6 +1,8 @@
 //! Plain containers for what the decision module remembers. Every parameter is passed in.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
-use crate::interface::{Micros, PartId, ServerId, Shard, Time};
+use lichenswitch_interface::{Micros, PartId, ServerId, Shard, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A seeded source of chance.
