Let classes and budget change while module and core run, and count streams

Cause: the fleet's routes come and go, its shares of the budget are leased, each route has attempts of its own, and a stream keeps its server busy after its first event, when its query counts as answered.

Change: `Class.attempts`; the events `Classes`, `Budget` and `Running`, by `Core::set_classes`, `set_budget` and `set_running`. A class in the place of another begins with nothing learnt. A request of a class that there is not is turned away by the core; it was an index out of bounds. The tests of streams also show that a query of one part, over servers of one cell, goes to the fewest pending of all, is copied at half its aim where it may run twice, and that the loser is cancelled.

--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -55,7 +55,7 @@
         let number = p.attempts;
         p.attempts += 1;
         // Guards the limit on attempts: one beyond it is not sent, whatever the module says.
-        if u32::from(number - p.unsent) >= self.settings.limits.attempts || p.value.is_some() {
+        if u32::from(number - p.unsent) >= self.settings.attempts_of(q.class) || p.value.is_some() {
             let event = Event::Finished { part, attempt: number, server, outcome: Outcome::Moot, elapsed: 0 };
             return self.inbox.push(event);
         }
--- a/core/src/intake.rs
+++ b/core/src/intake.rs
@@ -82,6 +82,9 @@
 
     fn admit(&mut self, now: Time, mut request: Request<J>) -> Result<QueryId, Refusal> {
         sound(&request.parts, self.settings.layout.shards)?;
+        if request.class >= self.settings.classes.len() {
+            return Err(Refusal::Malformed("there is no such class"));
+        }
         if self.held_off {
             return Err(Refusal::Stopping);
         }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,7 +17,7 @@
 mod tests;
 
 use lichenswitch_interface::{
-    Event, Listing, Micros, PartId, Parts, QueryId, ServerId, Settings, Shard, Time, ALONE,
+    Budget, Class, Event, Listing, Micros, PartId, Parts, QueryId, ServerId, Settings, Shard, Time, ALONE,
 };
 use lichenswitch_phases::prune::{Key, Way};
 use lichenswitch_phases::Planner;
@@ -292,6 +292,31 @@
         &self.settings
     }
 
+    /// The classes from now on. There are never fewer than before; a query that is held keeps its class for as long as
+    /// its place is not given to another one.
+    pub fn set_classes(&mut self, classes: Vec<Class>) {
+        debug_assert!(
+            classes.len() >= self.settings.classes.len(),
+            "held queries know their class by its place"
+        );
+        self.tallies.resize(classes.len().max(self.tallies.len()), Tally::default());
+        let kept = self.settings.classes.get(classes.len()..).unwrap_or_default();
+        self.settings.classes = [&classes, kept].concat();
+        self.inbox.push(Event::Classes(classes));
+    }
+
+    /// The budget for further attempts from now on.
+    pub fn set_budget(&mut self, budget: Option<Budget>) {
+        if std::mem::replace(&mut self.settings.limits.budget, budget) != budget {
+            self.inbox.push(Event::Budget(budget));
+        }
+    }
+
+    /// So many streams run on at a server, of queries that were answered: they count as pending there.
+    pub fn set_running(&mut self, server: ServerId, streams: u32) {
+        self.inbox.push(Event::Running { server, streams });
+    }
+
     /// From now on this process has these parts of what is allowed to the broker.
     pub fn share(&mut self, parts: Parts) {
         if std::mem::replace(&mut self.parts_of, parts).done != parts.done {
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -20,6 +20,7 @@
         partial: 0.8,
         second_step,
         first_share: FIRST_SHARE,
+        attempts: None,
     };
     Settings {
         classes: vec![class],
@@ -379,3 +380,67 @@
     let fourth = sends(&stage.turn()).remove(0);
     assert_eq!(fourth.leave_by, Some(sent.plus(500 * MS)));
 }
+
+#[test]
+fn classes_come_while_it_runs_with_attempts_and_figures_of_their_own() {
+    let mut stage = Stage::new(0);
+    let kept = stage.take(&[0]).unwrap();
+    let (class, mut more) = (stage.core.settings().classes[0].clone(), stage.core.settings().classes.clone());
+    more.push(Class { attempts: Some(1), ..class });
+    stage.core.set_classes(more);
+    let deadline = stage.now.plus(2_000 * MS);
+    let (parts, tenant, job) = (vec![(Shard(1), 1.0)], u32::MAX, "second");
+    let request =
+        Request { class: 1, deadline, key: 0, again: false, tenant, team: None, parts, top: None, job };
+    let unknown = stage.core.take(stage.now, Request { class: 2, ..request.clone() });
+    assert!(matches!(unknown, Err(Refusal::Malformed(_))), "{unknown:?}");
+    let second = stage.core.take(stage.now, request).unwrap();
+    let first = sends(&stage.turn());
+    assert_eq!(first.len(), 2, "one part each: {first:?}");
+    for send in first {
+        stage.end(send.attempt, Outcome::Error, 0.0);
+    }
+    let commands = stage.turn();
+    let refused =
+        commands.iter().any(|c| matches!(c, Command::Reply(id, Reply::Refused(_)) if *id == second));
+    assert!(refused, "its class has one attempt: {commands:?}");
+    let again = sends(&commands).len();
+    assert!(again == 1 && stage.core.held_queries() == 1, "{kept:?} is sent again: {commands:?}");
+    assert_eq!(stage.core.take_tallies().iter().map(|t| t.refused).collect::<Vec<_>>(), [0, 1]);
+}
+
+#[test]
+fn the_budget_is_replaced_while_it_runs() {
+    let mut stage = Stage::new(0);
+    let none = Budget { window: 1_000 * MS, least: 0.0, share: 0.0 };
+    stage.core.set_budget(Some(none));
+    assert_eq!(stage.core.settings().limits.budget, Some(none));
+    for allowed in [false, true] {
+        stage.core.set_budget((!allowed).then_some(none));
+        let query = stage.take(&[0]).unwrap();
+        let attempt = sends(&stage.turn())[0].attempt;
+        stage.end(attempt, Outcome::Error, 0.0);
+        assert_eq!(sends(&stage.turn()).len(), usize::from(allowed));
+        stage.core.hangup(query);
+        stage.turn();
+    }
+}
+
+#[test]
+fn streams_that_run_on_at_a_server_send_others_elsewhere() {
+    let mut stage = Stage::new(0);
+    for busy in [0, 1, 0] {
+        stage.core.set_running(ServerId(busy), 5);
+        stage.core.set_running(ServerId(1 - busy), 0);
+        let query = stage.take(&[0]).unwrap();
+        let commands = stage.turn();
+        let at: Vec<ServerId> = commands
+            .iter()
+            .filter_map(|c| if let Command::Send(s, _) = c { Some(*s) } else { None })
+            .collect();
+        assert_eq!(at, [ServerId(1 - busy)]);
+        stage.end(sends(&commands)[0].attempt, Outcome::Ok, 0.0);
+        stage.turn();
+        stage.core.hangup(query);
+    }
+}
--- a/interface/src/lib.rs
+++ b/interface/src/lib.rs
@@ -86,6 +86,8 @@
     pub second_step: u32,
     /// Share of the aim that the first of two steps may take (0 to 1).
     pub first_share: f64,
+    /// Attempts for one part; `None`: as [`Limits::attempts`] says.
+    pub attempts: Option<u32>,
 }
 
 /// Limit on attempts beyond each part's first.
@@ -102,7 +104,7 @@
 /// What this instance may do and how much.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
-    /// Attempts for one part.
+    /// Attempts for one part of a class that names none of its own.
     pub attempts: u32,
     /// Queries and parts held at once; beyond it queries are turned away unseen.
     pub held: u32,
@@ -182,6 +184,14 @@
     pub over_quota: f64,
 }
 
+impl Settings {
+    /// Attempts for one part of this class.
+    #[must_use]
+    pub fn attempts_of(&self, class: usize) -> u32 {
+        self.classes.get(class).and_then(|c| c.attempts).unwrap_or(self.limits.attempts)
+    }
+}
+
 /// One class that is never repeated, one cell, no permissions: what is safe where nothing is known.
 impl Default for Settings {
     fn default() -> Self {
@@ -196,6 +206,7 @@
             partial: 0.0,
             second_step: 0,
             first_share: FIRST_SHARE,
+            attempts: None,
         };
         Settings {
             classes: vec![class],
@@ -369,6 +380,18 @@
     },
     /// News of the list of servers.
     List(Listing),
+    /// The classes from now on, by index. There are never fewer than before: one that differs from what was in its place
+    /// is another class, of which nothing is known yet.
+    Classes(Vec<Class>),
+    /// The budget for further attempts from now on.
+    Budget(Option<Budget>),
+    /// So many streams run on at a server whose parts count as answered: they count as pending there.
+    Running {
+        /// The server.
+        server: ServerId,
+        /// All that run on there now.
+        streams: u32,
+    },
     /// What is allowed to this instance is shared alike by so many of its processes from now on, this one included; `None`:
     /// by others alone, as this one is about to end.
     Processes(Option<u32>),
--- a/lab/src/replay.rs
+++ b/lab/src/replay.rs
@@ -37,6 +37,7 @@
         partial: 0.8,
         second_step,
         first_share: FIRST_SHARE,
+        attempts: None,
     }
 }
 
--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -47,6 +47,7 @@
         partial: 0.9,
         second_step: 0,
         first_share: FIRST_SHARE,
+        attempts: None,
     };
     Settings {
         classes: vec![class],
--- a/lab/src/two_phase.rs
+++ b/lab/src/two_phase.rs
@@ -60,6 +60,7 @@
         partial: 0.8,
         second_step,
         first_share: FIRST_SHARE,
+        attempts: None,
     }
 }
 
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -11,7 +11,8 @@
     ServerId, Settings, Shard, Time,
 };
 use lichenswitch_stats::{
-    drawn, faded, Aged, Agenda, Bid, Call, Dice, Fading, Fate, Flight, Part, Quotas, Try, Wanted, WindowCount,
+    drawn, faded, scaled, Aged, Agenda, Bid, Call, Dice, Fading, Fate, Flight, Part, Quotas, Server, Try,
+    Wanted, WindowCount,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -109,30 +110,6 @@
 const TRAVEL: Micros = 20_000;
 
 // ---- What is remembered ------------------------------------------------------------------------------
-#[derive(Default)]
-struct Server {
-    cell: u32,
-    zone: u32,
-    mode: Mode,
-    /// Last start that the list told, while it may still be cold.
-    cold_from: Option<Time>,
-    cold_tokens: f64,
-    filled_at: Time,
-    calls: Vec<Call>,
-    /// Share of bad ends by class, the last one for what befalls all classes, and when it was last told.
-    faults: Vec<Aged>,
-    /// Recent answer time, how many own parts were pending when those parts were sent, and the last of them.
-    wait: Fading,
-    depth: Fading,
-    wait_at: Time,
-    /// Last time that something was sent to it or came from it, and whether what is pending went on a
-    /// connection that had been idle.
-    used: Time,
-    idle: bool,
-    /// When the youngest part was sent that it has answered.
-    proved: Time,
-}
-
 #[derive(Default)]
 struct Query {
     number: u32,
@@ -263,7 +240,7 @@
         let soon = self.now.plus(if self.set.limits.second_copies { LOOK } else { TRAVEL });
         let partial = q.arrived.plus(self.partial_after(q));
         let mut due = self.end_of(q).min(if partial > self.now { partial } else { soon });
-        let again = |i: usize| q.parts[i].made() < self.set.limits.attempts as usize;
+        let again = |i: usize| q.parts[i].made() < self.set.attempts_of(q.class) as usize;
         if q.agenda.idle().next().is_some() || q.agenda.due(self.now).any(again) {
             due = due.min(soon);
         }
@@ -287,7 +264,8 @@
         }
         match event {
             Event::Query { query, number, class, deadline, key, again, tenant } => {
-                let class = usize::from(class).min(self.set.classes.len().saturating_sub(1));
+                let Some(last) = self.set.classes.len().checked_sub(1) else { return };
+                let class = usize::from(class).min(last);
                 let (aim_at, gain) = self.start_of(class, key, again, tenant);
                 let (aim, patience) = (self.set.classes[class].aim, deadline.since(self.now));
                 let left = aim_at.since(self.now);
@@ -330,6 +308,11 @@
             }
             Event::Probed { .. } => {} // It proves a process, not a service; none is sent.
             Event::List(listing) => self.listed(listing),
+            Event::Classes(classes) => self.set_classes(classes),
+            Event::Budget(budget) => self.set.limits.budget = budget,
+            Event::Running { server, streams } => {
+                self.servers.entry(server).and_modify(|s| s.running = streams);
+            }
             Event::Processes(count) => {
                 self.processes = count.map_or(u32::MAX, |count| count.max(1));
                 self.quotas.share(&self.set.quotas, self.set.instances.saturating_mul(self.processes));
@@ -338,6 +321,19 @@
         }
     }
 
+    /// What was learnt of a class goes with it.
+    fn set_classes(&mut self, mut classes: Vec<Class>) {
+        let old = &self.set.classes;
+        classes.extend_from_slice(old.get(classes.len()..).unwrap_or_default());
+        let same: Vec<bool> = (0..classes.len()).map(|i| old.get(i) == Some(&classes[i])).collect();
+        self.norms.resize(classes.len() * 2, Fading::default());
+        let forget =
+            |(i, norm): (usize, &mut Fading)| *norm = if same[i / 2] { *norm } else { Fading::default() };
+        self.norms.iter_mut().enumerate().for_each(forget);
+        self.servers.values_mut().for_each(|s| s.on_classes(&same));
+        self.set.classes = classes;
+    }
+
     /// When the aim of a query is over, from the client's first try on, and that try's gain. A further try is
     /// of a class and key turned away before and, where clients mark such, marked. Guards against late tries
     /// that crowd out fresh ones. Harm: unmarked, a fresh query of a hot key may be taken for one.
@@ -550,7 +546,7 @@
     /// Whether the rules allow another attempt of a part now.
     fn may_send(&self, q: &Query, p: &Part, copy: bool) -> bool {
         let copies = self.set.limits.second_copies && self.class(q).repeat == Repeat::Safe;
-        if p.made() >= self.set.limits.attempts as usize || copy && !copies {
+        if p.made() >= self.set.attempts_of(q.class) as usize || copy && !copies {
             return false;
         }
         match self.class(q).repeat {
@@ -695,7 +691,7 @@
         let depth = fading * s.depth.or(0.0);
         let held = s.calls.iter().filter(|c| c.left > 0 && c.sent > s.proved);
         let oldest = held.map(|c| self.now.since(c.sent)).max().unwrap_or(0);
-        (wait * (pending(s) + AT_ONCE) / (depth + AT_ONCE)).max(oldest as f64)
+        (wait * (s.pending() + AT_ONCE) / (depth + AT_ONCE)).max(oldest as f64)
     }
 
     /// Turns a query away at its arrival when one of its parts finds all replicas too far behind. The
@@ -731,14 +727,14 @@
     #[must_use]
     pub fn pending_for(&self, shard: Shard, class: usize) -> Option<f64> {
         let open = self.holders(shard).filter(|(_, s)| !self.closed(s));
-        open.min_by_key(|(_, s)| self.rank(s, class)).map(|(_, s)| pending(s))
+        open.min_by_key(|(_, s)| self.rank(s, class)).map(|(_, s)| s.pending())
     }
 
     /// How many of the ready servers are avoided by choice: passed over for queries of some class, and sent
     /// nothing for a while.
     #[must_use]
     pub fn avoided(&self) -> usize {
-        let rests = |s: &Server| pending(s) == 0.0 && self.now.since(s.used) > AVOIDED;
+        let rests = |s: &Server| s.pending() == 0.0 && self.now.since(s.used) > AVOIDED;
         let classes = 0..self.set.classes.len();
         let passed_over = |s: &&Server| rests(s) && classes.clone().any(|class| self.rank(s, class).0 > 0);
         self.servers.values().filter(|s| s.mode == Mode::Ready).filter(passed_over).count()
@@ -762,7 +758,7 @@
         let tier = if fault > FAULTY[usize::from(half > FAULT_HALF)] { 1 + (fault * 4.0) as u8 } else { 0 };
         // One that is about to be taken out comes after all that are trusted.
         let tier = tier.max(u8::from(s.mode == Mode::Leaving));
-        let pending = s.calls.iter().filter(|c| c.counts(self.now)).count();
+        let pending = s.calls.iter().filter(|c| c.counts(self.now)).count() + s.running as usize;
         (tier, pending + usize::from(!self.joins(s)))
     }
 
@@ -830,7 +826,7 @@
         let (Some(q), Some(s)) = (self.queries.get_mut(&id), self.servers.get_mut(&server)) else { return };
         s.calls.retain(|c| c.counts(now));
         let p = &mut q.parts[i];
-        let (attempt, depth) = (p.tries.len() as u16, pending(s));
+        let (attempt, depth) = (p.tries.len() as u16, s.pending());
         if !joined {
             s.calls.push(Call { id: self.calls, sent: now, left: 0, size: 0, ghost: None });
             self.calls += 1;
@@ -944,7 +940,7 @@
             lines.iter().for_each(|line| self.list_line(line));
         }
         // Guards memory and time on long days: what is gone is forgotten once nothing is out there.
-        self.servers.retain(|_, s| s.mode != Mode::Gone || pending(s) > 0.0);
+        self.servers.retain(|_, s| s.mode != Mode::Gone || s.pending() > 0.0 || s.running > 0);
         // What the list changed is summed up: no decision walks the fleet.
         (self.cells, self.ready) = (BTreeMap::new(), 0);
         for (&id, s) in self.servers.iter().filter(|(_, s)| matches!(s.mode, Mode::Ready | Mode::Leaving)) {
@@ -998,12 +994,3 @@
         Some((tokens, if open { 1 + more } else { 0 }))
     }
 }
-
-// ---- Small helpers -----------------------------------------------------------------------------------
-/// Own parts out at a server.
-fn pending(s: &Server) -> f64 {
-    f64::from(s.calls.iter().map(|c| c.left).sum::<u32>())
-}
-fn scaled(time: Micros, by: f64) -> Micros {
-    (time as f64 * by) as Micros
-}
--- /dev/null
+++ b/policy/tests/streams.rs
@@ -0,0 +1,228 @@
+//! The module as a router of streams uses it: queries of one part, servers of one cell that all hold it, classes and
+//! a budget that change while it runs, streams that run on after their parts were answered.
+
+use lichenswitch_interface::*;
+use lichenswitch_policy::Coordinator;
+use std::collections::BTreeSet;
+
+const MS: Micros = 1_000;
+const AIM: Micros = 1_000 * MS;
+
+fn class(repeat: Repeat) -> Class {
+    Class { aim: AIM, deadline: 10 * AIM, repeat, late_share: 1.0, ..Settings::default().classes[0].clone() }
+}
+
+fn settings(classes: Vec<Class>) -> Settings {
+    let plain = Settings::default();
+    Settings {
+        classes,
+        limits: Limits { attempts: 3, cancel: true, second_copies: true, ..plain.limits },
+        layout: Layout { cells: 1, width: 1, shards: 1, parts_a_call: 1 },
+        ..plain
+    }
+}
+
+/// A module that knows so many servers, numbered from 1, and its clock.
+struct Stage {
+    module: Coordinator,
+    now: Time,
+    next: u64,
+}
+
+impl Stage {
+    fn new(seed: u64, settings: Settings, servers: u32) -> Stage {
+        let (module, now) = (Coordinator::new(seed, settings), Time(1_000_000 * MS));
+        let mut stage = Stage { module, now, next: 0 };
+        let line = |id| Listed { server: ServerId(id), cell: 0, zone: 0, mode: Mode::Ready, started: None };
+        stage.turn(vec![Event::List(Listing::Whole((1..=servers).map(line).collect()))]);
+        stage
+    }
+
+    fn turn(&mut self, events: Vec<Event>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.module.turn(self.now, events, &mut actions);
+        actions
+    }
+
+    fn after(&mut self, wait: Micros, events: Vec<Event>) -> Vec<Action> {
+        self.now = self.now.plus(wait);
+        self.turn(events)
+    }
+
+    /// A query of this class comes: its part, and where that is sent.
+    fn query(&mut self, class: u16) -> (PartId, Option<ServerId>) {
+        self.next += 2;
+        let (number, part) = (self.next as u32, PartId(self.next + 1));
+        let deadline = self.now.plus(10 * AIM);
+        let (query, key, again, tenant) = (QueryId(self.next), 0, false, u32::MAX);
+        let actions = self.turn(vec![
+            Event::Query { query, number, class, deadline, key, again, tenant },
+            Event::Part { part, number, shard: Shard(0), weight: 1.0 },
+        ]);
+        (part, sent(&actions))
+    }
+}
+
+fn sent(actions: &[Action]) -> Option<ServerId> {
+    let mut sends = actions.iter().filter_map(|a| match a {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    });
+    let first = sends.next();
+    assert_eq!(sends.next(), None, "one part is sent once a turn");
+    first
+}
+
+fn ended(part: PartId, attempt: u16, server: ServerId, outcome: Outcome, elapsed: Micros) -> Event {
+    Event::Finished { part, attempt, server, outcome, elapsed }
+}
+
+#[test]
+fn a_part_goes_to_the_server_with_the_fewest_pending_of_all_that_are_ready() {
+    let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe)]), 12);
+    let first: BTreeSet<u32> = (0..12).filter_map(|_| stage.query(0).1).map(|s| s.0).collect();
+    assert_eq!(first, (1..=12).collect(), "each has one before any has two");
+    let (part, again) = stage.query(0);
+    let again = again.unwrap();
+    stage.after(MS, vec![ended(part, 0, again, Outcome::Ok, MS)]);
+    let others = (0..12).filter_map(|_| stage.query(0).1).filter(|s| *s == again).count();
+    assert_eq!(others, 1, "what is answered is not pending any more");
+}
+
+#[test]
+fn ties_are_broken_by_chance() {
+    let first = |seed| Stage::new(seed, settings(vec![class(Repeat::Safe)]), 4).query(0).1.unwrap().0;
+    let met: BTreeSet<u32> = (0..64).map(first).collect();
+    assert_eq!(met, (1..=4).collect());
+}
+
+#[test]
+fn a_part_that_may_run_twice_is_copied_at_half_its_aim_and_the_loser_is_cancelled() {
+    let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe)]), 4);
+    let (part, first) = stage.query(0);
+    assert_eq!(sent(&stage.after(AIM / 2 - MS, vec![])), None);
+    let copy = sent(&stage.after(MS, vec![])).expect("half of the aim is over");
+    assert_ne!(Some(copy), first);
+    let actions = stage.after(10 * MS, vec![ended(part, 1, copy, Outcome::Ok, 10 * MS)]);
+    assert!(actions.contains(&Action::Cancel { part, attempt: 0 }), "{actions:?}");
+    assert!(actions.iter().any(|a| matches!(a, Action::Answer { whole: true, .. })), "{actions:?}");
+}
+
+#[test]
+fn the_copy_is_cancelled_where_the_first_attempt_answers() {
+    let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe)]), 4);
+    let (part, first) = stage.query(0);
+    sent(&stage.after(AIM / 2, vec![])).expect("half of the aim is over");
+    let actions = stage.after(10 * MS, vec![ended(part, 0, first.unwrap(), Outcome::Ok, AIM / 2)]);
+    assert!(actions.contains(&Action::Cancel { part, attempt: 1 }), "{actions:?}");
+}
+
+#[test]
+fn a_part_that_may_not_run_twice_is_never_copied() {
+    let mut stage = Stage::new(1, settings(vec![class(Repeat::Unsafe)]), 4);
+    let (part, first) = stage.query(0);
+    assert_eq!(sent(&stage.after(AIM / 2, vec![])), None);
+    let failed = ended(part, 0, first.unwrap(), Outcome::Error, AIM / 2);
+    assert_eq!(sent(&stage.after(MS, vec![failed])), None);
+}
+
+#[test]
+fn each_class_has_its_own_attempts_or_those_of_all() {
+    let own = |attempts| Class { attempts, ..class(Repeat::Safe) };
+    for (place, attempts) in [(0, 1), (1, 2), (2, 3), (3, 5)] {
+        let classes = vec![own(Some(1)), own(Some(2)), own(None), own(Some(5))];
+        let mut stage = Stage::new(1, settings(classes), 8);
+        let (part, mut server) = stage.query(place);
+        let mut made = 0;
+        while let Some(at) = server {
+            server = sent(&stage.after(MS, vec![ended(part, made, at, Outcome::Error, MS)]));
+            made += 1;
+        }
+        assert_eq!(made, attempts, "class {place}");
+    }
+}
+
+#[test]
+fn streams_that_run_on_count_as_pending() {
+    let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe)]), 3);
+    let running = |server, streams| Event::Running { server: ServerId(server), streams };
+    stage.turn(vec![running(1, 3), running(2, 2), running(9, 1)]);
+    let order: Vec<u32> = (0..3).map(|_| stage.query(0).1.unwrap().0).collect();
+    assert_eq!(order[..2], [3, 3], "it has fewest until it has as many");
+    stage.turn(vec![running(1, 0)]);
+    assert_eq!(stage.query(0).1, Some(ServerId(1)));
+}
+
+#[test]
+fn a_server_that_is_gone_is_remembered_while_streams_run_there() {
+    let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe)]), 2);
+    let line = |mode| Listed { server: ServerId(1), cell: 0, zone: 0, mode, started: None };
+    let told = |mode| Event::List(Listing::Changes(vec![line(mode)]));
+    stage.turn(vec![Event::Running { server: ServerId(1), streams: 5 }, told(Mode::Gone)]);
+    stage.turn(vec![told(Mode::Ready)]);
+    let met: Vec<u32> = (0..5).map(|_| stage.query(0).1.unwrap().0).collect();
+    assert_eq!(met, [2; 5]);
+}
+
+#[test]
+fn the_budget_is_replaced_while_it_runs() {
+    let none = Budget { window: 1_000 * MS, least: 0.0, share: 0.0 };
+    let mut told = settings(vec![class(Repeat::Safe)]);
+    told.limits.budget = Some(none);
+    let mut stage = Stage::new(1, told, 3);
+    let mut again = |before: Option<Event>| {
+        let (part, server) = stage.query(0);
+        stage.turn(before.into_iter().collect());
+        let server = server.unwrap();
+        let sent = sent(&stage.after(MS, vec![ended(part, 0, server, Outcome::Error, MS)]));
+        // Its parts are out of the way of the next one.
+        stage.turn(vec![Event::Hangup(QueryId(part.0 - 1))]);
+        sent.is_some()
+    };
+    assert!(!again(None), "nothing is allowed");
+    assert!(again(Some(Event::Budget(Some(Budget { least: 1.0, ..none })))));
+    assert!(!again(None), "the one of this window is spent");
+    assert!(again(Some(Event::Budget(None))), "without a budget attempts alone are counted");
+    assert!(!again(Some(Event::Budget(Some(none)))));
+}
+
+#[test]
+fn classes_come_while_it_runs_and_none_ever_goes() {
+    let one = Class { attempts: Some(1), ..class(Repeat::Safe) };
+    let mut stage = Stage::new(1, settings(Vec::new()), 3);
+    assert_eq!(stage.query(0).1, None, "there is no class yet");
+    stage.turn(vec![Event::Classes(vec![one.clone()])]);
+    let (first, server) = stage.query(0);
+    stage.turn(vec![Event::Classes(vec![one.clone(), class(Repeat::Safe)])]);
+    stage.turn(vec![Event::Classes(vec![one])]);
+    let failed = |part, server: Option<ServerId>| ended(part, 0, server.unwrap(), Outcome::Error, MS);
+    assert_eq!(sent(&stage.after(MS, vec![failed(first, server)])), None, "its class has one attempt");
+    let (second, server) = stage.query(1);
+    assert!(
+        sent(&stage.after(MS, vec![failed(second, server)])).is_some(),
+        "the second class is still there"
+    );
+}
+
+#[test]
+fn a_class_in_the_place_of_another_begins_with_a_clean_slate() {
+    for changed in [false, true] {
+        let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe); 2]), 2);
+        // Errors of the second class make it pass the first server over.
+        for _ in 0..3 {
+            let (part, server) = stage.query(1);
+            let outcome = if server == Some(ServerId(1)) { Outcome::Error } else { Outcome::Ok };
+            stage.after(MS, vec![ended(part, 0, server.unwrap(), outcome, MS)]);
+            stage.turn(vec![Event::Hangup(QueryId(part.0 - 1))]);
+            for id in 1..=2 {
+                stage.turn(vec![Event::Running { server: ServerId(id), streams: id - 1 }]);
+            }
+        }
+        let other = Class { attempts: Some(2), ..class(Repeat::Safe) };
+        let second = if changed { other } else { class(Repeat::Safe) };
+        stage.turn(vec![Event::Classes(vec![class(Repeat::Safe), second, class(Repeat::Safe)])]);
+        // The first server has fewer streams: only what is held against it speaks against it.
+        assert_eq!(stage.query(1).1, Some(ServerId(if changed { 1 } else { 2 })), "changed: {changed}");
+        assert_eq!(stage.query(2).1, Some(ServerId(1)), "nothing is held against it by a new class");
+    }
+}
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -233,6 +233,7 @@
             partial: figure(*family.class_partial.get(i).ok_or_else(missing)?, "classPartial")?,
             second_step: *family.class_fetch.get(i).ok_or_else(missing)?,
             first_share: FIRST_SHARE,
+            attempts: None,
         });
     }
     let least = figure(rules.min_extra.unwrap_or(0.0), "minExtra")?;
--- a/stats/src/lib.rs
+++ b/stats/src/lib.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use lichenswitch_interface::{Micros, PartId, ServerId, Shard, Time};
+use lichenswitch_interface::{Micros, Mode, PartId, ServerId, Shard, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A seeded source of chance.
@@ -230,6 +230,64 @@
     }
 }
 
+/// A server, as the module remembers it.
+#[derive(Clone, Debug, Default)]
+pub struct Server {
+    /// Its cell, its zone and its state, by the list.
+    pub cell: u32,
+    /// See `cell`.
+    pub zone: u32,
+    /// See `cell`.
+    pub mode: Mode,
+    /// Last start that the list told, while it may still be cold.
+    pub cold_from: Option<Time>,
+    /// Its allowance while it is cold, in parts, and when that was counted.
+    pub cold_tokens: f64,
+    /// See `cold_tokens`.
+    pub filled_at: Time,
+    /// What is out there.
+    pub calls: Vec<Call>,
+    /// Streams that run on there after their parts were answered.
+    pub running: u32,
+    /// Share of bad ends by class, the last one for what befalls all classes; empty before the first.
+    pub faults: Vec<Aged>,
+    /// Recent answer time, how many own parts were pending when those parts were sent, and the last of them.
+    pub wait: Fading,
+    /// See `wait`.
+    pub depth: Fading,
+    /// See `wait`.
+    pub wait_at: Time,
+    /// Last time that something was sent to it or came from it, and whether what is pending went on a
+    /// connection that had been idle.
+    pub used: Time,
+    /// See `used`.
+    pub idle: bool,
+    /// When the youngest part was sent that it has answered.
+    pub proved: Time,
+}
+
+impl Server {
+    /// Own parts out there.
+    #[must_use]
+    pub fn pending(&self) -> f64 {
+        f64::from(self.calls.iter().map(|c| c.left).sum::<u32>())
+    }
+    /// So many classes there are now, each the same as before or not: what was held against it for another one goes.
+    pub fn on_classes(&mut self, same: &[bool]) {
+        let Some(all) = self.faults.pop() else { return };
+        self.faults.resize(same.len(), Aged::default());
+        let others = self.faults.iter_mut().zip(same).filter(|(_, same)| !**same);
+        others.for_each(|(fault, _)| *fault = Aged::default());
+        self.faults.push(all);
+    }
+}
+
+/// A share of a time.
+#[must_use]
+pub fn scaled(time: Micros, by: f64) -> Micros {
+    (time as f64 * by) as Micros
+}
+
 /// Which parts of a query's step have to be looked at and when, so that nobody walks over all of them.
 #[derive(Clone, Debug, Default)]
 pub struct Agenda {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -19,6 +19,7 @@
         partial: 0.8,
         second_step: 0,
         first_share: FIRST_SHARE,
+        attempts: None,
     }
 }
 
