--- /dev/null
+++ b/fleet/src/router/candidates.rs
@@ -0,0 +1,106 @@
+//! Which control machine to connect to next.
+//!
+//! It owns the list of control machines and what is held against each. It promises that every one of them is tried in time, however
+//! the others fail, that one which failed rests for longer each time, and that routers which start together spread out. Pure: time
+//! and chance are arguments.
+
+use lichenswitch_interface::{Micros, Time};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+
+/// How long one that failed rests at first, and at the most (microseconds). The first is short: at the first start none need be
+/// listening yet.
+const REST_FIRST: Micros = 100_000;
+const REST_MOST: Micros = 2_000_000;
+
+/// What is held against a control machine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Failures {
+    in_a_row: u32,
+    rests_until: Time,
+}
+
+/// The control machines that may be connected to.
+pub struct Candidates {
+    machine: IpAddr,
+    seeds: Vec<SocketAddr>,
+    told: Vec<SocketAddr>,
+    failures: HashMap<SocketAddr, Failures>,
+}
+
+impl Candidates {
+    /// The seeds, as long as no others are told; `machine` is the own address.
+    #[must_use]
+    pub fn new(machine: IpAddr, seeds: Vec<SocketAddr>) -> Candidates {
+        Candidates { machine, seeds, told: Vec::new(), failures: HashMap::new() }
+    }
+
+    /// The settings name these seeds now.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+        self.forget_unknown();
+    }
+
+    /// A control machine says that these can be connected to.
+    pub fn on_told(&mut self, told: Vec<SocketAddr>) {
+        if !told.is_empty() && told != self.told {
+            self.told = told;
+            self.forget_unknown();
+        }
+    }
+
+    /// A connection to it did not come up, or brought nothing of use.
+    pub fn on_failed(&mut self, now: Time, address: SocketAddr, random: u64) {
+        let failures = self.failures.entry(address).or_default();
+        let rest = (REST_FIRST << failures.in_a_row.min(8)).min(REST_MOST);
+        failures.in_a_row += 1;
+        // Between a half and all of it, so that routers which failed together don't come back together.
+        failures.rests_until = now.plus(rest / 2 + random % (rest / 2 + 1));
+    }
+
+    /// It is of use: whatever was held against it is forgotten.
+    pub fn on_useful(&mut self, address: SocketAddr) {
+        self.failures.remove(&address);
+    }
+
+    /// The one to connect to now, or when there is one again. Of those that don't rest the nearest by address, and of these one by
+    /// chance.
+    pub fn next(&self, now: Time, random: u64) -> Result<SocketAddr, Time> {
+        let awake = |address: &&SocketAddr| self.rests_until(**address) <= now;
+        let nearest = self.all().filter(awake).map(|address| self.nearness(*address)).max();
+        let Some(nearest) = nearest else {
+            let soonest = self.all().map(|address| self.rests_until(*address)).min();
+            return Err(soonest.unwrap_or(now.plus(REST_MOST)));
+        };
+        let equals: Vec<&SocketAddr> =
+            self.all().filter(awake).filter(|address| self.nearness(**address) == nearest).collect();
+        Ok(*equals[(random % equals.len() as u64) as usize])
+    }
+
+    /// Those that were told come with the seeds: a list of the past may hold none that is still there.
+    fn all(&self) -> impl Iterator<Item = &SocketAddr> {
+        let seeds = self.seeds.iter().filter(|seed| !self.told.contains(seed));
+        self.told.iter().chain(seeds)
+    }
+
+    fn rests_until(&self, address: SocketAddr) -> Time {
+        self.failures.get(&address).map_or(Time(0), |failures| failures.rests_until)
+    }
+
+    /// Nobody tells a control machine's zone. Machines of a zone share a network as a rule, so a shared beginning of the address
+    /// stands for it; where that is not so, the choice is by chance all the same.
+    fn nearness(&self, address: SocketAddr) -> u8 {
+        match (self.machine, address.ip()) {
+            (IpAddr::V4(own), IpAddr::V4(other)) => u8::from(own.octets()[..2] == other.octets()[..2]),
+            _ => 0,
+        }
+    }
+
+    fn forget_unknown(&mut self) {
+        let known: Vec<SocketAddr> = self.all().copied().collect();
+        self.failures.retain(|address, _| known.contains(address));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/fleet/src/router/candidates/tests.rs
@@ -0,0 +1,72 @@
+use super::*;
+use std::collections::HashSet;
+use std::net::Ipv4Addr;
+
+fn address(zone: u8, host: u8) -> SocketAddr {
+    SocketAddr::from(([10, zone, 0, host], 7_300))
+}
+
+fn candidates(seeds: &[SocketAddr]) -> Candidates {
+    Candidates::new(IpAddr::V4(Ipv4Addr::new(10, 2, 0, 9)), seeds.to_vec())
+}
+
+#[test]
+fn the_nearest_comes_first_and_equals_by_chance() {
+    let near = candidates(&[address(1, 1), address(2, 1), address(3, 1)]);
+    assert!((0..20).all(|random| near.next(Time(0), random) == Ok(address(2, 1))));
+    let far = candidates(&[address(1, 1), address(3, 1), address(4, 1)]);
+    let drawn: HashSet<_> = (0..20).map(|random| far.next(Time(0), random)).collect();
+    assert_eq!(drawn.len(), 3);
+}
+
+#[test]
+fn each_one_is_tried_at_once_and_rests_for_longer_each_time_that_it_fails() {
+    let seeds = [address(1, 1), address(2, 1), address(3, 1)];
+    let mut candidates = candidates(&seeds);
+    let mut tried = HashSet::new();
+    while let Ok(next) = candidates.next(Time(0), 0) {
+        assert!(tried.insert(next), "none comes twice while others have not been tried");
+        candidates.on_failed(Time(0), next, 0);
+    }
+    assert_eq!(tried.len(), seeds.len());
+    let first = candidates.next(Time(0), 0).expect_err("all rest");
+    assert!(first.0 >= REST_FIRST / 2 && first.0 <= REST_FIRST);
+    let mut last = 0;
+    for _ in 0..20 {
+        for seed in seeds {
+            candidates.on_failed(Time(0), seed, u64::MAX);
+        }
+        let rest = candidates.next(Time(0), 0).expect_err("all rest").0;
+        assert!(rest <= REST_MOST);
+        last = rest;
+    }
+    assert!(last >= REST_MOST / 2);
+    assert!(candidates.next(Time(REST_MOST), 0).is_ok(), "and is tried again in time");
+}
+
+#[test]
+fn those_that_are_told_come_beside_the_seeds_and_replace_each_other() {
+    let mut candidates = candidates(&[address(1, 1)]);
+    candidates.on_told(vec![address(2, 2), address(2, 3)]);
+    candidates.on_failed(Time(0), address(2, 2), 0);
+    assert_eq!(candidates.next(Time(0), 0), Ok(address(2, 3)));
+    candidates.on_told(vec![address(3, 4)]);
+    let drawn: HashSet<_> = (0..20).filter_map(|random| candidates.next(Time(0), random).ok()).collect();
+    assert_eq!(drawn, HashSet::from([address(1, 1), address(3, 4)]));
+    // An empty list says nothing.
+    candidates.on_told(Vec::new());
+    assert!((0..20).any(|random| candidates.next(Time(0), random) == Ok(address(3, 4))));
+}
+
+#[test]
+fn one_that_was_of_use_is_forgiven() {
+    let mut candidates = candidates(&[address(1, 1)]);
+    candidates.on_failed(Time(0), address(1, 1), 0);
+    candidates.on_useful(address(1, 1));
+    assert_eq!(candidates.next(Time(0), 0), Ok(address(1, 1)));
+}
+
+#[test]
+fn without_any_there_is_a_next_time_all_the_same() {
+    assert!(candidates(&[]).next(Time(5), 0).is_err_and(|at| at > Time(5)));
+}
--- /dev/null
+++ b/fleet/src/router/control_link.rs
@@ -0,0 +1,322 @@
+//! The connection to a control machine: it brings the configuration, the servers and the number of routers.
+//!
+//! It promises: one connection at a time; another control machine as soon as this one is silent or without contact for
+//! [`SILENCE`]; the highest position that was applied is never gone back on; what is applied is acknowledged. While all control is
+//! away it keeps trying, and what has been applied stands.
+
+use super::candidates::Candidates;
+use super::program::{Net, Owner, Timer};
+use crate::envelopes::{self, EnvelopeReader};
+use lichenswitch_interface::{Micros, Time};
+use lichenswitch_messages::{
+    ConfigurationPosition, ControlToRouter, Envelope, RouterToControl, ServerRecord, PROTOCOL_VERSION,
+};
+use lichenswitch_net::{ConnId, Pumped};
+use std::net::SocketAddr;
+
+/// After this long without a word, or without contact, another control machine is tried (microseconds): between two and three
+/// heartbeats.
+pub const SILENCE: Micros = 700_000;
+/// A connection that is not up after this long is given up: links within a region take milliseconds.
+const CONNECT: Micros = 400_000;
+/// After this long without any configuration one is taken from whichever control machine answers.
+const UNCONFIRMED_AFTER: Micros = 3_000_000;
+/// Most bytes read ahead of a control machine.
+const CEILING: usize = 256 * 1_024;
+
+/// Who this router is, to control machines.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// `nodeName`.
+    pub node: String,
+    /// Its zone.
+    pub zone: String,
+    /// Drawn at the start of the process.
+    pub process: u64,
+}
+
+/// What came from control.
+#[derive(Debug)]
+pub enum News {
+    /// A configuration that may be applied, if its position is above all before it.
+    Configuration(ConfigurationPosition, Vec<u8>),
+    /// Records of servers, to be merged.
+    Servers(Vec<ServerRecord>),
+    /// So many routers are members.
+    Routers(u32),
+}
+
+struct Connection {
+    id: ConnId,
+    address: SocketAddr,
+    reader: EnvelopeReader,
+    greeted: bool,
+    opened: Time,
+    heard: Option<Time>,
+    /// The last time that it was in contact.
+    contact: Option<Time>,
+    in_contact: bool,
+    /// Number of the last push that came, and of the last that was acknowledged.
+    push: u64,
+    acknowledged: u64,
+}
+
+/// The link.
+pub struct ControlLink {
+    identity: Identity,
+    candidates: Candidates,
+    rng: fastrand::Rng,
+    connection: Option<Connection>,
+    started: Time,
+    /// The one that is applied.
+    applied: Option<ConfigurationPosition>,
+    /// One from a control machine without contact, kept while there is none from another.
+    unconfirmed: Option<(ConfigurationPosition, Vec<u8>)>,
+    /// A look is due then.
+    look_at: Option<Time>,
+}
+
+impl ControlLink {
+    /// A link that is not connected yet.
+    #[must_use]
+    pub fn new(now: Time, identity: Identity, candidates: Candidates) -> ControlLink {
+        ControlLink {
+            rng: fastrand::Rng::with_seed(identity.process),
+            identity,
+            candidates,
+            connection: None,
+            started: now,
+            applied: None,
+            unconfirmed: None,
+            look_at: None,
+        }
+    }
+
+    /// The settings name these seeds now.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.candidates.set_seeds(seeds);
+    }
+
+    /// The configuration of this position is in force now.
+    pub fn on_applied(&mut self, position: ConfigurationPosition) {
+        self.applied = Some(position);
+        self.unconfirmed = None;
+    }
+
+    /// Looks at the link: opens it, gives it up, or takes what has waited for long enough.
+    pub fn look(&mut self, net: &mut Net) -> Vec<News> {
+        let now = net.clock.now();
+        if self.look_at.is_some_and(|at| at <= now) {
+            self.look_at = None;
+        }
+        if self.connection.as_ref().is_some_and(|c| c.due() <= now) {
+            self.give_up(net);
+        }
+        if self.connection.is_none() {
+            self.connect(net);
+        }
+        let news = self.take_unconfirmed(now).into_iter().collect();
+        self.plan(net, now);
+        news
+    }
+
+    /// Reads what has come, and acknowledges what was read before.
+    pub fn ready(&mut self, net: &mut Net, id: ConnId) -> Vec<News> {
+        let Some(connection) = self.connection.as_mut().filter(|c| c.id == id) else {
+            net.close(id);
+            return Vec::new();
+        };
+        let pumped = net.pump(id, CEILING);
+        let mut news = Vec::new();
+        let mut sound = pumped == Pumped::Alive && connection.greet(net, &self.identity, self.applied);
+        if sound {
+            let now = net.clock.now();
+            match connection.read(net, now) {
+                Ok(messages) => {
+                    messages.into_iter().for_each(|message| self.take_in(now, message, &mut news))
+                }
+                Err(reason) => {
+                    log::warn!(address:% = self.address(); "control machine: {reason}");
+                    sound = false;
+                }
+            }
+        }
+        if !sound || net.get(id).is_none_or(|conn| conn.ended) {
+            self.give_up(net);
+            news.extend(self.look(net));
+        }
+        news
+    }
+
+    /// Acknowledges what has been applied since the last time. Called once what was read has been applied.
+    pub fn acknowledge(&mut self, net: &mut Net) {
+        let applied = self.applied;
+        let Some(connection) = self.connection.as_mut().filter(|c| c.push > c.acknowledged) else { return };
+        connection.acknowledged = connection.push;
+        let word = RouterToControl::Applied { push: connection.push, configuration: applied };
+        if !connection.send(net, word) {
+            self.give_up(net);
+        }
+    }
+
+    fn address(&self) -> String {
+        self.connection.as_ref().map_or_else(String::new, |c| c.address.to_string())
+    }
+
+    fn take_in(&mut self, now: Time, message: ControlToRouter, news: &mut Vec<News>) {
+        let Some(connection) = &mut self.connection else { return };
+        match message {
+            ControlToRouter::Heartbeat { in_contact, control, routers } => {
+                connection.in_contact = in_contact;
+                if in_contact {
+                    connection.contact = Some(now);
+                    self.candidates.on_useful(connection.address);
+                }
+                self.candidates.on_told(control.iter().filter_map(|address| address.parse().ok()).collect());
+                news.push(News::Routers(routers));
+                news.extend(self.take_unconfirmed(now));
+            }
+            ControlToRouter::Configuration { push, position, document } => {
+                connection.push = connection.push.max(push);
+                if self.applied.is_none_or(|applied| applied < position) {
+                    self.unconfirmed = Some((position, document));
+                    news.extend(self.take_unconfirmed(now));
+                }
+            }
+            ControlToRouter::Servers { push, records, whole: _ } => {
+                connection.push = connection.push.max(push);
+                news.push(News::Servers(records));
+            }
+        }
+    }
+
+    /// A configuration that waited is taken once its sender is in contact, once another is in force already (it is committed, and
+    /// newer), or once a router without any has waited for long enough.
+    fn take_unconfirmed(&mut self, now: Time) -> Option<News> {
+        let in_contact = self.connection.as_ref().is_some_and(|c| c.in_contact);
+        let waited = now.since(self.started) >= UNCONFIRMED_AFTER;
+        let may = in_contact || waited || self.applied.is_some();
+        let (position, document) = self.unconfirmed.take_if(|_| may)?;
+        Some(News::Configuration(position, document))
+    }
+
+    fn connect(&mut self, net: &mut Net) {
+        let now = net.clock.now();
+        // Those that refuse at once are passed over in this very look; each one rests then, so that this ends.
+        while let Ok(address) = self.candidates.next(now, self.rng.u64(..)) {
+            match net.connect(Owner::Control, address) {
+                Ok(id) => {
+                    self.connection = Some(Connection::new(id, address, now));
+                    return;
+                }
+                Err(_) => self.candidates.on_failed(now, address, self.rng.u64(..)),
+            }
+        }
+    }
+
+    fn give_up(&mut self, net: &mut Net) {
+        if let Some(connection) = self.connection.take() {
+            self.candidates.on_failed(net.clock.now(), connection.address, self.rng.u64(..));
+            net.close(connection.id);
+        }
+        let now = net.clock.now();
+        self.look_at = None;
+        self.plan(net, now);
+    }
+
+    /// Sets the timer for the next look, where none is set that comes before it.
+    fn plan(&mut self, net: &mut Net, now: Time) {
+        let link = match &self.connection {
+            Some(connection) => connection.due(),
+            None => self.candidates.next(now, 0).map_or_else(|at| at, |_| now),
+        };
+        let waits = self.unconfirmed.is_some().then(|| self.started.plus(UNCONFIRMED_AFTER));
+        let due = link.min(waits.unwrap_or(link)).max(now);
+        if self.look_at.is_none_or(|at| due < at) {
+            self.look_at = Some(due);
+            net.wheel.set(due, Timer::Control);
+        }
+    }
+}
+
+impl Connection {
+    fn new(id: ConnId, address: SocketAddr, now: Time) -> Connection {
+        Connection {
+            id,
+            address,
+            reader: EnvelopeReader::default(),
+            greeted: false,
+            opened: now,
+            heard: None,
+            contact: None,
+            in_contact: false,
+            push: 0,
+            acknowledged: 0,
+        }
+    }
+
+    /// When it is given up unless something comes before.
+    fn due(&self) -> Time {
+        if !self.greeted {
+            return self.opened.plus(CONNECT);
+        }
+        let silent = self.heard.unwrap_or(self.opened).plus(SILENCE);
+        silent.min(self.contact.unwrap_or(self.opened).plus(SILENCE))
+    }
+
+    /// Says who this router is, once the connection is up; `false`: it broke.
+    fn greet(
+        &mut self,
+        net: &mut Net,
+        identity: &Identity,
+        configuration: Option<ConfigurationPosition>,
+    ) -> bool {
+        if self.greeted || net.get(self.id).is_none_or(|conn| !conn.up) {
+            return true;
+        }
+        self.greeted = true;
+        self.opened = net.clock.now();
+        self.send(
+            net,
+            RouterToControl::Hello {
+                protocol: PROTOCOL_VERSION,
+                node: identity.node.clone(),
+                zone: identity.zone.clone(),
+                process: identity.process,
+                configuration,
+            },
+        )
+    }
+
+    fn send(&self, net: &mut Net, message: RouterToControl) -> bool {
+        let Ok(bytes) = envelopes::encode(&Envelope::FromRouter(message)) else { return false };
+        let Some(conn) = net.get_mut(self.id) else { return false };
+        conn.send(&bytes);
+        net.flush(self.id, false) == Pumped::Alive
+    }
+
+    fn read(&mut self, net: &mut Net, now: Time) -> Result<Vec<ControlToRouter>, String> {
+        let Some(conn) = net.get_mut(self.id) else { return Ok(Vec::new()) };
+        let bytes = conn.input.bytes();
+        let mut messages = Vec::new();
+        let used = bytes.len();
+        self.reader.push(bytes);
+        conn.input.consume(used);
+        // Reading rests at the ceiling until this has made room.
+        if net.flush(self.id, false) != Pumped::Alive {
+            return Err("the connection broke".to_owned());
+        }
+        while let Some(envelope) = self.reader.next_envelope().map_err(|e| e.to_string())? {
+            match envelope {
+                Envelope::ToRouter(message) => messages.push(message),
+                Envelope::Peer(_) | Envelope::FromRouter(_) => {
+                    return Err("a message that is not for routers".to_owned())
+                }
+            }
+        }
+        if !messages.is_empty() {
+            self.heard = Some(now);
+        }
+        Ok(messages)
+    }
+}
--- /dev/null
+++ b/fleet/src/router/exchange.rs
@@ -0,0 +1,271 @@
+//! Requests that are held, from their last byte to the last byte of their answer.
+//!
+//! It owns the table and what each request has met so far. It promises that what is said of a request's runs errs on one side only: it
+//! counts as run unless every attempt is known not to have run.
+
+use super::configuration::Terms;
+use super::request::ClientRequest;
+use super::response::ResponseHead;
+use super::server_connections::Answer;
+use super::service::{AttemptId, ServiceId};
+use lichenswitch_interface::{Outcome, QueryId, ServerId, Time};
+use lichenswitch_net::ConnId;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Names a request. Never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ExchangeId(pub u64);
+
+/// How far a request has come.
+#[derive(Debug)]
+pub enum Phase {
+    /// Nothing has been answered.
+    Held,
+    /// An answer is being passed on.
+    Relaying(Relay),
+    /// A stream was cut, and is to go on at another server.
+    Resuming {
+        /// The id of the last event that was passed on.
+        last_event_id: Vec<u8>,
+    },
+}
+
+/// An answer that is being passed on.
+#[derive(Debug)]
+pub struct Relay {
+    /// The attempt that brings it.
+    pub attempt: AttemptId,
+    /// Its server.
+    pub server: ServerId,
+    /// The id of the last event that was passed on.
+    pub last_event_id: Option<Vec<u8>>,
+    /// Its server is not read from, since the client is slow.
+    pub paused: bool,
+}
+
+/// An attempt that is out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Out {
+    /// The attempt.
+    pub id: AttemptId,
+    /// Its server.
+    pub server: ServerId,
+}
+
+/// A request that is held.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Whose it is.
+    pub client: ConnId,
+    /// The request.
+    pub request: Rc<ClientRequest>,
+    /// What its route said when it came.
+    pub terms: Terms,
+    /// The service that was drawn for it.
+    pub service: ServiceId,
+    /// What the core calls it, as long as it has neither its answer nor its end from there.
+    pub query: Option<QueryId>,
+    /// Index of its class there.
+    pub class: u16,
+    /// When its time is over: the client's, or the route's.
+    pub deadline: Time,
+    /// How far it has come.
+    pub phase: Phase,
+    /// Attempts that are out.
+    pub out: Vec<Out>,
+    /// Attempts made that are not known never to have run.
+    pub may_have_run: u32,
+    /// Servers to which it was sent, whether it ran there or not.
+    pub sends: u32,
+    /// The last failure that a server answered, to be passed on if nothing better comes.
+    pub failure: Option<Answer>,
+}
+
+impl Exchange {
+    /// An attempt has ended in this way.
+    pub fn on_ended(&mut self, id: AttemptId, outcome: Outcome) {
+        let before = self.out.len();
+        self.out.retain(|out| out.id != id);
+        let known = self.out.len() < before;
+        if known && outcome.never_ran() {
+            self.may_have_run = self.may_have_run.saturating_sub(1);
+        }
+        if known && outcome == Outcome::Moot {
+            self.sends = self.sends.saturating_sub(1);
+        }
+    }
+
+    /// An attempt is being made.
+    pub fn on_sent(&mut self, out: Out) {
+        self.out.push(out);
+        self.may_have_run += 1;
+        self.sends += 1;
+    }
+
+    /// Whether the rules allow that it is sent once more.
+    #[must_use]
+    pub fn may_send(&self) -> bool {
+        (self.terms.idempotent || self.may_have_run == 0) && self.sends < self.terms.max_attempts.max(1)
+    }
+
+    /// Whether this attempt's answer is being passed on.
+    #[must_use]
+    pub fn relays(&self, id: AttemptId) -> bool {
+        matches!(&self.phase, Phase::Relaying(relay) if relay.attempt == id)
+    }
+}
+
+/// What a server's whole answer means for its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Meaning {
+    /// It is the answer.
+    Final,
+    /// The server says that it did not run the request.
+    NeverRan,
+    /// A failure, after which the request may have run; whether it may be passed on to the client.
+    Failure {
+        /// Its status is no promise that it can't keep.
+        passes: bool,
+    },
+}
+
+/// Reads an answer's head. Only `Not-Executed` and 421 say that a request did not run. What would be a promise in this program's
+/// mouth (408, 421, 429, 503) is not passed on as one where the server has not made it.
+#[must_use]
+pub fn meaning(head: &ResponseHead) -> Meaning {
+    let promise = matches!(head.status, 408 | 421 | 429 | 503);
+    match head.status {
+        421 => Meaning::NeverRan,
+        408 | 429 | 500..=599 if head.not_executed => Meaning::NeverRan,
+        _ if promise => Meaning::Failure { passes: false },
+        500..=599 => Meaning::Failure { passes: true },
+        _ => Meaning::Final,
+    }
+}
+
+/// All requests that are held.
+#[derive(Default)]
+pub struct Exchanges {
+    held: HashMap<ExchangeId, Exchange>,
+    by_client: HashMap<ConnId, ExchangeId>,
+    by_attempt: HashMap<AttemptId, ExchangeId>,
+    bytes: usize,
+    next: u64,
+}
+
+impl Exchanges {
+    /// How many are held.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether none is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Bytes of the requests that are held.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Adds one.
+    pub fn insert(&mut self, exchange: Exchange) -> ExchangeId {
+        let id = self.next_id();
+        self.next += 1;
+        self.bytes += exchange.request.bytes();
+        self.by_client.insert(exchange.client, id);
+        self.held.insert(id, exchange);
+        id
+    }
+
+    /// What the next one that is added will be called.
+    #[must_use]
+    pub fn next_id(&self) -> ExchangeId {
+        ExchangeId(self.next)
+    }
+
+    /// One that is held.
+    #[must_use]
+    pub fn get(&self, id: ExchangeId) -> Option<&Exchange> {
+        self.held.get(&id)
+    }
+
+    /// The same, to change it.
+    pub fn get_mut(&mut self, id: ExchangeId) -> Option<&mut Exchange> {
+        self.held.get_mut(&id)
+    }
+
+    /// The request of a client.
+    #[must_use]
+    pub fn of_client(&self, client: ConnId) -> Option<ExchangeId> {
+        self.by_client.get(&client).copied()
+    }
+
+    /// The request of an attempt.
+    #[must_use]
+    pub fn of_attempt(&self, attempt: AttemptId) -> Option<ExchangeId> {
+        self.by_attempt.get(&attempt).copied()
+    }
+
+    /// An attempt of a request is being made.
+    pub fn on_sent(&mut self, id: ExchangeId, out: Out) {
+        if let Some(exchange) = self.held.get_mut(&id) {
+            exchange.on_sent(out);
+            self.by_attempt.insert(out.id, id);
+        }
+    }
+
+    /// An attempt has ended; tells its request, if that is still held.
+    pub fn on_ended(&mut self, attempt: AttemptId, outcome: Outcome) -> Option<ExchangeId> {
+        let id = self.by_attempt.remove(&attempt)?;
+        self.held.get_mut(&id)?.on_ended(attempt, outcome);
+        Some(id)
+    }
+
+    /// An attempt of a request brings its answer, which is passed on from now on. Tells the others that are out for it.
+    pub fn on_begun(&mut self, id: ExchangeId, relay: Relay) -> Vec<AttemptId> {
+        let Some(exchange) = self.held.get_mut(&id) else { return Vec::new() };
+        let others: Vec<AttemptId> =
+            exchange.out.drain(..).map(|out| out.id).filter(|other| *other != relay.attempt).collect();
+        others.iter().for_each(|other| _ = self.by_attempt.remove(other));
+        exchange.phase = Phase::Relaying(relay);
+        others
+    }
+
+    /// The answer that was passed on broke off: the request goes on behind this event.
+    pub fn on_broken_off(&mut self, id: ExchangeId, last_event_id: Vec<u8>) {
+        let Some(exchange) = self.held.get_mut(&id) else { return };
+        let before = std::mem::replace(&mut exchange.phase, Phase::Resuming { last_event_id });
+        if let Phase::Relaying(relay) = before {
+            self.by_attempt.remove(&relay.attempt);
+        }
+    }
+
+    /// Takes one out: the one place where it is given back.
+    pub fn remove(&mut self, id: ExchangeId) -> Option<Exchange> {
+        let exchange = self.held.remove(&id)?;
+        self.bytes -= exchange.request.bytes();
+        self.by_client.remove(&exchange.client);
+        for out in &exchange.out {
+            self.by_attempt.remove(&out.id);
+        }
+        if let Phase::Relaying(relay) = &exchange.phase {
+            self.by_attempt.remove(&relay.attempt);
+        }
+        Some(exchange)
+    }
+
+    /// All that are held.
+    #[must_use]
+    pub fn ids(&self) -> Vec<ExchangeId> {
+        self.held.keys().copied().collect()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -1,15 +1,345 @@
-//! The role `router`.
-use crate::settings::Settings;
+//! The role `router`: takes clients, decides, and relays the answers of model servers.
+//!
+//! One process on each edge machine, one thread, one loop over its sockets. It owns what joins the parts below it, and promises what
+//! the rules ask of a router:
+//!
+//! - a request is read whole, gets its route from one configuration and keeps that one to its end (`intake`);
+//! - it gets exactly one final answer, at the route's time-out at the latest; a refusal is a promise (`answers`);
+//! - a stream is passed on as it comes, whole events only, and what ends early cannot look complete (`relay`);
+//! - what control says is merged, never gone back on, and goes on to hold while control is away (`control_link`, `servers`);
+//! - SIGTERM ends it only once all that was read is answered, within the grace (`shutdown`).
+//!
+//! | part | what |
+//! | --- | --- |
+//! | `clients`, `request` | connections of clients; requests as they are read and sent on |
+//! | `server_connections`, `response` | connections to servers; answers as they are read |
+//! | `exchange` | the table of requests that are held |
+//! | `configuration`, `service` | routes; a service's core with the decision module |
+//! | `intake`, `answers`, `relay` | from a request to attempts; from attempts to an answer; streams |
+//! | `control_link`, `candidates`, `servers` | the connection to control; what is known of servers |
+//! | `readiness`, `shutdown`, `options` | the platform's question; the end; the settings |
 
-/// Why the role ended.
-#[derive(Debug, thiserror::Error)]
-pub enum RouterError {
-    /// A system call failed that it can't do without.
-    #[error("{0}")]
-    System(#[from] std::io::Error),
+mod answers;
+mod budget;
+pub mod candidates;
+mod clients;
+pub mod configuration;
+mod control_link;
+mod error;
+mod exchange;
+mod framing;
+mod headers;
+mod intake;
+mod options;
+mod program;
+mod readiness;
+mod relay;
+pub mod request;
+pub mod response;
+mod server_connections;
+pub mod servers;
+mod service;
+mod services;
+mod shutdown;
+
+use crate::settings::{self, Settings};
+use candidates::Candidates;
+use clients::{ClientEvent, Clients};
+use configuration::{Configuration, InForce};
+use control_link::{ControlLink, Identity, News};
+use exchange::Exchanges;
+use options::Options;
+use program::{after, Net, Owner, Signal, Timer};
+use readiness::Readiness;
+use server_connections::ServerConnections;
+use servers::ServerTable;
+use services::Services;
+use shutdown::Shutdown;
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime};
+
+pub use error::RouterError;
+
+/// Connections set aside for the platform's questions and for control machines, each.
+const SET_ASIDE: usize = 8;
+/// How often the settings file is looked at: it may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(3);
+
+/// Runs the role until the process is told to end. The settings are read again from the file that the environment names.
+///
+/// # Errors
+/// A system call failed that it can't do without, or the settings lack what it needs.
+pub fn run(settings: Settings) -> Result<(), RouterError> {
+    let mut router = Router::new(&settings, settings::path(None).ok())?;
+    router.stop_on(signal(SIGTERM)?)?;
+    router.reload_on(signal(SIGHUP)?)?;
+    log::info!(node = settings.node_name.as_str(), frontend:% = router.frontend; "router listens");
+    router.serve()
+}
+
+/// A stream that can be read once the signal has come.
+fn signal(number: i32) -> std::io::Result<UnixStream> {
+    let (read, write) = UnixStream::pair()?;
+    signal_hook::low_level::pipe::register(number, write)?;
+    Ok(read)
+}
+
+/// A router.
+pub struct Router {
+    net: Net,
+    options: Options,
+    settings_file: Option<(PathBuf, Option<SystemTime>)>,
+    frontend: SocketAddr,
+    readiness_address: Option<SocketAddr>,
+    rng: fastrand::Rng,
+    configuration: Configuration,
+    services: Services,
+    servers: ServerTable,
+    clients: Clients,
+    client_events: Vec<ClientEvent>,
+    connections: ServerConnections,
+    exchanges: Exchanges,
+    link: ControlLink,
+    readiness: Readiness,
+    shutdown: Option<Shutdown>,
+}
+
+impl Router {
+    /// A router that listens already; `file`: where its settings are read again.
+    ///
+    /// # Errors
+    /// An address can't be listened on, or the settings lack what it needs.
+    pub fn new(settings: &Settings, file: Option<PathBuf>) -> Result<Router, RouterError> {
+        let options = Options::of(settings)?;
+        let mut net = Net::new(options.capacity.descriptors)?;
+        net.set_aside_for_peers(SET_ASIDE);
+        let mut rng = fastrand::Rng::new();
+        let frontend = listen(&mut net, Owner::Client, options.frontend)?;
+        let readiness_address =
+            options.readiness.map(|address| listen(&mut net, Owner::Platform, address)).transpose()?;
+        let identity =
+            Identity { node: options.node.clone(), zone: options.zone.clone(), process: rng.u64(1..) };
+        let candidates = Candidates::new(options.machine, options.seeds.clone());
+        let link = ControlLink::new(net.clock.now(), identity, candidates);
+        net.wheel.set(after(net.clock.now(), SETTINGS_LOOK), Timer::Settings);
+        Ok(Router {
+            settings_file: file.map(|path| (path.clone(), modified(&path))),
+            frontend,
+            readiness_address,
+            configuration: Configuration::default(),
+            services: Services::new(rng.u64(..), options.capacity, options.budget),
+            servers: ServerTable::new(&options.zone),
+            clients: Clients::new(options.capacity.bytes),
+            client_events: Vec::new(),
+            connections: ServerConnections::default(),
+            exchanges: Exchanges::default(),
+            link,
+            readiness: Readiness::default(),
+            shutdown: None,
+            rng,
+            net,
+            options,
+        })
+    }
+
+    /// Where clients connect, and where the platform asks: ports may have been chosen by the system.
+    #[must_use]
+    pub fn addresses(&self) -> (SocketAddr, Option<SocketAddr>) {
+        (self.frontend, self.readiness_address)
+    }
+
+    /// Ends, once all is answered, when this stream can be read.
+    ///
+    /// # Errors
+    /// The system can't watch it.
+    pub fn stop_on(&mut self, signal: UnixStream) -> Result<(), RouterError> {
+        Ok(self.net.watch_signal(Signal::Stop, signal)?)
+    }
+
+    /// Reads the settings again when this stream can be read.
+    ///
+    /// # Errors
+    /// The system can't watch it.
+    pub fn reload_on(&mut self, signal: UnixStream) -> Result<(), RouterError> {
+        Ok(self.net.watch_signal(Signal::Reload, signal)?)
+    }
+
+    /// Serves until it has been told to end and all that was read is answered.
+    ///
+    /// # Errors
+    /// The system can't wait for sockets any more.
+    pub fn serve(&mut self) -> Result<(), RouterError> {
+        self.look_at_control();
+        loop {
+            let ready = self.net.wait(self.services.next_turn())?;
+            for ready in ready {
+                match ready {
+                    lichenswitch_net::Ready::Listener(owner) => self.accept(owner),
+                    lichenswitch_net::Ready::Conn(id, owner) => self.ready(id, owner),
+                    lichenswitch_net::Ready::Signal(signal) => self.signalled(signal),
+                }
+            }
+            let now = self.net.clock.now();
+            for timer in self.net.wheel.due(now) {
+                self.timer(timer);
+            }
+            self.settle();
+            if self.is_finished() {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Works off all that sockets and timers have brought: requests, answers, decisions.
+    fn settle(&mut self) {
+        loop {
+            self.take_client_events();
+            self.take_server_events();
+            self.take_turns();
+            if self.client_events.is_empty() && !self.connections.has_events() {
+                break;
+            }
+        }
+        if self.net.resting() {
+            self.net.attend_again();
+        }
+        if self.net.resting() {
+            self.clients.make_room(&mut self.net);
+        }
+    }
+
+    fn accept(&mut self, owner: Owner) {
+        match owner {
+            Owner::Client => self.clients.accept(&mut self.net),
+            Owner::Platform => self.readiness.accept(&mut self.net),
+            Owner::Server | Owner::Control => {}
+        }
+    }
+
+    fn ready(&mut self, id: lichenswitch_net::ConnId, owner: Owner) {
+        match owner {
+            Owner::Client => self.clients.ready(&mut self.net, id, &mut self.client_events),
+            Owner::Platform => {
+                let is_ready = self.is_ready();
+                self.readiness.ready(&mut self.net, id, is_ready);
+            }
+            Owner::Server => self.connections.ready(&mut self.net, id),
+            Owner::Control => {
+                let news = self.link.ready(&mut self.net, id);
+                self.take_news(news);
+            }
+        }
+    }
+
+    fn timer(&mut self, timer: Timer) {
+        match timer {
+            Timer::Exchange(id) => self.overdue(id),
+            Timer::Attempt(id) => self.timed_out(id),
+            Timer::Client(id) => self.clients.timer(&mut self.net, id, &mut self.client_events),
+            Timer::Platform(id) => self.readiness.timer(&mut self.net, id),
+            Timer::Server(id) => self.connections.timer(&mut self.net, id),
+            Timer::Waiting(id) => self.connections.waited(id),
+            Timer::Control => self.look_at_control(),
+            Timer::Settings => self.look_at_settings(),
+            Timer::Shutdown => self.go_on_stopping(),
+        }
+    }
+
+    fn signalled(&mut self, signal: Signal) {
+        self.net.clear_signal(signal);
+        match signal {
+            Signal::Stop => self.stop(),
+            Signal::Reload => self.reload(),
+        }
+    }
+
+    /// Whether the platform may send clients.
+    fn is_ready(&self) -> bool {
+        self.shutdown.is_none() && self.configuration.get().is_some()
+    }
+
+    fn look_at_control(&mut self) {
+        let news = self.link.look(&mut self.net);
+        self.take_news(news);
+    }
+
+    /// Applies what control has said, and acknowledges it.
+    fn take_news(&mut self, news: Vec<News>) {
+        for news in news {
+            match news {
+                News::Configuration(position, document) => match InForce::parse(position, &document) {
+                    Ok(new) => self.apply(new),
+                    Err(e) => log::error!(position:? = position; "configuration can't be read: {e}"),
+                },
+                News::Servers(records) => {
+                    for change in self.servers.merge(&records) {
+                        if change.takes_nothing() {
+                            self.connections.hold_back(&mut self.net, change.line.server);
+                        }
+                        self.services.listed(&change);
+                    }
+                    self.net.listed(self.servers.len());
+                }
+                News::Routers(count) => self.services.set_routers(count),
+            }
+        }
+        self.link.acknowledge(&mut self.net);
+    }
+
+    fn apply(&mut self, new: InForce) {
+        let (position, version) = (new.position, new.document().version());
+        if !self.configuration.apply(new) {
+            return;
+        }
+        self.link.on_applied(position);
+        if let Some(in_force) = self.configuration.get() {
+            self.clients.set_limits(in_force.limits());
+            self.services.apply(in_force, &self.servers);
+        }
+        log::info!(version = version; "configuration in force");
+    }
+
+    /// The file may have changed without a signal.
+    fn look_at_settings(&mut self) {
+        let changed = match &mut self.settings_file {
+            Some((path, seen)) => {
+                let now = modified(path);
+                std::mem::replace(seen, now) != now
+            }
+            None => false,
+        };
+        if changed {
+            self.reload();
+        }
+        self.net.wheel.set(after(self.net.clock.now(), SETTINGS_LOOK), Timer::Settings);
+    }
+
+    /// Reads the settings again: seeds and the further-try budget may have changed. A faulty file changes nothing.
+    fn reload(&mut self) {
+        let Some((path, seen)) = &mut self.settings_file else { return };
+        *seen = modified(path);
+        match Settings::read(path)
+            .map_err(|e| e.to_string())
+            .and_then(|settings| Options::of(&settings).map_err(|e| e.to_string()))
+        {
+            Ok(options) => {
+                self.link.set_seeds(options.seeds.clone());
+                self.services.set_budget(options.budget);
+                self.options.grace = options.grace;
+                log::info!("settings read again");
+            }
+            Err(e) => log::warn!("settings stay as they were: {e}"),
+        }
+    }
+}
+
+fn modified(path: &std::path::Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|data| data.modified()).ok()
 }
 
-/// Runs the role until the process is told to end.
-pub fn run(_settings: Settings) -> Result<(), RouterError> {
-    Ok(())
+fn listen(net: &mut Net, owner: Owner, address: SocketAddr) -> Result<SocketAddr, RouterError> {
+    net.listen(owner, address).map_err(|source| RouterError::Listen { address, source })
 }
--- /dev/null
+++ b/fleet/src/router/readiness.rs
@@ -0,0 +1,112 @@
+//! The platform's question whether this router is ready: `GET /readiness`.
+//!
+//! It promises an answer at once, whatever else the router does, and 200 only where the caller says that the router is ready.
+
+use super::program::{after, Net, Owner, Timer};
+use lichenswitch_http::{self as http, Parsed, Response};
+use lichenswitch_net::{ConnId, Pumped};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Most bytes held of a question.
+const CEILING: usize = 8 * 1_024;
+/// A connection on which nothing came for so long is closed: the platform asks each second.
+const IDLE: Duration = Duration::from_secs(10);
+const PATH: &str = "/readiness";
+
+/// Connections of the platform.
+#[derive(Default)]
+pub struct Readiness {
+    /// Each with whether it closes once its answer is written.
+    open: HashMap<ConnId, bool>,
+}
+
+impl Readiness {
+    /// Accepts all that wait.
+    pub fn accept(&mut self, net: &mut Net) {
+        for id in net.accept(Owner::Platform) {
+            self.open.insert(id, false);
+            let at = after(net.clock.now(), IDLE);
+            net.wheel.set(at, Timer::Platform(id));
+        }
+    }
+
+    /// Reads questions and answers them.
+    pub fn ready(&mut self, net: &mut Net, id: ConnId, is_ready: bool) {
+        let pumped = net.pump(id, CEILING);
+        let Some(closing) = self.open.get(&id).copied() else { return net.close(id) };
+        if pumped != Pumped::Alive || net.get(id).is_none_or(|conn| conn.ended) {
+            return self.close(net, id);
+        }
+        if closing {
+            return self.close_if_written(net, id);
+        }
+        while let Some((response, keep)) = self.read(net, id, is_ready) {
+            if !self.write(net, id, &response, keep) {
+                return;
+            }
+        }
+    }
+
+    /// A connection's timer: it may have been idle for too long.
+    pub fn timer(&mut self, net: &mut Net, id: ConnId) {
+        if !self.open.contains_key(&id) {
+            return;
+        }
+        let (now, due) = (net.clock.now(), net.get(id).map(|conn| after(conn.used, IDLE)));
+        match due {
+            Some(due) if due > now => net.wheel.set(due, Timer::Platform(id)),
+            _ => self.close(net, id),
+        }
+    }
+
+    /// The next whole question, answered; nothing while there is none.
+    fn read(&self, net: &mut Net, id: ConnId, is_ready: bool) -> Option<(Response, bool)> {
+        let conn = net.get_mut(id)?;
+        match http::request(conn.input.bytes()) {
+            Ok(Parsed::Whole(request, used)) => {
+                conn.input.consume(used);
+                Some((answer(&request, is_ready), request.keep_alive))
+            }
+            Ok(Parsed::Partial(_)) if conn.input.bytes().len() < CEILING => None,
+            Ok(Parsed::Partial(_)) => Some((Response::new(413, "text/plain", "too large\n"), false)),
+            Err(malformed) => Some((Response::new(malformed.0, "text/plain", "malformed\n"), false)),
+        }
+    }
+
+    /// `false`: nothing more is read of this connection.
+    fn write(&mut self, net: &mut Net, id: ConnId, response: &Response, keep: bool) -> bool {
+        if let Some(conn) = net.get_mut(id) {
+            conn.send(&response.encode(keep, false));
+        }
+        if net.flush(id, false) != Pumped::Alive {
+            self.close(net, id);
+            return false;
+        }
+        if !keep {
+            self.open.insert(id, true);
+            self.close_if_written(net, id);
+        }
+        keep
+    }
+
+    fn close_if_written(&mut self, net: &mut Net, id: ConnId) {
+        if net.get(id).is_none_or(|conn| conn.flushed()) {
+            self.close(net, id);
+        }
+    }
+
+    fn close(&mut self, net: &mut Net, id: ConnId) {
+        self.open.remove(&id);
+        net.close(id);
+    }
+}
+
+fn answer(request: &http::Request, is_ready: bool) -> Response {
+    match (request.path(), request.method.as_str()) {
+        (PATH, "GET" | "HEAD") if is_ready => Response::new(200, "text/plain", "ready\n"),
+        (PATH, "GET" | "HEAD") => Response::new(503, "text/plain", "not ready\n"),
+        (PATH, _) => Response::new(405, "text/plain", "GET only\n"),
+        _ => Response::new(404, "text/plain", "only /readiness is here\n"),
+    }
+}
--- /dev/null
+++ b/fleet/src/router/request/tests.rs
@@ -0,0 +1,99 @@
+use super::*;
+
+fn reader() -> RequestReader {
+    RequestReader::new(&Limits { max_header_bytes: 1_024, max_body_bytes: 100, ..Limits::default() })
+}
+
+fn read(bytes: &[u8]) -> Result<Progress, Malformed> {
+    let mut input = Buffer::default();
+    input.push(bytes);
+    reader().read(&mut input)
+}
+
+fn whole(bytes: &[u8]) -> ClientRequest {
+    match read(bytes) {
+        Ok(Progress::Whole(request)) => *request,
+        other => panic!("not whole: {other:?}"),
+    }
+}
+
+const SOUND: &[u8] = b"POST /a/b?c=%20 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: x1\r\nDeadline-Ms: 250\r\n\
+    Model: m\r\nToken-Usage: 1,2\r\nPrompt-Prefix: a:1,b:2\r\nTarget-Instance: theirs\r\nKeep-Alive: 5\r\n\
+    X-Raw: \xff\xfe\r\nLast-Event-Id: 7\r\nContent-Length: 4\r\n\r\nbody";
+
+#[test]
+fn a_request_is_the_same_wherever_it_is_cut() {
+    let expected = whole(SOUND);
+    assert_eq!(expected.deadline, Some(Duration::from_millis(250)));
+    assert_eq!((expected.attempt_id.as_deref(), expected.host.as_str()), (Some("x1"), "h.example"));
+    assert!(expected.keep_alive);
+    for cut in 0..SOUND.len() {
+        let (mut reader, mut input) = (reader(), Buffer::default());
+        input.push(&SOUND[..cut]);
+        assert!(matches!(reader.read(&mut input), Ok(Progress::More { .. })), "cut at {cut}");
+        input.push(&SOUND[cut..]);
+        match reader.read(&mut input) {
+            Ok(Progress::Whole(request)) => assert_eq!(*request, expected, "cut at {cut}"),
+            other => panic!("cut at {cut}: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_server_gets_what_the_client_sent_and_what_this_program_sets() {
+    let request = whole(SOUND);
+    let mut bytes = Vec::new();
+    let send = Send { left: Duration::from_micros(123_900), instance: "i-9", resume_after: None };
+    request.encode(&send, &mut bytes);
+    let expected: &[u8] = b"POST /a/b?c=%20 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: x1\r\nModel: m\r\n\
+        Token-Usage: 1,2\r\nPrompt-Prefix: a:1,b:2\r\nX-Raw: \xff\xfe\r\nDeadline-Ms: 123\r\nTarget-Instance: i-9\r\n\
+        Last-Event-Id: 7\r\nContent-Length: 4\r\n\r\n";
+    assert_eq!(String::from_utf8_lossy(&bytes), String::from_utf8_lossy(expected));
+    let mut resumed = Vec::new();
+    request.encode(&Send { resume_after: Some(b"31"), ..send }, &mut resumed);
+    let text = String::from_utf8_lossy(&resumed).into_owned();
+    assert!(text.contains("Last-Event-Id: 31\r\n") && !text.contains("Last-Event-Id: 7"));
+}
+
+#[test]
+fn what_is_outside_the_limits_or_has_two_readings_is_refused() {
+    let long = format!("GET / HTTP/1.1\r\nHost: h\r\nX: {}\r\n\r\n", "x".repeat(1_100));
+    let cases: [(&[u8], u16); 13] = [
+        (b"GET / HTTP/1.1\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n", 400),
+        (b"GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+        (b"GET / HTTP/1.0\r\nHost: a\r\n\r\n", 505),
+        (b"GET / HTTP/2.0\r\nHost: a\r\n\r\n", 505),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\nAttempt-Id: 1\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost : a\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\n folded\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", 413),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n65\r\nxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n", 413),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n", 400),
+        (long.as_bytes(), 431),
+    ];
+    for (bytes, status) in cases {
+        let refused = read(bytes).expect_err("refused");
+        assert_eq!(refused.status, status, "{}", String::from_utf8_lossy(bytes));
+    }
+}
+
+#[test]
+fn a_client_that_waits_to_go_on_is_told_once() {
+    let (mut reader, mut input) = (reader(), Buffer::default());
+    input.push(b"POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-Continue\r\nContent-Length: 2\r\n\r\n");
+    assert!(matches!(reader.read(&mut input), Ok(Progress::More { expects_continue: true })));
+    input.push(b"o");
+    assert!(matches!(reader.read(&mut input), Ok(Progress::More { expects_continue: false })));
+    input.push(b"k");
+    assert!(matches!(reader.read(&mut input), Ok(Progress::Whole(_))));
+}
+
+#[test]
+fn what_follows_a_request_stays() {
+    let (mut reader, mut input) = (reader(), Buffer::default());
+    input.push(b"GET / HTTP/1.1\r\nHost: a\r\n\r\nGET /next");
+    assert!(matches!(reader.read(&mut input), Ok(Progress::Whole(_))));
+    assert_eq!(input.bytes(), b"GET /next");
+}
--- /dev/null
+++ b/fleet/src/router/servers.rs
@@ -0,0 +1,206 @@
+//! What this router knows of model servers, merged from all that control machines push.
+//!
+//! It owns the table of instances. It promises that the table is a lattice: whatever order records come in, and from whichever
+//! control machine, the result is the same; `draining` and `gone` are final; an instance that a push leaves out stays as it was.
+
+use lichenswitch_interface::{Listed, Mode, ServerId};
+use lichenswitch_messages::{ServerRecord, ServerState};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Instances that are gone and still remembered, so that a late record revives none. Control forgets them after a minute; this many
+/// are the restarts of the largest fleet in ten.
+const MAX_REMEMBERED_GONE: usize = 2_048;
+/// Groups that the servers of a service are dealt into. The module looks for another holder at once after a failed connection only
+/// while it has tried fewer servers than there are groups.
+pub const GROUPS: u32 = 4;
+
+/// One instance.
+#[derive(Debug)]
+struct Instance {
+    server: ServerId,
+    service: Rc<str>,
+    address: Option<SocketAddr>,
+    zone: u32,
+    state: ServerState,
+    sequence_number: u64,
+    unheard: bool,
+}
+
+/// Where a server is reached, and by what name.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its `instanceId`.
+    pub instance: Rc<str>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// It takes no new requests.
+    pub leaving: bool,
+}
+
+/// What a push changed at one service.
+#[derive(Debug, PartialEq)]
+pub struct Change {
+    /// Its name.
+    pub service: Rc<str>,
+    /// The changed line of its list.
+    pub line: Listed,
+}
+
+impl Change {
+    /// The server takes nothing new.
+    #[must_use]
+    pub fn takes_nothing(&self) -> bool {
+        matches!(self.line.mode, Mode::Draining | Mode::Gone)
+    }
+}
+
+/// The table.
+#[derive(Default)]
+pub struct ServerTable {
+    instances: HashMap<Rc<str>, Instance>,
+    by_server: HashMap<ServerId, Rc<str>>,
+    services: HashMap<Rc<str>, ()>,
+    zones: HashMap<String, u32>,
+    gone: VecDeque<Rc<str>>,
+    next: u32,
+}
+
+impl ServerTable {
+    /// An empty table of a router in this zone, which gets number 0.
+    #[must_use]
+    pub fn new(zone: &str) -> ServerTable {
+        ServerTable { zones: HashMap::from([(zone.to_owned(), 0)]), ..ServerTable::default() }
+    }
+
+    /// Merges a push; tells the lines that changed.
+    pub fn merge(&mut self, records: &[ServerRecord]) -> Vec<Change> {
+        records.iter().filter_map(|record| self.merge_one(record)).collect()
+    }
+
+    /// Where a server is; `None`: it is gone, or was listed without a usable address.
+    #[must_use]
+    pub fn endpoint(&self, server: ServerId) -> Option<Endpoint> {
+        let name = self.by_server.get(&server)?;
+        let instance = self.instances.get(name)?;
+        let address = instance.address.filter(|_| instance.state != ServerState::Gone)?;
+        let leaving = instance.state != ServerState::Ready;
+        Some(Endpoint { instance: name.clone(), address, leaving })
+    }
+
+    /// Lines of all servers of a service that are not gone.
+    #[must_use]
+    pub fn lines_of(&self, service: &str) -> Vec<Listed> {
+        let of = self.instances.values().filter(|i| &*i.service == service && i.state != ServerState::Gone);
+        of.map(line).collect()
+    }
+
+    /// How many instances are not gone.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.instances.len() - self.gone.len()
+    }
+
+    /// Whether none is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn merge_one(&mut self, record: &ServerRecord) -> Option<Change> {
+        let (service, zone) = (self.service(&record.service), self.zone(&record.zone));
+        let address = record.address.parse().ok();
+        if let Some((name, known)) = self.instances.get_key_value(record.instance.as_str()) {
+            let older = record.state < known.state;
+            if older || (record.state == known.state && record.sequence_number < known.sequence_number) {
+                return None;
+            }
+            let name = name.clone();
+            return self.update(&name, record, address, zone);
+        }
+        let name: Rc<str> = Rc::from(record.instance.as_str());
+        let server = ServerId(self.next);
+        self.next += 1;
+        let instance = Instance {
+            server,
+            service: service.clone(),
+            address,
+            zone,
+            state: record.state,
+            sequence_number: record.sequence_number,
+            unheard: record.unheard,
+        };
+        let line = line(&instance);
+        self.instances.insert(name.clone(), instance);
+        self.by_server.insert(server, name.clone());
+        if record.state == ServerState::Gone {
+            self.bury(name);
+            return None;
+        }
+        Some(Change { service, line })
+    }
+
+    fn update(
+        &mut self,
+        name: &Rc<str>,
+        record: &ServerRecord,
+        address: Option<SocketAddr>,
+        zone: u32,
+    ) -> Option<Change> {
+        let known = self.instances.get_mut(name)?;
+        let (before, was) = (line(known), known.state);
+        known.sequence_number = known.sequence_number.max(record.sequence_number);
+        known.address = address.or(known.address);
+        (known.zone, known.state, known.unheard) = (zone, record.state, record.unheard);
+        let (after, service) = (line(known), known.service.clone());
+        if was != ServerState::Gone && record.state == ServerState::Gone {
+            self.bury(name.clone());
+        }
+        (before != after).then_some(Change { service, line: after })
+    }
+
+    /// Remembers that an instance is gone, and forgets the one that has been gone for longest where there are too many.
+    fn bury(&mut self, name: Rc<str>) {
+        self.gone.push_back(name);
+        if self.gone.len() <= MAX_REMEMBERED_GONE {
+            return;
+        }
+        if let Some(instance) = self.gone.pop_front().and_then(|oldest| self.instances.remove(&oldest)) {
+            self.by_server.remove(&instance.server);
+        }
+    }
+
+    fn service(&mut self, name: &str) -> Rc<str> {
+        if let Some((known, ())) = self.services.get_key_value(name) {
+            return known.clone();
+        }
+        let name: Rc<str> = Rc::from(name);
+        self.services.insert(name.clone(), ());
+        name
+    }
+
+    fn zone(&mut self, name: &str) -> u32 {
+        if let Some(&number) = self.zones.get(name) {
+            return number;
+        }
+        let number = self.zones.len() as u32;
+        self.zones.insert(name.to_owned(), number);
+        number
+    }
+}
+
+fn line(instance: &Instance) -> Listed {
+    let mode = match (instance.state, instance.unheard) {
+        (ServerState::Ready, false) => Mode::Ready,
+        // Control may be what can't be reached: it is used where no other server will do.
+        (ServerState::Ready, true) => Mode::Leaving,
+        (ServerState::Draining, _) => Mode::Draining,
+        (ServerState::Gone, _) => Mode::Gone,
+    };
+    let cell = instance.server.0 % GROUPS;
+    Listed { server: instance.server, cell, zone: instance.zone, mode, started: None }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/fleet/src/router/servers/tests.rs
@@ -0,0 +1,102 @@
+use super::*;
+
+fn record(instance: &str, state: ServerState, sequence_number: u64) -> ServerRecord {
+    ServerRecord {
+        instance: instance.into(),
+        service: "pool".into(),
+        address: format!("10.1.0.{}:8080", instance.len()),
+        zone: "z2".into(),
+        state,
+        sequence_number,
+        ..ServerRecord::default()
+    }
+}
+
+fn modes(table: &ServerTable) -> Vec<Mode> {
+    table.lines_of("pool").iter().map(|line| line.mode).collect()
+}
+
+#[test]
+fn whatever_the_order_of_records_the_outcome_is_the_same() {
+    let records = [
+        record("i", ServerState::Ready, 1),
+        record("i", ServerState::Ready, 7),
+        record("i", ServerState::Draining, 3),
+        record("i", ServerState::Ready, 9),
+    ];
+    let mut rng = fastrand::Rng::with_seed(1);
+    for _ in 0..50 {
+        let mut order = records.to_vec();
+        rng.shuffle(&mut order);
+        let mut table = ServerTable::new("z1");
+        order.iter().for_each(|record| _ = table.merge(std::slice::from_ref(record)));
+        assert_eq!(modes(&table), [Mode::Draining], "{order:?}");
+    }
+}
+
+#[test]
+fn what_is_gone_stays_gone_also_if_that_is_the_first_word_of_it() {
+    let mut table = ServerTable::new("z1");
+    assert!(table.merge(&[record("i", ServerState::Gone, 0)]).is_empty());
+    assert!(table.merge(&[record("i", ServerState::Ready, 9)]).is_empty());
+    assert!(table.merge(&[record("i", ServerState::Draining, 9)]).is_empty());
+    assert!(table.is_empty());
+    table.merge(&[record("j", ServerState::Ready, 1)]);
+    let server = table.lines_of("pool")[0].server;
+    assert!(table.endpoint(server).is_some());
+    let changes = table.merge(&[record("j", ServerState::Gone, 0)]);
+    assert!(changes.len() == 1 && changes[0].takes_nothing());
+    assert!(table.endpoint(server).is_none());
+}
+
+#[test]
+fn the_tombstone_of_an_instance_names_the_service_that_it_was_of() {
+    let mut table = ServerTable::new("z1");
+    table.merge(&[record("i", ServerState::Ready, 1)]);
+    let bare = ServerRecord { instance: "i".into(), state: ServerState::Gone, ..ServerRecord::default() };
+    let changes = table.merge(&[bare]);
+    assert_eq!(&*changes[0].service, "pool");
+}
+
+#[test]
+fn only_what_changed_is_told() {
+    let mut table = ServerTable::new("z1");
+    assert_eq!(table.merge(&[record("i", ServerState::Ready, 1)]).len(), 1);
+    assert!(table.merge(&[record("i", ServerState::Ready, 2)]).is_empty(), "a beat is no news");
+    let unheard = ServerRecord { unheard: true, ..record("i", ServerState::Ready, 2) };
+    assert_eq!(table.merge(&[unheard])[0].line.mode, Mode::Leaving);
+    assert_eq!(table.merge(&[record("i", ServerState::Ready, 3)])[0].line.mode, Mode::Ready);
+}
+
+#[test]
+fn a_server_that_drains_is_where_it_was_and_takes_nothing() {
+    let mut table = ServerTable::new("z1");
+    table.merge(&[record("i", ServerState::Ready, 1)]);
+    let server = table.lines_of("pool")[0].server;
+    assert!(!table.endpoint(server).expect("known").leaving);
+    table.merge(&[record("i", ServerState::Draining, 2)]);
+    assert!(table.endpoint(server).expect("known").leaving);
+}
+
+#[test]
+fn zones_are_numbered_with_the_own_one_first() {
+    let mut table = ServerTable::new("z2");
+    table.merge(&[record("i", ServerState::Ready, 1)]);
+    let other = ServerRecord { zone: "z9".into(), ..record("jj", ServerState::Ready, 1) };
+    table.merge(&[other]);
+    let mut zones: Vec<u32> = table.lines_of("pool").iter().map(|line| line.zone).collect();
+    zones.sort_unstable();
+    assert_eq!(zones, [0, 1]);
+}
+
+#[test]
+fn memory_of_those_that_are_gone_is_bounded() {
+    let mut table = ServerTable::new("z1");
+    for n in 0..MAX_REMEMBERED_GONE + 100 {
+        let name = format!("i{n}");
+        table.merge(&[record(&name, ServerState::Ready, 1), record(&name, ServerState::Gone, 1)]);
+    }
+    assert!(table.is_empty());
+    assert_eq!(table.instances.len(), MAX_REMEMBERED_GONE);
+    assert_eq!(table.by_server.len(), MAX_REMEMBERED_GONE);
+}
--- /dev/null
+++ b/fleet/src/router/service.rs
@@ -0,0 +1,303 @@
+//! One service: its core with the decision module, and what joins them to routes, servers and attempts.
+//!
+//! It promises that a request keeps the class it was taken with, whatever configuration comes meanwhile, and that every server which
+//! the module knows is known by its latest line.
+
+use super::budget::{module_budget, ResumeBudget};
+use super::configuration::Terms;
+use super::exchange::ExchangeId;
+use super::options::{Capacity, RetryBudget};
+use super::servers::GROUPS;
+use lichenswitch_core::{Command, Contracts, Core, Refusal, Request, Value};
+use lichenswitch_interface::{
+    Class, Layout, Limits, Listed, Listing, Micros, Outcome, QueryId, Repeat, ServerId, Settings, Shard,
+    Time, FIRST_SHARE,
+};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Names a service. Never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ServiceId(pub u32);
+
+/// Names an attempt of whichever service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId {
+    /// Its service.
+    pub service: ServiceId,
+    /// Its number there.
+    pub number: u64,
+}
+
+/// Advice to clients that are refused is at most this long (microseconds): they heed up to a third of the time they have left, and
+/// what is served within its aim from the new try still earns.
+const RETRY_AFTER: Micros = 300_000;
+/// A route that is a rank less urgent is worth this much less in a jam.
+const RANK_WORTH: f64 = 0.8;
+/// Connections to a server that a router may have at the least, whatever its share.
+const LEAST_CONNECTIONS: usize = 2;
+/// The same where the operator names no most.
+const UNTOLD_CONNECTIONS: usize = 16;
+/// The core of a service never sees more attempts of one request than this, whatever its route says.
+const MOST_ATTEMPTS: u32 = 16;
+
+/// A service.
+pub struct Service {
+    /// Its name.
+    pub name: Rc<str>,
+    core: Core<ExchangeId>,
+    classes: Vec<Slot>,
+    queries: HashMap<QueryId, ExchangeId>,
+    /// Streams that run on at each server.
+    running: HashMap<ServerId, u32>,
+    resumes: ResumeBudget,
+    told_connections: Option<u32>,
+    max_connections: usize,
+}
+
+/// A class of requests: one route in one of its forms.
+struct Slot {
+    terms: Terms,
+    /// Requests that are held with it.
+    held: u32,
+    /// The configuration in force has it.
+    in_force: bool,
+}
+
+impl Service {
+    /// A service whose servers are listed like this.
+    #[must_use]
+    pub fn new(
+        name: Rc<str>,
+        seed: u64,
+        capacity: Capacity,
+        budget: RetryBudget,
+        lines: Vec<Listed>,
+    ) -> Service {
+        let settings = settings(capacity, module_budget(budget, 0));
+        let mut core = Core::new(seed, settings, Contracts::default(), capacity.bytes);
+        core.listed(Listing::Whole(lines));
+        Service {
+            name,
+            core,
+            classes: Vec::new(),
+            queries: HashMap::new(),
+            running: HashMap::new(),
+            resumes: ResumeBudget::new(budget),
+            told_connections: None,
+            max_connections: LEAST_CONNECTIONS,
+        }
+    }
+
+    /// The routes of the configuration in force that may send to it.
+    pub fn set_routes(&mut self, routes: Vec<Terms>) {
+        self.classes.iter_mut().for_each(|slot| slot.in_force = false);
+        for terms in routes {
+            let (place, _) = self.place(&terms);
+            self.classes[place].in_force = true;
+        }
+        self.tell_classes();
+    }
+
+    /// Routers that are members now: budget and connections are shared by them.
+    pub fn set_routers(&mut self, budget: RetryBudget, routers: u32) {
+        self.core.set_budget(Some(module_budget(budget, routers)));
+        self.resumes.set(budget, routers);
+        self.share_connections(routers);
+    }
+
+    /// Connections that each of its servers takes from all callers together, where that is told.
+    pub fn set_max_connections(&mut self, told: Option<u32>, routers: u32) {
+        self.told_connections = told;
+        self.share_connections(routers);
+    }
+
+    /// Connections to each server that this router may have.
+    #[must_use]
+    pub fn max_connections(&self) -> usize {
+        self.max_connections
+    }
+
+    /// A line of its list has changed.
+    pub fn listed(&mut self, line: Listed) {
+        self.core.listed(Listing::Changes(vec![line]));
+    }
+
+    /// Takes a request; the index of its class is given back with [`Service::release`].
+    ///
+    /// # Errors
+    /// Why it is turned away.
+    pub fn take(
+        &mut self,
+        now: Time,
+        exchange: ExchangeId,
+        terms: &Terms,
+        deadline: Time,
+    ) -> Result<(QueryId, u16), Refusal> {
+        let (place, changed) = self.place(terms);
+        if changed {
+            self.tell_classes();
+        }
+        let class = place as u16;
+        let request = Request {
+            class: place,
+            deadline,
+            key: 0,
+            again: false,
+            tenant: u32::MAX,
+            team: None,
+            parts: vec![(Shard(0), 1.0)],
+            top: None,
+            job: exchange,
+        };
+        let query = self.core.take(now, request)?;
+        self.classes[place].held += 1;
+        self.queries.insert(query, exchange);
+        self.resumes.on_request(now);
+        Ok((query, class))
+    }
+
+    /// Takes a stream that is to go on at another server, if the budget bears it.
+    pub fn take_resumed(
+        &mut self,
+        now: Time,
+        exchange: ExchangeId,
+        terms: &Terms,
+        deadline: Time,
+    ) -> Option<(QueryId, u16)> {
+        match self.resumes.take(now) {
+            true => self.take(now, exchange, terms, deadline).ok(),
+            false => None,
+        }
+    }
+
+    /// A request of this class is held no more.
+    pub fn release(&mut self, class: u16) {
+        if let Some(slot) = self.classes.get_mut(usize::from(class)) {
+            slot.held = slot.held.saturating_sub(1);
+        }
+    }
+
+    /// The request that the core has a word for; it has none after that.
+    pub fn exchange_of(&mut self, query: QueryId) -> Option<ExchangeId> {
+        self.queries.remove(&query)
+    }
+
+    /// There is nobody left to answer.
+    pub fn hangup(&mut self, query: QueryId) {
+        self.queries.remove(&query);
+        self.core.hangup(query);
+    }
+
+    /// An attempt has ended. Only its first end counts.
+    pub fn ended(&mut self, now: Time, number: u64, outcome: Outcome) {
+        let value = (outcome == Outcome::Ok).then(Value::default);
+        self.core.ended(now, number, outcome, value);
+    }
+
+    /// A stream runs on at a server, whose first event has answered its request as far as the module is concerned.
+    pub fn stream_begun(&mut self, server: ServerId) {
+        let count = self.running.entry(server).or_default();
+        *count += 1;
+        let count = *count;
+        self.core.set_running(server, count);
+    }
+
+    /// It has ended.
+    pub fn stream_ended(&mut self, server: ServerId) {
+        let Some(count) = self.running.get_mut(&server) else { return };
+        *count -= 1;
+        let left = *count;
+        if left == 0 {
+            self.running.remove(&server);
+        }
+        self.core.set_running(server, left);
+    }
+
+    /// Whether nothing is held by it.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.core.held_queries() == 0 && self.running.is_empty()
+    }
+
+    /// When the next turn is to be taken.
+    #[must_use]
+    pub fn next_turn(&self) -> Option<Time> {
+        self.core.next_turn()
+    }
+
+    /// Takes a turn if it is time.
+    pub fn turn(&mut self, now: Time) -> Vec<Command<ExchangeId>> {
+        match self.core.next_turn() {
+            Some(at) if at <= now => self.core.turn(now),
+            _ => Vec::new(),
+        }
+    }
+
+    /// The class of these terms: the one that has them, one that nobody needs any more, or a new one; `true`: the module has yet to be
+    /// told of it.
+    fn place(&mut self, terms: &Terms) -> (usize, bool) {
+        if let Some(place) = self.classes.iter().position(|slot| slot.terms == *terms) {
+            return (place, false);
+        }
+        let slot = Slot { terms: terms.clone(), held: 0, in_force: false };
+        match self.classes.iter().position(|slot| slot.held == 0 && !slot.in_force) {
+            Some(place) => {
+                self.classes[place] = slot;
+                (place, true)
+            }
+            None => {
+                self.classes.push(slot);
+                (self.classes.len() - 1, true)
+            }
+        }
+    }
+
+    fn tell_classes(&mut self) {
+        self.core.set_classes(self.classes.iter().map(|slot| class(&slot.terms)).collect());
+    }
+
+    fn share_connections(&mut self, routers: u32) {
+        self.max_connections = match self.told_connections {
+            Some(most) => (most / routers.max(1)) as usize,
+            None => UNTOLD_CONNECTIONS,
+        }
+        .max(LEAST_CONNECTIONS);
+    }
+}
+
+/// What the module is told of a class.
+fn class(terms: &Terms) -> Class {
+    Class {
+        aim: terms.target_latency,
+        deadline: terms.timeout,
+        repeat: if terms.idempotent { Repeat::Safe } else { Repeat::Unsafe },
+        worth: RANK_WORTH.powi(terms.priority.min(9) as i32),
+        // Nobody tells what a late answer is worth: it is waited for to its end, since silence is no reason to give up sooner.
+        late_share: 1.0,
+        need: 1.0,
+        floor: 1.0,
+        partial: 0.0,
+        second_step: 0,
+        first_share: FIRST_SHARE,
+        attempts: Some(terms.max_attempts.min(MOST_ATTEMPTS)),
+    }
+}
+
+fn settings(capacity: Capacity, budget: lichenswitch_interface::Budget) -> Settings {
+    Settings {
+        classes: Vec::new(),
+        limits: Limits {
+            attempts: MOST_ATTEMPTS,
+            // A request and its only part.
+            held: capacity.requests.saturating_mul(2),
+            cancel: true,
+            probe: false,
+            second_copies: true,
+            retry_after: Some(RETRY_AFTER),
+            budget: Some(budget),
+        },
+        layout: Layout { cells: GROUPS, width: GROUPS, shards: 1, parts_a_call: 1 },
+        ..Settings::default()
+    }
+}
--- /dev/null
+++ b/fleet/src/router/services.rs
@@ -0,0 +1,104 @@
+//! All services that the configuration in force names, or that still hold requests.
+
+use super::configuration::InForce;
+use super::exchange::ExchangeId;
+use super::options::{Capacity, RetryBudget};
+use super::servers::{Change, ServerTable};
+use super::service::{Service, ServiceId};
+use lichenswitch_core::Command;
+use lichenswitch_interface::Time;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// The services.
+pub struct Services {
+    all: BTreeMap<ServiceId, Service>,
+    next: u32,
+    seed: u64,
+    capacity: Capacity,
+    budget: RetryBudget,
+    /// Routers that are members; 0 while that is not known.
+    routers: u32,
+}
+
+impl Services {
+    /// No services yet.
+    #[must_use]
+    pub fn new(seed: u64, capacity: Capacity, budget: RetryBudget) -> Services {
+        Services { all: BTreeMap::new(), next: 0, seed, capacity, budget, routers: 0 }
+    }
+
+    /// A configuration comes in force. Services that it does not name stay until what they hold has ended.
+    pub fn apply(&mut self, in_force: &InForce, servers: &ServerTable) {
+        for described in in_force.document().services() {
+            let id = self.id_of(&described.name).unwrap_or_else(|| self.add(&described.name, servers));
+            if let Some(service) = self.all.get_mut(&id) {
+                service.set_routes(in_force.terms_of(&described.name));
+                service.set_max_connections(described.max_connections, self.routers);
+            }
+        }
+        let named = |service: &Service| in_force.document().service(&service.name).is_some();
+        for service in self.all.values_mut().filter(|service| !named(service)) {
+            service.set_routes(Vec::new());
+        }
+        self.all.retain(|_, service| named(service) || !service.is_idle());
+    }
+
+    /// A line of a service's list has changed.
+    pub fn listed(&mut self, change: &Change) {
+        let service = self.all.values_mut().find(|service| service.name == change.service);
+        service.into_iter().for_each(|service| service.listed(change.line));
+    }
+
+    /// So many routers are members.
+    pub fn set_routers(&mut self, routers: u32) {
+        if std::mem::replace(&mut self.routers, routers) != routers {
+            let budget = self.budget;
+            self.all.values_mut().for_each(|service| service.set_routers(budget, routers));
+        }
+    }
+
+    /// The further-try budget of the whole system.
+    pub fn set_budget(&mut self, budget: RetryBudget) {
+        self.budget = budget;
+        let routers = self.routers;
+        self.all.values_mut().for_each(|service| service.set_routers(budget, routers));
+    }
+
+    /// The service of this name.
+    #[must_use]
+    pub fn id_of(&self, name: &str) -> Option<ServiceId> {
+        self.all.iter().find(|(_, service)| &*service.name == name).map(|(id, _)| *id)
+    }
+
+    /// A service.
+    pub fn get_mut(&mut self, id: ServiceId) -> Option<&mut Service> {
+        self.all.get_mut(&id)
+    }
+
+    /// When the next turn of any service is to be taken.
+    #[must_use]
+    pub fn next_turn(&self) -> Option<Time> {
+        self.all.values().filter_map(Service::next_turn).min()
+    }
+
+    /// Takes the turns that are due; tells what is to be done.
+    pub fn turn(&mut self, now: Time) -> Vec<(ServiceId, Command<ExchangeId>)> {
+        let mut commands = Vec::new();
+        for (id, service) in &mut self.all {
+            commands.extend(service.turn(now).into_iter().map(|command| (*id, command)));
+        }
+        commands
+    }
+
+    fn add(&mut self, name: &str, servers: &ServerTable) -> ServiceId {
+        let id = ServiceId(self.next);
+        self.next += 1;
+        let seed = self.seed.wrapping_add(u64::from(id.0));
+        let mut service =
+            Service::new(Rc::from(name), seed, self.capacity, self.budget, servers.lines_of(name));
+        service.set_routers(self.budget, self.routers);
+        self.all.insert(id, service);
+        id
+    }
+}
--- /dev/null
+++ b/fleet/src/router/shutdown.rs
@@ -0,0 +1,87 @@
+//! The end of the process: SIGTERM to exit.
+//!
+//! It promises: not ready at once; what has been read is answered; new clients are served until the platform has had time to learn;
+//! the process ends as soon as nothing is left, and shortly before the grace is over in any case, with a final answer for all.
+
+use super::program::{after, Owner, Timer};
+use super::Router;
+use lichenswitch_interface::Time;
+use std::time::Duration;
+
+/// The platform asks each second and acts on the second miss: after this long it sends nobody new.
+const LISTEN_ON: Duration = Duration::from_millis(3_000);
+/// So long before the grace is over everything still held gets its final answer.
+const RESERVE: Duration = Duration::from_millis(600);
+/// How often a process that stops looks whether it has finished.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// A shutdown under way.
+#[derive(Clone, Copy, Debug)]
+pub struct Shutdown {
+    /// Listeners close then. Connections that rest are kept to the end of the process: a request that crosses their end would have been
+    /// read for nothing.
+    closes: Time,
+    /// All that is still held ends then.
+    ends: Time,
+    closed: bool,
+    /// Everything has been ended; only bytes are still to be written.
+    ended: bool,
+}
+
+impl Shutdown {
+    /// Of a process that is told now that it is killed after the grace.
+    #[must_use]
+    pub fn new(now: Time, grace: Duration) -> Shutdown {
+        let reserve = RESERVE.min(grace / 4);
+        let ends = after(now, grace.saturating_sub(reserve));
+        Shutdown { closes: after(now, LISTEN_ON.min(grace / 2)), ends, closed: false, ended: false }
+    }
+
+    /// Whether requests are still taken.
+    #[must_use]
+    pub fn takes(&self, now: Time) -> bool {
+        now < self.closes
+    }
+}
+
+impl Router {
+    /// The platform wants this process to end.
+    pub(super) fn stop(&mut self) {
+        // Guards the end: it comes in time however often it is asked for.
+        if self.shutdown.is_some() {
+            return;
+        }
+        let now = self.net.clock.now();
+        self.shutdown = Some(Shutdown::new(now, self.options.grace));
+        self.clients.stop();
+        log::info!(requests = self.exchanges.len(), clients = self.clients.count(); "stopping");
+        self.net.wheel.set(after(now, LOOK), Timer::Shutdown);
+    }
+
+    /// Does what is due of a shutdown.
+    pub(super) fn go_on_stopping(&mut self) {
+        let now = self.net.clock.now();
+        let Some(mut shutdown) = self.shutdown else { return };
+        if now >= shutdown.closes && !shutdown.closed {
+            shutdown.closed = true;
+            // Who has connected already is served or told.
+            self.clients.accept(&mut self.net);
+            self.net.leave(Owner::Client);
+        }
+        if now >= shutdown.ends && !shutdown.ended {
+            shutdown.ended = true;
+            for id in self.exchanges.ids() {
+                self.end_now(id);
+            }
+        }
+        self.shutdown = Some(shutdown);
+        self.net.wheel.set(after(now, LOOK), Timer::Shutdown);
+    }
+
+    /// Whether all that was read has been answered, and nobody new can come.
+    pub(super) fn is_finished(&self) -> bool {
+        let Some(shutdown) = self.shutdown else { return false };
+        let over = shutdown.ended && self.net.clock.now() >= after(shutdown.ends, RESERVE / 2);
+        shutdown.closed && self.exchanges.is_empty() && (over || self.clients.busy(&self.net) == 0)
+    }
+}
