Test the router against scripted servers, clients and control, a test a rule

Servers, clients and the control machine are scripted in the tests and speak on loopback; the program itself is started once for its signals.

--- /dev/null
+++ b/fleet/tests/router_end.rs
@@ -0,0 +1,87 @@
+//! The end of a router: LOST, and what the platform is told.
+
+mod support;
+
+use std::time::{Duration, Instant};
+use support::client::{request, Client};
+use support::rig::Rig;
+use support::server::{event, Next, Server};
+
+fn slow(time: Duration) -> Server {
+    Server::start("i-1", move |seen, talk| {
+        talk.closes_within(time);
+        talk.answer(seen, 200, "Keep-Alive: timeout=9\r\n", "done");
+        Next::Keep
+    })
+}
+
+#[test]
+fn what_is_in_flight_at_sigterm_is_answered_and_the_router_is_not_ready() {
+    let server = slow(Duration::from_millis(600));
+    let mut rig = Rig::usual(&[&server]);
+    assert_eq!(rig.router.readiness_status(), 200);
+    let mut held = rig.client();
+    held.send(request("POST", "unsafe", "a1", "", "x"));
+    support::until("it is held", || server.times("a1") == 1);
+    rig.router.stop();
+    let mut late = Client::connect(rig.router.frontend);
+    assert_eq!(rig.router.readiness_status(), 503);
+    // New clients are served until the platform has learnt of it.
+    let reply = late.ask(request("POST", "unsafe", "a2", "", "x"));
+    assert_eq!((reply.status, reply.text(), reply.header("connection")), (200, "done", Some("close")));
+    let reply = held.reply();
+    assert_eq!((reply.status, reply.text(), reply.complete), (200, "done", true));
+    assert_eq!(reply.header("connection"), Some("close"));
+    assert!(held.ends_within(Duration::from_secs(3)));
+    assert!(rig.router.ends_within(Duration::from_secs(5)), "it ends once the platform has had its time");
+}
+
+#[test]
+fn a_stream_in_flight_at_sigterm_ends_whole() {
+    let server = Server::start("i-1", |seen, talk| {
+        talk.stream_head(seen);
+        for id in 1..=10 {
+            talk.event(id);
+            talk.closes_within(Duration::from_millis(400));
+        }
+        talk.end();
+        Next::Keep
+    });
+    let mut rig = Rig::with(&[&server], 8_000, 1_000, 1);
+    let mut client = rig.client();
+    client.send(request("POST", "stream", "a1", "", "x"));
+    client.head().expect("a head");
+    rig.router.stop();
+    for id in 1..=10 {
+        assert_eq!(client.chunk(), Ok(Some(event(id).into_bytes())));
+    }
+    assert_eq!(client.chunk(), Ok(None));
+    assert!(rig.router.ends_within(Duration::from_secs(5)));
+}
+
+#[test]
+fn what_cannot_end_in_time_gets_its_final_answer_before_the_grace_is_over() {
+    let server = slow(Duration::from_secs(30));
+    let mut rig = Rig::with(&[&server], 30_000, 10_000, 1);
+    let mut held = rig.client();
+    held.send(request("POST", "unsafe", "a1", "", "x"));
+    support::until("it is held", || server.times("a1") == 1);
+    let began = Instant::now();
+    rig.router.stop();
+    let reply = held.reply();
+    assert_eq!(reply.status, 502, "it may have run");
+    assert!(began.elapsed() >= Duration::from_secs(6), "{:?}", began.elapsed());
+    assert!(rig.router.ends_within(Duration::from_secs(8).saturating_sub(began.elapsed())));
+}
+
+#[test]
+fn a_router_without_work_ends_when_the_platform_has_had_its_time() {
+    let mut rig = Rig::usual(&[]);
+    // A connection that rests holds nothing up.
+    let _resting = rig.client();
+    let began = Instant::now();
+    rig.router.stop();
+    rig.router.stop();
+    assert!(rig.router.ends_within(Duration::from_secs(5)));
+    assert!(began.elapsed() >= Duration::from_millis(2_900), "{:?}", began.elapsed());
+}
--- /dev/null
+++ b/fleet/tests/router_process.rs
@@ -0,0 +1,85 @@
+//! The program itself: signals, exit codes, and its settings file.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use support::client::{request, Client};
+use support::control::Control;
+use support::rig::{document, free_port, record, settings_text};
+use support::server::{Next, Server};
+
+/// Ends the process with the test, however that ends.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Process {
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.0.id().to_string()]).status().expect("kill");
+        assert!(status.success());
+    }
+}
+
+#[test]
+fn a_router_is_a_process_that_heeds_its_signals() {
+    let server = Server::start("i-1", |seen, talk| {
+        talk.closes_within(Duration::from_millis(300));
+        talk.answer(seen, 200, "", "done");
+        Next::Keep
+    });
+    let control = Control::at(SocketAddr::from(([127, 0, 0, 1], 0)));
+    control.push_servers(vec![record(&server, lichenswitch_messages::ServerState::Ready, 1)]);
+    control.push_configuration(1, &document(1, 3_000, 1_000, 2));
+    let (frontend, readiness) = (free_port(), free_port());
+    let text = settings_text(&[std::net::Ipv4Addr::LOCALHOST], control.address.port(), "")
+        .replacen("127.0.0.1:0", &format!("127.0.0.1:{frontend}"), 1)
+        .replacen("127.0.0.1:0", &format!("127.0.0.1:{readiness}"), 1);
+    let path = std::env::temp_dir().join(format!("router-process-{}.toml", std::process::id()));
+    std::fs::write(&path, text).expect("write");
+    let child = Command::new(env!("CARGO_BIN_EXE_lichenswitch-fleet"))
+        .arg("router")
+        .env("LICHENSWITCH_CONFIG", &path)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("start");
+    let mut process = Process(child);
+    support::until("it is in force", || control.applied().is_some());
+    let mut client = Client::connect(SocketAddr::from(([127, 0, 0, 1], frontend)));
+    client.send(request("POST", "unsafe", "a1", "", "x"));
+    support::until("it is held", || server.times("a1") == 1);
+    process.signal("-HUP");
+    process.signal("-TERM");
+    let reply = client.reply();
+    assert_eq!((reply.status, reply.text(), reply.header("connection")), (200, "done", Some("close")));
+    let mut ended = None;
+    support::until("it ends", || {
+        ended = process.0.try_wait().expect("wait");
+        ended.is_some()
+    });
+    assert!(ended.expect("ended").success());
+    std::fs::remove_file(&path).expect("remove");
+}
+
+#[test]
+fn a_router_without_an_address_for_clients_says_so() {
+    let text = settings_text(&[std::net::Ipv4Addr::LOCALHOST], 7_300, "").replace("frontend", "other");
+    let path = std::env::temp_dir().join(format!("router-faulty-{}.toml", std::process::id()));
+    std::fs::write(&path, text).expect("write");
+    let output = Command::new(env!("CARGO_BIN_EXE_lichenswitch-fleet"))
+        .arg("router")
+        .env("LICHENSWITCH_CONFIG", &path)
+        .output()
+        .expect("run");
+    assert!(!output.status.success());
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(said.contains("listenAddresses.frontend"), "{said}");
+    std::fs::remove_file(&path).expect("remove");
+}
--- /dev/null
+++ b/fleet/tests/router_random.rs
@@ -0,0 +1,221 @@
+//! A router between many clients and servers that fail at random: whatever happens, nothing that a client sees or a server runs breaks a
+//! rule. A seed prints its number; `ROUTER_SEED=N` plays one alone.
+
+mod support;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use support::client::{request, Client};
+use support::rig::Rig;
+use support::server::{event, Next, Seen, Server, Talk};
+
+const EVENTS: u64 = 6;
+const KINDS: [&str; 4] = ["safe", "unsafe", "stream", "resume"];
+
+/// How often each request began to run, by id; and whether from its beginning.
+type Runs = Arc<Mutex<HashMap<String, Vec<u64>>>>;
+
+fn body_of(id: &str) -> String {
+    format!("the answer to {id}")
+}
+
+/// Answers, or fails, as chance has it. What it runs is counted before it answers.
+fn act(rng: &mut fastrand::Rng, runs: &Runs, seen: &Seen, talk: &mut Talk) -> Next {
+    let id = seen.id().to_owned();
+    match rng.u32(0..100) {
+        0..8 => {
+            let status = if rng.bool() { 503 } else { 429 };
+            talk.answer(seen, status, "Not-Executed: 1\r\n", "full");
+            return Next::Keep;
+        }
+        8..12 => {
+            talk.answer(seen, 421, "", "another");
+            return Next::Keep;
+        }
+        12..15 => return Next::Close,
+        15..18 => return Next::Reset,
+        _ => {}
+    }
+    let from = seen.header("last-event-id").map_or(0, |last| last.parse().expect("a number"));
+    runs.lock().expect("lock").entry(id.clone()).or_default().push(from);
+    match rng.u32(0..100) {
+        0..6 => return Next::Close,
+        6..12 => return Next::Reset,
+        12..16 => {
+            talk.closes_within(Duration::from_millis(rng.u64(1..900)));
+            return Next::Close;
+        }
+        16..20 => {
+            talk.write("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: seal-other\r\nContent-Length: 3\r\n\r\nbad");
+            return Next::Keep;
+        }
+        20..23 => {
+            talk.write("\0\0 no answer \r\n\r\n");
+            return Next::Keep;
+        }
+        23..27 => {
+            talk.answer(seen, 500, "", "it failed");
+            return Next::Keep;
+        }
+        27..30 => {
+            talk.answer(seen, 503, "", "not said to be unrun");
+            return Next::Keep;
+        }
+        _ => {}
+    }
+    if seen.target.starts_with("/stream") || seen.target.starts_with("/resume") {
+        stream(rng, seen, talk, from)
+    } else {
+        whole(rng, seen, talk)
+    }
+}
+
+fn stream(rng: &mut fastrand::Rng, seen: &Seen, talk: &mut Talk, from: u64) -> Next {
+    talk.stream_head(seen);
+    for id in from + 1..=EVENTS {
+        match rng.u32(0..100) {
+            0..3 => return Next::Close,
+            3..6 => return Next::Reset,
+            6..9 => {
+                talk.chunk(&event(id)[..7]);
+                return Next::Close;
+            }
+            9..20 => _ = talk.closes_within(Duration::from_millis(rng.u64(1..20))),
+            _ => {}
+        }
+        talk.event(id);
+    }
+    talk.end();
+    after(rng, talk)
+}
+
+fn whole(rng: &mut fastrand::Rng, seen: &Seen, talk: &mut Talk) -> Next {
+    let body = body_of(seen.id());
+    match rng.u32(0..100) {
+        0..8 => {
+            let half = &body[..body.len() / 2];
+            talk.write(format!(
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {0}\r\nResponse-Seal: seal-{0}\r\nContent-Length: {1}\r\n\r\n{half}",
+                seen.id(),
+                body.len()
+            ));
+            return if rng.bool() { Next::Close } else { Next::Reset };
+        }
+        8..12 => {
+            talk.write(format!(
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {0}\r\nResponse-Seal: seal-{0}\r\n\r\n{body}",
+                seen.id()
+            ));
+            return Next::Close;
+        }
+        _ => {}
+    }
+    talk.answer(seen, 200, "", &body);
+    after(rng, talk)
+}
+
+/// What may come behind an answer that was whole.
+fn after(rng: &mut fastrand::Rng, talk: &mut Talk) -> Next {
+    match rng.u32(0..100) {
+        0..8 => {
+            let late = rng.bool();
+            if late {
+                talk.closes_within(Duration::from_millis(30));
+            }
+            talk.write("HTTP/1.1 200 OK\r\nAttempt-Id: extra\r\nResponse-Seal: seal-extra\r\nContent-Length: 5\r\n\r\nextra");
+            Next::Keep
+        }
+        8..12 => Next::Close,
+        12..16 => Next::Reset,
+        _ => Next::Keep,
+    }
+}
+
+fn play(seed: u64) {
+    let runs: Runs = Arc::default();
+    let servers: Vec<Server> = (0..4)
+        .map(|n| {
+            let (runs, rng) = (runs.clone(), Mutex::new(fastrand::Rng::with_seed(seed * 31 + n)));
+            Server::start(&format!("i-{n}"), move |seen, talk| {
+                let mut rng = rng.lock().expect("lock").fork();
+                act(&mut rng, &runs, seen, talk)
+            })
+        })
+        .collect();
+    let rig = Rig::with(&servers.iter().collect::<Vec<_>>(), 800, 200, 3);
+    let frontend = rig.router.frontend;
+    let clients: Vec<_> = (0..12)
+        .map(|n| {
+            std::thread::spawn(move || {
+                let mut rng = fastrand::Rng::with_seed(seed * 1_009 + n);
+                let mut client = Client::connect(frontend);
+                let mut tried = Vec::new();
+                for turn in 0..12 {
+                    let (kind, id) = (KINDS[rng.usize(..4)], format!("s{seed}-c{n}-{turn}"));
+                    let bytes = request("POST", kind, &id, "Deadline-Ms: 700\r\n", "a body");
+                    if rng.u32(0..100) < 6 {
+                        // It leaves at some time.
+                        let mut leaver = Client::connect(frontend);
+                        leaver.send(bytes);
+                        std::thread::sleep(Duration::from_millis(rng.u64(0..40)));
+                        tried.push((kind, id, None));
+                        continue;
+                    }
+                    let reply = client.ask(bytes);
+                    if !reply.complete || reply.header("connection") == Some("close") {
+                        client = Client::connect(frontend);
+                    }
+                    tried.push((kind, id, Some(reply)));
+                }
+                tried
+            })
+        })
+        .collect();
+    let tried: Vec<_> = clients.into_iter().flat_map(|client| client.join().expect("a client")).collect();
+    let runs = runs.lock().expect("lock").clone();
+    let mut served = 0;
+    for (kind, id, reply) in &tried {
+        let ran = runs.get(id).cloned().unwrap_or_default();
+        if matches!(*kind, "unsafe" | "stream") {
+            assert!(ran.len() <= 1, "seed {seed}: {kind} {id} ran {} times", ran.len());
+        }
+        let sent: usize = servers.iter().map(|server| server.times(id)).sum();
+        assert!(sent <= 3, "seed {seed}: {id} was sent to {sent} servers");
+        let Some(reply) = reply else { continue };
+        let seal = format!("seal-{id}");
+        match reply.status {
+            200 => {
+                assert_eq!(reply.header("response-seal"), Some(seal.as_str()), "seed {seed}: {id}");
+                let all: String = (1..=EVENTS).map(event).collect();
+                let expected = if matches!(*kind, "stream" | "resume") { all } else { body_of(id) };
+                match reply.complete {
+                    true => assert_eq!(reply.text(), expected, "seed {seed}: {kind} {id}"),
+                    false => assert!(expected.starts_with(reply.text()), "seed {seed}: {kind} {id}"),
+                }
+                served += usize::from(reply.complete);
+            }
+            500 => assert_eq!(reply.header("response-seal"), Some(seal.as_str()), "seed {seed}: {id}"),
+            503 => {
+                assert!(reply.retry_after().is_some(), "seed {seed}: {id}");
+                assert!(ran.is_empty(), "seed {seed}: {kind} {id} ran, and was refused");
+                assert_eq!(reply.header("response-seal"), None);
+            }
+            502 | 504 => assert_eq!(reply.header("response-seal"), None),
+            status => panic!("seed {seed}: {kind} {id} got {status}"),
+        }
+        assert!(reply.took < Duration::from_millis(1_000), "seed {seed}: {id} took {:?}", reply.took);
+    }
+    assert!(served * 3 > tried.len(), "seed {seed}: {served} of {} were served", tried.len());
+    // What was never asked for is never run.
+    assert!(runs.keys().all(|id| tried.iter().any(|(_, known, _)| known == id)));
+}
+
+#[test]
+fn no_rule_is_broken_whatever_servers_do() {
+    let one = std::env::var("ROUTER_SEED").ok().and_then(|seed| seed.parse().ok());
+    match one {
+        Some(seed) => play(seed),
+        None => (1..=6).for_each(play),
+    }
+}
--- /dev/null
+++ b/fleet/tests/support/control.rs
@@ -0,0 +1,191 @@
+//! A scripted control machine.
+
+use super::until;
+use lichenswitch_fleet::envelopes::{encode, EnvelopeReader};
+use lichenswitch_messages::{
+    ConfigurationPosition, ControlToRouter, Envelope, RouterToControl, ServerRecord, ROUTER_HEARTBEAT_MS,
+};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+#[derive(Default)]
+struct State {
+    in_contact: bool,
+    silent: bool,
+    routers: u32,
+    control: Vec<String>,
+    configuration: Option<(ConfigurationPosition, Vec<u8>)>,
+    servers: Vec<ServerRecord>,
+    links: Vec<Link>,
+    hellos: usize,
+    applied: Option<ConfigurationPosition>,
+    acknowledged: u64,
+}
+
+struct Link {
+    stream: TcpStream,
+    push: u64,
+}
+
+pub struct Control {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+pub fn position(number: u64) -> ConfigurationPosition {
+    ConfigurationPosition { epoch: 1, primary: 1, number }
+}
+
+impl Control {
+    /// Listens at this address, in contact, with one router.
+    pub fn at(address: SocketAddr) -> Control {
+        let listener = TcpListener::bind(address).expect("bind");
+        let address = listener.local_addr().expect("address");
+        let state = Arc::new(Mutex::new(State { in_contact: true, routers: 1, ..State::default() }));
+        let shared = state.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                std::thread::spawn(move || serve(stream, &shared));
+            }
+        });
+        let beating = state.clone();
+        std::thread::spawn(move || loop {
+            std::thread::sleep(Duration::from_millis(ROUTER_HEARTBEAT_MS));
+            beating.lock().expect("lock").beat();
+        });
+        Control { address, state }
+    }
+
+    pub fn push_configuration(&self, number: u64, document: &str) {
+        self.push_at(position(number), document);
+    }
+
+    pub fn push_at(&self, position: ConfigurationPosition, document: &str) {
+        let mut state = self.state.lock().expect("lock");
+        state.configuration = Some((position, document.as_bytes().to_vec()));
+        state.send_all(&|push| ControlToRouter::Configuration {
+            push,
+            position,
+            document: document.as_bytes().to_vec(),
+        });
+    }
+
+    pub fn push_servers(&self, records: Vec<ServerRecord>) {
+        let mut state = self.state.lock().expect("lock");
+        for record in &records {
+            state.servers.retain(|known| known.instance != record.instance);
+            state.servers.push(record.clone());
+        }
+        state.send_all(&|push| ControlToRouter::Servers { push, records: records.clone(), whole: false });
+    }
+
+    pub fn set_contact(&self, on: bool) {
+        let mut state = self.state.lock().expect("lock");
+        state.in_contact = on;
+        state.beat();
+    }
+
+    pub fn set_silent(&self, on: bool) {
+        self.state.lock().expect("lock").silent = on;
+    }
+
+    pub fn set_routers(&self, routers: u32) {
+        let mut state = self.state.lock().expect("lock");
+        state.routers = routers;
+        state.beat();
+    }
+
+    pub fn set_control(&self, control: Vec<String>) {
+        self.state.lock().expect("lock").control = control;
+    }
+
+    /// Ends all connections to routers.
+    pub fn drop_links(&self) {
+        for link in self.state.lock().expect("lock").links.drain(..) {
+            let _ = link.stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    pub fn hellos(&self) -> usize {
+        self.state.lock().expect("lock").hellos
+    }
+
+    pub fn applied(&self) -> Option<ConfigurationPosition> {
+        self.state.lock().expect("lock").applied
+    }
+
+    /// Waits until the last push on each link is acknowledged.
+    pub fn settled(&self) {
+        until("the router has acknowledged", || {
+            let state = self.state.lock().expect("lock");
+            state.links.last().is_some_and(|link| link.push > 0 && state.acknowledged >= link.push)
+        });
+    }
+}
+
+impl State {
+    fn beat(&mut self) {
+        let (in_contact, control, routers) = (self.in_contact, self.control.clone(), self.routers);
+        if self.silent {
+            return;
+        }
+        let message = ControlToRouter::Heartbeat { in_contact, control, routers };
+        let bytes = encode(&Envelope::ToRouter(message)).expect("encode");
+        for link in &mut self.links {
+            let _ = link.stream.write_all(&bytes);
+        }
+    }
+
+    fn send_all(&mut self, message: &dyn Fn(u64) -> ControlToRouter) {
+        for link in &mut self.links {
+            link.push += 1;
+            let bytes = encode(&Envelope::ToRouter(message(link.push))).expect("encode");
+            let _ = link.stream.write_all(&bytes);
+        }
+    }
+
+    fn greet(&mut self, stream: TcpStream) {
+        self.hellos += 1;
+        self.acknowledged = 0;
+        let (configuration, servers) = (self.configuration.clone(), self.servers.clone());
+        let others = std::mem::take(&mut self.links);
+        self.links.push(Link { stream, push: 0 });
+        self.beat();
+        if let Some((position, document)) = configuration {
+            self.send_all(&|push| ControlToRouter::Configuration {
+                push,
+                position,
+                document: document.clone(),
+            });
+        }
+        self.send_all(&|push| ControlToRouter::Servers { push, records: servers.clone(), whole: true });
+        self.links.splice(0..0, others);
+    }
+}
+
+fn serve(mut stream: TcpStream, state: &Mutex<State>) {
+    let mut reader = EnvelopeReader::default();
+    let mut bytes = [0; 4_096];
+    loop {
+        match stream.read(&mut bytes) {
+            Ok(0) | Err(_) => return,
+            Ok(read) => reader.push(&bytes[..read]),
+        }
+        while let Ok(Some(envelope)) = reader.next_envelope() {
+            let Envelope::FromRouter(message) = envelope else { panic!("only routers speak here") };
+            let mut state = state.lock().expect("lock");
+            match message {
+                RouterToControl::Hello { configuration, .. } => {
+                    state.applied = configuration;
+                    state.greet(stream.try_clone().expect("clone"));
+                }
+                RouterToControl::Applied { push, configuration } => {
+                    (state.acknowledged, state.applied) = (push, configuration);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/tests/support/rig.rs
@@ -0,0 +1,160 @@
+//! A router in a thread, with its control machine.
+
+use super::control::Control;
+use super::server::Server;
+use super::{until, within};
+use lichenswitch_fleet::router::Router;
+use lichenswitch_fleet::settings::Settings;
+use lichenswitch_messages::{ServerRecord, ServerState};
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+pub struct Rig {
+    pub control: Control,
+    pub router: Running,
+}
+
+/// A router in a thread.
+pub struct Running {
+    pub frontend: SocketAddr,
+    pub readiness: SocketAddr,
+    stop: UnixStream,
+    reload: UnixStream,
+    thread: Option<JoinHandle<Result<(), String>>>,
+}
+
+/// A port that was free a moment ago.
+pub fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port").port()
+}
+
+/// Text of a settings file for seeds at this internal port.
+pub fn settings_text(seeds: &[Ipv4Addr], internal_port: u16, more: &str) -> String {
+    let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:1\"")).collect();
+    format!(
+        "nodeName = \"edge-1\"\nrole = \"router\"\nipAddress = \"127.0.0.1\"\nzone = \"z1\"\nregion = \"r\"\n\
+         internalPortRange = [{internal_port}, {internal_port}]\nseedNodes = [{}]\n\
+         [listenAddresses]\nfrontend = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\n\
+         [limits]\ncpuShare = 0.5\nmemoryMb = 78\nfileDescriptors = 1000\n\
+         [bounds]\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nretrySlack = 200\ngracePeriodS = 8\n{more}",
+        seeds.join(", ")
+    )
+}
+
+impl Running {
+    pub fn start(text: &str, file: Option<PathBuf>) -> Running {
+        let settings = Settings::parse(text).expect("settings");
+        let (stop, stopped) = UnixStream::pair().expect("pair");
+        let (reload, reloaded) = UnixStream::pair().expect("pair");
+        let (tell, told) = mpsc::channel();
+        let thread = std::thread::spawn(move || {
+            let mut router = Router::new(&settings, file).map_err(|e| e.to_string())?;
+            router.stop_on(stopped).map_err(|e| e.to_string())?;
+            router.reload_on(reloaded).map_err(|e| e.to_string())?;
+            tell.send(router.addresses()).map_err(|e| e.to_string())?;
+            router.serve().map_err(|e| e.to_string())
+        });
+        let (frontend, readiness) = told.recv().expect("the router starts");
+        let readiness = readiness.expect("an address for readiness");
+        Running { frontend, readiness, stop, reload, thread: Some(thread) }
+    }
+
+    pub fn stop(&mut self) {
+        self.stop.write_all(b"x").expect("stop");
+    }
+
+    pub fn reload(&mut self) {
+        self.reload.write_all(b"x").expect("reload");
+    }
+
+    /// Whether the process would have ended by then.
+    pub fn ends_within(&mut self, time: Duration) -> bool {
+        let ended = within(time, || self.thread.as_ref().is_none_or(JoinHandle::is_finished));
+        if ended {
+            if let Some(thread) = self.thread.take() {
+                thread.join().expect("the router does not panic").expect("the router ends well");
+            }
+        }
+        ended
+    }
+
+    /// What the platform is told.
+    pub fn readiness_status(&self) -> u16 {
+        let mut client = super::client::Client::connect(self.readiness);
+        client.ask("GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n").status
+    }
+}
+
+pub fn record(server: &Server, state: ServerState, sequence_number: u64) -> ServerRecord {
+    ServerRecord {
+        instance: server.instance.clone(),
+        service: "pool".into(),
+        address: server.address.to_string(),
+        zone: "z1".into(),
+        capacity_slots: 4,
+        state,
+        sequence_number,
+        cold_remaining_ms: 0,
+        unheard: false,
+    }
+}
+
+/// A configuration with a route for each kind, all to the service `pool`.
+pub fn document(version: u64, timeout_ms: u64, target_ms: u64, max_attempts: u32) -> String {
+    let route = |name: &str, kind: &str, resume: bool| {
+        format!(
+            "{{\"name\":\"r-{name}\",\"host\":\"fleet.example\",\"pathPrefix\":\"/{name}/\",\"kind\":\"{kind}\",\
+             \"timeoutMs\":{timeout_ms},\"targetLatencyMs\":{target_ms},\"priority\":0,\"service\":\"pool\",\
+             \"maxAttempts\":{max_attempts},\"streamResume\":{resume}}}"
+        )
+    };
+    let routes = [
+        route("safe", "safe", false),
+        route("unsafe", "unsafe", false),
+        route("stream", "streaming", false),
+        route("resume", "streaming", true),
+    ];
+    document_of(version, &routes)
+}
+
+pub fn document_of(version: u64, routes: &[String]) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"pool\",\"healthCheckPath\":\"/health\",\
+         \"maxConnections\":100}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\
+         \"headerTimeoutMs\":1000,\"idleTimeoutMs\":3000}}}}",
+        routes.join(",")
+    )
+}
+
+impl Rig {
+    /// A router that knows nothing yet.
+    pub fn bare() -> Rig {
+        let control = Control::at(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let text = settings_text(&[Ipv4Addr::LOCALHOST], control.address.port(), "");
+        Rig { router: Running::start(&text, None), control }
+    }
+
+    /// A router with servers and a configuration of these figures in force.
+    pub fn with(servers: &[&Server], timeout_ms: u64, target_ms: u64, max_attempts: u32) -> Rig {
+        let rig = Rig::bare();
+        rig.control.push_servers(servers.iter().map(|s| record(s, ServerState::Ready, 1)).collect());
+        rig.control.push_configuration(1, &document(1, timeout_ms, target_ms, max_attempts));
+        until("the configuration is in force", || rig.control.applied().is_some());
+        rig.control.settled();
+        rig
+    }
+
+    /// The usual figures: 3 s, an aim of 1 s, two attempts.
+    pub fn usual(servers: &[&Server]) -> Rig {
+        Rig::with(servers, 3_000, 1_000, 2)
+    }
+
+    pub fn client(&self) -> super::client::Client {
+        super::client::Client::connect(self.router.frontend)
+    }
+}
