Read heads without bodies and bodies as they come

Cause: a relay passes a message on while it comes; only whole messages could be read.

Change: `parse_request_head` and `parse_response_head` give typed heads (fields as they came, where the body ends, whether the connection stays open), with the caller's limit on their length; `BodyDecoder` takes a body in pieces cut anywhere, bounded; `encode_chunk` and `LAST_CHUNK` write one. The whole-message readers use the same code, with three differences at the edge: a head over 16 KiB is refused however it arrives (before, one that arrived in one piece was read), so is the line of a chunk's size that goes on for 16 KiB, and such a line without a number (it counted as the last chunk). In the new heads a transfer coding in HTTP/1.0 is refused.

--- a/wire/http/src/lib.rs
+++ b/wire/http/src/lib.rs
@@ -1,7 +1,18 @@
 //! HTTP/1.1 messages: requests of clients, and responses of servers that this program asks.
+//!
+//! Small messages are read whole: [`request`], [`response`]. Whoever passes a message on as it comes reads its head with
+//! [`parse_request_head`] or [`parse_response_head`] and its body with a [`BodyDecoder`].
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod body;
+mod head;
+
+pub use body::{encode_chunk, BodyDecoder, Decoded, LAST_CHUNK};
+pub use head::{
+    parse_request_head, parse_response_head, Framing, HeaderField, Headers, RequestHead, ResponseHead,
+};
+
 use std::fmt::Write as _;
 
 /// Most bytes of a message's head.
@@ -100,7 +111,9 @@
     }
 }
 
-fn reason(status: u16) -> &'static str {
+/// The words that stand beside a status code.
+#[must_use]
+pub fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
         400 => "Bad Request",
@@ -144,96 +157,27 @@
     headers.iter().map(one).collect()
 }
 
-enum Framing {
-    Length(usize),
-    Chunked,
-    None,
-}
-
-fn framing(headers: &[(String, String)]) -> Result<Framing, Malformed> {
-    let all = |name: &'static str| headers.iter().filter(move |h| h.0 == name).map(|h| h.1.as_str());
-    let mut codings = all("transfer-encoding").flat_map(|v| v.split(',')).map(str::trim).peekable();
-    if codings.peek().is_some() {
-        // Guards against request smuggling: with both, two readers may see two different messages.
-        if all("content-length").next().is_some() {
-            return Err(Malformed(400, "both content-length and transfer-encoding"));
-        }
-        let chunked = codings.next().is_some_and(|c| c.eq_ignore_ascii_case("chunked"));
-        return match (chunked, codings.next()) {
-            (true, None) => Ok(Framing::Chunked),
-            _ => Err(Malformed(501, "transfer-encoding other than chunked")),
-        };
-    }
-    let mut lengths = all("content-length").flat_map(|v| v.split(',')).map(str::trim);
-    let Some(first) = lengths.next() else { return Ok(Framing::None) };
-    // The same: lengths that differ are two messages in one.
-    if lengths.any(|other| other != first) || first.is_empty() || !first.bytes().all(|b| b.is_ascii_digit()) {
-        return Err(Malformed(400, "bad content-length"));
-    }
-    first.parse().map(Framing::Length).map_err(|_| Malformed(413, "content-length out of bounds"))
-}
-
-fn keep_alive(version: Option<u8>, headers: &[(String, String)]) -> bool {
-    let mut tokens =
-        headers.iter().filter(|h| h.0 == "connection").flat_map(|h| h.1.split(',')).map(str::trim);
-    match version {
-        Some(1) => !tokens.any(|t| t.eq_ignore_ascii_case("close")),
-        _ => tokens.any(|t| t.eq_ignore_ascii_case("keep-alive")),
-    }
-}
-
 /// The body that begins the bytes and what it took; `None` while it is not whole.
-fn chunked(bytes: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
-    let (mut body, mut at) = (Vec::new(), 0);
-    loop {
-        let (data, size) = match httparse::parse_chunk_size(&bytes[at..]) {
-            Ok(httparse::Status::Complete(found)) => found,
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err(Malformed(400, "bad chunk size")),
-        };
-        at += data;
-        if size == 0 {
-            return Ok(trailers(&bytes[at..])?.map(|n| (body, at + n)));
-        }
-        // Guards memory, and the sum below against overflow.
-        if size > most as u64 || body.len() + size as usize > most {
-            return Err(Malformed(413, "body too large"));
-        }
-        let end = at + size as usize;
-        let Some(chunk) = bytes.get(at..end) else { return Ok(None) };
-        body.extend_from_slice(chunk);
-        match bytes.get(end..end + 2) {
-            Some(b"\r\n") => at = end + 2,
-            Some(_) => return Err(Malformed(400, "chunk without its end")),
-            None => return Ok(None),
-        }
+fn body(framing: Framing, rest: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
+    let mut decoder = BodyDecoder::new(framing, most as u64)?;
+    if let Framing::Length(length) = framing {
+        // Nothing is copied before it is here.
+        let whole = usize::try_from(length).ok().and_then(|length| rest.get(..length));
+        return Ok(whole.map(|body| (body.to_vec(), body.len())));
     }
-}
-
-/// Length of the trailer section, which is skipped, with the empty line that ends it.
-fn trailers(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
-    let mut at = 0;
+    let (mut body, mut at) = (Vec::new(), 0);
     loop {
-        let Some(end) = bytes[at..].windows(2).position(|w| w == b"\r\n") else {
-            let long = bytes.len() > HEAD;
-            return if long { Err(Malformed(431, "trailers too large")) } else { Ok(None) };
-        };
-        at += end + 2;
-        if end == 0 {
-            return Ok(Some(at));
+        let decoded = decoder.decode(&rest[at..])?;
+        body.extend_from_slice(decoded.body);
+        at += decoded.consumed;
+        match decoded {
+            Decoded { complete: true, .. } => return Ok(Some((body, at))),
+            Decoded { consumed: 0, .. } => return Ok(None),
+            Decoded { .. } => {}
         }
     }
 }
 
-fn body(framing: Framing, rest: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
-    match framing {
-        Framing::None => Ok(Some((Vec::new(), 0))),
-        Framing::Length(n) if n > most => Err(Malformed(413, "body too large")),
-        Framing::Length(n) => Ok(rest.get(..n).map(|b| (b.to_vec(), n))),
-        Framing::Chunked => chunked(rest, most),
-    }
-}
-
 /// Reads a request from the bytes that a client has sent so far.
 pub fn request(bytes: &[u8]) -> Result<Parsed<Request>, Malformed> {
     request_up_to(bytes, BODY)
@@ -243,24 +187,18 @@
 pub fn request_up_to(bytes: &[u8], most: usize) -> Result<Parsed<Request>, Malformed> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS];
     let mut head = httparse::Request::new(&mut headers);
-    let used = match head.parse(bytes) {
-        Ok(httparse::Status::Complete(used)) => used,
-        Ok(httparse::Status::Partial) if bytes.len() < HEAD => return Ok(Parsed::Partial(false)),
-        Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
-            return Err(Malformed(431, "head too large"));
-        }
-        Err(httparse::Error::Version) => return Err(Malformed(505, "version")),
-        Err(_) => return Err(Malformed(400, "malformed head")),
+    let Some(used) = head::request_line_and_fields(&mut head, bytes, HEAD)? else {
+        return Ok(Parsed::Partial(false));
     };
     let headers = text(head.headers)?;
-    let Some(found) = body(framing(&headers)?, &bytes[used..], most)? else {
+    let Some(found) = body(head::framing(head.headers)?, &bytes[used..], most)? else {
         let waits = find(&headers, "expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"));
         return Ok(Parsed::Partial(waits && bytes.len() == used));
     };
     let request = Request {
         method: head.method.unwrap_or_default().to_string(),
         target: head.path.unwrap_or_default().to_string(),
-        keep_alive: keep_alive(head.version, &headers),
+        keep_alive: head::keeps_connection(head.version, head.headers),
         headers,
         body: found.0,
     };
@@ -271,17 +209,14 @@
 pub fn response(bytes: &[u8], ended: bool, most: usize) -> Result<Parsed<Response>, Malformed> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS];
     let mut head = httparse::Response::new(&mut headers);
-    let used = match head.parse(bytes) {
-        Ok(httparse::Status::Complete(used)) => used,
-        Ok(httparse::Status::Partial) if bytes.len() < HEAD => return Ok(Parsed::Partial(false)),
-        _ => return Err(Malformed(502, "malformed head of a response")),
+    let Some(used) = head::status_line_and_fields(&mut head, bytes, HEAD)? else {
+        return Ok(Parsed::Partial(false));
     };
     let (status, rest) = (head.code.unwrap_or_default(), &bytes[used..]);
     let headers = text(head.headers)?;
-    let mut keep_alive = keep_alive(head.version, &headers);
-    // Interim responses and these two have no body, whatever their headers say.
-    let found = match framing(&headers)? {
-        _ if status < 200 || status == 204 || status == 304 => Some((Vec::new(), 0)),
+    let mut keep_alive = head::keeps_connection(head.version, head.headers);
+    let found = match head::framing(head.headers)? {
+        _ if head::has_no_body(status) => Some((Vec::new(), 0)),
         // Without a length the body goes on until the server ends the connection.
         Framing::None if rest.len() > most => return Err(Malformed(413, "body too large")),
         Framing::None => {
--- a/wire/http/src/tests.rs
+++ b/wire/http/src/tests.rs
@@ -73,3 +73,20 @@
     let bytes = Response::new(200, "text/plain", "x").with("a", "b\r\nc: d").encode(true, false);
     assert!(String::from_utf8(bytes).unwrap().contains("a: bc: d\r\n"));
 }
+
+#[test]
+fn a_caller_bounds_the_body() {
+    let post = |length: usize| format!("POST / HTTP/1.1\r\nContent-Length: {length}\r\n\r\n");
+    assert_eq!(request_up_to(post(6).as_bytes(), 5).unwrap_err().0, 413);
+    assert_eq!(request_up_to(post(5).as_bytes(), 5).unwrap(), Parsed::Partial(false));
+    let whole = format!("{}abcde", post(5));
+    assert!(matches!(request_up_to(whole.as_bytes(), 5).unwrap(), Parsed::Whole(r, _) if r.body == b"abcde"));
+}
+
+#[test]
+fn heads_are_bounded_however_they_come() {
+    let long = format!("GET / HTTP/1.1\r\nA: {}\r\n\r\n", "a".repeat(HEAD));
+    assert_eq!(request(long.as_bytes()).unwrap_err().0, 431);
+    let answer = format!("HTTP/1.1 200 OK\r\nA: {}\r\nContent-Length: 0\r\n\r\n", "a".repeat(HEAD));
+    assert_eq!(response(answer.as_bytes(), false, 9).unwrap_err().0, 502);
+}
