Let connections rest, be reset, and tell how far the other side is behind

Cause: a relay has to stop reading a server while its client is behind, to show that an answer was cut off, and to find peers that say nothing while nothing is being sent.

Change: `Conn::queued_unwritten`, `Net::pause` (nothing is read while it rests, and the poller forgets a connection that wants nothing, which would else be reported for ever once it broke), `Net::reset`, `Net::listen_alone` (without SO_REUSEPORT), `Program::probe_after` (keep-alive, beside the user timeout). A connection whose other side has ended and then breaks is found by the next look; it was reported for ever.

--- a/wire/net/src/lib.rs
+++ b/wire/net/src/lib.rs
@@ -13,7 +13,7 @@
 use lichenswitch_descriptors::{Shares, Side, Verdict, Why};
 use lichenswitch_interface::Time;
 use polling::{Event, PollMode, Poller};
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use std::fmt;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -41,6 +41,13 @@
         let _ = owner;
         None
     }
+    /// After this long without a byte the system asks whether the other side of a connection of this owner is still there, and breaks
+    /// the connection once it has not answered for as long again. It finds what [`Program::user_timeout`] can't: silence while nothing
+    /// is being sent. `None`: nobody asks.
+    fn probe_after(owner: Self::Owner) -> Option<Duration> {
+        let _ = owner;
+        None
+    }
 }
 
 /// Why a connection could not be opened.
@@ -112,6 +119,10 @@
     /// Last time that anything was read, or that it came up.
     pub heard: Time,
     interest: (bool, bool),
+    /// Its owner wants nothing more for now.
+    paused: bool,
+    /// Whether the poller knows it.
+    polled: bool,
 }
 
 impl<Owner> Conn<Owner> {
@@ -126,6 +137,16 @@
     pub fn written(&self) -> u64 {
         self.written
     }
+    /// Bytes that are queued and not written: the other side is behind by so many.
+    #[must_use]
+    pub fn queued_unwritten(&self) -> u64 {
+        self.queued - self.written
+    }
+    /// Whether its reading rests.
+    #[must_use]
+    pub fn paused(&self) -> bool {
+        self.paused
+    }
     /// Whether all that was queued is written.
     #[must_use]
     pub fn flushed(&self) -> bool {
@@ -205,10 +226,20 @@
 
     /// Listens for clients; tells the address, whose port the system may have chosen.
     pub fn listen(&mut self, owner: P::Owner, address: SocketAddr) -> io::Result<SocketAddr> {
+        // Guards an upgrade: the next process begins to listen while this one still serves.
+        self.listen_at(owner, address, true)
+    }
+
+    /// The same where no other process may listen at the address at the same time; one that has ended stands in nobody's way.
+    pub fn listen_alone(&mut self, owner: P::Owner, address: SocketAddr) -> io::Result<SocketAddr> {
+        self.listen_at(owner, address, false)
+    }
+
+    fn listen_at(&mut self, owner: P::Owner, address: SocketAddr, shared: bool) -> io::Result<SocketAddr> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        // Connections of the process before may still be known to the system.
         socket.set_reuse_address(true)?;
-        // Guards an upgrade: the next process begins to listen while this one still serves.
-        socket.set_reuse_port(true)?;
+        socket.set_reuse_port(shared)?;
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
         socket.listen(BACKLOG)?;
@@ -428,6 +459,11 @@
             // Where the system has no such option, silence is noticed by whoever listens for it.
             let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(timeout));
         }
+        if let Some(wait) = P::probe_after(owner) {
+            let probes = TcpKeepalive::new().with_time(wait).with_interval(wait).with_retries(1);
+            // The same.
+            let _ = SockRef::from(&stream).set_tcp_keepalive(&probes);
+        }
         let index = self.free.pop().unwrap_or_else(|| {
             self.slots.push(None);
             self.slots.len() - 1
@@ -444,7 +480,22 @@
         let (input, output, used) = (Buffer::default(), Buffer::default(), self.clock.now());
         let (queued, written, ended) = (0, 0, false);
         let heard = used;
-        let conn = Conn { stream, owner, input, output, up, ended, queued, written, used, heard, interest };
+        let (paused, polled) = (false, true);
+        let conn = Conn {
+            stream,
+            owner,
+            input,
+            output,
+            up,
+            ended,
+            queued,
+            written,
+            used,
+            heard,
+            interest,
+            paused,
+            polled,
+        };
         self.slots[index] = Some((id, conn));
         Ok(id)
     }
@@ -462,6 +513,15 @@
         (slot.0 == id).then_some(&mut slot.1)
     }
 
+    /// Lets the reading of a connection rest, or go on, whatever is pumped meanwhile: what the other side sends waits in the system, and
+    /// beyond that at the other side. While it rests and nothing is to be written nothing is reported of it, not even that it broke;
+    /// that shows once reading goes on.
+    pub fn pause(&mut self, id: ConnId, on: bool) -> Pumped {
+        let Some(conn) = self.get_mut(id) else { return Pumped::Broken };
+        conn.paused = on;
+        self.flush(id, false)
+    }
+
     /// Writes what is queued and reads what has come, up to `ceiling` bytes held.
     pub fn pump(&mut self, id: ConnId, ceiling: usize) -> Pumped {
         let now = self.clock.now();
@@ -478,7 +538,14 @@
             (conn.used, conn.heard) = (now, now);
         }
         let held = conn.input.bytes().len();
-        let read = if conn.ended { Ok(true) } else { conn.input.fill(&mut conn.stream, ceiling) };
+        let read = match conn.ended || conn.paused {
+            // Guards the loop: without a read nothing else shows that it broke, and what is broken stays ready.
+            true => match conn.stream.take_error() {
+                Ok(None) => Ok(conn.ended),
+                Ok(Some(e)) | Err(e) => Err(e),
+            },
+            false => conn.input.fill(&mut conn.stream, ceiling),
+        };
         if conn.input.bytes().len() > held {
             (conn.used, conn.heard) = (now, now);
         }
@@ -502,21 +569,40 @@
             conn.used = now;
         }
         // An ended side stays readable for ever: to go on polling it would spin.
-        let interest = (!full && !conn.ended, !conn.up || !conn.output.is_empty());
-        if interest == conn.interest {
+        let rests = full || conn.ended || conn.paused;
+        let interest = (!rests, !conn.up || !conn.output.is_empty());
+        // A connection that broke is ready whatever it is asked for: one that rests is not looked at.
+        let polled = !conn.paused || interest != (false, false);
+        if (interest, polled) == (conn.interest, conn.polled) {
             return Pumped::Alive;
         }
+        let was_polled = std::mem::replace(&mut conn.polled, polled);
         conn.interest = interest;
         let event = Event { key: id.0, readable: interest.0, writable: interest.1 };
         let Some((_, conn)) = self.slots[id.0 & ((1 << INDEX_BITS) - 1)].as_ref() else {
             return Pumped::Broken;
         };
-        match self.poller.modify_with_mode(&conn.stream, event, PollMode::Level) {
+        let told = match (was_polled, polled) {
+            (true, true) => self.poller.modify_with_mode(&conn.stream, event, PollMode::Level),
+            (false, true) => self.poller.add_with_mode(&conn.stream, event, PollMode::Level),
+            (true, false) => self.poller.delete(&conn.stream),
+            (false, false) => Ok(()),
+        };
+        match told {
             Ok(()) => Pumped::Alive,
             Err(_) => Pumped::Broken,
         }
     }
 
+    /// Closes a connection so that the other side sees it break: what it has read so far can't look complete.
+    pub fn reset(&mut self, id: ConnId) {
+        if let Some(conn) = self.get(id) {
+            // Where that can't be had it ends as any other does.
+            let _ = SockRef::from(&conn.stream).set_linger(Some(Duration::ZERO));
+        }
+        self.close(id);
+    }
+
     /// Closes a connection: the one place where a descriptor of the table is given back.
     pub fn close(&mut self, id: ConnId) {
         let index = id.0 & ((1 << INDEX_BITS) - 1);
--- a/wire/net/src/tests.rs
+++ b/wire/net/src/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of `net`.
 
 use super::*;
+use std::io::Write;
 
 /// A program that has clients, servers it calls and one signal.
 struct Tried;
@@ -22,8 +23,18 @@
             Owner::Servers => Side::Nodes,
         }
     }
+
+    fn user_timeout(owner: Owner) -> Option<Duration> {
+        (owner == Owner::Servers).then_some(PATIENCE)
+    }
+
+    fn probe_after(owner: Owner) -> Option<Duration> {
+        (owner == Owner::Servers).then_some(PATIENCE)
+    }
 }
 
+const PATIENCE: Duration = Duration::from_secs(2);
+
 type Net = super::Net<Tried>;
 
 /// Whether a listener is ready within a moment.
@@ -84,3 +95,160 @@
     let _client = TcpStream::connect(address).unwrap();
     assert!(knocks(&mut second) && second.accept(Owner::Clients).len() == 1);
 }
+
+/// A net with one connection to a server that listens, and the server's end of it.
+fn connected() -> (Net, ConnId, TcpStream) {
+    let mut net = Net::new(RESERVED + 16).unwrap();
+    let server = TcpListener::bind("127.0.0.1:0").unwrap();
+    let id = net.connect(Owner::Servers, server.local_addr().unwrap()).unwrap();
+    let (other, _) = server.accept().unwrap();
+    other.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    while !net.get(id).unwrap().up {
+        reported(&mut net, id);
+        assert_eq!(net.pump(id, CEILING), Pumped::Alive);
+    }
+    (net, id, other)
+}
+
+const CEILING: usize = 64 * 1024;
+
+/// Whether a connection is reported within a moment.
+fn reported(net: &mut Net, id: ConnId) -> bool {
+    let until = net.clock.now().plus(100_000);
+    net.wait(Some(until)).unwrap().iter().any(|r| matches!(r, Ready::Conn(other, _) if *other == id))
+}
+
+#[test]
+fn what_is_sent_leaves_at_once_and_a_silent_peer_is_found_where_the_owner_says_so() {
+    let (net, id, _other) = connected();
+    let socket = SockRef::from(&net.get(id).unwrap().stream);
+    assert!(socket.tcp_nodelay().unwrap() && socket.keepalive().unwrap());
+    assert_eq!(socket.tcp_user_timeout().unwrap(), Some(PATIENCE));
+    assert_eq!(socket.tcp_keepalive_time().unwrap(), PATIENCE);
+    let mut net = Net::new(RESERVED + 16).unwrap();
+    let address = net.listen(Owner::Clients, "127.0.0.1:0".parse().unwrap()).unwrap();
+    let _client = TcpStream::connect(address).unwrap();
+    assert!(knocks(&mut net));
+    let id = net.accept(Owner::Clients)[0];
+    let socket = SockRef::from(&net.get(id).unwrap().stream);
+    assert!(socket.tcp_nodelay().unwrap() && !socket.keepalive().unwrap());
+    assert_eq!(socket.tcp_user_timeout().unwrap(), None);
+}
+
+#[test]
+fn what_the_other_side_has_not_taken_is_told() {
+    let (mut net, id, mut other) = connected();
+    let piece = vec![7; 1 << 20];
+    let mut sent = 0;
+    while net.get(id).unwrap().queued_unwritten() == 0 {
+        net.get_mut(id).unwrap().send(&piece);
+        sent += piece.len();
+        assert_eq!(net.flush(id, false), Pumped::Alive);
+    }
+    let conn = net.get(id).unwrap();
+    assert_eq!(conn.queued_unwritten() + conn.written(), sent as u64);
+    let reader = std::thread::spawn(move || other.read_exact(&mut vec![0; sent]).map(|()| other));
+    while net.get(id).unwrap().queued_unwritten() > 0 {
+        assert!(reported(&mut net, id));
+        assert_eq!(net.pump(id, CEILING), Pumped::Alive);
+    }
+    reader.join().unwrap().unwrap();
+}
+
+#[test]
+fn a_connection_that_rests_is_not_read_and_goes_on_where_it_was() {
+    let (mut net, id, mut other) = connected();
+    assert_eq!(net.pause(id, true), Pumped::Alive);
+    other.write_all(b"abc").unwrap();
+    assert!(!reported(&mut net, id) && net.get(id).unwrap().paused());
+    assert_eq!((net.pump(id, CEILING), net.get(id).unwrap().input.bytes()), (Pumped::Alive, &b""[..]));
+    // Writing goes on meanwhile.
+    net.get_mut(id).unwrap().send(b"xy");
+    assert_eq!(net.flush(id, false), Pumped::Alive);
+    let mut got = [0; 2];
+    other.read_exact(&mut got).unwrap();
+    assert!(&got == b"xy" && !reported(&mut net, id));
+    assert_eq!(net.pause(id, false), Pumped::Alive);
+    assert!(reported(&mut net, id));
+    assert_eq!((net.pump(id, CEILING), net.get(id).unwrap().input.bytes()), (Pumped::Alive, &b"abc"[..]));
+}
+
+#[test]
+fn a_connection_that_breaks_while_it_rests_spins_no_loop_and_is_found_afterwards() {
+    let (mut net, id, other) = connected();
+    assert_eq!(net.pause(id, true), Pumped::Alive);
+    SockRef::from(&other).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(other);
+    assert!(!reported(&mut net, id), "nothing is to be done about it");
+    assert_eq!(net.pause(id, false), Pumped::Alive);
+    assert!(reported(&mut net, id));
+    assert_eq!(net.pump(id, CEILING), Pumped::Broken);
+}
+
+#[test]
+fn a_connection_that_breaks_while_something_is_written_is_found_though_it_rests() {
+    let (mut net, id, other) = connected();
+    let piece = vec![7; 1 << 20];
+    while net.get(id).unwrap().flushed() {
+        net.get_mut(id).unwrap().send(&piece);
+        assert_eq!(net.flush(id, false), Pumped::Alive);
+    }
+    assert_eq!(net.pause(id, true), Pumped::Alive);
+    SockRef::from(&other).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(other);
+    assert!(reported(&mut net, id));
+    assert_eq!(net.pump(id, CEILING), Pumped::Broken);
+}
+
+#[test]
+fn a_peer_that_ends_and_then_breaks_is_found() {
+    let (mut net, id, other) = connected();
+    other.shutdown(std::net::Shutdown::Write).unwrap();
+    assert!(reported(&mut net, id));
+    assert!(net.pump(id, CEILING) == Pumped::Alive && net.get(id).unwrap().ended);
+    SockRef::from(&other).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(other);
+    assert!(reported(&mut net, id));
+    assert_eq!(net.pump(id, CEILING), Pumped::Broken);
+}
+
+#[test]
+fn the_ceiling_bounds_what_is_read_ahead() {
+    let (mut net, id, mut other) = connected();
+    other.write_all(&vec![1; 200_000]).unwrap();
+    assert!(reported(&mut net, id));
+    assert_eq!(net.pump(id, 20_000), Pumped::Alive);
+    let held = net.get(id).unwrap().input.bytes().len();
+    assert!((20_000..20_000 + 16 * 1024).contains(&held), "{held}");
+    assert!(!reported(&mut net, id), "it is full");
+}
+
+#[test]
+fn a_reset_is_no_end_and_an_end_is_no_reset() {
+    let (mut net, id, mut other) = connected();
+    net.get_mut(id).unwrap().send(b"abc");
+    assert_eq!(net.flush(id, false), Pumped::Alive);
+    net.get_mut(id).unwrap().end_output();
+    let mut got = Vec::new();
+    assert_eq!(other.read_to_end(&mut got).map(|_| got).unwrap(), b"abc");
+    let (mut net, id, mut other) = connected();
+    net.reset(id);
+    assert!(net.get(id).is_none());
+    assert_eq!(other.read(&mut [0; 4]).unwrap_err().kind(), io::ErrorKind::ConnectionReset);
+}
+
+#[test]
+fn who_listens_alone_keeps_others_out_and_leaves_the_address_to_the_next() {
+    let [mut first, mut second] = [(); 2].map(|()| Net::new(RESERVED + 16).unwrap());
+    let address = first.listen_alone(Owner::Clients, "127.0.0.1:0".parse().unwrap()).unwrap();
+    assert_eq!(second.listen_alone(Owner::Clients, address).unwrap_err().kind(), io::ErrorKind::AddrInUse);
+    assert!(second.listen(Owner::Clients, address).is_err());
+    // A connection that this side ended first is known to the system for a minute.
+    let client = TcpStream::connect(address).unwrap();
+    assert!(knocks(&mut first));
+    let id = first.accept(Owner::Clients)[0];
+    first.close(id);
+    drop(client);
+    first.stop_listening();
+    assert_eq!(second.listen_alone(Owner::Clients, address).unwrap(), address);
+}
