Read the router's heads and bodies with the package that both programs use

The package for HTTP now reads heads without bodies and bodies as they come, which the router had of its own. Its own reading goes, with the tests that the package has too.

--- a/fleet/src/router/clients.rs
+++ b/fleet/src/router/clients.rs
@@ -9,6 +9,7 @@
 use super::request::{ClientRequest, Progress, RequestReader};
 use super::response::OwnAnswer;
 use lichenswitch_configuration::Limits;
+use lichenswitch_http::{encode_chunk, LAST_CHUNK};
 use lichenswitch_interface::{Micros, Time};
 use lichenswitch_net::{ConnId, Pumped};
 use std::collections::HashMap;
@@ -215,17 +216,14 @@
         let Some(State::Answering { chunked }) = self.open.get(&id).map(|session| session.state) else {
             return;
         };
-        // An empty chunk would end the body.
-        if piece.is_empty() {
-            return;
-        }
         let Some(conn) = net.get_mut(id) else { return };
-        if chunked {
-            conn.send(format!("{:x}\r\n", piece.len()).as_bytes());
-        }
-        conn.send(piece);
-        if chunked {
-            conn.send(b"\r\n");
+        match chunked {
+            true => {
+                let mut chunk = Vec::with_capacity(piece.len() + 16);
+                encode_chunk(piece, &mut chunk);
+                conn.send(&chunk);
+            }
+            false => _ = conn.send(piece),
         }
     }
 
@@ -248,7 +246,7 @@
             return;
         };
         if chunked {
-            self.write(net, id, b"0\r\n\r\n");
+            self.write(net, id, LAST_CHUNK);
         }
         self.answered(net, id, events);
     }
@@ -344,7 +342,7 @@
                 self.overhear(net, id);
             }
             Err(malformed) => {
-                self.answer_own(net, id, &OwnAnswer::closing(malformed.status), events);
+                self.answer_own(net, id, &OwnAnswer::closing(malformed.0), events);
             }
         }
     }
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -27,8 +27,6 @@
 mod control_link;
 mod error;
 mod exchange;
-mod framing;
-mod headers;
 mod intake;
 mod options;
 mod program;
--- a/fleet/src/router/request.rs
+++ b/fleet/src/router/request.rs
@@ -4,15 +4,12 @@
 //! connection alone and those that this program sets. A request has one reading or none: what two programs could read in two ways is
 //! refused.
 
-use super::framing::{BodyDecoder, Framing, FramingError};
-use super::headers::Headers;
 use lichenswitch_configuration::Limits;
+use lichenswitch_http::{parse_request_head, BodyDecoder, Framing, Headers, Malformed, RequestHead};
 use lichenswitch_net::buffer::Buffer;
 use std::io::Write as _;
 use std::time::Duration;
 
-/// Most headers of a request.
-const MAX_HEADERS: usize = 100;
 /// Headers that this program sets itself, or that concern how a body travels.
 const OWN: [&str; 5] = ["content-length", "deadline-ms", "target-instance", "last-event-id", "expect"];
 /// Longest time that a client may say it waits: longer ones are no different.
@@ -50,13 +47,6 @@
     pub resume_after: Option<&'a [u8]>,
 }
 
-/// Why a request can't be read: the status that says so.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Malformed {
-    /// The status.
-    pub status: u16,
-}
-
 /// How far the reading of a request has come.
 #[derive(Debug)]
 pub enum Progress {
@@ -161,28 +151,16 @@
 
     /// `false`: it is not whole yet.
     fn read_head(&mut self, input: &mut Buffer) -> Result<bool, Malformed> {
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut head = httparse::Request::new(&mut headers);
-        let bytes = input.bytes();
-        let used = match head.parse(bytes) {
-            Ok(httparse::Status::Complete(used)) if used <= self.max_header_bytes => used,
-            Ok(httparse::Status::Partial) if bytes.len() < self.max_header_bytes => return Ok(false),
-            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Malformed { status: 431 }),
-            Err(httparse::Error::Version) => return Err(Malformed { status: 505 }),
-            Err(_) => return Err(Malformed { status: 400 }),
-        };
+        let parsed = parse_request_head(input.bytes(), self.max_header_bytes)?;
+        let Some((head, used)) = parsed else { return Ok(false) };
+        let line = input.bytes().split(|byte| *byte == b'\r').next().unwrap_or_default();
         // What is passed on as it comes needs chunks, which older clients can't read.
-        if head.version != Some(1) {
-            return Err(Malformed { status: 505 });
-        }
-        let headers = Headers(head.headers);
-        let framing = headers.framing().map_err(status_of)?.unwrap_or(Framing::None);
-        if matches!(framing, Framing::Length(length) if length > self.max_body_bytes as u64) {
-            return Err(Malformed { status: 413 });
+        if !line.ends_with(b"HTTP/1.1") {
+            return Err(Malformed(505, "version"));
         }
-        let request = request_of(head.method, head.path, headers, framing)?;
-        self.expects_continue = headers.has_token("expect", "100-continue");
-        self.request = Some((Box::new(request), BodyDecoder::new(framing)));
+        let decoder = BodyDecoder::new(head.framing, self.max_body_bytes as u64)?;
+        self.expects_continue = head.expects_continue;
+        self.request = Some((Box::new(request_of(head)?), decoder));
         input.consume(used);
         Ok(true)
     }
@@ -190,61 +168,65 @@
     /// `false`: it is not whole yet.
     fn read_body(&mut self, input: &mut Buffer) -> Result<bool, Malformed> {
         let Some((request, decoder)) = &mut self.request else { return Ok(false) };
-        while let Some(decoded) = decoder.decode(input.bytes()).map_err(status_of)? {
-            if request.body.len() + decoded.bytes.len() > self.max_body_bytes {
-                return Err(Malformed { status: 413 });
+        loop {
+            let decoded = decoder.decode(input.bytes())?;
+            request.body.extend_from_slice(decoded.body);
+            let (used, complete) = (decoded.consumed, decoded.complete);
+            input.consume(used);
+            if complete || used == 0 {
+                return Ok(complete);
             }
-            request.body.extend_from_slice(decoded.bytes);
-            input.consume(decoded.used);
         }
-        Ok(decoder.is_done())
     }
 }
 
-fn status_of(error: FramingError) -> Malformed {
-    Malformed { status: if error == FramingError::Coding { 501 } else { 400 } }
-}
-
-fn request_of(
-    method: Option<&str>,
-    target: Option<&str>,
-    headers: Headers<'_>,
-    framing: Framing,
-) -> Result<ClientRequest, Malformed> {
-    let malformed = Malformed { status: 400 };
-    let target = target.unwrap_or_default();
+fn request_of(head: RequestHead) -> Result<ClientRequest, Malformed> {
     // Guards the choice of the route: it is made by the path that the server sees.
-    if !target.starts_with('/') {
-        return Err(malformed);
+    if !head.target.starts_with('/') {
+        return Err(Malformed(400, "target without a path"));
     }
-    let host = only(headers, "host")?.ok_or(malformed)?;
-    let mut passed = Vec::with_capacity(512);
-    headers.write_passed(&OWN, &mut passed);
+    let headers = &head.headers;
+    let host = only(headers, "host")?.ok_or(Malformed(400, "no host"))?.to_owned();
     let deadline = only(headers, "deadline-ms")?.and_then(|text| text.parse::<u64>().ok());
     Ok(ClientRequest {
-        method: method.unwrap_or_default().to_owned(),
-        target: target.to_owned(),
-        host: host.to_owned(),
-        passed,
+        host,
+        passed: lines(headers, &OWN),
         attempt_id: only(headers, "attempt-id")?.map(str::to_owned),
         deadline: deadline.map(|ms| Duration::from_millis(ms).min(MAX_DEADLINE)),
-        last_event_id: headers.all("last-event-id").next().map(<[u8]>::to_vec),
+        last_event_id: headers.get("last-event-id").map(<[u8]>::to_vec),
         body: Vec::new(),
-        has_body: framing != Framing::None,
-        keep_alive: !headers.has_token("connection", "close"),
+        has_body: head.framing != Framing::None,
+        keep_alive: head.keep_alive,
+        method: head.method,
+        target: head.target,
     })
 }
 
+/// The lines that are passed on, but for some.
+pub(super) fn lines(headers: &Headers, without: &[&str]) -> Vec<u8> {
+    let mut lines = Vec::with_capacity(512);
+    for field in headers.end_to_end() {
+        if without.iter().any(|name| field.name.eq_ignore_ascii_case(name)) {
+            continue;
+        }
+        lines.extend_from_slice(field.name.as_bytes());
+        lines.extend_from_slice(b": ");
+        lines.extend_from_slice(&field.value);
+        lines.extend_from_slice(b"\r\n");
+    }
+    lines
+}
+
 /// The value of a header that may come once.
-fn only<'a>(headers: Headers<'a>, name: &'a str) -> Result<Option<&'a str>, Malformed> {
+fn only<'a>(headers: &'a Headers, name: &'a str) -> Result<Option<&'a str>, Malformed> {
     let mut values = headers.all(name);
     match (values.next(), values.next()) {
         (None, _) => Ok(None),
-        (Some(value), None) => match std::str::from_utf8(value) {
-            Ok(text) => Ok(Some(text.trim())),
-            Err(_) => Err(Malformed { status: 400 }),
-        },
-        (Some(_), Some(_)) => Err(Malformed { status: 400 }),
+        (Some(value), None) => {
+            let text = std::str::from_utf8(value).map_err(|_| Malformed(400, "a header is no text"))?;
+            Ok(Some(text))
+        }
+        (Some(_), Some(_)) => Err(Malformed(400, "a header comes twice")),
     }
 }
 
--- a/fleet/src/router/request/tests.rs
+++ b/fleet/src/router/request/tests.rs
@@ -75,7 +75,7 @@
     ];
     for (bytes, status) in cases {
         let refused = read(bytes).expect_err("refused");
-        assert_eq!(refused.status, status, "{}", String::from_utf8_lossy(bytes));
+        assert_eq!(refused.0, status, "{}", String::from_utf8_lossy(bytes));
     }
 }
 
--- a/fleet/src/router/response.rs
+++ b/fleet/src/router/response.rs
@@ -3,17 +3,15 @@
 //! It promises that a server's answer is given out only as it came: status, body and every header but those that concern one
 //! connection alone; and that it is whole only where its framing says so, or where its connection ended in order if it has none.
 
-use super::framing::{BodyDecoder, Framing};
-use super::headers::Headers;
-use super::request::ClientRequest;
+use super::request::{lines, ClientRequest};
+use lichenswitch_http::{parse_response_head, reason, BodyDecoder, Framing, Headers};
 use lichenswitch_interface::Micros;
 use lichenswitch_net::buffer::Buffer;
 use std::io::Write as _;
 use std::time::Duration;
 
-/// Most bytes of an answer's head, and most headers.
+/// Most bytes of an answer's head.
 const MAX_HEAD: usize = 32 * 1_024;
-const MAX_HEADERS: usize = 100;
 /// Advice where the module gives none (microseconds).
 const RETRY_AFTER: Micros = 200_000;
 
@@ -70,7 +68,7 @@
     head_only: bool,
     body: Option<(BodyDecoder, Framing)>,
     ended: bool,
-    closes: bool,
+    keeps: bool,
     idle_time: Option<Duration>,
 }
 
@@ -79,7 +77,7 @@
     #[must_use]
     pub fn new(request: &ClientRequest) -> ResponseReader {
         let head_only = request.is_head();
-        ResponseReader { head_only, body: None, ended: false, closes: false, idle_time: None }
+        ResponseReader { head_only, body: None, ended: false, keeps: false, idle_time: None }
     }
 
     /// The next piece; `ended`: the connection has ended in order, and nothing more comes.
@@ -91,34 +89,34 @@
         if self.ended {
             return Ok(None);
         }
-        while let Some(decoded) = decoder.decode(input.bytes()).map_err(|_| NoAnswer)? {
-            let bytes = decoded.bytes.to_vec();
-            input.consume(decoded.used);
+        loop {
+            let decoded = decoder.decode(input.bytes()).map_err(|_| NoAnswer)?;
+            let (bytes, used, complete) = (decoded.body.to_vec(), decoded.consumed, decoded.complete);
+            input.consume(used);
             if !bytes.is_empty() {
                 return Ok(Some(Piece::Body(bytes)));
             }
-        }
-        let whole = decoder.is_done() || (ended && decoder.ends_with_connection());
-        match (whole, ended) {
-            (true, _) => {
-                self.ended = true;
-                Ok(Some(Piece::End))
+            if complete || used == 0 {
+                break;
             }
-            (false, true) => Err(NoAnswer),
-            (false, false) => Ok(None),
         }
+        if ended {
+            decoder.end().map_err(|_| NoAnswer)?;
+        }
+        self.ended = decoder.is_complete();
+        Ok(self.ended.then_some(Piece::End))
     }
 
     /// Whether the server keeps the connection for another request.
     #[must_use]
     pub fn keeps_connection(&self) -> bool {
-        !self.closes && self.is_framed()
+        self.keeps
     }
 
     /// Whether the answer tells where it ends.
     #[must_use]
     pub fn is_framed(&self) -> bool {
-        self.body.as_ref().is_some_and(|(_, framing)| *framing != Framing::Connection)
+        self.body.as_ref().is_some_and(|(_, framing)| *framing != Framing::UntilClose)
     }
 
     /// For how long the server keeps idle connections, where it tells.
@@ -132,60 +130,52 @@
     pub fn length(&self) -> Option<u64> {
         match self.body.as_ref()?.1 {
             Framing::Length(length) => Some(length),
-            Framing::None | Framing::Chunked | Framing::Connection => None,
+            Framing::None | Framing::Chunked | Framing::UntilClose => None,
         }
     }
 
     fn read_head(&mut self, input: &mut Buffer, ended: bool) -> Result<Option<Piece>, NoAnswer> {
         loop {
-            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-            let mut head = httparse::Response::new(&mut headers);
-            let bytes = input.bytes();
-            let used = match head.parse(bytes) {
-                Ok(httparse::Status::Complete(used)) => used,
-                Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD && !ended => return Ok(None),
-                _ => return Err(NoAnswer),
+            let parsed = parse_response_head(input.bytes(), MAX_HEAD, self.head_only);
+            let (head, used) = match parsed.map_err(|_| NoAnswer)? {
+                Some(parsed) => parsed,
+                None if ended => return Err(NoAnswer),
+                None => return Ok(None),
             };
-            let (status, headers) = (head.code.unwrap_or_default(), Headers(head.headers));
-            match status {
+            input.consume(used);
+            match head.status {
                 // Nothing was asked that this could be the answer to.
                 101 => return Err(NoAnswer),
-                100..=199 => input.consume(used),
-                200..=599 => {
-                    let version = head.version;
-                    let head = self.take_head(status, headers)?;
-                    self.closes |= version != Some(1);
-                    input.consume(used);
-                    return Ok(Some(Piece::Head(head)));
-                }
+                100..=199 => {}
+                200..=599 => return self.take_head(&head).map(|head| Some(Piece::Head(head))),
                 _ => return Err(NoAnswer),
             }
         }
     }
 
-    fn take_head(&mut self, status: u16, headers: Headers<'_>) -> Result<ResponseHead, NoAnswer> {
-        let has_body = !self.head_only && status != 204 && status != 304;
-        let told = headers.framing().map_err(|_| NoAnswer)?;
-        let framing = if has_body { told.unwrap_or(Framing::Connection) } else { Framing::None };
-        self.body = Some((BodyDecoder::new(framing), framing));
-        self.closes = headers.has_token("connection", "close");
-        self.idle_time = headers.text("keep-alive").and_then(idle_time);
-        let mut passed = Vec::with_capacity(256);
-        headers.write_passed(&["content-length"], &mut passed);
-        let kind = headers.text("content-type").unwrap_or_default();
-        let kind = kind.split(';').next().unwrap_or_default().trim();
+    fn take_head(&mut self, head: &lichenswitch_http::ResponseHead) -> Result<ResponseHead, NoAnswer> {
+        // What is held is bounded by whoever takes the pieces.
+        let decoder = BodyDecoder::new(head.framing, u64::MAX).map_err(|_| NoAnswer)?;
+        self.body = Some((decoder, head.framing));
+        let headers = &head.headers;
+        (self.keeps, self.idle_time) = (head.keep_alive, headers.text("keep-alive").and_then(idle_time));
         Ok(ResponseHead {
-            status,
-            passed,
+            status: head.status,
+            passed: lines(headers, &["content-length"]),
             attempt_id: headers.text("attempt-id").map(str::to_owned),
-            sealed: headers.all("response-seal").next().is_some(),
-            not_executed: headers.all("not-executed").next().is_some(),
-            event_stream: kind.eq_ignore_ascii_case("text/event-stream"),
-            has_body,
+            sealed: headers.get("response-seal").is_some(),
+            not_executed: headers.get("not-executed").is_some(),
+            event_stream: is_event_stream(headers),
+            has_body: head.framing != Framing::None,
         })
     }
 }
 
+fn is_event_stream(headers: &Headers) -> bool {
+    let kind = headers.text("content-type").unwrap_or_default();
+    kind.split(';').next().unwrap_or_default().trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 /// The seconds of `timeout=N`.
 fn idle_time(value: &str) -> Option<Duration> {
     let seconds = value.split(',').find_map(|part| {
@@ -246,27 +236,5 @@
     }
 }
 
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        201 => "Created",
-        202 => "Accepted",
-        204 => "No Content",
-        400 => "Bad Request",
-        404 => "Not Found",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        500 => "Internal Server Error",
-        501 => "Not Implemented",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        505 => "HTTP Version Not Supported",
-        _ => "Status",
-    }
-}
-
 #[cfg(test)]
 mod tests;
