--- a/fleet/src/control/machine.rs
+++ b/fleet/src/control/machine.rs
@@ -243,8 +243,9 @@
     fn settle(&mut self) {
         loop {
             let now = self.net.clock.now();
-            let mut busy = self.do_outputs(now);
-            busy |= self.advance_calls(now);
+            let mut busy = self.advance_calls(now);
+            // After the calls: what they ask of the replica goes out in this turn, not with the next heartbeat.
+            busy |= self.do_outputs(now);
             busy |= self.tell_servers(now);
             self.look_at_committed(now);
             self.look_at_contact(now);
--- a/fleet/tests/control_support/mod.rs
+++ b/fleet/tests/control_support/mod.rs
@@ -158,6 +158,23 @@
             (self.status(place).matches("\"votes\":true").count() == voters).then_some(())
         });
     }
+
+    /// Waits until all machines vote with the disks that they have now, and none else does.
+    pub fn await_whole(&self) {
+        let places: Vec<usize> = (0..self.machines.len()).collect();
+        wait_for("all machines vote", || {
+            let identities: Vec<String> =
+                places.iter().filter_map(|place| text_of(&self.status(*place), "identity")).collect();
+            let primary = places
+                .iter()
+                .map(|place| self.status(*place))
+                .find(|status| status.contains("\"role\":\"primary\""))?;
+            let line = |identity: &String| format!("\"identity\":\"{identity}\",\"address\"");
+            let votes = identities.len() == places.len()
+                && identities.iter().all(|identity| primary.contains(&line(identity)));
+            (votes && primary.matches("\"votes\":true").count() == places.len()).then_some(())
+        });
+    }
 }
 
 impl Drop for Fleet {
