Let a slow client's server rest in the system, and find servers that lost power

A connection whose client is behind was still read up to half a megabyte. It now rests whole. A stream whose server has lost power was silent to the route's time-out, as nothing is sent there that could go unacknowledged: it is probed after a second.

--- a/fleet/src/router/clients.rs
+++ b/fleet/src/router/clients.rs
@@ -233,7 +233,7 @@
             self.left(net, id, events);
             return 0;
         }
-        let unwritten = net.get_mut(id).map_or(0, |conn| conn.send(&[]) - conn.written());
+        let unwritten = net.get(id).map_or(0, |conn| conn.queued_unwritten());
         if unwritten > 0 {
             self.arm(net, id);
         }
--- a/fleet/src/router/program.rs
+++ b/fleet/src/router/program.rs
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Guards streams whose server has lost power: nothing is being sent there that could go unacknowledged. A server that is only silent
+    /// has a system that answers.
+    fn probe_after(owner: Owner) -> Option<Duration> {
+        (owner == Owner::Server).then_some(SERVER_PROBE)
+    }
+
     fn side(owner: Owner) -> Side {
         match owner {
             Owner::Client => Side::Clients,
@@ -81,6 +87,8 @@
 
 /// A server that is well acknowledges within milliseconds; one whose queue is long may leave a long body unread for some time.
 const SERVER_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Clients give a stream up after two seconds of silence at the least: what is found by then can still go on elsewhere.
+const SERVER_PROBE: Duration = Duration::from_millis(1_000);
 /// Control machines speak four times a second.
 const CONTROL_USER_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/fleet/src/router/server_connections.rs
+++ b/fleet/src/router/server_connections.rs
@@ -21,8 +21,6 @@
 
 /// Most bytes read ahead of a server at a time.
 const CEILING: usize = 64 * 1_024;
-/// The same where reading rests because the client is slow: only an event that can't be put off is still read.
-const CEILING_AT_REST: usize = 512 * 1_024;
 /// A connection that is not up after this long never comes up (microseconds). Links within a region take milliseconds; a lost opening
 /// packet is sent again after a second.
 const CONNECT: Micros = 1_000_000;
@@ -132,8 +130,6 @@
 struct Link {
     server: ServerId,
     state: State,
-    /// Reading rests.
-    paused: bool,
     /// A timer is set that fires then at the latest.
     timer: Option<Time>,
 }
@@ -214,23 +210,17 @@
     /// Reading of an attempt's answer rests, since its client is slow, or goes on.
     pub fn pause(&mut self, net: &mut Net, id: AttemptId, on: bool) {
         let Some(&connection) = self.by_attempt.get(&id) else { return };
-        let Some(link) = self.links.get_mut(&connection) else { return };
-        if std::mem::replace(&mut link.paused, on) == on {
-            return;
-        }
-        if on {
-            // A connection that is broken is told of by the poller.
-            net.flush(connection, true);
-        } else {
-            self.ready(net, connection);
+        if net.pause(connection, on) != Pumped::Alive {
+            self.broken(net, connection);
         }
     }
 
     /// Reads and writes what a connection is ready for.
     pub fn ready(&mut self, net: &mut Net, id: ConnId) {
-        let Some(link) = self.links.get(&id) else { return net.close(id) };
-        let ceiling = if link.paused { CEILING_AT_REST } else { CEILING };
-        let pumped = net.pump(id, ceiling);
+        if !self.links.contains_key(&id) {
+            return net.close(id);
+        }
+        let pumped = net.pump(id, CEILING);
         match self.state(id) {
             Some(State::Opening(_)) => self.opened(net, id, &pumped),
             // Nothing is due: whatever comes belongs to nobody, and an end is an end.
@@ -323,7 +313,7 @@
                 self.by_server.entry(server).or_default().push(id);
                 let up = net.get(id).is_some_and(|conn| conn.up);
                 let state = State::Opening(Box::new(attempt));
-                self.links.insert(id, Link { server, state, paused: false, timer: None });
+                self.links.insert(id, Link { server, state, timer: None });
                 self.arm(net, id, net.clock.now().plus(CONNECT));
                 if up {
                     self.opened(net, id, &Pumped::Alive);
@@ -385,7 +375,6 @@
         let reader = ResponseReader::new(&attempt.request);
         let (attempt_id, body) = (attempt.id, Body::None);
         link.state = State::Busy(Box::new(Current { attempt, begins, ends, reader, body, early: false }));
-        link.paused = false;
         self.by_attempt.insert(attempt_id, id);
         if net.flush(id, false) != Pumped::Alive {
             self.broken(net, id);
@@ -420,8 +409,7 @@
             return self.broken(net, id);
         }
         // Reading may have rested at the ceiling.
-        let paused = self.links.get(&id).is_some_and(|link| link.paused);
-        if net.flush(id, paused) != Pumped::Alive {
+        if net.flush(id, false) != Pumped::Alive {
             self.broken(net, id);
         }
     }
@@ -432,7 +420,6 @@
         let (Some(link), Some(conn)) = (self.links.get_mut(&id), net.get(id)) else { return };
         let State::Busy(current) = std::mem::replace(&mut link.state, State::Idle(now, now)) else { return };
         self.by_attempt.remove(&current.attempt.id);
-        link.paused = false;
         let clean = conn.input.is_empty() && !conn.ended && !current.early && conn.written() == current.ends;
         let told = current.reader.idle_time().map(|told| micros(told.mul_f64(TOLD_SHARE)));
         let keep = told.unwrap_or(UNTOLD_IDLE);
