Let the data node of a test be known as slow before its part is given up

A trace shows that the broker saw the client go; but a connection to a data node that has never answered is taken for mute after 50 ms, and is closed in place of the word that a part is given up. The test waited for that word.

Change: the node answers a query after 200 ms first, which makes that a second, as long as the test's own bound. Nothing that the test asks for is changed.

--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -123,6 +123,14 @@
 fn a_client_that_sends_much_behind_its_request_and_goes_is_seen_to_have_gone() {
     for leave in [drop::<TcpStream>, reset] {
         let stage = Platformed::new();
+        // The node is known to take its time: else a connection on which nothing has come for 50 ms is taken for mute, and ended
+        // in place of the word that a part is given up.
+        let mut before = stage.connect();
+        before.write_all(&query("fleet-search", "b", &[1])).unwrap();
+        let mut slow = stage.next();
+        std::thread::sleep(Duration::from_millis(200));
+        slow.answer("b.1 OK 1 -\nv");
+        assert_eq!(answer(&mut before).status, 200);
         let mut client = stage.connect();
         client.write_all(&query("fleet-search", "g", &[1])).unwrap();
         let got = stage.next();
