Draw epochs above what was told, and tell a leaver of its removal by any primary

Cause: a voter that had promised a far epoch, lost its process and was removed made every primary step down when it came back, for ever (a scenario shows it). A leaver whose removal was its primary's last act never heard of it. A new primary took newcomers beside voters that it had never heard. Change: a refusal's epoch is remembered; a leaver asks all members if no primary is heard; nobody is added before all voters have answered the new primary. Tests of plain values, large images over a lossy network, failed writes, moves, groups of 8 that lose 2.

--- a/decide/replication/src/model/mod.rs
+++ b/decide/replication/src/model/mod.rs
@@ -104,6 +104,8 @@
     pub ledger: Ledger,
     /// Notices of all nodes since they were last taken; kept only if asked for.
     pub notices: Option<Vec<(usize, Notice)>>,
+    /// The state that the founder begins with.
+    pub founding: History,
     /// Most messages on their way; the oldest by key go first.
     pub network_limit: usize,
     seed: u64,
@@ -130,6 +132,7 @@
             network: Vec::new(),
             ledger: Ledger::default(),
             notices: None,
+            founding: History::default(),
             network_limit: usize::MAX,
             seed,
             next_identity: 1,
@@ -141,7 +144,7 @@
         let me = self.draw_member(0);
         let node = &mut self.nodes[0];
         node.lives += 1;
-        let replica = Replica::found(self.settings.clone(), me, History::default(), self.seed, node.clock);
+        let replica = Replica::found(self.settings.clone(), me, self.founding.clone(), self.seed, node.clock);
         self.start(0, replica);
     }
 
--- a/decide/replication/src/replica/election.rs
+++ b/decide/replication/src/replica/election.rs
@@ -150,7 +150,7 @@
     }
 
     fn next_epoch(&self, above: Epoch) -> Epoch {
-        let counter = self.promised.counter.max(above.counter) + 1;
+        let counter = self.promised.max(self.told).max(above).counter + 1;
         Epoch { counter, primary: self.me.identity }
     }
 
@@ -362,6 +362,7 @@
         if promised <= epoch {
             return;
         }
+        self.told = self.told.max(promised);
         match &self.role {
             Role::Candidate(candidacy) if candidacy.epoch == epoch => self.role = Role::Follower,
             Role::Primary(primary) if primary.epoch == epoch => {
--- a/decide/replication/src/replica/join.rs
+++ b/decide/replication/src/replica/join.rs
@@ -147,7 +147,8 @@
         // A voter that has just fallen silent may be gone for good: then the newcomer is to have its place, not one beside it.
         let doubtful = self.settings.heartbeat_interval * 3;
         let all_heard = membership.voters.iter().all(|voter| {
-            primary.peers.get(&voter.identity).is_none_or(|peer| now.since(peer.heard_at) <= doubtful)
+            let peer = primary.peers.get(&voter.identity);
+            peer.is_none_or(|peer| peer.answered && now.since(peer.heard_at) <= doubtful)
         });
         let never = self.settings.faults.never_vote_out;
         // Two voters bear no loss, and lose what they have with the first: a sole founder waits for two.
--- a/decide/replication/src/replica/leave.rs
+++ b/decide/replication/src/replica/leave.rs
@@ -1,5 +1,7 @@
 //! A member that leaves: it hands on the part of the primary, then asks to be removed.
 
+use std::collections::BTreeSet;
+
 use super::{Replica, Role};
 use crate::message::Body;
 use crate::output::{HandOverReason, Notice, Output};
@@ -62,12 +64,22 @@
             return;
         }
         leaving.ask_at = now.after(interval);
-        let known = self.known.as_ref().filter(|known| known.epoch == self.promised);
-        if let Some(address) = known.map(|known| known.member.address.clone()) {
+        for address in self.whom_to_ask(now) {
             self.send(&address, Body::Leave);
         }
     }
 
+    /// The primary that is heard; all members if none is, since a new one tells nothing to a voter that it has removed.
+    fn whom_to_ask(&self, now: Time) -> BTreeSet<String> {
+        let known = self.known.as_ref().filter(|known| known.epoch == self.promised);
+        let heard = known.filter(|known| now.since(known.heard_at) < self.settings.contact_timeout);
+        if let Some(known) = heard {
+            return BTreeSet::from([known.member.address.clone()]);
+        }
+        let members = self.membership().all().filter(|member| member.identity != self.me.identity);
+        members.map(|member| member.address.clone()).collect()
+    }
+
     pub(super) fn wake_of_leave(&self) -> Option<Time> {
         let asks = self.leaving.as_ref().filter(|leaving| !leaving.may_stop && self.lead().is_none());
         let hand_over = self.lead().and_then(|primary| primary.hand_over.as_ref()).map(|over| over.next_at);
@@ -96,7 +108,7 @@
     }
 
     pub(super) fn on_leave_response(&mut self, from: Member, epoch: Epoch, may_stop: bool) {
-        if epoch != self.promised || from.identity != epoch.primary {
+        if epoch < self.promised || from.identity != epoch.primary {
             return;
         }
         if let Some(leaving) = &mut self.leaving {
--- a/decide/replication/src/replica/mod.rs
+++ b/decide/replication/src/replica/mod.rs
@@ -41,6 +41,8 @@
     committed: Option<(Position, S)>,
     /// Highest epoch promised; what is synced of it is in `disk`.
     promised: Epoch,
+    /// Highest epoch of which another has said that it promised it: the next that is drawn lies above it.
+    told: Epoch,
     disk: Disk,
     role: Role,
     known: Option<KnownPrimary>,
@@ -139,6 +141,7 @@
             image: None,
             committed: None,
             promised: Epoch::default(),
+            told: Epoch::default(),
             disk: Disk::default(),
             role: Role::Follower,
             known: None,
--- a/decide/replication/src/replica/primary.rs
+++ b/decide/replication/src/replica/primary.rs
@@ -52,7 +52,7 @@
     /// Where its synced image stands, as it last said.
     pub(super) reported: Option<Position>,
     /// It has answered in this epoch.
-    answered: bool,
+    pub(super) answered: bool,
     pub(super) writable: bool,
     pub(super) leaving: bool,
     /// The last record that was sent to it, and when.
--- a/decide/replication/tests/scenarios.rs
+++ b/decide/replication/tests/scenarios.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use lichenswitch_replication::model::timed::Timed;
-use lichenswitch_replication::{Faults, MembershipChange, Notice, Settings};
+use lichenswitch_replication::model::timed::{Timed, Weather};
+use lichenswitch_replication::model::History;
+use lichenswitch_replication::{DurableItem, Epoch, Faults, MembershipChange, Notice, Settings};
 
 const SECOND: u64 = 1_000_000;
 
@@ -368,3 +369,127 @@
     assert!(position(serving(&timed)).number - position(away).number <= 1);
     clean(&timed);
 }
+
+#[test]
+fn a_leaver_whose_removal_was_the_last_act_of_a_primary_still_learns_of_it() {
+    for seed in 0..20 {
+        let mut timed = Timed::gathered(Settings::default(), 5, 5, seed);
+        let (primary, leaver) = (serving(&timed), others(&timed)[0]);
+        timed.cut(primary, leaver);
+        timed.call(leaver, |world| world.leave(leaver));
+        timed.run_for(SECOND / 10);
+        timed.crash(primary);
+        let left = timed.run_until(5 * SECOND, |timed| {
+            timed.world.nodes[leaver].replica.as_ref().is_some_and(|replica| replica.has_left())
+        });
+        assert!(left.is_some(), "seed {seed}");
+        clean(&timed);
+    }
+}
+
+#[test]
+fn eight_bear_the_loss_of_two_at_once_and_of_two_more() {
+    let settings = Settings { fault_tolerance: 2, ..Settings::default() };
+    let mut timed = Timed::gathered(settings, 8, 12, 2);
+    for newcomers in [[8, 9], [10, 11]] {
+        let lost = others(&timed);
+        let primary = serving(&timed);
+        for index in [primary, lost[0]] {
+            timed.wipe(index);
+        }
+        timed.run_for(SECOND / 2);
+        for index in newcomers {
+            timed.restart(index);
+        }
+        assert!(timed.commit_within(3 * SECOND).is_some());
+        assert!(timed.run_until(5 * SECOND, |timed| timed.is_whole(8)).is_some());
+    }
+    clean(&timed);
+}
+
+#[test]
+fn a_voter_that_comes_back_at_another_address_keeps_its_identity() {
+    let mut timed = four(4);
+    changes(&mut timed);
+    let moved = others(&timed)[0];
+    timed.crash(moved);
+    timed.world.nodes[moved].address = "elsewhere".to_owned();
+    timed.restart(moved);
+    let named = timed.run_until(5 * SECOND, |timed| {
+        let primary = timed.world.serving().and_then(|index| timed.world.nodes[index].replica.as_ref());
+        primary.is_some_and(|replica| replica.membership().all().any(|member| member.address == "elsewhere"))
+    });
+    assert!(named.is_some());
+    assert!(timed.run_until(SECOND, |timed| timed.is_whole(4)).is_some());
+    let changes = changes(&mut timed);
+    assert!(matches!(&changes[..], [MembershipChange::Move { .. }]), "{changes:?}");
+    clean(&timed);
+}
+
+#[test]
+fn a_large_image_comes_through_a_network_that_loses_a_fifth() {
+    let mut timed = Timed::new(Settings::default(), 4, 9);
+    // 320 KB: eleven chunks.
+    timed.world.founding = History { changes: (1_000_000..1_040_000).collect() };
+    timed.call(0, |world| world.found());
+    timed.weather = Weather { loss: 5, ..Weather::default() };
+    for index in 1..4 {
+        timed.restart(index);
+    }
+    let whole = timed.run_until(10 * SECOND, |timed| timed.is_whole(4));
+    println!("whole after {whole:?} us");
+    assert!(whole.is_some());
+    timed.commit_within(2 * SECOND).expect("a change is committed");
+    for node in &timed.world.nodes {
+        let bytes: usize = node.disk.iter().map(|item| item.encode().len()).sum();
+        assert!(bytes > 320_000, "{} holds {bytes} bytes", node.address);
+    }
+    clean(&timed);
+}
+
+#[test]
+fn a_disk_that_fails_writes_the_whole_image_next() {
+    let mut timed = four(4);
+    timed.run_for(SECOND);
+    let voter = others(&timed)[0];
+    let primary = serving(&timed);
+    timed.call(primary, |world| world.propose(primary));
+    timed.run_until(SECOND, |timed| !timed.world.nodes[voter].pending.is_empty()).expect("it is to write");
+    timed.call(voter, |world| world.fail_sync(voter));
+    timed.run_for(SECOND);
+    let last = timed.world.nodes[voter].disk.last();
+    assert!(matches!(last, Some(DurableItem::Image(_))), "{last:?}");
+    let synced = |index: usize| timed.world.nodes[index].replica.as_ref().unwrap().status(timed.now).synced;
+    assert_eq!(synced(voter), synced(primary));
+    clean(&timed);
+}
+
+#[test]
+fn what_was_written_survives_its_encoding() {
+    let mut timed = four(4);
+    timed.commit_within(SECOND).expect("a change is committed");
+    for node in &timed.world.nodes {
+        for item in &node.disk {
+            assert_eq!(DurableItem::decode(&item.encode()).as_ref(), Ok(item));
+        }
+    }
+}
+
+#[test]
+fn one_that_promised_a_far_epoch_and_was_removed_comes_back() {
+    for counter in [2, 100] {
+        let mut timed = four(4);
+        let away = others(&timed)[2];
+        timed.crash(away);
+        // It had drawn an epoch and lost its process before it asked for it.
+        let primary = timed.world.nodes[away].identity;
+        timed.world.nodes[away].disk.push(DurableItem::Promise(Epoch { counter, primary }));
+        assert!(timed.run_until(8 * SECOND, |timed| timed.is_whole(3)).is_some());
+        timed.restart(away);
+        let back = timed.run_until(10 * SECOND, |timed| timed.is_whole(4));
+        println!("back after {back:?} us");
+        assert!(back.is_some(), "epoch {counter}");
+        assert!(timed.commit_within(SECOND).is_some());
+        clean(&timed);
+    }
+}
--- /dev/null
+++ b/decide/replication/tests/values.rs
@@ -0,0 +1,159 @@
+//! Membership, messages and what is read back from a disk, as plain values.
+
+use std::collections::BTreeSet;
+
+use assert_matches::assert_matches;
+use lichenswitch_replication::model::History;
+use lichenswitch_replication::{
+    majority_of, Append, Body, DurableItem, Epoch, Identity, Image, Member, Membership, Message, Position,
+    Record, RecoverError, Recovered, Replica, ReplicatedState, Settings, StateError, Time, Update,
+};
+
+fn member(identity: u64) -> Member {
+    Member { identity: Identity(identity), address: format!("10.0.0.{identity}:7000") }
+}
+
+fn membership(identities: &[u64]) -> Membership {
+    Membership::new(identities.iter().copied().map(member))
+}
+
+fn present(identities: &[u64]) -> BTreeSet<Identity> {
+    identities.iter().copied().map(Identity).collect()
+}
+
+fn position(counter: u64, number: u64) -> Position {
+    Position { epoch: Epoch { counter, primary: Identity(1) }, number }
+}
+
+fn image(at: Position) -> DurableItem {
+    let state = History { changes: vec![1, 2] }.encode();
+    let (identity, promised) = (Identity(1), at.epoch);
+    DurableItem::Image(Image { identity, promised, position: at, membership: membership(&[1, 2, 3]), state })
+}
+
+fn record(previous: Position, at: Position, update: Update) -> DurableItem {
+    DurableItem::Record(Record { position: at, previous, update })
+}
+
+#[test]
+fn majorities() {
+    let majorities: Vec<usize> = (1..=9).map(majority_of).collect();
+    assert_eq!(majorities, [1, 2, 2, 3, 3, 4, 4, 5, 5]);
+}
+
+#[test]
+fn a_quorum_is_more_than_half() {
+    let four = membership(&[1, 2, 3, 4]);
+    assert!(!four.quorum(&present(&[1, 2])));
+    assert!(four.quorum(&present(&[1, 2, 4])));
+    assert!(!four.quorum(&present(&[1, 2, 7, 8, 9])), "others don't count");
+    assert!(!membership(&[]).quorum(&present(&[1])), "nobody is no quorum");
+}
+
+#[test]
+fn a_joint_quorum_is_one_of_both() {
+    let joint = membership(&[1, 2, 3]).joint([member(1), member(4), member(5)]);
+    assert!(!joint.quorum(&present(&[1, 2, 3])));
+    assert!(!joint.quorum(&present(&[1, 4, 5])));
+    assert!(joint.quorum(&present(&[1, 2, 4])));
+    assert_eq!(joint.all().count(), 5);
+    assert!(joint.names(Identity(2)) && !joint.finished().names(Identity(2)));
+    assert!(joint.finished().quorum(&present(&[4, 5])));
+}
+
+#[test]
+fn a_heartbeat_is_small_and_survives_its_encoding() {
+    let epoch = Epoch { counter: 3, primary: Identity(1) };
+    let (head, committed) = (position(3, 9), position(3, 8));
+    let (round, in_contact, records, take_image) = (77, true, Vec::new(), false);
+    let append = Append { epoch, round, in_contact, head, committed, records, take_image };
+    let message = Message { from: member(1), body: Body::Append(append) };
+    let bytes = message.encode();
+    println!("a heartbeat has {} bytes", bytes.len());
+    assert!(bytes.len() <= 256, "{}", bytes.len());
+    assert_eq!(Message::decode(&bytes), Ok(message));
+    // At an odd address, too.
+    let shifted = [&[0][..], &bytes].concat();
+    assert!(Message::decode(&shifted[1..]).is_ok());
+}
+
+#[test]
+fn bytes_that_are_no_message_are_refused() {
+    let bytes = Message { from: member(1), body: Body::Knock }.encode();
+    for length in 0..bytes.len() {
+        assert!(Message::decode(&bytes[..length]).is_err(), "{length} bytes");
+    }
+    let mut dice = fastrand::Rng::with_seed(5);
+    for _ in 0..10_000 {
+        let noise: Vec<u8> = (0..dice.usize(0..300)).map(|_| dice.u8(..)).collect();
+        // Whatever comes out, nothing panics.
+        let _ = Message::decode(&noise);
+        let _ = DurableItem::decode(&noise);
+    }
+}
+
+#[test]
+fn records_and_promises_fold_into_the_image() {
+    let (first, second, third) = (position(2, 5), position(2, 6), position(4, 7));
+    let change = Update::Change(3u64.to_le_bytes().to_vec());
+    let promise = DurableItem::Promise(Epoch { counter: 9, primary: Identity(3) });
+    let members = Update::Membership(membership(&[1, 2]));
+    let items = [image(first), record(first, second, change), record(second, third, members), promise];
+    let recovered = Recovered::from_items(items).expect("they follow");
+    assert_eq!(recovered.image.position, third);
+    assert_eq!(recovered.image.promised.counter, 9);
+    assert_eq!(recovered.image.membership, membership(&[1, 2]));
+    let replica = Replica::<History>::recover(Settings::default(), "here".into(), recovered, 1, Time(0));
+    let replica = replica.expect("the state can be read");
+    assert_eq!(replica.status(Time(0)).synced, Some(third));
+    assert_eq!(replica.committed(), None, "what is on disk may never have been committed");
+}
+
+#[test]
+fn a_record_of_an_epoch_implies_its_promise() {
+    let (first, second) = (position(2, 5), position(4, 6));
+    let recovered = Recovered::from_items([image(first), record(first, second, Update::EpochStart)]);
+    assert_eq!(recovered.expect("it follows").image.promised, second.epoch);
+}
+
+#[test]
+fn what_does_not_follow_is_no_state() {
+    let (first, second) = (position(2, 5), position(2, 6));
+    let start = || Update::EpochStart;
+    assert_matches!(Recovered::from_items([]), Err(RecoverError::Empty));
+    assert_matches!(Recovered::from_items([record(first, second, start())]), Err(RecoverError::Empty));
+    let skipped = record(position(2, 6), position(2, 7), start());
+    assert_matches!(
+        Recovered::from_items([image(first), skipped]),
+        Err(RecoverError::RecordDoesNotFollow { .. })
+    );
+    let back = record(first, position(1, 6), start());
+    assert_matches!(
+        Recovered::from_items([image(first), back]),
+        Err(RecoverError::RecordDoesNotFollow { .. })
+    );
+    assert_matches!(
+        Recovered::from_items([image(second), image(first)]),
+        Err(RecoverError::ImageGoesBack { .. })
+    );
+    let promise = DurableItem::Promise(Epoch { counter: 3, primary: Identity(1) });
+    assert_matches!(
+        Recovered::from_items([image(first), promise, record(first, second, start())]),
+        Err(RecoverError::RecordBelowPromise { .. })
+    );
+    let DurableItem::Image(mut foreign) = image(second) else { unreachable!("an image") };
+    foreign.identity = Identity(8);
+    assert_matches!(
+        Recovered::from_items([image(first), DurableItem::Image(foreign)]),
+        Err(RecoverError::TwoIdentities { .. })
+    );
+}
+
+#[test]
+fn a_state_that_cannot_be_read_is_an_error() {
+    let DurableItem::Image(mut half) = image(position(2, 5)) else { unreachable!("an image") };
+    half.state.pop();
+    let recovered = Recovered::from_items([DurableItem::Image(half)]).expect("the items follow");
+    let replica = Replica::<History>::recover(Settings::default(), "here".into(), recovered, 1, Time(0));
+    assert_eq!(replica.err(), Some(RecoverError::State(StateError::new("a history of half a change"))));
+}
