Tell the module of a push's servers at once, and keep its doubts out of the log

It sums its list up anew for each change that it hears of: a whole table of 112 servers was told line by line. What it thinks of single servers changes often in trouble, on every router, and is for whoever asks for it.

--- a/fleet/src/router/answers.rs
+++ b/fleet/src/router/answers.rs
@@ -50,7 +50,8 @@
                         self.decided(id, query, reply);
                     }
                 }
-                Command::Log(line) => log::info!("{line}"),
+                // Trust in servers changes often in trouble, on every router at once.
+                Command::Log(line) => log::debug!("{line}"),
                 // Lists are pushed by control.
                 Command::Subscribe => {}
             }
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -46,6 +46,7 @@
 use configuration::{Configuration, InForce};
 use control_link::{ControlLink, Identity, News};
 use exchange::Exchanges;
+use lichenswitch_messages::ServerRecord;
 use options::Options;
 use program::{after, Net, Owner, Signal, Timer};
 use readiness::Readiness;
@@ -272,21 +273,22 @@
                     Ok(new) => self.apply(new),
                     Err(e) => log::error!(position:? = position; "configuration can't be read: {e}"),
                 },
-                News::Servers(records) => {
-                    for change in self.servers.merge(&records) {
-                        if change.takes_nothing() {
-                            self.connections.hold_back(&mut self.net, change.line.server);
-                        }
-                        self.services.listed(&change);
-                    }
-                    self.net.listed(self.servers.len());
-                }
+                News::Servers(records) => self.take_servers(&records),
                 News::Routers(count) => self.services.set_routers(count),
             }
         }
         self.link.acknowledge(&mut self.net);
     }
 
+    fn take_servers(&mut self, records: &[ServerRecord]) {
+        let changes = self.servers.merge(records);
+        for change in changes.iter().filter(|change| change.takes_nothing()) {
+            self.connections.hold_back(&mut self.net, change.line.server);
+        }
+        self.services.listed(&changes);
+        self.net.listed(self.servers.len());
+    }
+
     fn apply(&mut self, new: InForce) {
         let (position, version) = (new.position, new.document().version());
         if !self.configuration.apply(new) {
--- a/fleet/src/router/service.rs
+++ b/fleet/src/router/service.rs
@@ -118,9 +118,9 @@
         self.max_connections
     }
 
-    /// A line of its list has changed.
-    pub fn listed(&mut self, line: Listed) {
-        self.core.listed(Listing::Changes(vec![line]));
+    /// Lines of its list have changed.
+    pub fn listed(&mut self, lines: Vec<Listed>) {
+        self.core.listed(Listing::Changes(lines));
     }
 
     /// Takes a request; the index of its class is given back with [`Service::release`].
--- a/fleet/src/router/services.rs
+++ b/fleet/src/router/services.rs
@@ -6,7 +6,7 @@
 use super::servers::{Change, ServerTable};
 use super::service::{Service, ServiceId};
 use lichenswitch_core::Command;
-use lichenswitch_interface::Time;
+use lichenswitch_interface::{Listed, Time};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -44,10 +44,16 @@
         self.all.retain(|_, service| named(service) || !service.is_idle());
     }
 
-    /// A line of a service's list has changed.
-    pub fn listed(&mut self, change: &Change) {
-        let service = self.all.values_mut().find(|service| service.name == change.service);
-        service.into_iter().for_each(|service| service.listed(change.line));
+    /// Lines of services' lists have changed.
+    pub fn listed(&mut self, changes: &[Change]) {
+        for service in self.all.values_mut() {
+            let of = changes.iter().filter(|change| change.service == service.name);
+            let lines: Vec<Listed> = of.map(|change| change.line).collect();
+            // The module sums its list up anew each time that it is told of it.
+            if !lines.is_empty() {
+                service.listed(lines);
+            }
+        }
     }
 
     /// So many routers are members.
