--- a/decide/agree/src/genesis.rs
+++ b/decide/agree/src/genesis.rs
@@ -46,7 +46,7 @@
 
 /// Whether a voter votes, and why not.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Reason {
     /// It has not heard of all the others yet: of these.
     Waits(Vec<String>),
     /// It is one of the genesis.
@@ -57,15 +57,15 @@
     Unnamed,
 }
 
-impl fmt::Display for Why {
+impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Why::Waits(names) => write!(f, "nothing was heard yet of {}", names.join(", ")),
-            Why::Named => f.write_str("it is one of the voters"),
-            Why::Forgot(was) => {
+            Reason::Waits(names) => write!(f, "nothing was heard yet of {}", names.join(", ")),
+            Reason::Named => f.write_str("it is one of the voters"),
+            Reason::Forgot(was) => {
                 write!(f, "the fleet knows {} by another memory: this one does not vote", was.name)
             }
-            Why::Unnamed => f.write_str("the fleet has begun without it: it does not vote"),
+            Reason::Unnamed => f.write_str("the fleet has begun without it: it does not vote"),
         }
     }
 }
@@ -76,7 +76,7 @@
     own: Identity,
     heard: BTreeMap<String, Option<Identity>>,
     begun: Option<Genesis>,
-    why: Why,
+    why: Reason,
 }
 
 impl Gather {
@@ -101,7 +101,7 @@
     pub fn new(own: Identity, names: &[String], begun: Option<Genesis>) -> Gather {
         let mut heard: BTreeMap<String, Option<Identity>> = names.iter().map(|n| (n.clone(), None)).collect();
         heard.insert(own.name.clone(), Some(own.clone()));
-        let mut gather = Gather { own, heard, begun: None, why: Why::Waits(Vec::new()) };
+        let mut gather = Gather { own, heard, begun: None, why: Reason::Waits(Vec::new()) };
         match begun {
             Some(genesis) => drop(gather.adopt(&genesis)),
             None => drop(gather.complete()),
@@ -123,7 +123,7 @@
 
     /// Whether it votes, or why not.
     #[must_use]
-    pub fn why(&self) -> &Why {
+    pub fn why(&self) -> &Reason {
         &self.why
     }
 
@@ -139,17 +139,17 @@
             *place = Some(who.identity.clone());
         }
         // Guards against a second genesis: who knows that the fleet has begun without it gathers no other.
-        matches!(self.why, Why::Waits(_)) && self.complete()
+        matches!(self.why, Reason::Waits(_)) && self.complete()
     }
 
     fn adopt(&mut self, genesis: &Genesis) -> bool {
         let named = genesis.0.iter().find(|v| v.name == self.own.name);
         self.why = match named {
-            Some(v) if *v == self.own => Why::Named,
-            Some(v) => Why::Forgot(v.clone()),
-            None => Why::Unnamed,
+            Some(v) if *v == self.own => Reason::Named,
+            Some(v) => Reason::Forgot(v.clone()),
+            None => Reason::Unnamed,
         };
-        if self.why == Why::Named {
+        if self.why == Reason::Named {
             self.begun = Some(genesis.clone());
         }
         self.begun.is_some()
@@ -159,7 +159,7 @@
         let missing = self.heard.iter().filter(|(_, heard)| heard.is_none()).map(|(name, _)| name.clone());
         let missing: Vec<String> = missing.collect();
         if !missing.is_empty() {
-            self.why = Why::Waits(missing);
+            self.why = Reason::Waits(missing);
             return false;
         }
         let genesis = Genesis(self.heard.values().flatten().cloned().collect());
--- a/decide/agree/src/genesis/tests.rs
+++ b/decide/agree/src/genesis/tests.rs
@@ -36,7 +36,7 @@
     assert_eq!(late.why().to_string(), "the fleet knows b by another memory: this one does not vote");
     assert!(!late.on_who(&whos[0]) && !late.on_who(&whos[2]) && late.genesis().is_none(), "no second one");
     let mut stranger = Gather::new(identity("d", 4), &names(), None);
-    assert!(!stranger.on_who(&all[0].who()) && stranger.why() == &Why::Unnamed);
+    assert!(!stranger.on_who(&all[0].who()) && stranger.why() == &Reason::Unnamed);
     // With its memory it comes back as it was, though nobody else is there.
     let back = Gather::new(identity("a", 1), &names(), all[0].genesis().cloned());
     assert_eq!(back.genesis(), all[0].genesis());
--- a/decide/agree/src/standing.rs
+++ b/decide/agree/src/standing.rs
@@ -41,7 +41,7 @@
 
 /// Why it stands so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Reason {
     /// So many of so many voters have heard it within the lease.
     Heard(usize, usize),
     /// The last majority heard it so long ago (microseconds).
@@ -52,13 +52,15 @@
     Begun(u64, u64),
 }
 
-impl fmt::Display for Why {
+impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Why::Heard(of, all) => write!(f, "{of} of {all} voters have heard it within its lease"),
-            Why::Silent(ago) => write!(f, "the last majority of the voters heard it {} ms ago", ago / 1_000),
-            Why::Never => f.write_str("no majority of the voters has heard it yet"),
-            Why::Begun(known, now) => {
+            Reason::Heard(of, all) => write!(f, "{of} of {all} voters have heard it within its lease"),
+            Reason::Silent(ago) => {
+                write!(f, "the last majority of the voters heard it {} ms ago", ago / 1_000)
+            }
+            Reason::Never => f.write_str("no majority of the voters has heard it yet"),
+            Reason::Begun(known, now) => {
                 write!(f, "the fleet has begun anew: genesis {now:x}, and {known:x} was known")
             }
         }
@@ -134,24 +136,24 @@
 
     /// Where it stands, and why.
     #[must_use]
-    pub fn standing(&self, now: Time) -> (Standing, Why) {
+    pub fn standing(&self, now: Time) -> (Standing, Reason) {
         if let (Some(known), Some(other)) = (self.genesis, self.other) {
-            return (Standing::Stranger, Why::Begun(known, other));
+            return (Standing::Stranger, Reason::Begun(known, other));
         }
         let mut asked: Vec<Time> = self.heard.values().copied().collect();
         asked.sort_unstable_by(|a, b| b.cmp(a));
         let Some(majority) = asked.get(self.voters / 2).copied() else {
-            return (Standing::CutOff, Why::Never);
+            return (Standing::CutOff, Reason::Never);
         };
         let (held, silent) = (self.terms.held(), now.since(majority));
         // A clock that went back tells nothing.
         if silent < held && now >= majority {
             let within = asked.iter().filter(|at| now.since(**at) < held).count();
-            return (Standing::Joined, Why::Heard(within, self.voters));
+            return (Standing::Joined, Reason::Heard(within, self.voters));
         }
         let standing =
             if silent < CUT_OFF * self.terms.awaited() { Standing::Doubtful } else { Standing::CutOff };
-        (standing, Why::Silent(silent))
+        (standing, Reason::Silent(silent))
     }
 }
 
--- a/decide/agree/src/standing/tests.rs
+++ b/decide/agree/src/standing/tests.rs
@@ -46,12 +46,12 @@
     let late = hearing.on_ask(T(100_000));
     hearing.on_answer("a", late, 5);
     hearing.on_answer("c", late, 5);
-    assert_eq!(hearing.standing(T(102_000)), (Standing::Joined, Why::Heard(2, 3)));
+    assert_eq!(hearing.standing(T(102_000)), (Standing::Joined, Reason::Heard(2, 3)));
     for ms in 1..=ASKS as u64 {
         hearing.on_ask(T(102_000 + ms));
     }
     hearing.on_answer("b", late, 5);
-    assert_eq!(hearing.standing(T(102_500)).1, Why::Heard(2, 3));
+    assert_eq!(hearing.standing(T(102_500)).1, Reason::Heard(2, 3));
     assert_eq!(hearing.asks.len(), ASKS);
 }
 
@@ -59,7 +59,7 @@
 fn one_that_meets_another_genesis_is_a_stranger_and_stays_one() {
     let mut hearing = heard_by(&["a", "b"], 3);
     hearing.on_answer("c", 1, 6);
-    assert_eq!(hearing.standing(T(1)), (Standing::Stranger, Why::Begun(5, 6)));
+    assert_eq!(hearing.standing(T(1)), (Standing::Stranger, Reason::Begun(5, 6)));
     let ask = hearing.on_ask(T(10));
     ["a", "b"].iter().for_each(|v| hearing.on_answer(v, ask, 5));
     assert_eq!(hearing.standing(T(11)).0, Standing::Stranger);
--- a/decide/agree/src/voter.rs
+++ b/decide/agree/src/voter.rs
@@ -34,20 +34,20 @@
     /// What was decided up to this place came as a snapshot.
     Caught(usize),
     /// This voter leads now, or by its knowledge that one does.
-    Led(Identity, Why),
+    Led(Identity, Reason),
 }
 
 /// Why somebody leads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Reason {
     /// A majority has promised it under this number.
     Elected(u32),
 }
 
-impl fmt::Display for Why {
+impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Why::Elected(number) => write!(f, "a majority has promised it, number {number}"),
+            Reason::Elected(number) => write!(f, "a majority has promised it, number {number}"),
         }
     }
 }
@@ -277,7 +277,7 @@
             leads.filter(|l| self.leader.as_ref().is_none_or(|(who, n)| who != l || *n != number))
         {
             self.leader = Some((leads.clone(), number));
-            told.push(Verdict::Led(leads, Why::Elected(number)));
+            told.push(Verdict::Led(leads, Reason::Elected(number)));
         }
         told
     }
--- a/decide/agree/src/voter/tests.rs
+++ b/decide/agree/src/voter/tests.rs
@@ -2,7 +2,7 @@
 //! what they decided.
 
 use super::*;
-use crate::genesis::{Gather, Why as Named};
+use crate::genesis::{Gather, Reason as Named};
 use lichenswitch_duty::{Duty, Holder};
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
--- a/decide/descriptors/src/lib.rs
+++ b/decide/descriptors/src/lib.rs
@@ -47,16 +47,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// It may.
-    Open(Why),
+    Open(Reason),
     /// An idle connection to a data node has to be closed first; without one it waits.
-    Instead(Why),
+    Instead(Reason),
     /// It has to wait until another one of its side is closed.
-    Wait(Why),
+    Wait(Reason),
 }
 
 /// The rule that led to a verdict, with its figures.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Reason {
     /// It is within the share of its side: so many are open of so many.
     Share(usize, usize),
     /// It is beyond the share, of what clients leave unused: so many are lent of so many.
@@ -69,14 +69,14 @@
     System,
 }
 
-impl fmt::Display for Why {
+impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Why::Share(open, of) => write!(f, "{open} of {of} descriptors are in use"),
-            Why::Lent(open, of) => write!(f, "{open} of {of} descriptors that clients leave are in use"),
-            Why::Full(open, of) => write!(f, "all {of} descriptors are in use, {open} of them"),
-            Why::Borrowed(open, of) => write!(f, "{open} of {of} descriptors are in use, some lent"),
-            Why::System => f.write_str("the system gives no more descriptors"),
+            Reason::Share(open, of) => write!(f, "{open} of {of} descriptors are in use"),
+            Reason::Lent(open, of) => write!(f, "{open} of {of} descriptors that clients leave are in use"),
+            Reason::Full(open, of) => write!(f, "all {of} descriptors are in use, {open} of them"),
+            Reason::Borrowed(open, of) => write!(f, "{open} of {of} descriptors are in use, some lent"),
+            Reason::System => f.write_str("the system gives no more descriptors"),
         }
     }
 }
@@ -190,29 +190,29 @@
         let (used, own) = (self.clients + self.nodes, self.of_nodes());
         match side {
             Side::Discovery if self.discovery < DISCOVERY => {
-                Verdict::Open(Why::Share(self.discovery, DISCOVERY))
+                Verdict::Open(Reason::Share(self.discovery, DISCOVERY))
             }
-            Side::Discovery => Verdict::Wait(Why::Full(self.discovery, DISCOVERY)),
+            Side::Discovery => Verdict::Wait(Reason::Full(self.discovery, DISCOVERY)),
             Side::PeersIn | Side::PeersOut => {
                 let open = if side == Side::PeersIn { self.peers_in } else { self.peers_out };
                 match open < self.peers {
-                    true => Verdict::Open(Why::Share(open, self.peers)),
-                    false => Verdict::Wait(Why::Full(open, self.peers)),
+                    true => Verdict::Open(Reason::Share(open, self.peers)),
+                    false => Verdict::Wait(Reason::Full(open, self.peers)),
                 }
             }
             Side::Clients if self.clients >= self.of_clients() => {
-                Verdict::Wait(Why::Full(self.clients, self.of_clients()))
+                Verdict::Wait(Reason::Full(self.clients, self.of_clients()))
             }
             // Data nodes hold what they have borrowed: it is given back as it falls idle.
-            Side::Clients if used >= self.all => Verdict::Instead(Why::Borrowed(used, self.all)),
-            Side::Clients => Verdict::Open(Why::Share(self.clients, self.of_clients())),
+            Side::Clients if used >= self.all => Verdict::Instead(Reason::Borrowed(used, self.all)),
+            Side::Clients => Verdict::Open(Reason::Share(self.clients, self.of_clients())),
             // Clients hold more than their share of now, since more nodes are listed than before.
-            Side::Nodes if used >= self.all => Verdict::Instead(Why::Borrowed(used, self.all)),
-            Side::Nodes if self.nodes < own => Verdict::Open(Why::Share(self.nodes, own)),
+            Side::Nodes if used >= self.all => Verdict::Instead(Reason::Borrowed(used, self.all)),
+            Side::Nodes if self.nodes < own => Verdict::Open(Reason::Share(self.nodes, own)),
             Side::Nodes if self.nodes - own < self.lent() => {
-                Verdict::Open(Why::Lent(self.nodes - own, self.lent()))
+                Verdict::Open(Reason::Lent(self.nodes - own, self.lent()))
             }
-            Side::Nodes => Verdict::Instead(Why::Full(self.nodes, own + self.lent())),
+            Side::Nodes => Verdict::Instead(Reason::Full(self.nodes, own + self.lent())),
         }
     }
 
--- a/decide/descriptors/src/tests.rs
+++ b/decide/descriptors/src/tests.rs
@@ -51,8 +51,8 @@
         assert!(open >= shares.of_nodes() && kept >= (shares.of_clients() / KEPT).max(1));
         assert_eq!(fill(&mut shares, Side::Clients), kept, "these come at once");
         match shares.may_open(Side::Clients) {
-            Verdict::Instead(Why::Borrowed(..)) => assert!(shares.owed() > 0),
-            Verdict::Wait(Why::Full(..)) => assert_eq!(shares.owed(), 0),
+            Verdict::Instead(Reason::Borrowed(..)) => assert!(shares.owed() > 0),
+            Verdict::Wait(Reason::Full(..)) => assert_eq!(shares.owed(), 0),
             other => panic!("{nodes} nodes, {descriptors}: {other:?}"),
         }
         // What falls idle goes to clients until they have their share, and never to data nodes.
@@ -76,8 +76,8 @@
     assert_eq!((shares.of_nodes(), shares.of_clients()), (238, 400));
     assert!(shares.crowd() >= 590 - 400, "what is beyond the share of now is too much");
     assert_eq!(fill(&mut shares, Side::Nodes), 48, "what is free is theirs");
-    assert!(matches!(shares.may_open(Side::Nodes), Verdict::Instead(Why::Borrowed(638, 638))));
-    assert!(matches!(shares.may_open(Side::Clients), Verdict::Wait(Why::Full(590, 400))));
+    assert!(matches!(shares.may_open(Side::Nodes), Verdict::Instead(Reason::Borrowed(638, 638))));
+    assert!(matches!(shares.may_open(Side::Clients), Verdict::Wait(Reason::Full(590, 400))));
     for _ in 0..190 {
         shares.on_closed(Side::Clients);
     }
@@ -105,7 +105,7 @@
     assert_eq!(fill(&mut shares, Side::Clients), 270);
     shares.on_processes(2);
     assert_eq!((shares.of_nodes(), shares.of_clients()), (45, 135));
-    assert!(matches!(shares.may_open(Side::Clients), Verdict::Wait(Why::Full(270, 135))));
+    assert!(matches!(shares.may_open(Side::Clients), Verdict::Wait(Reason::Full(270, 135))));
     assert!(
         matches!(shares.may_open(Side::Nodes), Verdict::Instead(_)),
         "clients hold it, and leave it in time"
--- a/decide/duty/src/fence.rs
+++ b/decide/duty/src/fence.rs
@@ -6,7 +6,7 @@
 
 /// Why an effect was taken or not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Reason {
     /// It carries the highest fence that was seen here.
     Present,
     /// It carries a higher one than any before: the duty has a new holder.
@@ -17,13 +17,13 @@
     Bare,
 }
 
-impl fmt::Display for Why {
+impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Why::Present => f.write_str("its fence is the present one"),
-            Why::Newer(before) => write!(f, "its fence is newer than {}", before.0),
-            Why::Older(seen) => write!(f, "its fence is older than {}, which was seen", seen.0),
-            Why::Bare => f.write_str("it carries no fence"),
+            Reason::Present => f.write_str("its fence is the present one"),
+            Reason::Newer(before) => write!(f, "its fence is newer than {}", before.0),
+            Reason::Older(seen) => write!(f, "its fence is older than {}, which was seen", seen.0),
+            Reason::Bare => f.write_str("it carries no fence"),
         }
     }
 }
@@ -32,9 +32,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// It is.
-    Take(Why),
+    Take(Reason),
     /// It is not.
-    Refuse(Why),
+    Refuse(Reason),
 }
 
 /// The highest fences that a receiver has seen.
@@ -48,12 +48,12 @@
     pub fn on_effect(&mut self, duty: &Duty, fence: FenceNumber) -> Verdict {
         let seen = self.seen.get(duty).copied().unwrap_or_default();
         match fence {
-            FenceNumber(0) => Verdict::Refuse(Why::Bare),
-            _ if fence < seen => Verdict::Refuse(Why::Older(seen)),
-            _ if fence == seen => Verdict::Take(Why::Present),
+            FenceNumber(0) => Verdict::Refuse(Reason::Bare),
+            _ if fence < seen => Verdict::Refuse(Reason::Older(seen)),
+            _ if fence == seen => Verdict::Take(Reason::Present),
             _ => {
                 self.seen.insert(duty.clone(), fence);
-                Verdict::Take(Why::Newer(seen))
+                Verdict::Take(Reason::Newer(seen))
             }
         }
     }
--- a/decide/duty/src/grants.rs
+++ b/decide/duty/src/grants.rs
@@ -23,20 +23,20 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// The duty was granted, under a new fence.
-    Granted(FenceNumber, Why),
+    Granted(FenceNumber, Reason),
     /// Its holder keeps it, under the same one.
     Renewed(FenceNumber),
     /// Somebody else holds it.
     Refused(Holder, FenceNumber),
     /// It is free.
-    Freed(Why),
+    Freed(Reason),
     /// The entry is about a lease that is none any more.
     Stale,
 }
 
 /// Why a duty was free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Reason {
     /// Nobody had it.
     Unheld,
     /// Its holder gave it back.
@@ -45,12 +45,12 @@
     Over,
 }
 
-impl fmt::Display for Why {
+impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Why::Unheld => "nobody had it",
-            Why::GivenBack => "its holder gave it back",
-            Why::Over => "its lease was over",
+            Reason::Unheld => "nobody had it",
+            Reason::GivenBack => "its holder gave it back",
+            Reason::Over => "its lease was over",
         })
     }
 }
@@ -86,8 +86,8 @@
     pub fn on_entry(&mut self, now: Time, entry: &Entry) -> Verdict {
         match entry {
             Entry::Ask(duty, by) => self.ask(now, duty, by),
-            Entry::GiveBack(duty, fence) => self.free(duty, *fence, None, Why::GivenBack),
-            Entry::Over(duty, fence, renewals) => self.free(duty, *fence, Some(*renewals), Why::Over),
+            Entry::GiveBack(duty, fence) => self.free(duty, *fence, None, Reason::GivenBack),
+            Entry::Over(duty, fence, renewals) => self.free(duty, *fence, Some(*renewals), Reason::Over),
         }
     }
 
@@ -126,7 +126,7 @@
             }
             // A later life of the holder waits like any other: a process of its name that was only stopped may wake.
             Some(grant) => return Verdict::Refused(grant.to.clone(), grant.fence),
-            None => Why::Unheld,
+            None => Reason::Unheld,
         };
         self.last = FenceNumber(self.last.0 + 1);
         let grant = Grant { to: by.clone(), fence: self.last, renewals: 0, learnt: now };
@@ -134,7 +134,7 @@
         Verdict::Granted(self.last, why)
     }
 
-    fn free(&mut self, duty: &Duty, fence: FenceNumber, renewals: Option<u64>, why: Why) -> Verdict {
+    fn free(&mut self, duty: &Duty, fence: FenceNumber, renewals: Option<u64>, why: Reason) -> Verdict {
         let is_it = |g: &&Grant| g.fence == fence && renewals.is_none_or(|count| g.renewals == count);
         if self.held.get(duty).filter(is_it).is_none() {
             return Verdict::Stale;
--- a/decide/duty/src/grants/tests.rs
+++ b/decide/duty/src/grants/tests.rs
@@ -11,7 +11,7 @@
 #[test]
 fn a_duty_has_one_holder_until_its_lease_is_over_and_fences_grow() {
     let (mut grants, duty, number) = (Grants::default(), Duty("d".into()), FenceNumber);
-    assert_eq!(grants.on_entry(Time(0), &ask("a", 1)), Verdict::Granted(number(1), Why::Unheld));
+    assert_eq!(grants.on_entry(Time(0), &ask("a", 1)), Verdict::Granted(number(1), Reason::Unheld));
     let a = Holder { name: "a".into(), life: 1 };
     assert_eq!(grants.on_entry(Time(5), &ask("b", 1)), Verdict::Refused(a, number(1)));
     assert_eq!(grants.next(TERMS), Some(Time(3_300_001)));
@@ -21,13 +21,13 @@
     assert_eq!(grants.on_entry(Time(3_300_001), &ask("a", 1)), Verdict::Renewed(number(1)));
     assert_eq!(grants.on_entry(Time(3_300_002), &over), Verdict::Stale);
     let over = grants.over(Time(9_000_000), TERMS).remove(0);
-    assert_eq!(grants.on_entry(Time(9_000_000), &over), Verdict::Freed(Why::Over));
+    assert_eq!(grants.on_entry(Time(9_000_000), &over), Verdict::Freed(Reason::Over));
     assert_eq!(grants.on_entry(Time(9_000_000), &over), Verdict::Stale, "twice");
-    assert_eq!(grants.on_entry(Time(9_000_001), &ask("b", 1)), Verdict::Granted(number(2), Why::Unheld));
+    assert_eq!(grants.on_entry(Time(9_000_001), &ask("b", 1)), Verdict::Granted(number(2), Reason::Unheld));
     let late = Entry::GiveBack(duty.clone(), number(1));
     assert_eq!(grants.on_entry(Time(9_000_002), &late), Verdict::Stale, "that fence is none any more");
     let back = Entry::GiveBack(duty.clone(), number(2));
-    assert_eq!(grants.on_entry(Time(9_000_003), &back), Verdict::Freed(Why::GivenBack));
+    assert_eq!(grants.on_entry(Time(9_000_003), &back), Verdict::Freed(Reason::GivenBack));
     assert!(grants.holder(&duty).is_none());
 }
 
@@ -39,7 +39,10 @@
     assert_eq!(grants.on_entry(Time(1), &ask("a", 2)), Verdict::Refused(former, FenceNumber(1)));
     let over = grants.over(Time(4_000_000), TERMS).remove(0);
     grants.on_entry(Time(4_000_000), &over);
-    assert_eq!(grants.on_entry(Time(4_000_001), &ask("a", 2)), Verdict::Granted(FenceNumber(2), Why::Unheld));
+    assert_eq!(
+        grants.on_entry(Time(4_000_001), &ask("a", 2)),
+        Verdict::Granted(FenceNumber(2), Reason::Unheld)
+    );
     assert!(matches!(grants.on_entry(Time(4_000_002), &ask("a", 1)), Verdict::Refused(..)));
 }
 
--- a/decide/duty/src/hold.rs
+++ b/decide/duty/src/hold.rs
@@ -12,7 +12,7 @@
 
 /// Why it may act, or not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Reason {
     /// Its lease lasts for so long by its own count (microseconds).
     Leased(Micros),
     /// Its lease has run out by its own count, so long ago (microseconds).
@@ -23,13 +23,13 @@
     GivenBack,
 }
 
-impl fmt::Display for Why {
+impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Why::Leased(left) => write!(f, "leased for {} ms more", left / 1_000),
-            Why::RanOut(since) => write!(f, "the lease ran out {} ms ago", since / 1_000),
-            Why::None => f.write_str("no lease"),
-            Why::GivenBack => f.write_str("given back"),
+            Reason::Leased(left) => write!(f, "leased for {} ms more", left / 1_000),
+            Reason::RanOut(since) => write!(f, "the lease ran out {} ms ago", since / 1_000),
+            Reason::None => f.write_str("no lease"),
+            Reason::GivenBack => f.write_str("given back"),
         }
     }
 }
@@ -38,9 +38,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// It may, and has to carry this fence.
-    Act(FenceNumber, Why),
+    Act(FenceNumber, Reason),
     /// It may not.
-    Refrain(Why),
+    Refrain(Reason),
 }
 
 /// One duty at a broker that holds it or would like to.
@@ -111,13 +111,13 @@
     #[must_use]
     pub fn check(&self, now: Time, terms: Terms) -> Verdict {
         let Some(from) = self.from else {
-            return Verdict::Refrain(if self.given_back { Why::GivenBack } else { Why::None });
+            return Verdict::Refrain(if self.given_back { Reason::GivenBack } else { Reason::None });
         };
         let (gone, held) = (now.since(from), terms.held());
         if gone >= held || now < from {
-            return Verdict::Refrain(Why::RanOut(gone.saturating_sub(held)));
+            return Verdict::Refrain(Reason::RanOut(gone.saturating_sub(held)));
         }
-        Verdict::Act(self.fence, Why::Leased(held - gone))
+        Verdict::Act(self.fence, Reason::Leased(held - gone))
     }
 }
 
--- a/decide/duty/src/hold/tests.rs
+++ b/decide/duty/src/hold/tests.rs
@@ -8,14 +8,14 @@
 #[test]
 fn a_lease_counts_from_before_it_was_asked_for_less_the_drift() {
     let mut hold = Hold::default();
-    assert_eq!(hold.check(T(0), TERMS), Verdict::Refrain(Why::None));
+    assert_eq!(hold.check(T(0), TERMS), Verdict::Refrain(Reason::None));
     let ask = hold.on_ask(T(0));
     assert!(hold.on_grant(ask, FenceNumber(7)), "the answer took two seconds");
-    assert_eq!(hold.check(T(2_000), TERMS), Verdict::Act(FenceNumber(7), Why::Leased(699_999)));
-    assert!(matches!(hold.check(T(2_700), TERMS), Verdict::Refrain(Why::RanOut(_))));
+    assert_eq!(hold.check(T(2_000), TERMS), Verdict::Act(FenceNumber(7), Reason::Leased(699_999)));
+    assert!(matches!(hold.check(T(2_700), TERMS), Verdict::Refrain(Reason::RanOut(_))));
     // It was stopped and wakes much later, or its clock went back: it does not act.
-    assert!(matches!(hold.check(T(900_000), TERMS), Verdict::Refrain(Why::RanOut(_))));
-    assert!(matches!(hold.check(Time(5), TERMS), Verdict::Refrain(Why::RanOut(0))));
+    assert!(matches!(hold.check(T(900_000), TERMS), Verdict::Refrain(Reason::RanOut(_))));
+    assert!(matches!(hold.check(Time(5), TERMS), Verdict::Refrain(Reason::RanOut(0))));
 }
 
 #[test]
@@ -30,7 +30,7 @@
     assert!(matches!(hold.check(T(2_500), TERMS), Verdict::Act(FenceNumber(2), _)), "it goes on meanwhile");
     assert_eq!(hold.ask_at(TERMS), T(2_300), "and asks again if nothing comes");
     assert!(hold.on_grant(renewal, FenceNumber(2)));
-    assert_eq!(hold.check(T(2_000), TERMS), Verdict::Act(FenceNumber(2), Why::Leased(TERMS.held())));
+    assert_eq!(hold.check(T(2_000), TERMS), Verdict::Act(FenceNumber(2), Reason::Leased(TERMS.held())));
     let held_back = hold.on_ask(T(3_000));
     assert!(!hold.on_grant(held_back, FenceNumber(1)), "a fence only grows");
 }
@@ -44,12 +44,12 @@
     hold.on_refusal(ask);
     assert!(matches!(hold.check(T(1_100), TERMS), Verdict::Act(..)), "that was about another ask");
     hold.on_refusal(renewal);
-    assert_eq!(hold.check(T(1_100), TERMS), Verdict::Refrain(Why::None));
+    assert_eq!(hold.check(T(1_100), TERMS), Verdict::Refrain(Reason::None));
     let ask = hold.on_ask(T(2_000));
     hold.on_grant(ask, FenceNumber(4));
     let out = hold.on_ask(T(2_100));
     assert_eq!(hold.on_give_back(), Some(FenceNumber(4)));
     assert!(!hold.on_grant(out, FenceNumber(4)), "it has asked before it gave it back");
-    assert_eq!(hold.check(T(2_200), TERMS), Verdict::Refrain(Why::GivenBack));
+    assert_eq!(hold.check(T(2_200), TERMS), Verdict::Refrain(Reason::GivenBack));
     assert_eq!(Hold::default().on_give_back(), None);
 }
--- a/decide/management/src/siblings.rs
+++ b/decide/management/src/siblings.rs
@@ -30,14 +30,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Door {
     /// They are another one's too: it leaves them at once, and its own clients have somewhere else to go.
-    Left(Why),
+    Left(Reason),
     /// It takes them for as long as clients may still come.
-    Served(Why),
+    Served(Reason),
 }
 
 /// The reason.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Reason {
     /// This process serves at the same socket.
     Sibling(u32),
     /// This one is ready too, but at a socket of its own: what waits at this one would be reset with it.
@@ -51,9 +51,9 @@
 pub fn door(others: &[Told]) -> Door {
     let ready = || others.iter().filter(|o| o.ready && !o.leaving);
     match (ready().find(|o| o.same_door), ready().next()) {
-        (Some(o), _) => Door::Left(Why::Sibling(o.process)),
-        (None, Some(o)) => Door::Served(Why::OwnSocket(o.process)),
-        (None, None) => Door::Served(Why::Alone),
+        (Some(o), _) => Door::Left(Reason::Sibling(o.process)),
+        (None, Some(o)) => Door::Served(Reason::OwnSocket(o.process)),
+        (None, None) => Door::Served(Reason::Alone),
     }
 }
 
--- a/decide/management/src/siblings/tests.rs
+++ b/decide/management/src/siblings/tests.rs
@@ -27,15 +27,15 @@
     // Its successor is gone, or leaves too: what is still here is served.
     assert_eq!(parts(true, &[]), Parts { held: 1, done: Some(1) });
     assert_eq!(parts(true, &[leaves(8)]), Parts { held: 2, done: Some(1) });
-    assert_eq!(door(&[leaves(8)]), Door::Served(Why::Alone), "nobody is left to one that leaves itself");
+    assert_eq!(door(&[leaves(8)]), Door::Served(Reason::Alone), "nobody is left to one that leaves itself");
 }
 
 #[test]
 fn the_door_is_left_only_to_one_that_serves_at_the_same_socket() {
-    assert_eq!(door(&[]), Door::Served(Why::Alone));
-    assert_eq!(door(&[told(7, false, true)]), Door::Served(Why::Alone));
-    assert_eq!(door(&[told(7, true, false)]), Door::Served(Why::OwnSocket(7)));
-    assert_eq!(door(&[told(7, true, false), told(8, true, true)]), Door::Left(Why::Sibling(8)));
+    assert_eq!(door(&[]), Door::Served(Reason::Alone));
+    assert_eq!(door(&[told(7, false, true)]), Door::Served(Reason::Alone));
+    assert_eq!(door(&[told(7, true, false)]), Door::Served(Reason::OwnSocket(7)));
+    assert_eq!(door(&[told(7, true, false), told(8, true, true)]), Door::Left(Reason::Sibling(8)));
 }
 
 #[test]
--- a/decide/management/src/wanted.rs
+++ b/decide/management/src/wanted.rs
@@ -31,14 +31,14 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// This is wanted from now on.
-    Set(Wanted, Why),
+    Set(Wanted, Reason),
     /// It was wanted already.
-    Same(Why),
+    Same(Reason),
 }
 
 /// The reason, for the answer and the log.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Why {
+pub enum Reason {
     /// The server is out from now on.
     #[error("{0} is out")]
     Out(String),
@@ -119,32 +119,32 @@
         next.back.retain(|_, (_, at)| now.since(Time(*at)) < BACK);
         let why = match change {
             Change::Cordon(id) if self.cordoned.contains_key(id) => {
-                return Ok(Verdict::Same(Why::WasOut(id.clone())));
+                return Ok(Verdict::Same(Reason::WasOut(id.clone())));
             }
             Change::Cordon(id) if !listed(id) => return Err(Refused::Unknown(id.clone())),
             Change::Cordon(_) if self.cordoned.len() >= MOST => return Err(Refused::TooMany),
             Change::Cordon(id) => {
                 next.back.remove(id);
                 next.cordoned.insert(id.clone(), now.0);
-                Why::Out(id.clone())
+                Reason::Out(id.clone())
             }
             Change::Uncordon(id) => match next.cordoned.remove(id) {
                 Some(since) => {
                     next.back.insert(id.clone(), (since, now.0));
-                    Why::Back(id.clone())
+                    Reason::Back(id.clone())
                 }
-                None if listed(id) => return Ok(Verdict::Same(Why::WasIn(id.clone()))),
+                None if listed(id) => return Ok(Verdict::Same(Reason::WasIn(id.clone()))),
                 None => return Err(Refused::Unknown(id.clone())),
             },
-            Change::Quiesce if self.quiesced.is_some() => return Ok(Verdict::Same(Why::WasAway)),
+            Change::Quiesce if self.quiesced.is_some() => return Ok(Verdict::Same(Reason::WasAway)),
             Change::Quiesce => {
                 next.quiesced = Some(now.0);
-                Why::Away
+                Reason::Away
             }
-            Change::Resume if self.quiesced.is_none() => return Ok(Verdict::Same(Why::WasResumed)),
+            Change::Resume if self.quiesced.is_none() => return Ok(Verdict::Same(Reason::WasResumed)),
             Change::Resume => {
                 next.quiesced = None;
-                Why::Resumed
+                Reason::Resumed
             }
         };
         Ok(Verdict::Set(next, why))
--- a/decide/management/src/wanted/tests.rs
+++ b/decide/management/src/wanted/tests.rs
@@ -29,10 +29,10 @@
     let once = set(&Wanted::default(), cordon("a"));
     assert_eq!((once.revision, once.cordoned.get("a")), (1, Some(&NOW.0)));
     let again = once.on_change(NOW, &cordon("a"), listed);
-    assert_eq!(again, Ok(Verdict::Same(Why::WasOut("a".into()))));
+    assert_eq!(again, Ok(Verdict::Same(Reason::WasOut("a".into()))));
     let back = set(&once, uncordon("a"));
     assert!(back.cordoned.is_empty() && back.back.get("a") == Some(&(NOW.0, NOW.0)));
-    assert_matches!(back.on_change(NOW, &uncordon("a"), listed), Ok(Verdict::Same(Why::WasIn(_))));
+    assert_matches!(back.on_change(NOW, &uncordon("a"), listed), Ok(Verdict::Same(Reason::WasIn(_))));
 }
 
 #[test]
@@ -50,10 +50,10 @@
 fn clients_are_sent_away_until_they_are_called_back_however_often_it_is_said() {
     let away = set(&Wanted::default(), Change::Quiesce);
     assert_eq!(away.quiesced, Some(NOW.0));
-    assert_eq!(away.on_change(NOW, &Change::Quiesce, listed), Ok(Verdict::Same(Why::WasAway)));
+    assert_eq!(away.on_change(NOW, &Change::Quiesce, listed), Ok(Verdict::Same(Reason::WasAway)));
     let back = set(&away, Change::Resume);
     assert_eq!(back.quiesced, None);
-    assert_eq!(back.on_change(NOW, &Change::Resume, listed), Ok(Verdict::Same(Why::WasResumed)));
+    assert_eq!(back.on_change(NOW, &Change::Resume, listed), Ok(Verdict::Same(Reason::WasResumed)));
     // One that begins beside another one of the broker does as that does; one that begins alone serves.
     assert_eq!(away.clone().on_start(true).quiesced, Some(NOW.0));
     assert_eq!(away.on_start(false).quiesced, None);
--- a/decide/phases/src/lib.rs
+++ b/decide/phases/src/lib.rs
@@ -91,7 +91,7 @@
 
 /// Why something was decided, with the figures that led to it.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Why {
+pub enum Reason {
     /// The first phase has had its largest share of the aim.
     FirstShare {
         /// Time since the query came, microseconds.
@@ -142,26 +142,26 @@
     },
 }
 
-impl fmt::Display for Why {
+impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let ms = |t: &Micros| *t as f64 / 1e3;
         match self {
-            Why::FirstShare { took, have } => {
+            Reason::FirstShare { took, have } => {
                 write!(f, "first phase closed with {have:.3} in: it has had its share of the aim, {:.0} ms", ms(took))
             }
-            Why::Worth { have, now, waiting } => write!(
+            Reason::Worth { have, now, waiting } => write!(
                 f,
                 "first phase closed with {have:.3} in: expected worth {now:.3} now, {waiting:.3} with waiting"
             ),
-            Why::Fits { sent, wanted, proved, left, weakest } => write!(
+            Reason::Fits { sent, wanted, proved, left, weakest } => write!(
                 f,
                 "second phase of {sent} parts of {wanted}, {proved} proved unneeded: {:.0} ms left, the least likely \
                  part ends in them with {weakest:.2}",
                 ms(left)
             ),
-            Why::Bound { slice, k } => write!(f, "slice {slice} can't change the first {k}"),
-            Why::WrongBound { slice } => write!(f, "slice {slice} gave something better than its bound"),
-            Why::TooLittle { expected, least } => {
+            Reason::Bound { slice, k } => write!(f, "slice {slice} can't change the first {k}"),
+            Reason::WrongBound { slice } => write!(f, "slice {slice} gave something better than its bound"),
+            Reason::TooLittle { expected, least } => {
                 write!(f, "given up: expected worth {expected:.3}, least {least:.3}")
             }
         }
@@ -172,13 +172,13 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
     /// The first phase ends with what is in.
-    Close(QueryId, Why),
+    Close(QueryId, Reason),
     /// A second-phase part at this slice is proved to be unneeded: it counts as in.
-    Unneeded(QueryId, u32, Why),
+    Unneeded(QueryId, u32, Reason),
     /// The answer can't be called complete any more.
-    Doubt(QueryId, Why),
+    Doubt(QueryId, Reason),
     /// The query gets its final answer now: none.
-    GiveUp(QueryId, Why),
+    GiveUp(QueryId, Reason),
 }
 
 /// What the second phase of a query is to be.
@@ -195,7 +195,7 @@
     /// Set: rather than being sent, the query is given up.
     pub give_up: bool,
     /// The reasons.
-    pub why: Vec<Why>,
+    pub why: Vec<Reason>,
 }
 
 /// What a slice's first answer said.
@@ -351,7 +351,7 @@
             if race.tell(slice, bound.keys, bound.matched).is_err() {
                 // Nothing that rests on bounds is proved any more.
                 q.race = None;
-                verdicts.push(Verdict::Doubt(id, Why::WrongBound { slice }));
+                verdicts.push(Verdict::Doubt(id, Reason::WrongBound { slice }));
             }
         }
         verdicts.extend(self.beaten(id));
@@ -415,7 +415,7 @@
         }
         let (took, have) = (now.since(q.arrived), q.have);
         let why = if now >= most {
-            Some(Why::FirstShare { took, have })
+            Some(Reason::FirstShare { took, have })
         } else {
             let times = self.times.get_mut(q.class)?;
             let missing: Vec<Missing> = q
@@ -431,7 +431,7 @@
             if times.first.known() {
                 let found = budget::prospect(&rules, times, now, q.aim_at, have, &missing);
                 let closes = found.now + MARGIN >= found.waiting;
-                closes.then_some(Why::Worth { have, now: found.now, waiting: found.waiting })
+                closes.then_some(Reason::Worth { have, now: found.now, waiting: found.waiting })
             } else {
                 None
             }
@@ -463,7 +463,7 @@
         if in_time >= rules.least_parts(q.wanted) {
             return Vec::new();
         }
-        let why = Why::TooLittle { expected: rules.late_share, least: rules.least_gain };
+        let why = Reason::TooLittle { expected: rules.late_share, least: rules.least_gain };
         if rules.late_share < rules.least_gain {
             vec![Verdict::GiveUp(id, why)]
         } else {
@@ -480,7 +480,7 @@
             if matches!(race.reach(slice), Reach::Beaten | Reach::Exhausted) {
                 (part.done, part.out) = (true, None);
                 q.have += part.weight;
-                verdicts.push(Verdict::Unneeded(id, slice, Why::Bound { slice, k }));
+                verdicts.push(Verdict::Unneeded(id, slice, Reason::Bound { slice, k }));
             }
         }
         verdicts
@@ -532,11 +532,16 @@
             order.iter().map(|&(slice, _)| Candidate { slice, pending: pending(slice) }).collect();
         let shrunk = budget::shrink(rules, times, now, left, &candidates, (wanted, granted));
         let keep: BTreeSet<u32> = shrunk.keep.iter().copied().collect();
-        let mut why =
-            vec![Why::Fits { sent: keep.len(), wanted, proved: proved.len(), left, weakest: shrunk.weakest }];
+        let mut why = vec![Reason::Fits {
+            sent: keep.len(),
+            wanted,
+            proved: proved.len(),
+            left,
+            weakest: shrunk.weakest,
+        }];
         let give_up = !order.is_empty() && shrunk.expected < rules.least_gain;
         if give_up {
-            why.push(Why::TooLittle { expected: shrunk.expected, least: rules.least_gain });
+            why.push(Reason::TooLittle { expected: shrunk.expected, least: rules.least_gain });
         }
         let parts: Vec<(u32, Option<usize>)> =
             order.iter().copied().filter(|p| keep.contains(&p.0)).collect();
--- a/decide/phases/src/tests.rs
+++ b/decide/phases/src/tests.rs
@@ -71,7 +71,7 @@
         closed = quick.on_time(at);
         assert!(at < Time(10_950 * MS));
     }
-    let [Verdict::Close(Q, Why::Worth { now, waiting, have })] = closed[..] else { panic!("{closed:?}") };
+    let [Verdict::Close(Q, Reason::Worth { now, waiting, have })] = closed[..] else { panic!("{closed:?}") };
     assert!(now + MARGIN >= waiting && (have - 0.9).abs() < 1e-9);
     assert_eq!(quick.next(), None, "closed once");
 }
@@ -85,7 +85,7 @@
     }
     // The eighth comes after the first phase has had its share: closed at once, with exactly the least.
     let verdict = late.on_answer(Time(10_950 * MS), (Q, 7), (false, 950 * MS, 0.0), None);
-    assert!(matches!(verdict[..], [Verdict::Close(Q, Why::FirstShare { .. })]), "{verdict:?}");
+    assert!(matches!(verdict[..], [Verdict::Close(Q, Reason::FirstShare { .. })]), "{verdict:?}");
 }
 
 #[test]
@@ -99,7 +99,7 @@
         verdicts = fresh.on_time(at);
     }
     assert!(
-        matches!(verdicts[..], [Verdict::Close(Q, Why::FirstShare { took: 900_000, .. })]),
+        matches!(verdicts[..], [Verdict::Close(Q, Reason::FirstShare { took: 900_000, .. })]),
         "{verdicts:?}"
     );
     assert_eq!(plan(&mut fresh, 950).parts.len(), 5);
@@ -137,7 +137,7 @@
     assert_eq!((plan.proved.len(), plan.left_out.len(), plan.wanted), (8, 0, 10));
     let told = |keys: [f64; 3]| Bound { slice: 0, keys: keys.map(Key::Number).to_vec(), matched: Some(9) };
     let beaten = planner.on_answer(now, (Q, 0), (true, MS, 0.0), Some(told([0.0, 0.1, 0.2])));
-    assert_eq!(beaten, [Verdict::Unneeded(Q, 1, Why::Bound { slice: 1, k: 3 })]);
+    assert_eq!(beaten, [Verdict::Unneeded(Q, 1, Reason::Bound { slice: 1, k: 3 })]);
     // Without pruning all slices with more are asked for all.
     let mut plain = super::tests::planner(Rules { prune: false, ..Rules::test() });
     first_phase(&mut plain, 10, 150 * MS);
@@ -155,7 +155,7 @@
     planner.between(now, Q, Goal::Top(3, Way::Up), firsts, |_| Some(0.0)).unwrap();
     let told = Bound { slice: 0, keys: vec![Key::Number(-5.0)], matched: Some(9) };
     let verdicts = planner.on_answer(now, (Q, 0), (true, MS, 0.0), Some(told));
-    assert_eq!(verdicts, [Verdict::Doubt(Q, Why::WrongBound { slice: 0 })], "and nothing is proved by it");
+    assert_eq!(verdicts, [Verdict::Doubt(Q, Reason::WrongBound { slice: 0 })], "and nothing is proved by it");
 }
 
 #[test]
@@ -170,10 +170,10 @@
 
 #[test]
 fn reasons_are_told_with_their_figures() {
-    let why = Why::Worth { have: 0.9, now: 0.5, waiting: 0.25 };
+    let why = Reason::Worth { have: 0.9, now: 0.5, waiting: 0.25 };
     assert_eq!(
         why.to_string(),
         "first phase closed with 0.900 in: expected worth 0.500 now, 0.250 with waiting"
     );
-    assert!(Why::TooLittle { expected: 0.1, least: 0.2 }.to_string().contains("0.100"));
+    assert!(Reason::TooLittle { expected: 0.1, least: 0.2 }.to_string().contains("0.100"));
 }
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -653,11 +653,11 @@
         let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return false };
         desk.close_door();
         let told = match siblings::door(&desk.others()) {
-            Door::Left(siblings::Why::Sibling(process)) => {
+            Door::Left(siblings::Reason::Sibling(process)) => {
                 self.net.leave(Owner::Platform);
                 Some(format!("process {process} serves at the same socket: new clients are left to it"))
             }
-            Door::Served(siblings::Why::OwnSocket(process)) => Some(format!(
+            Door::Served(siblings::Reason::OwnSocket(process)) => Some(format!(
                 "process {process} serves at a socket of its own: who waits here is served here"
             )),
             Door::Left(_) | Door::Served(_) => None,
--- a/src/decide/fleet/mod.rs
+++ b/src/decide/fleet/mod.rs
@@ -96,7 +96,7 @@
 
 /// Why the view of the fleet has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Reason {
     /// It was heard of for the first time, or again.
     Heard,
     /// Neither it nor any helper answered, and nobody refuted the suspicion in time.
@@ -107,13 +107,13 @@
     Buried,
 }
 
-impl fmt::Display for Why {
+impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Why::Heard => "it was heard of",
-            Why::Silent => "it left or answered nobody, and nobody refuted that in time",
-            Why::Reborn => "it came under a later life",
-            Why::Buried => "others had declared this broker dead",
+            Reason::Heard => "it was heard of",
+            Reason::Silent => "it left or answered nobody, and nobody refuted that in time",
+            Reason::Reborn => "it came under a later life",
+            Reason::Buried => "others had declared this broker dead",
         })
     }
 }
@@ -124,11 +124,11 @@
     /// These bytes are for that member.
     Send(Member, Vec<u8>),
     /// A member is believed alive now.
-    Up(Member, Why),
+    Up(Member, Reason),
     /// It is not any more.
-    Down(Member, Why),
+    Down(Member, Reason),
     /// This broker goes on as this member.
-    Renewed(Member, Why),
+    Renewed(Member, Reason),
 }
 
 type Swim = Foca<Member, PostcardCodec, Xoshiro256PlusPlus, NoCustomBroadcast>;
@@ -357,7 +357,7 @@
         if let Some(member) = renewed {
             // What the library would say under the new life holds the opinions of the former: it is not said.
             self.own = member.clone();
-            told.push(Verdict::Renewed(member, Why::Buried));
+            told.push(Verdict::Renewed(member, Reason::Buried));
             return self.begin_anew(local, told);
         }
         while let Some((after, timer)) = out.to_schedule() {
@@ -370,16 +370,18 @@
             match note {
                 OwnedNotification::MemberUp(member) => {
                     let known = self.alive.insert(member.name.clone(), member.clone());
-                    told.extend((known.as_ref() != Some(&member)).then_some(Verdict::Up(member, Why::Heard)));
+                    told.extend(
+                        (known.as_ref() != Some(&member)).then_some(Verdict::Up(member, Reason::Heard)),
+                    );
                 }
                 // Of a former life nobody has to hear that it is over.
                 OwnedNotification::MemberDown(member) if self.life_of(&member.name) <= Some(member.life) => {
                     let known = self.alive.remove(&member.name);
-                    told.extend(known.map(|_| Verdict::Down(member, Why::Silent)));
+                    told.extend(known.map(|_| Verdict::Down(member, Reason::Silent)));
                 }
                 OwnedNotification::Rename(_, member) if self.alive.contains_key(&member.name) => {
                     self.alive.insert(member.name.clone(), member.clone());
-                    told.push(Verdict::Up(member, Why::Reborn));
+                    told.push(Verdict::Up(member, Reason::Reborn));
                 }
                 _ => {}
             }
--- a/src/decide/membership/doubt.rs
+++ b/src/decide/membership/doubt.rs
@@ -22,7 +22,7 @@
 
 /// Why a list was taken or doubted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Reason {
     /// Nothing speaks against it.
     Sound,
     /// The whole list was asked for since another one was doubted: there is nobody else to ask.
@@ -33,13 +33,13 @@
     Empty(usize),
 }
 
-impl fmt::Display for Why {
+impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Why::Sound => f.write_str("sound"),
-            Why::Confirmed => f.write_str("the whole list, asked for to confirm"),
-            Why::Older(told, held) => write!(f, "version {told}, while {held} is held"),
-            Why::Empty(known) => write!(f, "empty, while {known} data nodes are known"),
+            Reason::Sound => f.write_str("sound"),
+            Reason::Confirmed => f.write_str("the whole list, asked for to confirm"),
+            Reason::Older(told, held) => write!(f, "version {told}, while {held} is held"),
+            Reason::Empty(known) => write!(f, "empty, while {known} data nodes are known"),
         }
     }
 }
@@ -48,9 +48,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// It is taken.
-    Take(Why),
+    Take(Reason),
     /// It is kept until the whole list has come, or until then.
-    Confirm(Why, Time),
+    Confirm(Reason, Time),
 }
 
 /// Judges lists as they come.
@@ -73,12 +73,12 @@
     pub fn on_list(&mut self, now: Time, told: Told, held: Option<u64>, known: usize) -> Verdict {
         // Guards against doubting for ever: a discovery that begins its versions anew, or has no nodes, is believed then.
         if std::mem::take(&mut self.asked) && told.whole {
-            return Verdict::Take(Why::Confirmed);
+            return Verdict::Take(Reason::Confirmed);
         }
         let why = match held {
-            Some(held) if told.generation < held => Why::Older(told.generation, held),
-            _ if told.whole && told.lines == 0 && known > 0 => Why::Empty(known),
-            _ => return Verdict::Take(Why::Sound),
+            Some(held) if told.generation < held => Reason::Older(told.generation, held),
+            _ if told.whole && told.lines == 0 && known > 0 => Reason::Empty(known),
+            _ => return Verdict::Take(Reason::Sound),
         };
         self.asked = true;
         Verdict::Confirm(why, now.plus((self.stop_within as f64 * CONFIRM) as Micros))
--- a/src/decide/membership/pace.rs
+++ b/src/decide/membership/pace.rs
@@ -100,7 +100,7 @@
 
 /// Why a call is made then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Reason {
     /// The first calls of a fleet as small as this do not get in each other's way.
     Few,
     /// No list is known: nothing can be served before it.
@@ -127,7 +127,7 @@
     /// Not before this.
     pub at: Time,
     /// The reason.
-    pub why: Why,
+    pub why: Reason,
     /// The time over which calls after failures are spread by now, microseconds.
     pub spread: Micros,
 }
@@ -195,21 +195,21 @@
     }
 
     /// A random time up to `within` from then on: brokers that were cut off together do not come together.
-    fn jitter(&mut self, from: Time, within: Micros, why: Why) -> Verdict {
+    fn jitter(&mut self, from: Time, within: Micros, why: Reason) -> Verdict {
         Verdict { at: from.plus(self.dice.0.u64(0..=within)), why, spread: self.spread }
     }
 
-    fn at_once(&self, now: Time, why: Why) -> Verdict {
+    fn at_once(&self, now: Time, why: Reason) -> Verdict {
         Verdict { at: now, why, spread: self.spread }
     }
 
     /// The first call after a start; `known`: some list is held.
     pub fn on_start(&mut self, now: Time, known: bool) -> Verdict {
         match () {
-            () if self.agent => self.at_once(now, Why::Agent),
-            () if !known => self.at_once(now, Why::NothingKnown),
-            () if self.is_small() => self.at_once(now, Why::Few),
-            () => self.jitter(now, self.fleet().min(self.most(START_MOST)), Why::Start),
+            () if self.agent => self.at_once(now, Reason::Agent),
+            () if !known => self.at_once(now, Reason::NothingKnown),
+            () if self.is_small() => self.at_once(now, Reason::Few),
+            () => self.jitter(now, self.fleet().min(self.most(START_MOST)), Reason::Start),
         }
     }
 
@@ -217,9 +217,9 @@
     /// until then.
     pub fn on_move(&mut self, now: Time) -> Verdict {
         match () {
-            () if self.agent => self.at_once(now, Why::Agent),
-            () if self.is_small() => self.at_once(now, Why::Few),
-            () => self.jitter(now, self.fleet().min(MOVE_MOST), Why::Moved),
+            () if self.agent => self.at_once(now, Reason::Agent),
+            () if self.is_small() => self.at_once(now, Reason::Few),
+            () => self.jitter(now, self.fleet().min(MOVE_MOST), Reason::Moved),
         }
     }
 
@@ -232,11 +232,11 @@
     /// renewals of 100 watches together, while it fails new calls that come faster than 16 a second.
     pub fn on_answer(&mut self, now: Time) -> Verdict {
         if self.agent {
-            return self.at_once(now, Why::Agent);
+            return self.at_once(now, Reason::Agent);
         }
         let least = (self.instances * CALL_LEAST).min(self.spread);
         self.spread = ((self.spread as f64 * SHRINK) as Micros).max(least);
-        self.at_once(now, Why::Answered)
+        self.at_once(now, Reason::Answered)
     }
 
     /// A call that began at `began` was refused, answered with a failure or broken off: discovery has more calls than it
@@ -244,11 +244,11 @@
     /// each other; the cap guards the rule on drains, and goes first.
     pub fn on_failure(&mut self, now: Time, began: Time) -> Verdict {
         if self.agent {
-            return Verdict { at: now.plus(AGENT), why: Why::Agent, spread: 0 };
+            return Verdict { at: now.plus(AGENT), why: Reason::Agent, spread: 0 };
         }
         let grown = (self.spread as f64 * GROW) as Micros;
         self.spread = grown.max(self.fleet()).min(CYCLE);
-        self.jitter(now, self.spread.min(Self::left(now, began)), Why::Failed)
+        self.jitter(now, self.spread.min(Self::left(now, began)), Reason::Failed)
     }
 
     /// What may be waited after a call that began then.
@@ -261,8 +261,8 @@
     /// says so; the calls of watches that fell silent together are spread, and each broker has one out at most.
     pub fn on_silence(&mut self, now: Time, began: Time) -> Verdict {
         match self.agent {
-            true => Verdict { at: now.plus(AGENT), why: Why::Agent, spread: 0 },
-            false => self.jitter(now, self.fleet().min(Self::left(now, began)), Why::Silent),
+            true => Verdict { at: now.plus(AGENT), why: Reason::Agent, spread: 0 },
+            false => self.jitter(now, self.fleet().min(Self::left(now, began)), Reason::Silent),
         }
     }
 
@@ -270,7 +270,7 @@
     /// and to wait as if it were would leave this broker with an old list.
     pub fn on_unmade(&mut self, now: Time) -> Verdict {
         let at = now.plus(UNMADE + self.dice.0.u64(0..=UNMADE));
-        Verdict { at, why: Why::Unmade, spread: self.spread }
+        Verdict { at, why: Reason::Unmade, spread: self.spread }
     }
 }
 
--- a/src/decide/membership/pace/tests.rs
+++ b/src/decide/membership/pace/tests.rs
@@ -135,7 +135,7 @@
         let spread = (at.len() / 3..at.len() * 2 / 3).contains(&half) && at[at.len() - 1] <= within;
         assert!(spread, "{instances}: those that fell silent together come together");
     }
-    assert_eq!(Pace::new(1, 300, EVERY).on_silence(Time(0), Time(0)).why, Why::Silent);
+    assert_eq!(Pace::new(1, 300, EVERY).on_silence(Time(0), Time(0)).why, Reason::Silent);
 }
 
 #[test]
@@ -180,7 +180,7 @@
             assert!(verdict.at.plus(patience).since(now) + HEADROOM <= MOVED_TOLD, "{verdict}");
         }
     }
-    assert_eq!(Pace::new(1, 300, EVERY).on_move(Time(0)).why, Why::Moved);
+    assert_eq!(Pace::new(1, 300, EVERY).on_move(Time(0)).why, Reason::Moved);
 }
 
 #[test]
@@ -204,6 +204,6 @@
         }
     }
     let verdict = Pace::new(1, 100, 0).on_start(Time(0), false);
-    assert_eq!((verdict.at, verdict.why), (Time(0), Why::NothingKnown));
+    assert_eq!((verdict.at, verdict.why), (Time(0), Reason::NothingKnown));
     assert_eq!(verdict.to_string(), "NothingKnown, calls spread over 2100 ms");
 }
--- a/src/peer/council.rs
+++ b/src/peer/council.rs
@@ -4,7 +4,7 @@
 //! before what it rests on is kept, a broker that can't keep does not vote, and whether it holds a duty is asked of its
 //! own lease each time. It decides nothing itself: `decide::agree` and `decide::duty` do.
 
-use crate::decide::agree::genesis::{Gather, Identity, Who, Why};
+use crate::decide::agree::genesis::{Gather, Identity, Reason, Who};
 use crate::decide::agree::kept::{Kept, Record};
 use crate::decide::agree::standing::{Hearing, Standing};
 use crate::decide::agree::state::Entry;
@@ -201,7 +201,7 @@
         let Seat::Gathers(gathering) = &self.seat else { return };
         let (gather, kept) = &**gathering;
         match (gather.why(), gather.genesis()) {
-            (Why::Named, Some(genesis)) => {
+            (Reason::Named, Some(genesis)) => {
                 let names: Vec<&str> = genesis.voters().iter().map(|v| v.name.as_str()).collect();
                 let line = format!("council: votes, genesis {:x} ({})", genesis.digest(), names.join(", "));
                 match Voter::new(now, kept.clone(), self.rules.terms) {
@@ -219,7 +219,7 @@
                     }
                 }
             }
-            (Why::Waits(_), _) => {}
+            (Reason::Waits(_), _) => {}
             (why, _) => {
                 self.log.push(format!("council: does not vote: {why}"));
                 self.seat = Seat::Abstains;
--- a/wire/net/src/lib.rs
+++ b/wire/net/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod wheel;
 
 use buffer::Buffer;
-use lichenswitch_descriptors::{Shares, Side, Verdict, Why};
+use lichenswitch_descriptors::{Reason, Shares, Side, Verdict};
 use lichenswitch_interface::Time;
 use polling::{Event, PollMode, Poller};
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
@@ -54,7 +54,7 @@
 #[derive(Debug)]
 pub enum Denied {
     /// This process has no descriptor for it now: the other side has no part in that.
-    Lack(Why),
+    Lack(Reason),
     /// The system said no.
     Failed(io::Error),
 }
@@ -434,7 +434,7 @@
         // Guards the descriptor budget, and what one side may take of it from the others.
         match self.shares.may_open(P::side(owner)) {
             Verdict::Open(_) => self.open(owner, address).map_err(|e| match e.raw_os_error() {
-                Some(EMFILE | ENFILE) => Denied::Lack(Why::System),
+                Some(EMFILE | ENFILE) => Denied::Lack(Reason::System),
                 _ => Denied::Failed(e),
             }),
             Verdict::Instead(why) | Verdict::Wait(why) => Err(Denied::Lack(why)),
