Serve copies one encoded image while the records after it are kept

Cause: each request for the newest image encoded it anew, so two copies that asked in turn could make each other begin again; a record that a copy couldn't apply was sent to it for ever. Change: the last encoded image serves as long as the tail covers what came after it; a copy that can't apply a record asks for the image.

--- a/decide/replication/src/model/timed.rs
+++ b/decide/replication/src/model/timed.rs
@@ -112,6 +112,11 @@
     pub fn crash(&mut self, index: usize) {
         let waiting = self.world.nodes[index].pending.len();
         let kept = self.dice.index(waiting + 1);
+        self.crash_keeping(index, kept);
+    }
+
+    /// Ends a node's process; just so many of the items that waited for its disk are there all the same.
+    pub fn crash_keeping(&mut self, index: usize, kept: usize) {
         self.world.crash(index, kept);
         self.syncing[index] = false;
         self.frozen_until[index] = Time(0);
--- a/decide/replication/src/replica/append.rs
+++ b/decide/replication/src/replica/append.rs
@@ -70,6 +70,9 @@
                 // The primary has applied it to the same state; only the image can help.
                 let refused = Notice::ImageRefused { position: record.position, reason: error.reason };
                 self.outputs.push(Output::Notice(refused));
+                if let Some(known) = self.known.clone() {
+                    self.fetch(now, known.epoch, None, known.member);
+                }
             }
         }
     }
--- a/decide/replication/src/replica/primary.rs
+++ b/decide/replication/src/replica/primary.rs
@@ -88,6 +88,11 @@
         Some(self.tail.iter().skip(first).take_while(fits).cloned().collect())
     }
 
+    /// Whether the record after this position is kept.
+    pub(super) fn keeps_after(&self, position: Position) -> bool {
+        self.tail.iter().any(|record| record.previous == position)
+    }
+
     fn remember(&mut self, record: Record) {
         self.tail.push_back(record);
         let size = |tail: &VecDeque<Record>| -> usize {
@@ -320,13 +325,13 @@
     fn help_along(&mut self, now: Time, identity: Identity, moved: bool) {
         let head = self.image.as_ref().map(|image| image.position);
         let Some(primary) = self.lead_mut() else { return };
-        let Some(peer) = primary.peers.get_mut(&identity) else { return };
+        let Some(peer) = primary.peers.get(&identity) else { return };
         if !moved || peer.reported == head {
             return;
         }
         let just_sent = peer.sent.is_some_and(|(sent, at)| Some(sent) == head && at == now);
         let reported = peer.reported;
-        let helps = primary.tail.iter().any(|record| Some(record.previous) == reported);
+        let helps = reported.is_some_and(|position| primary.keeps_after(position));
         let Some(peer) = primary.peers.get_mut(&identity) else { return };
         if !(just_sent && helps) {
             peer.sent = peer.sent.filter(|(sent, _)| Some(*sent) == head);
--- a/decide/replication/src/replica/transfer.rs
+++ b/decide/replication/src/replica/transfer.rs
@@ -126,7 +126,7 @@
         self.note_heard(now, from.identity, epoch);
         let leads = self.lead().is_some();
         let known = self.served.as_ref().is_some_and(|served| Some(served.position) == position);
-        if !known {
+        if !known && !self.served_will_do() {
             let here = self.image.as_ref().map(|image| image.position);
             // A candidate needs just the image that was granted; a copy takes whichever the primary has.
             if here.is_none() || (!leads && here != position) {
@@ -139,6 +139,13 @@
         self.send_chunks(&from.address, epoch, &served, first);
     }
 
+    /// Whether the image that was encoded last helps a copy: the records after it are kept. Else two copies that ask in turn, while
+    /// changes go on, would make each other begin anew.
+    fn served_will_do(&self) -> bool {
+        let (Some(served), Some(primary)) = (&self.served, self.lead()) else { return false };
+        served.position.epoch == primary.epoch && primary.keeps_after(served.position)
+    }
+
     fn encode_served(&mut self) {
         let Some(image) = &self.image else { return };
         if self.served.as_ref().is_some_and(|served| served.position == image.position) {
--- a/decide/replication/tests/scenarios.rs
+++ b/decide/replication/tests/scenarios.rs
@@ -493,3 +493,43 @@
         clean(&timed);
     }
 }
+
+#[test]
+fn what_is_acknowledged_survives_a_lost_disk_and_a_loss_of_power_in_that_moment() {
+    for seed in 0..60 {
+        let mut timed = Timed::gathered(Settings::default(), 4, 5, seed);
+        timed.commit_within(SECOND).expect("a change is acknowledged");
+        let lost = seed as usize % 4;
+        for index in (0..4).filter(|index| *index != lost) {
+            timed.crash_keeping(index, 0);
+        }
+        timed.wipe(lost);
+        for index in (0..4).filter(|index| *index != lost) {
+            timed.restart(index);
+        }
+        timed.restart(4);
+        assert!(timed.commit_within(5 * SECOND).is_some(), "seed {seed}");
+        let acknowledged = &timed.world.ledger.acknowledged;
+        assert!(acknowledged.iter().all(|change| timed.world.ledger.committed.contains(change)));
+        assert!(timed.run_until(8 * SECOND, |timed| timed.is_whole(4)).is_some(), "seed {seed}");
+        clean(&timed);
+    }
+}
+
+#[test]
+fn two_newcomers_take_a_large_image_while_changes_go_on() {
+    let mut timed = Timed::new(Settings::default(), 5, 9);
+    // 480 KB: fifteen chunks, four windows.
+    timed.world.founding = History { changes: (1_000_000..1_060_000).collect() };
+    timed.call(0, |world| world.found());
+    (1..3).for_each(|index| timed.restart(index));
+    assert!(timed.run_until(5 * SECOND, |timed| timed.is_whole(3)).is_some());
+    (3..5).for_each(|index| timed.restart(index));
+    for _ in 0..150 {
+        assert!(timed.commit_within(SECOND).is_some_and(|took| took < 50_000));
+    }
+    let primary = serving(&timed);
+    let membership = timed.world.nodes[primary].replica.as_ref().unwrap().membership().clone();
+    assert_eq!(membership.voters.len(), 5, "both came in while changes went on");
+    clean(&timed);
+}
