Name the thread that writes the log a log writer

Cause: `lines` told a newcomer nothing.

Change: the module is `log_writer`; nothing else.

Measured: its tests and those of the programs pass.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -194,7 +194,7 @@
 
 /// Writes a line for the operators.
 pub fn log(line: &str) {
-    crate::lines::write(format!("lichenswitch: {line}\n").into_bytes());
+    crate::log_writer::write(format!("lichenswitch: {line}\n").into_bytes());
 }
 
 /// The broker: the service of the platform, that of the OGC front, or both, on one loop.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod discovery;
 pub mod front;
 pub mod inventory;
-pub mod lines;
+pub mod log_writer;
 pub mod management;
 pub mod net;
 pub mod peer;
--- a/src/lines/tests.rs
+++ b/src/log_writer/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of `lines`.
+//! Tests of `log_writer`.
 
 use super::*;
 use std::sync::Mutex;
