--- a/src/bin/lichenswitch-drill/main.rs
+++ b/src/bin/lichenswitch-simulation/main.rs
@@ -112,7 +112,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("lichenswitch-drill: {text}");
+            eprintln!("lichenswitch-simulation: {text}");
             ExitCode::FAILURE
         }
     }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -1,4 +1,4 @@
-//! Reads the settings of an instance from their JSON text, for the broker and the drill alike.
+//! Reads the settings of an instance from their JSON text, for the broker and the simulation alike.
 
 use super::Connections;
 use crate::interface::{
--- a/tests/programs.rs
+++ b/tests/programs.rs
@@ -122,15 +122,15 @@
 }
 
 #[test]
-fn the_drill_answers_an_empty_batch() {
-    let mut drill = Command::new(env!("CARGO_BIN_EXE_lichenswitch-drill"))
+fn the_simulation_answers_an_empty_batch() {
+    let mut simulation = Command::new(env!("CARGO_BIN_EXE_lichenswitch-simulation"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .spawn()
         .unwrap();
     let batch = [16, 0, 0, 0, 0, 0, 0, 0, 0x5a, 0x5c, 0x80, 0, 0, 0, 0, 0];
-    drill.stdin.take().unwrap().write_all(&batch).unwrap();
-    let output = drill.wait_with_output().unwrap();
+    simulation.stdin.take().unwrap().write_all(&batch).unwrap();
+    let output = simulation.wait_with_output().unwrap();
     assert!(output.status.success());
     assert_eq!(output.stdout, [0, 0, 0, 0, 8, 0, 0, 0]);
 }
