--- a/fleet/src/router/configuration.rs
+++ b/fleet/src/router/configuration.rs
@@ -86,12 +86,6 @@
         let to = |route: &&Route| route.targets.iter().any(|t| t.service == service && t.weight > 0.0);
         self.document().routes().iter().filter(to).map(Terms::of).collect()
     }
-
-    /// Connections that each server of a service takes from all callers together, where that is told.
-    #[must_use]
-    pub fn max_connections(&self, service: &str) -> Option<u32> {
-        self.routes.service(service)?.max_connections
-    }
 }
 
 /// The configuration in force, where there is one.
@@ -116,3 +110,6 @@
         newer
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -21,9 +21,9 @@
 
 mod answers;
 mod budget;
-pub mod candidates;
+mod candidates;
 mod clients;
-pub mod configuration;
+mod configuration;
 mod control_link;
 mod error;
 mod exchange;
@@ -32,10 +32,10 @@
 mod program;
 mod readiness;
 mod relay;
-pub mod request;
-pub mod response;
+mod request;
+mod response;
 mod server_connections;
-pub mod servers;
+mod servers;
 mod service;
 mod services;
 mod shutdown;
@@ -286,7 +286,7 @@
             self.connections.hold_back(&mut self.net, change.line.server);
         }
         self.services.listed(&changes);
-        self.net.listed(self.servers.len());
+        self.net.listed(self.servers.count());
     }
 
     fn apply(&mut self, new: InForce) {
--- a/fleet/src/router/servers.rs
+++ b/fleet/src/router/servers.rs
@@ -98,16 +98,10 @@
 
     /// How many instances are not gone.
     #[must_use]
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.instances.len() - self.gone.len()
     }
 
-    /// Whether none is known.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     fn merge_one(&mut self, record: &ServerRecord) -> Option<Change> {
         let (service, zone) = (self.service(&record.service), self.zone(&record.zone));
         let address = record.address.parse().ok();
--- a/fleet/src/router/servers/tests.rs
+++ b/fleet/src/router/servers/tests.rs
@@ -40,7 +40,7 @@
     assert!(table.merge(&[record("i", ServerState::Gone, 0)]).is_empty());
     assert!(table.merge(&[record("i", ServerState::Ready, 9)]).is_empty());
     assert!(table.merge(&[record("i", ServerState::Draining, 9)]).is_empty());
-    assert!(table.is_empty());
+    assert_eq!(table.count(), 0);
     table.merge(&[record("j", ServerState::Ready, 1)]);
     let server = table.lines_of("pool")[0].server;
     assert!(table.endpoint(server).is_some());
@@ -96,7 +96,7 @@
         let name = format!("i{n}");
         table.merge(&[record(&name, ServerState::Ready, 1), record(&name, ServerState::Gone, 1)]);
     }
-    assert!(table.is_empty());
+    assert_eq!(table.count(), 0);
     assert_eq!(table.instances.len(), MAX_REMEMBERED_GONE);
     assert_eq!(table.by_server.len(), MAX_REMEMBERED_GONE);
 }
