Answer the platform however many connections it leaves open

Eight connections were set aside for its questions, and what was beyond was closed: two such misses in a row take a router out. 32 are set aside, and a test holds 20 open.

--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -62,8 +62,9 @@
 
 pub use error::RouterError;
 
-/// Connections set aside for the platform's questions and for control machines, each.
-const SET_ASIDE: usize = 8;
+/// Connections set aside for the platform's questions and for control machines, each: a question that finds none is a miss, and the platform may
+/// keep the connections of some questions open.
+const SET_ASIDE: usize = 32;
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(3);
 
--- a/fleet/tests/router_clients.rs
+++ b/fleet/tests/router_clients.rs
@@ -97,6 +97,16 @@
     assert!(platform.ends_within(Duration::from_secs(2)));
 }
 
+#[test]
+fn the_platform_is_answered_however_many_connections_it_leaves_open() {
+    let rig = Rig::usual(&[]);
+    let mut open: Vec<Client> = (0..20).map(|_| Client::connect(rig.router.readiness)).collect();
+    for platform in &mut open {
+        assert_eq!(platform.ask("GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n").status, 200);
+    }
+    assert_eq!(rig.router.readiness_status(), 200);
+}
+
 #[test]
 fn a_connection_is_kept_for_many_requests_and_as_long_as_it_may_rest() {
     let server = echo("i-1");
