Let newcomers in whose address a heartbeat finds first, and test the parts of control

The primary's machine sends heartbeats only to whom the membership names or who has knocked, and a replica hears of its peers as they connect.

A disk on which only damage is found counts as lost, where it was taken for an empty one.

--- a/fleet/src/control/contact.rs
+++ b/fleet/src/control/contact.rs
@@ -126,6 +126,11 @@
         if !heard.is_empty() {
             self.send_to_peers(&PeerMessage::Heard(heard));
         }
+        self.name_peers();
+    }
+
+    /// Tells the replica where it may ask to be let in.
+    pub(super) fn name_peers(&mut self) {
         if let Some(group) = &mut self.group {
             let known = self.peers.iter().filter(|(_, peer)| peer.heard().is_some());
             let known = known.map(|(address, _)| address.to_string()).collect();
--- a/fleet/src/control/group.rs
+++ b/fleet/src/control/group.rs
@@ -12,7 +12,7 @@
 use lichenswitch_replication::{
     DurableItem, Identity, Member, Output, Recovered, Replica, ReplicatedState, StateError, Ticket,
 };
-use lichenswitch_storage::{Job, Storage, StorageSettings, Usage, Writer};
+use lichenswitch_storage::{Finding, Job, Storage, StorageSettings, Usage, Writer};
 use log::{info, warn};
 use std::hash::BuildHasher;
 use std::os::unix::net::UnixStream;
@@ -93,10 +93,14 @@
 struct Disk {
     writer: Writer,
     usage: Usage,
+    /// Bytes of records that were handed over since `usage` was told.
+    handed: u64,
     /// The last failure, until something is written again.
     failure: Option<String>,
 }
 
+/// What a record takes on disk beyond its own bytes, at most: a header, and the rest of a sector.
+const BLOCK_BYTES: u64 = 1_024;
 /// Folder of the ring under the data directory.
 const FOLDER: &str = "control";
 /// Owner that the ring's files name.
@@ -149,17 +153,14 @@
             self.remembered = Some(ticket);
             return;
         };
-        // A segment that is nearly full begins anew with everything that this item and those before it come to.
-        let image = if disk.usage.wants_image { self.replica.image_for(ticket) } else { None };
-        let item = image.as_ref().unwrap_or(item);
-        let job = match item {
-            DurableItem::Image(_) => {
-                disk.usage.wants_image = false;
-                Job::Replace(item.encode())
-            }
-            DurableItem::Promise(_) | DurableItem::Record(_) => Job::Append(vec![item.encode()]),
+        // A segment that is nearly full, or too full for this item, begins anew with everything that this item and those before it come to.
+        let bytes = item.encode();
+        let anew = disk.wants_image_before(bytes.len()).then(|| self.replica.image_for(ticket)).flatten();
+        let (is_image, bytes) = match &anew {
+            Some(image) => (true, image.encode()),
+            None => (matches!(item, DurableItem::Image(_)), bytes),
         };
-        disk.writer.submit(ticket.0, job);
+        disk.submit(ticket, is_image, bytes);
     }
 
     /// The writer has finished something.
@@ -173,6 +174,9 @@
                         info!(target: "control", "the disk takes writes again");
                     }
                     (disk.usage, disk.failure) = (usage, None);
+                    if disk.writer.outstanding() == 0 {
+                        disk.handed = 0;
+                    }
                     self.replica.on_persisted(to_replica(now), ticket);
                 }
                 Err(e) => {
@@ -216,7 +220,25 @@
         let (ours, theirs) = UnixStream::pair()?;
         net.watch_signal(Signal::Written, ours)?;
         let usage = storage.usage();
-        Ok(Disk { writer: Writer::start(storage, theirs)?, usage, failure: None })
+        Ok(Disk { writer: Writer::start(storage, theirs)?, usage, handed: 0, failure: None })
+    }
+
+    /// Whether a whole image is to be written in place of a record of these bytes.
+    fn wants_image_before(&self, bytes: usize) -> bool {
+        let used = self.usage.used_bytes + self.handed + bytes as u64 + BLOCK_BYTES;
+        self.usage.wants_image || used > self.usage.segment_bytes
+    }
+
+    fn submit(&mut self, ticket: Ticket, is_image: bool, bytes: Vec<u8>) {
+        let job = if is_image {
+            // The next segment has room again; how much is told once it is written.
+            (self.usage.wants_image, self.usage.used_bytes, self.handed) = (false, 0, 0);
+            Job::Replace(bytes)
+        } else {
+            self.handed += bytes.len() as u64 + BLOCK_BYTES;
+            Job::Append(vec![bytes])
+        };
+        self.writer.submit(ticket.0, job);
     }
 }
 
@@ -226,7 +248,9 @@
     for finding in &found.findings {
         warn!(target: "control", finding:? = finding; "the disk is not as it was left");
     }
-    if found.is_empty() {
+    // A write that was cut off and never acknowledged is nothing; anything else was something once.
+    let blank = |finding: &Finding| matches!(finding, Finding::Torn { .. });
+    if found.is_empty() && found.findings.iter().all(blank) {
         let before = aside(folder).exists();
         return Ok((storage, if before { Contents::Lost } else { Contents::Nothing }));
     }
--- a/fleet/src/control/machine.rs
+++ b/fleet/src/control/machine.rs
@@ -16,7 +16,7 @@
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{Envelope, PeerMessage, ROUTER_HEARTBEAT_MS};
 use lichenswitch_net::{ConnId, Ready};
-use lichenswitch_replication::{Body, Message, Output};
+use lichenswitch_replication::{Body, Identity, Message, Output};
 use log::info;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::io;
@@ -281,6 +281,9 @@
         let Ok(address) = to.parse() else { return };
         self.peers.learn(address, now);
         let Some(id) = self.peers.connection(address) else { return };
+        if matches!(message.body, Body::Append(_)) && !self.is_known_member(address, now) {
+            return;
+        }
         let envelope = Envelope::Peer(PeerMessage::Replication(message.encode()));
         // Heartbeats and answers to them are repeated, records and images come again with the next heartbeat.
         match message.body {
@@ -291,6 +294,16 @@
         }
     }
 
+    /// Whether whoever is at an address is a member, or has asked to be one. A heartbeat for a voter whose disk was lost would reach the
+    /// newcomer in its place, which would take itself for one that was let in, and ask no more.
+    fn is_known_member(&self, address: SocketAddr, now: Time) -> bool {
+        let introduced = self.peers.get(address).and_then(|peer| peer.introduction.as_ref());
+        let (Some(introduced), Some(group)) = (introduced, &self.group) else { return false };
+        let identity = Identity(introduced.identity);
+        let named = group.replica.membership().member(identity).is_some();
+        named || group.replica.status(to_replica(now)).peers.iter().any(|peer| peer.identity == identity)
+    }
+
     /// Where the primary is, and can be reached.
     pub(super) fn primary(&self, now: Time) -> Primary {
         let group = self.group.as_ref().map(|group| &group.replica);
--- a/fleet/src/control/on_internal.rs
+++ b/fleet/src/control/on_internal.rs
@@ -110,6 +110,7 @@
         if !connected {
             info!(target: "control", node = node.as_str(), address = address.to_string().as_str(); "peer is connected");
             self.greet(id, now);
+            self.name_peers();
         }
         Ok(())
     }
--- a/fleet/src/control/peers.rs
+++ b/fleet/src/control/peers.rs
@@ -247,3 +247,6 @@
         self.reached.then_some(self.heard)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/control/primary_calls.rs
+++ b/fleet/src/control/primary_calls.rs
@@ -244,3 +244,6 @@
         None => answer(503, "there is no configuration yet"),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/control/relayed_calls.rs
+++ b/fleet/src/control/relayed_calls.rs
@@ -153,3 +153,6 @@
         sooner(pause, Some(self.call.patience())).unwrap_or(self.not_before)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/control/servers.rs
+++ b/fleet/src/control/servers.rs
@@ -262,3 +262,6 @@
     let mut table = Registry::new(0, 1);
     table.merge(0, record)
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/tests/control_support/mod.rs
+++ b/fleet/tests/control_support/mod.rs
@@ -90,12 +90,26 @@
         process.wait().unwrap();
     }
 
+    /// Whether a machine was started and not ended since.
+    pub fn is_running(&self, place: usize) -> bool {
+        self.machines[place].process.is_some()
+    }
+
     /// Empties the disk of a machine that does not run.
     pub fn wipe(&mut self, place: usize) {
         assert!(self.machines[place].process.is_none());
         fs::remove_dir_all(self.machines[place].folder.join("data")).unwrap();
     }
 
+    /// Tells a machine that its settings have changed, with other seeds.
+    pub fn reload(&mut self, place: usize, seeds: &[SocketAddr]) {
+        let machine = &self.machines[place];
+        let seeds = seeds.iter().map(|seed| format!("\"{seed}\"")).collect::<Vec<_>>().join(",");
+        fs::write(machine.folder.join("settings.toml"), settings(machine, self.ports, &seeds, false))
+            .unwrap();
+        signal(machine.process.as_ref().unwrap(), "HUP");
+    }
+
     /// Tells a machine to end, and waits for it.
     pub fn stop(&mut self, place: usize) -> (ExitStatus, Duration) {
         let mut process = self.machines[place].process.take().unwrap();
@@ -185,7 +199,7 @@
                 let _ = process.wait();
             }
         }
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && std::env::var_os("KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         }
     }
