Split the service off the broker's loop, and a connection off the pool

Change: `src/service.rs` holds the service of a front, `src/upstream/link.rs` what is known of one connection; moves alone. One line of the log writer is formatted.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod management;
 pub mod net;
 pub mod peer;
+pub mod service;
 pub mod upstream;
 
 pub use lichenswitch_core as core;
--- a/src/log_writer.rs
+++ b/src/log_writer.rs
@@ -35,7 +35,8 @@
         let counts = Arc::new(Counts::default());
         let told = counts.clone();
         // Without a thread the queue fills, and lines are lost: no reason not to serve.
-        let _ = thread::Builder::new().name("log_writer".into()).spawn(move || write_all(&waiting, &told, out));
+        let _ =
+            thread::Builder::new().name("log_writer".into()).spawn(move || write_all(&waiting, &told, out));
         Lines { queue, counts }
     }
 
--- /dev/null
+++ b/src/service.rs
@@ -0,0 +1,168 @@
+//! A service: one front, its core and the data nodes behind it, as the broker's loop drives them.
+//!
+//! It owns the way of a query between these: what clients and data nodes send comes in by [`Service::ready`], what time brings by
+//! [`Service::timer`], and a turn carries out what the core wants done.
+
+use crate::broker::log;
+use crate::core::{Command, Core};
+use crate::discovery::Directory;
+use crate::front::{Front, Sessions};
+use crate::interface::{Listed, Listing, Mode, Outcome, ServerId, Time};
+use crate::net::{ConnId, Net, Owner, Timer};
+use crate::upstream::{Pool, Wire};
+
+/// One front, its core and the data nodes behind it.
+pub struct Service<F: Front, W: Wire<Job = F::Job>> {
+    pub(crate) owner: Owner,
+    pub(crate) front: F,
+    pub(crate) sessions: Sessions<F::Context>,
+    pub(crate) core: Core<F::Job>,
+    pub(crate) pool: Pool<W>,
+    pub(crate) directory: Directory,
+    /// The module asked for changes of the list.
+    pub(crate) subscribe: bool,
+}
+
+impl<F: Front, W: Wire<Job = F::Job>> Service<F, W> {
+    /// A service whose clients connect to the listeners of `owner`.
+    pub fn new(
+        owner: Owner,
+        front: F,
+        sessions: Sessions<F::Context>,
+        core: Core<F::Job>,
+        pool: Pool<W>,
+        directory: Directory,
+    ) -> Self {
+        Service { owner, front, sessions, core, pool, directory, subscribe: false }
+    }
+
+    /// The core, to tell it of the list of data nodes.
+    pub fn core(&mut self) -> &mut Core<F::Job> {
+        &mut self.core
+    }
+
+    pub(crate) fn accept(&mut self, net: &mut Net) {
+        for id in net.accept(self.owner) {
+            self.sessions.opened(net, id, self.owner);
+        }
+    }
+
+    pub(crate) fn ready(&mut self, net: &mut Net, id: ConnId, owner: Owner) {
+        if owner == self.owner {
+            self.sessions.ready(net, id, &mut self.front, &mut self.core);
+        } else if owner == W::OWNER {
+            self.pool.ready(net, id);
+        }
+    }
+
+    pub(crate) fn timer(&mut self, net: &mut Net, timer: Timer) {
+        match timer {
+            Timer::Attempt(owner, attempt) if owner == W::OWNER => {
+                let now = net.clock.now();
+                // What never left because this process lacked a descriptor is no silence of the node.
+                let outcome = if self.pool.is_parked(attempt) { Outcome::Moot } else { Outcome::Timeout };
+                if self.core.ended(now, attempt, outcome, None) {
+                    self.pool.withdraw(net, attempt);
+                }
+            }
+            Timer::Conn(id) => {
+                self.pool.timer(net, id);
+            }
+            Timer::Answer(id) => self.pool.stalled(net, id),
+            Timer::Clients(owner) if owner == self.owner => {
+                self.sessions.look(net, owner, &self.front, &mut self.core);
+            }
+            // The next turn tends the calls that wait.
+            Timer::Attempt(..) | Timer::Clients(_) | Timer::Discovery(_) | Timer::Parked(_) => {}
+        }
+    }
+
+    /// Hands in the ends of attempts, and takes a turn if it is time.
+    pub(crate) fn turn(&mut self, net: &mut Net) {
+        // First of all, and not at the next turn of the module: what waits for a connection might leave before that.
+        for attempt in self.core.take_recalls() {
+            self.recall(net, attempt);
+        }
+        self.pool.tend(net);
+        self.collect(net.clock.now());
+        let now = net.clock.now();
+        if self.core.next_turn().is_none_or(|at| at > now) {
+            return;
+        }
+        for command in self.core.turn(now) {
+            match command {
+                Command::Send(server, parts) => {
+                    for part in &parts {
+                        net.wheel.set(now.plus(part.wait), Timer::Attempt(W::OWNER, part.attempt));
+                    }
+                    match self.directory.address(server) {
+                        Some(address) => self.pool.send(net, server, address, parts),
+                        // A node that was listed without a usable address can't be reached.
+                        None => parts.iter().for_each(|p| {
+                            self.core.ended(now, p.attempt, Outcome::ConnectFailed, None);
+                        }),
+                    }
+                }
+                Command::Withdraw(attempt) => self.pool.withdraw(net, attempt),
+                Command::Recall(attempt) => self.recall(net, attempt),
+                Command::CloseIdle(server) => self.pool.close_idle(net, server),
+                Command::Reply(query, reply) => {
+                    self.sessions.answer(net, query, reply, &mut self.front, &mut self.core);
+                }
+                Command::Subscribe => self.subscribe = true,
+                Command::Log(text) => log(&self.named(&text)),
+            }
+        }
+        self.collect(net.clock.now());
+    }
+
+    /// Ends an attempt that has not left yet; one that has goes on as its class says.
+    fn recall(&mut self, net: &mut Net, attempt: u64) {
+        if self.pool.recall(net, attempt) {
+            self.core.ended(net.clock.now(), attempt, Outcome::Moot, None);
+        }
+    }
+
+    fn collect(&mut self, now: Time) {
+        let (ended, lines) = self.pool.take_ended();
+        for end in ended {
+            self.core.ended(now, end.attempt, end.outcome, end.value);
+        }
+        lines.iter().for_each(|line| log(&self.named(line)));
+    }
+
+    /// A log line in which the number of a server is followed by the name that discovery has for it.
+    fn named(&self, line: &str) -> String {
+        let number = line.split("server ").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+        match number {
+            Some(number) => format!("{line} ({})", self.directory.name(ServerId(number))),
+            None => line.to_string(),
+        }
+    }
+
+    /// Closes the connections to nodes that are gone; one that still carries calls ends when it falls idle.
+    pub(crate) fn leave_gone(&mut self, net: &mut Net) {
+        for server in self.directory.take_gone() {
+            self.pool.hold_back(server);
+            self.pool.leave(net, server);
+        }
+    }
+
+    /// Takes in news of the list: the core gets it, and the pool is told of nodes that have just started.
+    pub(crate) fn listed(&mut self, news: Listing) {
+        if let Listing::Changes(lines) | Listing::Whole(lines) | Listing::Cached(lines) = &news {
+            let warm_after = self.core.settings().cold.warm_after;
+            let (ready, ends): (Vec<_>, Vec<_>) =
+                lines.iter().partition(|line| matches!(line.mode, Mode::Ready | Mode::Leaving));
+            ends.into_iter().for_each(|line: &Listed| self.pool.hold_back(line.server));
+            let ready = ready.into_iter();
+            let started = ready.filter_map(|line| Some((line.server, line.started?)));
+            started.for_each(|(server, at)| self.pool.beware(server, at.plus(warm_after)));
+            // An empty list of before the start is none: nothing can be served by it.
+            if !matches!(&news, Listing::Cached(lines) if lines.is_empty()) {
+                self.front.listed();
+            }
+        }
+        self.core.listed(news);
+    }
+}
--- /dev/null
+++ b/src/upstream/link.rs
@@ -0,0 +1,96 @@
+//! One connection to a data node: its calls, from where they wait until they are answered or given up.
+
+use super::Wire;
+use crate::core::Dispatch;
+use crate::interface::{Micros, ServerId, Time};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// Settled parts that are remembered for a connection.
+const SETTLED: usize = 256;
+
+/// An attempt that is out on a connection.
+pub(super) struct Out<N> {
+    pub(super) part: N,
+    pub(super) attempt: u64,
+}
+
+/// One call that was written to a connection, or is being written.
+pub(super) struct Call<N> {
+    pub(super) sent: Time,
+    /// Where its bytes end among all that are written there.
+    pub(super) end: u64,
+    pub(super) parts: Vec<Out<N>>,
+    /// Classes of the parts that it was made of, until they are counted as written.
+    pub(super) unwritten: Vec<usize>,
+}
+
+/// How far a new connection has come.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum Greeting {
+    Due,
+    Sent,
+    Done,
+}
+
+pub(super) struct Link<W: Wire> {
+    pub(super) server: ServerId,
+    pub(super) address: SocketAddr,
+    /// Calls that wait for the connection to come up or to take more. Their bytes are made only then: a part that is
+    /// given up before never leaves, whatever else its call holds.
+    pub(super) waiting: VecDeque<Vec<Dispatch<W::Job>>>,
+    pub(super) calls: Vec<Call<W::Name>>,
+    pub(super) greeting: Greeting,
+    /// The last parts that were given up or answered: what still comes for them is late, not spoilt.
+    pub(super) settled: VecDeque<W::Name>,
+    /// When an answer began that is not whole yet.
+    pub(super) begun: Option<Time>,
+    /// Nothing has come on it for long though a part was out: it may be dead, and gets nothing new until it speaks.
+    pub(super) mute: bool,
+    /// While it was mute another connection to the node has spoken, first at this time.
+    pub(super) outdone: Option<Time>,
+}
+
+impl<W: Wire> Link<W> {
+    pub(super) fn idle(&self) -> bool {
+        self.calls.is_empty() && self.waiting.is_empty()
+    }
+
+    /// How long nothing has come on it while a part or its greeting was out.
+    pub(super) fn quiet(&self, heard: Time, now: Time) -> Micros {
+        let greets = (self.greeting == Greeting::Sent).then_some(heard);
+        let since = self.calls.first().map(|oldest| oldest.sent.max(heard)).or(greets);
+        since.map_or(0, |since| now.since(since))
+    }
+
+    /// Takes a part out of the books, as `None` the oldest, and tells its attempt and when it was sent.
+    pub(super) fn settle(&mut self, part: Option<&W::Name>) -> Option<(u64, Time)> {
+        let is_it = |p: &Out<W::Name>| part.is_none_or(|part| *part == p.part);
+        let at = self.calls.iter().position(|c| c.parts.iter().any(is_it))?;
+        let call = &mut self.calls[at];
+        let (out, sent) = (call.parts.remove(call.parts.iter().position(is_it)?), call.sent);
+        if call.parts.is_empty() {
+            self.calls.remove(at);
+        }
+        self.remember(out.part);
+        Some((out.attempt, sent))
+    }
+
+    /// Takes a part out that has not left yet; `false`: it has, or is not here.
+    pub(super) fn keep_home(&mut self, attempt: u64) -> bool {
+        let holds = |call: &Vec<Dispatch<W::Job>>| call.iter().any(|p| p.attempt == attempt);
+        let Some(at) = self.waiting.iter().position(holds) else { return false };
+        self.waiting[at].retain(|p| p.attempt != attempt);
+        if self.waiting[at].is_empty() {
+            self.waiting.remove(at);
+        }
+        true
+    }
+
+    pub(super) fn remember(&mut self, part: W::Name) {
+        if self.settled.len() >= SETTLED {
+            self.settled.pop_front();
+        }
+        self.settled.push_back(part);
+    }
+}
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 //! A [`Pool`] carries calls on connections, as many on each as allowed; a [`Wire`] writes calls and reads answers.
 
 pub mod frames;
+mod link;
 pub mod ogc;
 
 use crate::core::{Dispatch, Value};
@@ -14,6 +15,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
+use link::{Call, Greeting, Link, Out};
+
 /// One answer read from a connection.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer<N> {
@@ -56,92 +59,6 @@
     ) -> Result<Option<Answer<Self::Name>>, String>;
 }
 
-/// An attempt that is out on a connection.
-struct Out<N> {
-    part: N,
-    attempt: u64,
-}
-
-/// One call that was written to a connection, or is being written.
-struct Call<N> {
-    sent: Time,
-    /// Where its bytes end among all that are written there.
-    end: u64,
-    parts: Vec<Out<N>>,
-    /// Classes of the parts that it was made of, until they are counted as written.
-    unwritten: Vec<usize>,
-}
-
-/// How far a new connection has come.
-#[derive(Clone, Copy, PartialEq)]
-enum Greeting {
-    Due,
-    Sent,
-    Done,
-}
-
-struct Link<W: Wire> {
-    server: ServerId,
-    address: SocketAddr,
-    /// Calls that wait for the connection to come up or to take more. Their bytes are made only then: a part that is
-    /// given up before never leaves, whatever else its call holds.
-    waiting: VecDeque<Vec<Dispatch<W::Job>>>,
-    calls: Vec<Call<W::Name>>,
-    greeting: Greeting,
-    /// The last parts that were given up or answered: what still comes for them is late, not spoilt.
-    settled: VecDeque<W::Name>,
-    /// When an answer began that is not whole yet.
-    begun: Option<Time>,
-    /// Nothing has come on it for long though a part was out: it may be dead, and gets nothing new until it speaks.
-    mute: bool,
-    /// While it was mute another connection to the node has spoken, first at this time.
-    outdone: Option<Time>,
-}
-
-impl<W: Wire> Link<W> {
-    fn idle(&self) -> bool {
-        self.calls.is_empty() && self.waiting.is_empty()
-    }
-
-    /// How long nothing has come on it while a part or its greeting was out.
-    fn quiet(&self, heard: Time, now: Time) -> Micros {
-        let greets = (self.greeting == Greeting::Sent).then_some(heard);
-        let since = self.calls.first().map(|oldest| oldest.sent.max(heard)).or(greets);
-        since.map_or(0, |since| now.since(since))
-    }
-
-    /// Takes a part out of the books, as `None` the oldest, and tells its attempt and when it was sent.
-    fn settle(&mut self, part: Option<&W::Name>) -> Option<(u64, Time)> {
-        let is_it = |p: &Out<W::Name>| part.is_none_or(|part| *part == p.part);
-        let at = self.calls.iter().position(|c| c.parts.iter().any(is_it))?;
-        let call = &mut self.calls[at];
-        let (out, sent) = (call.parts.remove(call.parts.iter().position(is_it)?), call.sent);
-        if call.parts.is_empty() {
-            self.calls.remove(at);
-        }
-        self.remember(out.part);
-        Some((out.attempt, sent))
-    }
-
-    /// Takes a part out that has not left yet; `false`: it has, or is not here.
-    fn keep_home(&mut self, attempt: u64) -> bool {
-        let holds = |call: &Vec<Dispatch<W::Job>>| call.iter().any(|p| p.attempt == attempt);
-        let Some(at) = self.waiting.iter().position(holds) else { return false };
-        self.waiting[at].retain(|p| p.attempt != attempt);
-        if self.waiting[at].is_empty() {
-            self.waiting.remove(at);
-        }
-        true
-    }
-
-    fn remember(&mut self, part: W::Name) {
-        if self.settled.len() >= SETTLED {
-            self.settled.pop_front();
-        }
-        self.settled.push_back(part);
-    }
-}
-
 /// A call that no descriptor was to be had for.
 struct Parked<J> {
     server: ServerId,
@@ -194,8 +111,6 @@
 const WARY: Micros = 10_000_000;
 /// Lines that calls had to wait for a descriptor come this long apart at least.
 const TOLD: Micros = 5_000_000;
-/// Settled parts that are remembered for a connection.
-const SETTLED: usize = 256;
 
 /// Connections to all data nodes of one wire.
 pub struct Pool<W: Wire> {
