--- /dev/null
+++ b/simulator/src/disk.rs
@@ -0,0 +1,158 @@
+//! A disk under one control process: a queue that is written and synced batch by batch, with troubles and losses of power.
+//!
+//! It keeps the promises of `lichenswitch-storage` (an image takes the place of all before it once it is whole; a torn or missing record
+//! ends the chain; what is found at a start is synced before it is used), and nothing beyond them.
+
+use std::collections::VecDeque;
+
+use fastrand::Rng;
+use lichenswitch_replication::{DurableItem, Ticket};
+
+/// Least time of a write with its sync, in microseconds.
+const SYNC: u64 = 800;
+/// Most that is added to it at random.
+const SYNC_JITTER: u64 = 1_500;
+/// Most records behind an image; then the next write is to be an image.
+const RECORDS_BEHIND_IMAGE: usize = 40;
+
+/// What is wrong with a disk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum DiskTrouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// Each sync takes so many microseconds more.
+    Slow(u64),
+    /// Nothing ends until the trouble does.
+    Stalled,
+    /// Every write fails.
+    Full,
+}
+
+/// How a batch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finished {
+    /// All up to this ticket is synced.
+    Persisted(Ticket),
+    /// The item of this ticket, and all behind it, was not written.
+    Failed(Ticket),
+    /// The disk has stalled: it ends later.
+    Waits,
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    ticket: Ticket,
+    item: DurableItem,
+}
+
+/// A disk.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    items: Vec<DurableItem>,
+    queue: VecDeque<Job>,
+    batch: Vec<Job>,
+    trouble: DiskTrouble,
+}
+
+impl Disk {
+    /// What is found at a start.
+    pub fn items(&self) -> &[DurableItem] {
+        &self.items
+    }
+
+    /// Whether nothing was ever written.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Whether the next item should be an image.
+    pub fn wants_image(&self) -> bool {
+        self.items.len() + self.batch.len() + self.queue.len() > RECORDS_BEHIND_IMAGE
+    }
+
+    /// An item to be written behind all others.
+    pub fn submit(&mut self, ticket: Ticket, item: DurableItem) {
+        self.queue.push_back(Job { ticket, item });
+    }
+
+    /// Begins to write what waits, if nothing is being written; tells for how many microseconds.
+    pub fn begin(&mut self, random: &mut Rng) -> Option<u64> {
+        if !self.batch.is_empty() || self.queue.is_empty() {
+            return None;
+        }
+        self.batch.extend(self.queue.drain(..));
+        Some(self.duration(random))
+    }
+
+    fn duration(&self, random: &mut Rng) -> u64 {
+        let slow = if let DiskTrouble::Slow(more) = self.trouble { more } else { 0 };
+        SYNC + random.u64(0..SYNC_JITTER) + slow
+    }
+
+    /// The time of the batch has passed.
+    pub fn finish(&mut self, random: &mut Rng) -> Finished {
+        let tickets = (self.batch.first().map(|job| job.ticket), self.batch.last().map(|job| job.ticket));
+        let (Some(first), Some(last)) = tickets else { return Finished::Waits };
+        match self.trouble {
+            DiskTrouble::Stalled => Finished::Waits,
+            DiskTrouble::Full => {
+                self.tear(random);
+                self.queue.clear();
+                Finished::Failed(first)
+            }
+            DiskTrouble::None | DiskTrouble::Slow(_) => {
+                for job in std::mem::take(&mut self.batch) {
+                    self.write(job.item);
+                }
+                Finished::Persisted(last)
+            }
+        }
+    }
+
+    fn write(&mut self, item: DurableItem) {
+        if matches!(item, DurableItem::Image(_)) {
+            self.items.clear();
+        }
+        self.items.push(item);
+    }
+
+    /// Sets what is wrong; tells after how many microseconds a batch that had stalled ends.
+    pub fn set_trouble(&mut self, trouble: DiskTrouble, random: &mut Rng) -> Option<u64> {
+        let stalled = self.trouble == DiskTrouble::Stalled && !self.batch.is_empty();
+        self.trouble = trouble;
+        stalled.then(|| self.duration(random))
+    }
+
+    /// What is wrong.
+    pub fn trouble(&self) -> DiskTrouble {
+        self.trouble
+    }
+
+    /// The process ends, or power is lost: what was being written is present, missing or torn.
+    pub fn stop(&mut self, random: &mut Rng) {
+        self.queue.clear();
+        if random.u32(0..4) == 0 {
+            self.batch.clear();
+        }
+        self.tear(random);
+    }
+
+    /// Of the batch, a part reaches the disk.
+    fn tear(&mut self, random: &mut Rng) {
+        let mut chain = true;
+        for job in std::mem::take(&mut self.batch) {
+            let present = random.bool();
+            let image = matches!(job.item, DurableItem::Image(_));
+            chain = present && (chain || image);
+            if chain {
+                self.write(job.item);
+            }
+        }
+    }
+
+    /// All is gone.
+    pub fn wipe(&mut self) {
+        *self = Self::default();
+    }
+}
--- /dev/null
+++ b/simulator/src/walk.rs
@@ -0,0 +1,173 @@
+//! Random walks: one fault after another from a seed, within what must be borne, then a closing fault, then the read at the end.
+
+use fastrand::Rng;
+
+use crate::disk::DiskTrouble;
+use crate::ledger::Violation;
+use crate::network::Harm;
+use crate::world::{Action, CutKind, Target, World, WorldSettings};
+
+/// Before the next loss of a disk, all that was lost has been back for so many microseconds (`catchUpS`).
+const CATCH_UP: u64 = 4_000_000;
+const SECOND: u64 = 1_000_000;
+
+/// What is walked.
+#[derive(Clone, Debug)]
+pub struct Walk {
+    /// The group and its callers.
+    pub world: WorldSettings,
+    /// Faults, one after another.
+    pub episodes: u32,
+}
+
+/// What came of a walk.
+pub struct WalkEnd {
+    /// The first rule that was broken.
+    pub violation: Option<Violation>,
+    /// The world as it stood then.
+    pub world: World,
+}
+
+/// A fault with the time that it takes, and whether disks are lost by it.
+struct Episode {
+    actions: Vec<Action>,
+    takes: u64,
+    loses_disks: bool,
+}
+
+impl Episode {
+    fn new(action: Action, takes: u64) -> Self {
+        Self { actions: vec![action], takes, loses_disks: false }
+    }
+
+    fn losing(action: Action, takes: u64) -> Self {
+        Self { loses_disks: true, ..Self::new(action, takes) }
+    }
+}
+
+/// Walks.
+pub fn walk(walk: &Walk) -> WalkEnd {
+    let mut random = Rng::with_seed(walk.world.seed ^ 0x77a1_6b5e);
+    let mut world = World::new(walk.world.clone());
+    world.run_for(4 * SECOND + random.u64(0..2 * SECOND));
+    for _ in 0..walk.episodes {
+        let episode = draw_episode(&mut random, &walk.world);
+        play(&mut world, &mut random, episode);
+        if !world.ledger.violations.is_empty() {
+            break;
+        }
+    }
+    if world.ledger.violations.is_empty() {
+        close(&mut world, &mut random);
+    }
+    let violation = world.ledger.violations.first().cloned();
+    WalkEnd { violation, world }
+}
+
+fn play(world: &mut World, random: &mut Rng, episode: Episode) {
+    if episode.loses_disks {
+        let since = world.now().since(world.last_trouble());
+        world.run_for((CATCH_UP + SECOND / 10).saturating_sub(since));
+    }
+    for action in episode.actions {
+        match random.u32(0..4) {
+            0 => world.act_after_acknowledgement(action),
+            _ => world.act_after(random.u64(0..SECOND / 5), action),
+        }
+    }
+    world.run_for(episode.takes);
+    let rest = if episode.loses_disks { CATCH_UP + SECOND } else { random.u64(0..4 * SECOND) };
+    world.run_for(rest);
+}
+
+fn draw_episode(random: &mut Rng, settings: &WorldSettings) -> Episode {
+    let target = draw_target(random);
+    match random.u32(0..18) {
+        0 => Episode::new(Action::Kill(target), SECOND),
+        1 => Episode::new(Action::PowerLoss(target), 2 * SECOND),
+        2 => Episode::losing(Action::Wipe(target), 2 * SECOND),
+        3 => Episode::losing(Action::Replace(target, random.u64(300_000..1_500_000)), 2 * SECOND),
+        4 => Episode::losing(Action::PlannedReplace(target, random.u64(0..4 * SECOND)), 9 * SECOND),
+        5 => Episode::new(Action::Terminate(target), 8 * SECOND),
+        6 | 7 => draw_freeze(random, target),
+        8..=10 => draw_cut(random, settings),
+        11 | 12 => draw_disk(random, target),
+        13 => Episode::new(Action::KillAll, 2 * SECOND),
+        14 => Episode::new(Action::PowerOffAll, 3 * SECOND),
+        15 => {
+            let duration = random.u64(SECOND / 2..5 * SECOND);
+            Episode::new(Action::LoseReplies(duration), duration)
+        }
+        16 => draw_harm(random),
+        _ => Episode {
+            actions: vec![Action::Lure(target, random.u32(1..4)), Action::RestartRouters(target)],
+            takes: SECOND,
+            loses_disks: false,
+        },
+    }
+}
+
+fn draw_target(random: &mut Rng) -> Target {
+    match random.u32(0..5) {
+        0 | 1 => Target::Primary,
+        2 => Target::Oldest,
+        _ => Target::Other(random.u32(0..16)),
+    }
+}
+
+fn draw_freeze(random: &mut Rng, target: Target) -> Episode {
+    let duration = random.u64(SECOND / 4..20 * SECOND);
+    Episode::new(Action::Freeze(target, duration), duration)
+}
+
+fn draw_cut(random: &mut Rng, settings: &WorldSettings) -> Episode {
+    let most = (settings.voters - 1) / 2;
+    let others = random.u32(0..most.max(1));
+    let mut targets = vec![draw_target(random)];
+    targets.extend((0..others).map(|_| Target::Other(random.u32(0..16))));
+    let kinds = [CutKind::Full, CutKind::Full, CutKind::Outgoing, CutKind::Incoming, CutKind::Partial];
+    let kind = kinds[random.usize(0..kinds.len())];
+    let duration = random.u64(SECOND / 2..20 * SECOND);
+    let (holds, callers_bound) = (random.bool(), random.u32(0..40));
+    let first = targets[0];
+    let cut = Action::Cut { targets, kind, duration, holds, callers_bound };
+    let mut actions = vec![cut];
+    if random.bool() {
+        actions.extend([Action::Lure(first, 3), Action::RestartRouters(first)]);
+    }
+    Episode { actions, takes: duration, loses_disks: false }
+}
+
+fn draw_disk(random: &mut Rng, target: Target) -> Episode {
+    let trouble = match random.u32(0..3) {
+        0 => DiskTrouble::Full,
+        1 => DiskTrouble::Stalled,
+        _ => DiskTrouble::Slow(random.u64(20_000..900_000)),
+    };
+    let duration = random.u64(SECOND..15 * SECOND);
+    Episode::new(Action::Disk(target, trouble, duration), duration)
+}
+
+fn draw_harm(random: &mut Rng) -> Episode {
+    let loss = random.u32(0..150);
+    let (repeat, reorder, delay) = (random.u32(0..150), random.u32(0..200), random.u64(0..20_000));
+    let duration = random.u64(SECOND..8 * SECOND);
+    Episode::new(Action::Harm(Harm { loss, repeat, reorder, delay }, duration), duration)
+}
+
+/// The closing fault comes right after an acknowledgement, when all are well.
+fn close(world: &mut World, random: &mut Rng) {
+    world.run_for(CATCH_UP + 2 * SECOND);
+    let victims = if random.bool() { Target::Oldest } else { Target::Primary };
+    let mut targets = vec![victims];
+    targets.extend((1..world.settings.tolerate).map(Target::Other));
+    let action = match random.u32(0..4) {
+        0 => Action::KillAll,
+        1 => Action::PowerOffAll,
+        2 => Action::WipeAndPowerOff(targets),
+        _ => Action::Wipe(targets[0]),
+    };
+    world.act_after_acknowledgement(action);
+    world.run_for(5 * SECOND);
+    world.finish();
+}
--- /dev/null
+++ b/simulator/src/world/machines.rs
@@ -0,0 +1,360 @@
+//! Control machines: their start and end, what comes to them, and what their processes want done.
+
+use lichenswitch_replication::{
+    DurableItem, Identity, Member, Notice, Position, Recovered, Replica, Settings, Status, Ticket, Time,
+};
+
+use super::machine::{AfterEnd, Machine};
+use super::{Event, World, FIRST_MACHINE};
+use crate::control::{ControlProcess, Effect, Replicated};
+use crate::disk::Finished;
+use crate::ledger::Violation;
+use crate::network::{Arrival, Host};
+use crate::packet::{CallId, Packet, Reply};
+
+/// Zones of the machines.
+const ZONES: u32 = 4;
+/// All machines start within so many microseconds.
+const START_SPREAD: u64 = 300_000;
+/// Machines that `seedNodes` names.
+const SEEDS: usize = 3;
+/// A process that was killed is started again after this and up to as much more.
+const RESTART: u64 = 150_000;
+
+impl World {
+    pub(super) fn set_up_machines(&mut self) {
+        let hosts: Vec<Host> = (0..self.settings.voters).map(|number| Host(FIRST_MACHINE + number)).collect();
+        for host in &hosts {
+            self.add_machine(*host, host.0 % ZONES, true);
+        }
+        let seeds: Vec<String> =
+            hosts.iter().take(SEEDS).map(|host| self.machines[host].address.clone()).collect();
+        for host in &hosts {
+            if let Some(machine) = self.machines.get_mut(host) {
+                machine.seeds.clone_from(&seeds);
+            }
+            let after = self.random.u64(0..START_SPREAD);
+            self.scheduler.after(after, Event::Start(*host));
+        }
+        self.lists.push_back((self.now(), hosts));
+    }
+
+    fn add_machine(&mut self, host: Host, zone: u32, first_start: bool) {
+        self.network.place(host, zone);
+        self.machines.insert(host, Machine::new(host, zone, first_start));
+    }
+
+    /// A new machine in the zone of another, at a new address, which starts after so many microseconds.
+    pub(super) fn add_successor(&mut self, of: Host, after: u64) -> Host {
+        let last = self.machines.keys().last().map_or(FIRST_MACHINE, |host| host.0);
+        let host = Host(last + 1);
+        let zone = self.machines[&of].zone;
+        self.add_machine(host, zone, false);
+        let mut seeds = self.listed();
+        self.random.shuffle(&mut seeds);
+        let seeds = seeds.iter().take(SEEDS).map(|seed| self.machines[seed].address.clone()).collect();
+        if let Some(machine) = self.machines.get_mut(&host) {
+            machine.seeds = seeds;
+        }
+        self.scheduler.after(after, Event::Start(host));
+        host
+    }
+
+    /// The process of a machine starts, with what its disk holds.
+    pub(super) fn start(&mut self, host: Host) {
+        let now = self.now();
+        let first_call = self.last_number << 20;
+        self.last_number += 1;
+        let runs =
+            self.machines.get(&host).is_none_or(|machine| machine.process.is_some() || machine.removed);
+        if runs {
+            return;
+        }
+        let replica = match self.replica(host) {
+            Ok(replica) => replica,
+            Err(reason) => return self.ledger.violations.push(Violation::DiskUnreadable(host, reason)),
+        };
+        self.last_trouble = now;
+        let glue = self.settings.glue;
+        let Some(machine) = self.machines.get_mut(&host) else { return };
+        machine.life += 1;
+        machine.first_start = false;
+        machine.dark = false;
+        machine.after_end = AfterEnd::Restart;
+        let identity = replica.member().identity;
+        machine.process = Some(ControlProcess::new(replica, glue, first_call));
+        self.note(|| format!("{host} starts as {identity}"));
+        self.settle(host);
+    }
+
+    fn replica(&mut self, host: Host) -> Result<Replica<Replicated>, String> {
+        let now = self.now();
+        let (seed, identity) = (self.random.u64(..), Identity(self.random.u64(1..)));
+        let settings = self.replication_settings();
+        let machine = &self.machines[&host];
+        let address = machine.address.clone();
+        let mut replica = if machine.disk.is_empty() {
+            let founds = machine.first_start && machine.seeds.first() == Some(&address);
+            let member = Member { identity, address };
+            let state =
+                Replicated { forgets_history: self.settings.glue.history_lost, ..Replicated::default() };
+            match founds {
+                true => Replica::found(settings, member, state, seed, now),
+                false => Replica::newcomer(settings, member, seed, now),
+            }
+        } else {
+            let items: Vec<DurableItem> = machine.disk.items().to_vec();
+            let recovered = Recovered::from_items(items).map_err(|error| error.to_string())?;
+            Replica::recover(settings, address, recovered, seed, now).map_err(|error| error.to_string())?
+        };
+        replica.set_peers(machine.seeds.clone());
+        Ok(replica)
+    }
+
+    fn replication_settings(&self) -> Settings {
+        Settings {
+            fault_tolerance: self.settings.tolerate,
+            faults: self.settings.faults,
+            ..Settings::default()
+        }
+    }
+
+    /// A process ends: killed, or because power is lost (`dark`). What was under way ends with a reset, or with nothing.
+    pub(super) fn stop(&mut self, host: Host, dark: bool) {
+        self.last_trouble = self.now();
+        let Some(machine) = self.machines.get_mut(&host) else { return };
+        machine.life += 1;
+        machine.dark = dark;
+        machine.frozen = false;
+        machine.backlog.clear();
+        machine.disk.stop(&mut self.random);
+        let Some(process) = machine.process.take() else { return };
+        self.wakes.remove(&host);
+        let (calls, connections) = process.open();
+        for call in calls {
+            self.reply(host, *call, Reply::Closed, dark);
+        }
+        for connection in connections.into_iter().filter(|_| !dark) {
+            self.send_to_router(host, connection, None);
+        }
+        self.note(|| format!("{host} ends{}", if dark { " without power" } else { "" }));
+    }
+
+    /// Starts a process again after the usual delay.
+    pub(super) fn restart(&mut self, host: Host) {
+        let after = RESTART + self.random.u64(0..2 * RESTART);
+        self.scheduler.after(after, Event::Start(host));
+    }
+
+    pub(super) fn on_machine_arrival(&mut self, arrival: Arrival<Packet>) {
+        let Some(machine) = self.machines.get_mut(&arrival.to) else { return };
+        if machine.frozen {
+            return machine.backlog.push(Event::Arrive(arrival));
+        }
+        if machine.process.is_none() {
+            return self.reset(arrival);
+        }
+        let now = self.now();
+        let from = self.machines.get(&arrival.from).map(|machine| machine.address.clone());
+        let Some(process) = self.process(arrival.to) else { return };
+        match arrival.packet {
+            Packet::Peer(message) => process.on_peer(now, &from.unwrap_or_default(), message),
+            Packet::Call(id, question) => process.on_call(now, id, question),
+            Packet::FromRouter(id, message) => process.on_router(id, now, message),
+            Packet::Reply(..) | Packet::ToRouter(..) => {}
+        }
+        self.settle(arrival.to);
+    }
+
+    /// Nobody listens there: the connection is reset, unless the machine has no power.
+    fn reset(&mut self, arrival: Arrival<Packet>) {
+        if self.machines[&arrival.to].dark {
+            return;
+        }
+        match arrival.packet {
+            Packet::Call(id, _) => self.reply(arrival.to, id, Reply::Closed, false),
+            Packet::FromRouter(id, Some(_)) => {
+                self.send(arrival.to, arrival.from, Packet::ToRouter(id, None), false);
+            }
+            _ => {}
+        }
+    }
+
+    fn process(&mut self, host: Host) -> Option<&mut ControlProcess> {
+        self.machines.get_mut(&host)?.process.as_mut()
+    }
+
+    pub(super) fn wake_machine(&mut self, host: Host) {
+        let now = self.now();
+        let Some(machine) = self.machines.get_mut(&host) else { return };
+        if machine.frozen {
+            return machine.backlog.push(Event::Wake(host, now));
+        }
+        if let Some(process) = self.process(host) {
+            process.tick(now);
+        }
+        self.settle(host);
+    }
+
+    pub(super) fn on_disk_done(&mut self, host: Host, life: u64) {
+        let now = self.now();
+        let Some(machine) = self.machines.get_mut(&host).filter(|machine| machine.life == life) else {
+            return;
+        };
+        if machine.frozen {
+            return machine.backlog.push(Event::DiskDone(host, life));
+        }
+        let finished = machine.disk.finish(&mut self.random);
+        if let Some(process) = &mut machine.process {
+            match finished {
+                Finished::Persisted(ticket) => process.on_persisted(now, ticket),
+                Finished::Failed(ticket) => process.on_persist_failed(now, ticket),
+                Finished::Waits => {}
+            }
+        }
+        self.begin_write(host);
+        self.settle(host);
+    }
+
+    fn begin_write(&mut self, host: Host) {
+        let Some(machine) = self.machines.get_mut(&host) else { return };
+        let life = machine.life;
+        if let Some(duration) = machine.disk.begin(&mut self.random) {
+            self.scheduler.after(duration, Event::DiskDone(host, life));
+        }
+    }
+
+    /// Does what a process wants done.
+    pub(super) fn settle(&mut self, host: Host) {
+        let now = self.now();
+        let Some(process) = self.process(host) else { return };
+        let effects = process.take_effects(now);
+        for effect in effects {
+            self.do_effect(host, effect);
+        }
+        let Some(process) = self.process(host) else { return };
+        let wake = process.next_wake();
+        self.wake_at(host, wake);
+    }
+
+    fn do_effect(&mut self, host: Host, effect: Effect) {
+        match effect {
+            Effect::Persist(ticket, item) => self.persist(host, ticket, item),
+            Effect::SendPeer(to, message) => self.send_peer(host, &to, Packet::Peer(message)),
+            Effect::Reply(id, reply) => self.reply(host, id, reply, false),
+            Effect::ToRouter(id, message) => self.send_to_router(host, id, Some(message)),
+            Effect::Committed(position) => self.on_committed(host, position),
+            Effect::Notice(notice) => self.on_notice(host, &notice),
+            Effect::End => self.on_end(host),
+        }
+    }
+
+    /// A segment that is nearly full begins anew with everything that the item and those before it come to.
+    fn persist(&mut self, host: Host, ticket: Ticket, item: DurableItem) {
+        let Some(machine) = self.machines.get_mut(&host) else { return };
+        let whole = machine.process.as_ref().filter(|_| machine.disk.wants_image());
+        let item = whole.and_then(|process| process.replica().image_for(ticket)).unwrap_or(item);
+        machine.disk.submit(ticket, item);
+        self.begin_write(host);
+    }
+
+    fn send_peer(&mut self, host: Host, to: &str, packet: Packet) {
+        self.counts.messages += 1;
+        if let Packet::Peer(lichenswitch_messages::PeerMessage::Replication(bytes)) = &packet {
+            self.counts.bytes += bytes.len() as u64;
+        }
+        let to = self.machines.values().find(|machine| machine.address == to).map(|machine| machine.host);
+        if let Some(to) = to {
+            self.send(host, to, packet, true);
+        }
+    }
+
+    /// Ends a call; where the machine has no power, nobody hears of it.
+    pub(super) fn reply(&mut self, host: Host, id: CallId, reply: Reply, dark: bool) {
+        let now = self.now();
+        let acknowledged = self.ledger.on_reply(now, host, id, &reply);
+        let caller = self.caller_of(id);
+        if let Some(caller) = caller.filter(|_| !dark && !self.replies_lost) {
+            self.send(host, caller, Packet::Reply(id, reply), false);
+        }
+        if let Some(action) = self.armed.take_if(|_| acknowledged) {
+            self.act_after(0, action);
+        }
+    }
+
+    fn on_committed(&mut self, host: Host, position: Position) {
+        let Some(process) = self.machines.get(&host).and_then(|machine| machine.process.as_ref()) else {
+            return;
+        };
+        // Several positions may have been committed at once: only the last one's state is here.
+        if let Some((here, replicated)) = process.replica().committed().filter(|(here, _)| *here == position)
+        {
+            self.ledger.on_committed(host, here, replicated);
+        }
+    }
+
+    fn on_notice(&mut self, host: Host, notice: &Notice) {
+        if let Notice::ImageReceived { bytes, .. } = notice {
+            self.counts.images += 1;
+            self.counts.largest_image = self.counts.largest_image.max(*bytes);
+        }
+        self.note(|| format!("{host} {notice:?}"));
+    }
+
+    /// The process has ended by itself, as it was told to.
+    fn on_end(&mut self, host: Host) {
+        let Some(machine) = self.machines.get(&host) else { return };
+        let after_end = machine.after_end;
+        self.stop(host, after_end == AfterEnd::Remove);
+        match after_end {
+            AfterEnd::Restart => self.restart(host),
+            AfterEnd::Remove => self.remove(host),
+        }
+    }
+
+    /// A machine is gone for good.
+    pub(super) fn remove(&mut self, host: Host) {
+        self.last_trouble = self.now();
+        if let Some(machine) = self.machines.get_mut(&host) {
+            machine.removed = true;
+            machine.dark = true;
+        }
+        self.note(|| format!("{host} is removed"));
+    }
+
+    /// Machines that have not been removed.
+    pub fn core(&self) -> Vec<Host> {
+        self.machines.values().filter(|machine| !machine.removed).map(|machine| machine.host).collect()
+    }
+
+    /// How a machine's replica sees itself.
+    pub fn status(&self, host: Host) -> Option<Status> {
+        let process = self.machines.get(&host)?.process.as_ref()?;
+        Some(process.replica().status(self.now()))
+    }
+
+    /// The machine that serves as primary, of the highest epoch.
+    pub fn primary(&self) -> Option<Host> {
+        let serving = self.machines.values().filter_map(|machine| {
+            let replica = machine.process.as_ref()?.replica();
+            replica.is_serving().then(|| (replica.promised(), machine.host))
+        });
+        serving.max().map(|(_, host)| host)
+    }
+
+    /// The committed state at a machine.
+    pub fn committed(&self, host: Host) -> Option<(Position, &Replicated)> {
+        self.machines.get(&host)?.process.as_ref()?.replica().committed()
+    }
+
+    /// Bytes of the encoded state at the primary.
+    pub fn state_bytes(&self) -> usize {
+        let committed = self.primary().and_then(|host| self.committed(host));
+        committed.map_or(0, |(_, replicated)| replicated.state.encode().len())
+    }
+
+    /// When something last went wrong or came back.
+    pub fn last_trouble(&self) -> Time {
+        self.last_trouble
+    }
+}
--- /dev/null
+++ b/simulator/src/world/mod.rs
@@ -0,0 +1,285 @@
+//! A group of control machines, its callers, and time.
+
+mod act;
+mod action;
+mod around;
+mod check;
+mod machine;
+mod machines;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use fastrand::Rng;
+use lichenswitch_replication::{Faults, Time};
+
+pub use self::action::{Action, CutKind, Target};
+use self::machine::Machine;
+use crate::callers::{Operator, Pace, Reader, Router};
+use crate::control::GlueFaults;
+use crate::ledger::Ledger;
+use crate::network::{Arrival, CutId, Host, Network};
+use crate::packet::Packet;
+use crate::scheduler::Scheduler;
+
+/// Where a run begins; not 0, as a time of 0 may be taken for none.
+const BEGIN: Time = Time(1_000_000);
+/// Between two looks at what must hold at all times.
+const CHECK_INTERVAL: u64 = 100_000;
+/// Numbers of hosts.
+const FIRST_MACHINE: u32 = 1;
+const FIRST_OPERATOR: u32 = 1_000;
+const FIRST_READER: u32 = 2_000;
+const FIRST_ROUTER: u32 = 3_000;
+/// The operators' list lags by so many microseconds (`seedLagS`).
+const LIST_LAG: u64 = 3_000_000;
+/// Lines of the trace that are kept.
+const MOST_TRACE: usize = 100_000;
+
+/// What a run consists of.
+#[derive(Clone, Debug)]
+pub struct WorldSettings {
+    /// Seed of all that is random.
+    pub seed: u64,
+    /// Control machines at the start.
+    pub voters: u32,
+    /// Losses that must be borne.
+    pub tolerate: u32,
+    /// Operators.
+    pub operators: u32,
+    /// Readers.
+    pub readers: u32,
+    /// Routers.
+    pub routers: u32,
+    /// How fast the operators work.
+    pub pace: Pace,
+    /// Planted faults of replication.
+    pub faults: Faults,
+    /// Planted faults of the glue.
+    pub glue: GlueFaults,
+    /// Whether a trace is kept.
+    pub trace: bool,
+}
+
+impl WorldSettings {
+    /// A group of four that must bear one loss, with two operators, a reader and three routers.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            voters: 4,
+            tolerate: 1,
+            operators: 2,
+            readers: 1,
+            routers: 3,
+            pace: Pace::default(),
+            faults: Faults::default(),
+            glue: GlueFaults::default(),
+            trace: false,
+        }
+    }
+}
+
+/// What happens at a time.
+#[derive(Debug)]
+enum Event {
+    Arrive(Arrival<Packet>),
+    Wake(Host, Time),
+    DiskDone(Host, u64),
+    Start(Host),
+    Act(Action),
+    Undo(Undo),
+    Check,
+}
+
+/// The end of a fault.
+#[derive(Clone, Copy, Debug)]
+enum Undo {
+    Thaw(Host),
+    Heal(CutId),
+    Disk(Host),
+    Harm,
+    Replies,
+}
+
+/// Counts of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    /// Messages between control machines.
+    pub messages: u64,
+    /// Bytes of them.
+    pub bytes: u64,
+    /// Faults that were brought about.
+    pub faults: u64,
+    /// Largest image that was taken from a peer, in bytes.
+    pub largest_image: usize,
+    /// Images that were taken from a peer.
+    pub images: u64,
+}
+
+/// A run.
+pub struct World {
+    /// What it consists of.
+    pub settings: WorldSettings,
+    /// What was told, and what was broken.
+    pub ledger: Ledger,
+    /// What was counted.
+    pub counts: Counts,
+    scheduler: Scheduler<Event>,
+    random: Rng,
+    network: Network<Packet>,
+    machines: BTreeMap<Host, Machine>,
+    operators: BTreeMap<Host, Operator>,
+    readers: BTreeMap<Host, Reader>,
+    routers: BTreeMap<Host, Router>,
+    wakes: BTreeMap<Host, Time>,
+    woken: BTreeMap<Host, u32>,
+    lists: VecDeque<(Time, Vec<Host>)>,
+    last_number: u64,
+    /// Who made a call or connection.
+    owners: BTreeMap<u64, Host>,
+    last_trouble: Time,
+    harmed: bool,
+    replies_lost: bool,
+    /// A fault that is brought about with the next acknowledgement.
+    armed: Option<Action>,
+    trace: VecDeque<String>,
+}
+
+impl World {
+    /// A group that starts for the first time: all machines within 0.3 s.
+    pub fn new(settings: WorldSettings) -> Self {
+        let mut random = Rng::with_seed(settings.seed);
+        let network = Network::new(random.u64(..));
+        let mut world = Self {
+            ledger: Ledger::default(),
+            counts: Counts::default(),
+            scheduler: Scheduler::new(BEGIN),
+            random,
+            network,
+            machines: BTreeMap::new(),
+            operators: BTreeMap::new(),
+            readers: BTreeMap::new(),
+            routers: BTreeMap::new(),
+            wakes: BTreeMap::new(),
+            woken: BTreeMap::new(),
+            lists: VecDeque::new(),
+            last_number: 0,
+            owners: BTreeMap::new(),
+            last_trouble: BEGIN,
+            harmed: false,
+            replies_lost: false,
+            armed: None,
+            trace: VecDeque::new(),
+            settings,
+        };
+        world.set_up_machines();
+        world.set_up_callers();
+        world.scheduler.after(0, Event::Check);
+        world
+    }
+
+    /// The time.
+    pub fn now(&self) -> Time {
+        self.scheduler.now()
+    }
+
+    /// Runs for so many microseconds, or until a rule is broken.
+    pub fn run_for(&mut self, microseconds: u64) {
+        let until = self.now().after(microseconds);
+        while self.ledger.violations.is_empty() {
+            let Some(event) = self.scheduler.next(until) else { return };
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(arrival) => self.on_arrival(arrival),
+            Event::Wake(host, at) => self.on_wake(host, at),
+            Event::DiskDone(host, life) => self.on_disk_done(host, life),
+            Event::Start(host) => self.start(host),
+            Event::Act(action) => self.act(action),
+            Event::Undo(undo) => self.undo(undo),
+            Event::Check => {
+                self.check();
+                self.scheduler.after(CHECK_INTERVAL, Event::Check);
+            }
+        }
+    }
+
+    /// Brings a fault about after so many microseconds.
+    pub fn act_after(&mut self, microseconds: u64, action: Action) {
+        self.scheduler.after(microseconds, Event::Act(action));
+    }
+
+    /// Brings a fault about with the next acknowledgement that an operator gets.
+    pub fn act_after_acknowledgement(&mut self, action: Action) {
+        self.armed = Some(action);
+    }
+
+    /// Brings a fault about with the next acknowledgement, or at once if one waits for that already.
+    pub fn act_after_acknowledgement_or_now(&mut self, action: Action) {
+        match self.armed {
+            None => self.armed = Some(action),
+            Some(_) => self.act_after(0, action),
+        }
+    }
+
+    /// The trace, the oldest line first.
+    pub fn trace(&self) -> impl Iterator<Item = &str> {
+        self.trace.iter().map(String::as_str)
+    }
+
+    fn note(&mut self, text: impl FnOnce() -> String) {
+        if !self.settings.trace {
+            return;
+        }
+        if self.trace.len() >= MOST_TRACE {
+            self.trace.pop_front();
+        }
+        let now = self.now();
+        self.trace.push_back(format!("{:>9.3} {}", now.since(BEGIN) as f64 / 1e6, text()));
+    }
+
+    fn send(&mut self, from: Host, to: Host, packet: Packet, lossy: bool) {
+        let now = self.now();
+        for arrival in self.network.send(now, from, to, packet, lossy) {
+            self.scheduler.at(arrival.at, Event::Arrive(arrival));
+        }
+    }
+
+    fn on_arrival(&mut self, arrival: Arrival<Packet>) {
+        if self.machines.contains_key(&arrival.to) {
+            self.on_machine_arrival(arrival);
+        } else {
+            self.on_caller_arrival(arrival);
+        }
+    }
+
+    /// Has a host woken at this time, if it isn't before.
+    fn wake_at(&mut self, host: Host, at: Time) {
+        let at = at.max(self.now().after(1));
+        if at.0 == u64::MAX || self.wakes.get(&host).is_some_and(|wake| *wake <= at) {
+            return;
+        }
+        self.wakes.insert(host, at);
+        self.scheduler.at(at, Event::Wake(host, at));
+    }
+
+    fn on_wake(&mut self, host: Host, at: Time) {
+        if self.wakes.get(&host) != Some(&at) {
+            return;
+        }
+        self.wakes.remove(&host);
+        *self.woken.entry(host).or_default() += 1;
+        if self.machines.contains_key(&host) {
+            self.wake_machine(host);
+        } else {
+            self.wake_caller(host);
+        }
+    }
+
+    /// The control machines on the operators' list.
+    fn listed(&self) -> Vec<Host> {
+        self.lists.front().map(|(_, list)| list.clone()).unwrap_or_default()
+    }
+}
