--- a/decide/replication/src/message.rs
+++ b/decide/replication/src/message.rs
@@ -6,7 +6,7 @@
 
 use crate::durable::Record;
 use crate::membership::Membership;
-use crate::types::{Epoch, Member, Position};
+use crate::types::{Epoch, Identity, Member, Position};
 
 /// Most bytes of an image in one message.
 pub const CHUNK_BYTES: usize = 32 * 1024;
@@ -129,6 +129,8 @@
 #[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq, Eq, Hash)]
 #[rkyv(attr(allow(missing_docs)))]
 pub struct Append {
+    /// Whom it is for. A new disk at the address of an old one is not meant.
+    pub to: Identity,
     /// Epoch of the primary.
     pub epoch: Epoch,
     /// Number of the round that it asks to confirm.
--- a/decide/replication/src/replica/primary.rs
+++ b/decide/replication/src/replica/primary.rs
@@ -285,13 +285,13 @@
         };
         let take_image = peer.answered && !current && kept.is_none();
         let records = if current || just_sent { Vec::new() } else { kept.unwrap_or_default() };
-        let to = peer.member.address.clone();
+        let address = peer.member.address.clone();
         let (epoch, round) = (primary.epoch, primary.rounds.current);
         if let (Some(last), Some(peer)) = (records.last(), primary.peers.get_mut(&identity)) {
             peer.sent = Some((last.position, now));
         }
-        let append = Append { epoch, round, in_contact, head, committed, records, take_image };
-        self.send(&to, Body::Append(append));
+        let append = Append { to: identity, epoch, round, in_contact, head, committed, records, take_image };
+        self.send(&address, Body::Append(append));
     }
 
     pub(super) fn on_append_response(&mut self, now: Time, from: Member, epoch: Epoch, told: Told) {
--- a/decide/replication/tests/values.rs
+++ b/decide/replication/tests/values.rs
@@ -66,7 +66,8 @@
     let epoch = Epoch { counter: 3, primary: Identity(1) };
     let (head, committed) = (position(3, 9), position(3, 8));
     let (round, in_contact, records, take_image) = (77, true, Vec::new(), false);
-    let append = Append { epoch, round, in_contact, head, committed, records, take_image };
+    let to = Identity(2);
+    let append = Append { to, epoch, round, in_contact, head, committed, records, take_image };
     let message = Message { from: member(1), body: Body::Append(append) };
     let bytes = message.encode();
     println!("a heartbeat has {} bytes", bytes.len());
