Tell routers and servers of contact only while what is committed here is current

Change: Replica::is_current looks at what the primary tells as committed; a router takes an offer on the word of its own sender only; a call that came back no longer spins the loop.

--- a/decide/replication/src/replica/append.rs
+++ b/decide/replication/src/replica/append.rs
@@ -12,6 +12,11 @@
         if from.identity != append.epoch.primary {
             return;
         }
+        if append.to != self.me.identity {
+            // It is for another disk at this address, which is gone: this member has yet to knock there.
+            self.set_peers(vec![from.address]);
+            return;
+        }
         if append.epoch < self.promised {
             let promised = self.promised;
             self.send(&from.address, Body::Refusal { epoch: append.epoch, promised });
@@ -22,6 +27,7 @@
             self.take_records(now, &append);
         }
         self.take_committed(&append);
+        self.note_lag(now, append.committed);
         self.consider_image(now, &from, &append);
         let round = self.known.as_ref().map_or(append.round, |known| known.round);
         self.answer_append(now, &from.address, append.epoch, round);
@@ -86,6 +92,13 @@
         }
     }
 
+    /// Takes note of since when less is known here as committed than the primary tells.
+    fn note_lag(&mut self, now: Time, committed: Position) {
+        let here = self.committed.as_ref().map(|(position, _)| *position).unwrap_or_default();
+        let Some(known) = &mut self.known else { return };
+        known.behind_since = (here < committed).then(|| known.behind_since.unwrap_or(now));
+    }
+
     /// The image in memory stands at `position`, on the primary's chain; everything up to `committed` is committed.
     fn note_committed(&mut self, position: Position, committed: Position) {
         let news = self.committed.as_ref().is_none_or(|(known, _)| *known < position);
@@ -105,5 +118,12 @@
 }
 
 fn known_primary(now: Time, from: &Member, epoch: Epoch) -> KnownPrimary {
-    KnownPrimary { member: from.clone(), epoch, round: 0, heard_at: now, confirmed_at: None }
+    KnownPrimary {
+        member: from.clone(),
+        epoch,
+        round: 0,
+        heard_at: now,
+        confirmed_at: None,
+        behind_since: None,
+    }
 }
--- a/decide/replication/src/replica/mod.rs
+++ b/decide/replication/src/replica/mod.rs
@@ -92,6 +92,8 @@
     heard_at: Time,
     /// When it last said that a quorum confirms it.
     confirmed_at: Option<Time>,
+    /// Since when it has told of more that is committed than is known here.
+    behind_since: Option<Time>,
 }
 
 impl<S: ReplicatedState> Replica<S> {
--- a/decide/replication/src/replica/show.rs
+++ b/decide/replication/src/replica/show.rs
@@ -39,6 +39,14 @@
         known.and_then(|known| known.confirmed_at).is_some_and(recent)
     }
 
+    /// Whether what is committed here is what a confirmed primary tells, but for a moment: contact alone is not enough, since a full
+    /// disk or a link cut one way leaves a member behind that still hears the primary.
+    pub fn is_current(&self, now: Time) -> bool {
+        let behind = self.known.as_ref().and_then(|known| known.behind_since);
+        let lags = behind.is_some_and(|since| now.since(since) >= self.settings.most_lag);
+        self.in_contact(now) && (self.lead().is_some() || !lags)
+    }
+
     /// The primary that this member knows, itself included.
     pub fn primary(&self) -> Option<&Member> {
         if self.lead().is_some() {
--- a/decide/replication/src/settings.rs
+++ b/decide/replication/src/settings.rs
@@ -9,6 +9,8 @@
     pub election_timeout: u64,
     /// A primary that no quorum confirmed for so long steps down; others are out of contact. Default 600 ms.
     pub contact_timeout: u64,
+    /// A member that lacks for so long what the primary tells as committed is not current. Default 300 ms.
+    pub most_lag: u64,
     /// Silence of a voter after which a newcomer may take its place. Default 1 s.
     pub replace_after: u64,
     /// Silence of a voter after which it is removed without a replacement. Default 5 s.
@@ -40,6 +42,7 @@
             heartbeat_interval: 100_000,
             election_timeout: 500_000,
             contact_timeout: 600_000,
+            most_lag: 300_000,
             replace_after: 1_000_000,
             remove_after: 5_000_000,
             fault_tolerance: 1,
--- a/fleet/src/control/contact.rs
+++ b/fleet/src/control/contact.rs
@@ -20,9 +20,9 @@
 }
 
 impl Machine {
-    /// Whether what is told here is in touch with a quorum.
+    /// Whether what is told here is in touch with a quorum, and current.
     pub(super) fn in_contact(&self, now: Time) -> bool {
-        let own = self.group.as_ref().is_some_and(|group| group.replica.in_contact(to_replica(now)));
+        let own = self.group.as_ref().is_some_and(|group| group.replica.is_current(to_replica(now)));
         self.leaving.is_none() && (own || self.feed.primary(now).is_some())
     }
 
--- a/fleet/src/control/relayed_calls.rs
+++ b/fleet/src/control/relayed_calls.rs
@@ -83,8 +83,12 @@
 
     /// Hands on what can be handed on.
     pub(super) fn advance(&mut self, now: Time, primary: Primary) {
-        for held in std::mem::take(&mut self.held) {
+        for mut held in std::mem::take(&mut self.held) {
             let may_go = held.not_before <= now;
+            if may_go {
+                // The pause is over: what is waited for now wakes by itself.
+                held.not_before = held.call.arrived;
+            }
             match primary {
                 _ if held.call.patience() <= now => {
                     self.steps.push(Step::Answer(held.call, RelayedAnswer::NotPrimary));
--- a/fleet/src/router/control_link.rs
+++ b/fleet/src/router/control_link.rs
@@ -71,11 +71,19 @@
     /// The one that is applied.
     applied: Option<ConfigurationPosition>,
     /// One from a control machine without contact, kept while there is none from another.
-    unconfirmed: Option<(ConfigurationPosition, Vec<u8>)>,
+    unconfirmed: Option<Offer>,
     /// A look is due then.
     look_at: Option<Time>,
 }
 
+/// A configuration that waits to be taken.
+struct Offer {
+    /// The connection on which it came.
+    from: ConnId,
+    position: ConfigurationPosition,
+    document: Vec<u8>,
+}
+
 impl ControlLink {
     /// A link that is not connected yet.
     #[must_use]
@@ -179,7 +187,11 @@
             ControlToRouter::Configuration { push, position, document } => {
                 connection.push = connection.push.max(push);
                 if self.applied.is_none_or(|applied| applied < position) {
-                    self.unconfirmed = Some((position, document));
+                    let older = self.unconfirmed.as_ref().is_some_and(|offer| offer.position > position);
+                    if !older {
+                        let from = connection.id;
+                        self.unconfirmed = Some(Offer { from, position, document });
+                    }
                     news.extend(self.take_unconfirmed(now));
                 }
             }
@@ -193,11 +205,12 @@
     /// A configuration that waited is taken once its sender is in contact, once another is in force already (it is committed, and
     /// newer), or once a router without any has waited for long enough.
     fn take_unconfirmed(&mut self, now: Time) -> Option<News> {
-        let in_contact = self.connection.as_ref().is_some_and(|c| c.in_contact);
+        let in_contact = self.connection.as_ref().filter(|c| c.in_contact).map(|c| c.id);
         let waited = now.since(self.started) >= UNCONFIRMED_AFTER;
-        let may = in_contact || waited || self.applied.is_some();
-        let (position, document) = self.unconfirmed.take_if(|_| may)?;
-        Some(News::Configuration(position, document))
+        let may = waited || self.applied.is_some();
+        // Contact vouches for what came from the same machine: another one may have been cut off for long.
+        let offer = self.unconfirmed.take_if(|offer| may || in_contact == Some(offer.from))?;
+        Some(News::Configuration(offer.position, offer.document))
     }
 
     fn connect(&mut self, net: &mut Net) {
