--- a/decide/agree/src/genesis.rs
+++ b/decide/agree/src/genesis.rs
@@ -83,7 +83,7 @@
     /// The voter `own` of those named, which the operators' file names; `begun`: the genesis that it has kept.
     ///
     /// ```
-    /// use lichenswitch_agree::genesis::{Gather, Identity, Why};
+    /// use lichenswitch_agree::genesis::{Gather, Identity, Reason};
     /// let own = |name: &str, memory| Identity { name: name.into(), memory };
     /// let names: Vec<String> = ["a", "b", "c"].map(Into::into).into();
     /// let mut a = Gather::new(own("a", 1), &names, None);
@@ -95,7 +95,7 @@
     /// // c comes back without its memory: it is another one.
     /// let mut c = Gather::new(own("c", 4), &names, None);
     /// assert!(!c.on_who(&a.who()));
-    /// assert_eq!(c.why(), &Why::Forgot(own("c", 3)));
+    /// assert_eq!(c.why(), &Reason::Forgot(own("c", 3)));
     /// ```
     #[must_use]
     pub fn new(own: Identity, names: &[String], begun: Option<Genesis>) -> Gather {
