Split the decision module by concern: choice, ends, health, the list, tuned values

Change: a file each for choice of replicas, ends and admission of queries, health of servers, the list and cold servers, and the tuned values; Query moves to stats, beside Server.

--- /dev/null
+++ b/policy/src/choice.rs
@@ -0,0 +1,213 @@
+//! Choice of replicas: first attempts, retries and copies, within the limits on them.
+
+use super::*;
+
+impl Coordinator {
+    pub(super) fn holders(&self, shard: Shard) -> impl Iterator<Item = (ServerId, &Server)> {
+        let (cells, width) = (self.set.layout.cells, self.set.layout.width);
+        let near = (0..width.min(cells)).map(move |j| (shard.0 % cells + j) % cells);
+        near.filter_map(|cell| self.cells.get(&cell)).flatten().map(|id| (*id, &self.servers[id]))
+    }
+
+    /// Own parts pending at the server that a part would go to; `None`: no server takes it now.
+    #[must_use]
+    pub fn pending_for(&self, shard: Shard, class: usize) -> Option<f64> {
+        let open = self.holders(shard).filter(|(_, s)| !self.closed(s));
+        open.min_by_key(|(_, s)| self.rank(s, class)).map(|(_, s)| s.pending())
+    }
+
+    /// How many of the ready servers are avoided by choice: passed over for queries of some class, and sent
+    /// nothing for a while.
+    #[must_use]
+    pub fn avoided(&self) -> usize {
+        let rests = |s: &Server| s.pending() == 0.0 && self.now.since(s.used) > AVOIDED;
+        let classes = 0..self.set.classes.len();
+        let passed_over = |s: &&Server| rests(s) && classes.clone().any(|class| self.rank(s, class).0 > 0);
+        self.servers.values().filter(|s| s.mode == Mode::Ready).filter(passed_over).count()
+    }
+
+    /// Whether a cold server has used up its allowance: nothing is sent, rather than push it over.
+    pub(super) fn closed(&self, s: &Server) -> bool {
+        self.cold_tokens(s).is_some_and(|(_, call)| call == 0)
+    }
+
+    /// Whether a part joins a call opened this turn.
+    pub(super) fn joins(&self, s: &Server) -> bool {
+        s.calls.last().is_some_and(|c| c.id >= self.first_call && c.size < self.set.layout.parts_a_call)
+    }
+
+    /// How little a server is wanted: its class of trust, then the calls it would have pending.
+    pub(super) fn rank(&self, s: &Server, class: usize) -> (u8, usize) {
+        let half = self.memory();
+        let fault = |which| s.faults.get(which).map_or(0.0, |f: &Aged| f.left(self.now, half));
+        let fault = fault(class).max(fault(self.set.classes.len())).max(self.way_fault(s.zone));
+        let tier = if fault > FAULTY[usize::from(half > FAULT_HALF)] { 1 + (fault * 4.0) as u8 } else { 0 };
+        // One that is about to be taken out comes after all that are trusted.
+        let tier = tier.max(u8::from(s.mode == Mode::Leaving));
+        let pending = s.calls.iter().filter(|c| c.counts(self.now)).count() + s.running as usize;
+        (tier, pending + usize::from(!self.joins(s)))
+    }
+
+    /// Sends what a query still has to send: first attempts together, then retries and copies.
+    pub(super) fn dispatch(&mut self, id: QueryId, out: &mut Vec<Action>) {
+        let Some(q) = self.queries.get(&id) else { return };
+        let after = self.copy_after(q);
+        let (now, mut open, mut again) = (self.now, Vec::new(), Vec::new());
+        for i in q.agenda.now(self.now) {
+            let p = &q.parts[i];
+            match p.tries.last() {
+                None => open.push(i),
+                // Guards the attempts left where nobody is at any holder; a full one may have a place soon.
+                Some(t) if p.out().next().is_none() => {
+                    let all = p.unmet && p.tries.len() >= self.set.layout.width as usize;
+                    let told = self.set.limits.second_copies || t.fate == Fate::NeverRan;
+                    let rests = all && now < t.sent.plus(LOOK) || !told && now < t.ended.plus(TRAVEL);
+                    again.extend((!rests && self.may_send(q, p, false)).then_some((i, false)));
+                }
+                Some(t) if self.now >= t.sent.plus(after / p.tries.len() as u64) => {
+                    again.extend(self.may_send(q, p, true).then_some((i, true)));
+                }
+                Some(_) => {}
+            }
+        }
+        if q.ahead {
+            let out = q.parts.iter().flat_map(Part::out).count();
+            open.truncate(usize::from(out == 0));
+            again.retain(|&(_, copy)| copy == (out > 0));
+            again.truncate(1 - open.len());
+        }
+        self.send_first(id, &open, out);
+        again.into_iter().for_each(|(i, copy)| self.send_again(id, i, copy, out));
+    }
+
+    /// First attempts: each part to a replica with the fewest calls pending. Of equals the one that most
+    /// of the query's open parts can share, so that neighbours travel in one call, then the own zone.
+    pub(super) fn send_first(&mut self, id: QueryId, open: &[usize], out: &mut Vec<Action>) {
+        let Some(q) = self.queries.get(&id).filter(|_| !open.is_empty()) else { return };
+        let (class, room) = (q.class, self.set.layout.parts_a_call as usize);
+        let holders = |i: usize| self.holders(q.parts[i].shard).map(|h| h.0).collect();
+        let parts = open.iter().map(|&i| (i, holders(i))).collect();
+        let mut wanted = Wanted::new(parts, room > 1, |server| self.bid(&self.servers[&server], class));
+        while let Some((server, mut parts)) = wanted.best(&mut self.rng) {
+            let cold = self.cold_tokens(&self.servers[&server]);
+            parts.truncate(cold.map_or(room, |(_, call)| room.min(call)));
+            parts.iter().for_each(|&i| self.send(id, i, server, out));
+            wanted.sent(server, &parts, self.bid(&self.servers[&server], class));
+        }
+    }
+
+    pub(super) fn bid(&self, s: &Server, class: usize) -> Bid<(u8, usize)> {
+        let rank = (!self.closed(s)).then(|| self.rank(s, class));
+        Bid { rank, joins: self.joins(s), near: s.zone == self.set.zone }
+    }
+
+    pub(super) fn send(&mut self, id: QueryId, i: usize, server: ServerId, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(s) = self.servers.get(&server) else { return };
+        let (tokens, joined) = (self.cold_tokens(s).map_or(0.0, |t| t.0), self.joins(s));
+        let Some(q) = self.queries.get(&id) else { return };
+        let timeout = self.end_of(q).since(now).max(1);
+        let fresh = q.ahead || self.class(q).repeat == Repeat::Unsafe || self.reaped();
+        let copy_after = self.copy_after(q);
+        let (Some(q), Some(s)) = (self.queries.get_mut(&id), self.servers.get_mut(&server)) else { return };
+        s.calls.retain(|c| c.counts(now));
+        let p = &mut q.parts[i];
+        let (attempt, depth) = (p.tries.len() as u16, s.pending());
+        if !joined {
+            s.calls.push(Call { id: self.calls, sent: now, left: 0, size: 0, ghost: None });
+            self.calls += 1;
+        }
+        let Some(call) = s.calls.last_mut() else { return };
+        call.left += 1;
+        call.size += 1;
+        (s.cold_tokens, s.filled_at) = (tokens - 1.0, now);
+        let norm = q.class * 2 + usize::from(p.step - 1);
+        if depth == 0.0 && now > s.used {
+            let idle = now.since(s.used) > IDLE;
+            s.idle = idle && !fresh;
+            out.extend((idle && fresh).then_some(Action::CloseIdle(server)));
+        }
+        let idle = s.idle;
+        s.used = now;
+        self.flights.insert((p.id, attempt), Flight { server, call: call.id, sent: now, norm, depth, idle });
+        if attempt == 0 {
+            let least = COPY_LEAST[usize::from(self.set.limits.budget.is_some())];
+            let rate = COPY_RATE * self.copy_use.or(1.0).max(least);
+            self.copy_tokens = (self.copy_tokens + rate).min(COPY_SAVED);
+        }
+        p.tries.push(Try { server, sent: now, ended: now, fate: Fate::Out });
+        q.once -= usize::from(p.tries.len() == 2);
+        q.agenda.look(i, now.plus(copy_after / p.tries.len() as u64));
+        out.push(Action::Send { part: p.id, server, timeout });
+    }
+
+    /// How long after its send a part is copied: half of what its step may take.
+    pub(super) fn copy_after(&self, q: &Query) -> Micros {
+        let class = self.class(q);
+        let window = match (class.second_step > 0, q.step) {
+            (false, _) => q.window,
+            (true, 1) => scaled(q.window, FIRST_STEP),
+            (true, _) => q.aim_at.since(q.step_at).max(class.aim / 4),
+        };
+        scaled(window, COPY_SHARE)
+    }
+
+    /// A retry after a failure, or the one copy of a late part; to a replica not yet tried if there is one.
+    /// After a copy has been silent for half as long the older twin is withdrawn and a third attempt made.
+    pub(super) fn send_again(&mut self, id: QueryId, i: usize, copy: bool, out: &mut Vec<Action>) {
+        let budget = self.budget_allows();
+        let Some(q) = self.queries.get(&id) else { return };
+        let (p, class) = (&q.parts[i], q.class);
+        let tried: Vec<ServerId> = p.tries.iter().map(|t| t.server).collect();
+        let out_at: Vec<usize> = p.out().map(usize::from).collect();
+        let missing = q.once;
+        let last_zone = tried.last().and_then(|t| self.servers.get(t)).map(|s| s.zone);
+        let rng = &mut self.rng.clone();
+        let target = self
+            .holders(p.shard)
+            .filter(|(server, s)| !out_at.iter().any(|&t| tried[t] == *server) && !self.closed(s))
+            .map(|(server, s)| {
+                let (tier, pending) = self.rank(s, class);
+                let key = (tried.contains(&server), tier, pending, Some(s.zone) == last_zone, rng.0.u32(..));
+                (key, server, self.expected(s, class))
+            })
+            .min_by_key(|&(key, ..)| key);
+        self.rng = rng.clone();
+        let Some((_, server, expected)) = target else { return };
+        let end = if self.now < q.aim_at { q.aim_at } else { self.end_of(q) };
+        if copy {
+            let Some(&oldest) = out_at.first() else { return };
+            if expected > end.since(self.now) as f64 {
+                return;
+            }
+            // It is silent where another would have answered: if none would, it is load and no one's fault.
+            let part = p.id;
+            if !p.late {
+                let idle = self.flights.get(&(part, oldest as u16)).is_some_and(|f| f.idle);
+                self.silent(tried[oldest], class, idle, out);
+                self.queries.entry(id).and_modify(|q| q.parts[i].late = true);
+            }
+            // All missing parts are needed: copies go to the last part of a query before the first of many.
+            if self.copy_tokens < (missing as f64).clamp(1.0, COPY_SAVED / 2.0) {
+                return;
+            }
+            if budget && out_at.len() > 1 {
+                let withdraw = Action::Cancel { part, attempt: oldest as u16 };
+                return out.extend(self.set.limits.cancel.then_some(withdraw));
+            }
+            self.copy_tokens -= f64::from(u8::from(budget));
+        }
+        if budget {
+            self.further.add(self.now);
+            self.send(id, i, server, out);
+        }
+    }
+
+    pub(super) fn budget_allows(&mut self) -> bool {
+        let free = Budget { window: 0, least: f64::INFINITY, share: 0.0 };
+        let budget = self.set.limits.budget.unwrap_or(free);
+        let further = self.further.count(self.now, budget.window, true) + 1;
+        let taken = self.taken.count(self.now, budget.window, false);
+        further as f64 <= budget.least / f64::from(self.processes) + budget.share * taken as f64
+    }
+}
--- a/stats/src/lib.rs
+++ b/stats/src/lib.rs
@@ -230,6 +230,55 @@
     }
 }
 
+/// What is remembered of a query that is held.
+#[derive(Default)]
+pub struct Query {
+    /// Number that its parts carry.
+    pub number: u32,
+    /// Index of its class.
+    pub class: usize,
+    /// What it is about; 0: not known.
+    pub key: u64,
+    /// When it came.
+    pub arrived: Time,
+    /// When its client gives up.
+    pub deadline: Time,
+    /// When its aim is over, from the client's first try on.
+    pub aim_at: Time,
+    /// Share of its class's worth that it has: less beyond its tenant's quota.
+    pub gain: f64,
+    /// Time that it really has: to its aim, or to its end where that comes first or the aim has passed.
+    pub window: Micros,
+    /// Which of two steps it is in, from 1.
+    pub step: u8,
+    /// When that step began.
+    pub step_at: Time,
+    /// Whether the first step was whole.
+    pub first_whole: bool,
+    /// Its present step is to end with what is in, if that is enough.
+    pub closed: bool,
+    /// One part goes ahead of the others until one has been answered.
+    pub ahead: bool,
+    /// Servers whose connection broke under a part of it.
+    pub broke: BTreeSet<ServerId>,
+    /// When it has to be looked at again, if nothing befalls it before.
+    pub due: Time,
+    /// Its parts, of both steps.
+    pub parts: Vec<Part>,
+    /// Whether a part, of whichever step, was answered.
+    pub answered: bool,
+    /// Of the present step: parts to look at.
+    pub agenda: Agenda,
+    /// Of the present step: how many parts there are.
+    pub count: usize,
+    /// Of these, how many are not done with fewer than two attempts.
+    pub once: usize,
+    /// Weight of all parts of the present step.
+    pub total: f64,
+    /// Weight of those that are done.
+    pub have: f64,
+}
+
 /// A server, as the module remembers it.
 #[derive(Clone, Debug, Default)]
 pub struct Server {
