--- a/src/broker.rs
+++ b/src/broker.rs
@@ -85,6 +85,10 @@
     }};
 }
 
+// Behind the macro, which they use.
+mod operators;
+mod stopping;
+
 impl Broker {
     /// A broker that listens already: once this returns, clients are served.
     pub fn new(platform: Option<config::Platform>, ogc: Option<config::Ogc>) -> Result<Broker, String> {
@@ -378,163 +382,6 @@
             self.listed(news);
         }
     }
-
-    /// Takes this process's part of what the broker may do.
-    fn share(&mut self) {
-        let Some(desk) = &self.desk else { return };
-        let parts = siblings::parts(self.leaving, &desk.orders().others);
-        if std::mem::replace(&mut self.parts, parts) != parts {
-            let done = parts.done.map_or("nothing".into(), |of| format!("1 of {of}"));
-            log(&format!(
-                "this process has 1 of {} of what the broker holds, {done} of what it may do",
-                parts.held
-            ));
-        }
-        self.net.share(parts.held);
-        each_service!(self, |_net, service| {
-            service.core.share(parts);
-            service.sessions.share(parts.held);
-        });
-    }
-
-    /// Does what operators want now.
-    fn heed(&mut self) {
-        self.net.clear_signal(Signal::Orders);
-        self.share();
-        self.set_by_hand();
-        self.send_away();
-        // The next process may be ready just after this one was told to stop.
-        if self.stopping.is_some() {
-            self.leave_door();
-        }
-    }
-
-    /// Takes data nodes out that are out by hand, as far as that is due, or uses them again.
-    fn set_by_hand(&mut self) {
-        let Some(desk) = &self.desk else { return };
-        let by_hand = self.by_hand(&desk.orders(), self.net.clock.now());
-        let Some(service) = &mut self.platform else { return };
-        let lines = service.directory.set_by_hand(by_hand);
-        if !lines.is_empty() {
-            self.listed([Listing::Changes(lines)]);
-        }
-    }
-
-    /// What is set by hand, as the directory takes it.
-    fn by_hand(&self, orders: &Orders, now: Time) -> ByHand {
-        let wanted = &orders.wanted;
-        let cordoned = wanted.cordoned.iter().map(|(id, since)| (id.clone(), Time(*since)));
-        let is_out = |cordoned: &(String, Time)| wanted::is_out(cordoned.1, now, self.stop_within);
-        let (out, leaving): (Vec<_>, Vec<_>) = cordoned.partition(is_out);
-        let ids = |of: Vec<(String, Time)>| of.into_iter().map(|(id, _)| id).collect();
-        let back = wanted.back.iter().map(|(id, (out, at))| (id.clone(), (Time(*out), Time(*at))));
-        ByHand { out: ids(out), leaving: ids(leaving), back: back.collect() }
-    }
-
-    /// Sends clients away, as far as that is due, or takes them again.
-    fn send_away(&mut self) {
-        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
-        let stage = leave::stage(desk.orders().wanted.quiesced.map(Time), self.net.clock.now());
-        service.sessions.send_away(&mut self.net, stage, &mut service.front, &mut service.core);
-    }
-
-    /// Tells operators what was counted.
-    fn tell_figures(&mut self) {
-        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
-        for (class, attempts) in service.pool.take_written() {
-            service.core.on_written(class, attempts);
-        }
-        desk.metrics().add(&service.core.take_tallies());
-        let ejected = service.directory.out_by_hand() + service.core.avoided();
-        desk.metrics().set(service.core.held_queries(), service.directory.len(), ejected);
-    }
-
-    /// Tells operators how it stands.
-    fn tell_standing(&mut self) {
-        let now = self.net.clock.now();
-        if self.desk.as_ref().is_none_or(|desk| desk.next() > now) {
-            return;
-        }
-        self.send_away();
-        self.set_by_hand();
-        if self.stopping.is_none() {
-            // It is tried again: an address that can't be had for another reason is told by its being not ready.
-            let _ = self.open_door();
-        }
-        self.tell_figures();
-        let (Some(desk), Some(service)) = (&mut self.desk, &self.platform) else { return };
-        let (listens, listed) = (self.door.is_none(), service.front.is_listed());
-        let stopping = self.stopping.is_some();
-        let away = desk.orders().wanted.quiesced.is_some();
-        desk.on_standing(now, Standing { listens, listed, stopping, leaving: self.leaving, away, beat: now });
-    }
-
-    fn stop(&mut self) {
-        self.net.clear_signal(Signal::Stop);
-        // Guards the end: it comes in time however often it is asked for.
-        if self.stopping.is_some() {
-            return;
-        }
-        let now = self.net.clock.now();
-        self.stopping = Some(now);
-        log("stopping: finishing what was taken");
-        self.company.iter_mut().for_each(|c| c.on_stop(&mut self.net));
-        let served_on = self.leave_door();
-        each_service!(self, |_net, service| {
-            let waits = service.core.settings().classes.iter().map(|c| c.deadline);
-            let killed = waits.max().unwrap_or_default().min(KILLED);
-            service.core.end_by(now.plus(killed + LISTEN_ON));
-            // Where another process serves this address the broker goes on, whoever asks which process.
-            if !served_on || service.owner != Owner::Platform {
-                service.front.stop();
-            }
-        });
-    }
-
-    /// Leaves the clients that wait to be accepted to another process of this broker that listens on the same socket, if
-    /// there is one; those that are here are served, and told with their answers to connect anew. Tells whether another
-    /// process serves the address.
-    fn leave_door(&mut self) -> bool {
-        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return false };
-        desk.close_door();
-        let told = match siblings::door(&desk.others()) {
-            Door::Left(siblings::Reason::Sibling(process)) => {
-                self.net.leave(Owner::Platform);
-                Some(format!("process {process} serves at the same socket: new clients are left to it"))
-            }
-            Door::Served(siblings::Reason::OwnSocket(process)) => Some(format!(
-                "process {process} serves at a socket of its own: who waits here is served here"
-            )),
-            Door::Left(_) | Door::Served(_) => None,
-        };
-        if told.is_some() {
-            service.sessions.stop();
-        }
-        // Where that one has gone meanwhile this one serves those who are here as if there had been none.
-        if std::mem::replace(&mut self.leaving, told.is_some()) != told.is_some() {
-            log(&told.unwrap_or_else(|| "nobody else serves any more".into()));
-        }
-        self.share();
-        self.leaving
-    }
-
-    /// Whether all that was taken is finished. What waits at a listener counts as taken, so it is accepted until the
-    /// front layer has learnt of the stop, and once more before the listener is closed.
-    fn finished(&mut self, since: Time) -> bool {
-        let now = self.net.clock.now();
-        let elapsed = now.since(since);
-        let mut serves = elapsed < LISTEN_ON;
-        each_service!(self, |_net, service| serves |= service.core.takes(now));
-        if serves {
-            return false;
-        }
-        each_service!(self, |_net, service| service.sessions.stop());
-        each_service!(self, |net, service| service.accept(net));
-        self.net.stop_listening();
-        let mut left = 0;
-        each_service!(self, |net, service| left += service.sessions.close_unused(net, &mut service.core));
-        left == 0 || elapsed >= STOP_MOST
-    }
 }
 
 fn limits(told: config::Connections) -> Limits {
--- /dev/null
+++ b/src/broker/operators.rs
@@ -0,0 +1,95 @@
+//! What operators ask of the broker, what it tells them, and what its processes share.
+
+use super::*;
+
+impl Broker {
+    /// Takes this process's part of what the broker may do.
+    pub(super) fn share(&mut self) {
+        let Some(desk) = &self.desk else { return };
+        let parts = siblings::parts(self.leaving, &desk.orders().others);
+        if std::mem::replace(&mut self.parts, parts) != parts {
+            let done = parts.done.map_or("nothing".into(), |of| format!("1 of {of}"));
+            log(&format!(
+                "this process has 1 of {} of what the broker holds, {done} of what it may do",
+                parts.held
+            ));
+        }
+        self.net.share(parts.held);
+        each_service!(self, |_net, service| {
+            service.core.share(parts);
+            service.sessions.share(parts.held);
+        });
+    }
+
+    /// Does what operators want now.
+    pub(super) fn heed(&mut self) {
+        self.net.clear_signal(Signal::Orders);
+        self.share();
+        self.set_by_hand();
+        self.send_away();
+        // The next process may be ready just after this one was told to stop.
+        if self.stopping.is_some() {
+            self.leave_door();
+        }
+    }
+
+    /// Takes data nodes out that are out by hand, as far as that is due, or uses them again.
+    pub(super) fn set_by_hand(&mut self) {
+        let Some(desk) = &self.desk else { return };
+        let by_hand = self.by_hand(&desk.orders(), self.net.clock.now());
+        let Some(service) = &mut self.platform else { return };
+        let lines = service.directory.set_by_hand(by_hand);
+        if !lines.is_empty() {
+            self.listed([Listing::Changes(lines)]);
+        }
+    }
+
+    /// What is set by hand, as the directory takes it.
+    pub(super) fn by_hand(&self, orders: &Orders, now: Time) -> ByHand {
+        let wanted = &orders.wanted;
+        let cordoned = wanted.cordoned.iter().map(|(id, since)| (id.clone(), Time(*since)));
+        let is_out = |cordoned: &(String, Time)| wanted::is_out(cordoned.1, now, self.stop_within);
+        let (out, leaving): (Vec<_>, Vec<_>) = cordoned.partition(is_out);
+        let ids = |of: Vec<(String, Time)>| of.into_iter().map(|(id, _)| id).collect();
+        let back = wanted.back.iter().map(|(id, (out, at))| (id.clone(), (Time(*out), Time(*at))));
+        ByHand { out: ids(out), leaving: ids(leaving), back: back.collect() }
+    }
+
+    /// Sends clients away, as far as that is due, or takes them again.
+    pub(super) fn send_away(&mut self) {
+        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
+        let stage = leave::stage(desk.orders().wanted.quiesced.map(Time), self.net.clock.now());
+        service.sessions.send_away(&mut self.net, stage, &mut service.front, &mut service.core);
+    }
+
+    /// Tells operators what was counted.
+    pub(super) fn tell_figures(&mut self) {
+        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
+        for (class, attempts) in service.pool.take_written() {
+            service.core.on_written(class, attempts);
+        }
+        desk.metrics().add(&service.core.take_tallies());
+        let ejected = service.directory.out_by_hand() + service.core.avoided();
+        desk.metrics().set(service.core.held_queries(), service.directory.len(), ejected);
+    }
+
+    /// Tells operators how it stands.
+    pub(super) fn tell_standing(&mut self) {
+        let now = self.net.clock.now();
+        if self.desk.as_ref().is_none_or(|desk| desk.next() > now) {
+            return;
+        }
+        self.send_away();
+        self.set_by_hand();
+        if self.stopping.is_none() {
+            // It is tried again: an address that can't be had for another reason is told by its being not ready.
+            let _ = self.open_door();
+        }
+        self.tell_figures();
+        let (Some(desk), Some(service)) = (&mut self.desk, &self.platform) else { return };
+        let (listens, listed) = (self.door.is_none(), service.front.is_listed());
+        let stopping = self.stopping.is_some();
+        let away = desk.orders().wanted.quiesced.is_some();
+        desk.on_standing(now, Standing { listens, listed, stopping, leaving: self.leaving, away, beat: now });
+    }
+}
