--- a/fleet/src/router/server_connections.rs
+++ b/fleet/src/router/server_connections.rs
@@ -7,6 +7,9 @@
 //! - an attempt is told as never sent only while no byte of its request has been given to the system;
 //! - nothing is sent to a server that drains or is gone, however long the attempt had waited.
 
+mod pool;
+mod reading;
+
 use super::program::{micros, Net, Owner, Timer};
 use super::request::{ClientRequest, Send};
 use super::response::{Piece, ResponseHead, ResponseReader};
@@ -15,6 +18,7 @@
 use lichenswitch_event_stream::Scanner;
 use lichenswitch_interface::{Micros, Outcome, ServerId, Time};
 use lichenswitch_net::{ConnId, Denied, Pumped};
+use reading::Taken;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -280,56 +284,6 @@
         }
     }
 
-    /// An idle connection on which this attempt may be written; the one used last, so that others fall out of use.
-    fn idle_connection(&mut self, net: &mut Net, attempt: &Attempt) -> Option<ConnId> {
-        let now = net.clock.now();
-        let known = self.by_server.get(&attempt.server)?;
-        let idle = known.iter().filter_map(|id| match self.state(*id)? {
-            State::Idle(since, until) => Some((*since, *until, *id)),
-            State::Opening(_) | State::Busy(_) => None,
-        });
-        let (since, until, id) = idle.max_by_key(|(since, ..)| *since)?;
-        let most = if attempt.idempotent { until } else { until.min(since.plus(FRESH)) };
-        if now >= most {
-            return None;
-        }
-        // The server may have ended it since the last wait.
-        if net.pump(id, 1) == Pumped::Alive && is_quiet(net, id) {
-            return Some(id);
-        }
-        self.close(net, id);
-        None
-    }
-
-    fn open(&mut self, net: &mut Net, attempt: Attempt) {
-        let mut connected = net.connect(Owner::Server, attempt.endpoint.address);
-        if matches!(connected, Err(Denied::Lack(_))) && self.close_any_idle(net) {
-            connected = net.connect(Owner::Server, attempt.endpoint.address);
-        }
-        match connected {
-            Ok(id) => {
-                let server = attempt.server;
-                self.by_attempt.insert(attempt.id, id);
-                self.by_server.entry(server).or_default().push(id);
-                let up = net.get(id).is_some_and(|conn| conn.up);
-                let state = State::Opening(Box::new(attempt));
-                self.links.insert(id, Link { server, state, timer: None });
-                self.arm(net, id, net.clock.now().plus(CONNECT));
-                if up {
-                    self.opened(net, id, &Pumped::Alive);
-                }
-            }
-            // This process has no descriptor for it: the server has no part in that.
-            Err(Denied::Lack(_)) => self.fail(attempt.id, Outcome::Moot),
-            Err(Denied::Failed(_)) => self.fail(attempt.id, Outcome::ConnectFailed),
-        }
-    }
-
-    fn wait(&mut self, net: &mut Net, attempt: Attempt) {
-        net.wheel.set(net.clock.now().plus(WAIT), Timer::Waiting(attempt.id));
-        self.waiting.entry(attempt.server).or_default().push_back(attempt);
-    }
-
     /// A connection has come up, or never will.
     fn opened(&mut self, net: &mut Net, id: ConnId, pumped: &Pumped) {
         let up = net.get(id).is_some_and(|conn| conn.up);
@@ -448,155 +402,9 @@
         }
         self.close(net, id);
     }
-
-    fn next_waiting(&mut self, server: ServerId) -> Option<Attempt> {
-        let queue = self.waiting.get_mut(&server)?;
-        let next = queue.pop_front();
-        if queue.is_empty() {
-            self.waiting.remove(&server);
-        }
-        next
-    }
-
-    fn close_one_idle(&mut self, net: &mut Net, server: ServerId) -> Option<()> {
-        let rests = |id: &&ConnId| matches!(self.state(**id), Some(State::Idle(..)));
-        let id = *self.by_server.get(&server)?.iter().find(rests)?;
-        self.close(net, id);
-        Some(())
-    }
-
-    /// Closes the connection that has rested for longest, to whichever server.
-    fn close_any_idle(&mut self, net: &mut Net) -> bool {
-        let idle = self.links.iter().filter_map(|(id, link)| match link.state {
-            State::Idle(since, _) => Some((since, *id)),
-            _ => None,
-        });
-        let Some((_, id)) = idle.min() else { return false };
-        self.close(net, id);
-        true
-    }
-
-    /// Takes a connection out of the table: the one place where it is given back. One that waits for a place gets it.
-    fn close(&mut self, net: &mut Net, id: ConnId) {
-        net.close(id);
-        let Some(link) = self.links.remove(&id) else { return };
-        if let Some(known) = self.by_server.get_mut(&link.server) {
-            known.retain(|other| *other != id);
-            if known.is_empty() {
-                self.by_server.remove(&link.server);
-            }
-        }
-        if let Some(next) = self.next_waiting(link.server) {
-            self.open(net, next);
-        }
-    }
 }
 
 /// Nothing has come on a connection, and it has not ended.
 fn is_quiet(net: &Net, id: ConnId) -> bool {
     net.get(id).is_some_and(|conn| conn.input.is_empty() && !conn.ended)
 }
-
-/// What a piece of an answer comes to.
-enum Taken {
-    Nothing,
-    Event(ServerEvent),
-    /// The last of this answer.
-    Whole(ServerEvent),
-    /// It is no answer to this request.
-    Odd,
-}
-
-impl Current {
-    fn take(&mut self, piece: Piece) -> Taken {
-        match piece {
-            Piece::Head(head) => self.take_head(head),
-            Piece::Body(bytes) => self.take_body(&bytes),
-            Piece::End => self.take_end(),
-        }
-    }
-
-    fn take_head(&mut self, head: ResponseHead) -> Taken {
-        if head.attempt_id != self.attempt.request.attempt_id {
-            return Taken::Odd;
-        }
-        let success = (200..300).contains(&head.status);
-        // A success that no server has sealed is none.
-        if success && !head.sealed {
-            return Taken::Odd;
-        }
-        let head = Box::new(head);
-        self.body = match success && head.event_stream {
-            true => Body::Events(Some(head), Box::new(Scanner::new(MAX_EVENT))),
-            false => Body::Whole(head, Vec::new()),
-        };
-        Taken::Nothing
-    }
-
-    fn take_body(&mut self, bytes: &[u8]) -> Taken {
-        let id = self.attempt.id;
-        match &mut self.body {
-            Body::None => Taken::Odd,
-            Body::Passed => Taken::Event(ServerEvent::More(id, part_of(bytes.to_vec(), None))),
-            Body::Whole(_, body) => {
-                body.extend_from_slice(bytes);
-                if body.len() <= MAX_WHOLE {
-                    return Taken::Nothing;
-                }
-                let Body::Whole(head, body) = std::mem::replace(&mut self.body, Body::Passed) else {
-                    return Taken::Odd;
-                };
-                Taken::Event(ServerEvent::Begun(id, head, self.reader.length(), part_of(body, None)))
-            }
-            Body::Events(head, scanner) => {
-                if scanner.push(bytes).is_err() {
-                    return Taken::Odd;
-                }
-                let whole = scanner.whole().len();
-                // Comments before the first event are passed on with it.
-                if whole == 0
-                    || (head.is_some() && scanner.last_event_id().is_none() && !has_field(scanner.whole()))
-                {
-                    return Taken::Nothing;
-                }
-                let part = part_of(scanner.whole().to_vec(), scanner.last_event_id());
-                scanner.advance(whole);
-                Taken::Event(match head.take() {
-                    Some(head) => ServerEvent::Begun(id, head, None, part),
-                    None => ServerEvent::More(id, part),
-                })
-            }
-        }
-    }
-
-    fn take_end(&mut self) -> Taken {
-        let id = self.attempt.id;
-        match std::mem::replace(&mut self.body, Body::Passed) {
-            Body::None => Taken::Odd,
-            Body::Passed => Taken::Whole(ServerEvent::Completed(id, Vec::new())),
-            Body::Whole(head, body) => Taken::Whole(ServerEvent::Answered(id, Answer { head: *head, body })),
-            // Without a length the end of the connection is the end of the answer, and a server that breaks off in the midst of an
-            // event ends it as well.
-            Body::Events(_, scanner) if !scanner.partial().is_empty() && !self.reader.is_framed() => {
-                Taken::Odd
-            }
-            Body::Events(Some(head), scanner) => {
-                Taken::Whole(ServerEvent::Answered(id, Answer { head: *head, body: rest_of(&scanner) }))
-            }
-            Body::Events(None, scanner) => Taken::Whole(ServerEvent::Completed(id, rest_of(&scanner))),
-        }
-    }
-}
-
-fn part_of(bytes: Vec<u8>, last_event_id: Option<&[u8]>) -> Part {
-    Part { bytes, last_event_id: last_event_id.map(<[u8]>::to_vec) }
-}
-
-/// Whether these whole lines hold more than comments and line ends.
-fn has_field(lines: &[u8]) -> bool {
-    lines.split(|byte| matches!(byte, b'\n' | b'\r')).any(|line| !line.is_empty() && line[0] != b':')
-}
-
-fn rest_of(scanner: &Scanner) -> Vec<u8> {
-    [scanner.whole(), scanner.partial()].concat()
-}
