--- a/decide/phases/src/tests.rs
+++ b/decide/phases/src/tests.rs
@@ -1,4 +1,5 @@
 use super::prune::Key;
+use super::prune::Way;
 use super::*;
 
 const MS: Micros = 1_000;
--- /dev/null
+++ b/decide/replication/tests/disks_and_links.rs
@@ -0,0 +1,228 @@
+//! What must happen, in virtual time, around disks and links: stalls, losses of power, cuts, freezes, catching up.
+
+mod scenario;
+
+use lichenswitch_replication::model::timed::{Timed, Weather};
+use lichenswitch_replication::model::History;
+use lichenswitch_replication::{DurableItem, Notice, Settings};
+use scenario::*;
+
+#[test]
+fn power_fails_at_all_at_once() {
+    let mut timed = four(4);
+    timed.commit_within(SECOND).expect("a change is committed");
+    let committed = timed.world.ledger.committed.len();
+    for index in 0..4 {
+        timed.crash(index);
+    }
+    for index in 0..4 {
+        timed.restart(index);
+    }
+    timed.commit_within(4 * SECOND).expect("a change is committed again");
+    assert!(timed.world.ledger.committed.len() > committed);
+    clean(&timed);
+}
+
+#[test]
+fn a_stalled_disk_at_the_primary_hands_over() {
+    let mut timed = four(4);
+    let primary = serving(&timed);
+    timed.stall_disk(primary, 30 * SECOND);
+    timed.commit_within(SECOND).expect("the others' disks are enough");
+    timed.run_for(3 * SECOND);
+    assert_ne!(serving(&timed), primary);
+    timed.commit_within(SECOND).expect("the next primary commits");
+    let heard = |(_, notice): &(usize, Notice)| matches!(notice, Notice::HandsOver { .. });
+    assert!(timed.world.notices.as_ref().unwrap().iter().any(heard));
+    clean(&timed);
+}
+
+#[test]
+fn a_stalled_disk_at_a_voter_stops_nothing() {
+    let mut timed = four(4);
+    let (primary, voter) = (serving(&timed), others(&timed)[0]);
+    timed.stall_disk(voter, 10 * SECOND);
+    for _ in 0..200 {
+        assert!(timed.commit_within(SECOND).is_some_and(|took| took < 50_000));
+    }
+    assert_eq!(serving(&timed), primary);
+    timed.run_for(12 * SECOND);
+    let head = |index: usize| timed.world.nodes[index].replica.as_ref().unwrap().status(timed.now).synced;
+    assert_eq!(head(voter), head(primary), "it has caught up");
+    clean(&timed);
+}
+
+#[test]
+fn one_that_is_cut_off_in_one_direction_or_both_steps_down() {
+    for both in [false, true] {
+        let mut timed = four(4);
+        let primary = serving(&timed);
+        for other in others(&timed) {
+            timed.cut(other, primary);
+            if both {
+                timed.cut(primary, other);
+            }
+        }
+        timed.run_for(650_000);
+        let replica = timed.world.nodes[primary].replica.as_ref().unwrap();
+        assert!(!replica.is_serving() && !replica.in_contact(timed.now));
+        let took = timed.commit_within(3 * SECOND).expect("others go on");
+        assert!(took < 2 * SECOND, "{took}");
+        assert_ne!(serving(&timed), primary);
+        timed.heal();
+        timed.run_for(2 * SECOND);
+        assert!(timed.world.nodes[primary].replica.as_ref().unwrap().in_contact(timed.now));
+        clean(&timed);
+    }
+}
+
+#[test]
+fn one_that_hears_nobody_disturbs_nobody() {
+    let mut timed = four(4);
+    let (primary, deaf) = (serving(&timed), others(&timed)[0]);
+    let epoch = timed.world.nodes[primary].replica.as_ref().unwrap().promised();
+    for other in 0..4 {
+        timed.cut(other, deaf);
+    }
+    timed.run_for(4 * SECOND);
+    timed.heal();
+    timed.run_for(4 * SECOND);
+    assert_eq!(timed.world.nodes[primary].replica.as_ref().unwrap().promised(), epoch);
+}
+
+#[test]
+fn a_frozen_primary_wakes_as_none() {
+    let mut timed = four(4);
+    let primary = serving(&timed);
+    timed.freeze(primary, 3 * SECOND);
+    timed.commit_within(3 * SECOND).expect("others go on");
+    assert_ne!(serving(&timed), primary);
+    timed.run_for(3 * SECOND);
+    clean(&timed);
+}
+
+#[test]
+fn hundreds_of_changes_missed_cost_one_image() {
+    let mut timed = four(4);
+    let away = others(&timed)[0];
+    timed.crash(away);
+    for _ in 0..500 {
+        timed.commit_within(SECOND).expect("a change is committed");
+    }
+    timed.world.notices = Some(Vec::new());
+    timed.restart(away);
+    timed.run_for(SECOND);
+    let head = |index: usize| timed.world.nodes[index].replica.as_ref().unwrap().status(timed.now).synced;
+    assert_eq!(head(away), head(serving(&timed)));
+    let images = timed.world.notices.take().unwrap();
+    let images = images.iter().filter(|(_, notice)| matches!(notice, Notice::ImageReceived { .. })).count();
+    assert_eq!(images, 1);
+    clean(&timed);
+}
+
+#[test]
+fn catches_up_while_changes_go_on() {
+    let mut timed = four(4);
+    let away = others(&timed)[0];
+    timed.crash(away);
+    for _ in 0..300 {
+        timed.commit_within(SECOND).expect("a change is committed");
+    }
+    timed.restart(away);
+    for _ in 0..300 {
+        timed.commit_within(SECOND).expect("a change is committed");
+    }
+    timed.run_for(2_500);
+    let position = |index: usize| timed.world.nodes[index].replica.as_ref().unwrap().status(timed.now).head;
+    assert!(position(serving(&timed)).number - position(away).number <= 1);
+    clean(&timed);
+}
+
+#[test]
+fn a_large_image_comes_through_a_network_that_loses_a_fifth() {
+    let mut timed = Timed::new(Settings::default(), 4, 9);
+    // 320 KB: eleven chunks.
+    timed.world.founding = History { changes: (1_000_000..1_040_000).collect() };
+    timed.call(0, |world| world.found());
+    timed.weather = Weather { loss: 5, ..Weather::default() };
+    for index in 1..4 {
+        timed.restart(index);
+    }
+    let whole = timed.run_until(10 * SECOND, |timed| timed.is_whole(4));
+    println!("whole after {whole:?} us");
+    assert!(whole.is_some());
+    timed.commit_within(2 * SECOND).expect("a change is committed");
+    for node in &timed.world.nodes {
+        let bytes: usize = node.disk.iter().map(|item| item.encode().len()).sum();
+        assert!(bytes > 320_000, "{} holds {bytes} bytes", node.address);
+    }
+    clean(&timed);
+}
+
+#[test]
+fn a_disk_that_fails_writes_the_whole_image_next() {
+    let mut timed = four(4);
+    timed.run_for(SECOND);
+    let voter = others(&timed)[0];
+    let primary = serving(&timed);
+    timed.call(primary, |world| world.propose(primary));
+    timed.run_until(SECOND, |timed| !timed.world.nodes[voter].pending.is_empty()).expect("it is to write");
+    timed.call(voter, |world| world.fail_sync(voter));
+    timed.run_for(SECOND);
+    let last = timed.world.nodes[voter].disk.last();
+    assert!(matches!(last, Some(DurableItem::Image(_))), "{last:?}");
+    let synced = |index: usize| timed.world.nodes[index].replica.as_ref().unwrap().status(timed.now).synced;
+    assert_eq!(synced(voter), synced(primary));
+    clean(&timed);
+}
+
+#[test]
+fn what_was_written_survives_its_encoding() {
+    let mut timed = four(4);
+    timed.commit_within(SECOND).expect("a change is committed");
+    for node in &timed.world.nodes {
+        for item in &node.disk {
+            assert_eq!(DurableItem::decode(&item.encode()).as_ref(), Ok(item));
+        }
+    }
+}
+
+#[test]
+fn what_is_acknowledged_survives_a_lost_disk_and_a_loss_of_power_in_that_moment() {
+    for seed in 0..60 {
+        let mut timed = Timed::gathered(Settings::default(), 4, 5, seed);
+        timed.commit_within(SECOND).expect("a change is acknowledged");
+        let lost = seed as usize % 4;
+        for index in (0..4).filter(|index| *index != lost) {
+            timed.crash_keeping(index, 0);
+        }
+        timed.wipe(lost);
+        for index in (0..4).filter(|index| *index != lost) {
+            timed.restart(index);
+        }
+        timed.restart(4);
+        assert!(timed.commit_within(5 * SECOND).is_some(), "seed {seed}");
+        let acknowledged = &timed.world.ledger.acknowledged;
+        assert!(acknowledged.iter().all(|change| timed.world.ledger.committed.contains(change)));
+        assert!(timed.run_until(8 * SECOND, |timed| timed.is_whole(4)).is_some(), "seed {seed}");
+        clean(&timed);
+    }
+}
+
+#[test]
+fn two_newcomers_take_a_large_image_while_changes_go_on() {
+    let mut timed = Timed::new(Settings::default(), 5, 9);
+    // 480 KB: fifteen chunks, four windows.
+    timed.world.founding = History { changes: (1_000_000..1_060_000).collect() };
+    timed.call(0, |world| world.found());
+    (1..3).for_each(|index| timed.restart(index));
+    assert!(timed.run_until(5 * SECOND, |timed| timed.is_whole(3)).is_some());
+    (3..5).for_each(|index| timed.restart(index));
+    for _ in 0..150 {
+        assert!(timed.commit_within(SECOND).is_some_and(|took| took < 50_000));
+    }
+    let primary = serving(&timed);
+    let membership = timed.world.nodes[primary].replica.as_ref().unwrap().membership().clone();
+    assert_eq!(membership.voters.len(), 5, "both came in while changes went on");
+    clean(&timed);
+}
--- /dev/null
+++ b/decide/replication/tests/scenario/mod.rs
@@ -0,0 +1,39 @@
+//! What the scenarios in virtual time share.
+#![allow(dead_code)]
+
+use std::collections::BTreeSet;
+
+use lichenswitch_replication::model::timed::Timed;
+use lichenswitch_replication::{MembershipChange, Notice, Settings};
+
+pub const SECOND: u64 = 1_000_000;
+
+pub fn four(nodes: usize) -> Timed {
+    Timed::gathered(Settings::default(), 4, nodes, 1)
+}
+
+pub fn serving(timed: &Timed) -> usize {
+    timed.world.serving().expect("a primary serves")
+}
+
+pub fn others(timed: &Timed) -> Vec<usize> {
+    let primary = serving(timed);
+    let named = &timed.world.nodes[primary].replica.as_ref().expect("it runs").membership().voters;
+    let named: BTreeSet<_> = named.iter().map(|member| member.identity).collect();
+    let nodes = timed.world.nodes.iter().enumerate();
+    let runs = nodes.filter(|(at, node)| *at != primary && node.replica.is_some());
+    runs.filter(|(_, node)| named.contains(&node.identity)).map(|(at, _)| at).collect()
+}
+
+pub fn clean(timed: &Timed) {
+    assert_eq!(timed.world.ledger.violation, None);
+}
+
+pub fn changes(timed: &mut Timed) -> Vec<MembershipChange> {
+    let notices = timed.world.notices.replace(Vec::new()).unwrap_or_default();
+    let change = |(_, notice)| match notice {
+        Notice::MembershipChange { change, .. } => Some(change),
+        _ => None,
+    };
+    notices.into_iter().filter_map(change).collect()
+}
--- a/wire/storage/tests/support/mod.rs
+++ b/wire/storage/tests/support/mod.rs
@@ -2,39 +2,17 @@
 //! syncs that fail and forget what they were to sync, short writes.
 #![allow(dead_code)]
 
+mod file;
+mod random;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use file::FakeFile;
 use lichenswitch_storage::{FileSystem, StorageFile, StorageSettings};
-
-/// Numbers from a seed (xorshift).
-#[derive(Clone, Debug)]
-pub struct Random(u64);
-
-impl Random {
-    pub fn new(seed: u64) -> Self {
-        let mut random = Self(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
-        let _ = (0..4).map(|_| random.next()).last();
-        random
-    }
-
-    pub fn next(&mut self) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0
-    }
-
-    pub fn below(&mut self, bound: usize) -> usize {
-        (self.next() >> 11) as usize % bound.max(1)
-    }
-
-    pub fn one_in(&mut self, bound: usize) -> bool {
-        self.below(bound) == 0
-    }
-}
+pub use random::Random;
 
 /// What a loss of power leaves of what was not synced.
 #[derive(Clone, Debug)]
@@ -432,72 +410,6 @@
     }
 }
 
-struct FakeFile {
-    disk: FakeDisk,
-    inode: usize,
-}
-
-impl StorageFile for FakeFile {
-    fn length(&mut self) -> io::Result<u64> {
-        Ok(self.disk.lock().inodes[self.inode].visible.len() as u64)
-    }
-
-    fn read_all(&mut self) -> io::Result<Vec<u8>> {
-        let mut disk = self.disk.lock();
-        if !disk.begin_simple(false)? {
-            return Err(error("ended"));
-        }
-        Ok(disk.inodes[self.inode].visible.clone())
-    }
-
-    fn write_at(&mut self, offset: u64, bytes: &[u8]) -> io::Result<usize> {
-        let mut disk = self.disk.lock();
-        if disk.full && !disk.dead {
-            disk.operations += 1;
-            return Err(io::ErrorKind::StorageFull.into());
-        }
-        let outcome = disk.begin()?;
-        let part = match outcome {
-            Outcome::Done | Outcome::Dies => bytes.len(),
-            Outcome::Fault(Fault::Full) => return Err(io::ErrorKind::StorageFull.into()),
-            Outcome::Fault(Fault::Short) => 1 + disk.random().below(bytes.len()),
-            Outcome::Fault(Fault::Error) => disk.random().below(bytes.len() + 1),
-        };
-        disk.change(self.inode, Change::Write { offset: offset as usize, bytes: bytes[..part].to_vec() });
-        match outcome {
-            Outcome::Dies | Outcome::Fault(Fault::Error) => Err(error("input/output error")),
-            _ => Ok(part),
-        }
-    }
-
-    fn set_length(&mut self, length: u64) -> io::Result<()> {
-        let mut disk = self.disk.lock();
-        let done = disk.begin_simple(true)?;
-        disk.change(self.inode, Change::Length(length as usize));
-        if done {
-            Ok(())
-        } else {
-            Err(error("ended"))
-        }
-    }
-
-    fn sync(&mut self) -> io::Result<()> {
-        let mut disk = self.disk.lock();
-        match disk.begin()? {
-            Outcome::Dies => return Err(error("ended")),
-            Outcome::Fault(Fault::Error) => {
-                disk.fail_sync(self.inode);
-                return Err(error("input/output error"));
-            }
-            _ => {}
-        }
-        let Inode { durable, pending, .. } = &mut disk.inodes[self.inode];
-        pending.drain(..).for_each(|change| change.apply(durable));
-        disk.syncs += 1;
-        Ok(())
-    }
-}
-
 /// A small ring.
 pub fn small_ring() -> StorageSettings {
     StorageSettings { segment_bytes: 4096, segments: 3, ..StorageSettings::new("north n1") }
