Name what each part of the decision module uses of the others

Cause: the parts split off took all names of their parent. Change: explicit imports, but for the tuned values, which are one module of constants.

--- a/policy/src/choice.rs
+++ b/policy/src/choice.rs
@@ -1,6 +1,9 @@
 //! Choice of replicas: first attempts, retries and copies, within the limits on them.
 
-use super::*;
+use crate::tuned::*;
+use crate::Coordinator;
+use lichenswitch_interface::{Action, Budget, Micros, Mode, QueryId, Repeat, ServerId, Shard};
+use lichenswitch_stats::{scaled, Aged, Bid, Call, Fate, Flight, Part, Query, Server, Try, Wanted};
 
 impl Coordinator {
     pub(super) fn holders(&self, shard: Shard) -> impl Iterator<Item = (ServerId, &Server)> {
--- a/policy/src/ends.rs
+++ b/policy/src/ends.rs
@@ -1,6 +1,9 @@
 //! Ends of queries, and their admission: what is answered, refused or failed, and when.
 
-use super::*;
+use crate::tuned::*;
+use crate::Coordinator;
+use lichenswitch_interface::{Action, Class, Micros, QueryId, Repeat, Time};
+use lichenswitch_stats::{faded, scaled, Agenda, Fate, Part, Query, Server};
 
 impl Coordinator {
     pub(super) fn class(&self, q: &Query) -> &Class {
--- a/policy/src/health.rs
+++ b/policy/src/health.rs
@@ -1,6 +1,9 @@
 //! Health of servers: what is held against each, and against the way to its zone.
 
-use super::*;
+use crate::tuned::*;
+use crate::Coordinator;
+use lichenswitch_interface::{Action, Micros, Outcome, ServerId};
+use lichenswitch_stats::{Aged, Flight};
 
 impl Coordinator {
     /// Whether an attempt of a class at a server will end well and in time, as the faded share of bad ends.
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -13,12 +13,10 @@
 mod tuned;
 
 use lichenswitch_interface::{
-    Action, Budget, Class, Discovery, Event, Listed, Listing, Micros, Mode, Outcome, PartId, QueryId, Repeat,
-    ServerId, Settings, Shard, Time,
+    Action, Class, Discovery, Event, Micros, Outcome, PartId, QueryId, ServerId, Settings, Time,
 };
 use lichenswitch_stats::{
-    drawn, faded, scaled, Aged, Agenda, Bid, Call, Dice, Fading, Fate, Flight, Part, Query, Quotas, Server,
-    Try, Wanted, WindowCount,
+    scaled, Aged, Dice, Fading, Fate, Flight, Part, Query, Quotas, Server, WindowCount,
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use tuned::*;
--- a/policy/src/list.rs
+++ b/policy/src/list.rs
@@ -1,6 +1,10 @@
 //! The list of servers, and the allowance of those that have just started.
 
-use super::*;
+use crate::tuned::*;
+use crate::Coordinator;
+use lichenswitch_interface::{Listed, Listing, Mode};
+use lichenswitch_stats::{drawn, Server};
+use std::collections::BTreeMap;
 
 impl Coordinator {
     pub(super) fn listed(&mut self, listing: Listing) {
