--- a/decide/registry/src/table.rs
+++ b/decide/registry/src/table.rs
@@ -78,6 +78,8 @@
     since_us: u64,
     /// Whether it was heard here after the last digest.
     heard_here: bool,
+    /// It is known from before a start alone.
+    remembered: bool,
 }
 
 impl Entry {
@@ -151,6 +153,18 @@
         changes
     }
 
+    /// What this machine knew before its start. Who is not known yet is unheard until a heartbeat comes; it is no news to other
+    /// control machines, which may have forgotten it with reason.
+    pub fn remember(&mut self, now: u64, records: &[ServerRecord]) -> Changes {
+        let mut changes = Changes::default();
+        for record in records.iter().filter(|record| record.state != ServerState::Gone) {
+            if !self.entries.contains_key(&record.instance) {
+                changes.append(self.remember_one(now, record));
+            }
+        }
+        changes
+    }
+
     /// Another control machine has told whom it heard, and how many milliseconds ago.
     pub fn merge_heard(&mut self, now: u64, heard: &[(String, u32)]) -> Changes {
         let mut changes = Changes::default();
@@ -176,11 +190,22 @@
         self.last_tick_us.saturating_add((self.interval_us / LOOKS_IN_INTERVAL).max(1))
     }
 
-    /// All that a machine that starts has to know: live servers, and who has gone in the last minute.
+    /// Servers that are known from before a start alone: a last resort for routers, and for machines that know none.
+    #[must_use]
+    pub fn remembered(&self) -> Vec<ServerRecord> {
+        let mut records: Vec<_> =
+            self.entries.values().filter(|entry| entry.remembered).map(|e| e.record.clone()).collect();
+        records.sort_by(|one, other| one.instance.cmp(&other.instance));
+        records
+    }
+
+    /// All that a machine that starts has to know: live servers, and who has gone in the last minute. Servers that are only
+    /// [`Registry::remembered`] are no part of it.
     #[must_use]
     pub fn snapshot(&self, now: u64) -> Vec<ServerRecord> {
-        let told =
-            |entry: &&Entry| entry.live() || now.saturating_sub(entry.since_us) < SNAPSHOT_TOMBSTONES_US;
+        let told = |entry: &&Entry| {
+            !entry.remembered && (entry.live() || now.saturating_sub(entry.since_us) < SNAPSHOT_TOMBSTONES_US)
+        };
         let mut records: Vec<_> =
             self.entries.values().filter(told).map(|entry| entry.record.clone()).collect();
         records.sort_by(|one, other| one.instance.cmp(&other.instance));
@@ -238,7 +263,21 @@
         }
         let mut changes = Changes::default();
         changes.push_news(&record);
-        let entry = Entry { record, since_us: now, heard_here: false };
+        let entry = Entry { record, since_us: now, heard_here: false, remembered: false };
+        self.entries.insert(news.instance.clone(), entry);
+        changes
+    }
+
+    /// A server that nobody has heard of late: it may still serve.
+    fn remember_one(&mut self, now: u64, news: &ServerRecord) -> Changes {
+        let record = ServerRecord { unheard: true, ..normalized(news) };
+        if self.live_at(&record.address).next().is_some() {
+            self.contested.insert(record.address.clone());
+        }
+        let mut changes = Changes::default();
+        changes.push_heard(&record);
+        let since_us = now.saturating_sub(self.unheard_after());
+        let entry = Entry { record, since_us, heard_here: false, remembered: true };
         self.entries.insert(news.instance.clone(), entry);
         changes
     }
@@ -249,12 +288,13 @@
         let mut changes = Changes::default();
         let Some(entry) = self.entries.get_mut(&news.instance) else { return changes };
         let before = entry.record.clone();
-        if !join(&mut entry.record, news) {
+        let remembered = std::mem::take(&mut entry.remembered);
+        if !join(&mut entry.record, news) && !remembered {
             return changes;
         }
         entry.since_us = entry.since_us.max(now);
         entry.record.unheard = false;
-        if tells_more(&before, &entry.record) {
+        if remembered || tells_more(&before, &entry.record) {
             changes.push_news(&entry.record);
         } else if before.unheard {
             changes.push_heard(&entry.record);
@@ -280,6 +320,7 @@
         let unheard_after = self.unheard_after();
         let Some(entry) = self.entries.get_mut(instance).filter(|entry| entry.live()) else { return changes };
         entry.since_us = entry.since_us.max(at);
+        entry.remembered = false;
         if entry.record.unheard && now.saturating_sub(entry.since_us) < unheard_after {
             entry.record.unheard = false;
             changes.push_heard(&entry.record);
--- a/decide/registry/src/table/tests.rs
+++ b/decide/registry/src/table/tests.rs
@@ -400,3 +400,52 @@
     let gen = Gen::from_size_and_seed(40, SEED);
     QuickCheck::new().rng(gen).tests(5_000).quickcheck(holds as fn(Vec<(News, bool)>) -> bool);
 }
+
+#[test]
+fn what_was_known_before_a_start_is_a_last_resort_until_a_beat_comes() {
+    let mut before = table();
+    before.on_heartbeat(START, "a", &beat("h:1", 7));
+    before.on_heartbeat(START, "b", &draining("h:2", 3));
+    before.on_deregister(START, "c");
+    let mut after = table();
+    let told = after.remember(START, &before.snapshot(START));
+    assert!(told.news().is_empty(), "others may have forgotten them with reason");
+    assert_eq!(told.records.iter().map(|record| record.instance.as_str()).collect::<Vec<_>>(), ["a", "b"]);
+    assert!(unheard(&after, "a") && state_of(&after, "b") == Some(ServerState::Draining));
+    assert_eq!(state_of(&after, "c"), None, "who was gone is not remembered");
+    let heard = after.on_heartbeat(START + SECOND, "a", &beat("h:1", 8));
+    assert_eq!((heard.records.len(), heard.news().len()), (1, 1), "now it is news to the others as well");
+    assert!(!unheard(&after, "a"));
+}
+
+#[test]
+fn what_was_known_before_a_start_does_not_overrule_what_is_known() {
+    let mut known = table();
+    known.on_heartbeat(START, "a", &draining("h:1", 9));
+    let old =
+        ServerRecord { state: ServerState::Ready, unheard: false, ..known.record("a").unwrap().clone() };
+    assert!(known.remember(START, &[old]).is_empty());
+    assert_eq!(state_of(&known, "a"), Some(ServerState::Draining));
+    assert!(!unheard(&known, "a"));
+}
+
+#[test]
+fn what_was_known_before_a_start_is_told_apart_from_the_table() {
+    let mut after = table();
+    after.remember(START, &[beat("h:1", 7).record("a"), beat("h:2", 7).record("b")]);
+    assert!(after.snapshot(START).is_empty());
+    after.on_heartbeat(START + SECOND, "a", &beat("h:1", 8));
+    let names =
+        |records: Vec<ServerRecord>| records.into_iter().map(|record| record.instance).collect::<Vec<_>>();
+    assert_eq!(names(after.snapshot(START + SECOND)), ["a"]);
+    assert_eq!(names(after.remembered()), ["b"]);
+}
+
+#[test]
+fn what_was_known_before_a_start_is_forgotten_when_it_stays_silent() {
+    let mut after = table();
+    let record = beat("h:1", 7).record("a");
+    after.remember(START, &[record]);
+    let changes = run_to(&mut after, START + 61 * SECOND);
+    assert_eq!(changes.forgotten, ["a"]);
+}
