Write the broker's log and the fleet's by one package

Cause: src/log_writer.rs and fleet/src/logging/writer.rs were the same queue, thread and count of lost lines, written twice.

Change: the package wire/log_writer; each program keeps its capacity and its wording of lost lines.

--- a/fleet/src/logging/tests.rs
+++ b/fleet/src/logging/tests.rs
@@ -18,3 +18,9 @@
     assert!(line.ends_with(rest), "{line}");
     assert_eq!(line.lines().count(), 1);
 }
+
+#[test]
+fn lines_that_were_lost_are_told_as_an_event() {
+    let line = "{\"level\":\"WARN\",\"message\":\"lines of the log were lost\",\"lines\":3}\n";
+    assert_eq!(lost_line(3), line);
+}
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -39,7 +39,7 @@
 
 /// Writes a line for the operators.
 pub fn log(line: &str) {
-    crate::log_writer::write(format!("lichenswitch: {line}\n").into_bytes());
+    crate::log_writer::writer().write_line(format!("lichenswitch: {line}\n").into_bytes());
 }
 
 /// The broker: the service of the platform, that of the OGC front, or both, on one loop.
--- a/src/main.rs
+++ b/src/main.rs
@@ -48,13 +48,13 @@
     };
     let mut lines = env_logger::Builder::new();
     lines.filter_level(log::LevelFilter::Info).parse_default_env().format(line);
-    lines.target(env_logger::Target::Pipe(Box::<lichenswitch::log_writer::Stream>::default())).init();
+    lines.target(env_logger::Target::Pipe(Box::new(lichenswitch::log_writer::writer()))).init();
 }
 
 fn main() -> ExitCode {
     log_lines();
     let served = serve();
-    lichenswitch::log_writer::finish();
+    lichenswitch::log_writer::writer().finish();
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
