End check FILE with 2, and read a router's settings again from the file it was given

Change: one exit code, 2, for whatever can't be used; router::run takes the path that was read. The test of check expects 2 in place of 1, since the code that it guards is now the same for all faulty files.

--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -1,7 +1,7 @@
 //! The program of the fleet: a subcommand a role, and the command line for operators.
 //!
-//! Exit codes: 0 when it was told to end, or has shown what was asked; 1 when a role can't go on, when what was checked can't be used or when
-//! nobody answers; 2 when its settings or its arguments can't be used.
+//! Exit codes: 0 when it was told to end, or has shown what was asked; 1 when a role can't go on, or when nobody answers; 2 when its settings or
+//! its arguments can't be used, or what was checked can't be.
 #![forbid(unsafe_code)]
 
 use bpaf::Bpaf;
@@ -48,8 +48,8 @@
     },
 }
 
-/// Exit code for settings or arguments that can't be used.
-const EXIT_SETTINGS: u8 = 2;
+/// Exit code for settings, arguments or checked files that can't be used.
+const EXIT_UNUSABLE: u8 = 2;
 
 fn main() -> ExitCode {
     let command = match command().run_inner(bpaf::Args::current_args()) {
@@ -57,18 +57,18 @@
         Err(failure) => {
             failure.print_message(100);
             // Help that was asked for is no failure.
-            return if failure.exit_code() == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_SETTINGS) };
+            return if failure.exit_code() == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_UNUSABLE) };
         }
     };
     match command {
         Command::Router { settings } => {
-            role(settings, |settings, _| router::run(settings).map_err(Box::from))
+            role(settings, |settings, path| router::run(settings, path).map_err(Box::from))
         }
         Command::Control { settings } => {
             role(settings, |settings, path| control::run(settings, path).map_err(Box::from))
         }
-        Command::Status { settings, address } => shown(status::ask(settings, address)),
-        Command::Check { file } => shown(check::check(&file)),
+        Command::Status { settings, address } => shown(status::ask(settings, address), ExitCode::FAILURE),
+        Command::Check { file } => shown(check::check(&file), ExitCode::from(EXIT_UNUSABLE)),
     }
 }
 
@@ -79,7 +79,7 @@
         Ok(read) => read,
         Err(e) => {
             eprintln!("lichenswitch-fleet: settings: {e}");
-            return ExitCode::from(EXIT_SETTINGS);
+            return ExitCode::from(EXIT_UNUSABLE);
         }
     };
     logging::start();
@@ -100,7 +100,8 @@
     Ok((Settings::read(&path)?, path))
 }
 
-fn shown<T: std::fmt::Display, E: std::fmt::Display>(outcome: Result<T, E>) -> ExitCode {
+/// Shows the answer, or why there is none, which ends with `failure`.
+fn shown<T: std::fmt::Display, E: std::fmt::Display>(outcome: Result<T, E>, failure: ExitCode) -> ExitCode {
     match outcome {
         Ok(answer) => {
             println!("{answer}");
@@ -108,7 +109,7 @@
         }
         Err(e) => {
             eprintln!("lichenswitch-fleet: {e}");
-            ExitCode::FAILURE
+            failure
         }
     }
 }
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -40,7 +40,7 @@
 mod services;
 mod shutdown;
 
-use crate::settings::{self, Settings};
+use crate::settings::Settings;
 use candidates::Candidates;
 use clients::{ClientEvent, Clients};
 use configuration::{Configuration, InForce};
@@ -68,12 +68,12 @@
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(3);
 
-/// Runs the role until the process is told to end. The settings are read again from the file that the environment names.
+/// Runs the role until the process is told to end. The settings are read again from `path`.
 ///
 /// # Errors
 /// A system call failed that it can't do without, or the settings lack what it needs.
-pub fn run(settings: Settings) -> Result<(), RouterError> {
-    let mut router = Router::new(&settings, settings::path(None).ok())?;
+pub fn run(settings: Settings, path: PathBuf) -> Result<(), RouterError> {
+    let mut router = Router::new(&settings, Some(path))?;
     router.stop_on(signal(SIGTERM)?)?;
     router.reload_on(signal(SIGHUP)?)?;
     log::info!(node = settings.node_name.as_str(), frontend:% = router.frontend; "router listens");
--- a/fleet/tests/control_program.rs
+++ b/fleet/tests/control_program.rs
@@ -79,7 +79,7 @@
         error(&good)
     );
     let bad = said(&invalid);
-    assert_eq!(bad.status.code(), Some(1));
+    assert_eq!(bad.status.code(), Some(2));
     assert!(error(&bad).contains("configuration: "), "{}", error(&bad));
     [settings, configuration, invalid].iter().for_each(|path| std::fs::remove_file(path).unwrap());
 }
