Decide about operators' calls and pushes in one package, for the fleet and the simulator

Cause: the simulator's glue mirrored that of the role control by hand, so that what its walks and planted faults showed was shown of a copy. A router that connected was told of contact before it had been sent the configuration, and could take an old one for current.

Change: decide/control holds calls at the primary, relayed calls, and what each router is sent; both run it, and the copies are gone. The first message of contact follows the configuration. Whether a replica is current is asked of the replica alone (Replica::is_current), tested in replication/tests/current.rs.

--- a/fleet/src/control/primary_calls/tests.rs
+++ b/decide/control/src/primary_calls/tests.rs
@@ -1,16 +1,21 @@
 //! Tests of `primary_calls`, with a replica that is alone and remembers at once.
 
-use super::super::calls::Origin;
 use super::*;
+use crate::call::Origin;
+use crate::replicated::Replicated;
 use assert_matches::assert_matches;
 use lichenswitch_configuration::REPLACE_PATH;
 use lichenswitch_replication::{Identity, Member, Output, Settings};
 
 const START: Time = Time(1_000_000);
 
+/// Handle of a caller, address of a machine.
+type PrimaryCalls = super::PrimaryCalls<u8, u8>;
+
 struct Alone {
     replica: Replica<Replicated>,
     calls: PrimaryCalls,
+    refusals: Refusals,
     now: Time,
     /// What the replica has settled and nobody was told yet.
     settled: Vec<(RequestId, Outcome)>,
@@ -21,11 +26,17 @@
     fn new() -> Alone {
         let settings = Settings { fault_tolerance: 0, ..Settings::default() };
         let member = Member { identity: Identity(7), address: "10.0.0.1:7300".to_owned() };
-        let replica = Replica::found(settings, member, Replicated::default(), 1, to_replica(START));
-        let mut alone = Alone { replica, calls: PrimaryCalls::default(), now: START, settled: Vec::new() };
+        let replica = Replica::found(settings, member, Replicated::default(), 1, START);
+        let mut alone = Alone {
+            replica,
+            calls: PrimaryCalls::default(),
+            refusals: Refusals::default(),
+            now: START,
+            settled: Vec::new(),
+        };
         while !alone.replica.is_serving() {
-            alone.now = alone.now.plus(50_000);
-            alone.replica.tick(to_replica(alone.now));
+            alone.now = alone.now.after(50_000);
+            alone.replica.tick(alone.now);
             alone.write();
         }
         alone
@@ -43,7 +54,7 @@
                 }
             }
             match last {
-                Some(ticket) => self.replica.on_persisted(to_replica(self.now), ticket),
+                Some(ticket) => self.replica.on_persisted(self.now, ticket),
                 None => return,
             }
         }
@@ -53,17 +64,13 @@
     fn settle(&mut self) {
         self.write();
         for (request, outcome) in std::mem::take(&mut self.settled) {
-            self.calls.on_settled(self.now, request, &outcome, &mut self.replica);
+            self.calls.on_settled(self.now, request, &outcome, &mut self.replica, |_| b"status".to_vec());
         }
         self.write();
     }
 
     fn take(&mut self, question: Question) {
-        let call = Call {
-            origin: Origin::Peer { address: ([10, 0, 0, 2], 1).into(), id: 1 },
-            question,
-            arrived: self.now,
-        };
+        let call = Call { origin: Origin::Peer { address: 2, id: 1 }, question, arrived: self.now };
         self.calls.take(self.now, call, &mut self.replica);
     }
 
@@ -84,7 +91,12 @@
         }
         let status =
             |answer: RelayedAnswer| assert_matches!(answer, RelayedAnswer::Answer { status, .. } => status);
-        self.calls.take_ended().into_iter().map(|(_, answer)| status(answer)).collect()
+        let ended = self.calls.take_ended();
+        ended
+            .iter()
+            .filter_map(|ended| ended.refusal.clone())
+            .for_each(|refusal| self.refusals.note(refusal));
+        ended.into_iter().map(|ended| status(ended.answer)).collect()
     }
 }
 
@@ -100,7 +112,7 @@
     alone.order(0, 2, "b");
     assert_eq!(alone.work(), [200, 200, 412]);
     let refused: Vec<_> =
-        alone.calls.refusals().map(|refusal| (refusal.status, refusal.base_version)).collect();
+        alone.refusals.iter().map(|refusal| (refusal.status, refusal.base_version)).collect();
     assert_eq!(refused, [(412, 0), (412, 0)]);
     assert!(alone.calls.is_empty());
 }
@@ -131,7 +143,7 @@
     alone.take(Question::Describe);
     alone.settle();
     let ended = alone.calls.take_ended();
-    assert_matches!(&ended[..], [(_, RelayedAnswer::Answer { status: 200, body })] => {
+    assert_matches!(&ended[..], [Ended { answer: RelayedAnswer::Answer { status: 200, body }, .. }] => {
         assert!(body.starts_with(b"{\"version\":2,"));
     });
 }
@@ -140,15 +152,21 @@
 fn one_that_is_not_primary_gives_all_calls_back() {
     let settings = Settings::default();
     let member = Member { identity: Identity(7), address: "10.0.0.1:7300".to_owned() };
-    let replica = Replica::newcomer(settings, member, 1, to_replica(START));
-    let mut outsider = Alone { replica, calls: PrimaryCalls::default(), now: START, settled: Vec::new() };
+    let replica = Replica::newcomer(settings, member, 1, START);
+    let mut outsider = Alone {
+        replica,
+        calls: PrimaryCalls::default(),
+        refusals: Refusals::default(),
+        now: START,
+        settled: Vec::new(),
+    };
     outsider.order(0, 2, "a");
     outsider.take(Question::Describe);
     outsider.calls.advance(outsider.now, &mut outsider.replica);
     outsider.settle();
     let ended = outsider.calls.take_ended();
     assert_eq!(ended.len(), 2);
-    assert!(ended.iter().all(|(_, answer)| *answer == RelayedAnswer::NotPrimary));
+    assert!(ended.iter().all(|ended| ended.answer == RelayedAnswer::NotPrimary));
 }
 
 #[test]
@@ -156,6 +174,6 @@
     let mut alone = Alone::new();
     (0..=MOST_WAITING).for_each(|_| alone.order(0, 2, "a"));
     let ended = alone.calls.take_ended();
-    assert_matches!(&ended[..], [(_, RelayedAnswer::Answer { status: 503, .. })]);
+    assert_matches!(&ended[..], [Ended { answer: RelayedAnswer::Answer { status: 503, .. }, .. }]);
     assert_eq!(alone.work().len(), MOST_WAITING);
 }
--- /dev/null
+++ b/decide/replication/tests/current.rs
@@ -0,0 +1,163 @@
+//! Who may hand out what is held here as current, and whose heartbeats are followed.
+
+use assert_matches::assert_matches;
+use lichenswitch_replication::model::History;
+use lichenswitch_replication::{
+    Append, Body, DurableItem, Epoch, Identity, Image, Member, Membership, Message, Output, Position, Record,
+    Recovered, Replica, ReplicatedState, Settings, Time, Update,
+};
+
+mod scenario;
+use scenario::{four, others, serving, SECOND};
+
+const MS: u64 = 1_000;
+const EPOCH: Epoch = Epoch { counter: 3, primary: Identity(1) };
+
+fn at(ms: u64) -> Time {
+    Time(10 * SECOND + ms * MS)
+}
+
+fn member(identity: u64) -> Member {
+    Member { identity: Identity(identity), address: format!("10.0.0.{identity}:7000") }
+}
+
+fn position(number: u64) -> Position {
+    Position { epoch: EPOCH, number }
+}
+
+/// Voter 2 of three, whose disk holds the image of position 5 under the epoch of voter 1.
+fn voter() -> Replica<History> {
+    let image = DurableItem::Image(Image {
+        identity: Identity(2),
+        promised: EPOCH,
+        position: position(5),
+        membership: Membership::new([1, 2, 3].map(member)),
+        state: History { changes: vec![1] }.encode(),
+    });
+    let recovered = Recovered::from_items(vec![image]).unwrap();
+    Replica::recover(Settings::default(), member(2).address, recovered, 7, at(0)).unwrap()
+}
+
+/// A heartbeat of voter 1, which is confirmed.
+fn heartbeat(to: u64, round: u64, committed: u64, records: Vec<Record>) -> Message {
+    let append = Append {
+        to: Identity(to),
+        epoch: EPOCH,
+        round,
+        in_contact: true,
+        head: position(committed),
+        committed: position(committed),
+        records,
+        take_image: false,
+    };
+    Message { from: member(1), body: Body::Append(append) }
+}
+
+/// The record of a position, that stands on the one before.
+fn record(number: u64) -> Record {
+    let change = number.to_le_bytes().to_vec();
+    Record { position: position(number), previous: position(number - 1), update: Update::Change(change) }
+}
+
+#[test]
+fn one_that_lacks_what_is_committed_is_in_contact_but_current_no_more() {
+    let mut voter = voter();
+    assert!(!voter.is_current(at(0)), "it has heard nobody");
+    voter.on_message(at(0), heartbeat(2, 1, 5, Vec::new()));
+    assert!(voter.is_current(at(0)));
+    assert_eq!(voter.committed().map(|(position, _)| position), Some(position(5)));
+
+    // From now on more is committed than comes here.
+    for beat in 1..=9 {
+        let now = at(100 * beat);
+        voter.on_message(now, heartbeat(2, 1 + beat, 5 + beat, Vec::new()));
+        assert!(voter.in_contact(now), "{now:?}");
+        assert_eq!(voter.is_current(now), beat < 4, "behind since {:?}, now {now:?}", at(100));
+    }
+    assert!(voter.is_current(at(399)) && !voter.is_current(at(400)), "the bound is {} us", 300 * MS);
+
+    // Part of what is lacking does not make it current, all of it does, at once.
+    voter.on_message(at(1_000), heartbeat(2, 11, 8, vec![record(6)]));
+    assert!(voter.in_contact(at(1_000)) && !voter.is_current(at(1_000)));
+    voter.on_message(at(1_010), heartbeat(2, 12, 8, vec![record(7), record(8)]));
+    assert_eq!(voter.committed().map(|(position, _)| position), Some(position(8)));
+    assert!(voter.is_current(at(1_010)));
+
+    // What is lacking next is counted anew, and without contact nothing is current.
+    voter.on_message(at(1_100), heartbeat(2, 13, 9, Vec::new()));
+    assert!(voter.is_current(at(1_399)) && !voter.is_current(at(1_400)));
+    voter.on_message(at(1_410), heartbeat(2, 14, 9, vec![record(9)]));
+    assert!(voter.is_current(at(2_009)) && !voter.is_current(at(2_010)));
+    assert!(!voter.in_contact(at(2_010)));
+}
+
+#[test]
+fn a_primary_is_current_as_long_as_it_is_in_contact() {
+    let mut timed = four(4);
+    timed.commit_within(SECOND).expect("a change is committed");
+    let (primary, voters) = (serving(&timed), others(&timed));
+    let is_current = |timed: &lichenswitch_replication::model::timed::Timed, index: usize| {
+        let replica = timed.world.nodes[index].replica.as_ref().unwrap();
+        (replica.in_contact(timed.now), replica.is_current(timed.now))
+    };
+    for _ in 0..50 {
+        timed.run_for(20 * MS);
+        assert_eq!(is_current(&timed, primary), (true, true));
+    }
+    timed.isolate(primary);
+    timed.run_for(650 * MS);
+    assert_eq!(is_current(&timed, primary), (false, false));
+    timed.commit_within(3 * SECOND).expect("the others go on");
+    let next = serving(&timed);
+    assert!(next != primary && voters.contains(&next));
+    assert_eq!(is_current(&timed, next), (true, true));
+    assert_eq!(is_current(&timed, primary), (false, false));
+    timed.heal();
+    timed.run_for(2 * SECOND);
+    assert_eq!(is_current(&timed, primary), (true, true), "it has caught up");
+}
+
+/// Whom a replica knocks at within a time.
+fn knocks(replica: &mut Replica<History>, from: Time, until: Time) -> Vec<String> {
+    let mut knocks = Vec::new();
+    let mut now = from;
+    loop {
+        replica.tick(now);
+        for output in replica.take_outputs() {
+            if let Output::Send { to, message: Message { body: Body::Knock, .. } } = output {
+                knocks.push(to);
+            }
+        }
+        now = replica.next_wake();
+        if now > until {
+            return knocks;
+        }
+    }
+}
+
+#[test]
+fn a_heartbeat_for_another_disk_is_not_followed_but_knocked_at() {
+    let newcomer = || Replica::<History>::newcomer(Settings::default(), member(9), 7, at(0));
+    let mut unheard = newcomer();
+    assert_eq!(knocks(&mut unheard, at(0), at(1_000)), Vec::<String>::new(), "it knows nobody");
+
+    // Voter 2 was at this address before its disk was lost.
+    let mut replica = newcomer();
+    replica.on_message(at(0), heartbeat(2, 1, 5, Vec::new()));
+    assert_eq!(replica.promised(), Epoch::default());
+    assert_eq!(
+        (replica.primary(), replica.in_contact(at(0)), replica.is_current(at(0))),
+        (None, false, false)
+    );
+    assert!(replica.committed().is_none());
+    assert_matches!(&replica.take_outputs()[..], [], "it gives no answer in the name of another");
+    let knocked = knocks(&mut replica, at(0), at(1_000));
+    assert!(!knocked.is_empty() && knocked.iter().all(|to| *to == member(1).address), "{knocked:?}");
+
+    // A voter whom it is not for does not follow either; one that is meant does.
+    let mut voter = voter();
+    voter.on_message(at(0), heartbeat(3, 1, 5, Vec::new()));
+    assert_eq!((voter.primary(), voter.in_contact(at(0))), (None, false));
+    voter.on_message(at(1), heartbeat(2, 1, 5, Vec::new()));
+    assert_eq!((voter.primary(), voter.in_contact(at(1))), (Some(&member(1)), true));
+}
--- a/fleet/src/control/contact.rs
+++ b/fleet/src/control/contact.rs
@@ -1,13 +1,13 @@
 //! What this machine tells of itself and of what is committed: to routers, to other control machines, and to those without a copy.
 
+use super::calls::Primary;
 use super::group::to_replica;
 use super::machine::Machine;
-use super::relayed_calls::Primary;
-use super::routers::{Committed, Push};
+use super::routers::Push;
+use lichenswitch_control::{configuration_position, Committed};
 use lichenswitch_interface::Time;
-use lichenswitch_messages::{ConfigurationPosition, ControlToRouter, Envelope, PeerMessage};
+use lichenswitch_messages::{ControlToRouter, Envelope, PeerMessage};
 use lichenswitch_net::ConnId;
-use lichenswitch_replication::Position;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -213,12 +213,3 @@
         busy
     }
 }
-
-/// Where a configuration stands, for routers.
-fn configuration_position(position: Position) -> ConfigurationPosition {
-    ConfigurationPosition {
-        epoch: position.epoch.counter,
-        primary: position.epoch.primary.0,
-        number: position.number,
-    }
-}
--- a/fleet/src/control/feed.rs
+++ b/fleet/src/control/feed.rs
@@ -4,7 +4,7 @@
 //! gone back on.
 
 use super::program::elapsed;
-use super::routers::Committed;
+use lichenswitch_control::Committed;
 use lichenswitch_interface::Time;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/fleet/src/control/group.rs
+++ b/fleet/src/control/group.rs
@@ -6,36 +6,16 @@
 use super::program::{Net, Signal};
 use super::ControlError;
 use crate::settings::Settings;
-use lichenswitch_configuration::State;
+use lichenswitch_control::Replicated;
 use lichenswitch_interface::Time;
 use lichenswitch_replication as replication;
-use lichenswitch_replication::{
-    DurableItem, Identity, Member, Output, Recovered, Replica, ReplicatedState, StateError, Ticket,
-};
+use lichenswitch_replication::{DurableItem, Identity, Member, Output, Recovered, Replica, Ticket};
 use lichenswitch_storage::{Finding, Job, Storage, StorageSettings, Usage, Writer};
 use log::{info, warn};
 use std::hash::BuildHasher;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 
-/// The state that all voters hold: configuration and history of orders.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(super) struct Replicated(pub(super) State);
-
-impl ReplicatedState for Replicated {
-    fn encode(&self) -> Vec<u8> {
-        self.0.encode()
-    }
-
-    fn decode(bytes: &[u8]) -> Result<Self, StateError> {
-        State::decode(bytes).map(Replicated).map_err(|e| StateError::new(e.to_string()))
-    }
-
-    fn apply(&mut self, change: &[u8]) -> Result<(), StateError> {
-        self.0.apply(change).map_err(|e| StateError::new(e.to_string()))
-    }
-}
-
 /// Why a machine takes part in the group of voters, if it does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Eligibility {
@@ -193,7 +173,7 @@
 
     /// When the replica wants to be woken; `None`: never.
     pub(super) fn next_wake(&self) -> Option<Time> {
-        Some(Time(self.replica.next_wake().0)).filter(|at| at.0 < u64::MAX)
+        Some(of_replica(self.replica.next_wake())).filter(|at| at.0 < u64::MAX)
     }
 
     /// How full the disk is, and its last failure.
@@ -215,6 +195,11 @@
     replication::Time(now.0)
 }
 
+/// A time of the replica, as the loop counts it.
+pub(super) fn of_replica(time: replication::Time) -> Time {
+    Time(time.0)
+}
+
 impl Disk {
     fn start(storage: Storage, net: &mut Net) -> Result<Disk, ControlError> {
         let (ours, theirs) = UnixStream::pair()?;
--- a/fleet/src/control/machine.rs
+++ b/fleet/src/control/machine.rs
@@ -1,18 +1,18 @@
 //! One control machine: the loop, and the order in which the parts get what has happened.
 
 use super::callers::Callers;
+use super::calls::{Calls, Primary};
 use super::contact::Told;
 use super::feed::Feed;
-use super::group::{draw_identity, to_replica, Eligibility, Group};
+use super::group::{draw_identity, of_replica, to_replica, Eligibility, Group};
 use super::links::{End, Links};
 use super::peers::{Peers, CONNECT_TIMEOUT, SILENCE};
-use super::primary_calls::PrimaryCalls;
 use super::program::{after, elapsed, sooner, Net, Owner, Signal};
-use super::relayed_calls::{Primary, RelayedCalls};
-use super::routers::{Committed, Routers};
+use super::routers::Routers;
 use super::servers::Servers;
-use super::{notices, own_part, ControlError, DIGEST_INTERVAL};
+use super::{notices, own_part, status, ControlError, DIGEST_INTERVAL};
 use crate::settings::Settings;
+use lichenswitch_control::{Committed, Refusals};
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{Envelope, PeerMessage, ROUTER_HEARTBEAT_MS};
 use lichenswitch_net::{ConnId, Ready};
@@ -49,8 +49,9 @@
     pub(super) servers: Servers,
     pub(super) routers: Routers,
     pub(super) callers: Callers,
-    pub(super) primary_calls: PrimaryCalls,
-    pub(super) relayed_calls: RelayedCalls,
+    pub(super) calls: Calls,
+    /// The last orders that were refused here.
+    pub(super) refusals: Refusals,
     /// The newest configuration that is known to be committed.
     pub(super) committed: Option<Committed>,
     /// What others were told last.
@@ -96,8 +97,8 @@
             servers: Servers::new(&settings, now),
             routers: Routers::new(),
             callers: Callers::default(),
-            primary_calls: PrimaryCalls::default(),
-            relayed_calls: RelayedCalls::default(),
+            calls: Calls::new(fastrand::u64(..)),
+            refusals: Refusals::default(),
             committed: None,
             told: Told::default(),
             next_tick: now,
@@ -173,7 +174,6 @@
         for address in self.peers.due(now) {
             self.dial(address, now);
         }
-        self.relayed_calls.expire(now);
         self.feed.tick(now);
         if self.next_tick <= now {
             self.next_tick = after(now, TICK);
@@ -266,7 +266,9 @@
                 Output::Send { to, message } => self.send_replication(&to, &message, now),
                 Output::Settled { request, outcome } => {
                     if let Some(group) = &mut self.group {
-                        self.primary_calls.on_settled(now, request, &outcome, &mut group.replica);
+                        let status = |replica: &_| status::group(replica, now).into_bytes();
+                        let replica = &mut group.replica;
+                        self.calls.on_settled(to_replica(now), request, &outcome, replica, status);
                     }
                 }
                 Output::Notice(notice) => notices::log(&notice),
@@ -335,8 +337,7 @@
         let waits = [
             self.group.as_ref().and_then(Group::next_wake),
             self.peers.next_wake(),
-            self.primary_calls.next_wake(),
-            self.relayed_calls.next_wake(),
+            self.calls.next_wake().map(of_replica),
             self.servers.next_wake(),
             self.feed.next_wake(),
             self.shutdown_wake(),
--- a/fleet/src/control/mod.rs
+++ b/fleet/src/control/mod.rs
@@ -1,8 +1,8 @@
 //! The role `control`: keeps the configuration with its peers, knows model servers and routers, and answers operators.
 //!
-//! One loop joins the parts. Each part is plain state ([`peers`], [`routers`], [`servers`], [`primary_calls`], [`relayed_calls`], [`feed`]) or the
-//! edge to a package ([`group`] to replication and storage, [`callers`] to HTTP, [`links`] to frames); [`machine`] hands what happens from
-//! one to the other. The loop never waits for anything but sockets: a thread of its own writes the disk.
+//! One loop joins the parts. Each part is plain state ([`peers`], [`routers`], [`servers`], [`feed`]) or the edge to a
+//! package ([`calls`] to what is decided about calls, [`group`] to replication and storage, [`callers`] to HTTP, [`links`] to frames);
+//! [`machine`] hands what happens from one to the other. The loop never waits for anything but sockets: a thread of its own writes the disk.
 
 mod callers;
 mod calls;
@@ -16,9 +16,7 @@
 mod on_internal;
 mod own_part;
 mod peers;
-mod primary_calls;
 mod program;
-mod relayed_calls;
 mod routers;
 mod servers;
 mod shutdown;
--- a/fleet/src/control/on_call.rs
+++ b/fleet/src/control/on_call.rs
@@ -1,13 +1,13 @@
 //! Requests of servers and operators.
 
 use super::callers::error;
-use super::calls::{Call, Origin, Question};
+use super::calls::{Action, Call, Origin};
+use super::group::to_replica;
 use super::machine::Machine;
-use super::primary_calls::Refusal;
-use super::relayed_calls::Step;
 use super::servers::Beat;
 use super::status;
 use lichenswitch_configuration::{judge_alone, parse_base_version, Order, OrderKind};
+use lichenswitch_control::{Question, Refusal};
 use lichenswitch_http::{Request, Response};
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{PeerMessage, RelayedAnswer};
@@ -65,14 +65,20 @@
     }
 
     fn refuse(&mut self, now: Time, base_version: u64, reason: String) -> Response {
-        log::info!(target: "control", status = 400, base_version = base_version, reason = reason.as_str(); "order refused");
         let response = error(400, &reason);
-        self.primary_calls.on_refused(Refusal { status: 400, base_version, reason, at: now });
+        self.on_refused(Refusal { status: 400, base_version, reason, at: to_replica(now) });
         response
     }
 
+    /// An order was refused, by this machine alone or as primary.
+    fn on_refused(&mut self, refusal: Refusal) {
+        log::info!(target: "control", status = refusal.status, base_version = refusal.base_version,
+            reason = refusal.reason.as_str(); "order refused");
+        self.refusals.note(refusal);
+    }
+
     fn ask(&mut self, id: ConnId, question: Question, now: Time) -> Option<Response> {
-        self.relayed_calls.take(Call { origin: Origin::Caller(id), question, arrived: now });
+        self.take_call(Origin::Caller(id), question, now);
         None
     }
 
@@ -104,39 +110,31 @@
         self.in_contact(now) && self.servers.may_take_beats(now)
     }
 
+    /// A call has come, from a caller or from another control machine.
+    pub(super) fn take_call(&mut self, origin: Origin, question: Question, now: Time) {
+        let now = to_replica(now);
+        let replica = self.group.as_mut().map(|group| &mut group.replica);
+        self.calls.take(now, Call { origin, question, arrived: now }, replica);
+    }
+
     /// Hands calls on, and answers those that have ended.
     pub(super) fn advance_calls(&mut self, now: Time) -> bool {
-        let mut busy = false;
-        self.relayed_calls.advance(now, self.primary(now));
-        for step in self.relayed_calls.take_steps() {
-            busy = true;
-            match step {
-                Step::Here(call) => self.take_as_primary(call, now),
-                Step::Send { to, id, call } => self.send_to_peer(to, PeerMessage::Call { id, call }),
-                Step::Answer(call, answer) => self.answer_call(&call, answer),
-            }
-        }
-        if let Some(group) = &mut self.group {
-            self.primary_calls.advance(now, &mut group.replica);
-        }
-        for (call, answer) in self.primary_calls.take_ended() {
-            busy = true;
-            match (call.origin, &answer) {
-                // Nothing was begun: another primary may take it yet.
-                (Origin::Caller(_), RelayedAnswer::NotPrimary) => self.relayed_calls.take_back(now, call),
-                _ => self.answer_call(&call, answer),
+        let primary = self.primary(now);
+        let replica = self.group.as_mut().map(|group| &mut group.replica);
+        let actions = self.calls.advance(to_replica(now), &primary, replica);
+        let busy = !actions.is_empty();
+        for action in actions {
+            match action {
+                Action::Send { to, id, call } => self.send_to_peer(to, PeerMessage::Call { id, call }),
+                Action::Answer { call, answer, refusal } => {
+                    refusal.into_iter().for_each(|refusal| self.on_refused(refusal));
+                    self.answer_call(&call, answer);
+                }
             }
         }
         busy
     }
 
-    fn take_as_primary(&mut self, call: Call, now: Time) {
-        match &mut self.group {
-            Some(group) => self.primary_calls.take(now, call, &mut group.replica),
-            None => self.relayed_calls.take_back(now, call),
-        }
-    }
-
     fn answer_call(&mut self, call: &Call, answer: RelayedAnswer) {
         match (call.origin, answer) {
             (Origin::Peer { address, id }, answer) => {
--- a/fleet/src/control/on_internal.rs
+++ b/fleet/src/control/on_internal.rs
@@ -1,16 +1,18 @@
 //! Messages of other processes of the fleet.
 
-use super::calls::{Call, Origin, Question};
+use super::calls::Origin;
 use super::feed::Feed;
 use super::group::to_replica;
 use super::links::End;
 use super::machine::Machine;
 use super::peers::Introduction;
-use super::relayed_calls::Primary;
-use super::routers::{Committed, Hello};
+use super::routers::Hello;
 use lichenswitch_configuration::Document;
+use lichenswitch_control::{Committed, Question};
 use lichenswitch_interface::Time;
-use lichenswitch_messages::{Envelope, PeerMessage, RelayedAnswer, RouterToControl, PROTOCOL_VERSION};
+use lichenswitch_messages::{
+    Envelope, PeerMessage, RelayedAnswer, RelayedCall, RouterToControl, PROTOCOL_VERSION,
+};
 use lichenswitch_net::ConnId;
 use lichenswitch_replication::Message;
 use log::{info, warn};
@@ -139,8 +141,8 @@
             // It was taken by `on_hello`.
             PeerMessage::Hello { .. } => {}
             PeerMessage::Replication(bytes) => self.on_replication(from, &bytes, now),
-            PeerMessage::Call { id, call } => self.on_relayed(Origin::Peer { address: from, id }, call, now),
-            PeerMessage::Answer { id, answer } => self.relayed_calls.on_answer(now, from, id, answer),
+            PeerMessage::Call { id, call } => self.on_relayed(from, id, call, now),
+            PeerMessage::Answer { id, answer } => self.calls.on_answer(to_replica(now), &from, id, answer),
             PeerMessage::Servers { ack, records, whole } => {
                 self.servers.on_records(now, &records, whole, self.is_in_contact(from));
                 if ack != 0 {
@@ -190,15 +192,10 @@
     }
 
     /// A call that another control machine relays.
-    fn on_relayed(&mut self, origin: Origin, call: lichenswitch_messages::RelayedCall, now: Time) {
-        let Origin::Peer { address, id } = origin else { return };
-        let question = Question::of_relayed(call).filter(|_| self.primary(now) == Primary::Here);
-        match (question, &mut self.group) {
-            (Some(question), Some(group)) => {
-                let call = Call { origin, question, arrived: now };
-                self.primary_calls.take(now, call, &mut group.replica);
-            }
-            _ => self.send_to_peer(address, PeerMessage::Answer { id, answer: RelayedAnswer::NotPrimary }),
+    fn on_relayed(&mut self, address: SocketAddr, id: u64, call: RelayedCall, now: Time) {
+        match Question::of_relayed(call) {
+            Some(question) => self.take_call(Origin::Peer { address, id }, question, now),
+            None => self.send_to_peer(address, PeerMessage::Answer { id, answer: RelayedAnswer::NotPrimary }),
         }
     }
 
@@ -207,11 +204,11 @@
             RouterToControl::Hello { protocol, node, zone, process, configuration } => {
                 check_protocol(protocol, &node)?;
                 self.links.set_end(id, End::Router);
-                let heartbeat = self.router_heartbeat(now);
-                self.push_all(vec![(id, heartbeat)]);
+                // What was committed in this turn is part of what the router is sent before it is told of contact.
+                self.look_at_committed(now);
+                let (heartbeat, table) = (self.router_heartbeat(now), self.servers.snapshot(now));
                 let hello = Hello { node, zone, process, configuration };
-                let table = self.servers.snapshot(now);
-                let pushes = self.routers.on_hello(now, id, hello, self.committed.as_ref(), table);
+                let pushes = self.routers.on_hello(now, id, hello, self.committed.as_ref(), heartbeat, table);
                 self.push_all(pushes);
             }
             RouterToControl::Applied { push, configuration } => {
@@ -230,7 +227,7 @@
                 self.peers.on_closed(address, id, now);
                 if was_connected && self.peers.connection(address).is_none() {
                     info!(target: "control", address = address.to_string().as_str(), reason = reason; "peer is lost");
-                    self.relayed_calls.on_lost(address);
+                    self.calls.on_lost(&address);
                     self.servers.on_lost(address);
                 }
             }
--- a/fleet/src/control/routers.rs
+++ b/fleet/src/control/routers.rs
@@ -3,12 +3,12 @@
 //! It owns the members and their connections. It promises: a router that connects gets the newest committed configuration, unless it has it,
 //! and the whole table of servers, and changes from then on; all that is pushed is numbered from 1 on each connection.
 
+use lichenswitch_control::{Committed, Pushes};
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{ConfigurationPosition, ControlToRouter, ServerRecord};
 use lichenswitch_net::ConnId;
 use lichenswitch_registry::Members;
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// A router stays a member for so long without a connection: it may be on its way to another control machine.
@@ -16,28 +16,16 @@
 /// Records in one message. Guards the loop of a router against one long message.
 const RECORDS_IN_MESSAGE: usize = 500;
 
-/// A committed configuration, to be pushed.
-#[derive(Clone, Debug)]
-pub(super) struct Committed {
-    pub(super) position: ConfigurationPosition,
-    pub(super) version: u64,
-    pub(super) document: Arc<[u8]>,
-}
-
 /// A router.
 #[derive(Clone, Debug)]
 pub(super) struct Router {
     pub(super) node: String,
     pub(super) zone: String,
     process: u64,
-    /// Number of the last push.
-    pushed: u64,
+    /// What it has been sent, and has in force.
+    pushes: Pushes,
     /// Number up to which it has applied all.
     pub(super) applied: u64,
-    /// The configuration that it has in force.
-    pub(super) configuration: Option<ConfigurationPosition>,
-    /// Version of the newest configuration that it was sent on this connection.
-    sent_version: Option<u64>,
 }
 
 /// What a router says in its first message.
@@ -71,24 +59,26 @@
         id: ConnId,
         hello: Hello,
         committed: Option<&Committed>,
+        heartbeat: ControlToRouter,
         table: Vec<ServerRecord>,
     ) -> Vec<Push> {
         if self.members.on_renewal(now.0, hello.process, &hello.node, &hello.zone) {
             log::info!(target: "control", node = hello.node.as_str(), zone = hello.zone.as_str(); "router has connected");
         }
         let Hello { node, zone, process, configuration } = hello;
-        let router = Router { node, zone, process, pushed: 0, applied: 0, configuration, sent_version: None };
-        self.connected.insert(id, router);
-        let mut pushes = self.push_configuration_to(id, committed);
-        pushes.extend(self.push_servers_to(id, &table, true));
-        pushes
+        let mut pushes = Pushes::new(configuration);
+        let first = pushes.greet(committed, heartbeat);
+        self.connected.insert(id, Router { node, zone, process, pushes, applied: 0 });
+        let mut first: Vec<Push> = first.into_iter().map(|message| (id, message)).collect();
+        first.extend(self.push_servers_to(id, &table, true));
+        first
     }
 
     /// A router has applied all up to a number.
     pub(super) fn on_applied(&mut self, id: ConnId, push: u64, configuration: Option<ConfigurationPosition>) {
         if let Some(router) = self.connected.get_mut(&id) {
             router.applied = router.applied.max(push);
-            router.configuration = configuration;
+            router.pushes.on_applied(configuration);
         }
     }
 
@@ -123,24 +113,9 @@
 
     /// A configuration has been committed: those that lack it get it.
     pub(super) fn push_configuration(&mut self, committed: &Committed) -> Vec<Push> {
-        self.connections()
-            .into_iter()
-            .flat_map(|id| self.push_configuration_to(id, Some(committed)))
-            .collect()
-    }
-
-    fn push_configuration_to(&mut self, id: ConnId, committed: Option<&Committed>) -> Vec<Push> {
-        let (Some(router), Some(committed)) = (self.connected.get_mut(&id), committed) else {
-            return Vec::new();
-        };
-        let holds = router.configuration.is_some_and(|position| position >= committed.position);
-        if holds || router.sent_version.is_some_and(|sent| sent >= committed.version) {
-            return Vec::new();
-        }
-        router.sent_version = Some(committed.version);
-        let push = router.next_push();
-        let (position, document) = (committed.position, committed.document.to_vec());
-        vec![(id, ControlToRouter::Configuration { push, position, document })]
+        let push =
+            |(id, router): (&ConnId, &mut Router)| Some((*id, router.pushes.configuration(committed)?));
+        self.connected.iter_mut().filter_map(push).collect()
     }
 
     /// Records of servers have changed.
@@ -159,7 +134,7 @@
         }
         let last = chunks.len() - 1;
         let message = |(place, chunk): (usize, &[ServerRecord])| {
-            let (push, whole) = (router.next_push(), whole && place == last);
+            let (push, whole) = (router.pushes.next_number(), whole && place == last);
             (id, ControlToRouter::Servers { push, records: chunk.to_vec(), whole })
         };
         chunks.into_iter().enumerate().map(message).collect()
@@ -167,8 +142,8 @@
 }
 
 impl Router {
-    fn next_push(&mut self) -> u64 {
-        self.pushed += 1;
-        self.pushed
+    /// The configuration that it has in force.
+    pub(super) fn configuration(&self) -> Option<ConfigurationPosition> {
+        self.pushes.holds()
     }
 }
--- a/fleet/src/control/shutdown.rs
+++ b/fleet/src/control/shutdown.rs
@@ -38,7 +38,7 @@
         }
         // New callers go elsewhere; those that wait get their answers, each within its own deadline.
         self.net.leave(Owner::Caller);
-        let waits = !self.primary_calls.is_empty() || !self.relayed_calls.is_empty();
+        let waits = !self.calls.is_empty();
         last <= now || !(waits || self.callers.is_busy(&self.net))
     }
 
--- a/fleet/src/control/status.rs
+++ b/fleet/src/control/status.rs
@@ -1,8 +1,9 @@
 //! What a control machine shows of itself: JSON for `GET /status`, and for people.
 
-use super::group::{to_replica, Replicated};
+use super::group::{of_replica, to_replica};
 use super::machine::Machine;
 use super::program::elapsed;
+use lichenswitch_control::Replicated;
 use lichenswitch_interface::Time;
 use lichenswitch_messages::ServerState;
 use lichenswitch_replication::{PeerStatus, Replica, RoleKind};
@@ -102,13 +103,15 @@
         node: router.node.clone(),
         zone: router.zone.clone(),
         applied_pushes: router.applied,
-        configuration: router.configuration.map(|at| format!("{}.{:x}/{}", at.epoch, at.primary, at.number)),
+        configuration: router
+            .configuration()
+            .map(|at| format!("{}.{:x}/{}", at.epoch, at.primary, at.number)),
     });
-    let refusals = machine.primary_calls.refusals().map(|refusal| RefusalLine {
+    let refusals = machine.refusals.iter().map(|refusal| RefusalLine {
         status: refusal.status,
         base_version: refusal.base_version,
         reason: refusal.reason.clone(),
-        ms_ago: ms_ago(refusal.at),
+        ms_ago: ms_ago(of_replica(refusal.at)),
     });
     let status = MachineStatus {
         node: machine.settings.node_name.clone(),
--- a/fleet/tests/control_servers.rs
+++ b/fleet/tests/control_servers.rs
@@ -15,16 +15,14 @@
     assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
     fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
 
-    // A router gets a heartbeat, the configuration and the whole table first.
+    // A router gets the configuration first, then the word on contact, by which it takes the former as current, then the whole table.
     let mut near = FakeRouter::connect(fleet.machines[0].internal, "near");
+    let (push, position, document) = assert_matches!(near.next(), ControlToRouter::Configuration { push, position, document } =>
+        (push, position, document));
+    assert_eq!((push, document), (1, configuration(1, 1).into_bytes()));
     assert_matches!(near.next(), ControlToRouter::Heartbeat { in_contact: true, control, .. } => {
         assert!(control.contains(&fleet.machines[1].internal.to_string()), "{control:?}");
     });
-    let (push, position, document) = near.next_of(|message| match message {
-        ControlToRouter::Configuration { push, position, document } => Some((push, position, document)),
-        _ => None,
-    });
-    assert_eq!((push, document), (1, configuration(1, 1).into_bytes()));
     assert_matches!(near.next(), ControlToRouter::Servers { push: 2, whole: true, records } if records.is_empty());
     near.say(RouterToControl::Applied { push: 2, configuration: Some(position) });
     let mut far = FakeRouter::connect(fleet.machines[2].internal, "further");
--- a/simulator/src/control/mod.rs
+++ b/simulator/src/control/mod.rs
@@ -2,25 +2,23 @@
 //!
 //! It owns what the role `control` decides, without sockets and files: what is to be done comes back as [`Effect`]s.
 
-mod calls;
-mod lag;
-mod primary_calls;
-mod relayed_calls;
 mod routers;
 mod state;
 
-use lichenswitch_configuration::judge_alone;
+use lichenswitch_configuration::{judge_alone, Order};
+use lichenswitch_control::{answer, configuration_position, describe, Committed, Faults, Primary, Question};
 use lichenswitch_messages::{ControlToRouter, PeerMessage, RelayedAnswer, RelayedCall, RouterToControl};
-use lichenswitch_replication::{DurableItem, Notice, Output, Position, Replica, Ticket, Time};
+use lichenswitch_replication::{DurableItem, Message, Notice, Output, Position, Replica, Ticket, Time};
 
-use self::calls::{answer, Call, Origin};
-use self::lag::{replication_message, Lag};
-use self::primary_calls::PrimaryCalls;
-use self::relayed_calls::{Primary, RelayedCalls, Step};
-use self::routers::{position_of, Committed, Routers};
+use self::routers::Routers;
 pub use self::state::Replicated;
 use crate::packet::{CallId, ConnectionId, Reply};
 
+type Call = lichenswitch_control::Call<CallId, String>;
+type Origin = lichenswitch_control::Origin<CallId, String>;
+type Calls = lichenswitch_control::Calls<CallId, String>;
+type Action = lichenswitch_control::Action<CallId, String>;
+
 /// Faults of the glue that tests plant to show that they would be found. All off elsewhere.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct GlueFaults {
@@ -38,6 +36,16 @@
     pub contact_while_behind: bool,
 }
 
+impl GlueFaults {
+    /// Those that lie in what is decided about calls.
+    fn of_calls(self) -> Faults {
+        Faults {
+            known_by_number: self.known_by_number,
+            refusal_without_contact: self.refusal_without_contact,
+        }
+    }
+}
+
 /// Something that the machine has to do for its process.
 #[derive(Debug)]
 pub enum Effect {
@@ -61,10 +69,8 @@
 pub struct ControlProcess {
     replica: Replica<Replicated>,
     faults: GlueFaults,
-    primary_calls: PrimaryCalls,
-    relayed_calls: RelayedCalls,
+    calls: Calls,
     routers: Routers,
-    lag: Lag,
     open_calls: Vec<CallId>,
     /// When it ends at the latest, once it was told to.
     end_at: Option<Time>,
@@ -77,10 +83,8 @@
         Self {
             replica,
             faults,
-            primary_calls: PrimaryCalls::new(faults),
-            relayed_calls: RelayedCalls::new(first_call),
+            calls: Calls::with_faults(first_call, faults.of_calls()),
             routers: Routers::default(),
-            lag: Lag::default(),
             open_calls: Vec::new(),
             end_at: None,
             effects: Vec::new(),
@@ -99,55 +103,53 @@
 
     /// A message of another control machine.
     pub fn on_peer(&mut self, now: Time, from: &str, message: PeerMessage) {
-        if let Some(message) = replication_message(&message) {
-            self.lag.on_message(&message);
-            return self.replica.on_message(now, message);
-        }
         match message {
+            PeerMessage::Replication(bytes) => {
+                let message = Message::decode(&bytes).expect("what a replica encoded is decoded");
+                self.replica.on_message(now, message);
+            }
             PeerMessage::Call { id, call } => {
                 let origin = Origin::Peer { address: from.to_owned(), id };
-                self.take_relayed(now, Call { origin, question: call, arrived: now });
-            }
-            PeerMessage::Answer { id, answer } => {
-                if let Some(step) = self.relayed_calls.on_answer(now, id, answer) {
-                    self.do_step(now, step);
+                match Question::of_relayed(call) {
+                    Some(question) => self.take_call(now, Call { origin, question, arrived: now }),
+                    None => self.end_call(origin, RelayedAnswer::NotPrimary),
                 }
             }
+            PeerMessage::Answer { id, answer } => self.calls.on_answer(now, &from.to_owned(), id, answer),
             _ => {}
         }
     }
 
-    fn take_relayed(&mut self, now: Time, call: Call) {
-        if self.replica.is_serving() {
-            self.primary_calls.take(now, call, &mut self.replica);
-        } else {
-            self.end_call(now, call, RelayedAnswer::NotPrimary);
-        }
+    fn take_call(&mut self, now: Time, call: Call) {
+        self.calls.take(now, call, Some(&mut self.replica));
     }
 
     /// A call from outside.
     pub fn on_call(&mut self, now: Time, id: CallId, question: RelayedCall) {
         self.open_calls.push(id);
-        let call = Call { origin: Origin::Caller(id), question, arrived: now };
-        let invalid = call.order().is_some_and(|order| judge_alone(&order).is_err());
-        if invalid {
-            return self.end_call(now, call, answer(400));
+        let origin = Origin::Caller(id);
+        let Some(question) = Question::of_relayed(question) else {
+            return self.end_call(origin, answer(400, "there is no such path"));
+        };
+        let invalid = order_of(&question).and_then(|order| judge_alone(order).err());
+        if let Some(error) = invalid {
+            return self.end_call(origin, answer(400, &error.to_string()));
         }
-        match self.answer_without_contact(&call) {
-            Some(answer) => self.end_call(now, call, answer),
-            None => self.relayed_calls.take(call),
+        match self.answer_without_contact(&question) {
+            Some(answer) => self.end_call(origin, answer),
+            None => self.take_call(now, Call { origin, question, arrived: now }),
         }
     }
 
     /// The planted faults of answers from memory.
-    fn answer_without_contact(&self, call: &Call) -> Option<RelayedAnswer> {
+    fn answer_without_contact(&self, question: &Question) -> Option<RelayedAnswer> {
         let (_, committed) = self.replica.committed()?;
-        match call.order() {
-            None if self.faults.describe_without_contact => Some(primary_calls::describe(&self.replica)),
+        match order_of(question) {
+            None if self.faults.describe_without_contact => Some(describe(&self.replica)),
             Some(order) if self.faults.refusal_without_contact => {
-                let other = order.base_version != committed.state.version();
-                let taken = committed.state.taken(&order.digest());
-                (other && !taken).then(|| answer(412))
+                let other = order.base_version != committed.state().version();
+                let taken = committed.state().taken(&order.digest());
+                (other && !taken).then(|| answer(412, "by what is held here"))
             }
             _ => None,
         }
@@ -189,13 +191,8 @@
 
     /// When [`Self::tick`] has something to do next.
     pub fn next_wake(&self) -> Time {
-        let wakes = [
-            Some(self.replica.next_wake()),
-            self.primary_calls.next_wake(),
-            self.relayed_calls.next_wake(),
-            self.routers.next_wake(),
-            self.end_at,
-        ];
+        let wakes =
+            [Some(self.replica.next_wake()), self.calls.next_wake(), self.routers.next_wake(), self.end_at];
         wakes.into_iter().flatten().min().unwrap_or(Time(u64::MAX))
     }
 
@@ -205,11 +202,9 @@
         loop {
             let before = self.effects.len();
             let primary = self.primary();
-            for step in self.relayed_calls.advance(now, &primary) {
-                self.do_step(now, step);
+            for action in self.calls.advance(now, &primary, Some(&mut self.replica)) {
+                self.do_action(action);
             }
-            self.primary_calls.advance(now, &mut self.replica);
-            self.end_calls(now);
             self.drain(now);
             if self.effects.len() == before {
                 break;
@@ -222,7 +217,7 @@
         std::mem::take(&mut self.effects)
     }
 
-    fn primary(&self) -> Primary {
+    fn primary(&self) -> Primary<String> {
         if self.replica.is_serving() {
             return Primary::Here;
         }
@@ -233,29 +228,17 @@
         }
     }
 
-    fn do_step(&mut self, now: Time, step: Step) {
-        match step {
-            Step::Here(call) => self.primary_calls.take(now, call, &mut self.replica),
-            Step::Send(to, id, call) => {
-                self.effects.push(Effect::SendPeer(to, PeerMessage::Call { id, call: call.question }));
-            }
-            Step::Answer(call, answer) => self.end_call(now, call, answer),
-        }
-    }
-
-    fn end_calls(&mut self, now: Time) {
-        for (call, answer) in self.primary_calls.take_ended() {
-            let back = matches!(call.origin, Origin::Caller(_)) && answer == RelayedAnswer::NotPrimary;
-            if back {
-                self.relayed_calls.take_back(now, call);
-            } else {
-                self.end_call(now, call, answer);
+    fn do_action(&mut self, action: Action) {
+        match action {
+            Action::Send { to, id, call } => {
+                self.effects.push(Effect::SendPeer(to, PeerMessage::Call { id, call }));
             }
+            Action::Answer { call, answer, .. } => self.end_call(call.origin, answer),
         }
     }
 
-    fn end_call(&mut self, _now: Time, call: Call, answer: RelayedAnswer) {
-        let effect = match call.origin {
+    fn end_call(&mut self, origin: Origin, answer: RelayedAnswer) {
+        let effect = match origin {
             Origin::Peer { address, id } => Effect::SendPeer(address, PeerMessage::Answer { id, answer }),
             Origin::Caller(id) => {
                 self.open_calls.retain(|open| *open != id);
@@ -282,14 +265,14 @@
             Output::Committed(position) => Effect::Committed(position),
             Output::Notice(notice) => Effect::Notice(notice),
             Output::Settled { request, outcome } => {
-                return self.primary_calls.on_settled(now, request, &outcome, &mut self.replica);
+                let status = |_: &Replica<Replicated>| Vec::new();
+                return self.calls.on_settled(now, request, &outcome, &mut self.replica, status);
             }
         };
         self.effects.push(effect);
     }
 
     fn tell_routers(&mut self, now: Time) {
-        self.lag.on_held(now, self.replica.committed().map(|(position, _)| position));
         let mut pushes = Vec::new();
         // What is new comes before the word that all that was sent is current.
         if self.effects.iter().any(|effect| matches!(effect, Effect::Committed(_))) {
@@ -303,15 +286,25 @@
     }
 
     fn in_contact(&self, now: Time) -> bool {
-        let current = self.faults.contact_while_behind || self.lag.keeps_up(now);
-        self.faults.always_in_contact || (current && self.replica.in_contact(now))
+        match self.faults {
+            GlueFaults { always_in_contact: true, .. } => true,
+            GlueFaults { contact_while_behind: true, .. } => self.replica.in_contact(now),
+            _ => self.replica.is_current(now),
+        }
     }
 
     fn committed(&self) -> Option<Committed> {
         let (position, committed) = self.replica.committed()?;
-        let document = committed.state.document()?;
-        let (position, version) = (position_of(position), document.version());
-        Some(Committed { position, version, document: document.to_json() })
+        let document = committed.state().document()?;
+        let (position, version) = (configuration_position(position), document.version());
+        Some(Committed { position, version, document: document.to_json().into() })
+    }
+}
+
+fn order_of(question: &Question) -> Option<&Order> {
+    match question {
+        Question::Order(order) => Some(order),
+        Question::Describe | Question::Status => None,
     }
 }
 
--- a/simulator/src/control/state.rs
+++ b/simulator/src/control/state.rs
@@ -1,4 +1,4 @@
-//! The replicated state, as the control machines hold it.
+//! The replicated state, as the control machines hold it, with a fault that tests plant.
 
 use lichenswitch_configuration::{OrderDigest, State};
 use lichenswitch_replication::{ReplicatedState, StateError};
@@ -6,20 +6,37 @@
 /// Bytes before the configuration in an encoded state: its format and length.
 const HEAD: usize = 5;
 
-/// Configuration and history of orders.
+/// What the control machines replicate, wrapped.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Replicated {
-    /// The state.
-    pub state: State,
+    inner: lichenswitch_control::Replicated,
     /// A planted fault: the history does not travel.
-    pub forgets_history: bool,
+    forgets_history: bool,
+}
+
+impl Replicated {
+    /// An empty state. `forgets_history`: a planted fault, by which the history does not travel.
+    pub fn new(forgets_history: bool) -> Self {
+        Self { forgets_history, ..Self::default() }
+    }
+
+    /// The state.
+    pub fn state(&self) -> &State {
+        &self.inner.0
+    }
+}
+
+impl AsRef<State> for Replicated {
+    fn as_ref(&self) -> &State {
+        self.state()
+    }
 }
 
 impl ReplicatedState for Replicated {
     fn encode(&self) -> Vec<u8> {
-        let mut bytes = self.state.encode();
+        let mut bytes = self.inner.encode();
         if self.forgets_history {
-            let digests = self.state.history_len() * OrderDigest::BYTES;
+            let digests = self.state().history_len() * OrderDigest::BYTES;
             bytes.truncate(bytes.len() - digests - 4);
             bytes.extend_from_slice(&0_u32.to_le_bytes());
             debug_assert!(bytes.len() > HEAD, "the configuration stays");
@@ -30,11 +47,11 @@
 
     fn decode(bytes: &[u8]) -> Result<Self, StateError> {
         let (forgets, bytes) = bytes.split_last().ok_or_else(|| StateError::new("no bytes"))?;
-        let state = State::decode(bytes).map_err(|error| StateError::new(error.to_string()))?;
-        Ok(Self { state, forgets_history: *forgets == 1 })
+        let inner = lichenswitch_control::Replicated::decode(bytes)?;
+        Ok(Self { inner, forgets_history: *forgets == 1 })
     }
 
     fn apply(&mut self, change: &[u8]) -> Result<(), StateError> {
-        self.state.apply(change).map_err(|error| StateError::new(error.to_string()))
+        self.inner.apply(change)
     }
 }
--- a/simulator/src/ledger.rs
+++ b/simulator/src/ledger.rs
@@ -273,7 +273,7 @@
             let (number, here) = (position.number, position);
             self.violations.push(Violation::TwoStates { number, machine, here, there });
         }
-        if let Some(document) = replicated.state.document() {
+        if let Some(document) = replicated.state().document() {
             self.documents.entry(document.version()).or_insert_with(|| hash(&document.to_json()));
         }
     }
--- a/simulator/src/world/check.rs
+++ b/simulator/src/world/check.rs
@@ -150,7 +150,7 @@
             return;
         }
         let held = self.primary().and_then(|host| self.committed(host));
-        match held.map(|(_, replicated)| replicated.state.clone()) {
+        match held.map(|(_, replicated)| replicated.state().clone()) {
             Some(state) => self.check_state(&state),
             None => self.ledger.violations.push(Violation::NothingReadBack),
         }
--- a/simulator/src/world/machines.rs
+++ b/simulator/src/world/machines.rs
@@ -96,8 +96,7 @@
         let mut replica = if machine.disk.is_empty() {
             let founds = machine.first_start && machine.seeds.first() == Some(&address);
             let member = Member { identity, address };
-            let state =
-                Replicated { forgets_history: self.settings.glue.history_lost, ..Replicated::default() };
+            let state = Replicated::new(self.settings.glue.history_lost);
             match founds {
                 true => Replica::found(settings, member, state, seed, now),
                 false => Replica::newcomer(settings, member, seed, now),
@@ -350,7 +349,7 @@
     /// Bytes of the encoded state at the primary.
     pub fn state_bytes(&self) -> usize {
         let committed = self.primary().and_then(|host| self.committed(host));
-        committed.map_or(0, |(_, replicated)| replicated.state.encode().len())
+        committed.map_or(0, |(_, replicated)| replicated.state().encode().len())
     }
 
     /// When something last went wrong or came back.
