Import by name in the modules of pool, broker, net and server connections

Cause: nine files that were split off their parent began with `use super::*;`, so the parent's list of imports served several files, and a reader could not tell where a name comes from.

Change: each of src/upstream/{receiving,sending,withdrawing}, src/broker/{stopping,operators}, wire/net/src/{listeners,connections} and fleet/src/router/server_connections/{reading,pool} imports what it uses by name; the parents lose the imports that they don't use themselves. wire/net/src/tests.rs imports SockRef itself, which came through its parent; nothing else in it changes.

--- a/fleet/src/router/server_connections.rs
+++ b/fleet/src/router/server_connections.rs
@@ -10,14 +10,14 @@
 mod pool;
 mod reading;
 
-use super::program::{micros, Net, Owner, Timer};
+use super::program::{micros, Net, Timer};
 use super::request::{ClientRequest, Send};
-use super::response::{Piece, ResponseHead, ResponseReader};
+use super::response::{ResponseHead, ResponseReader};
 use super::servers::Endpoint;
 use super::service::AttemptId;
 use lichenswitch_event_stream::Scanner;
 use lichenswitch_interface::{Micros, Outcome, ServerId, Time};
-use lichenswitch_net::{ConnId, Denied, Pumped};
+use lichenswitch_net::{ConnId, Pumped};
 use reading::Taken;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
--- a/fleet/src/router/server_connections/pool.rs
+++ b/fleet/src/router/server_connections/pool.rs
@@ -1,6 +1,9 @@
 //! Which connection an attempt gets: one that rests, a new one, or a place in the queue.
 
-use super::*;
+use super::super::program::{Net, Owner, Timer};
+use super::{is_quiet, Attempt, Link, ServerConnections, State, CONNECT, FRESH, WAIT};
+use lichenswitch_interface::{Outcome, ServerId};
+use lichenswitch_net::{ConnId, Denied, Pumped};
 
 impl ServerConnections {
     /// An idle connection on which this attempt may be written; the one used last, so that others fall out of use.
--- a/fleet/src/router/server_connections/reading.rs
+++ b/fleet/src/router/server_connections/reading.rs
@@ -1,6 +1,8 @@
 //! The answer on a connection as it is read: what its pieces come to.
 
-use super::*;
+use super::super::response::{Piece, ResponseHead};
+use super::{Answer, Body, Current, Part, ServerEvent, MAX_EVENT, MAX_WHOLE};
+use lichenswitch_event_stream::Scanner;
 
 /// What a piece of an answer comes to.
 pub(super) enum Taken {
--- a/src/broker/operators.rs
+++ b/src/broker/operators.rs
@@ -1,6 +1,14 @@
 //! What operators ask of the broker, what it tells them, and what its processes share.
 
-use super::*;
+use super::{log, Broker};
+use crate::discovery::ByHand;
+use crate::interface::{Listing, Time};
+use crate::management::Orders;
+use crate::net::Signal;
+use lichenswitch_management::health::Standing;
+use lichenswitch_management::leave;
+use lichenswitch_management::siblings;
+use lichenswitch_management::wanted;
 
 impl Broker {
     /// Takes this process's part of what the broker may do.
--- a/src/broker/stopping.rs
+++ b/src/broker/stopping.rs
@@ -1,6 +1,10 @@
 //! The end of the process: from the signal to the last answer.
 
-use super::*;
+use super::{log, Broker, KILLED, LISTEN_ON, STOP_MOST};
+use crate::front::Front;
+use crate::interface::Time;
+use crate::net::{Owner, Signal};
+use lichenswitch_management::siblings::{self, Door};
 
 impl Broker {
     pub(super) fn stop(&mut self) {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -10,15 +10,14 @@
 mod withdrawing;
 
 use crate::core::{Dispatch, Value};
-use crate::decide::descriptors::LINKS;
 use crate::interface::{Micros, Outcome, ServerId, Time};
 use crate::net::buffer::Buffer;
-use crate::net::{ConnId, Denied, Net, Owner, Pumped, Timer};
+use crate::net::{ConnId, Net, Owner, Timer};
 use crate::stats::Fading;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use link::{Call, Greeting, Link, Out};
+use link::Link;
 
 /// One answer read from a connection.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/upstream/receiving.rs
+++ b/src/upstream/receiving.rs
@@ -1,6 +1,9 @@
 //! Answers as they come, and connections that stay mute or bring what is none.
 
-use super::*;
+use super::link::Greeting;
+use super::{Ended, Pool, Wire, MUTE, MUTE_LEAST, MUTE_MOST, USUAL_PACE};
+use crate::interface::{Micros, Outcome, ServerId};
+use crate::net::{ConnId, Net, Pumped, Timer};
 
 impl<W: Wire> Pool<W> {
     /// Notes which connections to a node are mute. Guards against those that fall silent: what is written to them is
--- a/src/upstream/sending.rs
+++ b/src/upstream/sending.rs
@@ -1,6 +1,13 @@
 //! Calls on their way out: the connection for each, and what waits for one.
 
-use super::*;
+use super::link::{Call, Greeting, Link, Out};
+use super::{Closed, Ended, Parked, Pool, Wire, PARKED, TOLD};
+use crate::core::Dispatch;
+use crate::decide::descriptors::LINKS;
+use crate::interface::{Outcome, ServerId, Time};
+use crate::net::{ConnId, Denied, Net, Pumped, Timer};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
 
 impl<W: Wire> Pool<W> {
     /// Sends one call.
--- a/src/upstream/withdrawing.rs
+++ b/src/upstream/withdrawing.rs
@@ -1,6 +1,8 @@
 //! Attempts that are given up, or taken back before they leave.
 
-use super::*;
+use super::link::Out;
+use super::{Pool, Wire};
+use crate::net::{Net, Pumped};
 
 impl<W: Wire> Pool<W> {
     /// Gives up an attempt: the node is told, unless its call never left.
--- a/wire/net/src/connections.rs
+++ b/wire/net/src/connections.rs
@@ -1,6 +1,15 @@
 //! Connections: opened, read, written and given back.
 
-use super::*;
+use super::buffer::Buffer;
+use super::{
+    Conn, ConnId, Denied, Net, Program, Pumped, EINPROGRESS, EMFILE, ENFILE, INDEX_BITS, LISTENER_KEY,
+};
+use lichenswitch_descriptors::{Reason, Verdict};
+use polling::{Event, PollMode};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
 impl<P: Program> Net<P> {
     /// Starts to open a connection.
--- a/wire/net/src/listeners.rs
+++ b/wire/net/src/listeners.rs
@@ -1,6 +1,11 @@
 //! Listeners: where others connect, and when they are accepted.
 
-use super::*;
+use super::{ConnId, Net, Program, BACKLOG, LISTENER_KEY};
+use lichenswitch_descriptors::Side;
+use polling::{Event, PollMode};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
 
 impl<P: Program> Net<P> {
     /// Listens for clients; tells the address, whose port the system may have chosen.
--- a/wire/net/src/tests.rs
+++ b/wire/net/src/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of `net`.
 
 use super::*;
+use socket2::SockRef;
 use std::io::Write;
 
 /// A program that has clients, servers it calls and one signal.
