Name the two sides of operators' calls after the management thread

Cause: `management::Desk` and `Clerk` needed their doc comments to say that one is the handle of the broker's loop and the other the state of the thread.

Change: Desk is ManagementHandle, Clerk is ManagementThread, variables and the field of Broker follow; comments likewise. Renames alone: no log line, file or answer changes.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -11,7 +11,7 @@
 use crate::front::platform::{Class, Platform};
 use crate::front::Sessions;
 use crate::interface::{self, Listing, Micros, Time};
-use crate::management::{self, Desk};
+use crate::management::{self, ManagementHandle};
 use crate::net::{self, ConnId, Net, Owner, Ready, Signal, Timer};
 use crate::peer::company::Company;
 use crate::service::Service;
@@ -47,8 +47,8 @@
     ogc: Option<Service<Ogc, Features>>,
     /// Other brokers, where they talk.
     company: Option<Company>,
-    /// Operators, where they call.
-    desk: Option<Desk>,
+    /// The handle of the management thread, where an address is set for it.
+    management: Option<ManagementHandle>,
     /// The platform's clients are to be listened for, by this name and at this address; that it is in use has been logged.
     door: Option<(String, SocketAddr)>,
     kept_out: bool,
@@ -96,7 +96,7 @@
     pub fn managed(
         platform: Option<config::Platform>,
         ogc: Option<config::Ogc>,
-        mut desk: Option<Desk>,
+        mut management: Option<ManagementHandle>,
     ) -> Result<Broker, String> {
         if platform.is_none() && ogc.is_none() {
             return Err(
@@ -107,9 +107,9 @@
         let sockets = platform.as_ref().map_or(config::SOCKETS, |told| told.sockets);
         // Guards discovery's own place: shares of more than the system gives would be taken by whoever comes first.
         let sockets = sockets.min(net::system_limit().unwrap_or(sockets));
-        let set_aside = desk.as_ref().map_or(0, |_| management::set_aside(sockets));
+        let set_aside = management.as_ref().map_or(0, |_| management::set_aside(sockets));
         let mut net = Net::new(sockets - set_aside).map_err(|e| format!("poller: {e}"))?;
-        if let Some(woken) = desk.as_mut().and_then(Desk::take_woken) {
+        if let Some(woken) = management.as_mut().and_then(ManagementHandle::take_woken) {
             net.watch_signal(Signal::Orders, woken).map_err(|e| format!("orders: {e}"))?;
         }
         let mut broker = Broker {
@@ -118,7 +118,7 @@
             discovery: None,
             ogc: None,
             company: None,
-            desk,
+            management,
             door: None,
             kept_out: false,
             stop_within: 0,
@@ -144,7 +144,9 @@
         // Before any list: nothing is to be sent to what is out by hand.
         self.stop_within = told.stop_within;
         let now = self.net.clock.now();
-        self.desk.iter().for_each(|desk| _ = directory.set_by_hand(self.by_hand(&desk.orders(), now)));
+        self.management
+            .iter()
+            .for_each(|management| _ = directory.set_by_hand(self.by_hand(&management.orders(), now)));
         let pace = match told.settings.discovery {
             interface::Discovery::Ask(every) => Pace::new(told.seed, told.settings.instances, every),
             interface::Discovery::Push => Pace::at_agent(told.seed),
@@ -192,14 +194,14 @@
     fn open_door(&mut self) -> Result<(), String> {
         let Some((name, address)) = self.door.take() else { return Ok(()) };
         // Guards what waits to be accepted when the process before this one ends: it waits at the same socket.
-        let opened = match self.desk.as_mut().and_then(Desk::take_door) {
+        let opened = match self.management.as_mut().and_then(ManagementHandle::take_door) {
             Some(door) => self.net.adopt(Owner::Platform, door),
             None => self.net.listen(Owner::Platform, address),
         };
         match opened {
             Ok(address) => log(&format!("{name} listens on {address}")),
             // A process that is started beside one which does not share the address is to serve after it.
-            Err(e) if e.kind() == io::ErrorKind::AddrInUse && self.desk.is_some() => {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && self.management.is_some() => {
                 if !std::mem::replace(&mut self.kept_out, true) {
                     log(&format!("{name} waits: {address} is in use"));
                 }
@@ -210,8 +212,8 @@
                 return Err(format!("listen: {address}: {e}"));
             }
         }
-        if let (Some(desk), Ok(door)) = (&self.desk, self.net.listener_of(Owner::Platform)) {
-            desk.offer_door(door);
+        if let (Some(management), Ok(door)) = (&self.management, self.net.listener_of(Owner::Platform)) {
+            management.offer_door(door);
         }
         Ok(())
     }
@@ -311,16 +313,16 @@
         let platform = self.platform.as_ref().and_then(|s| s.core.next_turn());
         let ogc = self.ogc.as_ref().and_then(|s| s.core.next_turn());
         let company = self.company.as_ref().map(Company::next);
-        let desk = self.desk.as_ref().map(Desk::next);
-        [stop, room, platform, ogc, company, desk].into_iter().flatten().min()
+        let management = self.management.as_ref().map(ManagementHandle::next);
+        [stop, room, platform, ogc, company, management].into_iter().flatten().min()
     }
 
     fn listed(&mut self, news: impl IntoIterator<Item = Listing>) {
         if let Some(service) = &mut self.platform {
             news.into_iter().for_each(|news| service.listed(news));
         }
-        if let (Some(desk), Some(service)) = (&self.desk, &self.platform) {
-            desk.on_listed(service.directory.names());
+        if let (Some(management), Some(service)) = (&self.management, &self.platform) {
+            management.on_listed(service.directory.names());
         }
         let mut nodes = 0;
         each_service!(self, |_net, service| nodes += service.directory.len());
--- a/src/broker/operators.rs
+++ b/src/broker/operators.rs
@@ -13,8 +13,8 @@
 impl Broker {
     /// Takes this process's part of what the broker may do.
     pub(super) fn share(&mut self) {
-        let Some(desk) = &self.desk else { return };
-        let parts = siblings::parts(self.leaving, &desk.orders().others);
+        let Some(management) = &self.management else { return };
+        let parts = siblings::parts(self.leaving, &management.orders().others);
         if std::mem::replace(&mut self.parts, parts) != parts {
             let done = parts.done.map_or("nothing".into(), |of| format!("1 of {of}"));
             log(&format!(
@@ -43,8 +43,8 @@
 
     /// Takes data nodes out that are out by hand, as far as that is due, or uses them again.
     pub(super) fn set_by_hand(&mut self) {
-        let Some(desk) = &self.desk else { return };
-        let by_hand = self.by_hand(&desk.orders(), self.net.clock.now());
+        let Some(management) = &self.management else { return };
+        let by_hand = self.by_hand(&management.orders(), self.net.clock.now());
         let Some(service) = &mut self.platform else { return };
         let lines = service.directory.set_by_hand(by_hand);
         if !lines.is_empty() {
@@ -65,26 +65,26 @@
 
     /// Sends clients away, as far as that is due, or takes them again.
     pub(super) fn send_away(&mut self) {
-        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
-        let stage = leave::stage(desk.orders().wanted.quiesced.map(Time), self.net.clock.now());
+        let (Some(management), Some(service)) = (&self.management, &mut self.platform) else { return };
+        let stage = leave::stage(management.orders().wanted.quiesced.map(Time), self.net.clock.now());
         service.sessions.send_away(&mut self.net, stage, &mut service.front, &mut service.core);
     }
 
     /// Tells operators what was counted.
     pub(super) fn tell_figures(&mut self) {
-        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return };
+        let (Some(management), Some(service)) = (&self.management, &mut self.platform) else { return };
         for (class, attempts) in service.pool.take_written() {
             service.core.on_written(class, attempts);
         }
-        desk.metrics().add(&service.core.take_tallies());
+        management.metrics().add(&service.core.take_tallies());
         let ejected = service.directory.out_by_hand() + service.core.avoided();
-        desk.metrics().set(service.core.held_queries(), service.directory.len(), ejected);
+        management.metrics().set(service.core.held_queries(), service.directory.len(), ejected);
     }
 
     /// Tells operators how it stands.
     pub(super) fn tell_standing(&mut self) {
         let now = self.net.clock.now();
-        if self.desk.as_ref().is_none_or(|desk| desk.next() > now) {
+        if self.management.as_ref().is_none_or(|management| management.next() > now) {
             return;
         }
         self.send_away();
@@ -94,10 +94,11 @@
             let _ = self.open_door();
         }
         self.tell_figures();
-        let (Some(desk), Some(service)) = (&mut self.desk, &self.platform) else { return };
+        let (Some(management), Some(service)) = (&mut self.management, &self.platform) else { return };
         let (listens, listed) = (self.door.is_none(), service.front.is_listed());
         let stopping = self.stopping.is_some();
-        let away = desk.orders().wanted.quiesced.is_some();
-        desk.on_standing(now, Standing { listens, listed, stopping, leaving: self.leaving, away, beat: now });
+        let away = management.orders().wanted.quiesced.is_some();
+        management
+            .on_standing(now, Standing { listens, listed, stopping, leaving: self.leaving, away, beat: now });
     }
 }
--- a/src/broker/stopping.rs
+++ b/src/broker/stopping.rs
@@ -33,9 +33,9 @@
     /// there is one; those that are here are served, and told with their answers to connect anew. Tells whether another
     /// process serves the address.
     pub(super) fn leave_door(&mut self) -> bool {
-        let (Some(desk), Some(service)) = (&self.desk, &mut self.platform) else { return false };
-        desk.close_door();
-        let told = match siblings::door(&desk.others()) {
+        let (Some(management), Some(service)) = (&self.management, &mut self.platform) else { return false };
+        management.close_door();
+        let told = match siblings::door(&management.others()) {
             Door::Left(siblings::Reason::Sibling(process)) => {
                 self.net.leave(Owner::Platform);
                 Some(format!("process {process} serves at the same socket: new clients are left to it"))
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 
 use lichenswitch::broker::Broker;
 use lichenswitch::config::{Ogc, Operators, Peers, Platform};
-use lichenswitch::management::Desk;
+use lichenswitch::management::ManagementHandle;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use std::io::{self, Write};
 use std::os::unix::net::UnixStream;
@@ -24,9 +24,9 @@
     let platform = Platform::from_env(env)?.map(|told| told.apply(&operators)).transpose()?;
     let ogc = Ogc::load(&operators, platform.as_ref())?;
     let peers = Peers::load(&operators, platform.as_ref())?;
-    let desk = platform.as_ref().and_then(|told| Desk::open(told).transpose()).transpose();
-    let desk = desk.map_err(|e| e.to_string())?;
-    let mut broker = Broker::managed(platform, ogc, desk)?;
+    let management = platform.as_ref().and_then(|told| ManagementHandle::open(told).transpose()).transpose();
+    let management = management.map_err(|e| e.to_string())?;
+    let mut broker = Broker::managed(platform, ogc, management)?;
     peers.map_or(Ok(()), |told| broker.join(told))?;
     broker.stop_on(stop?).map_err(|e| format!("signal: {e}"))?;
     let reread = Box::new(move || Platform::from_env(env));
--- a/src/management/mod.rs
+++ b/src/management/mod.rs
@@ -99,8 +99,8 @@
     (sockets / CALLERS_PART).clamp(CALLERS_LEAST, CALLERS) + BESIDE
 }
 
-/// The loop's side.
-pub struct Desk {
+/// The handle by which the broker's loop and the management thread exchange state.
+pub struct ManagementHandle {
     shared: Arc<Shared>,
     /// Can be read whenever there are new orders.
     woken: Option<UnixStream>,
@@ -112,12 +112,12 @@
     folder: Option<(PathBuf, u32)>,
 }
 
-impl Desk {
+impl ManagementHandle {
     /// Starts the thread that answers operators, where an address is set for it.
     ///
     /// # Errors
     /// When the system gives no poller or no thread. An address in use is no error: it is tried again.
-    pub fn open(told: &Platform) -> Result<Option<Desk>, Failure> {
+    pub fn open(told: &Platform) -> Result<Option<ManagementHandle>, Failure> {
         let Some(address) = told.management else { return Ok(None) };
         let now = Clock::default().now();
         let (mut wanted, mut others, mut door) = (Wanted::default(), Vec::new(), None);
@@ -151,7 +151,7 @@
                 .ok()
         });
         let shares = folder.as_ref().map(|f| (f.path().to_path_buf(), f.process()));
-        let mut clerk = Clerk {
+        let mut worker = ManagementThread {
             shared: shared.clone(),
             net,
             address,
@@ -163,8 +163,8 @@
             kept: now,
             looked: Time(0),
         };
-        thread::Builder::new().name("management".into()).spawn(move || clerk.run())?;
-        Ok(Some(Desk { shared, woken: Some(woken), told: Time(0), door, folder: shares }))
+        thread::Builder::new().name("management".into()).spawn(move || worker.run())?;
+        Ok(Some(ManagementHandle { shared, woken: Some(woken), told: Time(0), door, folder: shares }))
     }
 
     /// The stream that can be read whenever there are new orders; once.
@@ -231,8 +231,8 @@
     answered: bool,
 }
 
-/// The thread's side.
-struct Clerk {
+/// The state of the management thread: its listener, its callers and the wanted state.
+struct ManagementThread {
     shared: Arc<Shared>,
     net: Net,
     address: SocketAddr,
@@ -292,7 +292,7 @@
     }
 }
 
-impl Clerk {
+impl ManagementThread {
     fn run(&mut self) {
         loop {
             self.listen();
--- a/tests/management.rs
+++ b/tests/management.rs
@@ -3,7 +3,7 @@
 mod platformed;
 
 use lichenswitch::config::Platform;
-use lichenswitch::management::Desk;
+use lichenswitch::management::ManagementHandle;
 use platformed::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -13,14 +13,14 @@
 /// An answer is owed within this time.
 const OWED: Duration = Duration::from_secs(1);
 
-/// A desk whose broker's loop never comes round.
-fn desk_alone() -> (Desk, SocketAddr) {
+/// A management thread whose broker's loop never runs.
+fn management_alone() -> (ManagementHandle, SocketAddr) {
     let calls = free_address();
     let config = format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","mgmt":"{calls}","discovery":"127.0.0.1:1","settings":{SETTINGS}}}"#
     );
     let platform = Platform::parse(&config, |_| None).unwrap();
-    (Desk::open(&platform).unwrap().unwrap(), calls)
+    (ManagementHandle::open(&platform).unwrap().unwrap(), calls)
 }
 
 fn whole(mut stream: TcpStream) -> String {
@@ -31,7 +31,7 @@
 
 #[test]
 fn calls_are_answered_in_time_though_the_loop_stands_still_and_hundreds_hold_connections() {
-    let (_desk, calls) = desk_alone();
+    let (_management, calls) = management_alone();
     drop(operator(calls));
     let held: Vec<TcpStream> = (0..300)
         .map(|i| {
@@ -55,7 +55,7 @@
 
 #[test]
 fn a_line_may_come_in_pieces_without_its_end_or_with_more_behind_it() {
-    let (_desk, calls) = desk_alone();
+    let (_management, calls) = management_alone();
     let mut stream = operator(calls);
     stream.set_nodelay(true).unwrap();
     for byte in b"cordon nobody\r\n" {
--- a/tests/platformed/mod.rs
+++ b/tests/platformed/mod.rs
@@ -4,7 +4,7 @@
 use lichenswitch::broker::Broker;
 use lichenswitch::config::Platform;
 use lichenswitch::http::{self, Parsed, Response};
-use lichenswitch::management::Desk;
+use lichenswitch::management::ManagementHandle;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
@@ -177,8 +177,8 @@
         let (told, address) = mpsc::channel();
         let broker = thread::spawn(move || {
             let platform = Platform::parse(&config, |_| None).unwrap();
-            let desk = Desk::open(&platform).unwrap();
-            let mut broker = Broker::managed(Some(platform), None, desk).unwrap();
+            let management = ManagementHandle::open(&platform).unwrap();
+            let mut broker = Broker::managed(Some(platform), None, management).unwrap();
             broker.stop_on(signal).unwrap();
             told.send(broker.addresses()[0].1).unwrap();
             broker.run().unwrap();
