Name the processes of a broker and the backlog of a listener as what they are

Cause: `siblings`, `Door`, `door` and `NoDoor` stood for processes of one broker, the accept backlog, the clients' listener and the path of its handover.

Change: management::siblings is management::processes; Door {Left, Served} is BacklogAction {Leave, Serve}, Reason::Sibling is SharedSocket, same_door is shares_socket, Unready::NoDoor is NotListening; take/offer/close/open/leave_door are take/offer/withdraw/open_listener and leave_backlog, Folder::door is handover_path, Broker::door (the address not listened on yet) is unopened. The file `door-N` on disk, the lines of processes' files, and the log line of the handover stay as they were. One test is renamed (the_backlog_is_left_only_to_...), none changed.

--- a/decide/management/src/health.rs
+++ b/decide/management/src/health.rs
@@ -27,7 +27,7 @@
 pub enum Unready {
     /// It waits for the clients' address.
     #[error("the clients' address is in use")]
-    NoDoor,
+    NotListening,
     /// No list came yet.
     #[error("no list of servers yet")]
     NoList,
@@ -50,7 +50,7 @@
     let silent = now.since(standing.beat);
     match standing {
         Standing { stopping: true, .. } => Err(Unready::Stopping),
-        Standing { listens: false, .. } => Err(Unready::NoDoor),
+        Standing { listens: false, .. } => Err(Unready::NotListening),
         Standing { listed: false, .. } => Err(Unready::NoList),
         Standing { away: true, .. } => Err(Unready::Away),
         _ if silent >= STUCK => Err(Unready::Stuck(silent / 1_000)),
--- a/decide/management/src/health/tests.rs
+++ b/decide/management/src/health/tests.rs
@@ -8,7 +8,7 @@
     let now = Time(5_100_000);
     assert_eq!(ready(now, &well), Ok(()));
     for (standing, why) in [
-        (Standing { listens: false, ..well }, Unready::NoDoor),
+        (Standing { listens: false, ..well }, Unready::NotListening),
         (Standing { listed: false, ..well }, Unready::NoList),
         (Standing { away: true, ..well }, Unready::Away),
         (Standing { stopping: true, away: true, ..well }, Unready::Stopping),
--- a/decide/management/src/lib.rs
+++ b/decide/management/src/lib.rs
@@ -5,7 +5,7 @@
 //!   are sent away. It is apart from what discovery lists.
 //! - [`leave`] says what becomes of clients while they are sent away.
 //! - [`health`] says whether a process is ready to serve.
-//! - [`siblings`] says what several processes of one broker share during an upgrade, and who serves the door.
+//! - [`processes`] says what several processes of one broker share during an upgrade, and which of them serves the backlog.
 //!
 //! It owns these rules and promises that equal input gives equal verdicts, each with its reason. It touches nothing: the
 //! caller reads files, clocks and sockets.
@@ -15,5 +15,5 @@
 pub mod call;
 pub mod health;
 pub mod leave;
-pub mod siblings;
+pub mod processes;
 pub mod wanted;
--- a/decide/management/src/siblings.rs
+++ b/decide/management/src/processes.rs
@@ -14,7 +14,7 @@
     /// It serves: it has a list of servers and takes clients.
     pub ready: bool,
     /// It listens on the very socket of the one before, so that what waits there is its own too.
-    pub same_door: bool,
+    pub shares_socket: bool,
     /// It was told to stop, and leaves its clients to another one that serves.
     pub leaving: bool,
 }
@@ -26,34 +26,34 @@
     Parts { held: 1 + others.len() as u32, done: (!leaving || stay == 0).then_some(1 + stay) }
 }
 
-/// What a process that is told to stop does with the clients that wait at the door.
+/// What a process that is told to stop does with the backlog of its listener: the clients that wait to be accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Door {
+pub enum BacklogAction {
     /// They are another one's too: it leaves them at once, and its own clients have somewhere else to go.
-    Left(Reason),
+    Leave(Reason),
     /// It takes them for as long as clients may still come.
-    Served(Reason),
+    Serve(Reason),
 }
 
 /// The reason.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
     /// This process serves at the same socket.
-    Sibling(u32),
+    SharedSocket(u32),
     /// This one is ready too, but at a socket of its own: what waits at this one would be reset with it.
     OwnSocket(u32),
     /// Nobody else is ready.
     Alone,
 }
 
-/// What to do with the door at the stop.
+/// What to do with the backlog at the stop.
 #[must_use]
-pub fn door(others: &[Told]) -> Door {
+pub fn backlog_action(others: &[Told]) -> BacklogAction {
     let ready = || others.iter().filter(|o| o.ready && !o.leaving);
-    match (ready().find(|o| o.same_door), ready().next()) {
-        (Some(o), _) => Door::Left(Reason::Sibling(o.process)),
-        (None, Some(o)) => Door::Served(Reason::OwnSocket(o.process)),
-        (None, None) => Door::Served(Reason::Alone),
+    match (ready().find(|o| o.shares_socket), ready().next()) {
+        (Some(o), _) => BacklogAction::Leave(Reason::SharedSocket(o.process)),
+        (None, Some(o)) => BacklogAction::Serve(Reason::OwnSocket(o.process)),
+        (None, None) => BacklogAction::Serve(Reason::Alone),
     }
 }
 
@@ -61,21 +61,21 @@
     /// As it is written for the others.
     #[must_use]
     pub fn line(&self) -> String {
-        let [ready, same_door, leaving] = [self.ready, self.same_door, self.leaving].map(u8::from);
-        format!("{} {ready} {same_door} {leaving}\n", self.process)
+        let [ready, shares_socket, leaving] = [self.ready, self.shares_socket, self.leaving].map(u8::from);
+        format!("{} {ready} {shares_socket} {leaving}\n", self.process)
     }
 
     /// Reads such a line. What can't be read is somebody who is there and not ready: it may be about to write.
     #[must_use]
     pub fn read(process: u32, line: &str) -> Told {
         let words: Vec<&str> = line.split_ascii_whitespace().collect();
-        let [ready, same_door, leaving] = match words[..] {
-            [told, ready, door, leaving] if told.parse() == Ok(process) => {
-                [ready, door, leaving].map(|flag| flag == "1")
+        let [ready, shares_socket, leaving] = match words[..] {
+            [told, ready, shares_socket, leaving] if told.parse() == Ok(process) => {
+                [ready, shares_socket, leaving].map(|flag| flag == "1")
             }
             _ => [false; 3],
         };
-        Told { process, ready, same_door, leaving }
+        Told { process, ready, shares_socket, leaving }
     }
 }
 
--- a/decide/management/src/siblings/tests.rs
+++ b/decide/management/src/processes/tests.rs
@@ -1,13 +1,13 @@
-//! Tests of `siblings`.
+//! Tests of `processes`.
 
 use super::*;
 
-const fn told(process: u32, ready: bool, same_door: bool) -> Told {
-    Told { process, ready, same_door, leaving: false }
+const fn told(process: u32, ready: bool, shares_socket: bool) -> Told {
+    Told { process, ready, shares_socket, leaving: false }
 }
 
 const fn leaves(process: u32) -> Told {
-    Told { process, ready: true, same_door: true, leaving: true }
+    Told { process, ready: true, shares_socket: true, leaving: true }
 }
 
 #[test]
@@ -27,15 +27,22 @@
     // Its successor is gone, or leaves too: what is still here is served.
     assert_eq!(parts(true, &[]), Parts { held: 1, done: Some(1) });
     assert_eq!(parts(true, &[leaves(8)]), Parts { held: 2, done: Some(1) });
-    assert_eq!(door(&[leaves(8)]), Door::Served(Reason::Alone), "nobody is left to one that leaves itself");
+    assert_eq!(
+        backlog_action(&[leaves(8)]),
+        BacklogAction::Serve(Reason::Alone),
+        "nobody is left to one that leaves itself"
+    );
 }
 
 #[test]
-fn the_door_is_left_only_to_one_that_serves_at_the_same_socket() {
-    assert_eq!(door(&[]), Door::Served(Reason::Alone));
-    assert_eq!(door(&[told(7, false, true)]), Door::Served(Reason::Alone));
-    assert_eq!(door(&[told(7, true, false)]), Door::Served(Reason::OwnSocket(7)));
-    assert_eq!(door(&[told(7, true, false), told(8, true, true)]), Door::Left(Reason::Sibling(8)));
+fn the_backlog_is_left_only_to_one_that_serves_at_the_same_socket() {
+    assert_eq!(backlog_action(&[]), BacklogAction::Serve(Reason::Alone));
+    assert_eq!(backlog_action(&[told(7, false, true)]), BacklogAction::Serve(Reason::Alone));
+    assert_eq!(backlog_action(&[told(7, true, false)]), BacklogAction::Serve(Reason::OwnSocket(7)));
+    assert_eq!(
+        backlog_action(&[told(7, true, false), told(8, true, true)]),
+        BacklogAction::Leave(Reason::SharedSocket(8))
+    );
 }
 
 #[test]
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -18,7 +18,7 @@
 use crate::upstream::frames::Frames;
 use crate::upstream::ogc::Features;
 use crate::upstream::{Limits, Pool};
-use lichenswitch_management::siblings::{self, Parts};
+use lichenswitch_management::processes::{self, Parts};
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -50,7 +50,7 @@
     /// The handle of the management thread, where an address is set for it.
     management: Option<ManagementHandle>,
     /// The platform's clients are to be listened for, by this name and at this address; that it is in use has been logged.
-    door: Option<(String, SocketAddr)>,
+    unopened: Option<(String, SocketAddr)>,
     kept_out: bool,
     /// What the rule on drains allows (microseconds).
     stop_within: Micros,
@@ -119,11 +119,11 @@
             ogc: None,
             company: None,
             management,
-            door: None,
+            unopened: None,
             kept_out: false,
             stop_within: 0,
             leaving: false,
-            parts: siblings::ALONE,
+            parts: processes::ALONE,
             reread: None,
             stopping: None,
             crowded: false,
@@ -157,8 +157,8 @@
         let generation = (!known.instances.is_empty()).then_some(known.generation);
         let known = Listing::Cached(directory.whole(&known.instances));
         let pool = Pool::new(Frames, limits(told.connections));
-        self.door = Some((told.name, told.listen));
-        self.open_door()?;
+        self.unopened = Some((told.name, told.listen));
+        self.open_listener()?;
         let (front, sessions) = (Platform::new(classes, told.tenants), Sessions::new(told.memory));
         let mut service = Service::new(Owner::Platform, front, sessions, core, pool, directory);
         service.listed(known);
@@ -191,11 +191,11 @@
     }
 
     /// Listens for the platform's clients, if it does not yet.
-    fn open_door(&mut self) -> Result<(), String> {
-        let Some((name, address)) = self.door.take() else { return Ok(()) };
+    fn open_listener(&mut self) -> Result<(), String> {
+        let Some((name, address)) = self.unopened.take() else { return Ok(()) };
         // Guards what waits to be accepted when the process before this one ends: it waits at the same socket.
-        let opened = match self.management.as_mut().and_then(ManagementHandle::take_door) {
-            Some(door) => self.net.adopt(Owner::Platform, door),
+        let opened = match self.management.as_mut().and_then(ManagementHandle::take_listener) {
+            Some(listener) => self.net.adopt(Owner::Platform, listener),
             None => self.net.listen(Owner::Platform, address),
         };
         match opened {
@@ -205,15 +205,15 @@
                 if !std::mem::replace(&mut self.kept_out, true) {
                     log(&format!("{name} waits: {address} is in use"));
                 }
-                self.door = Some((name, address));
+                self.unopened = Some((name, address));
             }
             Err(e) => {
-                self.door = Some((name, address));
+                self.unopened = Some((name, address));
                 return Err(format!("listen: {address}: {e}"));
             }
         }
-        if let (Some(management), Ok(door)) = (&self.management, self.net.listener_of(Owner::Platform)) {
-            management.offer_door(door);
+        if let (Some(management), Ok(listener)) = (&self.management, self.net.listener_of(Owner::Platform)) {
+            management.offer_listener(listener);
         }
         Ok(())
     }
--- a/src/broker/operators.rs
+++ b/src/broker/operators.rs
@@ -7,14 +7,14 @@
 use crate::net::Signal;
 use lichenswitch_management::health::Standing;
 use lichenswitch_management::leave;
-use lichenswitch_management::siblings;
+use lichenswitch_management::processes;
 use lichenswitch_management::wanted;
 
 impl Broker {
     /// Takes this process's part of what the broker may do.
     pub(super) fn share(&mut self) {
         let Some(management) = &self.management else { return };
-        let parts = siblings::parts(self.leaving, &management.orders().others);
+        let parts = processes::parts(self.leaving, &management.orders().others);
         if std::mem::replace(&mut self.parts, parts) != parts {
             let done = parts.done.map_or("nothing".into(), |of| format!("1 of {of}"));
             log(&format!(
@@ -37,7 +37,7 @@
         self.send_away();
         // The next process may be ready just after this one was told to stop.
         if self.stopping.is_some() {
-            self.leave_door();
+            self.leave_backlog();
         }
     }
 
@@ -91,11 +91,11 @@
         self.set_by_hand();
         if self.stopping.is_none() {
             // It is tried again: an address that can't be had for another reason is told by its being not ready.
-            let _ = self.open_door();
+            let _ = self.open_listener();
         }
         self.tell_figures();
         let (Some(management), Some(service)) = (&mut self.management, &self.platform) else { return };
-        let (listens, listed) = (self.door.is_none(), service.front.is_listed());
+        let (listens, listed) = (self.unopened.is_none(), service.front.is_listed());
         let stopping = self.stopping.is_some();
         let away = management.orders().wanted.quiesced.is_some();
         management
--- a/src/broker/stopping.rs
+++ b/src/broker/stopping.rs
@@ -4,7 +4,7 @@
 use crate::front::Front;
 use crate::interface::Time;
 use crate::net::{Owner, Signal};
-use lichenswitch_management::siblings::{self, Door};
+use lichenswitch_management::processes::{self, BacklogAction};
 
 impl Broker {
     pub(super) fn stop(&mut self) {
@@ -17,7 +17,7 @@
         self.stopping = Some(now);
         log("stopping: finishing what was taken");
         self.company.iter_mut().for_each(|c| c.on_stop(&mut self.net));
-        let served_on = self.leave_door();
+        let served_on = self.leave_backlog();
         each_service!(self, |_net, service| {
             let waits = service.core.settings().classes.iter().map(|c| c.deadline);
             let killed = waits.max().unwrap_or_default().min(KILLED);
@@ -32,18 +32,18 @@
     /// Leaves the clients that wait to be accepted to another process of this broker that listens on the same socket, if
     /// there is one; those that are here are served, and told with their answers to connect anew. Tells whether another
     /// process serves the address.
-    pub(super) fn leave_door(&mut self) -> bool {
+    pub(super) fn leave_backlog(&mut self) -> bool {
         let (Some(management), Some(service)) = (&self.management, &mut self.platform) else { return false };
-        management.close_door();
-        let told = match siblings::door(&management.others()) {
-            Door::Left(siblings::Reason::Sibling(process)) => {
+        management.withdraw_listener();
+        let told = match processes::backlog_action(&management.others()) {
+            BacklogAction::Leave(processes::Reason::SharedSocket(process)) => {
                 self.net.leave(Owner::Platform);
                 Some(format!("process {process} serves at the same socket: new clients are left to it"))
             }
-            Door::Served(siblings::Reason::OwnSocket(process)) => Some(format!(
+            BacklogAction::Serve(processes::Reason::OwnSocket(process)) => Some(format!(
                 "process {process} serves at a socket of its own: who waits here is served here"
             )),
-            Door::Left(_) | Door::Served(_) => None,
+            BacklogAction::Leave(_) | BacklogAction::Serve(_) => None,
         };
         if told.is_some() {
             service.sessions.stop();
--- a/src/management/folder.rs
+++ b/src/management/folder.rs
@@ -6,7 +6,7 @@
 //! - `door-N`: where process N hands over the socket that clients connect to ([`super::handover`]).
 
 use crate::interface::{Micros, Time};
-use lichenswitch_management::siblings::Told;
+use lichenswitch_management::processes::Told;
 use lichenswitch_management::wanted::{NoState, Wanted};
 use std::fs::{self, DirBuilder, File, OpenOptions, TryLockError};
 use std::io::{self, Read, Seek, SeekFrom, Write};
@@ -75,8 +75,8 @@
 
     /// Where a process hands over the clients' socket.
     #[must_use]
-    pub fn door(&self, process: u32) -> PathBuf {
-        door(&self.path, process)
+    pub fn handover_path(&self, process: u32) -> PathBuf {
+        handover_path(&self.path, process)
     }
 
     /// This process's own number.
@@ -201,7 +201,7 @@
     fn drop(&mut self) {
         // What is left behind is taken away by the next process.
         let _ = fs::remove_file(self.path.join(format!("process-{}", self.told.process)));
-        let _ = fs::remove_file(self.door(self.told.process));
+        let _ = fs::remove_file(self.handover_path(self.told.process));
     }
 }
 
@@ -229,7 +229,7 @@
             Ok(()) => {
                 // Whoever is first takes them away.
                 let _ = fs::remove_file(&path);
-                let _ = fs::remove_file(door(folder, process));
+                let _ = fs::remove_file(handover_path(folder, process));
             }
             Err(TryLockError::Error(e)) => return Err(Failure::System(path, e)),
         }
@@ -238,7 +238,7 @@
     Ok(others)
 }
 
-fn door(folder: &Path, process: u32) -> PathBuf {
+fn handover_path(folder: &Path, process: u32) -> PathBuf {
     folder.join(format!("door-{process}"))
 }
 
--- a/src/management/folder/tests.rs
+++ b/src/management/folder/tests.rs
@@ -29,7 +29,7 @@
 }
 
 fn told(process: u32) -> Told {
-    Told { process, ready: true, same_door: true, leaving: false }
+    Told { process, ready: true, shares_socket: true, leaving: false }
 }
 
 fn other(folder: &Folder, process: u32) -> File {
@@ -49,12 +49,15 @@
     let folder = Folder::open(&root.0, "n0 127.0.0.1:1").unwrap();
     assert_eq!(folder.others().unwrap(), [], "not oneself");
     let lives = other(&folder, 1);
-    fs::write(folder.door(1), "").unwrap();
+    fs::write(folder.handover_path(1), "").unwrap();
     assert_eq!(folder.others().unwrap(), [told(1)]);
     // The kernel gives the lock back with the process.
     drop(lives);
     assert_eq!(folder.others().unwrap(), []);
-    assert!(!folder.path().join("process-1").exists() && !folder.door(1).exists(), "what it left is gone");
+    assert!(
+        !folder.path().join("process-1").exists() && !folder.handover_path(1).exists(),
+        "what it left is gone"
+    );
 }
 
 #[test]
--- a/src/management/mod.rs
+++ b/src/management/mod.rs
@@ -15,7 +15,7 @@
 use folder::Folder;
 use lichenswitch_management::call::{self, Call, Change};
 use lichenswitch_management::health::{self, Standing, Unready};
-use lichenswitch_management::siblings::Told;
+use lichenswitch_management::processes::Told;
 use lichenswitch_management::wanted::{Refused, Verdict, Wanted};
 use metrics::Metrics;
 use std::collections::{BTreeSet, HashMap};
@@ -62,7 +62,7 @@
     standing: Mutex<Standing>,
     orders: Mutex<Arc<Orders>>,
     /// The socket that clients connect to, for the next process; `None`: this one has none, or is leaving it.
-    door: Mutex<Option<TcpListener>>,
+    listener: Mutex<Option<TcpListener>>,
     /// Wakes the loop.
     wake: UnixStream,
 }
@@ -107,7 +107,7 @@
     /// When the others were last told how this process stands.
     told: Time,
     /// The socket that the process before this one has handed over.
-    door: Option<TcpListener>,
+    listener: Option<TcpListener>,
     /// What the processes of this broker share, and this one's number.
     folder: Option<(PathBuf, u32)>,
 }
@@ -120,13 +120,14 @@
     pub fn open(told: &Platform) -> Result<Option<ManagementHandle>, Failure> {
         let Some(address) = told.management else { return Ok(None) };
         let now = Clock::default().now();
-        let (mut wanted, mut others, mut door) = (Wanted::default(), Vec::new(), None);
+        let (mut wanted, mut others, mut listener) = (Wanted::default(), Vec::new(), None);
         let mut folder = folder_of(told);
         if let Some(folder) = &mut folder {
             others = folder.others().unwrap_or_else(|e| told_as(&e, Vec::new()));
             let kept = folder.read(now).unwrap_or_else(|e| told_as(&e, None));
             wanted = kept.unwrap_or_default().on_start(!others.is_empty());
-            door = others.iter().find_map(|o| take_door(&folder.door(o.process), told.listen));
+            listener =
+                others.iter().find_map(|o| take_offered(&folder.handover_path(o.process), told.listen));
         }
         let (wake, woken) = UnixStream::pair()?;
         wake.set_nonblocking(true)?;
@@ -135,14 +136,14 @@
             listed: Mutex::default(),
             standing: Mutex::default(),
             orders: Mutex::new(Arc::new(Orders { wanted, others })),
-            door: Mutex::default(),
+            listener: Mutex::default(),
             wake,
         });
         let callers = set_aside(told.sockets) - BESIDE;
         // Of all connections a part is kept for servers and discovery, of which there are none here.
         let net = Net::of_connections(callers * 3 / 2 + DISCOVERY + 2)?;
         let offers = folder.as_ref().and_then(|folder| {
-            let path = folder.door(folder.process());
+            let path = folder.handover_path(folder.process());
             // Guards against what a process of the same number has left.
             let _ = std::fs::remove_file(&path);
             let offers = UnixListener::bind(&path).and_then(|l| l.set_nonblocking(true).map(|()| l));
@@ -159,12 +160,12 @@
             callers: HashMap::new(),
             folder,
             offers,
-            same_door: door.is_some(),
+            shares_socket: listener.is_some(),
             kept: now,
             looked: Time(0),
         };
         thread::Builder::new().name("management".into()).spawn(move || worker.run())?;
-        Ok(Some(ManagementHandle { shared, woken: Some(woken), told: Time(0), door, folder: shares }))
+        Ok(Some(ManagementHandle { shared, woken: Some(woken), told: Time(0), listener, folder: shares }))
     }
 
     /// The stream that can be read whenever there are new orders; once.
@@ -186,18 +187,18 @@
     }
 
     /// The socket that the process before this one has handed over; once.
-    pub fn take_door(&mut self) -> Option<TcpListener> {
-        self.door.take()
+    pub fn take_listener(&mut self) -> Option<TcpListener> {
+        self.listener.take()
     }
 
     /// Offers this socket to the next process.
-    pub fn offer_door(&self, listener: TcpListener) {
-        *lock(&self.shared.door) = Some(listener);
+    pub fn offer_listener(&self, listener: TcpListener) {
+        *lock(&self.shared.listener) = Some(listener);
     }
 
     /// Offers it no more: this process closes it.
-    pub fn close_door(&self) {
-        *lock(&self.shared.door) = None;
+    pub fn withdraw_listener(&self) {
+        *lock(&self.shared.listener) = None;
     }
 
     /// Tells which servers are listed.
@@ -243,7 +244,7 @@
     /// Where the next process asks for the clients' socket.
     offers: Option<UnixListener>,
     /// This process has it from the one before.
-    same_door: bool,
+    shares_socket: bool,
     /// When the wanted state was last kept up, and when this thread last looked round.
     kept: Time,
     looked: Time,
@@ -260,7 +261,7 @@
 }
 
 /// The clients' socket of the process that offers it there, if it is of this address.
-fn take_door(path: &Path, address: SocketAddr) -> Option<TcpListener> {
+fn take_offered(path: &Path, address: SocketAddr) -> Option<TcpListener> {
     let taken = handover::take(path).and_then(|l| Ok((l.local_addr()?, l)));
     match taken {
         Ok((at, listener)) if at == address => Some(listener),
@@ -408,7 +409,8 @@
         let ready = health::ready(now, &lock(&self.shared.standing));
         if let Some(folder) = &mut self.folder {
             let leaving = lock(&self.shared.standing).leaving;
-            let told = Told { ready: ready.is_ok(), same_door: self.same_door, leaving, ..Told::default() };
+            let told =
+                Told { ready: ready.is_ok(), shares_socket: self.shares_socket, leaving, ..Told::default() };
             folder.tell(told).unwrap_or_else(|e| told_as(&e, ()));
         }
         ready
@@ -469,9 +471,9 @@
     /// Hands the clients' socket to those that ask for it.
     fn hand_over(&mut self) {
         while let Some((asks, _)) = self.offers.as_ref().and_then(|l| l.accept().ok()) {
-            let door = lock(&self.shared.door);
-            let Some(door) = door.as_ref() else { return };
-            match handover::offer(&asks, door) {
+            let listener = lock(&self.shared.listener);
+            let Some(listener) = listener.as_ref() else { return };
+            match handover::offer(&asks, listener) {
                 Ok(()) => log::info!("the clients' socket is another process's too"),
                 Err(e) => log::warn!("the clients' socket was not handed over: {e}"),
             }
