Name what operators set over the list operator overrides

Cause: `ByHand`, `set_by_hand` and `over` described by a figure of speech what discovery does: it applies overrides to the lines of the list.

Change: ByHand is OperatorOverrides, set_by_hand is set_overrides, by_hand is overrides, out_by_hand is overridden_out, over is applied; comments follow. The log lines that operators read ("by hand: ...") stay.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -141,12 +141,12 @@
             .map(|(name, c)| Class { name: name.clone(), repeat: c.repeat, deadline: c.deadline })
             .collect();
         let mut directory = Directory::new(told.zones).with_cells(told.settings.layout.cells);
-        // Before any list: nothing is to be sent to what is out by hand.
+        // Before any list: nothing is to be sent to data nodes that operators have taken out.
         self.stop_within = told.stop_within;
         let now = self.net.clock.now();
         self.management
             .iter()
-            .for_each(|management| _ = directory.set_by_hand(self.by_hand(&management.orders(), now)));
+            .for_each(|management| _ = directory.set_overrides(self.overrides(&management.orders(), now)));
         let pace = match told.settings.discovery {
             interface::Discovery::Ask(every) => Pace::new(told.seed, told.settings.instances, every),
             interface::Discovery::Push => Pace::at_agent(told.seed),
--- a/src/broker/operators.rs
+++ b/src/broker/operators.rs
@@ -1,7 +1,7 @@
 //! What operators ask of the broker, what it tells them, and what its processes share.
 
 use super::{log, Broker};
-use crate::discovery::ByHand;
+use crate::discovery::OperatorOverrides;
 use crate::interface::{Listing, Time};
 use crate::management::Orders;
 use crate::net::Signal;
@@ -33,7 +33,7 @@
     pub(super) fn heed(&mut self) {
         self.net.clear_signal(Signal::Orders);
         self.share();
-        self.set_by_hand();
+        self.set_overrides();
         self.send_away();
         // The next process may be ready just after this one was told to stop.
         if self.stopping.is_some() {
@@ -41,26 +41,26 @@
         }
     }
 
-    /// Takes data nodes out that are out by hand, as far as that is due, or uses them again.
-    pub(super) fn set_by_hand(&mut self) {
+    /// Gives the directory operators' overrides, as far as they are due: data nodes are taken out, or used again.
+    pub(super) fn set_overrides(&mut self) {
         let Some(management) = &self.management else { return };
-        let by_hand = self.by_hand(&management.orders(), self.net.clock.now());
+        let overrides = self.overrides(&management.orders(), self.net.clock.now());
         let Some(service) = &mut self.platform else { return };
-        let lines = service.directory.set_by_hand(by_hand);
+        let lines = service.directory.set_overrides(overrides);
         if !lines.is_empty() {
             self.listed([Listing::Changes(lines)]);
         }
     }
 
-    /// What is set by hand, as the directory takes it.
-    pub(super) fn by_hand(&self, orders: &Orders, now: Time) -> ByHand {
+    /// Operators' overrides, as the directory takes them.
+    pub(super) fn overrides(&self, orders: &Orders, now: Time) -> OperatorOverrides {
         let wanted = &orders.wanted;
         let cordoned = wanted.cordoned.iter().map(|(id, since)| (id.clone(), Time(*since)));
         let is_out = |cordoned: &(String, Time)| wanted::is_out(cordoned.1, now, self.stop_within);
         let (out, leaving): (Vec<_>, Vec<_>) = cordoned.partition(is_out);
         let ids = |of: Vec<(String, Time)>| of.into_iter().map(|(id, _)| id).collect();
         let back = wanted.back.iter().map(|(id, (out, at))| (id.clone(), (Time(*out), Time(*at))));
-        ByHand { out: ids(out), leaving: ids(leaving), back: back.collect() }
+        OperatorOverrides { out: ids(out), leaving: ids(leaving), back: back.collect() }
     }
 
     /// Sends clients away, as far as that is due, or takes them again.
@@ -77,7 +77,7 @@
             service.core.on_written(class, attempts);
         }
         management.metrics().add(&service.core.take_tallies());
-        let ejected = service.directory.out_by_hand() + service.core.avoided();
+        let ejected = service.directory.overridden_out() + service.core.avoided();
         management.metrics().set(service.core.held_queries(), service.directory.len(), ejected);
     }
 
@@ -88,7 +88,7 @@
             return;
         }
         self.send_away();
-        self.set_by_hand();
+        self.set_overrides();
         if self.stopping.is_none() {
             // It is tried again: an address that can't be had for another reason is told by its being not ready.
             let _ = self.open_listener();
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -82,13 +82,13 @@
     cells: Option<u32>,
     next: u32,
     gone: Vec<ServerId>,
-    by_hand: ByHand,
+    overrides: OperatorOverrides,
     log: Vec<String>,
 }
 
-/// What operators have set by hand, over what the list says.
+/// What operators have set, which overrides what the list says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ByHand {
+pub struct OperatorOverrides {
     /// Data nodes that are out, by id: they drain, whatever the list says.
     pub out: BTreeSet<String>,
     /// Data nodes that were taken out just now: they are sent what nobody else takes for a moment yet.
@@ -98,11 +98,11 @@
     pub back: BTreeMap<String, (Time, Time)>,
 }
 
-impl ByHand {
-    /// A line of the list with what is set by hand over it. One that was put back counts as started just then, where the list
+impl OperatorOverrides {
+    /// A line of the list with the overrides applied. One that was put back counts as started just then, where the list
     /// knows of no start since it was taken out: it was out so that it could be restarted, and the list may hear of that late
     /// or never.
-    fn over(&self, name: &str, told: Listed) -> Listed {
+    fn applied(&self, name: &str, told: Listed) -> Listed {
         if told.mode == Mode::Ready && self.out.contains(name) {
             return Listed { mode: Mode::Draining, ..told };
         }
@@ -235,14 +235,15 @@
         if let Some(noted) = self.nodes.get_mut(&server) {
             noted.told = Some(told);
         }
-        Some(self.by_hand.over(&node.instance_id, told))
+        Some(self.overrides.applied(&node.instance_id, told))
     }
 
-    /// Takes over what is set by hand, and gives the module the lines that differ by that.
-    pub fn set_by_hand(&mut self, by_hand: ByHand) -> Vec<Listed> {
-        let before = std::mem::replace(&mut self.by_hand, by_hand);
+    /// Replaces the overrides, and gives the module the lines that differ by that.
+    pub fn set_overrides(&mut self, overrides: OperatorOverrides) -> Vec<Listed> {
+        let before = std::mem::replace(&mut self.overrides, overrides);
         let noted = self.nodes.values().filter_map(|n| Some((&n.name, n.told?)));
-        let lines = noted.map(|(name, told)| (before.over(name, told), self.by_hand.over(name, told)));
+        let lines =
+            noted.map(|(name, told)| (before.applied(name, told), self.overrides.applied(name, told)));
         lines.filter(|(was, is)| was != is).map(|(_, is)| is).collect()
     }
 
@@ -252,11 +253,12 @@
         self.nodes.values().map(|n| n.name.clone()).collect()
     }
 
-    /// How many that are listed are out by hand.
+    /// How many listed data nodes an override takes out.
     #[must_use]
-    pub fn out_by_hand(&self) -> usize {
-        let out =
-            |n: &&Node| [&self.by_hand.out, &self.by_hand.leaving].iter().any(|set| set.contains(&n.name));
+    pub fn overridden_out(&self) -> usize {
+        let out = |n: &&Node| {
+            [&self.overrides.out, &self.overrides.leaving].iter().any(|set| set.contains(&n.name))
+        };
         self.nodes.values().filter(out).count()
     }
 
--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -516,10 +516,10 @@
     };
     let back = BTreeMap::from([("s".to_string(), (Time(5_000_000), Time(9_000_000)))]);
     directory.whole(&[node(0)]);
-    let out = ByHand { out: BTreeSet::from(["s".to_string()]), ..ByHand::default() };
-    assert_eq!(directory.set_by_hand(out).first().map(|l| l.mode), Some(Mode::Draining));
+    let out = OperatorOverrides { out: BTreeSet::from(["s".to_string()]), ..OperatorOverrides::default() };
+    assert_eq!(directory.set_overrides(out).first().map(|l| l.mode), Some(Mode::Draining));
     // The list hears of no restart, of one long ago, or of that for which it was out.
-    let lines = directory.set_by_hand(ByHand { back, ..ByHand::default() });
+    let lines = directory.set_overrides(OperatorOverrides { back, ..OperatorOverrides::default() });
     assert_eq!(
         lines.iter().map(|l| (l.mode, l.started)).collect::<Vec<_>>(),
         [(Mode::Ready, Some(Time(9_000_000)))]
