Name a voter's persistent state, its announcement, and the messages between voters

Cause: `Kept`, `Who` and `Said` were words of speech for three standard things of consensus protocols.

Change: agree::kept::Kept is agree::persistent_state::PersistentState; genesis::Who is Announcement, who() and on_who() are announcement() and on_announcement(); the enum Said in src/peer/council.rs is Message, its variant Who is Announcement, and the method that writes records is persist. The order of variants and fields is the same, and postcard writes no names: nothing changes on the wire or on disk. Tests follow the names alone.

--- a/decide/agree/src/genesis.rs
+++ b/decide/agree/src/genesis.rs
@@ -37,7 +37,7 @@
 
 /// What a voter says of itself to the others until all have begun.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Who {
+pub struct Announcement {
     /// It.
     pub identity: Identity,
     /// The genesis that it goes by, if it has begun.
@@ -89,12 +89,12 @@
     /// let mut a = Gather::new(own("a", 1), &names, None);
     /// let mut b = Gather::new(own("b", 2), &names, None);
     /// let c = Gather::new(own("c", 3), &names, None);
-    /// assert!(!a.on_who(&b.who()), "one is missing");
-    /// assert!(a.on_who(&c.who()), "it has just begun");
-    /// assert!(b.on_who(&a.who()) && b.genesis() == a.genesis());
+    /// assert!(!a.on_announcement(&b.announcement()), "one is missing");
+    /// assert!(a.on_announcement(&c.announcement()), "it has just begun");
+    /// assert!(b.on_announcement(&a.announcement()) && b.genesis() == a.genesis());
     /// // c comes back without its memory: it is another one.
     /// let mut c = Gather::new(own("c", 4), &names, None);
-    /// assert!(!c.on_who(&a.who()));
+    /// assert!(!c.on_announcement(&a.announcement()));
     /// assert_eq!(c.why(), &Reason::Forgot(own("c", 3)));
     /// ```
     #[must_use]
@@ -109,10 +109,10 @@
         gather
     }
 
-    /// What it says of itself.
+    /// What it announces of itself.
     #[must_use]
-    pub fn who(&self) -> Who {
-        Who { identity: self.own.clone(), begun: self.begun.clone() }
+    pub fn announcement(&self) -> Announcement {
+        Announcement { identity: self.own.clone(), begun: self.begun.clone() }
     }
 
     /// The genesis by which it votes, if it does.
@@ -127,16 +127,16 @@
         &self.why
     }
 
-    /// Another voter has said who it is. `true`: this one votes from now on, once it has kept the genesis.
-    pub fn on_who(&mut self, who: &Who) -> bool {
+    /// Another voter has announced itself. `true`: this one votes from now on, once it has kept the genesis.
+    pub fn on_announcement(&mut self, announcement: &Announcement) -> bool {
         if self.begun.is_some() {
             return false;
         }
-        if let Some(genesis) = &who.begun {
+        if let Some(genesis) = &announcement.begun {
             return self.adopt(genesis);
         }
-        if let Some(place) = self.heard.get_mut(&who.identity.name) {
-            *place = Some(who.identity.clone());
+        if let Some(place) = self.heard.get_mut(&announcement.identity.name) {
+            *place = Some(announcement.identity.clone());
         }
         // Guards against a second genesis: who knows that the fleet has begun without it gathers no other.
         matches!(self.why, Reason::Waits(_)) && self.complete()
--- a/decide/agree/src/lib.rs
+++ b/decide/agree/src/lib.rs
@@ -17,7 +17,7 @@
 #![warn(missing_docs)]
 
 pub mod genesis;
-pub mod kept;
+pub mod persistent_state;
 pub mod standing;
 pub mod state;
 pub mod voter;
--- a/decide/agree/src/kept.rs
+++ b/decide/agree/src/persistent_state.rs
@@ -35,9 +35,9 @@
     std::mem::take(&mut journal.lock().unwrap_or_else(|e| e.into_inner()))
 }
 
-/// What a voter knows of itself and of the log.
+/// The persistent state of a voter: its identity, the genesis, and what it knows of the log.
 #[derive(Clone, Debug, Default)]
-pub struct Kept {
+pub struct PersistentState {
     identity: Option<Identity>,
     genesis: Option<Genesis>,
     log: Vec<Entry>,
@@ -51,18 +51,18 @@
     journal: Journal,
 }
 
-impl Kept {
+impl PersistentState {
     /// The memory that these records make.
     ///
     /// # Errors
     /// When one of them is none, by its place among them.
-    pub fn from_records(records: &[Record]) -> Result<Kept, String> {
-        let mut kept = Kept::default();
+    pub fn from_records(records: &[Record]) -> Result<PersistentState, String> {
+        let mut state = PersistentState::default();
         for (place, record) in records.iter().enumerate() {
-            let known = kept.extend(record);
+            let known = state.extend(record);
             known.map_err(|()| format!("record {} of {} can't be read", place + 1, records.len()))?;
         }
-        Ok(kept)
+        Ok(state)
     }
 
     /// Applies a record that is kept already.
@@ -156,7 +156,7 @@
     Record(postcard::to_stdvec(changes).unwrap_or_default())
 }
 
-impl Storage<Entry> for Kept {
+impl Storage<Entry> for PersistentState {
     fn write_atomically(&mut self, ops: Vec<StorageOp<Entry>>) -> StorageResult<()> {
         let change = |op| match op {
             StorageOp::AppendEntry(entry) => Change::Append(vec![entry]),
--- a/decide/agree/src/voter.rs
+++ b/decide/agree/src/voter.rs
@@ -1,7 +1,7 @@
 //! One voter: the library's state with time, memory and messages round it, and the grants that follow from the log.
 
 use crate::genesis::{Genesis, Identity};
-use crate::kept::{take, Journal, Kept, Record};
+use crate::persistent_state::{take, Journal, PersistentState, Record};
 use crate::state::Entry;
 use lichenswitch_duty::grants::{self, Grants};
 use lichenswitch_duty::Terms;
@@ -60,10 +60,10 @@
 
 /// One voter.
 pub struct Voter {
-    paxos: OmniPaxos<Entry, Kept>,
+    paxos: OmniPaxos<Entry, PersistentState>,
     journal: Journal,
     /// What has been kept so far.
-    memory: Kept,
+    memory: PersistentState,
     genesis: Genesis,
     own: Identity,
     terms: Terms,
@@ -83,9 +83,9 @@
     ///
     /// # Errors
     /// When what was kept names no identity, or no genesis that names it.
-    pub fn new(now: Time, kept: Kept, terms: Terms) -> Result<Voter, String> {
-        let own = kept.identity().cloned().ok_or("what was kept names no identity")?;
-        let genesis = kept.genesis().cloned().ok_or("what was kept names no genesis")?;
+    pub fn new(now: Time, state: PersistentState, terms: Terms) -> Result<Voter, String> {
+        let own = state.identity().cloned().ok_or("what was kept names no identity")?;
+        let genesis = state.genesis().cloned().ok_or("what was kept names no genesis")?;
         if !genesis.voters().contains(&own) {
             return Err(format!("the genesis does not name {} with this memory", own.name));
         }
@@ -102,8 +102,8 @@
                 ..ServerConfig::default()
             },
         };
-        let (journal, memory) = (kept.journal(), kept.clone());
-        let paxos = config.build(kept).map_err(|e| format!("voters: {e:?}"))?;
+        let (journal, memory) = (state.journal(), state.clone());
+        let paxos = config.build(state).map_err(|e| format!("voters: {e:?}"))?;
         let mut voter = Voter {
             paxos,
             journal,
--- a/decide/agree/src/voter/tests.rs
+++ b/decide/agree/src/voter/tests.rs
@@ -44,14 +44,14 @@
         let names: Vec<String> = (0..count).map(name).collect();
         let identity = |i: usize| Identity { name: name(i), memory: u64::MAX / 2 + i as u64 };
         let mut gathers: Vec<Gather> = (0..count).map(|i| Gather::new(identity(i), &names, None)).collect();
-        let whos: Vec<_> = gathers.iter().map(Gather::who).collect();
+        let announcements: Vec<_> = gathers.iter().map(Gather::announcement).collect();
         let mut disks = Vec::new();
         for (i, gather) in gathers.iter_mut().enumerate() {
-            whos.iter().for_each(|who| _ = gather.on_who(who));
-            let mut kept = Kept::default();
-            kept.begin(identity(i));
-            kept.begun(gather.genesis().unwrap().clone());
-            disks.push(take(&kept.journal()));
+            announcements.iter().for_each(|a| _ = gather.on_announcement(a));
+            let mut state = PersistentState::default();
+            state.begin(identity(i));
+            state.begun(gather.genesis().unwrap().clone());
+            disks.push(take(&state.journal()));
         }
         let mut world = World {
             voters: (0..count).map(|_| None).collect(),
@@ -73,8 +73,8 @@
     }
 
     fn start(&mut self, i: usize) {
-        let kept = Kept::from_records(&self.disks[i]).unwrap();
-        let voter = Voter::new(self.now, kept, TERMS).unwrap();
+        let state = PersistentState::from_records(&self.disks[i]).unwrap();
+        let voter = Voter::new(self.now, state, TERMS).unwrap();
         self.decided[i] = voter.applied();
         self.voters[i] = Some(voter);
         for other in (0..self.voters.len()).filter(|o| *o != i) {
@@ -252,9 +252,9 @@
     }
     world.run(SECOND);
     assert!(world.decided[0] > 2_200, "{}", world.decided[0]);
-    let whole = Kept::from_records(&world.disks[0]).unwrap().whole();
+    let whole = PersistentState::from_records(&world.disks[0]).unwrap().whole();
     assert!(whole.0.len() < 2 * SNAPSHOT * 40, "{} bytes", whole.0.len());
-    let again = Kept::from_records(std::slice::from_ref(&whole)).unwrap();
+    let again = PersistentState::from_records(std::slice::from_ref(&whole)).unwrap();
     assert_eq!(again.whole(), whole, "one record stands in place of all");
     let sent = world.sent;
     world.start(2);
@@ -283,11 +283,12 @@
         let names: Vec<String> = (0..3).map(name).collect();
         let mut gather = Gather::new(Identity { name: name(1), memory: 999 }, &names, None);
         let genesis = world.voters[2].as_ref().unwrap().genesis().clone();
-        let who = crate::genesis::Who { identity: genesis.voters()[2].clone(), begun: Some(genesis) };
-        assert!(!gather.on_who(&who) && matches!(gather.why(), Named::Forgot(_)));
-        let mut kept = Kept::default();
-        kept.begin(gather.who().identity);
-        assert!(Voter::new(world.now, kept, TERMS).is_err());
+        let announcement =
+            crate::genesis::Announcement { identity: genesis.voters()[2].clone(), begun: Some(genesis) };
+        assert!(!gather.on_announcement(&announcement) && matches!(gather.why(), Named::Forgot(_)));
+        let mut state = PersistentState::default();
+        state.begin(gather.announcement().identity);
+        assert!(Voter::new(world.now, state, TERMS).is_err());
     }
     world.run(SECOND);
     world.progress(2, 4 * SECOND);
--- a/src/peer/council.rs
+++ b/src/peer/council.rs
@@ -4,8 +4,8 @@
 //! before what it rests on is kept, a broker that can't keep does not vote, and whether it holds a duty is asked of its
 //! own lease each time. It decides nothing itself: `decide::agree` and `decide::duty` do.
 
-use crate::decide::agree::genesis::{Gather, Identity, Reason, Who};
-use crate::decide::agree::kept::{Kept, Record};
+use crate::decide::agree::genesis::{Announcement, Gather, Identity, Reason};
+use crate::decide::agree::persistent_state::{PersistentState, Record};
 use crate::decide::agree::standing::{Hearing, Standing};
 use crate::decide::agree::state::Entry;
 use crate::decide::agree::{Verdict, Voter};
@@ -18,7 +18,7 @@
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 
-/// Voters that have not begun say who they are this often (microseconds).
+/// Voters that have not begun announce themselves this often (microseconds).
 const GATHER: Micros = 500_000;
 /// How often it looks at what it holds (microseconds): a lease that runs out is told so soon after it has.
 const LOOK: Micros = 25_000;
@@ -43,9 +43,9 @@
 
 /// What one broker's council says to another's.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-enum Said {
-    /// Who a voter is.
-    Who(Who),
+enum Message {
+    /// What a voter announces of itself.
+    Announcement(Announcement),
     /// A message of the log.
     Log(Vec<u8>),
     /// Its sender asks for a duty; the number comes back with the answer.
@@ -70,7 +70,7 @@
     /// It is none of the voters.
     Reader,
     /// It waits for the genesis.
-    Gathers(Box<(Gather, Kept)>),
+    Gathers(Box<(Gather, PersistentState)>),
     /// It votes.
     Votes(Box<Voter>),
     /// It does not, though it is named.
@@ -106,9 +106,9 @@
     log: Vec<String>,
 }
 
-fn words(to: &str, said: &Said) -> (String, Vec<u8>) {
+fn words(to: &str, message: &Message) -> (String, Vec<u8>) {
     // Plain values in memory can always be written.
-    (to.into(), postcard::to_stdvec(said).unwrap_or_default())
+    (to.into(), postcard::to_stdvec(message).unwrap_or_default())
 }
 
 impl Council {
@@ -160,16 +160,17 @@
         } else {
             self.log.push("council: no folder: what this voter promises ends with its process".into());
         }
-        let mut kept = Kept::from_records(&records).map_err(|why| format!("peers: folder: {why}"))?;
-        if kept.identity().is_none() {
+        let mut state =
+            PersistentState::from_records(&records).map_err(|why| format!("peers: folder: {why}"))?;
+        if state.identity().is_none() {
             // Two lives of a broker do not begin in the same microsecond, and names tell brokers apart.
             let name = self.own.name.bytes().fold(0u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
             let memory = (self.own.life ^ name.rotate_left(40)).max(1);
-            kept.begin(Identity { name: self.own.name.clone(), memory });
+            state.begin(Identity { name: self.own.name.clone(), memory });
         }
-        let Some(identity) = kept.identity().cloned() else { return Ok(()) };
-        let gather = Gather::new(identity, &self.rules.voters, kept.genesis().cloned());
-        self.seat = Seat::Gathers(Box::new((gather, kept)));
+        let Some(identity) = state.identity().cloned() else { return Ok(()) };
+        let gather = Gather::new(identity, &self.rules.voters, state.genesis().cloned());
+        self.seat = Seat::Gathers(Box::new((gather, state)));
         self.flush_gathering();
         self.begin(now);
         Ok(())
@@ -179,13 +180,13 @@
     fn flush_gathering(&mut self) {
         let Seat::Gathers(gathering) = &self.seat else { return };
         let records = gathering.1.take_records();
-        if !self.kept(&records) {
+        if !self.persist(&records) {
             self.seat = Seat::Abstains;
         }
     }
 
-    /// Keeps records; `false`: it failed, and this broker votes no more.
-    fn kept(&mut self, records: &[Record]) -> bool {
+    /// Writes records to the file; `false`: it failed, and this broker votes no more.
+    fn persist(&mut self, records: &[Record]) -> bool {
         let Some(keep) = &mut self.keep else { return true };
         let records: Vec<Vec<u8>> = records.iter().map(|r| r.0.clone()).collect();
         if let Err(e) = if records.is_empty() { Ok(()) } else { keep.append(&records) } {
@@ -199,12 +200,12 @@
     /// Votes from here on, if the genesis names it.
     fn begin(&mut self, now: Time) {
         let Seat::Gathers(gathering) = &self.seat else { return };
-        let (gather, kept) = &**gathering;
+        let (gather, state) = &**gathering;
         match (gather.why(), gather.genesis()) {
             (Reason::Named, Some(genesis)) => {
                 let names: Vec<&str> = genesis.voters().iter().map(|v| v.name.as_str()).collect();
                 let line = format!("council: votes, genesis {:x} ({})", genesis.digest(), names.join(", "));
-                match Voter::new(now, kept.clone(), self.rules.terms) {
+                match Voter::new(now, state.clone(), self.rules.terms) {
                     Ok(voter) => {
                         // Guards who still holds a duty by a genesis that all voters have forgotten: its lease is over first.
                         if voter.applied() == 0 {
@@ -273,9 +274,9 @@
             }
             Seat::Gathers(gathering) if now >= self.gather_at => {
                 self.gather_at = now.plus(GATHER);
-                let who = Said::Who(gathering.0.who());
+                let announcement = Message::Announcement(gathering.0.announcement());
                 let others = self.rules.voters.iter().filter(|v| **v != self.own.name);
-                out.extend(others.map(|v| words(v, &who)));
+                out.extend(others.map(|v| words(v, &announcement)));
             }
             _ => {}
         }
@@ -293,7 +294,7 @@
             self.stood = Some(standing);
         }
         if now >= self.hearing.ask_at() {
-            let hear = Said::Hear(self.hearing.on_ask(now));
+            let hear = Message::Hear(self.hearing.on_ask(now));
             for voter in self.rules.voters.clone() {
                 out.extend(self.say(now, &voter, hear.clone()));
             }
@@ -325,15 +326,15 @@
             // One after the other in turn: a voter that is cut off, or gone, answers nobody.
             let voter = self.rules.voters[self.asked % self.rules.voters.len()].clone();
             self.asked += 1;
-            let ask = Said::Ask(duty, self.own.clone(), number);
+            let ask = Message::Ask(duty, self.own.clone(), number);
             out.extend(self.say(now, &voter, ask));
         }
     }
 
     /// Another broker's council has said something.
     pub fn on_word(&mut self, now: Time, from: &str, bytes: &[u8]) -> Words {
-        match postcard::from_bytes::<Said>(bytes) {
-            Ok(said) => self.hear(now, from, said),
+        match postcard::from_bytes::<Message>(bytes) {
+            Ok(message) => self.hear(now, from, message),
             // It is of a version that says more: what it wants is not known here.
             Err(_) => Words::new(),
         }
@@ -357,7 +358,7 @@
             let held = matches!(hold.check(now, self.rules.terms), May::Act(..));
             if let Some(fence) = hold.on_give_back().filter(|_| held) {
                 self.log.push(format!("duty {}: not held: given back", duty.0));
-                let back = Said::GiveBack(duty, fence);
+                let back = Message::GiveBack(duty, fence);
                 // To all: the first that enters it counts, and this broker does not wait for answers any more.
                 let voters = self.rules.voters.clone();
                 for voter in voters {
@@ -368,34 +369,38 @@
         out
     }
 
-    fn hear(&mut self, now: Time, from: &str, said: Said) -> Words {
+    fn hear(&mut self, now: Time, from: &str, message: Message) -> Words {
         let mut out = Words::new();
-        match (said, &mut self.seat) {
-            (Said::Who(who), Seat::Gathers(gathering)) if who.identity.name == from => {
-                let (gather, kept) = &mut **gathering;
+        match (message, &mut self.seat) {
+            (Message::Announcement(announcement), Seat::Gathers(gathering))
+                if announcement.identity.name == from =>
+            {
+                let (gather, state) = &mut **gathering;
                 let was = gather.why().clone();
-                if let (true, Some(genesis)) = (gather.on_who(&who), gather.genesis()) {
-                    kept.begun(genesis.clone());
+                if let (true, Some(genesis)) = (gather.on_announcement(&announcement), gather.genesis()) {
+                    state.begun(genesis.clone());
                 }
                 if was != *gather.why() {
                     self.flush_gathering();
                     self.begin(now);
                 }
             }
-            (Said::Who(who), Seat::Votes(voter)) if who.begun.is_none() => {
+            (Message::Announcement(announcement), Seat::Votes(voter)) if announcement.begun.is_none() => {
                 let own = voter.genesis().voters().iter().find(|v| v.name == self.own.name).cloned();
                 let begun = Some(voter.genesis().clone());
-                out.extend(own.map(|identity| words(from, &Said::Who(Who { identity, begun }))));
+                out.extend(
+                    own.map(|identity| words(from, &Message::Announcement(Announcement { identity, begun }))),
+                );
             }
-            (Said::Log(bytes), Seat::Votes(voter)) => {
+            (Message::Log(bytes), Seat::Votes(voter)) => {
                 let told = voter.on_message(now, &bytes);
                 self.carry(now, told, &mut out);
             }
-            (Said::Ask(duty, holder, number), Seat::Votes(voter)) if holder.name == from => {
+            (Message::Ask(duty, holder, number), Seat::Votes(voter)) if holder.name == from => {
                 // Guards the log against those who would be refused; that this voter may be behind only makes them ask again.
                 let elsewhere = voter.grants().holder(&duty).is_some_and(|(held_by, _)| *held_by != holder);
                 if elsewhere || now < self.grants_from {
-                    return self.say(now, from, Said::Elsewhere(duty));
+                    return self.say(now, from, Message::Elsewhere(duty));
                 }
                 let old = |at: Time| now.since(at) > WAITS * self.rules.terms.lease;
                 self.asks.retain(|a| !old(a.4));
@@ -406,13 +411,13 @@
                 }
             }
             // Guards the holder: nobody else gives back what it acts under. A voter that is behind leaves it to the others.
-            (Said::GiveBack(duty, fence), Seat::Votes(voter))
+            (Message::GiveBack(duty, fence), Seat::Votes(voter))
                 if voter.grants().holder(&duty).is_some_and(|(held_by, _)| held_by.name == from) =>
             {
                 let told = voter.on_entry(now, Entry { grant: Grant::GiveBack(duty, fence), number: 0 });
                 self.carry(now, told, &mut out);
             }
-            (Said::Answer(duty, number, fence), _) => {
+            (Message::Answer(duty, number, fence), _) => {
                 if let Some(holding) = self.holdings.get_mut(&duty) {
                     match fence {
                         Some(fence) => drop(holding.hold.on_grant(number, fence)),
@@ -423,12 +428,12 @@
                     }
                 }
             }
-            (Said::Hear(number), Seat::Votes(voter)) => {
-                let heard = Said::Heard(number, voter.genesis().digest());
+            (Message::Hear(number), Seat::Votes(voter)) => {
+                let heard = Message::Heard(number, voter.genesis().digest());
                 return self.say(now, from, heard);
             }
-            (Said::Heard(number, genesis), _) => self.hearing.on_answer(from, number, genesis),
-            (Said::Elsewhere(duty), _) => {
+            (Message::Heard(number, genesis), _) => self.hearing.on_answer(from, number, genesis),
+            (Message::Elsewhere(duty), _) => {
                 // Who holds it knows better than a voter that was away, and asks the next one.
                 let holds = self.may_act(now, &duty).is_some();
                 let after = now.plus(self.rules.terms.lease / 100 * REFUSED);
@@ -442,10 +447,10 @@
         out
     }
 
-    fn say(&mut self, now: Time, to: &str, said: Said) -> Words {
+    fn say(&mut self, now: Time, to: &str, message: Message) -> Words {
         match to == self.own.name {
-            true => self.hear(now, to, said),
-            false => vec![words(to, &said)],
+            true => self.hear(now, to, message),
+            false => vec![words(to, &message)],
         }
     }
 
@@ -454,13 +459,13 @@
         for verdict in told {
             match verdict {
                 Verdict::Keep(records) => {
-                    if !self.kept(&records) {
+                    if !self.persist(&records) {
                         // Guards the others: what could not be kept must not be told.
                         self.seat = Seat::Abstains;
                         return;
                     }
                 }
-                Verdict::Send(to, bytes) => out.push(words(&to.name, &Said::Log(bytes))),
+                Verdict::Send(to, bytes) => out.push(words(&to.name, &Message::Log(bytes))),
                 Verdict::Decided(_, entry, granted) => self.decided(now, &entry, &granted, out),
                 Verdict::Caught(place) => {
                     self.log.push(format!("council: caught up to entry {place} by a snapshot"));
@@ -482,7 +487,7 @@
             Granted::Granted(fence, _) | Granted::Renewed(fence) => Some(*fence),
             _ => None,
         };
-        out.extend(self.say(now, &from, Said::Answer(duty, number, fence)));
+        out.extend(self.say(now, &from, Message::Answer(duty, number, fence)));
     }
 
     /// One record takes the place of all in the file.
--- a/src/peer/council/tests.rs
+++ b/src/peer/council/tests.rs
@@ -64,7 +64,7 @@
     assert!(table.now.since(START) >= TERMS.awaited(), "somebody may hold it by a genesis that is forgotten");
     let (other, duty) = ((holder + 1) % 4, Duty("d".into()));
     let fence = table.councils[holder].may_act(table.now, &duty).unwrap();
-    let back = postcard::to_stdvec(&Said::GiveBack(duty, fence)).unwrap();
+    let back = postcard::to_stdvec(&Message::GiveBack(duty, fence)).unwrap();
     table.deliver(other, (0..3).map(|v| (format!("n{v}"), back.clone())).collect());
     assert_eq!(table.until_held(5_000), Some(holder), "only the holder gives it back");
     assert!((0..3).all(|v| match &table.councils[v].seat {
@@ -88,18 +88,18 @@
     let holder = table.until_held(10_000_000).unwrap();
     let now = table.now;
     let council = &mut table.councils[holder];
-    let elsewhere = postcard::to_stdvec(&Said::Elsewhere(Duty("d".into()))).unwrap();
+    let elsewhere = postcard::to_stdvec(&Message::Elsewhere(Duty("d".into()))).unwrap();
     council.on_word(now, "n1", &elsewhere);
     assert!(council.may_act(now, &Duty("d".into())).is_some(), "that voter may have been away");
     // Another genesis than the one it has known: its lease runs out, and it asks for none.
-    let other = postcard::to_stdvec(&Said::Heard(1, 99)).unwrap();
+    let other = postcard::to_stdvec(&Message::Heard(1, 99)).unwrap();
     council.on_word(now, "n1", &other);
     assert_eq!(council.standing(now), Standing::Stranger);
     let mut asked = 0;
     for i in 1..400u64 {
         let at = now.plus(i * 5_000);
         for (_, bytes) in council.on_time(at) {
-            asked += usize::from(matches!(postcard::from_bytes(&bytes), Ok(Said::Ask(..))));
+            asked += usize::from(matches!(postcard::from_bytes(&bytes), Ok(Message::Ask(..))));
         }
     }
     let log = council.take_log().join("\n");
