Name the broker's part among its peers PeerGroup

Cause: `peer::company::Company` needed its doc comment to say that it joins the talk with peers and the view of who is alive for the broker's loop.

Change: the module is peer::group, the type PeerGroup, the broker's field `peers`. Renames alone.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -13,7 +13,7 @@
 use crate::interface::{self, Listing, Micros, Time};
 use crate::management::{self, ManagementHandle};
 use crate::net::{self, ConnId, Net, Owner, Ready, Signal, Timer};
-use crate::peer::company::Company;
+use crate::peer::group::PeerGroup;
 use crate::service::Service;
 use crate::upstream::frames::Frames;
 use crate::upstream::ogc::Features;
@@ -46,7 +46,7 @@
     discovery: Option<Discovery>,
     ogc: Option<Service<Ogc, Features>>,
     /// Other brokers, where they talk.
-    company: Option<Company>,
+    peers: Option<PeerGroup>,
     /// The handle of the management thread, where an address is set for it.
     management: Option<ManagementHandle>,
     /// The platform's clients are to be listened for, by this name and at this address; that it is in use has been logged.
@@ -117,7 +117,7 @@
             platform: None,
             discovery: None,
             ogc: None,
-            company: None,
+            peers: None,
             management,
             unopened: None,
             kept_out: false,
@@ -227,7 +227,7 @@
     /// # Errors
     /// When the address for them can't be listened on.
     pub fn join(&mut self, told: config::Peers) -> Result<(), String> {
-        self.company = Some(Company::new(&mut self.net, told)?);
+        self.peers = Some(PeerGroup::new(&mut self.net, told)?);
         Ok(())
     }
 
@@ -253,16 +253,16 @@
         loop {
             let until = self.next_turn();
             let all_ready = self.net.wait(until)?;
-            if let Some(company) = &mut self.company {
-                company.on_time(&mut self.net);
+            if let Some(peers) = &mut self.peers {
+                peers.on_time(&mut self.net);
             }
             for ready in all_ready {
                 match ready {
                     Ready::Listener(Owner::PeerIn) => {
-                        self.company.iter_mut().for_each(|c| c.accept(&mut self.net));
+                        self.peers.iter_mut().for_each(|c| c.accept(&mut self.net));
                     }
                     Ready::Conn(id, Owner::PeerIn | Owner::PeerOut) => {
-                        self.company.iter_mut().for_each(|c| c.ready(&mut self.net, id));
+                        self.peers.iter_mut().for_each(|c| c.ready(&mut self.net, id));
                     }
                     Ready::Listener(owner) => each_service!(self, |net, service| {
                         if service.owner == owner {
@@ -312,9 +312,9 @@
         let room = self.net.resting().then(|| self.net.clock.now().plus(ROOM_LOOK));
         let platform = self.platform.as_ref().and_then(|s| s.core.next_turn());
         let ogc = self.ogc.as_ref().and_then(|s| s.core.next_turn());
-        let company = self.company.as_ref().map(Company::next);
+        let peers = self.peers.as_ref().map(PeerGroup::next);
         let management = self.management.as_ref().map(ManagementHandle::next);
-        [stop, room, platform, ogc, company, management].into_iter().flatten().min()
+        [stop, room, platform, ogc, peers, management].into_iter().flatten().min()
     }
 
     fn listed(&mut self, news: impl IntoIterator<Item = Listing>) {
@@ -361,7 +361,7 @@
         }
         let lines = self.discovery.iter_mut().flat_map(Discovery::take_log);
         let lines = lines.chain(self.platform.iter_mut().flat_map(|s| s.directory.take_log()));
-        let lines = lines.chain(self.company.iter_mut().flat_map(Company::take_log));
+        let lines = lines.chain(self.peers.iter_mut().flat_map(PeerGroup::take_log));
         lines.for_each(|line| log(&line));
     }
 
--- a/src/broker/stopping.rs
+++ b/src/broker/stopping.rs
@@ -16,7 +16,7 @@
         let now = self.net.clock.now();
         self.stopping = Some(now);
         log("stopping: finishing what was taken");
-        self.company.iter_mut().for_each(|c| c.on_stop(&mut self.net));
+        self.peers.iter_mut().for_each(|c| c.on_stop(&mut self.net));
         let served_on = self.leave_backlog();
         each_service!(self, |_net, service| {
             let waits = service.core.settings().classes.iter().map(|c| c.deadline);
--- a/src/peer/company.rs
+++ b/src/peer/group.rs
@@ -1,4 +1,4 @@
-//! The company of other brokers: brokers' talk and the view of the fleet that it carries, for the broker's loop.
+//! The group of peer brokers: the connections to them and the membership view that they carry, for the broker's loop.
 
 use super::council::{Council, Words};
 use super::{Heard, Talk, What, MOST};
@@ -8,8 +8,8 @@
 use crate::interface::Time;
 use crate::net::{ConnId, Net, Owner};
 
-/// One broker among others.
-pub struct Company {
+/// This broker's part in its peer group.
+pub struct PeerGroup {
     talk: Talk,
     fleet: Fleet,
     /// The voters' log and the duties, where the operators' file names voters.
@@ -19,12 +19,12 @@
     log: Vec<String>,
 }
 
-impl Company {
+impl PeerGroup {
     /// A broker that listens for others already; tells where in its log.
     ///
     /// # Errors
     /// When the address can't be listened on, or the folder can't be used.
-    pub fn new(net: &mut Net, told: Peers) -> Result<Company, String> {
+    pub fn new(net: &mut Net, told: Peers) -> Result<PeerGroup, String> {
         let now = net.clock.now();
         let own = Member { life: now.0, ..told.own.clone() };
         net.set_aside_for_peers(MOST);
@@ -40,7 +40,7 @@
         let council =
             told.council.map(|rules| Council::new(now, &told.cluster, holder, rules)).transpose()?;
         let fleet = Fleet::new(now, own, told.known.clone(), told.rules, seed);
-        Ok(Company { talk, fleet, council, known: told.known, log: vec![line] })
+        Ok(PeerGroup { talk, fleet, council, known: told.known, log: vec![line] })
     }
 
     /// Log lines since the last time.
@@ -51,7 +51,7 @@
         lines
     }
 
-    /// When [`Company::on_time`] is to be called next.
+    /// When [`PeerGroup::on_time`] is to be called next.
     #[must_use]
     pub fn next(&self) -> Time {
         let council = self.council.as_ref().map_or(Time(u64::MAX), Council::next);
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,8 +6,8 @@
 //! version, never gets ready, or does not read is closed with a line that says why; connections that failed are opened again
 //! at spread times, and only if something is to be said.
 
-pub mod company;
 pub mod council;
+pub mod group;
 mod queue;
 mod wire;
 
