Name the voters' log over peers, with the duties, consensus

Cause: `council` stood for what the field calls consensus: the voters' agreed log over the connections to peers, and what a broker asks of the voters.

Change: peer::council::Council is peer::consensus::Consensus; What::Council, Word::Council, say_council and Peers::council follow (the last is made from `voters`, and is no key of the settings file). Not "quorum", since a broker that does not vote has one too. The order of Word's variants, and so the wire, is the same.

--- a/src/config/peers.rs
+++ b/src/config/peers.rs
@@ -4,7 +4,7 @@
 use crate::decide::duty::Terms;
 use crate::decide::fleet::{Member, Rules};
 use crate::interface::Micros;
-use crate::peer::council;
+use crate::peer::consensus;
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 use std::collections::BTreeMap;
@@ -76,7 +76,7 @@
     /// For random numbers.
     pub seed: u64,
     /// The voters' log and the duties; `None`: no voters are named.
-    pub council: Option<council::Rules>,
+    pub consensus: Option<consensus::Rules>,
 }
 
 impl Peers {
@@ -203,9 +203,9 @@
             }
         }
         let terms = Terms { lease, drift: DRIFT };
-        let council = (!voters.is_empty()).then_some(council::Rules { voters, folder, duties, terms });
+        let consensus = (!voters.is_empty()).then_some(consensus::Rules { voters, folder, duties, terms });
         Ok(Some(Peers {
-            council,
+            consensus,
             cluster: named(&read.cluster, "cluster")?,
             listen,
             own,
--- a/src/peer/council.rs
+++ b/src/peer/consensus.rs
@@ -1,4 +1,4 @@
-//! The council: the voters' agreed log over the talk, and the duties that this broker would like to hold.
+//! The consensus of the voters on their log over the connections to peers, and the duties that this broker would like to hold.
 //!
 //! It owns the voter's file, the asks that wait for an answer, and what this broker holds. It promises: nothing is said
 //! before what it rests on is kept, a broker that can't keep does not vote, and whether it holds a duty is asked of its
@@ -28,7 +28,7 @@
 const WAITING: usize = 256;
 const WAITS: u64 = 2;
 
-/// How the council is held, as the operators' file says.
+/// Voters, folder, duties and terms, as the operators' file says.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rules {
     /// The voters, by name.
@@ -41,7 +41,7 @@
     pub terms: Terms,
 }
 
-/// What one broker's council says to another's.
+/// Messages between voters, and between voters and other brokers. Their order is that on the wire.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 enum Message {
     /// What a voter announces of itself.
@@ -85,8 +85,8 @@
     held: Option<FenceNumber>,
 }
 
-/// One broker in the council.
-pub struct Council {
+/// This broker's part in the consensus: as a voter, or as a broker that asks the voters.
+pub struct Consensus {
     own: Holder,
     rules: Rules,
     seat: Seat,
@@ -95,7 +95,7 @@
     /// Who has heard this broker, and how it stood at the last look.
     hearing: Hearing,
     stood: Option<Standing>,
-    /// A voter that knows of no grant grants none before this: see [`Council::begin`].
+    /// A voter that knows of no grant grants none before this: see [`Consensus::begin`].
     grants_from: Time,
     /// Asks that were put into the log here: whose, by which number, from whom, when.
     asks: Vec<(Duty, Holder, u64, String, Time)>,
@@ -111,16 +111,16 @@
     (to.into(), postcard::to_stdvec(message).unwrap_or_default())
 }
 
-impl Council {
-    /// The council of `own` in a cluster.
+impl Consensus {
+    /// The part of `own` in the consensus of a cluster.
     ///
     /// # Errors
     /// When the folder can't be used, or holds records that this version can't read.
-    pub fn new(now: Time, cluster: &str, own: Holder, rules: Rules) -> Result<Council, String> {
+    pub fn new(now: Time, cluster: &str, own: Holder, rules: Rules) -> Result<Consensus, String> {
         let holding = || Holding { hold: Hold::default(), not_before: now, held: None };
         let holdings = rules.duties.iter().map(|d| (Duty(d.clone()), holding())).collect();
         let hearing = Hearing::new(rules.voters.len(), rules.terms);
-        let mut council = Council {
+        let mut consensus = Consensus {
             hearing,
             stood: None,
             grants_from: now,
@@ -135,10 +135,10 @@
             look_at: now,
             log: Vec::new(),
         };
-        if council.rules.voters.contains(&council.own.name) {
-            council.sit(now, cluster)?;
+        if consensus.rules.voters.contains(&consensus.own.name) {
+            consensus.sit(now, cluster)?;
         }
-        Ok(council)
+        Ok(consensus)
     }
 
     /// Takes this voter's seat, with the memory that it has.
@@ -242,7 +242,7 @@
         }
     }
 
-    /// When [`Council::on_time`] is to be called next.
+    /// When [`Consensus::on_time`] is to be called next.
     #[must_use]
     pub fn next(&self) -> Time {
         let mut next = Time(u64::MAX);
@@ -331,7 +331,7 @@
         }
     }
 
-    /// Another broker's council has said something.
+    /// A message of another broker has come.
     pub fn on_word(&mut self, now: Time, from: &str, bytes: &[u8]) -> Words {
         match postcard::from_bytes::<Message>(bytes) {
             Ok(message) => self.hear(now, from, message),
--- a/src/peer/group.rs
+++ b/src/peer/group.rs
@@ -1,6 +1,6 @@
 //! The group of peer brokers: the connections to them and the membership view that they carry, for the broker's loop.
 
-use super::council::{Council, Words};
+use super::consensus::{Consensus, Words};
 use super::{Heard, Talk, What, MOST};
 use crate::config::Peers;
 use crate::decide::duty::Holder;
@@ -13,7 +13,7 @@
     talk: Talk,
     fleet: Fleet,
     /// The voters' log and the duties, where the operators' file names voters.
-    council: Option<Council>,
+    consensus: Option<Consensus>,
     /// Peers that the file names.
     known: Vec<Member>,
     log: Vec<String>,
@@ -37,25 +37,25 @@
         let talk = Talk::new(now, told.cluster.clone(), own.clone(), ways, seed);
         let line = format!("peers: {} of {} in cluster {} listens on {at}", own.name, own.zone, told.cluster);
         let holder = Holder { name: own.name.clone(), life: own.life };
-        let council =
-            told.council.map(|rules| Council::new(now, &told.cluster, holder, rules)).transpose()?;
+        let consensus =
+            told.consensus.map(|rules| Consensus::new(now, &told.cluster, holder, rules)).transpose()?;
         let fleet = Fleet::new(now, own, told.known.clone(), told.rules, seed);
-        Ok(PeerGroup { talk, fleet, council, known: told.known, log: vec![line] })
+        Ok(PeerGroup { talk, fleet, consensus, known: told.known, log: vec![line] })
     }
 
     /// Log lines since the last time.
     pub fn take_log(&mut self) -> Vec<String> {
         let mut lines = self.talk.take_log();
         lines.append(&mut self.log);
-        lines.extend(self.council.iter_mut().flat_map(Council::take_log));
+        lines.extend(self.consensus.iter_mut().flat_map(Consensus::take_log));
         lines
     }
 
     /// When [`PeerGroup::on_time`] is to be called next.
     #[must_use]
     pub fn next(&self) -> Time {
-        let council = self.council.as_ref().map_or(Time(u64::MAX), Council::next);
-        self.talk.next().min(self.fleet.next()).min(council)
+        let consensus = self.consensus.as_ref().map_or(Time(u64::MAX), Consensus::next);
+        self.talk.next().min(self.fleet.next()).min(consensus)
     }
 
     /// Does what is due. To be called before what is ready is read: messages that had to wait since this process stood
@@ -70,8 +70,8 @@
             let heard = self.talk.on_time(net);
             self.hear(net, heard);
         }
-        if let Some(council) = self.council.as_mut().filter(|c| c.next() <= now) {
-            let words = council.on_time(now);
+        if let Some(consensus) = self.consensus.as_mut().filter(|c| c.next() <= now) {
+            let words = consensus.on_time(now);
             self.pass_on(net, words);
         }
     }
@@ -91,19 +91,19 @@
     /// This broker stops: the others are told.
     pub fn on_stop(&mut self, net: &mut Net) {
         let now = net.clock.now();
-        let words = self.council.as_mut().map(|c| c.on_stop(now)).unwrap_or_default();
+        let words = self.consensus.as_mut().map(|c| c.on_stop(now)).unwrap_or_default();
         self.pass_on(net, words);
         let told = self.fleet.on_stop(now);
         self.carry(net, told);
     }
 
-    /// Says the council's words to those whom they are for.
+    /// Sends the messages of the consensus to those whom they are for.
     fn pass_on(&mut self, net: &mut Net, words: Words) {
         for (name, bytes) in words {
             let known = self.fleet.alive().get(&name).or_else(|| self.known.iter().find(|m| m.name == name));
             // Of whom nothing is known, nobody waits: the log says it again.
             if let Some(to) = known.cloned() {
-                self.talk.say_council(net, &to, bytes);
+                self.talk.say_consensus(net, &to, bytes);
             }
         }
     }
@@ -111,20 +111,20 @@
     fn hear(&mut self, net: &mut Net, heard: Vec<Heard>) {
         for Heard { from, what } in heard {
             let now = net.clock.now();
-            match (what, &mut self.council) {
+            match (what, &mut self.consensus) {
                 (What::Fleet(bytes), _) => {
                     let told = self.fleet.on_message(now, &bytes);
                     self.carry(net, told);
                 }
-                (What::Council(bytes), Some(council)) => {
-                    let words = council.on_word(now, &from.name, &bytes);
+                (What::Consensus(bytes), Some(consensus)) => {
+                    let words = consensus.on_word(now, &from.name, &bytes);
                     self.pass_on(net, words);
                 }
-                (What::Greeting, Some(council)) => {
-                    let words = council.on_way(now, &from.name);
+                (What::Greeting, Some(consensus)) => {
+                    let words = consensus.on_way(now, &from.name);
                     self.pass_on(net, words);
                 }
-                (What::Council(_) | What::Greeting, None) => {}
+                (What::Consensus(_) | What::Greeting, None) => {}
             }
         }
     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,7 +6,7 @@
 //! version, never gets ready, or does not read is closed with a line that says why; connections that failed are opened again
 //! at spread times, and only if something is to be said.
 
-pub mod council;
+pub mod consensus;
 pub mod group;
 mod queue;
 mod wire;
@@ -55,8 +55,8 @@
     Greeting,
     /// For `decide::fleet`.
     Fleet(Vec<u8>),
-    /// For [`council`].
-    Council(Vec<u8>),
+    /// For [`consensus`].
+    Consensus(Vec<u8>),
 }
 
 /// A connection that a peer has opened.
@@ -171,9 +171,9 @@
         self.speak(net, to, &Word::Fleet(bytes), keep)
     }
 
-    /// The same with something of the council. It may be dropped: the log says again what was lost.
-    pub fn say_council(&mut self, net: &mut Net, to: &Member, bytes: Vec<u8>) -> bool {
-        self.speak(net, to, &Word::Council(bytes), false)
+    /// The same with something of the consensus. It may be dropped: the log says again what was lost.
+    pub fn say_consensus(&mut self, net: &mut Net, to: &Member, bytes: Vec<u8>) -> bool {
+        self.speak(net, to, &Word::Consensus(bytes), false)
     }
 
     fn speak(&mut self, net: &mut Net, to: &Member, word: &Word, keep: bool) -> bool {
@@ -333,9 +333,9 @@
                     self.figures.heard += 1;
                     heard.push(Heard { from, what: What::Fleet(bytes) });
                 }
-                Ok(Some((from, Word::Council(bytes)))) => {
+                Ok(Some((from, Word::Consensus(bytes)))) => {
                     self.figures.heard += 1;
-                    heard.push(Heard { from, what: What::Council(bytes) });
+                    heard.push(Heard { from, what: What::Consensus(bytes) });
                 }
                 Ok(None) => {}
                 Ok(Some((_, Word::Refused(_)))) => {
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -28,8 +28,8 @@
     Fleet(Vec<u8>),
     /// The greeting was not taken, and why; the connection ends.
     Refused(String),
-    /// Of the council: for `peer::council`.
-    Council(Vec<u8>),
+    /// Of the consensus: for `peer::consensus`.
+    Consensus(Vec<u8>),
 }
 
 fn framed(content: &[u8]) -> Vec<u8> {
