Test that a configuration is bound to its sender, and that none is taken back

Cause: that the contact of one control machine does not put into force what another offered, and that the newest of several offers without contact is the one that is taken, was shown by no test of the router itself. That a lower position is refused was shown with one control machine only. (That an offer without contact is taken after 3 s and not before is shown by without_contact_a_configuration_is_taken_only_after_three_seconds, which is unchanged.)

Change: three tests in router_configuration.rs, with two scripted control machines where two are needed. No source is changed.

--- a/fleet/tests/router_configuration.rs
+++ b/fleet/tests/router_configuration.rs
@@ -244,6 +244,70 @@
     assert!(began.elapsed() < Duration::from_millis(6_000), "{:?}", began.elapsed());
 }
 
+#[test]
+fn contact_of_one_control_machine_does_not_vouch_for_what_another_offered() {
+    let [without, with] = [2, 3].map(|last| Control::at(SocketAddr::from(([127, 0, 0, last], 0))));
+    without.set_contact(false);
+    without.push_configuration(5, &document(5, 3_000, 1_000, 2));
+    without.set_control(vec![with.address.to_string()]);
+    let began = std::time::Instant::now();
+    let seed = Ipv4Addr::new(127, 0, 0, 2);
+    let router = Running::start(&settings_text(&[seed], without.address.port(), ""), None);
+    without.settled();
+    assert_eq!(without.applied(), None, "nobody in contact has offered it");
+    // It leaves the one without contact. What it acknowledges here came after the word that this one is in contact.
+    support::until("it is at the other", || with.hellos() > 0);
+    with.settled();
+    assert_eq!((with.applied(), router.readiness_status()), (None, 503));
+    let judged = began.elapsed();
+    assert!(judged < Duration::from_millis(2_900), "after 3 s it may be taken: {judged:?}");
+    // What this one offers itself is taken at once.
+    with.push_configuration(6, &document(6, 3_000, 1_000, 2));
+    with.settled();
+    assert_eq!((with.applied(), router.readiness_status()), (Some(position(6)), 200));
+}
+
+#[test]
+fn without_contact_the_newest_of_those_offered_is_taken() {
+    let control = Control::at(SocketAddr::from(([127, 0, 0, 1], 0)));
+    control.set_contact(false);
+    control.push_configuration(5, &document(5, 3_000, 1_000, 2));
+    let router = Running::start(&settings_text(&[Ipv4Addr::LOCALHOST], control.address.port(), ""), None);
+    control.settled();
+    // From now on each connection offers the older one, with a higher version.
+    control.push_configuration(3, &document(9, 3_000, 1_000, 2));
+    support::until("one is in force", || control.applied().is_some());
+    assert_eq!((control.applied(), router.readiness_status()), (Some(position(5)), 200));
+}
+
+#[test]
+fn another_control_machine_that_lags_does_not_take_back_what_is_in_force() {
+    let server = named("i-1");
+    let [newer, older] = [2, 3].map(|last| Control::at(SocketAddr::from(([127, 0, 0, last], 0))));
+    let old = document_of(9, &[route("r", "/other/", "fleet.example", &[("pool", 1)])]);
+    older.push_configuration(4, &old);
+    newer.push_servers(vec![record(&server, ServerState::Ready, 1)]);
+    newer.push_configuration(5, &document(5, 3_000, 1_000, 2));
+    newer.set_control(vec![older.address.to_string()]);
+    let seed = Ipv4Addr::new(127, 0, 0, 2);
+    let router = Running::start(&settings_text(&[seed], newer.address.port(), ""), None);
+    support::until("it is in force", || newer.applied() == Some(position(5)));
+    newer.settled();
+    newer.set_contact(false);
+    for in_contact in [false, true] {
+        older.set_contact(in_contact);
+        let before = older.hellos();
+        older.drop_links();
+        support::until("it is at the other", || older.hellos() > before);
+        older.settled();
+        assert_eq!(older.applied(), Some(position(5)), "in contact: {in_contact}");
+        let mut client = support::client::Client::connect(router.frontend);
+        let id = format!("a-{in_contact}");
+        assert_eq!(client.ask(request("GET", "safe", &id, "", "")).status, 200);
+        assert_eq!(client.ask(request("GET", "other", &format!("{id}-other"), "", "")).status, 404);
+    }
+}
+
 #[test]
 fn a_router_that_starts_before_control_finds_it_soon() {
     let port = free_port();
