Test that an append for another identity is not followed, at a voter and at a wiped disk

Cause: current.rs showed that a newcomer and a voter do not follow a heartbeat that names another identity, with a heartbeat that carries nothing and of the voter's own epoch. That a record, a higher epoch or a request to take the image is passed over as well was not shown.

Change: two tests in decide/replication/tests/current.rs. A voter that gets an append for another identity, of an older, the same and a later epoch, with a record and a request to take the image, promises, writes, sends and shows nothing, and its election is not put off; the same message for itself is refused, or followed and written. A newcomer at the address of a wiped voter gives no answer in nine heartbeats, goes on knocking at the primary, and follows and asks for the image once it is named. No source is changed.

--- a/decide/replication/tests/current.rs
+++ b/decide/replication/tests/current.rs
@@ -161,3 +161,90 @@
     voter.on_message(at(1), heartbeat(2, 1, 5, Vec::new()));
     assert_eq!((voter.primary(), voter.in_contact(at(1))), (Some(&member(1)), true));
 }
+
+/// What a heartbeat can ask of a voter beside being followed: to take a record, and to fetch the image.
+fn demanding(to: u64, epoch: Epoch) -> Message {
+    let previous = position(5);
+    let number = Position { epoch, number: 6 };
+    let append = Append {
+        to: Identity(to),
+        epoch,
+        round: 1,
+        in_contact: true,
+        head: Position { epoch, number: 9 },
+        committed: number,
+        records: vec![Record {
+            position: number,
+            previous,
+            update: Update::Change(6_u64.to_le_bytes().to_vec()),
+        }],
+        take_image: true,
+    };
+    Message { from: member(epoch.primary.0), body: Body::Append(append) }
+}
+
+#[test]
+fn an_append_for_another_identity_changes_nothing_at_a_voter() {
+    let later = Epoch { counter: 4, primary: Identity(3) };
+    let older = Epoch { counter: 2, primary: Identity(3) };
+    for epoch in [older, EPOCH, later] {
+        let mut replica = voter();
+        let before = replica.clone();
+        replica.on_message(at(0), demanding(9, epoch));
+        assert_matches!(
+            &replica.take_outputs()[..],
+            [],
+            "{epoch:?}: nothing is written, shown, sent or told"
+        );
+        assert_eq!(replica.promised(), EPOCH, "{epoch:?}");
+        assert_eq!(replica.next_wake(), before.next_wake(), "{epoch:?}: no election is put off");
+        assert_eq!((replica.primary(), replica.in_contact(at(0))), (None, false), "{epoch:?}");
+        assert!(replica.committed().is_none() && !replica.is_current(at(0)), "{epoch:?}");
+        assert_eq!(replica.durable_image(), before.durable_image(), "{epoch:?}");
+    }
+    // The same message, when it is meant: an older epoch is refused, the others are followed, written and shown.
+    let mut replica = voter();
+    replica.on_message(at(0), demanding(2, older));
+    assert_matches!(
+        &replica.take_outputs()[..],
+        [Output::Send { message: Message { body: Body::Refusal { .. }, .. }, .. }]
+    );
+    for epoch in [EPOCH, later] {
+        let mut replica = voter();
+        replica.on_message(at(0), demanding(2, epoch));
+        let outputs = replica.take_outputs();
+        assert!(outputs.iter().any(|output| matches!(output, Output::Persist { .. })), "{outputs:?}");
+        assert_eq!(replica.promised(), epoch);
+        assert!(replica.primary().is_some() && replica.in_contact(at(0)));
+        assert_eq!(replica.committed().map(|(at, _)| at.number), Some(6));
+    }
+}
+
+#[test]
+fn a_wiped_voter_at_its_old_address_is_not_fed_by_what_is_meant_for_its_old_disk() {
+    let mut replica = Replica::<History>::newcomer(
+        Settings::default(),
+        Member { identity: Identity(9), ..member(2) },
+        7,
+        at(0),
+    );
+    for round in 0..9 {
+        let now = at(100 * round);
+        replica.on_message(now, demanding(2, EPOCH));
+        assert_matches!(&replica.take_outputs()[..], [], "{now:?}: it confirms no round and takes no image");
+        assert_eq!((replica.promised(), replica.primary()), (Epoch::default(), None));
+        assert!(replica.durable_image().is_none() && replica.committed().is_none());
+        assert!(!replica.in_contact(now) && !replica.is_current(now));
+    }
+    // Nor is it kept from knocking, where the primary is.
+    let knocked = knocks(&mut replica, at(800), at(1_600));
+    assert!(knocked.len() >= 4 && knocked.iter().all(|to| *to == member(1).address), "{knocked:?}");
+    // The primary names it once it has been told of it: then it follows, and asks for the image.
+    replica.on_message(at(1_700), demanding(9, EPOCH));
+    assert_eq!(replica.primary(), Some(&member(1)));
+    let outputs = replica.take_outputs();
+    let asks = |output: &Output| {
+        matches!(output, Output::Send { message: Message { body: Body::ImageRequest { .. }, .. }, .. })
+    };
+    assert!(outputs.iter().any(asks), "{outputs:?}");
+}
