Let the model find a replica that is to be woken again at the time it was just told

Cause: a process sleeps until Replica::next_wake. If a tick leaves next_wake at or before its own time, the process calls tick over and over and takes a whole core. Nothing in the model looked at this: it breaks no promise to clients.

Change: World::tick records a violation if next_wake is not later than the time that was told, once the outputs have been taken. All ticks of the model go through it: the calm steps that gather a group, the walks, the search of all orders, and virtual time. A planted fault, election_not_put_off (a voter whose time for an election has come and that may not ask for one does not put it off), is in planted_faults.rs.

--- a/decide/replication/src/model/mod.rs
+++ b/decide/replication/src/model/mod.rs
@@ -282,16 +282,23 @@
         let node = &mut self.nodes[index];
         let Some(replica) = &mut node.replica else { return };
         node.clock = node.clock.max(replica.next_wake());
-        replica.tick(node.clock);
-        self.collect(index);
+        self.tick(index);
     }
 
-    /// A node is told its time.
+    /// A node is told its time. It must then have nothing left to do at that time: a process that sleeps until
+    /// [`Replica::next_wake`] would be woken over and over.
     pub fn tick(&mut self, index: usize) {
         let node = &mut self.nodes[index];
         let Some(replica) = &mut node.replica else { return };
-        replica.tick(node.clock);
+        let now = node.clock;
+        replica.tick(now);
         self.collect(index);
+        let wake = self.nodes[index].replica.as_ref().map(Replica::next_wake);
+        if let Some(wake) = wake.filter(|wake| *wake <= now) {
+            let (wake, now) = (wake.0, now.0);
+            self.ledger
+                .violate(format!("node {index} was told the time {now}, and is to be woken at {wake}"));
+        }
     }
 
     /// A client proposes at a node.
--- a/decide/replication/src/model/walk.rs
+++ b/decide/replication/src/model/walk.rs
@@ -73,9 +73,9 @@
     for index in 0..world.nodes.len() {
         let node = &mut world.nodes[index];
         node.clock = node.clock.after(micros);
-        let Some(replica) = &mut node.replica else { continue };
-        if replica.next_wake() <= node.clock {
-            replica.tick(node.clock);
+        let due = node.replica.as_ref().is_some_and(|replica| replica.next_wake() <= node.clock);
+        if due {
+            world.tick(index);
         }
         world.collect(index);
     }
--- a/decide/replication/src/replica/election.rs
+++ b/decide/replication/src/replica/election.rs
@@ -112,7 +112,9 @@
             return;
         }
         if now >= self.election_at {
-            self.rest_before_election(now);
+            if !self.settings.faults.election_not_put_off || self.may_campaign(now) {
+                self.rest_before_election(now);
+            }
             self.role = Role::Follower;
             if self.may_campaign(now) {
                 self.begin_canvass(now);
--- a/decide/replication/src/settings.rs
+++ b/decide/replication/src/settings.rs
@@ -87,4 +87,6 @@
     pub promise_not_durable: bool,
     /// A confirmation of an older epoch counts.
     pub count_old_epoch: bool,
+    /// A voter whose time for an election has come, and that may not ask for one, doesn't put the next attempt off.
+    pub election_not_put_off: bool,
 }
--- a/decide/replication/tests/planted_faults.rs
+++ b/decide/replication/tests/planted_faults.rs
@@ -61,6 +61,7 @@
     leaver_commits_alone, CHANGING;
     no_joint_record, CHANGING;
     promise_not_durable, STEADY;
+    election_not_put_off, STEADY;
 }
 
 #[test]
