Let a member that was away be current only once it has caught up

Cause: the 300 ms in which a member may lack what the primary tells as committed began with the first heartbeat that it heard after a cut. So it was current at once, with what it held before the cut, and told the routers so in the same moment; a router that had started shortly before the end of the cut and asked it first took the old configuration as current.

--- a/decide/replication/src/replica/append.rs
+++ b/decide/replication/src/replica/append.rs
@@ -47,7 +47,12 @@
             let (epoch, primary) = (append.epoch, from.clone());
             self.outputs.push(Output::Notice(Notice::PrimaryHeard { epoch, primary }));
         }
+        let contact_timeout = self.settings.contact_timeout;
         if let Some(known) = &mut self.known {
+            if now.since(known.heard_at) >= contact_timeout {
+                // Whatever was committed meanwhile is not known here: only one that has caught up is current again.
+                known.behind_since = Some(Time(0));
+            }
             known.member.address.clone_from(&from.address);
             known.round = known.round.max(append.round);
             known.heard_at = now;
@@ -125,6 +130,6 @@
         round: 0,
         heard_at: now,
         confirmed_at: None,
-        behind_since: None,
+        behind_since: Some(Time(0)),
     }
 }
--- /dev/null
+++ b/simulator/tests/away.rs
@@ -0,0 +1,33 @@
+//! A member that was away is current again only once it has caught up.
+
+mod common;
+
+use common::{begun, cut, holds, nothing, SECOND};
+use lichenswitch_simulator::network::Host;
+use lichenswitch_simulator::world::{Action, CutKind, Target, World, WorldSettings};
+
+const AWAY: u64 = 17 * SECOND;
+/// Routers start so long before the member is reached again.
+const BEFORE: u64 = SECOND / 10;
+
+/// One that is not the primary.
+fn other(world: &World) -> Target {
+    let primary = world.primary().expect("a primary serves");
+    Target::This(if primary == Host(1) { Host(2) } else { Host(1) })
+}
+
+/// A voter is cut off, and what is sent to it is lost; routers start just before the end of the cut, with its address first.
+fn cut_off(settings: WorldSettings) -> World {
+    let mut world = begun(settings);
+    let other = other(&world);
+    world.act_after(0, cut(vec![other], CutKind::Full, AWAY, false));
+    world.act_after(AWAY - BEFORE, Action::RestartRouters(other));
+    world.run_for(AWAY + 2 * SECOND);
+    world.finish();
+    world
+}
+
+#[test]
+fn the_first_heartbeat_after_a_cut_makes_nobody_current_who_lacks_changes() {
+    holds(0..10, nothing, cut_off);
+}
