Keep the table of servers on disk as a hint for the next start

Cause: after a loss of power on all machines nobody knows a server until its next heartbeat, and clients are turned away meanwhile; peers that are no seeds were found by talk alone.

Change: control machines with a disk write the table to a file, at most once a second, by a thread of its own, and remember it when they start: unheard servers, told to routers and to machines without a disk, never as news. Voters that the disk names are dialled at once.

--- a/fleet/src/control/machine.rs
+++ b/fleet/src/control/machine.rs
@@ -85,7 +85,7 @@
         let identity = group.as_ref().map_or_else(|| draw_identity(&address.to_string()), Group::identity);
         info!(target: "control", node = settings.node_name.as_str(), address = address.to_string().as_str(),
             eligible = group.is_some(); "control machine has started");
-        Ok(Machine {
+        let mut machine = Machine {
             address,
             identity: identity.0,
             eligibility,
@@ -110,7 +110,10 @@
             settings,
             path,
             net,
-        })
+        };
+        // The voters that the disk names are connected to at once, wherever the seeds are.
+        machine.voters().into_iter().for_each(|voter| machine.peers.learn(voter, now));
+        Ok(machine)
     }
 
     /// The loop.
--- a/fleet/src/control/mod.rs
+++ b/fleet/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod program;
 mod routers;
+mod server_cache;
 mod servers;
 mod shutdown;
 mod status;
--- a/fleet/src/control/on_internal.rs
+++ b/fleet/src/control/on_internal.rs
@@ -117,12 +117,16 @@
         Ok(())
     }
 
-    /// What a peer gets first: where this machine stands, and all servers.
+    /// What a peer gets first: where this machine stands, all servers, and behind them those that are only remembered.
     fn greet(&mut self, id: ConnId, now: Time) {
         let contact = self.contact_message(now);
         self.send_to(id, contact);
         let table = PeerMessage::Servers { ack: 0, records: self.servers.snapshot(now), whole: true };
         self.send_to(id, table);
+        let remembered = self.servers.remembered();
+        if !remembered.is_empty() {
+            self.send_to(id, PeerMessage::ServersRemembered(remembered));
+        }
     }
 
     fn send_to(&mut self, id: ConnId, message: PeerMessage) {
@@ -149,6 +153,7 @@
                     self.send_to_peer(from, PeerMessage::ServersMerged { ack });
                 }
             }
+            PeerMessage::ServersRemembered(records) => self.servers.on_remembered(now, &records),
             PeerMessage::ServersMerged { ack } => self.servers.on_merged(from, ack, self.is_in_contact(from)),
             PeerMessage::Heard(heard) => {
                 if self.servers.on_heard(now, &heard) {
@@ -206,7 +211,7 @@
                 self.links.set_end(id, End::Router);
                 // What was committed in this turn is part of what the router is sent before it is told of contact.
                 self.look_at_committed(now);
-                let (heartbeat, table) = (self.router_heartbeat(now), self.servers.snapshot(now));
+                let (heartbeat, table) = (self.router_heartbeat(now), self.servers.known(now));
                 let hello = Hello { node, zone, process, configuration };
                 let pushes = self.routers.on_hello(now, id, hello, self.committed.as_ref(), heartbeat, table);
                 self.push_all(pushes);
--- /dev/null
+++ b/fleet/src/control/server_cache/tests.rs
@@ -0,0 +1,87 @@
+use super::*;
+use lichenswitch_messages::ServerState;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Instant;
+
+/// A folder of its own for each test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Folder {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let name =
+            format!("lichenswitch-servers-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn record(instance: &str, state: ServerState) -> ServerRecord {
+    ServerRecord { instance: instance.into(), state, ..ServerRecord::default() }
+}
+
+/// What the file holds once a thread has written it.
+fn written(path: &Path, wanted: &[ServerRecord]) -> bool {
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(10) {
+        if read(path).is_ok_and(|records| records == wanted) {
+            return true;
+        }
+        thread::yield_now();
+    }
+    false
+}
+
+#[test]
+fn a_table_is_there_again_after_a_restart() {
+    let folder = Folder::new();
+    let table = vec![record("a", ServerState::Ready), record("b", ServerState::Draining)];
+    let (mut cache, found) = ServerCache::open(&folder.0, Time(0));
+    assert!(found.is_empty(), "an empty disk knows nobody");
+    cache.on_change();
+    cache.tick(Time(0), || table.clone());
+    assert!(written(&folder.0.join(FILE), &table));
+    assert_eq!(ServerCache::open(&folder.0, Time(0)).1, table);
+}
+
+#[test]
+fn it_is_written_once_an_interval_and_only_after_a_change() {
+    let folder = Folder::new();
+    let (mut cache, _) = ServerCache::open(&folder.0, Time(0));
+    let mut asked = 0;
+    let mut tick = |cache: &mut ServerCache, now| {
+        cache.tick(now, || {
+            asked += 1;
+            Vec::new()
+        });
+    };
+    tick(&mut cache, Time(0));
+    cache.on_change();
+    tick(&mut cache, Time(1));
+    cache.on_change();
+    tick(&mut cache, Time(500_000));
+    tick(&mut cache, Time(1_100_000));
+    tick(&mut cache, Time(9_000_000));
+    assert_eq!(asked, 2);
+}
+
+#[test]
+fn a_file_that_is_no_table_is_set_aside_and_passed_over() {
+    let whole = framed(&[record("a", ServerState::Ready)]).unwrap();
+    let mut flipped = whole.clone();
+    let last = flipped.len() - 1;
+    flipped[last] ^= 1;
+    for bytes in [&whole[..whole.len() - 1], &flipped[..], b"something else", b""] {
+        let folder = Folder::new();
+        std::fs::write(folder.0.join(FILE), bytes).unwrap();
+        assert!(ServerCache::open(&folder.0, Time(0)).1.is_empty());
+        assert_eq!(std::fs::read(folder.0.join("servers.aside")).unwrap(), bytes, "it is kept for a person");
+    }
+}
--- a/fleet/src/control/servers.rs
+++ b/fleet/src/control/servers.rs
@@ -5,6 +5,7 @@
 //! connected; and a beat that brings nothing new is acknowledged at once.
 
 use super::program::after;
+use super::server_cache::ServerCache;
 use crate::settings::Settings;
 use lichenswitch_interface::Time;
 use lichenswitch_messages::ServerRecord;
@@ -45,6 +46,8 @@
 /// The table of servers, and what is to be told of it.
 pub(super) struct Servers {
     registry: Registry,
+    /// The table on this machine's disk, if it has one.
+    cache: Option<ServerCache>,
     started: Time,
     /// A machine in contact has sent its whole table.
     has_table: bool,
@@ -60,9 +63,17 @@
 }
 
 impl Servers {
+    /// With what the disk remembers of a time before the start.
     pub(super) fn new(settings: &Settings, now: Time) -> Servers {
+        let mut registry = Registry::new(now.0, interval(settings));
+        let cache = settings.data_directory.as_deref().map(|directory| {
+            let (cache, records) = ServerCache::open(directory, now);
+            registry.remember(now.0, &records);
+            cache
+        });
         Servers {
-            registry: Registry::new(now.0, interval(settings)),
+            registry,
+            cache,
             started: now,
             has_table: false,
             changes: Changes::default(),
@@ -130,6 +141,12 @@
         self.has_table |= whole && in_contact;
     }
 
+    /// Another control machine remembers these from before its start.
+    pub(super) fn on_remembered(&mut self, now: Time, records: &[ServerRecord]) {
+        let changes = self.registry.remember(now.0, records);
+        self.changes.append(changes);
+    }
+
     /// Another control machine has told whom it heard. Tells whether it named one that is not known here.
     pub(super) fn on_heard(&mut self, now: Time, heard: &[(String, u32)]) -> bool {
         let changes = self.registry.merge_heard(now.0, heard);
@@ -161,6 +178,9 @@
     pub(super) fn take_changes(&mut self, now: Time, told: &BTreeSet<SocketAddr>) -> (Changes, u64) {
         let changes = std::mem::take(&mut self.changes);
         let callers = std::mem::take(&mut self.callers);
+        if let Some(cache) = self.cache.as_mut().filter(|_| !changes.is_empty()) {
+            cache.on_change();
+        }
         if callers.is_empty() {
             return (changes, 0);
         }
@@ -204,6 +224,9 @@
 
     /// Looks at silence.
     pub(super) fn tick(&mut self, now: Time) {
+        if let Some(cache) = &mut self.cache {
+            cache.tick(now, || known(&self.registry, now));
+        }
         if self.registry.next_wake() > now.0 {
             return;
         }
@@ -229,6 +252,16 @@
         self.registry.snapshot(now.0)
     }
 
+    /// Servers that are known from before a start alone.
+    pub(super) fn remembered(&self) -> Vec<ServerRecord> {
+        self.registry.remembered()
+    }
+
+    /// All that is known, for a router that connects.
+    pub(super) fn known(&self, now: Time) -> Vec<ServerRecord> {
+        known(&self.registry, now)
+    }
+
     pub(super) fn registry(&self) -> &Registry {
         &self.registry
     }
@@ -253,6 +286,13 @@
     }
 }
 
+/// The table, and behind it the servers that are only remembered.
+fn known(registry: &Registry, now: Time) -> Vec<ServerRecord> {
+    let mut records = registry.snapshot(now.0);
+    records.append(&mut registry.remembered());
+    records
+}
+
 fn interval(settings: &Settings) -> u64 {
     u64::try_from(settings.heartbeat_interval.as_micros()).unwrap_or(u64::MAX)
 }
--- a/fleet/tests/control_servers.rs
+++ b/fleet/tests/control_servers.rs
@@ -5,6 +5,8 @@
 use assert_matches::assert_matches;
 use control_support::{beat, call, configuration, wait_for, FakeRouter, Fleet};
 use lichenswitch_messages::{ControlToRouter, RouterToControl, ServerState};
+use std::fs;
+use std::path::Path;
 
 const REPLACE: &str = "/configuration/replace";
 
@@ -82,6 +84,41 @@
     assert_eq!(next_record(&mut router, "i-7").state, ServerState::Ready);
 }
 
+#[test]
+fn after_all_machines_were_killed_routers_hear_of_servers_before_these_beat_again() {
+    let mut fleet = Fleet::of("remembered", &[true, true, false]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    let address = fleet.machines[0].control_plane;
+    wait_for("a beat", || beat(address, "i-8", "ready", 1).ok().filter(|answer| answer.status == 200));
+    let tables: Vec<_> =
+        [0, 1].iter().map(|place| Path::new(&fleet.machines[*place].folder).join("data/servers")).collect();
+    wait_for("both tables on disk", || tables.iter().all(|table| holds(table, b"i-8")).then_some(()));
+
+    (0..3).for_each(|place| fleet.kill(place));
+    (0..3).for_each(|place| fleet.start(place, false));
+    // Machine 2 has no disk: it hears of the server from the others.
+    for place in [0, 2] {
+        let mut router = FakeRouter::connect(fleet.machines[place].internal, "after");
+        let remembered = next_record(&mut router, "i-8");
+        assert!(remembered.unheard, "a last resort until it is heard: {remembered:?}");
+        assert_eq!(remembered.state, ServerState::Ready);
+    }
+    let mut router = FakeRouter::connect(fleet.machines[1].internal, "later");
+    wait_for("a beat", || beat(address, "i-8", "ready", 2).ok().filter(|answer| answer.status == 200));
+    router.next_of(|message| match message {
+        ControlToRouter::Servers { records, .. } => {
+            records.into_iter().find(|record| record.instance == "i-8" && !record.unheard)
+        }
+        _ => None,
+    });
+}
+
+/// Whether a file holds these bytes.
+fn holds(path: &Path, wanted: &[u8]) -> bool {
+    fs::read(path).is_ok_and(|bytes| bytes.windows(wanted.len()).any(|window| window == wanted))
+}
+
 fn next_record(router: &mut FakeRouter, instance: &str) -> lichenswitch_messages::ServerRecord {
     router.next_of(|message| match message {
         ControlToRouter::Servers { records, .. } => {
--- a/wire/messages/src/lib.rs
+++ b/wire/messages/src/lib.rs
@@ -215,6 +215,8 @@
     Heard(Vec<(String, u32)>),
     /// Asks for the whole table of servers.
     ServersWanted,
+    /// Servers that the sender knows from before its start alone: a last resort, and no news of them.
+    ServersRemembered(Vec<ServerRecord>),
     /// What this machine knows of its own place.
     Contact {
         /// Whether it is in contact with a confirmed primary.
