Count a voter's contact from its own answer that the primary echoes

Cause: a voter counted contact from when it read a heartbeat. One that the network had held up, or that lay in the buffers of a frozen process, said 'in contact' and named as committed what was committed then: a voter that woke, or was reached again, told routers that its old configuration was current.

--- a/decide/replication/src/lib.rs
+++ b/decide/replication/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use durable::{DurableItem, Image, Record, RecoverError, Recovered, Update};
 pub use membership::{majority_of, Membership};
-pub use message::{Append, Body, DecodeError, Held, ImageChunk, Message, CHUNK_BYTES};
+pub use message::{Append, Body, DecodeError, Held, ImageChunk, Message, Stamp, CHUNK_BYTES};
 pub use output::{HandOverReason, MembershipChange, Notice, Outcome, Output, StepDownReason};
 pub use replica::Replica;
 #[doc(hidden)]
--- a/decide/replication/src/message.rs
+++ b/decide/replication/src/message.rs
@@ -76,6 +76,8 @@
         writable: bool,
         /// The sender has asked to leave.
         leaving: bool,
+        /// When it was sent.
+        stamp: Stamp,
     },
     /// Send me an image, from this chunk on.
     ImageRequest {
@@ -125,6 +127,16 @@
     pub membership: Membership,
 }
 
+/// A moment in the life of a process; it means something to that process alone.
+#[derive(Archive, Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[rkyv(attr(allow(missing_docs)))]
+pub struct Stamp {
+    /// Drawn at the start of the process.
+    pub process: u64,
+    /// Its steady clock (microseconds).
+    pub clock: u64,
+}
+
 /// A heartbeat of the primary, with records if the receiver lacks some.
 #[derive(Archive, Serialize, Deserialize, Clone, Debug, PartialEq, Eq, Hash)]
 #[rkyv(attr(allow(missing_docs)))]
@@ -135,6 +147,8 @@
     pub epoch: Epoch,
     /// Number of the round that it asks to confirm.
     pub round: u64,
+    /// Of the receiver's last answer that came. What is told here was true after that was sent, however late this is read.
+    pub echo: Option<Stamp>,
     /// A quorum has confirmed the primary of late.
     pub in_contact: bool,
     /// Where the primary's image stands.
--- a/decide/replication/src/replica/append.rs
+++ b/decide/replication/src/replica/append.rs
@@ -59,6 +59,8 @@
             if append.in_contact {
                 known.confirmed_at = Some(now);
             }
+            let echo = append.echo.filter(|stamp| append.in_contact && stamp.process == self.process);
+            known.contact_at = known.contact_at.max(echo.map(|stamp| Time(stamp.clock).min(now)));
         }
         self.rest_before_election(now);
     }
@@ -130,6 +132,7 @@
         round: 0,
         heard_at: now,
         confirmed_at: None,
+        contact_at: None,
         behind_since: Some(Time(0)),
     }
 }
--- a/decide/replication/src/replica/disk.rs
+++ b/decide/replication/src/replica/disk.rs
@@ -4,7 +4,7 @@
 
 use super::{Memory, Replica, Role};
 use crate::durable::{DurableItem, Record};
-use crate::message::Body;
+use crate::message::{Body, Stamp};
 use crate::output::{Notice, Output};
 use crate::state::ReplicatedState;
 use crate::types::{Epoch, Position, Ticket, Time};
@@ -179,6 +179,7 @@
             synced = self.image.as_ref().map(|image| image.position);
         }
         let (writable, leaving) = (self.writable(now), self.leaving.is_some());
-        self.send(address, Body::AppendResponse { epoch, round, synced, writable, leaving });
+        let stamp = Stamp { process: self.process, clock: now.0 };
+        self.send(address, Body::AppendResponse { epoch, round, synced, writable, leaving, stamp });
     }
 }
--- a/decide/replication/src/replica/mod.rs
+++ b/decide/replication/src/replica/mod.rs
@@ -34,6 +34,8 @@
     me: Member,
     /// State of the generator of random numbers.
     random: u64,
+    /// Tells this process from others with the same disk.
+    process: u64,
     /// Addresses to knock at.
     peers: BTreeSet<String>,
     /// What was accepted, perhaps not yet synced.
@@ -92,8 +94,10 @@
     /// Highest round heard.
     round: u64,
     heard_at: Time,
-    /// When it last said that a quorum confirms it.
+    /// When it was last heard to say that a quorum confirms it.
     confirmed_at: Option<Time>,
+    /// When the answer was sent that it had had when it last said that a quorum confirms it.
+    contact_at: Option<Time>,
     /// Since when it has told of more that is committed than is known here.
     behind_since: Option<Time>,
 }
@@ -140,6 +144,7 @@
         let mut replica = Self {
             settings,
             random: seed ^ me.identity.0.rotate_left(32),
+            process: seed,
             me,
             peers: BTreeSet::new(),
             image: None,
@@ -187,8 +192,8 @@
             Body::Grant { epoch, held } => self.on_grant(now, from, epoch, held),
             Body::Refusal { epoch, promised } => self.on_refusal(now, epoch, promised),
             Body::Append(append) => self.on_append(now, from, append),
-            Body::AppendResponse { epoch, round, synced, writable, leaving } => {
-                let told = Told { round, synced, writable, leaving };
+            Body::AppendResponse { epoch, round, synced, writable, leaving, stamp } => {
+                let told = Told { round, synced, writable, leaving, stamp };
                 self.on_append_response(now, from, epoch, told);
             }
             Body::ImageRequest { epoch, position, next } => {
--- a/decide/replication/src/replica/primary.rs
+++ b/decide/replication/src/replica/primary.rs
@@ -8,7 +8,7 @@
 use super::{Memory, Replica, Role};
 use crate::durable::{Record, Update};
 use crate::membership::Membership;
-use crate::message::{Append, Body};
+use crate::message::{Append, Body, Stamp};
 use crate::output::{Notice, Outcome, Output, StepDownReason};
 use crate::state::ReplicatedState;
 use crate::types::{Epoch, Identity, Member, Position, RequestId, Time};
@@ -57,6 +57,8 @@
     pub(super) leaving: bool,
     /// The last record that was sent to it, and when.
     sent: Option<(Position, Time)>,
+    /// When it sent the answer that came last.
+    echo: Option<Stamp>,
 }
 
 /// What a peer says of itself in answer to a heartbeat.
@@ -65,13 +67,25 @@
     pub(super) synced: Option<Position>,
     pub(super) writable: bool,
     pub(super) leaving: bool,
+    pub(super) stamp: Stamp,
 }
 
 impl Peer {
     pub(super) fn new(member: Member, now: Time) -> Self {
         let (votes, answered, leaving) = (false, false, false);
         let (round, reported, sent) = (0, None, None);
-        Self { member, votes, heard_at: now, round, reported, answered, writable: true, leaving, sent }
+        Self {
+            member,
+            votes,
+            heard_at: now,
+            round,
+            reported,
+            answered,
+            writable: true,
+            leaving,
+            sent,
+            echo: None,
+        }
     }
 }
 
@@ -286,12 +300,13 @@
         };
         let take_image = peer.answered && !current && kept.is_none();
         let records = if current || just_sent { Vec::new() } else { kept.unwrap_or_default() };
-        let address = peer.member.address.clone();
+        let (address, echo) = (peer.member.address.clone(), peer.echo);
         let (epoch, round) = (primary.epoch, primary.rounds.current);
         if let (Some(last), Some(peer)) = (records.last(), primary.peers.get_mut(&identity)) {
             peer.sent = Some((last.position, now));
         }
-        let append = Append { to: identity, epoch, round, in_contact, head, committed, records, take_image };
+        let append =
+            Append { to: identity, epoch, round, echo, in_contact, head, committed, records, take_image };
         self.send(&address, Body::Append(append));
     }
 
@@ -306,6 +321,7 @@
         let Some(peer) = primary.peers.get_mut(&from.identity) else { return };
         peer.heard_at = now;
         peer.writable = told.writable;
+        peer.echo = Some(told.stamp);
         peer.leaving = told.leaving;
         peer.round = peer.round.max(told.round.min(current));
         let first = !peer.answered;
--- a/decide/replication/src/replica/show.rs
+++ b/decide/replication/src/replica/show.rs
@@ -36,7 +36,7 @@
             return recent(primary.rounds.confirmed_at);
         }
         let known = self.known.as_ref().filter(|known| known.epoch == self.promised);
-        known.and_then(|known| known.confirmed_at).is_some_and(recent)
+        known.and_then(|known| known.contact_at).is_some_and(recent)
     }
 
     /// Whether what is committed here is what a confirmed primary tells, but for a moment: contact alone is not enough, since a full
