Count a relay's contact from its own word too, and a voter's from replication alone

Cause: a control machine without a copy counted contact from when it read the primary's word, as the voters did; and a voter that was behind, with a full disk say, was in contact all the same by the word that the primary tells all control machines each 500 ms.

A voter is in contact by its replica alone. Who is primary remains a hint.

--- a/decide/replication/tests/current.rs
+++ b/decide/replication/tests/current.rs
@@ -84,7 +84,7 @@
         }
         _ => None,
     };
-    outputs.iter().filter_map(stamp).last()
+    outputs.iter().filter_map(stamp).next_back()
 }
 
 /// The record of a position, that stands on the one before.
--- a/fleet/src/control/contact.rs
+++ b/fleet/src/control/contact.rs
@@ -6,7 +6,7 @@
 use super::routers::Push;
 use lichenswitch_control::{configuration_position, Committed};
 use lichenswitch_interface::Time;
-use lichenswitch_messages::{ControlToRouter, Envelope, PeerMessage};
+use lichenswitch_messages::{ControlToRouter, Envelope, PeerMessage, Stamp};
 use lichenswitch_net::ConnId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -22,8 +22,13 @@
 impl Machine {
     /// Whether what is told here is in touch with a quorum, and current.
     pub(super) fn in_contact(&self, now: Time) -> bool {
-        let own = self.group.as_ref().is_some_and(|group| group.replica.is_current(to_replica(now)));
-        self.leaving.is_none() && (own || self.feed.primary(now).is_some())
+        let voter = self.group.as_ref().filter(|group| group.votes());
+        // A voter that is behind is not in contact, whatever else it hears.
+        let told = match voter {
+            Some(group) => group.replica.is_current(to_replica(now)),
+            None => self.feed.is_in_contact(now),
+        };
+        self.leaving.is_none() && told
     }
 
     /// Tells at once that contact was lost or found.
@@ -162,16 +167,27 @@
         others.filter_map(|(address, _)| Some((address, self.peers.connection(address)?))).collect()
     }
 
-    /// A primary in contact tells machines without a copy so, and what is committed.
+    /// A primary in contact tells machines without a copy what is committed, and behind that that it is confirmed.
     pub(super) fn tell_relays(&mut self, now: Time) {
         if self.primary(now) != Primary::Here || !self.in_contact(now) {
             return;
         }
+        self.feed_relays(now);
         let message = Envelope::Peer(self.contact_message(now));
-        for (_, id) in self.relays() {
+        for (address, id) in self.relays() {
+            let echo = self.peers.get(address).and_then(|peer| peer.stamp);
             self.links.send(&mut self.net, id, &message);
+            self.links.send(&mut self.net, id, &Envelope::Peer(PeerMessage::Confirmed { echo }));
+        }
+    }
+
+    /// A machine without a copy has answered [`PeerMessage::Confirmed`].
+    pub(super) fn on_confirmed_heard(&mut self, now: Time, from: SocketAddr, stamp: Stamp) {
+        let Some(peer) = self.peers.get_mut(from) else { return };
+        if peer.stamp.replace(stamp).is_none() {
+            // It is in contact with the next word: it needn't wait for that.
+            self.tell_relays(now);
         }
-        self.feed_relays(now);
     }
 
     /// The primary sends what is committed to those that lack it.
--- a/fleet/src/control/group.rs
+++ b/fleet/src/control/group.rs
@@ -111,6 +111,11 @@
         self.replica.member().identity
     }
 
+    /// Whether it is a voter, as far as it knows.
+    pub(super) fn votes(&self) -> bool {
+        self.replica.membership().names(self.identity())
+    }
+
     /// What the replica wants done, but for what it wants written: that is begun here.
     pub(super) fn take_outputs(&mut self, now: Time) -> Vec<Output> {
         let mut outputs = Vec::new();
--- a/fleet/src/control/machine.rs
+++ b/fleet/src/control/machine.rs
@@ -93,7 +93,7 @@
             links: Links::default(),
             peers: Peers::new(address, settings.seeds_internal(), now),
             group,
-            feed: Feed::default(),
+            feed: Feed::new(fastrand::u64(..)),
             servers: Servers::new(&settings, now),
             routers: Routers::new(),
             callers: Callers::default(),
--- a/fleet/src/control/on_internal.rs
+++ b/fleet/src/control/on_internal.rs
@@ -172,6 +172,11 @@
                 self.feed.on_contact(now, from, in_contact, primary);
                 self.peers.learn_all(&known, now);
             }
+            PeerMessage::Confirmed { echo } => {
+                let answer = self.feed.on_confirmed(now, echo);
+                self.send_to_peer(from, PeerMessage::ConfirmedHeard(answer));
+            }
+            PeerMessage::ConfirmedHeard(stamp) => self.on_confirmed_heard(now, from, stamp),
             PeerMessage::Configuration { position, document } => on_fed(&mut self.feed, position, document),
         }
     }
--- a/fleet/src/control/peers.rs
+++ b/fleet/src/control/peers.rs
@@ -5,6 +5,7 @@
 
 use super::program::{after, elapsed, sooner};
 use lichenswitch_interface::Time;
+use lichenswitch_messages::Stamp;
 use lichenswitch_net::ConnId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -50,6 +51,8 @@
     pub(super) in_contact: bool,
     /// Routers that were connected to it then.
     pub(super) routers: u32,
+    /// Its last answer to the word that the primary is confirmed.
+    pub(super) stamp: Option<Stamp>,
 }
 
 /// All control machines but this one.
@@ -174,7 +177,7 @@
         }
         peer.back_off(now);
         if peer.dialled.is_none() && peer.accepted.is_none() {
-            (peer.in_contact, peer.routers) = (false, 0);
+            (peer.in_contact, peer.routers, peer.stamp) = (false, 0, None);
         }
     }
 
@@ -216,6 +219,7 @@
             failures: 0,
             in_contact: false,
             routers: 0,
+            stamp: None,
         }
     }
 
--- a/wire/messages/src/lib.rs
+++ b/wire/messages/src/lib.rs
@@ -25,6 +25,16 @@
     pub number: u64,
 }
 
+/// A moment in the life of a process; it means something to that process alone.
+#[derive(Archive, Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
+#[rkyv(attr(allow(missing_docs)))]
+pub struct Stamp {
+    /// Drawn at the start of the process.
+    pub process: u64,
+    /// Its steady clock (microseconds).
+    pub clock: u64,
+}
+
 /// State of a model server. Only ever grows.
 #[derive(
     Archive, Serialize, Deserialize, Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
@@ -228,6 +238,14 @@
         /// Peers that it knows, by address.
         known: Vec<String>,
     },
+    /// The primary is confirmed by a quorum, to a control machine that holds no copy of the state: all that was committed before the
+    /// echoed moment has gone before this on the same connection.
+    Confirmed {
+        /// The receiver's last [`PeerMessage::ConfirmedHeard`] that came; none before the first.
+        echo: Option<Stamp>,
+    },
+    /// Answer to [`PeerMessage::Confirmed`]: when it was sent.
+    ConfirmedHeard(Stamp),
     /// The newest committed configuration, from the primary to a control machine that holds no copy of the state.
     Configuration {
         /// Its position.
