Choose, of equal servers, the same one for the same beginning of a prompt

Of servers with as few pending requests each router took one by chance, so each server read each shared part.

Change: all parts of Prompt-Prefix but the last, with Model, name a beginning; of the servers with the fewest pending, each beginning has its order by a hash of its name and the server's (rendezvous), the same at all routers. The module is told by Event::Prefix and knows no more than a number; servers' numbers at routers are hashes of their instances.

--- a/core/src/intake.rs
+++ b/core/src/intake.rs
@@ -113,6 +113,9 @@
             again: request.again,
             tenant: request.tenant,
         });
+        if request.prefix != 0 {
+            self.inbox.push(Event::Prefix { number, prefix: request.prefix });
+        }
         self.deadlines.insert((request.deadline, id));
         self.queries.insert(
             id,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -37,6 +37,8 @@
     pub deadline: Time,
     /// What it is about; 0: not known.
     pub key: u64,
+    /// Names the beginning that it shares with others, which servers keep once they have read it; 0: none.
+    pub prefix: u64,
     /// Marked by the client as a further try.
     pub again: bool,
     /// Index of the tenant that asks, among those of the settings; `u32::MAX`: none of them.
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -71,19 +71,7 @@
     }
 
     fn take_parts(&mut self, parts: Vec<(Shard, f64)>) -> Result<QueryId, Refusal> {
-        let deadline = self.now.plus(2_000 * MS);
-        let request = Request {
-            class: 0,
-            deadline,
-            key: 0,
-            again: false,
-            tenant: u32::MAX,
-            team: None,
-            parts,
-            top: None,
-            job: "job",
-        };
-        self.core.take(self.now, request)
+        self.core.take(self.now, request(self.now, parts))
     }
 
     fn end(&mut self, attempt: u64, outcome: Outcome, score: f64) {
@@ -93,6 +81,35 @@
     }
 }
 
+fn request(now: Time, parts: Vec<(Shard, f64)>) -> Request<&'static str> {
+    Request {
+        class: 0,
+        deadline: now.plus(2_000 * MS),
+        key: 0,
+        prefix: 0,
+        again: false,
+        tenant: u32::MAX,
+        team: None,
+        parts,
+        top: None,
+        job: "job",
+    }
+}
+
+#[test]
+fn a_shared_beginning_is_told_before_the_parts_that_it_concerns() {
+    let mut stage = Stage::new(0);
+    for (prefix, told) in [(0, 0), (9, 1)] {
+        stage.turn();
+        let request = Request { prefix, ..request(stage.now, vec![(Shard(0), 1.0)]) };
+        stage.core.take(stage.now, request).unwrap();
+        let place = |wanted: fn(&Event) -> bool| stage.core.inbox.iter().position(wanted);
+        let prefixes = place(|event| matches!(event, Event::Prefix { prefix: 9, .. }));
+        assert_eq!(prefixes.is_some(), told == 1, "{:?}", stage.core.inbox);
+        assert!(prefixes.is_none_or(|at| Some(at) < place(|event| matches!(event, Event::Part { .. }))));
+    }
+}
+
 fn sends(commands: &[Command<&'static str>]) -> Vec<Dispatch<&'static str>> {
     let calls = commands.iter().filter_map(|c| match c {
         Command::Send(_, parts) => Some(parts.clone()),
@@ -390,8 +407,18 @@
     stage.core.set_classes(more);
     let deadline = stage.now.plus(2_000 * MS);
     let (parts, tenant, job) = (vec![(Shard(1), 1.0)], u32::MAX, "second");
-    let request =
-        Request { class: 1, deadline, key: 0, again: false, tenant, team: None, parts, top: None, job };
+    let request = Request {
+        class: 1,
+        deadline,
+        key: 0,
+        prefix: 0,
+        again: false,
+        tenant,
+        team: None,
+        parts,
+        top: None,
+        job,
+    };
     let unknown = stage.core.take(stage.now, Request { class: 2, ..request.clone() });
     assert!(matches!(unknown, Err(Refusal::Malformed(_))), "{unknown:?}");
     let second = stage.core.take(stage.now, request).unwrap();
--- a/fleet/src/router/intake.rs
+++ b/fleet/src/router/intake.rs
@@ -8,7 +8,7 @@
 use super::program::{micros, Timer};
 use super::request::ClientRequest;
 use super::response::OwnAnswer;
-use super::service::ServiceId;
+use super::service::{Ask, ServiceId};
 use super::Router;
 use lichenswitch_core::Refusal;
 use lichenswitch_interface::{Micros, Time};
@@ -63,7 +63,8 @@
             now.plus(request.deadline.map_or(terms.timeout, |left| micros(left).min(terms.timeout)));
         let id = self.exchanges.next_id();
         let core = self.services.get_mut(service).ok_or(Turned::Away(Some(RETRY_AFTER)))?;
-        let (query, class) = core.take(now, id, &terms, deadline).map_err(|refusal| match refusal {
+        let ask = Ask { exchange: id, terms: &terms, prefix: request.prefix, deadline };
+        let (query, class) = core.take(now, &ask).map_err(|refusal| match refusal {
             Refusal::Busy(after) => Turned::Away(after),
             Refusal::Stopping | Refusal::Contract(_) => Turned::Away(Some(RETRY_AFTER)),
             Refusal::Malformed(_) => Turned::Malformed,
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -29,6 +29,7 @@
 mod exchange;
 mod intake;
 mod options;
+mod prefix;
 mod program;
 mod readiness;
 mod relay;
--- a/fleet/src/router/relay.rs
+++ b/fleet/src/router/relay.rs
@@ -6,7 +6,7 @@
 use super::exchange::{ExchangeId, Phase, Relay};
 use super::response::ResponseHead;
 use super::server_connections::{Answer, Part};
-use super::service::AttemptId;
+use super::service::{Ask, AttemptId};
 use super::Router;
 use lichenswitch_interface::{Micros, Outcome};
 use lichenswitch_net::ConnId;
@@ -93,12 +93,13 @@
         if !exchange.terms.resumable || !exchange.may_send() || !in_time {
             return false;
         }
-        let (server, deadline) = (relay.server, exchange.deadline);
+        let (server, deadline, prefix) = (relay.server, exchange.deadline, exchange.request.prefix);
         let mut terms = exchange.terms.clone();
         // The module begins anew: it gets what is left of the route's attempts.
         terms.max_attempts -= exchange.sends.min(terms.max_attempts - 1);
         let Some(service) = self.services.get_mut(exchange.service) else { return false };
-        let Some((query, class)) = service.take_resumed(now, id, &terms, deadline) else { return false };
+        let ask = Ask { exchange: id, terms: &terms, prefix, deadline };
+        let Some((query, class)) = service.take_resumed(now, &ask) else { return false };
         service.stream_ended(server);
         self.exchanges.on_broken_off(id, last_event_id);
         let Some(exchange) = self.exchanges.get_mut(id) else { return false };
--- a/fleet/src/router/request.rs
+++ b/fleet/src/router/request.rs
@@ -4,6 +4,7 @@
 //! connection alone and those that this program sets. A request has one reading or none: what two programs could read in two ways is
 //! refused.
 
+use super::prefix::shared_prefix;
 use lichenswitch_configuration::Limits;
 use lichenswitch_http::{parse_request_head, BodyDecoder, Framing, Headers, Malformed, RequestHead};
 use lichenswitch_net::buffer::Buffer;
@@ -28,6 +29,8 @@
     pub attempt_id: Option<String>,
     /// How long its client waits.
     pub deadline: Option<Duration>,
+    /// Names the beginning of its prompt that it shares with others; 0: none.
+    pub prefix: u64,
     last_event_id: Option<Vec<u8>>,
     /// Its body.
     pub body: Vec<u8>,
@@ -193,6 +196,7 @@
         passed: lines(headers, &OWN),
         attempt_id: only(headers, "attempt-id")?.map(str::to_owned),
         deadline: deadline.map(|ms| Duration::from_millis(ms).min(MAX_DEADLINE)),
+        prefix: shared_prefix(headers.get("model"), headers.get("prompt-prefix")),
         last_event_id: headers.get("last-event-id").map(<[u8]>::to_vec),
         body: Vec::new(),
         has_body: head.framing != Framing::None,
--- a/fleet/src/router/servers.rs
+++ b/fleet/src/router/servers.rs
@@ -3,6 +3,7 @@
 //! It owns the table of instances. It promises that the table is a lattice: whatever order records come in, and from whichever
 //! control machine, the result is the same; `draining` and `gone` are final; an instance that a push leaves out stays as it was.
 
+use super::prefix::stable_hash;
 use lichenswitch_interface::{Listed, Mode, ServerId};
 use lichenswitch_messages::{ServerRecord, ServerState};
 use std::collections::{HashMap, VecDeque};
@@ -64,7 +65,6 @@
     services: HashMap<Rc<str>, ()>,
     zones: HashMap<String, u32>,
     gone: VecDeque<Rc<str>>,
-    next: u32,
 }
 
 impl ServerTable {
@@ -114,8 +114,7 @@
             return self.update(&name, record, address, zone);
         }
         let name: Rc<str> = Rc::from(record.instance.as_str());
-        let server = ServerId(self.next);
-        self.next += 1;
+        let server = self.new_id(&name);
         let instance = Instance {
             server,
             service: service.clone(),
@@ -135,6 +134,16 @@
         Some(Change { service, line })
     }
 
+    /// The same at all routers, unless two instances share a hash: routers choose servers by it.
+    fn new_id(&self, instance: &str) -> ServerId {
+        let hash = stable_hash(instance.as_bytes());
+        let mut id = ServerId((hash ^ (hash >> 32)) as u32);
+        while self.by_server.contains_key(&id) {
+            id.0 = id.0.wrapping_add(1);
+        }
+        id
+    }
+
     fn update(
         &mut self,
         name: &Rc<str>,
--- a/fleet/src/router/service.rs
+++ b/fleet/src/router/service.rs
@@ -55,6 +55,19 @@
     max_connections: usize,
 }
 
+/// What a service is asked for.
+#[derive(Debug)]
+pub struct Ask<'a> {
+    /// The request that is held.
+    pub exchange: ExchangeId,
+    /// What its route says.
+    pub terms: &'a Terms,
+    /// Names the beginning of its prompt that it shares with others; 0: none.
+    pub prefix: u64,
+    /// When its time is over.
+    pub deadline: Time,
+}
+
 /// A class of requests: one route in one of its forms.
 struct Slot {
     terms: Terms,
@@ -127,46 +140,35 @@
     ///
     /// # Errors
     /// Why it is turned away.
-    pub fn take(
-        &mut self,
-        now: Time,
-        exchange: ExchangeId,
-        terms: &Terms,
-        deadline: Time,
-    ) -> Result<(QueryId, u16), Refusal> {
-        let (place, changed) = self.place(terms);
+    pub fn take(&mut self, now: Time, ask: &Ask<'_>) -> Result<(QueryId, u16), Refusal> {
+        let (place, changed) = self.place(ask.terms);
         if changed {
             self.tell_classes();
         }
         let class = place as u16;
         let request = Request {
             class: place,
-            deadline,
+            deadline: ask.deadline,
             key: 0,
+            prefix: ask.prefix,
             again: false,
             tenant: u32::MAX,
             team: None,
             parts: vec![(Shard(0), 1.0)],
             top: None,
-            job: exchange,
+            job: ask.exchange,
         };
         let query = self.core.take(now, request)?;
         self.classes[place].held += 1;
-        self.queries.insert(query, exchange);
+        self.queries.insert(query, ask.exchange);
         self.resumes.on_request(now);
         Ok((query, class))
     }
 
     /// Takes a stream that is to go on at another server, if the budget bears it.
-    pub fn take_resumed(
-        &mut self,
-        now: Time,
-        exchange: ExchangeId,
-        terms: &Terms,
-        deadline: Time,
-    ) -> Option<(QueryId, u16)> {
+    pub fn take_resumed(&mut self, now: Time, ask: &Ask<'_>) -> Option<(QueryId, u16)> {
         match self.resumes.take(now) {
-            true => self.take(now, exchange, terms, deadline).ok(),
+            true => self.take(now, ask).ok(),
             false => None,
         }
     }
--- a/interface/src/lib.rs
+++ b/interface/src/lib.rs
@@ -337,6 +337,14 @@
         /// Index of the tenant that asks; without meaning where there are none.
         tenant: u32,
     },
+    /// What a query that was handed over in this turn shares with others. Comes before its parts.
+    Prefix {
+        /// Number of the query.
+        number: u32,
+        /// Names the shared beginning, which servers keep once they have read it. Queries with the same one go to the same of several
+        /// equal servers. Never 0.
+        prefix: u64,
+    },
     /// A part of a query held, of its first or second step.
     Part {
         /// The part.
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -397,6 +397,7 @@
             class,
             deadline,
             key: 0,
+            prefix: 0,
             again: false,
             tenant: u32::MAX,
             team: None,
--- a/policy/src/choice.rs
+++ b/policy/src/choice.rs
@@ -3,7 +3,9 @@
 use crate::tuned::*;
 use crate::Coordinator;
 use lichenswitch_interface::{Action, Budget, Micros, Mode, QueryId, Repeat, ServerId, Shard};
-use lichenswitch_stats::{scaled, Aged, Bid, Call, Fate, Flight, Part, Query, Server, Try, Wanted};
+use lichenswitch_stats::{
+    scaled, strangeness, Aged, Bid, Call, Fate, Flight, Part, Query, Server, Try, Wanted,
+};
 
 impl Coordinator {
     pub(super) fn holders(&self, shard: Shard) -> impl Iterator<Item = (ServerId, &Server)> {
@@ -87,20 +89,22 @@
     /// of the query's open parts can share, so that neighbours travel in one call, then the own zone.
     pub(super) fn send_first(&mut self, id: QueryId, open: &[usize], out: &mut Vec<Action>) {
         let Some(q) = self.queries.get(&id).filter(|_| !open.is_empty()) else { return };
-        let (class, room) = (q.class, self.set.layout.parts_a_call as usize);
+        let (class, prefix, room) = (q.class, q.prefix, self.set.layout.parts_a_call as usize);
         let holders = |i: usize| self.holders(q.parts[i].shard).map(|h| h.0).collect();
         let parts = open.iter().map(|&i| (i, holders(i))).collect();
-        let mut wanted = Wanted::new(parts, room > 1, |server| self.bid(&self.servers[&server], class));
+        let mut wanted = Wanted::new(parts, room > 1, |server| self.bid(server, class, prefix));
         while let Some((server, mut parts)) = wanted.best(&mut self.rng) {
             let cold = self.cold_tokens(&self.servers[&server]);
             parts.truncate(cold.map_or(room, |(_, call)| room.min(call)));
             parts.iter().for_each(|&i| self.send(id, i, server, out));
-            wanted.sent(server, &parts, self.bid(&self.servers[&server], class));
+            wanted.sent(server, &parts, self.bid(server, class, prefix));
         }
     }
 
-    pub(super) fn bid(&self, s: &Server, class: usize) -> Bid<(u8, usize)> {
-        let rank = (!self.closed(s)).then(|| self.rank(s, class));
+    /// Of servers with as few pending, the one that most likely keeps what the query shares with others.
+    fn bid(&self, id: ServerId, class: usize, prefix: u64) -> Bid<((u8, usize), u32)> {
+        let s = &self.servers[&id];
+        let rank = (!self.closed(s)).then(|| (self.rank(s, class), strangeness(prefix, id)));
         Bid { rank, joins: self.joins(s), near: s.zone == self.set.zone }
     }
 
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -165,6 +165,10 @@
                 self.numbers.insert(number, query);
                 self.queries.insert(query, q);
             }
+            Event::Prefix { number, prefix } => {
+                let query = self.numbers.get(&number).and_then(|id| self.queries.get_mut(id));
+                query.into_iter().for_each(|q| q.prefix = prefix);
+            }
             Event::Part { part, number, shard, weight } => {
                 let Some(&id) = self.numbers.get(&number) else { return };
                 let Some(q) = self.queries.get_mut(&id) else { return };
--- a/policy/tests/streams.rs
+++ b/policy/tests/streams.rs
@@ -3,7 +3,7 @@
 
 use lichenswitch_interface::*;
 use lichenswitch_policy::Coordinator;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Micros = 1_000;
 const AIM: Micros = 1_000 * MS;
@@ -51,14 +51,19 @@
 
     /// A query of this class comes: its part, and where that is sent.
     fn query(&mut self, class: u16) -> (PartId, Option<ServerId>) {
+        self.query_with(class, None)
+    }
+
+    /// The same, with a shared beginning.
+    fn query_with(&mut self, class: u16, prefix: Option<u64>) -> (PartId, Option<ServerId>) {
         self.next += 2;
         let (number, part) = (self.next as u32, PartId(self.next + 1));
         let deadline = self.now.plus(10 * AIM);
         let (query, key, again, tenant) = (QueryId(self.next), 0, false, u32::MAX);
-        let actions = self.turn(vec![
-            Event::Query { query, number, class, deadline, key, again, tenant },
-            Event::Part { part, number, shard: Shard(0), weight: 1.0 },
-        ]);
+        let mut events = vec![Event::Query { query, number, class, deadline, key, again, tenant }];
+        events.extend(prefix.map(|prefix| Event::Prefix { number, prefix }));
+        events.push(Event::Part { part, number, shard: Shard(0), weight: 1.0 });
+        let actions = self.turn(events);
         (part, sent(&actions))
     }
 }
@@ -96,6 +101,34 @@
     assert_eq!(met, (1..=4).collect());
 }
 
+#[test]
+fn of_equals_all_instances_choose_the_same_server_for_a_shared_beginning() {
+    let first = |seed, prefix| {
+        let mut stage = Stage::new(seed, settings(vec![class(Repeat::Safe)]), 12);
+        stage.query_with(0, Some(prefix)).1.unwrap().0
+    };
+    let mut met = BTreeMap::new();
+    for prefix in 1..=240 {
+        let server = first(0, prefix);
+        assert!((1..8).all(|seed| first(seed, prefix) == server), "whatever the seed is");
+        *met.entry(server).or_insert(0) += 1;
+    }
+    assert_eq!(met.len(), 12);
+    assert!(met.values().all(|count| (8..=40).contains(count)), "beginnings are spread: {met:?}");
+}
+
+#[test]
+fn the_fewest_pending_come_before_a_shared_beginning() {
+    let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe)]), 6);
+    let order: Vec<u32> = (0..6).map(|_| stage.query_with(0, Some(77)).1.unwrap().0).collect();
+    assert_eq!(order.iter().collect::<BTreeSet<_>>().len(), 6, "each has one before any has two: {order:?}");
+    // At another instance, with the first of them gone, the next in the order takes its place.
+    let mut other = Stage::new(2, settings(vec![class(Repeat::Safe)]), 6);
+    let gone = Listed { server: ServerId(order[0]), cell: 0, zone: 0, mode: Mode::Gone, started: None };
+    other.turn(vec![Event::List(Listing::Changes(vec![gone]))]);
+    assert_eq!(other.query_with(0, Some(77)).1, Some(ServerId(order[1])));
+}
+
 #[test]
 fn a_part_that_may_run_twice_is_copied_at_half_its_aim_and_the_loser_is_cancelled() {
     let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe)]), 4);
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -406,6 +406,7 @@
                 class: if top.is_some() { collection.sorted } else { collection.class },
                 deadline: now.plus(collection.wait),
                 key: 0,
+                prefix: 0,
                 again: false,
                 tenant: u32::MAX,
                 team: request.header("req-owner").map(str::to_string),
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -136,6 +136,7 @@
             class,
             deadline: now.plus(wait),
             key: subject(request.header("cookie"), &body.segments),
+            prefix: 0,
             again: request.header("req-retry") == Some("1"),
             tenant: tenant.map_or(u32::MAX, |i| i as u32),
             team: owner.map(str::to_string),
--- a/stats/src/lib.rs
+++ b/stats/src/lib.rs
@@ -24,6 +24,23 @@
     fastrand::Rng::with_seed(rng.u64(..) ^ slice.rotate_left(40)).f64()
 }
 
+/// How little a server suits a shared beginning: the same at all instances, and another order of servers for each beginning. 0 for all where
+/// there is none.
+#[must_use]
+pub fn strangeness(prefix: u64, server: ServerId) -> u32 {
+    match prefix {
+        0 => 0,
+        _ => (mixed(prefix ^ mixed(u64::from(server.0) + 1)) >> 32) as u32,
+    }
+}
+
+/// The finalizer of SplitMix64: neighbours come out far apart.
+fn mixed(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
 /// What has become of an attempt, as far as its part may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fate {
@@ -239,6 +256,8 @@
     pub class: usize,
     /// What it is about; 0: not known.
     pub key: u64,
+    /// Names the beginning that it shares with others; 0: none.
+    pub prefix: u64,
     /// When it came.
     pub arrived: Time,
     /// When its client gives up.
