Tell servers the rank of a request's route

Cause: servers let in the more urgent first, but all requests came without a rank; the kind that is worth more was served less often than the other.

Change: Priority, 0 to 9, by the route's priority; one that a client sends is not passed on.

--- a/fleet/src/router/answers.rs
+++ b/fleet/src/router/answers.rs
@@ -79,6 +79,7 @@
             request: exchange.request.clone(),
             deadline: exchange.deadline,
             idempotent: exchange.terms.idempotent,
+            priority: exchange.terms.rank(),
             resume_after,
             max_connections,
         };
--- a/fleet/src/router/configuration.rs
+++ b/fleet/src/router/configuration.rs
@@ -7,6 +7,9 @@
 use lichenswitch_messages::ConfigurationPosition;
 use std::sync::Arc;
 
+/// The least urgent rank.
+const LOWEST_RANK: u8 = 9;
+
 /// What a route says of its requests. A request keeps a copy to its end, whatever configuration comes meanwhile.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
@@ -29,6 +32,12 @@
 }
 
 impl Terms {
+    /// Its rank as servers and the module count it, 0 to 9.
+    #[must_use]
+    pub fn rank(&self) -> u8 {
+        self.priority.min(u32::from(LOWEST_RANK)) as u8
+    }
+
     fn of(route: &Route) -> Terms {
         let streaming = route.kind == RouteKind::Streaming;
         Terms {
--- a/fleet/src/router/request.rs
+++ b/fleet/src/router/request.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 /// Headers that this program sets itself, or that concern how a body travels.
-const OWN: [&str; 5] = ["content-length", "deadline-ms", "target-instance", "last-event-id", "expect"];
+const OWN: [&str; 6] =
+    ["content-length", "deadline-ms", "target-instance", "last-event-id", "expect", "priority"];
 /// Longest time that a client may say it waits: longer ones are no different.
 const MAX_DEADLINE: Duration = Duration::from_secs(86_400);
 
@@ -46,6 +47,8 @@
     pub left: Duration,
     /// The server that is meant.
     pub instance: &'a str,
+    /// Rank of its route, 0 to 9; 0 is the most urgent.
+    pub priority: u8,
     /// A stream goes on behind this event.
     pub resume_after: Option<&'a [u8]>,
 }
@@ -98,6 +101,7 @@
         to.extend_from_slice(&self.passed);
         let _ = write!(to, "Deadline-Ms: {}\r\n", send.left.as_millis());
         let _ = write!(to, "Target-Instance: {}\r\n", send.instance);
+        let _ = write!(to, "Priority: {}\r\n", send.priority);
         if let Some(id) = send.resume_after.or(self.last_event_id.as_deref()) {
             to.extend_from_slice(b"Last-Event-Id: ");
             to.extend_from_slice(id);
--- a/fleet/src/router/server_connections.rs
+++ b/fleet/src/router/server_connections.rs
@@ -57,6 +57,8 @@
     pub deadline: Time,
     /// It may run more than once.
     pub idempotent: bool,
+    /// Rank of its route, 0 to 9; 0 is the most urgent.
+    pub priority: u8,
     /// A stream goes on behind this event.
     pub resume_after: Option<Vec<u8>>,
     /// Connections to that server that this router may have.
@@ -319,6 +321,7 @@
         let send = Send {
             left,
             instance: &attempt.endpoint.instance,
+            priority: attempt.priority,
             resume_after: attempt.resume_after.as_deref(),
         };
         let mut bytes = Vec::new();
