Let routers try control machines that have not failed before near ones

Cause: a router that starts tried the nearest control machine that did not rest.

Change: of those that don't rest, those with the fewest failures in a row come first, and nearness decides among these; a failure counts until ten seconds after its rest, also when the list of control machines changes meanwhile.

--- a/fleet/src/router/candidates.rs
+++ b/fleet/src/router/candidates.rs
@@ -5,6 +5,7 @@
 //! and chance are arguments.
 
 use lichenswitch_interface::{Micros, Time};
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 
@@ -12,6 +13,8 @@
 /// listening yet.
 const REST_FIRST: Micros = 100_000;
 const REST_MOST: Micros = 2_000_000;
+/// So long after its rest a failure counts no more (microseconds): a near one is worth another look then.
+const FORGIVEN_AFTER: Micros = 10_000_000;
 
 /// What is held against a control machine.
 #[derive(Clone, Copy, Debug, Default)]
@@ -38,19 +41,18 @@
     /// The settings name these seeds now.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
-        self.forget_unknown();
     }
 
     /// A control machine says that these can be connected to.
     pub fn on_told(&mut self, told: Vec<SocketAddr>) {
         if !told.is_empty() && told != self.told {
             self.told = told;
-            self.forget_unknown();
         }
     }
 
     /// A connection to it did not come up, or brought nothing of use.
     pub fn on_failed(&mut self, now: Time, address: SocketAddr, random: u64) {
+        self.failures.retain(|_, failures| failures.count(now));
         let failures = self.failures.entry(address).or_default();
         let rest = (REST_FIRST << failures.in_a_row.min(8)).min(REST_MOST);
         failures.in_a_row += 1;
@@ -63,17 +65,18 @@
         self.failures.remove(&address);
     }
 
-    /// The one to connect to now, or when there is one again. Of those that don't rest the nearest by address, and of these one by
-    /// chance.
+    /// The one to connect to now, or when there is one again. Of those that don't rest, those that failed least often of late, so that a near
+    /// one which is up but of no use never keeps a router from the others; of these the nearest by address, and of these one by chance.
     pub fn next(&self, now: Time, random: u64) -> Result<SocketAddr, Time> {
         let awake = |address: &&SocketAddr| self.rests_until(**address) <= now;
-        let nearest = self.all().filter(awake).map(|address| self.nearness(*address)).max();
-        let Some(nearest) = nearest else {
+        let rank =
+            |address: &SocketAddr| (self.failures_in_a_row(*address, now), Reverse(self.nearness(*address)));
+        let Some(best) = self.all().filter(awake).map(rank).min() else {
             let soonest = self.all().map(|address| self.rests_until(*address)).min();
             return Err(soonest.unwrap_or(now.plus(REST_MOST)));
         };
         let equals: Vec<&SocketAddr> =
-            self.all().filter(awake).filter(|address| self.nearness(**address) == nearest).collect();
+            self.all().filter(awake).filter(|address| rank(address) == best).collect();
         Ok(*equals[(random % equals.len() as u64) as usize])
     }
 
@@ -83,6 +86,13 @@
         self.told.iter().chain(seeds)
     }
 
+    fn failures_in_a_row(&self, address: SocketAddr, now: Time) -> u32 {
+        self.failures
+            .get(&address)
+            .filter(|failures| failures.count(now))
+            .map_or(0, |failures| failures.in_a_row)
+    }
+
     fn rests_until(&self, address: SocketAddr) -> Time {
         self.failures.get(&address).map_or(Time(0), |failures| failures.rests_until)
     }
@@ -95,10 +105,11 @@
             _ => 0,
         }
     }
+}
 
-    fn forget_unknown(&mut self) {
-        let known: Vec<SocketAddr> = self.all().copied().collect();
-        self.failures.retain(|address, _| known.contains(address));
+impl Failures {
+    fn count(&self, now: Time) -> bool {
+        now < self.rests_until.plus(FORGIVEN_AFTER)
     }
 }
 
--- a/fleet/src/router/candidates/tests.rs
+++ b/fleet/src/router/candidates/tests.rs
@@ -44,6 +44,40 @@
     assert!(candidates.next(Time(REST_MOST), 0).is_ok(), "and is tried again in time");
 }
 
+#[test]
+fn a_near_one_that_is_of_no_use_keeps_nobody_from_the_others() {
+    let (near, far) = (address(2, 1), [address(1, 1), address(3, 1)]);
+    let mut candidates = candidates(&[near, far[0], far[1]]);
+    let mut now = Time(0);
+    let mut tried = Vec::new();
+    for random in 0..3 {
+        let next = candidates.next(now, random).expect("one is awake");
+        tried.push(next);
+        // It is up, but not in contact: it is given up after a while, when the rests of the others are over.
+        now = now.plus(700_000);
+        candidates.on_failed(now, next, random);
+        now = now.plus(REST_FIRST);
+    }
+    assert_eq!(tried[0], near);
+    assert_eq!(HashSet::from([tried[1], tried[2]]), HashSet::from(far));
+    assert_eq!(candidates.next(now, 0), Ok(near), "all have failed once");
+    candidates.on_failed(now, near, 0);
+    now = now.plus(REST_MOST + FORGIVEN_AFTER);
+    assert_eq!(candidates.next(now, 0), Ok(near), "what was long ago counts no more");
+}
+
+#[test]
+fn a_list_that_comes_and_goes_makes_nobody_forget_who_failed() {
+    let mut candidates = candidates(&[address(1, 1)]);
+    candidates.on_told(vec![address(2, 2)]);
+    candidates.on_failed(Time(0), address(2, 2), 0);
+    candidates.on_told(vec![address(3, 3)]);
+    candidates.on_told(vec![address(2, 2), address(3, 3)]);
+    let drawn: HashSet<_> =
+        (0..20).filter_map(|random| candidates.next(Time(REST_MOST), random).ok()).collect();
+    assert_eq!(drawn, HashSet::from([address(1, 1), address(3, 3)]));
+}
+
 #[test]
 fn those_that_are_told_come_beside_the_seeds_and_replace_each_other() {
     let mut candidates = candidates(&[address(1, 1)]);
