Let running streams weigh against a server beyond half of a router's share of its slots

Cause: each running stream weighed as much as a request that waits for its first event, so that servers were seldom equal and a beginning went to its second or third server a third of the time.

Change: slots / routers / 2 running streams weigh one; the slots are those that the configuration tells. Where a router's share is less than two slots nothing changes.

--- a/fleet/src/router/service.rs
+++ b/fleet/src/router/service.rs
@@ -38,6 +38,9 @@
 const LEAST_CONNECTIONS: usize = 2;
 /// The same where the operator names no most.
 const UNTOLD_CONNECTIONS: usize = 16;
+/// A stream that runs on weighs nothing against a server while this router has no more there than its share of the slots over this: half of a
+/// server's slots may fill with streams of one beginning before they go elsewhere.
+const SLOTS_FOR_A_STREAM: u32 = 2;
 /// The core of a service never sees more attempts of one request than this, whatever its route says.
 const MOST_ATTEMPTS: u32 = 16;
 
@@ -52,7 +55,10 @@
     running: HashMap<ServerId, u32>,
     resumes: ResumeBudget,
     told_connections: Option<u32>,
+    told_slots: Option<u32>,
     max_connections: usize,
+    /// So many streams that run on at a server weigh as much as one request that waits for its answer there.
+    streams_a_request: u32,
 }
 
 /// What a service is asked for.
@@ -98,7 +104,9 @@
             running: HashMap::new(),
             resumes: ResumeBudget::new(budget),
             told_connections: None,
+            told_slots: None,
             max_connections: LEAST_CONNECTIONS,
+            streams_a_request: 1,
         }
     }
 
@@ -116,13 +124,13 @@
     pub fn set_routers(&mut self, budget: RetryBudget, routers: u32) {
         self.core.set_budget(Some(module_budget(budget, routers)));
         self.resumes.set(budget, routers);
-        self.share_connections(routers);
+        self.share_servers(routers);
     }
 
-    /// Connections that each of its servers takes from all callers together, where that is told.
-    pub fn set_max_connections(&mut self, told: Option<u32>, routers: u32) {
-        self.told_connections = told;
-        self.share_connections(routers);
+    /// Connections and requests that each of its servers takes from all callers together, where that is told.
+    pub fn set_capacity(&mut self, connections: Option<u32>, slots: Option<u32>, routers: u32) {
+        (self.told_connections, self.told_slots) = (connections, slots);
+        self.share_servers(routers);
     }
 
     /// Connections to each server that this router may have.
@@ -202,7 +210,7 @@
         let count = self.running.entry(server).or_default();
         *count += 1;
         let count = *count;
-        self.core.set_running(server, count);
+        self.core.set_running(server, count / self.streams_a_request);
     }
 
     /// It has ended.
@@ -213,7 +221,7 @@
         if left == 0 {
             self.running.remove(&server);
         }
-        self.core.set_running(server, left);
+        self.core.set_running(server, left / self.streams_a_request);
     }
 
     /// Whether nothing is held by it.
@@ -259,12 +267,15 @@
         self.core.set_classes(self.classes.iter().map(|slot| class(&slot.terms)).collect());
     }
 
-    fn share_connections(&mut self, routers: u32) {
+    /// This router's share of each server.
+    fn share_servers(&mut self, routers: u32) {
+        let share = |all: u32| all / routers.max(1);
         self.max_connections = match self.told_connections {
-            Some(most) => (most / routers.max(1)) as usize,
+            Some(most) => share(most) as usize,
             None => UNTOLD_CONNECTIONS,
         }
         .max(LEAST_CONNECTIONS);
+        self.streams_a_request = (share(self.told_slots.unwrap_or(0)) / SLOTS_FOR_A_STREAM).max(1);
     }
 }
 
@@ -303,3 +314,6 @@
         ..Settings::default()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/fleet/src/router/service/tests.rs
@@ -0,0 +1,81 @@
+use super::*;
+use lichenswitch_interface::Mode;
+use std::sync::Arc;
+use std::time::Duration;
+
+const SECOND: Micros = 1_000_000;
+
+struct Stage {
+    service: Service,
+    now: Time,
+    next: u64,
+}
+
+impl Stage {
+    /// Two servers with so many slots, before this many routers.
+    fn new(slots: Option<u32>, routers: u32) -> Stage {
+        let line = |id| Listed { server: ServerId(id), cell: id, zone: 0, mode: Mode::Ready, started: None };
+        let capacity = Capacity { requests: 100, bytes: 1 << 20, descriptors: 100 };
+        let budget = RetryBudget { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
+        let mut service = Service::new(Rc::from("s"), 1, capacity, budget, vec![line(1), line(2)]);
+        service.set_routes(vec![terms()]);
+        service.set_routers(budget, routers);
+        service.set_capacity(None, slots, routers);
+        Stage { service, now: Time(SECOND), next: 0 }
+    }
+
+    /// Where a request with a shared beginning is sent, which is answered by a stream that runs on.
+    fn stream(&mut self) -> ServerId {
+        self.next += 1;
+        let exchange = ExchangeId(self.next);
+        let ask = Ask { exchange, terms: &terms(), prefix: 77, deadline: self.now.plus(SECOND) };
+        self.service.take(self.now, &ask).expect("there is room");
+        self.now = self.now.plus(SECOND / 100);
+        let sent = self.service.turn(self.now).into_iter().find_map(|command| match command {
+            Command::Send(server, parts) => Some((server, parts[0].attempt)),
+            _ => None,
+        });
+        let (server, attempt) = sent.expect("it is sent");
+        self.service.ended(self.now, attempt, Outcome::Ok);
+        self.service.stream_begun(server);
+        server
+    }
+}
+
+fn terms() -> Terms {
+    Terms {
+        route: Arc::from("r"),
+        idempotent: true,
+        streaming: true,
+        resumable: true,
+        timeout: SECOND,
+        target_latency: SECOND,
+        priority: 0,
+        max_attempts: 2,
+    }
+}
+
+/// How many of the streams stay at the server of the first.
+fn streams_together(slots: Option<u32>, routers: u32) -> usize {
+    let mut stage = Stage::new(slots, routers);
+    let first = stage.stream();
+    1 + (0..40).take_while(|_| stage.stream() == first).count()
+}
+
+#[test]
+fn streams_of_a_beginning_stay_together_up_to_half_of_the_share_of_a_servers_slots() {
+    assert_eq!(streams_together(Some(64), 8), 4);
+    assert_eq!(streams_together(Some(64), 4), 8);
+    // Shares of less than two slots, or none that is told: each stream weighs as much as a request that waits.
+    for (slots, routers) in [(Some(64), 72), (Some(1), 1), (None, 1)] {
+        assert_eq!(streams_together(slots, routers), 1, "{slots:?} slots, {routers} routers");
+    }
+}
+
+#[test]
+fn a_stream_that_has_ended_weighs_nothing() {
+    let mut stage = Stage::new(None, 1);
+    let first = stage.stream();
+    stage.service.stream_ended(first);
+    assert_eq!(stage.stream(), first);
+}
--- a/fleet/src/router/services.rs
+++ b/fleet/src/router/services.rs
@@ -34,7 +34,7 @@
             let id = self.id_of(&described.name).unwrap_or_else(|| self.add(&described.name, servers));
             if let Some(service) = self.all.get_mut(&id) {
                 service.set_routes(in_force.terms_of(&described.name));
-                service.set_max_connections(described.max_connections, self.routers);
+                service.set_capacity(described.max_connections, described.capacity_slots, self.routers);
             }
         }
         let named = |service: &Service| in_force.document().service(&service.name).is_some();
