Take servers remembered over a start for heard, if their table is young

Cause: after a loss of power on all machines every remembered server was unheard, a last resort; the first ones that beat were the only ones of the first choice and got all the traffic for a second.

Change: silence of remembered servers counts from the start. The table on disk bears the time of day and is written anew each ten seconds; one that is older than a minute, or of the future, makes its servers unheard as before.

--- a/decide/registry/src/table.rs
+++ b/decide/registry/src/table.rs
@@ -153,8 +153,8 @@
         changes
     }
 
-    /// What this machine knew before its start. Who is not known yet is unheard until a heartbeat comes; it is no news to other
-    /// control machines, which may have forgotten it with reason.
+    /// What this machine knew before its start. Who is not known yet is known from now on, with its silence counted from now unless its
+    /// record says that it was unheard; it is no news to other control machines, which may have forgotten it with reason.
     pub fn remember(&mut self, now: u64, records: &[ServerRecord]) -> Changes {
         let mut changes = Changes::default();
         for record in records.iter().filter(|record| record.state != ServerState::Gone) {
@@ -268,15 +268,16 @@
         changes
     }
 
-    /// A server that nobody has heard of late: it may still serve.
+    /// A server that was known before the start: it may still serve.
     fn remember_one(&mut self, now: u64, news: &ServerRecord) -> Changes {
-        let record = ServerRecord { unheard: true, ..normalized(news) };
+        let record = ServerRecord { unheard: news.unheard, ..normalized(news) };
         if self.live_at(&record.address).next().is_some() {
             self.contested.insert(record.address.clone());
         }
         let mut changes = Changes::default();
         changes.push_heard(&record);
-        let since_us = now.saturating_sub(self.unheard_after());
+        let silent_us = if record.unheard { self.unheard_after() } else { 0 };
+        let since_us = now.saturating_sub(silent_us);
         let entry = Entry { record, since_us, heard_here: false, remembered: true };
         self.entries.insert(news.instance.clone(), entry);
         changes
--- a/fleet/src/control/server_cache.rs
+++ b/fleet/src/control/server_cache.rs
@@ -15,14 +15,20 @@
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// File in the data directory.
 const FILE: &str = "servers";
-/// Kind of the one frame in it.
-const TABLE: u16 = 1;
+/// Kind of its first frame: when it was written (seconds of the time of day).
+const WRITTEN: u16 = 1;
+/// Kind of its second and last frame.
+const TABLE: u16 = 2;
 /// Tables are written this often at the most.
 const INTERVAL: Duration = Duration::from_secs(1);
+/// A table is written anew after this time, also when it is as before, so that its age tells how long the machine was away.
+const RENEWAL: Duration = Duration::from_secs(10);
+/// Servers of a table that is older than this count as unheard.
+const TRUSTED_S: u64 = 60;
 
 /// Why a table on disk is passed over.
 #[derive(Debug, thiserror::Error)]
@@ -46,6 +52,7 @@
     tables: Sender<Vec<u8>>,
     changed: bool,
     next_write: Time,
+    next_renewal: Time,
 }
 
 impl ServerCache {
@@ -64,7 +71,7 @@
         let (tables, waiting) = mpsc::channel();
         // Without a thread nothing is written: the gap after a loss of power is longer, and no more.
         let _ = thread::Builder::new().name("server-cache".into()).spawn(move || write_all(&path, &waiting));
-        (ServerCache { tables, changed: false, next_write: now }, records)
+        (ServerCache { tables, changed: false, next_write: now, next_renewal: after(now, RENEWAL) }, records)
     }
 
     /// The table is no longer what was written.
@@ -74,20 +81,28 @@
 
     /// Writes the table, if it has changed and the last one is some time ago.
     pub(super) fn tick(&mut self, now: Time, table: impl FnOnce() -> Vec<ServerRecord>) {
-        if !self.changed || now < self.next_write {
+        let due = if self.changed { self.next_write } else { self.next_renewal };
+        if now < due {
             return;
         }
-        (self.changed, self.next_write) = (false, after(now, INTERVAL));
-        if let Some(bytes) = framed(&table()) {
+        (self.changed, self.next_write, self.next_renewal) =
+            (false, after(now, INTERVAL), after(now, RENEWAL));
+        if let Some(bytes) = framed(time_of_day_s(), &table()) {
             // Nobody writes any more: see `open`.
             let _ = self.tables.send(bytes);
         }
     }
 }
 
-fn framed(records: &[ServerRecord]) -> Option<Vec<u8>> {
-    let payload = encode(&records.to_vec()).ok()?;
-    encode_frame(PROTOCOL_VERSION, TABLE, &payload).ok()
+fn framed(written_s: u64, records: &[ServerRecord]) -> Option<Vec<u8>> {
+    let written = encode_frame(PROTOCOL_VERSION, WRITTEN, &encode(&written_s).ok()?).ok()?;
+    let table = encode_frame(PROTOCOL_VERSION, TABLE, &encode(&records.to_vec()).ok()?).ok()?;
+    Some([written, table].concat())
+}
+
+/// The time of day may jump: what hangs on it is how far a hint is trusted, and no more.
+fn time_of_day_s() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
 }
 
 fn read(path: &Path) -> Result<Vec<ServerRecord>, CacheError> {
@@ -98,8 +113,12 @@
     };
     let mut reader = FrameReader::new(PROTOCOL_VERSION);
     reader.push(&bytes);
-    let frame = reader.next_frame()?.filter(|frame| frame.kind == TABLE).ok_or(CacheError::Cut)?;
-    Ok(decode(frame.payload)?)
+    let written = reader.next_frame()?.filter(|frame| frame.kind == WRITTEN).ok_or(CacheError::Cut)?;
+    let age_s = time_of_day_s().abs_diff(decode(written.payload)?);
+    let table = reader.next_frame()?.filter(|frame| frame.kind == TABLE).ok_or(CacheError::Cut)?;
+    let mut records: Vec<ServerRecord> = decode(table.payload)?;
+    records.iter_mut().for_each(|record| record.unheard |= age_s > TRUSTED_S);
+    Ok(records)
 }
 
 fn write_all(path: &Path, waiting: &Receiver<Vec<u8>>) {
--- a/fleet/src/control/server_cache/tests.rs
+++ b/fleet/src/control/server_cache/tests.rs
@@ -72,9 +72,39 @@
     assert_eq!(asked, 2);
 }
 
+#[test]
+fn it_is_written_anew_after_a_while_so_that_its_age_tells_how_long_the_machine_was_away() {
+    let folder = Folder::new();
+    let (mut cache, _) = ServerCache::open(&folder.0, Time(0));
+    cache.tick(Time(9_900_000), || unreachable!("nothing has changed"));
+    let mut asked = false;
+    cache.tick(Time(10_000_000), || {
+        asked = true;
+        Vec::new()
+    });
+    assert!(asked);
+}
+
+#[test]
+fn the_servers_of_an_old_table_count_as_unheard() {
+    let records = [record("a", ServerState::Ready), record("b", ServerState::Draining)];
+    // A clock that was set back makes a table one of the future: it is no younger by that.
+    for (written_s, unheard) in [
+        (time_of_day_s(), false),
+        (time_of_day_s() - TRUSTED_S - 2, true),
+        (time_of_day_s() + TRUSTED_S + 2, true),
+    ] {
+        let folder = Folder::new();
+        std::fs::write(folder.0.join(FILE), framed(written_s, &records).unwrap()).unwrap();
+        let (_, found) = ServerCache::open(&folder.0, Time(0));
+        assert_eq!(found.len(), 2);
+        assert!(found.iter().all(|record| record.unheard == unheard), "written at {written_s}");
+    }
+}
+
 #[test]
 fn a_file_that_is_no_table_is_set_aside_and_passed_over() {
-    let whole = framed(&[record("a", ServerState::Ready)]).unwrap();
+    let whole = framed(time_of_day_s(), &[record("a", ServerState::Ready)]).unwrap();
     let mut flipped = whole.clone();
     let last = flipped.len() - 1;
     flipped[last] ^= 1;
