--- a/fleet/src/router/service.rs
+++ b/fleet/src/router/service.rs
@@ -38,9 +38,6 @@
 const LEAST_CONNECTIONS: usize = 2;
 /// The same where the operator names no most.
 const UNTOLD_CONNECTIONS: usize = 16;
-/// A stream that runs on weighs nothing against a server while this router has no more there than its share of the slots over this: half of a
-/// server's slots may fill with streams of one beginning before they go elsewhere.
-const SLOTS_FOR_A_STREAM: u32 = 2;
 /// The core of a service never sees more attempts of one request than this, whatever its route says.
 const MOST_ATTEMPTS: u32 = 16;
 
@@ -57,7 +54,7 @@
     told_connections: Option<u32>,
     told_slots: Option<u32>,
     max_connections: usize,
-    /// So many streams that run on at a server weigh as much as one request that waits for its answer there.
+    /// So many streams that run on at a server weigh as much as one request that waits for its answer there: this router's share of the slots.
     streams_a_request: u32,
 }
 
@@ -275,7 +272,7 @@
             None => UNTOLD_CONNECTIONS,
         }
         .max(LEAST_CONNECTIONS);
-        self.streams_a_request = (share(self.told_slots.unwrap_or(0)) / SLOTS_FOR_A_STREAM).max(1);
+        self.streams_a_request = share(self.told_slots.unwrap_or(0)).max(1);
     }
 }
 
