Decide in one tested place whether contact is given at a control machine

Cause: that a voter which is behind isn't in contact by the word told to relays had no test of its own.

Change: is_told_of_contact, two tests.

--- a/fleet/src/control/contact.rs
+++ b/fleet/src/control/contact.rs
@@ -23,12 +23,8 @@
     /// Whether what is told here is in touch with a quorum, and current.
     pub(super) fn in_contact(&self, now: Time) -> bool {
         let voter = self.group.as_ref().filter(|group| group.votes());
-        // A voter that is behind is not in contact, whatever else it hears.
-        let told = match voter {
-            Some(group) => group.replica.is_current(to_replica(now)),
-            None => self.feed.is_in_contact(now),
-        };
-        self.leaving.is_none() && told
+        let voter_is_current = voter.map(|group| group.replica.is_current(to_replica(now)));
+        self.leaving.is_none() && is_told_of_contact(voter_is_current, self.feed.is_in_contact(now))
     }
 
     /// Tells at once that contact was lost or found.
@@ -229,3 +225,12 @@
         busy
     }
 }
+
+/// Whether contact is given here: at a voter (`None`: this is none) by its replica alone, elsewhere by what the primary tells relays. A voter that
+/// is behind hears that word too, and is not in contact by it.
+fn is_told_of_contact(voter_is_current: Option<bool>, relay_in_contact: bool) -> bool {
+    voter_is_current.unwrap_or(relay_in_contact)
+}
+
+#[cfg(test)]
+mod tests;
