Split the data nodes by name from the client of discovery

Cause: src/discovery.rs had 597 lines and two jobs, the table of data nodes and the connection that keeps it up.

--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of `discovery`.
 
 use super::*;
+use crate::interface::{Listed, Mode};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 
@@ -8,46 +9,6 @@
         {"instanceId":"s-1","hostPort":"10.1.0.18:8080","zone":"b","machineType":"m2","cell":3,
          "lifecycle":"SERVING","weight":1.0,"startedAtMs":5}]}"#;
 
-#[test]
-fn a_list_is_put_in_the_modules_terms_and_ids_stay() {
-    let list: List = serde_json::from_str(LIST).unwrap();
-    let mut directory = Directory::new(vec!["a".into(), "b".into()]);
-    let first = directory.changes(&list.instances);
-    assert_eq!((first[0].cell, first[0].zone, first[0].mode), (3, 1, Mode::Ready));
-    assert_eq!(first[0].started, Some(Time(5_000)));
-    assert_eq!(directory.address(first[0].server), Some("10.1.0.18:8080".parse().unwrap()));
-    let gone =
-        Instance { lifecycle: Lifecycle::Deleted, host_port: String::new(), ..list.instances[0].clone() };
-    let second = directory.changes(std::slice::from_ref(&gone));
-    assert_eq!((second[0].server, second[0].mode), (first[0].server, Mode::Gone));
-    assert!(directory.changes(&[gone]).is_empty(), "one that was never listed is no news");
-}
-
-#[test]
-fn a_list_that_comes_indented_is_the_same_list() {
-    let value: serde_json::Value = serde_json::from_str(LIST).unwrap();
-    let pretty = serde_json::to_string_pretty(&value).unwrap().replace('\n', "\r\n\t ");
-    let [plain, indented] = [LIST, &pretty]
-        .map(|text| Directory::default().changes(&serde_json::from_str::<List>(text).unwrap().instances));
-    assert!(pretty.lines().count() > 10 && plain.len() == 1);
-    assert_eq!(plain, indented);
-}
-
-#[test]
-fn what_is_known_of_a_node_goes_with_it_and_its_number_is_not_used_again() {
-    let list: List = serde_json::from_str(LIST).unwrap();
-    let mut directory = Directory::default();
-    let node = |i: u32| Instance { instance_id: format!("s-{i}"), ..list.instances[0].clone() };
-    let gone = |i| Instance { lifecycle: Lifecycle::Deleted, ..node(i) };
-    for i in 0..100 {
-        assert_eq!(directory.whole(&[node(i)])[0].server, ServerId(i));
-    }
-    directory.changes(&[gone(99)]);
-    assert_eq!((directory.ids.len(), directory.nodes.len()), (0, 0));
-    assert_eq!(directory.take_gone().len(), 100);
-    assert_eq!(directory.changes(&[node(7)])[0].server, ServerId(100));
-}
-
 /// Runs the loop until the client has news.
 fn news(net: &mut Net, client: &mut Discovery, directory: &mut Directory) -> Vec<Listing> {
     for _ in 0..1_000 {
@@ -421,29 +382,6 @@
     assert!(client.timer(&mut net, CONFIRMED, &mut directory).is_empty(), "once");
 }
 
-#[test]
-fn a_line_without_a_known_cell_is_left_aside_and_one_that_is_known_keeps_its_cell() {
-    let list: List = serde_json::from_str(LIST).unwrap();
-    let mut directory = Directory::default().with_cells(8);
-    let line = |id: &str, cell, lifecycle| Instance {
-        instance_id: id.into(),
-        cell,
-        lifecycle,
-        ..list.instances[0].clone()
-    };
-    let bad = [line("new", None, Lifecycle::Serving), line("far", Some(8), Lifecycle::Serving)];
-    assert!(directory.whole(&bad).is_empty() && directory.is_empty());
-    let log = directory.take_log();
-    assert!(log[0].contains("new has no cell: the line is left aside"), "{log:?}");
-    assert!(log[1].contains("far has cell 8, which there is not"), "{log:?}");
-    directory.changes(&[line("old", Some(3), Lifecycle::Serving)]);
-    let told = directory.changes(&[line("old", None, Lifecycle::Draining)]);
-    assert_eq!((told[0].cell, told[0].mode), (3, Mode::Draining), "that it drains counts");
-    assert!(directory.take_log()[0].contains("it keeps its last one"));
-    let gone = directory.changes(&[line("old", None, Lifecycle::Deleted)]);
-    assert!(gone[0].mode == Mode::Gone && directory.is_empty() && directory.take_log().is_empty());
-}
-
 /// What discovery sends before it resets the connection: a list without a length, whose last bytes are spaces that
 /// tell nothing of whether more was to come.
 #[test]
@@ -502,31 +440,3 @@
         assert_eq!(news(&mut net, &mut client, &mut directory).len(), 1);
     }
 }
-
-#[test]
-fn what_was_put_back_counts_as_just_started_unless_the_list_knows_of_a_start_since_it_was_out() {
-    let mut directory = Directory::new(vec!["a".into()]);
-    let node = |started_at_ms| Instance {
-        instance_id: "s".into(),
-        host_port: "127.0.0.1:1".into(),
-        zone: "a".into(),
-        cell: Some(0),
-        lifecycle: Lifecycle::Serving,
-        started_at_ms,
-    };
-    let back = BTreeMap::from([("s".to_string(), (Time(5_000_000), Time(9_000_000)))]);
-    directory.whole(&[node(0)]);
-    let out = OperatorOverrides { out: BTreeSet::from(["s".to_string()]), ..OperatorOverrides::default() };
-    assert_eq!(directory.set_overrides(out).first().map(|l| l.mode), Some(Mode::Draining));
-    // The list hears of no restart, of one long ago, or of that for which it was out.
-    let lines = directory.set_overrides(OperatorOverrides { back, ..OperatorOverrides::default() });
-    assert_eq!(
-        lines.iter().map(|l| (l.mode, l.started)).collect::<Vec<_>>(),
-        [(Mode::Ready, Some(Time(9_000_000)))]
-    );
-    let mut started = |ms| directory.changes(&[node(ms)])[0].started;
-    assert_eq!(
-        [started(4_999), started(7_000), started(11_000)],
-        [9_000, 7_000, 11_000].map(|ms| Some(Time(ms * 1_000)))
-    );
-}
