--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -1,6 +1,10 @@
 //! A world in virtual time round `core` and the decision module: clients, a network and data nodes. The same seed
 //! and scenario give the same events; two variants of the broker meet the same queries, work and troubles.
 
+mod scenario;
+
+pub use scenario::{Mix, Scenario, Tally, Trouble};
+
 use crate::node::{Left, Node, Task};
 use lichenswitch::contract::Contracts;
 use lichenswitch::core::{Command, Core, Dispatch, Offer, Reply, Request, Value};
@@ -14,64 +18,13 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// One millisecond.
 pub const MS: Micros = 1_000;
 /// The world begins here: no time is before the clock's zero.
 pub const START: Time = Time(1_000_000 * MS);
 
-/// One sort of query.
-#[derive(Clone, Debug)]
-pub struct Mix {
-    /// Share of the queries.
-    pub share: f64,
-    /// Parts of a query, at neighbouring shards.
-    pub parts: u32,
-    /// Work of a part in its first phase, in milliseconds.
-    pub work_ms: f64,
-    /// Work of a part in its second phase, as a share of the first.
-    pub second: f64,
-    /// Spread of the work: standard deviation over mean.
-    pub cv: f64,
-    /// Set where only the first so many elements are wanted, the largest first.
-    pub top: Option<usize>,
-}
-
-/// What a share of the data nodes suffers.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Trouble {
-    /// Share of the data nodes.
-    pub share: f64,
-    /// Parts of the first of two phases take so many times as long there; below 1.0 stands for none.
-    pub slow_first: f64,
-    /// Length of a pause in milliseconds and seconds between two; none where either is 0.
-    pub pause_ms: f64,
-    /// See `pause_ms`.
-    pub pause_every_s: f64,
-}
-
-/// A day in the laboratory.
-#[derive(Clone, Debug)]
-pub struct Scenario {
-    /// Virtual seconds in which queries arrive.
-    pub seconds: f64,
-    /// Queries a second.
-    pub rate: f64,
-    /// Data nodes; they take the cells of the layout in turn.
-    pub nodes: u32,
-    /// Cores of each.
-    pub cores: usize,
-    /// Work of a call beside its parts, in microseconds.
-    pub call: Micros,
-    /// Sorts of queries, by class.
-    pub mix: Vec<Mix>,
-    /// What befalls the data nodes.
-    pub trouble: Trouble,
-    /// One way through the network, in microseconds.
-    pub way: Micros,
-}
-
 /// What the front and the upstream know of a query.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -79,47 +32,6 @@
     pub serial: u32,
 }
 
-/// What came of all queries.
-#[derive(Clone, Debug, Default)]
-pub struct Tally {
-    /// Queries that arrived.
-    pub queries: u64,
-    /// Answered within the aim.
-    pub on_time: u64,
-    /// Answered whole.
-    pub whole: u64,
-    /// Worth asked for and worth earned.
-    pub asked: f64,
-    /// See `asked`.
-    pub earned: f64,
-    /// Work of the second phase, microseconds.
-    pub second_work: Micros,
-    /// Of it, done after the query's aim.
-    pub second_after_aim: Micros,
-    /// Parts sent in the second phase, copies and further attempts included.
-    pub second_parts: u64,
-    /// Parts sent in all.
-    pub parts: u64,
-    /// Queries of two phases.
-    pub two_phase: u64,
-    /// Answers under the least share.
-    pub below_floor: u64,
-    /// Answers marked whole that are not.
-    pub falsely_whole: u64,
-    /// Queries without exactly one final answer before their deadline.
-    pub lost: u64,
-    /// Sorted answers called whole that are not the first elements of all slices.
-    pub wrong: u64,
-    /// Refused or failed.
-    pub given_up: u64,
-    /// Wall time spent in `core` and the module, and the longest turn.
-    pub wall: Duration,
-    /// See `wall`.
-    pub worst_turn: Duration,
-    /// A digest of all that the broker asked for, in order.
-    pub digest: u64,
-}
-
 struct Held {
     class: usize,
     first_shard: u32,
