--- a/src/peer/consensus.rs
+++ b/src/peer/consensus.rs
@@ -4,6 +4,11 @@
 //! before what it rests on is kept, a broker that can't keep does not vote, and whether it holds a duty is asked of its
 //! own lease each time. It decides nothing itself: `decide::agree` and `decide::duty` do.
 
+mod messages;
+
+pub use messages::Words;
+
+use self::messages::{words, Message};
 use crate::decide::agree::genesis::{Announcement, Gather, Identity, Reason};
 use crate::decide::agree::persistent_state::{PersistentState, Record};
 use crate::decide::agree::standing::{Hearing, Standing};
@@ -14,7 +19,6 @@
 use crate::decide::duty::{Duty, FenceNumber, Holder, Terms};
 use crate::interface::{Micros, Time};
 use lichenswitch_keep::Keep;
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 
@@ -41,30 +45,6 @@
     pub terms: Terms,
 }
 
-/// Messages between voters, and between voters and other brokers. Their order is that on the wire.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-enum Message {
-    /// What a voter announces of itself.
-    Announcement(Announcement),
-    /// A message of the log.
-    Log(Vec<u8>),
-    /// Its sender asks for a duty; the number comes back with the answer.
-    Ask(Duty, Holder, u64),
-    /// The log's answer: under which fence it is granted, if it is.
-    Answer(Duty, u64, Option<FenceNumber>),
-    /// Its sender asks whether it is heard.
-    Hear(u64),
-    /// A voter that votes has heard it: the number of its ask, and the voter's genesis.
-    Heard(u64, u64),
-    /// By what its sender knows, which may be old, somebody else holds it: nothing was entered.
-    Elsewhere(Duty),
-    /// Its sender gives a duty back.
-    GiveBack(Duty, FenceNumber),
-}
-
-/// Words for others, by name.
-pub type Words = Vec<(String, Vec<u8>)>;
-
 /// Whether this broker votes.
 enum Seat {
     /// It is none of the voters.
@@ -106,11 +86,6 @@
     log: Vec<String>,
 }
 
-fn words(to: &str, message: &Message) -> (String, Vec<u8>) {
-    // Plain values in memory can always be written.
-    (to.into(), postcard::to_stdvec(message).unwrap_or_default())
-}
-
 impl Consensus {
     /// The part of `own` in the consensus of a cluster.
     ///
