Log why each answer was cut off in the middle

Cause: nothing in the router's log told a cut at the end of the process from one by a server, a deadline or a change of the configuration.

Change: cut.rs, one place that cuts an answer, with a typed reason and the age of the request, how long the process had been ending, and the versions it was taken under and that are in force. No logic is changed.

--- a/fleet/src/router/answers.rs
+++ b/fleet/src/router/answers.rs
@@ -3,6 +3,7 @@
 //! It promises that a refusal (503) leaves only for a request that has not run and never will, that a success leaves only as the server
 //! gave it, whole, and that every attempt's end is told to the core once.
 
+use super::cut::CutReason;
 use super::exchange::{meaning, ExchangeId, Meaning, Out, Phase};
 use super::intake::nearly;
 use super::program::Timer;
@@ -113,7 +114,7 @@
             .of_attempt(id)
             .filter(|e| self.exchanges.get(*e).is_some_and(|exchange| exchange.relays(id)));
         if let Some(exchange) = relays {
-            return self.broken_off(exchange);
+            return self.broken_off(exchange, outcome);
         }
         self.exchanges.on_ended(id, outcome);
         self.tell_core(id, outcome);
@@ -178,7 +179,7 @@
         };
         match exchange.phase {
             Phase::Held => self.answer_given_up(id, after),
-            Phase::Resuming { .. } => self.cut(id),
+            Phase::Resuming { .. } => self.cut(id, CutReason::NotResumed),
             Phase::Relaying(_) => {}
         }
     }
--- /dev/null
+++ b/fleet/src/router/cut.rs
@@ -0,0 +1,63 @@
+//! The end of an answer that has begun and can't be brought to its end: the client sees its connection close in the middle of it.
+//!
+//! It promises that every such end is logged once, with its reason and with what tells the reasons apart: how old the request was, how
+//! long this process had been ending, and which configuration the request was taken under.
+
+use super::exchange::{Exchange, ExchangeId};
+use super::Router;
+use lichenswitch_interface::{Micros, Outcome};
+use std::fmt;
+
+/// Why an answer that had begun was cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutReason {
+    /// Its server ended it like this, and it could not go on at another one.
+    ServerEnded(Outcome),
+    /// It went on at another server, which did not bring the rest.
+    NotResumed,
+    /// The time of the request was over.
+    Deadline,
+    /// This process ends.
+    Shutdown,
+}
+
+impl fmt::Display for CutReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CutReason::ServerEnded(outcome) => write!(f, "server ended it: {outcome:?}"),
+            CutReason::NotResumed => f.write_str("not resumed at another server"),
+            CutReason::Deadline => f.write_str("deadline"),
+            CutReason::Shutdown => f.write_str("shutdown"),
+        }
+    }
+}
+
+impl Router {
+    /// Cuts an answer off that has begun.
+    pub(super) fn cut(&mut self, id: ExchangeId, reason: CutReason) {
+        let Some(exchange) = self.finish(id) else { return };
+        self.log_cut(&exchange, reason);
+        self.clients.cut(&mut self.net, exchange.client);
+    }
+
+    fn log_cut(&self, exchange: &Exchange, reason: CutReason) {
+        let now = self.net.clock.now();
+        let in_force = self.configuration.get().map_or(0, |in_force| in_force.document().version());
+        log::info!(
+            reason:% = reason,
+            attempt_id = exchange.request.attempt_id.as_deref().unwrap_or_default(),
+            route:% = exchange.terms.route,
+            age_ms = millis(now.since(exchange.taken)),
+            left_ms = millis(exchange.deadline.since(now)),
+            stopping_ms = self.shutdown.map_or(0, |shutdown| millis(now.since(shutdown.began()))),
+            taken_under = exchange.configuration,
+            in_force = in_force;
+            "answer cut off"
+        );
+    }
+}
+
+/// Whole milliseconds, as logs tell times.
+fn millis(time: Micros) -> u64 {
+    time / 1_000
+}
--- a/fleet/src/router/exchange.rs
+++ b/fleet/src/router/exchange.rs
@@ -68,6 +68,10 @@
     pub query: Option<QueryId>,
     /// Index of its class there.
     pub class: u16,
+    /// When its last byte was read.
+    pub taken: Time,
+    /// Version of the configuration that it was taken under.
+    pub configuration: u64,
     /// When its time is over: the client's, or the route's.
     pub deadline: Time,
     /// How far it has come.
--- a/fleet/src/router/exchange/tests.rs
+++ b/fleet/src/router/exchange/tests.rs
@@ -57,6 +57,8 @@
         service: ServiceId(0),
         query: None,
         class: 0,
+        taken: Time(0),
+        configuration: 1,
         deadline: Time(0),
         phase: Phase::Held,
         out: Vec::new(),
--- a/fleet/src/router/intake.rs
+++ b/fleet/src/router/intake.rs
@@ -4,6 +4,7 @@
 
 use super::clients::ClientEvent;
 use super::configuration::Terms;
+use super::cut::CutReason;
 use super::exchange::{Exchange, ExchangeId, Phase};
 use super::program::{micros, Timer};
 use super::request::ClientRequest;
@@ -57,7 +58,7 @@
         if self.shutdown.as_ref().is_some_and(|shutdown| !shutdown.takes(now)) {
             return Err(Turned::Away(Some(RETRY_AFTER)));
         }
-        let (terms, service) = self.route(&request)?;
+        let (terms, service, configuration) = self.route(&request)?;
         self.check_room(&request)?;
         let deadline =
             now.plus(request.deadline.map_or(terms.timeout, |left| micros(left).min(terms.timeout)));
@@ -76,6 +77,8 @@
             service,
             query: Some(query),
             class,
+            taken: now,
+            configuration,
             deadline,
             phase: Phase::Held,
             out: Vec::new(),
@@ -87,14 +90,14 @@
         Ok(())
     }
 
-    /// The route's terms and the service, drawn once by weight.
-    fn route(&mut self, request: &ClientRequest) -> Result<(Terms, ServiceId), Turned> {
+    /// The route's terms, the service, drawn once by weight, and the version of the configuration that says so.
+    fn route(&mut self, request: &ClientRequest) -> Result<(Terms, ServiceId, u64), Turned> {
         let in_force = self.configuration.get().ok_or(Turned::Away(Some(RETRY_AFTER)))?;
         let random = self.rng.u64(..);
         let (terms, service) =
             in_force.route(&request.host, request.path(), random).ok_or(Turned::NoRoute)?;
         let service = self.services.id_of(service).ok_or(Turned::Away(Some(RETRY_AFTER)))?;
-        Ok((terms, service))
+        Ok((terms, service, in_force.document().version()))
     }
 
     /// Guards memory: what is held is bounded.
@@ -143,15 +146,15 @@
     pub(super) fn overdue(&mut self, id: ExchangeId) {
         let now = self.net.clock.now();
         if self.exchanges.get(id).is_some_and(|exchange| exchange.deadline <= now) {
-            self.end_now(id);
+            self.end_now(id, CutReason::Deadline);
         }
     }
 
     /// Gives a request its end at once: a final answer, or the cut of the one that has begun.
-    pub(super) fn end_now(&mut self, id: ExchangeId) {
+    pub(super) fn end_now(&mut self, id: ExchangeId, reason: CutReason) {
         match self.exchanges.get(id).map(|exchange| &exchange.phase) {
             Some(Phase::Held) => self.answer_given_up(id, None),
-            Some(Phase::Relaying(_) | Phase::Resuming { .. }) => self.cut(id),
+            Some(Phase::Relaying(_) | Phase::Resuming { .. }) => self.cut(id, reason),
             None => {}
         }
     }
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -15,7 +15,7 @@
 //! | `server_connections`, `response` | connections to servers; answers as they are read |
 //! | `exchange` | the table of requests that are held |
 //! | `configuration`, `service` | routes; a service's core with the decision module |
-//! | `intake`, `answers`, `relay` | from a request to attempts; from attempts to an answer; streams |
+//! | `intake`, `answers`, `relay`, `cut` | from a request to attempts; from attempts to an answer; streams; the end of one that can't be brought to its end |
 //! | `control_link`, `candidates`, `servers` | the connection to control; what is known of servers |
 //! | `readiness`, `shutdown`, `options` | the platform's question; the end; the settings |
 
@@ -25,6 +25,7 @@
 mod clients;
 mod configuration;
 mod control_link;
+mod cut;
 mod error;
 mod exchange;
 mod intake;
--- a/fleet/src/router/relay.rs
+++ b/fleet/src/router/relay.rs
@@ -3,6 +3,7 @@
 //! It promises that a client gets whole events in order, each at once; that an answer whose server breaks off goes on at the next event
 //! of another server or is cut, but never ended as complete; and that what a slow client has not taken is bounded.
 
+use super::cut::CutReason;
 use super::exchange::{ExchangeId, Phase, Relay};
 use super::response::ResponseHead;
 use super::server_connections::{Answer, Part};
@@ -77,9 +78,9 @@
     }
 
     /// The server of an answer that is being passed on broke off.
-    pub(super) fn broken_off(&mut self, id: ExchangeId) {
+    pub(super) fn broken_off(&mut self, id: ExchangeId, outcome: Outcome) {
         if !self.resume(id) {
-            self.cut(id);
+            self.cut(id, CutReason::ServerEnded(outcome));
         }
     }
 
@@ -114,20 +115,13 @@
             && (200..300).contains(&answer.head.status)
             && answer.body.iter().all(|byte| matches!(byte, b'\r' | b'\n'));
         if !nothing_more {
-            return self.cut(id);
+            return self.cut(id, CutReason::NotResumed);
         }
         if let Some(exchange) = self.finish(id) {
             self.clients.end(&mut self.net, exchange.client, &mut self.client_events);
         }
     }
 
-    /// Cuts an answer off that has begun.
-    pub(super) fn cut(&mut self, id: ExchangeId) {
-        if let Some(exchange) = self.finish(id) {
-            self.clients.cut(&mut self.net, exchange.client);
-        }
-    }
-
     /// Writes what has been passed on; its server rests while the client is behind.
     fn flush(&mut self, id: ExchangeId, client: ConnId) {
         let unwritten = self.clients.flush(&mut self.net, client, &mut self.client_events);
--- a/fleet/src/router/shutdown.rs
+++ b/fleet/src/router/shutdown.rs
@@ -3,6 +3,7 @@
 //! It promises: not ready at once; what has been read is answered; new clients are served until the platform has had time to learn;
 //! the process ends as soon as nothing is left, and shortly before the grace is over in any case, with a final answer for all.
 
+use super::cut::CutReason;
 use super::program::{after, Owner, Timer};
 use super::Router;
 use lichenswitch_interface::Time;
@@ -18,6 +19,8 @@
 /// A shutdown under way.
 #[derive(Clone, Copy, Debug)]
 pub struct Shutdown {
+    /// When the process was told.
+    began: Time,
     /// Listeners close then. Connections that rest are kept to the end of the process: a request that crosses their end would have been
     /// read for nothing.
     closes: Time,
@@ -34,7 +37,19 @@
     pub fn new(now: Time, grace: Duration) -> Shutdown {
         let reserve = RESERVE.min(grace / 4);
         let ends = after(now, grace.saturating_sub(reserve));
-        Shutdown { closes: after(now, LISTEN_ON.min(grace / 2)), ends, closed: false, ended: false }
+        Shutdown {
+            began: now,
+            closes: after(now, LISTEN_ON.min(grace / 2)),
+            ends,
+            closed: false,
+            ended: false,
+        }
+    }
+
+    /// When the process was told to end.
+    #[must_use]
+    pub fn began(&self) -> Time {
+        self.began
     }
 
     /// Whether requests are still taken.
@@ -71,7 +86,7 @@
         if now >= shutdown.ends && !shutdown.ended {
             shutdown.ended = true;
             for id in self.exchanges.ids() {
-                self.end_now(id);
+                self.end_now(id, CutReason::Shutdown);
             }
         }
         self.shutdown = Some(shutdown);
