Add a failing test: a router told to end takes what may outlast it

Cause: after SIGTERM the router takes requests for 3 s whatever time they have, and cuts at the end of its grace what is not over.

--- a/fleet/tests/router_end.rs
+++ b/fleet/tests/router_end.rs
@@ -85,3 +85,47 @@
     assert!(rig.router.ends_within(Duration::from_secs(5)));
     assert!(began.elapsed() >= Duration::from_millis(2_900), "{:?}", began.elapsed());
 }
+
+/// A stream whose end lies far beyond the grace.
+fn endless() -> Server {
+    Server::start("i-1", |seen, talk| {
+        talk.stream_head(seen);
+        for id in 1.. {
+            talk.event(id);
+            if talk.closes_within(Duration::from_millis(200)) {
+                break;
+            }
+        }
+        Next::Close
+    })
+}
+
+#[test]
+fn what_an_ending_router_may_not_bring_to_its_end_is_refused_at_once() {
+    let server = endless();
+    let mut rig = Rig::with(&[&server], 30_000, 1_000, 1);
+    let mut kept = rig.client();
+    assert_eq!(kept.ask(request("GET", "nowhere", "a0", "", "")).status, 404);
+    let mut new = rig.client();
+    rig.router.stop();
+    support::until("the platform is told", || rig.router.readiness_status() == 503);
+    for (client, id) in [(&mut kept, "a1"), (&mut new, "a2")] {
+        let began = Instant::now();
+        let reply = client.ask(request("POST", "stream", id, "", "x"));
+        assert_eq!((reply.status, reply.complete), (503, true), "a refusal, or an answer that ends: {id}");
+        assert!(reply.retry_after().is_some_and(|after| after < 1.0), "it is told when to come back");
+        assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+        assert_eq!(server.times(id), 0, "a refusal is a promise");
+    }
+}
+
+#[test]
+fn what_must_be_over_before_an_ending_router_ends_is_still_served() {
+    let server = slow(Duration::from_millis(300));
+    let mut rig = Rig::with(&[&server], 30_000, 1_000, 1);
+    rig.router.stop();
+    support::until("the platform is told", || rig.router.readiness_status() == 503);
+    let mut client = rig.client();
+    let reply = client.ask(request("POST", "unsafe", "a1", "Deadline-Ms: 3000\r\n", "x"));
+    assert_eq!((reply.status, reply.text(), reply.complete), (200, "done", true));
+}
