Take only what must be over before an ending router ends; refuse the rest

Cause: a router told to end took every request for 3 s and cut at the end of its grace those that had not ended: a stream of 5 s taken 2.4 s after SIGTERM can't end whole.

Change: Shutdown::takes asks for the request's deadline too. What could outlast the process is refused at once (503, Retry-After 20 ms), and has run nowhere.

--- a/fleet/src/router/intake.rs
+++ b/fleet/src/router/intake.rs
@@ -18,6 +18,8 @@
 
 /// Advice to clients while no configuration is known, or nothing more can be held (microseconds).
 const RETRY_AFTER: Micros = 200_000;
+/// Advice to clients of a process that ends: other routers are ready now, and tries that follow go to them (microseconds).
+const RETRY_ELSEWHERE: Micros = 20_000;
 
 /// Why a request is answered at once.
 enum Turned {
@@ -55,13 +57,13 @@
 
     fn admit(&mut self, client: ConnId, request: ClientRequest) -> Result<(), Turned> {
         let now = self.net.clock.now();
-        if self.shutdown.as_ref().is_some_and(|shutdown| !shutdown.takes(now)) {
-            return Err(Turned::Away(Some(RETRY_AFTER)));
-        }
         let (terms, service, configuration) = self.route(&request)?;
-        self.check_room(&request)?;
         let deadline =
             now.plus(request.deadline.map_or(terms.timeout, |left| micros(left).min(terms.timeout)));
+        if self.shutdown.is_some_and(|shutdown| !shutdown.takes(now, deadline)) {
+            return Err(Turned::Away(Some(RETRY_ELSEWHERE)));
+        }
+        self.check_room(&request)?;
         let id = self.exchanges.next_id();
         let core = self.services.get_mut(service).ok_or(Turned::Away(Some(RETRY_AFTER)))?;
         let ask = Ask { exchange: id, terms: &terms, prefix: request.prefix, deadline };
--- a/fleet/src/router/shutdown.rs
+++ b/fleet/src/router/shutdown.rs
@@ -1,7 +1,9 @@
 //! The end of the process: SIGTERM to exit.
 //!
-//! It promises: not ready at once; what has been read is answered; new clients are served until the platform has had time to learn;
-//! the process ends as soon as nothing is left, and shortly before the grace is over in any case, with a final answer for all.
+//! It promises: not ready at once; what has been read is answered; until the platform has had time to learn, new requests are taken, but
+//! only those whose time is over before this process ends, so that no answer is begun which the end would cut off; the others are refused
+//! at once, which sends their clients to another router. The process ends as soon as nothing is left, and shortly before the grace is
+//! over in any case, with a final answer for all that it held when it was told.
 
 use super::cut::CutReason;
 use super::program::{after, Owner, Timer};
@@ -52,10 +54,10 @@
         self.began
     }
 
-    /// Whether requests are still taken.
+    /// Whether a request is still taken whose time is over at this deadline.
     #[must_use]
-    pub fn takes(&self, now: Time) -> bool {
-        now < self.closes
+    pub fn takes(&self, now: Time, deadline: Time) -> bool {
+        now < self.closes && deadline <= self.ends
     }
 }
 
