Check in the running code that what is taken is finished and what is acknowledged is read

Cause: nothing in the product would have told that an accepted request was cut by a shutdown, or that an older configuration was read.

Change: invariants.rs counts and logs breaks; three invariants in the router, one in control (decide/control/src/acknowledged.rs). The rig of the router's tests expects a count of zero.

--- a/decide/control/src/lib.rs
+++ b/decide/control/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod acknowledged;
 mod call;
 mod calls;
 mod faults;
@@ -17,6 +18,7 @@
 mod relayed_calls;
 mod replicated;
 
+pub use acknowledged::{version_in, Acknowledged};
 pub use call::{answer, Call, Origin, Question};
 pub use calls::{Action, Calls};
 #[doc(hidden)]
--- a/fleet/src/control/machine.rs
+++ b/fleet/src/control/machine.rs
@@ -12,7 +12,7 @@
 use super::servers::Servers;
 use super::{notices, own_part, status, ControlError, DIGEST_INTERVAL};
 use crate::settings::Settings;
-use lichenswitch_control::{Committed, Refusals};
+use lichenswitch_control::{Acknowledged, Committed, Refusals};
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{Envelope, PeerMessage, ROUTER_HEARTBEAT_MS};
 use lichenswitch_net::{ConnId, Ready};
@@ -50,6 +50,8 @@
     pub(super) routers: Routers,
     pub(super) callers: Callers,
     pub(super) calls: Calls,
+    /// What callers of this machine were told is taken.
+    pub(super) acknowledged: Acknowledged,
     /// The last orders that were refused here.
     pub(super) refusals: Refusals,
     /// The newest configuration that is known to be committed.
@@ -98,6 +100,7 @@
             routers: Routers::new(),
             callers: Callers::default(),
             calls: Calls::new(fastrand::u64(..)),
+            acknowledged: Acknowledged::default(),
             refusals: Refusals::default(),
             committed: None,
             told: Told::default(),
--- a/fleet/src/control/on_call.rs
+++ b/fleet/src/control/on_call.rs
@@ -6,8 +6,9 @@
 use super::machine::Machine;
 use super::servers::Beat;
 use super::status;
+use crate::invariants::{self, Invariant};
 use lichenswitch_configuration::{judge_alone, parse_base_version, Order, OrderKind};
-use lichenswitch_control::{Question, Refusal};
+use lichenswitch_control::{version_in, Question, Refusal};
 use lichenswitch_http::{Request, Response};
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{PeerMessage, RelayedAnswer};
@@ -145,6 +146,7 @@
                 self.callers.answer(&mut self.net, id, response);
             }
             (Origin::Caller(id), RelayedAnswer::Answer { status, body }) => {
+                self.check_answer(call, status, &body);
                 self.callers.answer(&mut self.net, id, Response::new(status, JSON, body));
             }
             (Origin::Caller(id), RelayedAnswer::NotPrimary) => {
@@ -154,6 +156,22 @@
             (Origin::Caller(id), RelayedAnswer::Unknown) => self.callers.hang_up(&mut self.net, id),
         }
     }
+
+    /// Remembers what is acknowledged, and checks that no read goes back behind it.
+    fn check_answer(&mut self, call: &Call, status: u16, body: &[u8]) {
+        let Some(version) = version_in(body).filter(|_| status == 200) else { return };
+        match call.question {
+            Question::Order(_) => {
+                let now = to_replica(self.net.clock.now());
+                self.acknowledged.on_acknowledged(now, version);
+            }
+            Question::Describe => {
+                let holds = self.acknowledged.allows(call.arrived, version);
+                invariants::check(holds, Invariant::AcknowledgedIsRead);
+            }
+            Question::Status => {}
+        }
+    }
 }
 
 /// The answer to a beat, by whether it is acknowledged.
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod check;
 pub mod control;
 pub mod envelopes;
+pub mod invariants;
 pub mod logging;
 pub mod router;
 pub mod settings;
--- a/fleet/src/router/clients.rs
+++ b/fleet/src/router/clients.rs
@@ -101,6 +101,13 @@
         self.open.len()
     }
 
+    /// How many clients wait for an answer, or for the rest of one.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        let waits = |session: &&Session| matches!(session.state, State::Waiting | State::Answering { .. });
+        self.open.values().filter(waits).count()
+    }
+
     /// Accepts all that wait.
     pub fn accept(&mut self, net: &mut Net) {
         for id in net.accept(Owner::Client) {
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -42,6 +42,7 @@
 mod services;
 mod shutdown;
 
+use crate::invariants::{self, Invariant};
 use crate::settings::Settings;
 use candidates::Candidates;
 use clients::{ClientEvent, Clients};
@@ -107,6 +108,8 @@
     link: ControlLink,
     readiness: Readiness,
     shutdown: Option<Shutdown>,
+    /// The next turn ends with a check of who waits.
+    check_due: bool,
 }
 
 impl Router {
@@ -141,6 +144,7 @@
             link,
             readiness: Readiness::default(),
             shutdown: None,
+            check_due: false,
             rng,
             net,
             options,
@@ -190,6 +194,7 @@
             }
             self.settle();
             if self.is_finished() {
+                invariants::check(self.exchanges.is_empty(), Invariant::EndsEmpty);
                 return Ok(());
             }
         }
@@ -205,6 +210,10 @@
                 break;
             }
         }
+        if self.check_due || cfg!(debug_assertions) {
+            self.check_due = false;
+            self.check_waiting();
+        }
         if self.net.resting() {
             self.net.attend_again();
         }
@@ -213,6 +222,12 @@
         }
     }
 
+    /// Whoever has sent a whole request, and has no answer yet, is held. Checked at each turn where debug assertions are on, else now and
+    /// then: it counts all connections.
+    fn check_waiting(&self) {
+        invariants::check(self.clients.waiting() == self.exchanges.len(), Invariant::WaitingIsHeld);
+    }
+
     fn accept(&mut self, owner: Owner) {
         match owner {
             Owner::Client => self.clients.accept(&mut self.net),
@@ -307,6 +322,7 @@
 
     /// The file may have changed without a signal.
     fn look_at_settings(&mut self) {
+        self.check_due = true;
         let changed = match &mut self.settings_file {
             Some((path, seen)) => {
                 let now = modified(path);
--- a/fleet/src/router/shutdown.rs
+++ b/fleet/src/router/shutdown.rs
@@ -6,8 +6,10 @@
 //! over in any case, with a final answer for all that it held when it was told.
 
 use super::cut::CutReason;
+use super::exchange::ExchangeId;
 use super::program::{after, Owner, Timer};
 use super::Router;
+use crate::invariants::{self, Invariant};
 use lichenswitch_interface::Time;
 use std::time::Duration;
 
@@ -88,6 +90,7 @@
         if now >= shutdown.ends && !shutdown.ended {
             shutdown.ended = true;
             for id in self.exchanges.ids() {
+                self.check_finished(id, shutdown.began);
                 self.end_now(id, CutReason::Shutdown);
             }
         }
@@ -95,6 +98,14 @@
         self.net.wheel.set(after(now, LOOK), Timer::Shutdown);
     }
 
+    /// Of what is held still, all was in hand when the signal came; but for what is over at this very moment.
+    fn check_finished(&self, id: ExchangeId, began: Time) {
+        let now = self.net.clock.now();
+        let Some(exchange) = self.exchanges.get(id) else { return };
+        let holds = exchange.taken <= began || exchange.deadline <= now;
+        invariants::check(holds, Invariant::TakenIsFinished);
+    }
+
     /// Whether all that was read has been answered, and nobody new can come.
     pub(super) fn is_finished(&self) -> bool {
         let Some(shutdown) = self.shutdown else { return false };
--- a/fleet/tests/support/rig.rs
+++ b/fleet/tests/support/rig.rs
@@ -46,6 +46,15 @@
     )
 }
 
+impl Drop for Running {
+    /// No test leaves a broken invariant behind.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            assert_eq!(lichenswitch_fleet::invariants::violations(), 0, "an invariant was violated");
+        }
+    }
+}
+
 impl Running {
     pub fn start(text: &str, file: Option<PathBuf>) -> Running {
         let settings = Settings::parse(text).expect("settings");
