--- a/decide/registry/src/table/tests.rs
+++ b/decide/registry/src/table/tests.rs
@@ -461,3 +461,29 @@
     let changes = run_to(&mut after, START + 61 * SECOND);
     assert_eq!(changes.forgotten, ["a"]);
 }
+
+#[test]
+fn who_had_left_before_a_start_is_not_brought_back_by_a_late_beat() {
+    let mut before = table();
+    before.on_heartbeat(START, "a", &beat("h:1", 7));
+    before.on_deregister(START, "a");
+    let mut after = table();
+    after.remember(START, &before.snapshot(START));
+    after.on_heartbeat(START + SECOND, "a", &beat("h:1", 6));
+    assert_eq!(state_of(&after, "a"), Some(ServerState::Gone));
+    assert_eq!(after.live().count(), 0);
+    // It is forgotten in the end, as any other.
+    run_to(&mut after, START + 130 * SECOND);
+    assert_eq!(state_of(&after, "a"), None);
+}
+
+#[test]
+fn that_a_server_left_before_a_start_overrules_an_older_memory_of_it() {
+    for leaving in [draining("h:1", 9).record("a"), crate::tombstone("a")] {
+        let mut after = table();
+        after.remember(START, &[beat("h:1", 7).record("a")]);
+        let told = after.remember(START, std::slice::from_ref(&leaving));
+        assert_eq!(told.records, std::slice::from_ref(&leaving), "routers hear of it");
+        assert_eq!(state_of(&after, "a"), Some(leaving.state));
+    }
+}
--- a/fleet/src/control/servers/tests.rs
+++ b/fleet/src/control/servers/tests.rs
@@ -96,6 +96,48 @@
     assert_eq!(servers.on_heartbeat(at(2_400), callers[3], "i-1", &beat(4, ServerState::Ready)), Beat::Known);
 }
 
+#[test]
+fn a_call_that_brings_news_of_its_own_waits_for_these_and_not_for_older_ones() {
+    let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
+    servers.on_heartbeat(at(0), callers[0], "i-1", &beat(1, ServerState::Ready));
+    let (_, first) = servers.take_changes(at(0), &told(&[2, 3]));
+    assert_eq!(servers.on_deregister(at(10), callers[1], "i-1"), Beat::Waits);
+    let (changes, second) = servers.take_changes(at(10), &told(&[2, 3]));
+    assert_eq!((changes.news().len(), second == first), (1, false));
+    assert_ne!(second, 0, "that it has left is told under a number of its own");
+    // Told once more while that waits, it waits for the same.
+    assert_eq!(servers.on_deregister(at(15), callers[2], "i-1"), Beat::Waits);
+
+    [2, 3].iter().for_each(|number| servers.on_merged(peer(*number), first, true));
+    servers.settle(at(20));
+    assert_eq!(servers.take_answers(), [(callers[0], true)], "nobody else is known to hold that it has left");
+    [2, 3].iter().for_each(|number| servers.on_merged(peer(*number), second, true));
+    servers.settle(at(30));
+    assert_eq!(servers.take_answers(), [(callers[1], true), (callers[2], true)]);
+}
+
+#[test]
+fn that_a_server_leaves_is_not_acknowledged_from_hearsay() {
+    let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
+    // A machine that is cut off since has told this one, and perhaps nobody else.
+    let record = beat(3, ServerState::Draining).record("i-1");
+    servers.on_records(at(0), &[record], false, true);
+    servers.take_changes(at(0), &told(&[2, 3]));
+    assert_eq!(
+        servers.on_heartbeat(at(100), callers[0], "i-1", &beat(3, ServerState::Draining)),
+        Beat::Waits
+    );
+    let (changes, ack) = servers.take_changes(at(100), &told(&[2, 3]));
+    assert_eq!(changes.news().len(), 1);
+    [2, 3].iter().for_each(|number| servers.on_merged(peer(*number), ack, true));
+    servers.settle(at(110));
+    assert_eq!(servers.take_answers(), [(callers[0], true)]);
+    assert_eq!(
+        servers.on_heartbeat(at(1_300), callers[1], "i-1", &beat(4, ServerState::Draining)),
+        Beat::Known
+    );
+}
+
 #[test]
 fn a_machine_that_is_alone_acknowledges_by_itself() {
     let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
