Remember after a start also which servers had left

Cause: Registry::remember passed over records of servers that are gone, although the table on disk holds them, and a memory of 'draining' did not overrule an older 'ready'. After a kill of all control machines a late beat brought a server back that had been acknowledged as gone. Change: tombstones are remembered, and a state further on overrules a known one.

--- a/decide/registry/src/table.rs
+++ b/decide/registry/src/table.rs
@@ -154,12 +154,15 @@
     }
 
     /// What this machine knew before its start. Who is not known yet is known from now on, with its silence counted from now unless its
-    /// record says that it was unheard; it is no news to other control machines, which may have forgotten it with reason.
+    /// record says that it was unheard; it is no news to other control machines, which may have forgotten it with reason. That a server
+    /// was leaving or had left holds, whoever remembers it: a beat from before that may still be on its way.
     pub fn remember(&mut self, now: u64, records: &[ServerRecord]) -> Changes {
         let mut changes = Changes::default();
-        for record in records.iter().filter(|record| record.state != ServerState::Gone) {
-            if !self.entries.contains_key(&record.instance) {
-                changes.append(self.remember_one(now, record));
+        for record in records {
+            match self.entries.get(&record.instance) {
+                None => changes.append(self.remember_one(now, record)),
+                Some(known) if known.record.state < record.state => changes.append(self.take(now, record)),
+                Some(_) => {}
             }
         }
         changes
@@ -190,7 +193,7 @@
         self.last_tick_us.saturating_add((self.interval_us / LOOKS_IN_INTERVAL).max(1))
     }
 
-    /// Servers that are known from before a start alone: a last resort for routers, and for machines that know none.
+    /// Servers that are known from before a start alone, those that had left too: for routers, and for machines that know none.
     #[must_use]
     pub fn remembered(&self) -> Vec<ServerRecord> {
         let mut records: Vec<_> =
@@ -268,10 +271,10 @@
         changes
     }
 
-    /// A server that was known before the start: it may still serve.
+    /// A server that was known before the start: it may still serve, unless it had left.
     fn remember_one(&mut self, now: u64, news: &ServerRecord) -> Changes {
-        let record = ServerRecord { unheard: news.unheard, ..normalized(news) };
-        if self.live_at(&record.address).next().is_some() {
+        let record = normalized(news);
+        if record.state != ServerState::Gone && self.live_at(&record.address).next().is_some() {
             self.contested.insert(record.address.clone());
         }
         let mut changes = Changes::default();
