Let a server's call wait for the news that it brought itself

Cause: Servers::on_call put a call on any wait of the same instance, so that 'draining' or 'deregister' was acknowledged once others held the news before it (number 7), while its own went out under no number at all: acknowledged, and perhaps held by this machine alone. Change: only a call that brings nothing new joins a wait, the newest one; news get a number of their own.

--- a/fleet/src/control/servers.rs
+++ b/fleet/src/control/servers.rs
@@ -111,17 +111,17 @@
     }
 
     fn on_call(&mut self, caller: ConnId, instance: &str, mut changes: Changes) -> Beat {
-        if let Some(wait) =
-            self.waits.iter_mut().find(|wait| wait.instances.iter().any(|waits| waits == instance))
-        {
-            // The same server again: it learns what becomes of the news that still wait.
-            wait.callers.push(caller);
-            self.changes.append(changes);
-            return Beat::Waits;
-        }
-        if changes.news().is_empty() && self.unconfirmed.contains(instance) {
-            // Nobody else held its news when they were told last.
-            if let Some(record) = self.registry.record(instance) {
+        if changes.news().is_empty() {
+            if let Some(callers) = self.callers_that_wait_for(instance) {
+                // The same server again: it learns what becomes of its newest news.
+                callers.push(caller);
+                self.changes.append(changes);
+                return Beat::Waits;
+            }
+            if let Some(record) =
+                self.registry.record(instance).filter(|_| self.unconfirmed.contains(instance))
+            {
+                // Nobody else held its news when they were told last.
                 changes = told_again(record);
             }
         }
@@ -134,6 +134,15 @@
         Beat::Known
     }
 
+    /// Callers that wait for the newest news of an instance, where these were told and none came after.
+    fn callers_that_wait_for(&mut self, instance: &str) -> Option<&mut Vec<ConnId>> {
+        if self.callers.iter().any(|(_, waits)| waits == instance) {
+            return None;
+        }
+        let waits = |wait: &&mut Wait| wait.instances.iter().any(|waits| waits == instance);
+        self.waits.iter_mut().rev().find(waits).map(|wait| &mut wait.callers)
+    }
+
     /// Another control machine has sent records.
     pub(super) fn on_records(&mut self, now: Time, records: &[ServerRecord], whole: bool, in_contact: bool) {
         let changes = self.registry.merge_all(now.0, records);
