Tell on that a server leaves, and don't acknowledge it from hearsay

Cause: what a control machine heard from another was told on to nobody ('was told to all by that one'), and a call about it was acknowledged at once. A machine that is cut off or loses power while its message has reached one of its peers leaves the others, and their routers, with a server that is ready for up to five beats; and the peer that has heard it acknowledges it alone. Change: 'draining' and 'gone' are sent on by each machine that they are news to (once; a peer that holds them stays silent), and count as unconfirmed there, so that a call about them waits for others.

--- a/fleet/src/control/contact.rs
+++ b/fleet/src/control/contact.rs
@@ -209,10 +209,13 @@
             let (changes, ack) = self.servers.take_changes(now, &connected);
             let pushes = self.routers.push_servers(&changes.records);
             self.push_all(pushes);
-            // What came from another control machine was told to all by that one.
+            // What came from another control machine was told to all by that one; that a server leaves is told once more, in case it
+            // was cut off meanwhile.
+            let (records, hearsay) = (changes.news().to_vec(), self.servers.take_hearsay());
             if ack != 0 {
-                let records = changes.news().to_vec();
                 self.send_to_peers(&PeerMessage::Servers { ack, records, whole: false });
+            } else if !hearsay.is_empty() {
+                self.send_to_peers(&PeerMessage::Servers { ack, records: hearsay, whole: false });
             }
         }
         self.servers.settle(now);
--- a/fleet/src/control/servers.rs
+++ b/fleet/src/control/servers.rs
@@ -2,13 +2,14 @@
 //!
 //! It owns the table and the beats that wait for their acknowledgement. It promises: news are told to all control machines that are connected
 //! and to this machine's routers at once; they are acknowledged once another control machine in contact holds them, where one is
-//! connected; and a beat that brings nothing new is acknowledged at once.
+//! connected; a beat that brings nothing new is acknowledged at once; and that a server leaves is told on, since whoever said so may have
+//! been cut off from the others right after.
 
 use super::program::after;
 use super::server_cache::ServerCache;
 use crate::settings::Settings;
 use lichenswitch_interface::Time;
-use lichenswitch_messages::ServerRecord;
+use lichenswitch_messages::{ServerRecord, ServerState};
 use lichenswitch_net::ConnId;
 use lichenswitch_registry::{Changes, Heartbeat, Registry};
 use std::collections::BTreeSet;
@@ -56,6 +57,8 @@
     /// Callers whose beats brought these changes, with their instances.
     callers: Vec<(ConnId, String)>,
     waits: Vec<Wait>,
+    /// What was heard of servers that leave, to be told on.
+    hearsay: Vec<ServerRecord>,
     /// Instances whose last news nobody else is known to hold.
     unconfirmed: BTreeSet<String>,
     next_ack: u64,
@@ -79,6 +82,7 @@
             changes: Changes::default(),
             callers: Vec::new(),
             waits: Vec::new(),
+            hearsay: Vec::new(),
             unconfirmed: BTreeSet::new(),
             next_ack: 1,
             answers: Vec::new(),
@@ -146,10 +150,26 @@
     /// Another control machine has sent records.
     pub(super) fn on_records(&mut self, now: Time, records: &[ServerRecord], whole: bool, in_contact: bool) {
         let changes = self.registry.merge_all(now.0, records);
+        if !whole {
+            self.note_hearsay(&changes);
+        }
         self.changes.append(changes);
         self.has_table |= whole && in_contact;
     }
 
+    /// What one machine says of a server that leaves is told on, and counts as held by too few until this machine knows better.
+    fn note_hearsay(&mut self, changes: &Changes) {
+        for record in changes.news().iter().filter(|record| record.state != ServerState::Ready) {
+            self.unconfirmed.insert(record.instance.clone());
+            self.hearsay.push(record.clone());
+        }
+    }
+
+    /// What was heard of servers that leave since this was last asked.
+    pub(super) fn take_hearsay(&mut self) -> Vec<ServerRecord> {
+        std::mem::take(&mut self.hearsay)
+    }
+
     /// Another control machine remembers these from before its start.
     pub(super) fn on_remembered(&mut self, now: Time, records: &[ServerRecord]) {
         let changes = self.registry.remember(now.0, records);
@@ -247,9 +267,7 @@
         if let Some(first) = changes.forgotten.first() {
             log::info!(target: "control", servers = changes.forgotten.len(), first = first.as_str(); "servers are forgotten");
         }
-        for instance in &changes.forgotten {
-            self.unconfirmed.remove(instance);
-        }
+        self.unconfirmed.retain(|instance| self.registry.record(instance).is_some());
         self.changes.append(changes);
     }
 
