Acknowledge news of servers once a majority of the voters holds them

Cause: one other machine in contact that held the news was enough, and none at all where no connection was left. Contact lasts up to 600 ms after a cut: of eight machines three that were cut off acknowledged a leave among themselves, and the five that go on, with their routers in touch, did not hear of it (5 beats until the server counts as unheard). A machine whose connections were all reset acknowledged alone. Change: counted are voters in contact, and as many are needed as make a majority with this machine (2 others of 4 where 1 was enough; 1 of 3 as before); a machine without a vote goes by the machines with a disk that are connected; a sole voter as before. Waits are as they were (100 ms, 400 ms). Result: two unit tests fail with one holder planted as enough (alone, eight machines), a third holds who is counted.

--- a/fleet/src/control/contact.rs
+++ b/fleet/src/control/contact.rs
@@ -1,9 +1,10 @@
 //! What this machine tells of itself and of what is committed: to routers, to other control machines, and to those without a copy.
 
 use super::calls::Primary;
-use super::group::to_replica;
+use super::group::{to_replica, Group};
 use super::machine::Machine;
 use super::routers::Push;
+use super::servers::Audience;
 use lichenswitch_control::{configuration_position, Committed};
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{ControlToRouter, Envelope, PeerMessage, Stamp};
@@ -201,12 +202,28 @@
         }
     }
 
+    /// Who is told of servers now.
+    fn audience(&self) -> Audience {
+        let told: BTreeSet<SocketAddr> = self.peers.connected().map(|(address, _)| address).collect();
+        let votes = self.group.as_ref().is_some_and(Group::votes);
+        let voters: BTreeSet<SocketAddr> = self.voters().into_iter().collect();
+        match votes {
+            // The sole voter: whoever else there is holds them too.
+            true if voters.len() < 2 => Audience { needed: told.len().min(1), counted: told.clone(), told },
+            true => Audience { counted: &told & &voters, needed: voters.len() / 2, told },
+            // Who has no vote knows no voters: it goes by the machines with a disk that are connected.
+            false => {
+                let durable: BTreeSet<SocketAddr> = self.durable_peers().into_iter().collect();
+                Audience { needed: durable.len() / 2 + 1, counted: durable, told }
+            }
+        }
+    }
+
     /// Tells what is new of servers, and answers the beats that brought it.
     pub(super) fn tell_servers(&mut self, now: Time) -> bool {
         if self.servers.has_changes() {
-            let connected: BTreeSet<SocketAddr> =
-                self.peers.connected().map(|(address, _)| address).collect();
-            let (changes, ack) = self.servers.take_changes(now, &connected);
+            let audience = self.audience();
+            let (changes, ack) = self.servers.take_changes(now, audience);
             let pushes = self.routers.push_servers(&changes.records);
             self.push_all(pushes);
             // What came from another control machine was told to all by that one; that a server leaves is told once more, in case it
--- a/fleet/src/control/own_part.rs
+++ b/fleet/src/control/own_part.rs
@@ -72,7 +72,7 @@
     }
 
     /// Machines with a disk, or whose loss is counted, that are connected.
-    fn durable_peers(&self) -> Vec<SocketAddr> {
+    pub(super) fn durable_peers(&self) -> Vec<SocketAddr> {
         let durable =
             self.peers.connected().filter(|(_, peer)| peer.introduction.as_ref().is_some_and(|i| i.eligible));
         durable.map(|(address, _)| address).collect()
--- a/fleet/src/control/servers.rs
+++ b/fleet/src/control/servers.rs
@@ -1,9 +1,9 @@
 //! Model servers at this machine: their beats, and who has to know of them before they are acknowledged.
 //!
 //! It owns the table and the beats that wait for their acknowledgement. It promises: news are told to all control machines that are connected
-//! and to this machine's routers at once; they are acknowledged once another control machine in contact holds them, where one is
-//! connected; a beat that brings nothing new is acknowledged at once; and that a server leaves is told on, since whoever said so may have
-//! been cut off from the others right after.
+//! and to this machine's routers at once; they are acknowledged once enough control machines in contact hold them (see [`Audience`]);
+//! a beat that brings nothing new is acknowledged at once; and that a server leaves is told on, since whoever said so may have been cut
+//! off from the others right after.
 
 use super::program::after;
 use super::server_cache::ServerCache;
@@ -16,9 +16,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// After so long one other machine that holds the news is enough.
+/// After so long it is enough that as many machines hold the news as have to.
 const ALL_WAIT: Duration = Duration::from_millis(100);
-/// After so long news that no other machine holds are refused: the server goes on to the next control machine.
+/// After so long news that too few machines hold are refused: the server goes on to the next control machine.
 const LONGEST_WAIT: Duration = Duration::from_millis(400);
 /// A machine that has just started waits so long for another one's table.
 const TABLE_WAIT: Duration = Duration::from_secs(2);
@@ -32,6 +32,17 @@
     Waits,
 }
 
+/// Who is told news, and who of them has to hold them before they are acknowledged: as many voters as make a majority with this
+/// machine, so that whatever part of the group goes on after a cut has one that holds them.
+pub(super) struct Audience {
+    /// All machines that are connected.
+    pub(super) told: BTreeSet<SocketAddr>,
+    /// Those whose copy counts.
+    pub(super) counted: BTreeSet<SocketAddr>,
+    /// How many of these have to hold the news beside this machine.
+    pub(super) needed: usize,
+}
+
 /// News that wait to be held elsewhere.
 struct Wait {
     ack: u64,
@@ -39,8 +50,10 @@
     callers: Vec<ConnId>,
     /// Machines that were told and have not answered.
     told: BTreeSet<SocketAddr>,
-    /// Whether a machine in contact holds them.
-    held: bool,
+    /// Machines whose copy counts.
+    counted: BTreeSet<SocketAddr>,
+    /// How many of these in contact have yet to hold them.
+    missing: usize,
     since: Time,
 }
 
@@ -59,7 +72,7 @@
     waits: Vec<Wait>,
     /// What was heard of servers that leave, to be told on.
     hearsay: Vec<ServerRecord>,
-    /// Instances whose last news nobody else is known to hold.
+    /// Instances whose last news too few others are known to hold.
     unconfirmed: BTreeSet<String>,
     next_ack: u64,
     answers: Vec<(ConnId, bool)>,
@@ -125,7 +138,7 @@
             if let Some(record) =
                 self.registry.record(instance).filter(|_| self.unconfirmed.contains(instance))
             {
-                // Nobody else held its news when they were told last.
+                // Too few others are known to hold its last news.
                 changes = told_again(record);
             }
         }
@@ -186,7 +199,8 @@
     /// Another control machine holds the news of this number.
     pub(super) fn on_merged(&mut self, from: SocketAddr, ack: u64, in_contact: bool) {
         if let Some(wait) = self.waits.iter_mut().find(|wait| wait.ack == ack) {
-            wait.held |= wait.told.remove(&from) && in_contact;
+            let counts = wait.told.remove(&from) && in_contact && wait.counted.contains(&from);
+            wait.missing = wait.missing.saturating_sub(usize::from(counts));
         }
     }
 
@@ -202,9 +216,9 @@
         !self.changes.is_empty() || !self.callers.is_empty()
     }
 
-    /// Changes since this was last asked: what is to be told to routers, and the number under which the news go to the machines
-    /// `told`, or 0 if nobody waits for them.
-    pub(super) fn take_changes(&mut self, now: Time, told: &BTreeSet<SocketAddr>) -> (Changes, u64) {
+    /// Changes since this was last asked: what is to be told to routers, and the number under which the news go to the `audience`, or 0
+    /// if nobody waits for them.
+    pub(super) fn take_changes(&mut self, now: Time, audience: Audience) -> (Changes, u64) {
         let changes = std::mem::take(&mut self.changes);
         let callers = std::mem::take(&mut self.callers);
         if let Some(cache) = self.cache.as_mut().filter(|_| !changes.is_empty()) {
@@ -213,18 +227,11 @@
         if callers.is_empty() {
             return (changes, 0);
         }
-        if told.is_empty() {
-            // Whoever connects later gets the whole table.
-            for (caller, instance) in callers {
-                self.unconfirmed.remove(&instance);
-                self.answers.push((caller, true));
-            }
-            return (changes, 0);
-        }
         let ack = self.next_ack;
         self.next_ack += 1;
         let (callers, instances) = callers.into_iter().unzip();
-        self.waits.push(Wait { ack, instances, callers, told: told.clone(), held: false, since: now });
+        let Audience { told, counted, needed: missing } = audience;
+        self.waits.push(Wait { ack, instances, callers, told, counted, missing, since: now });
         (changes, ack)
     }
 
@@ -299,17 +306,22 @@
 }
 
 impl Wait {
-    /// Whether another machine holds the news; `None` while it is not known.
+    /// Whether enough machines hold the news.
+    fn held(&self) -> bool {
+        self.missing == 0
+    }
+
+    /// The same; `None` while it is not known.
     fn outcome(&self, now: Time) -> Option<bool> {
         let waited = |most| after(self.since, most) <= now;
-        match self.held {
+        match self.held() {
             true => (self.told.is_empty() || waited(ALL_WAIT)).then_some(true),
             false => (self.told.is_empty() || waited(LONGEST_WAIT)).then_some(false),
         }
     }
 
     fn next_wake(&self) -> Time {
-        after(self.since, if self.held { ALL_WAIT } else { LONGEST_WAIT })
+        after(self.since, if self.held() { ALL_WAIT } else { LONGEST_WAIT })
     }
 }
 
--- a/fleet/src/control/servers/tests.rs
+++ b/fleet/src/control/servers/tests.rs
@@ -16,8 +16,15 @@
     SocketAddr::from(([10, 0, 0, number], 7_300))
 }
 
-fn told(numbers: &[u8]) -> BTreeSet<SocketAddr> {
-    numbers.iter().map(|number| peer(*number)).collect()
+/// One of these has to hold the news, where there are any.
+fn told(numbers: &[u8]) -> Audience {
+    needed(numbers, numbers.len().min(1))
+}
+
+/// So many of these have to hold the news.
+fn needed(numbers: &[u8], needed: usize) -> Audience {
+    let told: BTreeSet<SocketAddr> = numbers.iter().map(|number| peer(*number)).collect();
+    Audience { counted: told.clone(), told, needed }
 }
 
 fn beat(sequence_number: u64, state: ServerState) -> Heartbeat {
@@ -42,7 +49,7 @@
 fn news_are_acknowledged_once_another_machine_in_contact_holds_them() {
     let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
     assert_eq!(servers.on_heartbeat(at(0), callers[0], "i-1", &beat(1, ServerState::Ready)), Beat::Waits);
-    let (changes, ack) = servers.take_changes(at(0), &told(&[2, 3]));
+    let (changes, ack) = servers.take_changes(at(0), told(&[2, 3]));
     assert_eq!(changes.news().len(), 1);
     servers.on_merged(peer(2), ack, false);
     servers.on_merged(peer(9), ack, true);
@@ -60,7 +67,7 @@
         servers.on_heartbeat(at(2_400), callers[1], "i-1", &beat(3, ServerState::Draining)),
         Beat::Waits
     );
-    servers.take_changes(at(2_400), &told(&[2]));
+    servers.take_changes(at(2_400), told(&[2]));
     assert_eq!(servers.on_deregister(at(2_500), callers[2], "i-1"), Beat::Waits);
 }
 
@@ -68,7 +75,7 @@
 fn one_slow_machine_holds_nobody_up_for_long() {
     let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
     servers.on_heartbeat(at(0), callers[0], "i-1", &beat(1, ServerState::Ready));
-    let (_, ack) = servers.take_changes(at(0), &told(&[2, 3]));
+    let (_, ack) = servers.take_changes(at(0), told(&[2, 3]));
     servers.on_merged(peer(2), ack, true);
     servers.settle(at(99));
     assert!(servers.take_answers().is_empty());
@@ -81,14 +88,14 @@
 fn news_that_nobody_else_holds_are_refused_and_told_again() {
     let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
     servers.on_heartbeat(at(0), callers[0], "i-1", &beat(1, ServerState::Ready));
-    servers.take_changes(at(0), &told(&[2]));
+    servers.take_changes(at(0), told(&[2]));
     // The same server again, while its news wait.
     assert_eq!(servers.on_heartbeat(at(50), callers[1], "i-1", &beat(2, ServerState::Ready)), Beat::Waits);
     servers.settle(at(400));
     assert_eq!(servers.take_answers(), [(callers[0], false), (callers[1], false)]);
 
     assert_eq!(servers.on_heartbeat(at(1_200), callers[2], "i-1", &beat(3, ServerState::Ready)), Beat::Waits);
-    let (changes, ack) = servers.take_changes(at(1_200), &told(&[2]));
+    let (changes, ack) = servers.take_changes(at(1_200), told(&[2]));
     assert_eq!((changes.news().len(), ack), (1, 2));
     servers.on_merged(peer(2), ack, true);
     servers.settle(at(1_201));
@@ -100,9 +107,9 @@
 fn a_call_that_brings_news_of_its_own_waits_for_these_and_not_for_older_ones() {
     let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
     servers.on_heartbeat(at(0), callers[0], "i-1", &beat(1, ServerState::Ready));
-    let (_, first) = servers.take_changes(at(0), &told(&[2, 3]));
+    let (_, first) = servers.take_changes(at(0), told(&[2, 3]));
     assert_eq!(servers.on_deregister(at(10), callers[1], "i-1"), Beat::Waits);
-    let (changes, second) = servers.take_changes(at(10), &told(&[2, 3]));
+    let (changes, second) = servers.take_changes(at(10), told(&[2, 3]));
     assert_eq!((changes.news().len(), second == first), (1, false));
     assert_ne!(second, 0, "that it has left is told under a number of its own");
     // Told once more while that waits, it waits for the same.
@@ -121,13 +128,14 @@
     let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
     // A machine that is cut off since has told this one, and perhaps nobody else.
     let record = beat(3, ServerState::Draining).record("i-1");
-    servers.on_records(at(0), &[record], false, true);
-    servers.take_changes(at(0), &told(&[2, 3]));
+    servers.on_records(at(0), std::slice::from_ref(&record), false, true);
+    assert_eq!(servers.take_hearsay(), [record], "it is told on");
+    servers.take_changes(at(0), told(&[2, 3]));
     assert_eq!(
         servers.on_heartbeat(at(100), callers[0], "i-1", &beat(3, ServerState::Draining)),
         Beat::Waits
     );
-    let (changes, ack) = servers.take_changes(at(100), &told(&[2, 3]));
+    let (changes, ack) = servers.take_changes(at(100), told(&[2, 3]));
     assert_eq!(changes.news().len(), 1);
     [2, 3].iter().for_each(|number| servers.on_merged(peer(*number), ack, true));
     servers.settle(at(110));
@@ -142,8 +150,63 @@
 fn a_machine_that_is_alone_acknowledges_by_itself() {
     let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
     servers.on_heartbeat(at(0), callers[0], "i-1", &beat(1, ServerState::Ready));
-    let (changes, ack) = servers.take_changes(at(0), &told(&[]));
-    assert_eq!((changes.records.len(), ack), (1, 0));
+    let (changes, ack) = servers.take_changes(at(0), told(&[]));
+    assert_eq!((changes.records.len(), ack), (1, 1));
+    servers.settle(at(0));
+    assert_eq!(servers.take_answers(), [(callers[0], true)]);
+}
+
+#[test]
+fn a_machine_whose_connections_are_all_gone_acknowledges_nothing_by_itself() {
+    let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
+    servers.on_deregister(at(0), callers[0], "i-1");
+    servers.take_changes(at(0), needed(&[], 1));
+    servers.settle(at(0));
+    assert_eq!(servers.take_answers(), [(callers[0], false)], "the server goes on to another machine");
+    // Once a machine is connected again it is told.
+    assert_eq!(servers.on_deregister(at(50), callers[1], "i-1"), Beat::Waits);
+    let (changes, ack) = servers.take_changes(at(50), needed(&[2], 1));
+    assert_eq!(changes.news().len(), 1);
+    servers.on_merged(peer(2), ack, true);
+    servers.settle(at(51));
+    assert_eq!(servers.take_answers(), [(callers[1], true)]);
+}
+
+#[test]
+fn news_are_held_by_as_many_as_no_part_of_the_group_that_goes_on_can_do_without() {
+    let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
+    // Five of eight machines are beyond a cut that nobody has noticed yet.
+    servers.on_deregister(at(0), callers[0], "i-1");
+    let (_, ack) = servers.take_changes(at(0), needed(&[2, 3, 4, 5, 6, 7, 8], 4));
+    [2, 3].iter().for_each(|number| servers.on_merged(peer(*number), ack, true));
+    servers.on_merged(peer(2), ack, true);
+    servers.on_merged(peer(4), ack, false);
+    servers.settle(at(399));
+    assert!(servers.take_answers().is_empty());
+    servers.settle(at(400));
+    assert_eq!(servers.take_answers(), [(callers[0], false)]);
+
+    // Without the cut, slow machines are not waited for once enough hold the news.
+    assert_eq!(servers.on_deregister(at(500), callers[1], "i-1"), Beat::Waits);
+    let (_, ack) = servers.take_changes(at(500), needed(&[2, 3, 4, 5, 6, 7, 8], 4));
+    [2, 3, 4, 5].iter().for_each(|number| servers.on_merged(peer(*number), ack, true));
+    servers.settle(at(599));
+    assert!(servers.take_answers().is_empty());
+    servers.settle(at(600));
+    assert_eq!(servers.take_answers(), [(callers[1], true)]);
+}
+
+#[test]
+fn a_machine_that_holds_no_copy_of_the_state_is_told_and_not_counted() {
+    let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
+    servers.on_deregister(at(0), callers[0], "i-1");
+    let audience = Audience { counted: BTreeSet::from([peer(2)]), ..needed(&[2, 9], 1) };
+    let (_, ack) = servers.take_changes(at(0), audience);
+    servers.on_merged(peer(9), ack, true);
+    servers.settle(at(399));
+    assert!(servers.take_answers().is_empty());
+    servers.on_merged(peer(2), ack, true);
+    servers.settle(at(399));
     assert_eq!(servers.take_answers(), [(callers[0], true)]);
 }
 
