Test what is acknowledged while control machines are stopped in turn

Four machines are told to end one after the other while orders, reads on kept connections and servers that leave go on at all of them: no call is refused, no read is older than what was acknowledged before it, nobody who has left is back, each machine ends in time.

--- a/fleet/tests/control_lost.rs
+++ b/fleet/tests/control_lost.rs
@@ -2,14 +2,15 @@
 
 mod control_support;
 
-use control_support::{call, configuration, wait_for, FakeRouter, Fleet, PATIENCE};
+use control_support::{call, configuration, order, wait_for, FakeRouter, Fleet, PATIENCE};
 use lichenswitch_fleet::envelopes::{encode, EnvelopeReader};
 use lichenswitch_messages::{
     ControlToRouter, Envelope, PeerMessage, ServerRecord, ServerState, PROTOCOL_VERSION,
 };
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Instant;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 const REPLACE: &str = "/configuration/replace";
 
@@ -135,3 +136,182 @@
     });
     assert_ne!(state, Some(ServerState::Ready));
 }
+
+/// A caller that keeps its connection, as servers and operators do.
+struct KeptCaller {
+    address: SocketAddr,
+    stream: Option<TcpStream>,
+}
+
+impl KeptCaller {
+    /// The status and body of an answer; `None`: refused, closed or silent for a second.
+    fn ask(&mut self, method: &str, path: &str) -> Option<(u16, String)> {
+        let answer = self.try_ask(method, path).ok();
+        if answer.is_none() {
+            self.stream = None;
+            // A dead port refuses at once.
+            std::thread::yield_now();
+        }
+        answer
+    }
+
+    fn try_ask(&mut self, method: &str, path: &str) -> std::io::Result<(u16, String)> {
+        let mut stream = match self.stream.take() {
+            Some(stream) => stream,
+            None => TcpStream::connect_timeout(&self.address, Duration::from_secs(1))?,
+        };
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        stream.write_all(
+            format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").as_bytes(),
+        )?;
+        let mut text = Vec::new();
+        loop {
+            let mut bytes = [0; 4_096];
+            let count = stream.read(&mut bytes)?;
+            if count == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+            text.extend_from_slice(&bytes[..count]);
+            if let Some((status, body, ends)) = whole_answer(&String::from_utf8_lossy(&text)) {
+                self.stream = Some(stream).filter(|_| !ends);
+                return Ok((status, body));
+            }
+        }
+    }
+}
+
+/// Status and body of an answer that is whole, and whether it ends its connection.
+fn whole_answer(text: &str) -> Option<(u16, String, bool)> {
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let head = head.to_ascii_lowercase();
+    let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+    let length: usize = field("content-length:")?.parse().ok()?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    (body.len() == length).then(|| (status, body.to_owned(), field("connection:") == Some("close")))
+}
+
+/// The version of a configuration.
+fn version_of(body: &str) -> u64 {
+    let version = body.strip_prefix("{\"version\":").and_then(|rest| rest.split_once(','));
+    version.unwrap().0.parse().unwrap()
+}
+
+/// What callers have been told, and when they end.
+#[derive(Default)]
+struct Told {
+    version: AtomicU64,
+    reads: AtomicU64,
+    over: AtomicBool,
+}
+
+/// Changes the configuration again and again. Each order goes to the machines in turn until one acknowledges it; none may refuse it.
+fn change_until_over(addresses: &[SocketAddr], told: &Told) {
+    let mut place = 0;
+    while !told.over.load(Ordering::SeqCst) {
+        let base = told.version.load(Ordering::SeqCst);
+        let body = configuration(base + 1, 1);
+        let acknowledged = loop {
+            place += 1;
+            match order(addresses[place % addresses.len()], REPLACE, base, &body) {
+                Ok(answer) if answer.status == 200 => break true,
+                Ok(answer) => assert_eq!(answer.status, 503, "{answer:?}"),
+                Err(_) if told.over.load(Ordering::SeqCst) => break false,
+                Err(_) => std::thread::yield_now(),
+            }
+        };
+        if acknowledged {
+            told.version.store(base + 1, Ordering::SeqCst);
+        }
+    }
+}
+
+/// Reads the configuration at one machine again and again: never older than what was acknowledged before the read was sent.
+fn read_until_over(address: SocketAddr, told: &Told) {
+    let mut caller = KeptCaller { address, stream: None };
+    while !told.over.load(Ordering::SeqCst) {
+        let least = told.version.load(Ordering::SeqCst);
+        match caller.ask("GET", "/configuration/describe") {
+            Some((200, body)) => {
+                let version = version_of(&body);
+                assert!(version >= least, "{address} told version {version}, {least} was acknowledged");
+                told.reads.fetch_add(1, Ordering::SeqCst);
+            }
+            Some((status, body)) => assert_eq!(status, 503, "{body}"),
+            None => {}
+        }
+    }
+}
+
+/// Servers that leave, one after the other, each told to the machines in turn until one acknowledges it. Tells who was acknowledged.
+fn leave_until_over(addresses: &[SocketAddr], told: &Told) -> Vec<String> {
+    let callers = addresses.iter().map(|address| KeptCaller { address: *address, stream: None });
+    let mut callers: Vec<KeptCaller> = callers.collect();
+    let (mut left, mut place) = (Vec::new(), 0);
+    while !told.over.load(Ordering::SeqCst) {
+        let instance = format!("i-{:04}", left.len());
+        let _ = control_support::beat(addresses[place % addresses.len()], &instance, "ready", 2);
+        let acknowledged = loop {
+            place += 1;
+            let caller = &mut callers[place % addresses.len()];
+            match caller.ask("POST", &format!("/instances/{instance}/deregister")) {
+                Some((200, _)) => break true,
+                Some((status, body)) => assert_eq!(status, 503, "{body}"),
+                None if told.over.load(Ordering::SeqCst) => break false,
+                None => {}
+            }
+        };
+        if acknowledged {
+            left.push(instance);
+        }
+    }
+    left
+}
+
+#[test]
+fn what_was_acknowledged_while_machines_are_stopped_in_turn_holds_at_all_of_them() {
+    let mut fleet = Fleet::of("in-turn", &[true, true, true, true]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    fleet.await_whole();
+    let addresses: Vec<SocketAddr> = fleet.machines.iter().map(|machine| machine.control_plane).collect();
+    let told = Told::default();
+    told.version.store(1, Ordering::SeqCst);
+    let left = std::thread::scope(|scope| {
+        let operator = scope.spawn(|| change_until_over(&addresses, &told));
+        let readers: Vec<_> =
+            addresses.iter().map(|address| scope.spawn(|| read_until_over(*address, &told))).collect();
+        let servers = scope.spawn(|| leave_until_over(&addresses, &told));
+        for place in 0..4 {
+            let (status, took) = fleet.stop(place);
+            println!("machine {place} ended within {took:?}");
+            assert_eq!(status.code(), Some(0));
+            assert!(took < Duration::from_millis(7_000), "{took:?}");
+            fleet.start(place, false);
+            fleet.await_whole();
+        }
+        told.over.store(true, Ordering::SeqCst);
+        operator.join().unwrap();
+        readers.into_iter().for_each(|reader| reader.join().unwrap());
+        servers.join().unwrap()
+    });
+    let (version, reads) = (told.version.load(Ordering::SeqCst), told.reads.load(Ordering::SeqCst));
+    println!("{version} versions, {reads} reads, {} servers that left", left.len());
+    assert!(version > 10 && reads > 10 && left.len() > 10);
+    for place in 0..4 {
+        // The last order may have been taken without an acknowledgement.
+        let read_back = version_of(&fleet.describe(place));
+        assert!((version..=version + 1).contains(&read_back), "{read_back}, and {version} was acknowledged");
+        let mut router = FakeRouter::connect(fleet.machines[place].internal, "reader");
+        let mut ready = Vec::new();
+        router.next_of(|message| match message {
+            ControlToRouter::Servers { records, whole, .. } => {
+                let found = records.into_iter().filter(|record| record.state == ServerState::Ready);
+                ready.extend(found.map(|record| record.instance));
+                whole.then_some(())
+            }
+            _ => None,
+        });
+        let back: Vec<&String> = left.iter().filter(|instance| ready.contains(instance)).collect();
+        assert!(back.is_empty(), "machine {place} has {back:?} back");
+    }
+}
