Refuse a server's news at once where too few machines can hold them

Change: it is refused as soon as fewer voters are left to answer than are missing; the server goes on to the next machine.

--- a/fleet/src/control/servers.rs
+++ b/fleet/src/control/servers.rs
@@ -306,6 +306,11 @@
 }
 
 impl Wait {
+    /// Whether too few are left that could yet hold them.
+    fn is_hopeless(&self) -> bool {
+        self.told.intersection(&self.counted).count() < self.missing
+    }
+
     /// Whether enough machines hold the news.
     fn held(&self) -> bool {
         self.missing == 0
@@ -316,7 +321,7 @@
         let waited = |most| after(self.since, most) <= now;
         match self.held() {
             true => (self.told.is_empty() || waited(ALL_WAIT)).then_some(true),
-            false => (self.told.is_empty() || waited(LONGEST_WAIT)).then_some(false),
+            false => (self.is_hopeless() || waited(LONGEST_WAIT)).then_some(false),
         }
     }
 
--- a/fleet/src/control/servers/tests.rs
+++ b/fleet/src/control/servers/tests.rs
@@ -163,7 +163,12 @@
     servers.take_changes(at(0), needed(&[], 1));
     servers.settle(at(0));
     assert_eq!(servers.take_answers(), [(callers[0], false)], "the server goes on to another machine");
-    // Once a machine is connected again it is told.
+    // Nor does one that reaches too few.
+    assert_eq!(servers.on_deregister(at(20), callers[2], "i-1"), Beat::Waits);
+    servers.take_changes(at(20), needed(&[2], 2));
+    servers.settle(at(20));
+    assert_eq!(servers.take_answers(), [(callers[2], false)], "it needn't wait to know that");
+    // Once enough machines are connected again they are told.
     assert_eq!(servers.on_deregister(at(50), callers[1], "i-1"), Beat::Waits);
     let (changes, ack) = servers.take_changes(at(50), needed(&[2], 1));
     assert_eq!(changes.news().len(), 1);
