Send a caller its whole answer, however slowly it reads

Cause: a connection whose answer was its last was closed 2 s after the answer had been queued, and one that its caller had closed for writing at once, with whatever was unsent: an answer of 4.1 MB ended after 2.8 MB. Change: what lingers is counted only once all is written; before, a connection that rests 30 s is closed. Result: a_caller_that_reads_slowly_gets_the_whole_answer failed before and passes.

--- a/fleet/src/control/callers.rs
+++ b/fleet/src/control/callers.rs
@@ -63,6 +63,7 @@
             self.close(net, id);
             return None;
         }
+        self.end_if_done(net, id);
         self.read(net, id)
     }
 
@@ -92,8 +93,11 @@
                     conn.send(b"HTTP/1.1 100 Continue\r\n\r\n");
                     self.touched.push(id);
                 }
-                if conn.ended {
+                if conn.ended && conn.flushed() {
                     self.close(net, id);
+                } else if conn.ended {
+                    // It sends no more, and may yet read its last answer.
+                    *session = Session { phase: Phase::Ending, since: now };
                 }
                 None
             }
@@ -161,13 +165,14 @@
     /// Closes what has rested too long.
     pub(super) fn sweep(&mut self, net: &mut Net) {
         let now = net.clock.now();
-        let over = |session: &Session| match session.phase {
-            Phase::Reading => elapsed(session.since, now) > IDLE,
+        let flushed = |id: &ConnId| net.get(*id).is_none_or(|conn| conn.flushed());
+        let over = |(id, session): &(&ConnId, &Session)| match session.phase {
+            Phase::Ending if flushed(id) => elapsed(session.since, now) > LINGER,
+            // A long answer may take its time on a narrow link.
+            Phase::Reading | Phase::Ending => elapsed(session.since, now) > IDLE,
             Phase::Answering { .. } => false,
-            Phase::Ending => elapsed(session.since, now) > LINGER,
         };
-        let over: Vec<ConnId> =
-            self.sessions.iter().filter(|(_, session)| over(session)).map(|(id, _)| *id).collect();
+        let over: Vec<ConnId> = self.sessions.iter().filter(over).map(|(id, _)| *id).collect();
         over.into_iter().for_each(|id| self.close(net, id));
     }
 
--- a/fleet/tests/control_lost.rs
+++ b/fleet/tests/control_lost.rs
@@ -7,6 +7,7 @@
 use lichenswitch_messages::{
     ControlToRouter, Envelope, PeerMessage, ServerRecord, ServerState, PROTOCOL_VERSION,
 };
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -315,3 +316,38 @@
         assert!(back.is_empty(), "machine {place} has {back:?} back");
     }
 }
+
+#[test]
+fn a_caller_that_reads_slowly_gets_the_whole_answer() {
+    let mut fleet = Fleet::of("slow-reader", &[true]);
+    fleet.start_first();
+    // Longer than what the sockets of both ends hold, and quick to check.
+    let note = format!("{{\"note\":\"{}\",", "x".repeat(4_100_000));
+    let body = configuration(1, 1).replacen('{', &note, 1);
+    assert_eq!(fleet.order(REPLACE, 0, &body).status, 200);
+    for (head, half_close) in [("Connection: close\r\n", false), ("", true)] {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(4_096).unwrap();
+        socket.connect(&fleet.machines[0].control_plane.into()).unwrap();
+        let mut stream = TcpStream::from(socket);
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+            .write_all(format!("GET /configuration/describe HTTP/1.1\r\nHost: x\r\n{head}\r\n").as_bytes())
+            .unwrap();
+        if half_close {
+            stream.shutdown(std::net::Shutdown::Write).unwrap();
+        }
+        let mut answer = vec![0; 1];
+        stream.read_exact(&mut answer).unwrap();
+        // The machine answers others for longer than it lingers on a connection whose answer has been read.
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_millis(2_600) {
+            let status = call(fleet.machines[0].control_plane, "GET", "/status", &[], "").unwrap().status;
+            assert_eq!(status, 200);
+        }
+        let rest = stream.read_to_end(&mut answer);
+        let told = String::from_utf8_lossy(&answer);
+        let whole = told.split_once("\r\n\r\n").is_some_and(|(_, told)| told == body);
+        assert!(whole, "{} of {} bytes, {rest:?}, half closed: {half_close}", answer.len(), body.len());
+    }
+}
