Don't acknowledge that a server leaves from one machine's whole table

Cause: what came with the whole table of a machine that connects (again) was taken as held by enough, so that a call about it was acknowledged at once. Change: it counts as unconfirmed too; it is not told on, as all that connect get that table. Result: that_a_server_leaves_is_not_acknowledged_from_the_table_of_one_machine failed before and passes.

--- a/fleet/src/control/servers.rs
+++ b/fleet/src/control/servers.rs
@@ -163,18 +163,19 @@
     /// Another control machine has sent records.
     pub(super) fn on_records(&mut self, now: Time, records: &[ServerRecord], whole: bool, in_contact: bool) {
         let changes = self.registry.merge_all(now.0, records);
-        if !whole {
-            self.note_hearsay(&changes);
-        }
+        self.note_hearsay(&changes, whole);
         self.changes.append(changes);
         self.has_table |= whole && in_contact;
     }
 
-    /// What one machine says of a server that leaves is told on, and counts as held by too few until this machine knows better.
-    fn note_hearsay(&mut self, changes: &Changes) {
+    /// What one machine says of a server that leaves counts as held by too few until this machine knows better, and is told on; not
+    /// so what comes with a whole table, which all get that connect.
+    fn note_hearsay(&mut self, changes: &Changes, whole: bool) {
         for record in changes.news().iter().filter(|record| record.state != ServerState::Ready) {
             self.unconfirmed.insert(record.instance.clone());
-            self.hearsay.push(record.clone());
+            if !whole {
+                self.hearsay.push(record.clone());
+            }
         }
     }
 
--- a/fleet/src/control/servers/tests.rs
+++ b/fleet/src/control/servers/tests.rs
@@ -146,6 +146,20 @@
     );
 }
 
+#[test]
+fn that_a_server_leaves_is_not_acknowledged_from_the_table_of_one_machine() {
+    let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
+    servers.on_records(at(0), &[lichenswitch_registry::tombstone("i-1")], true, true);
+    assert_eq!(servers.take_hearsay(), [], "all that connect to that machine get its table");
+    servers.take_changes(at(0), told(&[2, 3]));
+    assert_eq!(servers.on_deregister(at(100), callers[0], "i-1"), Beat::Waits);
+    assert_eq!(servers.take_changes(at(100), told(&[2, 3])).0.news().len(), 1);
+    // Once it is forgotten nothing is left of it.
+    servers.tick(at(200_000));
+    servers.tick(at(400_000));
+    assert!(servers.registry().is_empty() && servers.unconfirmed.is_empty());
+}
+
 #[test]
 fn a_machine_that_is_alone_acknowledges_by_itself() {
     let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
