Test eight orders under one number while the primary is killed

Two configurations under one number, each sent by four callers at four machines, with the primary killed meanwhile, five times over: one is taken, its repeats are acknowledged at each machine to the end, the other is refused for good.

--- a/fleet/tests/control_lost.rs
+++ b/fleet/tests/control_lost.rs
@@ -351,3 +351,50 @@
         assert!(whole, "{} of {} bytes, {rest:?}, half closed: {half_close}", answer.len(), body.len());
     }
 }
+
+/// One order, sent to the machines in turn until the answer is clear.
+fn verdict(addresses: &[SocketAddr], first: usize, base: u64, body: &str) -> u16 {
+    let began = Instant::now();
+    for place in (0..addresses.len()).cycle().skip(first) {
+        match order(addresses[place], REPLACE, base, body) {
+            Ok(answer) if answer.status != 503 => return answer.status,
+            _ if began.elapsed() > PATIENCE => break,
+            _ => std::thread::yield_now(),
+        }
+    }
+    panic!("no clear answer");
+}
+
+#[test]
+fn of_eight_orders_under_one_number_one_wins_and_its_repeats_while_the_primary_is_killed() {
+    let mut fleet = Fleet::of("eight", &[true, true, true, true]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    fleet.await_whole();
+    let addresses: Vec<SocketAddr> = fleet.machines.iter().map(|machine| machine.control_plane).collect();
+    let mut taken: Vec<(u64, String)> = Vec::new();
+    for base in 1..6 {
+        let primary = fleet.primary(&[0, 1, 2, 3]);
+        // Two configurations under one number, each sent by four callers at once.
+        let bodies = [configuration(base + 1, 2), configuration(base + 1, 3)];
+        let verdicts: Vec<(usize, u16)> = std::thread::scope(|scope| {
+            let (addresses, bodies) = (&addresses, &bodies);
+            let send = |n: usize| (n % 2, verdict(addresses, n / 2, base, &bodies[n % 2]));
+            let callers: Vec<_> = (0..8).map(|n| scope.spawn(move || send(n))).collect();
+            fleet.kill(primary);
+            callers.into_iter().map(|caller| caller.join().unwrap()).collect()
+        });
+        let winner = verdicts.iter().find(|(_, status)| *status == 200).unwrap().0;
+        for (which, status) in &verdicts {
+            assert_eq!(*status, if *which == winner { 200 } else { 412 }, "{verdicts:?}");
+        }
+        taken.push((base, bodies[winner].clone()));
+        fleet.start(primary, false);
+        fleet.await_whole();
+        assert_eq!(fleet.describe(primary), bodies[winner]);
+        assert_eq!(verdict(&addresses, primary, base, &bodies[1 - winner]), 412);
+    }
+    for (base, body) in &taken {
+        (0..4).for_each(|place| assert_eq!(verdict(&addresses, place, *base, body), 200, "a repeat"));
+    }
+}
