Test two ways in which a request that waits ends at the wrong time

Cause: found by reading. An attempt that never left (its server's connections are all in use, or it began to drain) needs the further-try budget to be made again; and the user time-out of connections to servers ends one whose server leaves a long body unread for 3 s, though it is only silent.

--- /dev/null
+++ b/fleet/tests/router_waiting.rs
@@ -0,0 +1,61 @@
+//! LOST and the price of holding: what a request waits for ends it neither sooner nor later than it must.
+
+mod support;
+
+use std::io::Read;
+use std::time::{Duration, Instant};
+use support::client::{request, Client};
+use support::rig::{document, Rig};
+use support::server::{Next, Server};
+
+#[test]
+fn an_attempt_that_never_left_is_made_again_whatever_the_budget() {
+    let server = Server::start("i-1", |seen, talk| {
+        std::thread::sleep(Duration::from_millis(250));
+        talk.answer(seen, 200, "Keep-Alive: timeout=9\r\n", "done");
+        Next::Keep
+    });
+    let rig = Rig::with(&[&server], 6_000, 2_000, 2);
+    // While it is not known how many routers there are the budget is its ratio alone: too little for a first further try.
+    rig.control.set_routers(0);
+    let two = document(2, 6_000, 2_000, 2).replace("\"maxConnections\":100", "\"maxConnections\":2");
+    rig.control.push_configuration(2, &two);
+    rig.control.settled();
+    let began = Instant::now();
+    let clients: Vec<_> = (0..8)
+        .map(|number| {
+            let address = rig.router.frontend;
+            let request = request("POST", "unsafe", &format!("w{number}"), "", "x");
+            std::thread::spawn(move || Client::connect(address).ask(request).status)
+        })
+        .collect();
+    let statuses: Vec<u16> = clients.into_iter().map(|client| client.join().expect("a client")).collect();
+    // Two at a time, a quarter of a second each.
+    assert_eq!((statuses, server.seen().len()), (vec![200; 8], 8));
+    assert!(began.elapsed() < Duration::from_millis(2_500), "{:?}", began.elapsed());
+}
+
+#[test]
+fn a_server_that_reads_a_long_body_late_is_waited_for() {
+    let server = Server::start("i-1", |seen, talk| {
+        // Its queue is long. The system holds some of the body, and no more of it goes out.
+        std::thread::sleep(Duration::from_millis(4_500));
+        let mut left: usize =
+            seen.header("content-length").and_then(|text| text.parse().ok()).expect("a length");
+        let mut bytes = [0; 65_536];
+        while left > 0 {
+            match talk.stream.read(&mut bytes) {
+                Ok(read) if read > 0 => left -= read,
+                _ => return Next::Close,
+            }
+        }
+        talk.answer(seen, 200, "Keep-Alive: timeout=9\r\n", "done");
+        Next::Close
+    });
+    let rig = Rig::with(&[&server], 9_000, 8_000, 1);
+    for kind in ["unsafe", "safe"] {
+        let body = "x".repeat(4_000_000);
+        let reply = rig.client().ask(request("POST", kind, kind, "Early: 1\r\n", &body));
+        assert_eq!((reply.status, server.times(kind)), (200, 1), "{kind}, after {:?}", reply.took);
+    }
+}
