Let what never left go again whatever the further-try budget

Cause: an attempt that never left (its server's connections are all in use, it began to drain while the connection was being opened, this process lacks a descriptor) took the further-try budget to be made again. The budget is for arrivals beyond the first of a request. Where it was used up, the request was held to its end and refused without having been offered to anybody. Change: while nothing of a part has left, the budget is neither asked nor charged once a while has passed since the last try; sooner than that it is, as before, so that tries that end at once don't make a loop. The tests of policy, core, stats and the root's rules, guards, ordinary_path and properties pass.

--- a/policy/src/choice.rs
+++ b/policy/src/choice.rs
@@ -159,10 +159,12 @@
         scaled(window, COPY_SHARE)
     }
 
-    /// A retry after a failure, or the one copy of a late part; to a replica not yet tried if there is one.
-    /// After a copy has been silent for half as long the older twin is withdrawn and a third attempt made.
+    /// A retry after a failure, or of what never left (that needs no budget), or the one copy of a late part; to a
+    /// replica not tried yet if there is one. Where a copy is silent for half as long its twin makes way for a third.
     pub(super) fn send_again(&mut self, id: QueryId, i: usize, copy: bool, out: &mut Vec<Action>) {
-        let budget = self.budget_allows();
+        let home = |p: &Part| p.made() == 0 && p.tries.iter().all(|t| self.now >= t.sent.plus(LOOK));
+        let first = self.queries.get(&id).is_some_and(|q| home(&q.parts[i]));
+        let budget = first || self.budget_allows();
         let Some(q) = self.queries.get(&id) else { return };
         let (p, class) = (&q.parts[i], q.class);
         let tried: Vec<ServerId> = p.tries.iter().map(|t| t.server).collect();
@@ -205,7 +207,7 @@
             self.copy_tokens -= f64::from(u8::from(budget));
         }
         if budget {
-            self.further.add(self.now);
+            Some(self.now).filter(|_| !first).into_iter().for_each(|now| self.further.add(now));
             self.send(id, i, server, out);
         }
     }
