Wait for a server that leaves a long body unread

Cause: connections to servers break after 3 s without a sign that what was sent has arrived. The system counts a server that has no room for more among those: one that is only silent, with a long body still unread, had its connection ended by us, and its request got a 502 in the middle of its time. Change: while a body of more than 32 KB waits for the beginning of its answer only the time of its request ends its connection; from the head on the 3 s hold again, so that a stream whose server is lost is found as before.

--- a/fleet/src/router/program.rs
+++ b/fleet/src/router/program.rs
@@ -85,8 +85,8 @@
     }
 }
 
-/// A server that is well acknowledges within milliseconds; one whose queue is long may leave a long body unread for some time.
-const SERVER_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// A server that is well acknowledges within milliseconds, as long as its system has room for what it has not read.
+pub const SERVER_USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Clients give a stream up after two seconds of silence at the least: what is found by then can still go on elsewhere.
 const SERVER_PROBE: Duration = Duration::from_millis(1_000);
 /// Control machines speak four times a second.
--- a/fleet/src/router/server_connections.rs
+++ b/fleet/src/router/server_connections.rs
@@ -10,9 +10,9 @@
 mod pool;
 mod reading;
 
-use super::program::{micros, Net, Timer};
+use super::program::{micros, Net, Timer, SERVER_USER_TIMEOUT};
 use super::request::{ClientRequest, Send};
-use super::response::{ResponseHead, ResponseReader};
+use super::response::{Piece, ResponseHead, ResponseReader};
 use super::servers::Endpoint;
 use super::service::AttemptId;
 use lichenswitch_event_stream::Scanner;
@@ -39,6 +39,9 @@
 const WAIT: Micros = 100_000;
 /// An answer that is not a stream is passed on whole up to this length, and as it comes beyond it (bytes).
 const MAX_WHOLE: usize = 256 * 1_024;
+/// A longer body may find no room at a server that has not read its beginning yet (bytes): half of what systems give a connection.
+/// A server that is only silent is waited for, so that until its answer begins nothing but the request's time ends such a connection.
+const LONG_BODY: usize = 32 * 1_024;
 /// Most bytes of one event.
 const MAX_EVENT: usize = 256 * 1_024;
 
@@ -65,6 +68,13 @@
     pub max_connections: usize,
 }
 
+impl Attempt {
+    /// Whether its server's system may have no room for all of it.
+    fn has_long_body(&self) -> bool {
+        self.request.body.len() > LONG_BODY
+    }
+}
+
 /// A server's answer, whole.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
@@ -324,6 +334,9 @@
             priority: attempt.priority,
             resume_after: attempt.resume_after.as_deref(),
         };
+        if attempt.has_long_body() {
+            conn.set_user_timeout(left);
+        }
         let mut bytes = Vec::new();
         attempt.request.encode(&send, &mut bytes);
         let begins = conn.written();
@@ -348,15 +361,20 @@
             // The end of a connection is the end of an answer only if the connection ended in order.
             let ended = conn.ended && !broken;
             match current.reader.read(&mut conn.input, ended) {
-                Ok(Some(piece)) => match current.take(piece) {
-                    Taken::Nothing => {}
-                    Taken::Event(event) => self.events.push(event),
-                    Taken::Whole(event) => {
-                        self.events.push(event);
-                        return self.finished(net, id);
+                Ok(Some(piece)) => {
+                    if matches!(piece, Piece::Head(_)) && current.attempt.has_long_body() {
+                        conn.set_user_timeout(SERVER_USER_TIMEOUT);
+                    }
+                    match current.take(piece) {
+                        Taken::Nothing => {}
+                        Taken::Event(event) => self.events.push(event),
+                        Taken::Whole(event) => {
+                            self.events.push(event);
+                            return self.finished(net, id);
+                        }
+                        Taken::Odd => return self.broken(net, id),
                     }
-                    Taken::Odd => return self.broken(net, id),
-                },
+                }
                 Ok(None) => break,
                 Err(_) => return self.broken(net, id),
             }
--- a/wire/net/src/lib.rs
+++ b/wire/net/src/lib.rs
@@ -15,6 +15,7 @@
 use lichenswitch_descriptors::{Reason, Shares, Side, Verdict};
 use lichenswitch_interface::Time;
 use polling::{Event, PollMode, Poller};
+use socket2::SockRef;
 use std::fmt;
 use std::io::{self, Read};
 use std::net::{TcpListener, TcpStream};
@@ -153,6 +154,11 @@
     pub fn flushed(&self) -> bool {
         self.output.is_empty()
     }
+    /// From now on it breaks after this long without a sign that what was sent has arrived; see [`Program::user_timeout`].
+    pub fn set_user_timeout(&self, timeout: Duration) {
+        // Where the system has no such option, silence is noticed by whoever listens for it.
+        let _ = SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout));
+    }
     /// Ends this side: the other reads to the end of what was written.
     pub fn end_output(&mut self) {
         // One that is gone already needs no end.
