Test a request that waits while its service goes and comes

Cause: the storm of configurations accepts a refusal at any time, and so did not notice a service that is dropped while a request waits there (tried: Services::apply without its check for what is held). Change: six requests of three kinds wait for two connections while their route and service go and come every 100 ms; all are served.

--- a/fleet/tests/router_waiting.rs
+++ b/fleet/tests/router_waiting.rs
@@ -65,3 +65,35 @@
         assert_eq!((reply.status, server.times(kind)), (200, 1), "{kind}, after {:?}", reply.took);
     }
 }
+
+#[test]
+fn a_request_that_waits_for_a_connection_is_served_though_its_service_goes_and_comes() {
+    let server = Server::start("i-1", |seen, talk| {
+        std::thread::sleep(Duration::from_millis(600));
+        talk.answer(seen, 200, "Keep-Alive: timeout=9\r\n", "done");
+        Next::Keep
+    });
+    let rig = Rig::with(&[&server], 6_000, 2_000, 2);
+    let two = |version| {
+        document(version, 6_000, 2_000, 2).replace("\"maxConnections\":100", "\"maxConnections\":2")
+    };
+    let without = |version| format!("{{\"version\":{version},\"routes\":[],\"services\":[]}}");
+    rig.control.push_configuration(2, &two(2));
+    rig.control.settled();
+    let mut clients: Vec<Client> = (0..6).map(|_| rig.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let kind = ["unsafe", "safe", "stream"][number % 3];
+        client.send(request("POST", kind, &format!("g{number}"), "", "x"));
+    }
+    support::until("two are there", || server.seen().len() == 2);
+    for version in 3..20 {
+        let next = if version % 2 == 0 { two(version) } else { without(version) };
+        rig.control.push_configuration(version, &next);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    for client in &mut clients {
+        let reply = client.reply();
+        assert_eq!((reply.status, reply.text()), (200, "done"), "after {:?}", reply.took);
+    }
+    assert_eq!(server.seen().len(), 6, "each was sent once");
+}
