--- a/policy/src/choice.rs
+++ b/policy/src/choice.rs
@@ -162,14 +162,13 @@
     /// A retry after a failure, or of what never left (that needs no budget), or the one copy of a late part; to a
     /// replica not tried yet if there is one. Where a copy is silent for half as long its twin makes way for a third.
     pub(super) fn send_again(&mut self, id: QueryId, i: usize, copy: bool, out: &mut Vec<Action>) {
-        let home = |p: &Part| p.made() == 0 && p.tries.iter().all(|t| self.now >= t.sent.plus(LOOK));
-        let first = self.queries.get(&id).is_some_and(|q| home(&q.parts[i]));
-        let budget = first || self.budget_allows();
+        let never_left = |p: &Part| p.made() == 0 && p.tries.iter().all(|t| self.now >= t.sent.plus(LOOK));
+        let is_first = self.queries.get(&id).is_some_and(|q| never_left(&q.parts[i]));
+        let budget = is_first || self.budget_allows();
         let Some(q) = self.queries.get(&id) else { return };
-        let (p, class) = (&q.parts[i], q.class);
+        let (p, class, missing) = (&q.parts[i], q.class, q.once);
         let tried: Vec<ServerId> = p.tries.iter().map(|t| t.server).collect();
         let out_at: Vec<usize> = p.out().map(usize::from).collect();
-        let missing = q.once;
         let last_zone = tried.last().and_then(|t| self.servers.get(t)).map(|s| s.zone);
         let rng = &mut self.rng.clone();
         let target = self
@@ -185,10 +184,8 @@
         let Some((_, server, expected)) = target else { return };
         let end = if self.now < q.aim_at { q.aim_at } else { self.end_of(q) };
         if copy {
-            let Some(&oldest) = out_at.first() else { return };
-            if expected > end.since(self.now) as f64 {
-                return;
-            }
+            let in_time = expected <= end.since(self.now) as f64;
+            let Some(&oldest) = out_at.first().filter(|_| in_time) else { return };
             // It is silent where another would have answered: if none would, it is load and no one's fault.
             let part = p.id;
             if !p.late {
@@ -207,7 +204,9 @@
             self.copy_tokens -= f64::from(u8::from(budget));
         }
         if budget {
-            Some(self.now).filter(|_| !first).into_iter().for_each(|now| self.further.add(now));
+            if !is_first {
+                self.further.add(self.now);
+            }
             self.send(id, i, server, out);
         }
     }
