--- a/simulator/src/lib.rs
+++ b/simulator/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod documents;
 pub mod ledger;
 pub mod network;
+pub mod overlaps;
 pub mod packet;
 pub mod scheduler;
 pub mod walk;
--- a/simulator/src/main.rs
+++ b/simulator/src/main.rs
@@ -4,7 +4,8 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use lichenswitch_simulator::walk::{walk, Walk};
+use lichenswitch_simulator::overlaps;
+use lichenswitch_simulator::walk::{walk, Walk, WalkEnd};
 use lichenswitch_simulator::world::WorldSettings;
 
 mod measure;
@@ -31,6 +32,14 @@
         /// Faults in each walk.
         #[bpaf(argument("NUMBER"), fallback(8))]
         episodes: u32,
+        /// Operators; eight are what the pages allow at once.
+        #[bpaf(argument("NUMBER"), fallback(2))]
+        operators: u32,
+        /// Readers of the configuration.
+        #[bpaf(argument("NUMBER"), fallback(1))]
+        readers: u32,
+        /// The faults overlap, and more is lost at a time than service has to bear, but for the disks.
+        overlaps: bool,
         /// Show the whole trace of each seed.
         trace: bool,
     },
@@ -62,8 +71,17 @@
 
 fn main() -> ExitCode {
     match command().run() {
-        Command::Walk { seeds, voters, tolerate, episodes, trace } => {
-            walk_seeds(seeds, voters, tolerate, episodes, trace)
+        Command::Walk { seeds, voters, tolerate, episodes, operators, readers, overlaps, trace } => {
+            let way = if overlaps { Way::Overlapping } else { Way::OneByOne };
+            let world = WorldSettings {
+                voters,
+                tolerate,
+                operators,
+                readers,
+                trace,
+                ..WorldSettings::new(seeds.first)
+            };
+            walk_seeds(seeds, &Walk { world, episodes }, way)
         }
         Command::Measure { runs } => {
             measure::print(runs);
@@ -72,20 +90,44 @@
     }
 }
 
-fn walk_seeds(seeds: SeedRange, voters: u32, tolerate: u32, episodes: u32, trace: bool) -> ExitCode {
+/// How faults follow each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    /// Within what must be borne.
+    OneByOne,
+    /// Beyond it, but for the disks.
+    Overlapping,
+}
+
+impl Way {
+    fn walk(self, walked: &Walk) -> WalkEnd {
+        match self {
+            Way::OneByOne => walk(walked),
+            Way::Overlapping => overlaps::walk(walked),
+        }
+    }
+}
+
+fn walk_seeds(seeds: SeedRange, like: &Walk, way: Way) -> ExitCode {
     let mut failed = 0;
     let (mut acknowledged, mut faults) = (0, 0);
+    let WorldSettings { voters, tolerate, operators, readers, trace, .. } = like.world;
+    let (episodes, flag) = (like.episodes, if way == Way::Overlapping { " --overlaps" } else { "" });
     for seed in seeds.first..seeds.beyond {
-        let world = WorldSettings { voters, tolerate, trace, ..WorldSettings::new(seed) };
+        let world = WorldSettings { seed, ..like.world.clone() };
         let walked = Walk { world, episodes };
-        let end = walk(&walked);
+        let end = way.walk(&walked);
         acknowledged += end.world.ledger.acknowledgements().len();
         faults += end.world.counts.faults;
         if let Some(violation) = &end.violation {
             failed += 1;
             println!("seed {seed}: {violation}");
-            println!("  again: walk --seeds {seed}..{} --voters {voters} --tolerate {tolerate} --episodes {episodes} --trace", seed + 1);
-            show(walked, trace);
+            println!(
+                "  again: walk --seeds {seed}..{} --voters {voters} --tolerate {tolerate} --operators {operators} --readers {readers} \
+                 --episodes {episodes}{flag} --trace",
+                seed + 1
+            );
+            show(walked, way, trace);
         } else if trace {
             end.world.trace().for_each(|line| println!("  {line}"));
         }
@@ -100,9 +142,9 @@
 }
 
 /// Walks a failing seed again with a trace, and shows its end.
-fn show(walked: Walk, whole: bool) {
+fn show(walked: Walk, way: Way, whole: bool) {
     let world = WorldSettings { trace: true, ..walked.world };
-    let end = walk(&Walk { world, ..walked });
+    let end = way.walk(&Walk { world, ..walked });
     let lines: Vec<&str> = end.world.trace().collect();
     let skipped = if whole { 0 } else { lines.len().saturating_sub(TRACE_SHOWN) };
     lines.iter().skip(skipped).for_each(|line| println!("  {line}"));
--- a/simulator/src/world/around.rs
+++ b/simulator/src/world/around.rs
@@ -1,6 +1,7 @@
 //! Callers: how they are woken and reached.
 
 use fastrand::Rng;
+use lichenswitch_messages::RelayedCall;
 
 use super::{World, FIRST_OPERATOR, FIRST_READER, FIRST_ROUTER};
 use crate::callers::{Operator, Pace, Reader, Router, Surroundings};
@@ -126,6 +127,10 @@
             self.owners.insert(number, host);
         }
         for (to, packet) in outgoing {
+            let is_order = matches!(packet, Packet::Call(_, RelayedCall::Order { .. }));
+            if let Some((after, action)) = self.armed_by_order.take_if(|_| is_order) {
+                self.act_after(after, action);
+            }
             self.send(host, to, packet, false);
         }
         self.wake_at(host, wake);
--- a/simulator/src/world/check.rs
+++ b/simulator/src/world/check.rs
@@ -27,7 +27,7 @@
     pub(super) fn check(&mut self) {
         self.keep_list();
         self.check_wakes();
-        if self.harmed {
+        if self.harmed || self.service_may_rest {
             self.last_trouble = self.now();
         }
         let stable_since = self.last_trouble.after(CONTACT);
--- a/simulator/src/world/machines.rs
+++ b/simulator/src/world/machines.rs
@@ -52,6 +52,10 @@
         self.add_machine(host, zone, false);
         let mut seeds = self.listed();
         self.random.shuffle(&mut seeds);
+        if seeds.len() < SEEDS {
+            // Three are named wherever three serve, also where most had no power when the list was made.
+            seeds.extend(self.core().into_iter().filter(|seed| *seed != host));
+        }
         let seeds = seeds.iter().take(SEEDS).map(|seed| self.machines[seed].address.clone()).collect();
         if let Some(machine) = self.machines.get_mut(&host) {
             machine.seeds = seeds;
--- a/simulator/src/world/mod.rs
+++ b/simulator/src/world/mod.rs
@@ -144,6 +144,10 @@
     replies_lost: bool,
     /// A fault that is brought about with the next acknowledgement.
     armed: Option<Action>,
+    /// A fault that is brought about so many microseconds after the next order is sent.
+    armed_by_order: Option<(u64, Action)>,
+    /// More is lost than service has to bear: what is acknowledged is judged, delays are not.
+    service_may_rest: bool,
     trace: VecDeque<String>,
 }
 
@@ -171,6 +175,8 @@
             harmed: false,
             replies_lost: false,
             armed: None,
+            armed_by_order: None,
+            service_may_rest: false,
             trace: VecDeque::new(),
             settings,
         };
@@ -219,6 +225,17 @@
         self.armed = Some(action);
     }
 
+    /// Brings a fault about so many microseconds after the next order that an operator sends: its end isn't known then.
+    pub fn act_after_order(&mut self, microseconds: u64, action: Action) {
+        self.armed_by_order = Some((microseconds, action));
+    }
+
+    /// From now on service may rest, or may no more. Nothing acknowledged may be lost or shown in an older state either way.
+    pub fn let_service_rest(&mut self, rests: bool) {
+        self.service_may_rest = rests;
+        self.last_trouble = self.now();
+    }
+
     /// Brings a fault about with the next acknowledgement, or at once if one waits for that already.
     pub fn act_after_acknowledgement_or_now(&mut self, action: Action) {
         match self.armed {
@@ -227,6 +244,11 @@
         }
     }
 
+    /// Nothing that waits for an acknowledgement or an order is brought about any more.
+    pub fn disarm(&mut self) {
+        (self.armed, self.armed_by_order) = (None, None);
+    }
+
     /// The trace, the oldest line first.
     pub fn trace(&self) -> impl Iterator<Item = &str> {
         self.trace.iter().map(String::as_str)
