Show that a group with disks ends when machines without one do

Change: a fourth test with processes: three machines with a disk of which one is away, and two seeds without one. The two get votes beside the two that are left; when they end, no disk is lost and no primary is ever elected again.

--- a/fleet/tests/control_without_disk.rs
+++ b/fleet/tests/control_without_disk.rs
@@ -76,9 +76,7 @@
     let began = Instant::now();
     let mut read = String::new();
     while began.elapsed() < control_support::PATIENCE && read != configuration(3, 1) {
-        let answer =
-            control_support::call(fleet.machines[1].control_plane, "GET", "/configuration/describe", &[], "");
-        read = answer.map_or_else(|error| error.to_string(), |answer| answer.body);
+        read = describe_once(&fleet, 1);
         std::thread::sleep(Duration::from_millis(100));
     }
     let primary = text_of(&fleet.status(1), "primary");
@@ -96,3 +94,39 @@
     wait_for("a relay", || fleet.status(DISKLESS).contains("\"group\":null").then_some(()));
     assert!(!voted, "{}", control_support::log_of(&fleet.machines[DISKLESS]));
 }
+
+/// One machine that counts is away, and all machines without a disk end: no disk is lost at all.
+#[test]
+fn machines_without_a_disk_may_go_in_any_number() {
+    let mut fleet = Fleet::of("diskless-many", &[true, false, false, true, true]);
+    let (with_disk, without) = ([0, 3, 4], [1, 2]);
+    fleet.start_first();
+    let began = Instant::now();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    fleet.await_voters(fleet.primary(&with_disk), 3);
+    std::thread::sleep(AFTER_THE_START.saturating_sub(began.elapsed()));
+
+    with_disk.iter().for_each(|place| fleet.kill(*place));
+    std::thread::sleep(Duration::from_millis(500));
+    [0, 3].iter().for_each(|place| fleet.start(*place, false));
+    assert_eq!(fleet.order(REPLACE, 1, &configuration(2, 1)).status, 200);
+    std::thread::sleep(TIME_TO_JOIN);
+    let voters = fleet.status(fleet.primary(&[0, 3])).matches("\"votes\":true").count();
+    without.iter().for_each(|place| fleet.kill(*place));
+    without.iter().chain(&[4]).for_each(|place| fleet.start(*place, false));
+
+    let began = Instant::now();
+    let mut read = String::new();
+    while began.elapsed() < control_support::PATIENCE && read != configuration(2, 1) {
+        read = describe_once(&fleet, 0);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(read, configuration(2, 1), "there were {voters} voters");
+}
+
+/// What one machine answers to one question, whatever it is.
+fn describe_once(fleet: &Fleet, place: usize) -> String {
+    let address = fleet.machines[place].control_plane;
+    let answer = control_support::call(address, "GET", "/configuration/describe", &[], "");
+    answer.map_or_else(|error| error.to_string(), |answer| answer.body)
+}
