Let a control machine without a disk only relay once it has met one with a disk

Cause: a seed without a disk kept, for as long as the process of its first start lived, the right to stand in for machines with one. When all that count were killed at once it joined the group and voted; copies and votes then ended with its process. One disk lost with the power of all others could take an acknowledged configuration with it.

Change: whoever may stand in gives that up for good when a machine with a disk introduces itself.

--- a/fleet/src/control/group.rs
+++ b/fleet/src/control/group.rs
@@ -21,7 +21,8 @@
 pub(super) enum Eligibility {
     /// It has a disk, or its loss is counted.
     Durable,
-    /// Neither, but the first start names it as a seed: somebody has to begin where no machine has a disk.
+    /// Neither, but the first start names it as a seed: somebody has to begin where no machine has a disk. It relays once it has met one
+    /// that has.
     Stopgap,
     /// It forwards calls and holds no state that matters.
     Relay,
--- a/fleet/src/control/on_internal.rs
+++ b/fleet/src/control/on_internal.rs
@@ -99,6 +99,9 @@
         }
         let connected = self.peers.connection(address).is_some();
         let node = introduction.node.clone();
+        if introduction.eligible {
+            self.on_durable_peer();
+        }
         let older = self.peers.on_hello(address, id, introduction, now);
         if end == End::Unknown {
             self.links.set_end(id, End::Peer(address));
--- a/fleet/src/control/own_part.rs
+++ b/fleet/src/control/own_part.rs
@@ -38,8 +38,16 @@
         }
     }
 
+    /// A machine with a disk has shown itself: the state is its to hold, from now on and however long it is away. Guards against a vote
+    /// for what ends with this process, in a group that has disks.
+    pub(super) fn on_durable_peer(&mut self) {
+        if self.eligibility == Eligibility::Stopgap && self.group.is_none() {
+            self.eligibility = Eligibility::Relay;
+        }
+    }
+
     fn is_needed_as_stopgap(&self, now: Time) -> bool {
-        elapsed(self.started, now) > STOPGAP_WAIT && self.durable_peers().is_empty()
+        elapsed(self.started, now) > STOPGAP_WAIT
     }
 
     fn take_part(&mut self, now: Time) {
