Show that a group of eight shrinks below what outlives two lost disks

Cause: a voter that is silent for five seconds is removed as long as three remain and no fewer further losses are borne now. The silent ones may come back, and count no more then: of eight that bear two losses, four that are dark one after another leave a group of four, of which two lost disks leave two; the majority of three is never reached again, though six machines of eight have their disks.

Change: a scenario of the simulator, which fails for this fault.

--- a/simulator/tests/overlaps.rs
+++ b/simulator/tests/overlaps.rs
@@ -115,6 +115,25 @@
     world
 }
 
+/// Of eight, four lose power one after another, each for longer than a silent voter is kept; then two of the others lose their disks, and
+/// all come back.
+fn dark_for_long_and_two_disks_lost(settings: WorldSettings) -> World {
+    let mut world = begun(settings);
+    world.let_service_rest(true);
+    let primary = world.primary();
+    let others: Vec<Host> = world.core().into_iter().filter(|host| Some(*host) != primary).collect();
+    for dark in &others[..4] {
+        world.act_after(0, Action::PowerLossFor(Target::This(*dark), 60 * SECOND));
+        world.run_for(7 * SECOND);
+    }
+    let wiped = others[4..6].iter().copied().map(Target::This).collect();
+    world.act_after_acknowledgement_or_now(Action::WipeAndPowerOff(wiped));
+    world.run_for(SECOND);
+    recover(&mut world);
+    world.finish();
+    world
+}
+
 #[test]
 fn walks_with_overlapping_losses() {
     holds(0..8, nothing, overlapping);
@@ -178,3 +197,8 @@
     finds(0..20, forgetful, final_faults);
     finds(0..20, by_number, final_faults);
 }
+
+#[test]
+fn two_disks_are_lost_after_four_machines_were_dark_for_long() {
+    holds(0..4, |settings| (settings.voters, settings.tolerate) = (8, 2), dark_for_long_and_two_disks_lost);
+}
