Keep as many voters as outlive the disks that may be lost at once

Cause: a voter that is silent for five seconds was removed as long as three remained. Of eight that bear two losses a group of four could be left, of which two lost disks leave two: no majority ever again, though six machines have their disks and are back.

Change: 2 f + 1 voters remain at least (three where f is 1 or 0, as before).

--- a/decide/replication/src/replica/join.rs
+++ b/decide/replication/src/replica/join.rs
@@ -12,6 +12,8 @@
 const MOST_BEHIND: u64 = 16;
 /// Newcomers that are brought up to date at a time.
 const MOST_NEWCOMERS: usize = 9;
+/// Voters that remain at least when one is removed: two bear no loss at all.
+const LEAST_VOTERS: i64 = 3;
 
 /// Losses that a membership bears beyond those that are dead.
 fn bears(voters: usize, dead: usize) -> i64 {
@@ -212,7 +214,9 @@
         // What is acknowledged is on a quorum: more copies than may be lost, or no fewer than before.
         let copies = majority_of(remaining) as i64;
         let copies_enough = copies >= (must_bear + 1).min(majority_of(count.voters) as i64);
-        remaining >= 3 && copies_enough && would_bear >= bears_now.min(must_bear)
+        // The silent may come back, but count no more then: those that remain have a majority also without as many as may lose their disks.
+        let outlives = remaining as i64 >= (2 * must_bear + 1).max(LEAST_VOTERS);
+        outlives && copies_enough && would_bear >= bears_now.min(must_bear)
     }
 
     /// Whether the removal of this voter was refused.
