Let stand-ins freeze processes, keep connections and split routes

Change: FleetProcesses sends SIGTERM, SIGHUP, SIGSTOP and SIGCONT without waiting, tells which processes have ended and how, and writes another gracePeriodS; ClientConnection sends one request after another on a connection (StreamRequest::send is made of it); a route of an operator's document may be safe or unsafe and split by weight; a model server's ledger tells when it began.

--- a/standins/src/fleet_processes.rs
+++ b/standins/src/fleet_processes.rs
@@ -9,7 +9,7 @@
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -26,6 +26,8 @@
 const HELD_PORT: u16 = 8_261;
 /// The most machines of a fleet.
 const MACHINES_MOST: usize = 200;
+/// `gracePeriodS` of a fleet that was told no other.
+const GRACE_SECONDS: u64 = 2;
 
 /// What went wrong with a fleet.
 #[derive(Debug)]
@@ -97,9 +99,13 @@
     folder: PathBuf,
     addresses: Vec<Ipv4Addr>,
     processes: Vec<Process>,
+    grace_seconds: u64,
     _block: TcpListener,
 }
 
+/// A process that has ended, and how.
+pub type Ended = (Role, usize, ExitStatus);
+
 impl FleetProcesses {
     /// A fleet of so many machines with nothing started; 200 machines at most. Machine 0 is at 127.0.0.2 where that is
     /// free, the others behind it.
@@ -112,7 +118,8 @@
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let (addresses, block) = addresses(machines.min(MACHINES_MOST)).ok_or(FleetError::NoAddresses)?;
         let folder = std::env::temp_dir().join(format!("fleet-{}-{number}", std::process::id()));
-        let fleet = FleetProcesses { program, folder, addresses, processes: Vec::new(), _block: block };
+        let (processes, grace_seconds) = (Vec::new(), GRACE_SECONDS);
+        let fleet = FleetProcesses { program, folder, addresses, processes, grace_seconds, _block: block };
         for machine in 0..fleet.addresses.len() {
             for role in ROLES {
                 let disk = fleet.disk(role, machine);
@@ -122,6 +129,13 @@
         Ok(fleet)
     }
 
+    /// The same with another `gracePeriodS`.
+    #[must_use]
+    pub fn with_grace(mut self, grace_seconds: u64) -> FleetProcesses {
+        self.grace_seconds = grace_seconds;
+        self
+    }
+
     /// How many machines it has.
     #[must_use]
     pub fn machines(&self) -> usize {
@@ -186,7 +200,7 @@
              [limits]\ncpuShare = 1.0\ncpuCores = 1\nmemoryMb = 256\nfileDescriptors = 1024\nbandwidthMbps = 1000.0\n\
              diskMb = 64\n[faultTolerance]\nmachines = 1\nzones = 0\nregions = 0\n\
              [bounds]\nseedLagS = 3\nreuseDelayS = 2\ncontactMs = 3000\nackTimeoutMs = 4000\ncatchUpS = 4\n\
-             drainTimeoutMs = 2000\ngracePeriodS = 2\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\n\
+             drainTimeoutMs = 2000\ngracePeriodS = {}\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\n\
              maxStretchMs = 5000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nretrySlack = 58\nrecoveryS = 12\n\
              pass_ms = 120\nagain_s = 0\n",
             zone(machine),
@@ -195,6 +209,7 @@
             INTERNAL_PORTS.1,
             seeds.join(", "),
             self.disk(role, machine).display().to_string(),
+            self.grace_seconds,
         )
     }
 
@@ -259,6 +274,50 @@
         self.end_those(Signal::TERM, grace, |_| true)
     }
 
+    /// Sends a process SIGTERM and does not wait; [`FleetProcesses::ended`] tells of its end.
+    pub fn terminate(&mut self, role: Role, machine: usize) {
+        self.signal(role, machine, Signal::TERM);
+    }
+
+    /// Tells a process that its settings may have changed.
+    pub fn hang_up(&mut self, role: Role, machine: usize) {
+        self.signal(role, machine, Signal::HUP);
+    }
+
+    /// Freezes a process.
+    pub fn pause(&mut self, role: Role, machine: usize) {
+        self.signal(role, machine, Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn resume(&mut self, role: Role, machine: usize) {
+        self.signal(role, machine, Signal::CONT);
+    }
+
+    fn signal(&mut self, role: Role, machine: usize, signal: Signal) {
+        let its_own = |process: &&mut Process| process.role == role && process.machine == machine;
+        self.processes.iter_mut().filter(its_own).for_each(|process| send(&mut process.child, signal));
+    }
+
+    /// Whether this process was started and is not known to have ended.
+    #[must_use]
+    pub fn has(&self, role: Role, machine: usize) -> bool {
+        self.processes.iter().any(|process| process.role == role && process.machine == machine)
+    }
+
+    /// Processes that have ended since the last call and were not killed; they are no longer part of the fleet.
+    pub fn ended(&mut self) -> Vec<Ended> {
+        let mut ended = Vec::new();
+        self.processes.retain_mut(|process| match process.child.try_wait() {
+            Ok(Some(status)) => {
+                ended.push((process.role, process.machine, status));
+                false
+            }
+            _ => true,
+        });
+        ended
+    }
+
     /// Empties the disk of a process that does not run.
     ///
     /// # Errors
--- a/standins/src/fleet_processes/tests.rs
+++ b/standins/src/fleet_processes/tests.rs
@@ -91,6 +91,35 @@
     assert!(!kept.exists());
 }
 
+#[test]
+fn a_frozen_process_takes_its_signals_when_it_goes_on() {
+    let text = "trap 'echo again' HUP\ntrap 'exit 3' TERM\necho up\nwhile :; do sleep 0.01; done";
+    let script = Script::new("frozen", text);
+    let mut fleet = FleetProcesses::new(&script.0, 2).expect("a fleet").with_grace(4);
+    assert!(fleet.settings(Role::Router, 0, true).contains("gracePeriodS = 4\n"));
+    fleet.start(Role::Router, 0, true).expect("started");
+    fleet.start(Role::Router, 1, true).expect("started");
+    let log = fleet.log(Role::Router, 0);
+    wait_for(&log);
+    fleet.hang_up(Role::Router, 0);
+    let until = Instant::now() + Duration::from_secs(10);
+    while !std::fs::read_to_string(&log).unwrap_or_default().contains("again") {
+        assert!(Instant::now() < until, "the signal did not come");
+        thread::yield_now();
+    }
+    fleet.pause(Role::Router, 0);
+    fleet.terminate(Role::Router, 0);
+    assert!(fleet.ended().is_empty() && fleet.has(Role::Router, 0));
+    fleet.resume(Role::Router, 0);
+    let mut ended = Vec::new();
+    while ended.is_empty() {
+        assert!(Instant::now() < until, "it did not end");
+        ended = fleet.ended();
+    }
+    assert!(matches!(ended[..], [(Role::Router, 0, status)] if status.code() == Some(3)), "{ended:?}");
+    assert!(!fleet.has(Role::Router, 0) && fleet.has(Role::Router, 1));
+}
+
 #[test]
 fn settings_name_the_same_seeds_and_what_the_role_serves() {
     let script = Script::new("settings", "exit 0");
--- a/standins/src/model_server.rs
+++ b/standins/src/model_server.rs
@@ -157,6 +157,12 @@
         lock(&self.entries).push(Entry { at, attempt: attempt.into(), what });
     }
 
+    /// When the server began.
+    #[must_use]
+    pub fn began(&self) -> Instant {
+        self.began
+    }
+
     /// All of it so far.
     #[must_use]
     pub fn all(&self) -> Vec<Entry> {
--- a/standins/src/operator/document.rs
+++ b/standins/src/operator/document.rs
@@ -13,6 +13,10 @@
     pub prefix: String,
     /// Its service.
     pub service: String,
+    /// Services by weight, in the place of the one service; empty: that one alone.
+    pub split: Vec<(String, u32)>,
+    /// Its kind: `streaming`, `safe` or `unsafe`.
+    pub kind: &'static str,
     /// `timeoutMs`.
     pub timeout_ms: u64,
     /// `maxAttempts`.
@@ -26,31 +30,43 @@
     #[must_use]
     pub fn new(name: &str, host: &str, prefix: &str, service: &str) -> Route {
         let [name, host, prefix, service] = [name, host, prefix, service].map(String::from);
-        Route { name, host, prefix, service, timeout_ms: 5_000, attempts: 2, resume: true }
+        let (split, kind) = (Vec::new(), "streaming");
+        Route { name, host, prefix, service, split, kind, timeout_ms: 5_000, attempts: 2, resume: true }
+    }
+
+    fn services(&self) -> impl Iterator<Item = &str> {
+        let one = self.split.is_empty().then_some(self.service.as_str());
+        one.into_iter().chain(self.split.iter().map(|(service, _)| service.as_str()))
     }
 
     fn json(&self) -> Value {
-        json!({
+        let mut route = json!({
             "name": self.name,
             "host": self.host,
             "pathPrefix": self.prefix,
-            "kind": "streaming",
+            "kind": self.kind,
             "timeoutMs": self.timeout_ms,
             "targetLatencyMs": 500,
             "priority": 0,
-            "service": self.service,
             "maxAttempts": self.attempts,
             "sessionAffinity": true,
             "streamResume": self.resume,
             "gap_aim_ms": 300,
-        })
+        });
+        let part = |(service, weight): &(String, u32)| json!({"service": service, "weight": weight});
+        if self.split.is_empty() {
+            route["service"] = json!(self.service);
+        } else {
+            route["trafficSplit"] = self.split.iter().map(part).collect();
+        }
+        route
     }
 }
 
 /// A whole configuration of that version, with these routes and the services that they name.
 #[must_use]
 pub fn replace(version: u64, routes: &[Route]) -> String {
-    let mut names: Vec<&str> = routes.iter().map(|route| route.service.as_str()).collect();
+    let mut names: Vec<&str> = routes.iter().flat_map(Route::services).collect();
     names.sort_unstable();
     names.dedup();
     let service = |name: &&str| {
--- a/standins/src/operator/tests.rs
+++ b/standins/src/operator/tests.rs
@@ -119,6 +119,16 @@
     assert!(judge(&newer).is_empty());
 }
 
+#[test]
+fn a_split_route_names_its_services_by_weight() {
+    let mut route = Route::new("r", "a.example", "/a/", "s");
+    route.split = vec![("s".into(), 70), ("t".into(), 30)];
+    let document: serde_json::Value = serde_json::from_str(&replace(1, &[route])).expect("a document");
+    assert_eq!(document["routes"][0]["trafficSplit"][1], serde_json::json!({"service": "t", "weight": 30}));
+    assert!(document["routes"][0].get("service").is_none());
+    assert_eq!(document["services"].as_array().map(Vec::len), Some(2));
+}
+
 #[test]
 fn an_update_names_what_comes_and_what_goes() {
     let route = Route::new("r", "a.example", "/a/", "s");
--- a/standins/src/stream_client.rs
+++ b/standins/src/stream_client.rs
@@ -27,6 +27,8 @@
     pub last_event_id: Option<u64>,
     /// The body.
     pub body: Vec<u8>,
+    /// Whether it is the last one on its connection.
+    pub closes: bool,
 }
 
 impl StreamRequest {
@@ -42,13 +44,14 @@
             prompt_prefix: "5c1e07a2:32,91bd3f06:16".into(),
             last_event_id: None,
             body: b"{\"prompt\":\"where is the nearest scooter\"}".to_vec(),
+            closes: true,
         }
     }
 
     fn bytes(&self) -> Vec<u8> {
         let mut head = format!(
             "POST {} HTTP/1.1\r\nHost: {}\r\nAttempt-Id: {}\r\nDeadline-Ms: {}\r\nModel: m\r\nToken-Usage: {},{}\r\n\
-             Prompt-Prefix: {}\r\nContent-Length: {}\r\nConnection: close\r\n",
+             Prompt-Prefix: {}\r\nContent-Length: {}\r\n",
             self.path,
             self.host,
             self.attempt,
@@ -58,6 +61,9 @@
             self.prompt_prefix,
             self.body.len()
         );
+        if self.closes {
+            head += "Connection: close\r\n";
+        }
         if let Some(id) = self.last_event_id {
             head += &format!("Last-Event-Id: {id}\r\n");
         }
@@ -73,19 +79,62 @@
         &self,
         to: SocketAddr,
         silence: Duration,
-        mut tell: impl FnMut(&Event),
+        tell: impl FnMut(&Event),
     ) -> Result<Streamed, MessageError> {
-        let began = Instant::now();
-        let mut stream = TcpStream::connect_timeout(&to, silence)?;
+        ClientConnection::open(to, silence)?.send(self, tell)
+    }
+}
+
+/// A connection of a client, for one request after another.
+#[derive(Debug)]
+pub struct ClientConnection {
+    from: BufReader<TcpStream>,
+}
+
+impl ClientConnection {
+    /// Opens a connection on which a silence of so long ends a request.
+    ///
+    /// # Errors
+    /// When nobody takes it.
+    pub fn open(to: SocketAddr, silence: Duration) -> Result<ClientConnection, MessageError> {
+        let stream = TcpStream::connect_timeout(&to, silence)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(silence))?;
-        stream.write_all(&self.bytes())?;
-        let mut from = BufReader::new(stream);
-        let head = read_head(&mut from)?.ok_or(MessageError::CutShort)?;
+        Ok(ClientConnection { from: BufReader::new(stream) })
+    }
+
+    /// See [`StreamRequest::send`].
+    ///
+    /// # Errors
+    /// When there is not even a head of an answer.
+    pub fn send(
+        &mut self,
+        request: &StreamRequest,
+        tell: impl FnMut(&Event),
+    ) -> Result<Streamed, MessageError> {
+        let began = Instant::now();
+        self.write(request)?;
+        self.read(began, tell)
+    }
+
+    /// Sends a request.
+    ///
+    /// # Errors
+    /// When the connection has ended.
+    pub fn write(&mut self, request: &StreamRequest) -> Result<(), MessageError> {
+        Ok(self.from.get_mut().write_all(&request.bytes())?)
+    }
+
+    /// Reads the answer to the request that was begun at that moment.
+    ///
+    /// # Errors
+    /// When there is not even a head of an answer.
+    pub fn read(&mut self, began: Instant, mut tell: impl FnMut(&Event)) -> Result<Streamed, MessageError> {
+        let head = read_head(&mut self.from)?.ok_or(MessageError::CutShort)?;
         let mut streamed = Streamed { head, events: Vec::new(), body: Vec::new(), end: End::Whole };
         let mut held = Vec::new();
         streamed.end = loop {
-            match next_piece(&mut from, &streamed.head, streamed.body.len()) {
+            match next_piece(&mut self.from, &streamed.head, streamed.body.len()) {
                 Ok(Some(piece)) => {
                     streamed.body.extend_from_slice(&piece);
                     held.extend_from_slice(&piece);
--- a/standins/src/stream_client/tests.rs
+++ b/standins/src/stream_client/tests.rs
@@ -25,6 +25,20 @@
     assert!(streamed.faults(&request, &["a1"]).is_empty());
 }
 
+#[test]
+fn a_kept_connection_carries_one_request_after_another() {
+    let server = server();
+    let mut connection = ClientConnection::open(server.address, SILENCE).expect("a connection");
+    for attempt in ["a1", "a2", "a3"] {
+        let mut request = request(attempt);
+        request.closes = attempt == "a3";
+        let streamed = connection.send(&request, |_| {}).expect("an answer");
+        assert!(streamed.is_served() && streamed.faults(&request, &[attempt]).is_empty(), "{attempt}");
+        assert_eq!(streamed.head.closes(), request.closes);
+    }
+    assert!(connection.send(&request("a4"), |_| {}).is_err());
+}
+
 #[test]
 fn a_stream_is_taken_up_behind_the_last_event() {
     let server = server();
