--- /dev/null
+++ b/soak/tests/judge.rs
@@ -0,0 +1,273 @@
+//! The judge on journals with planted faults, and on such that only look like faults.
+
+use assert_matches::assert_matches;
+use lichenswitch_soak::bounds::{CONFIG_APPLY, DRAIN_TIMEOUT, GRACE};
+use lichenswitch_soak::journal::{
+    Journal, OrderRecord, ProcessFault, ReadRecord, ServerRecord, Trouble, TroubleKind, Try, TryEnd,
+};
+use lichenswitch_soak::judge::judge;
+use lichenswitch_soak::violation::{Beside, Violation};
+use lichenswitch_standins::fleet_processes::Role;
+use lichenswitch_standins::model_server::heartbeat::Word;
+use lichenswitch_standins::model_server::{Entry, Event, Fault};
+use lichenswitch_standins::operator::{Fault as OperatorFault, Order, Outcome, Verb};
+use lichenswitch_standins::stream_client::message::Head;
+use lichenswitch_standins::stream_client::StreamFault;
+use std::time::Duration;
+
+const fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// A request of router 1 that its client saw end so.
+fn request(sent: u64, ended: u64, end: TryEnd) -> Try {
+    Try {
+        attempt: "a1".into(),
+        machine: 1,
+        idempotent: false,
+        turn: 1,
+        sent: ms(sent),
+        ended: ms(ended),
+        time_left: ms(9_000),
+        end,
+        faults: Vec::new(),
+    }
+}
+
+fn trouble(kind: TroubleKind, role: Role, machine: usize, from: u64, to: u64) -> Trouble {
+    Trouble { kind, target: (role, machine), from: ms(from), to: ms(to) }
+}
+
+fn server(entries: &[(u64, Event)]) -> ServerRecord {
+    let entry = |(at, what): &(u64, Event)| Entry { at: ms(*at), attempt: "a1".into(), what: what.clone() };
+    let entries = entries.iter().map(entry).collect();
+    ServerRecord { instance: "i-1".into(), began: Duration::ZERO, stopped: None, entries }
+}
+
+/// A server that began to work on the request, and whose caller left then.
+fn worked(from: u64, to: u64) -> ServerRecord {
+    server(&[(from, Event::Arrived(Head::default())), (from, Event::Ran), (to, Event::Dropped)])
+}
+
+fn order(number: u64, base: u64, version: u64, sent: u64, outcomes: &[Outcome]) -> OrderRecord {
+    let acknowledged = outcomes.contains(&Outcome::Acknowledged).then(|| ms(sent + 10));
+    let body = format!("{{\"version\":{version},\"number\":{number}}}");
+    let order = Order { verb: Verb::Replace, base, body };
+    OrderRecord { order, number, version, sent: ms(sent), acknowledged, outcomes: outcomes.into() }
+}
+
+fn read(sent: u64, version: u64, order: u64) -> ReadRecord {
+    ReadRecord { machine: 2, sent: ms(sent), version, order }
+}
+
+fn beside(journal: &Journal) -> Vec<Beside> {
+    let beside = |violation: Violation| match violation {
+        Violation::RequestLost { beside, .. } => beside,
+        other => panic!("{other}"),
+    };
+    judge(journal).into_iter().map(beside).collect()
+}
+
+#[test]
+fn a_request_cut_early_in_the_grace_is_lost() {
+    let journal = Journal {
+        tries: vec![request(10_000, 12_000, TryEnd::Cut)],
+        servers: vec![worked(10_010, 12_000)],
+        troubles: vec![trouble(TroubleKind::Terminated, Role::Router, 1, 11_000, 13_000)],
+        ..Journal::default()
+    };
+    assert_eq!(beside(&journal), [Beside::Termination(ms(1_000))]);
+}
+
+#[test]
+fn work_in_the_last_sixth_of_the_grace_excuses_what_was_sent_early() {
+    let late = 11_000 + GRACE.as_millis() as u64 * 9 / 10;
+    let terminated = trouble(TroubleKind::Terminated, Role::Router, 1, 11_000, 20_000);
+    let mut journal = Journal {
+        tries: vec![request(11_500, late, TryEnd::Cut)],
+        servers: vec![worked(11_510, late)],
+        troubles: vec![terminated],
+        ..Journal::default()
+    };
+    assert_eq!(beside(&journal), []);
+    // Beside a change of the configuration the same loss counts, unless it was taken before the SIGTERM.
+    journal.orders = vec![order(1, 0, 1, 12_000, &[Outcome::Acknowledged])];
+    assert_eq!(beside(&journal), [Beside::Configuration]);
+    journal.tries[0].sent = ms(11_030);
+    assert_eq!(beside(&journal), [Beside::Configuration]);
+    journal.tries[0].sent = ms(11_010);
+    assert_eq!(beside(&journal), []);
+    // Sent later than in the first three seconds: no excuse.
+    journal.tries[0].sent = ms(14_100);
+    assert_matches!(beside(&journal)[..], [Beside::Termination(_)]);
+}
+
+#[test]
+fn an_unplanned_trouble_from_contact_before_the_request_excuses_a_loss() {
+    let mut journal =
+        Journal { tries: vec![request(10_000, 11_000, TryEnd::NoAnswer)], ..Journal::default() };
+    assert_eq!(beside(&journal), [Beside::Nothing]);
+    journal.troubles = vec![trouble(TroubleKind::Killed, Role::Control, 3, 6_000, 7_100)];
+    assert_eq!(beside(&journal), []);
+    journal.troubles = vec![trouble(TroubleKind::Killed, Role::Control, 3, 6_000, 6_900)];
+    assert_eq!(beside(&journal), [Beside::Nothing]);
+}
+
+#[test]
+fn a_request_that_crosses_the_end_of_its_connection_is_not_lost() {
+    let mut journal =
+        Journal { tries: vec![request(10_000, 10_100, TryEnd::NoAnswer)], ..Journal::default() };
+    assert_eq!(beside(&journal), []);
+    journal.servers = vec![worked(10_010, 10_100)];
+    assert_eq!(beside(&journal), [Beside::Nothing]);
+    journal.servers.clear();
+    journal.tries[0].ended = ms(10_300);
+    assert_eq!(beside(&journal), [Beside::Nothing]);
+}
+
+#[test]
+fn what_the_server_broke_off_or_the_time_ended_is_not_lost() {
+    let mut journal = Journal {
+        tries: vec![request(10_000, 12_000, TryEnd::Cut)],
+        servers: vec![server(&[
+            (10_010, Event::Arrived(Head::default())),
+            (10_010, Event::Befallen(Fault::CutAfter(2))),
+            (10_010, Event::Ran),
+        ])],
+        ..Journal::default()
+    };
+    assert_eq!(beside(&journal), []);
+    // A fault after the whole answer breaks nothing off.
+    journal.servers[0].entries[1].what = Event::Befallen(Fault::ExtraBytes);
+    assert_eq!(beside(&journal), [Beside::Nothing]);
+    journal.servers[0].stopped = Some(ms(11_990));
+    assert_eq!(beside(&journal), []);
+    journal.servers = vec![worked(10_010, 12_000)];
+    journal.tries[0].time_left = ms(2_100);
+    assert_eq!(beside(&journal), []);
+}
+
+#[test]
+fn a_loss_beside_a_configuration_counts_up_to_seven_tenths_of_its_time() {
+    let mut journal = Journal {
+        tries: vec![request(10_000, 16_000, TryEnd::Silent)],
+        orders: vec![order(1, 0, 1, 11_000, &[Outcome::Unclear])],
+        ..Journal::default()
+    };
+    assert_eq!(beside(&journal), [Beside::Configuration]);
+    journal.tries[0].ended = ms(16_400);
+    assert_eq!(beside(&journal), []);
+    // An order that was refused is beside nothing.
+    journal.orders = vec![order(1, 0, 1, 11_000, &[Outcome::OtherVersion])];
+    assert_eq!(beside(&journal), [Beside::Nothing]);
+}
+
+#[test]
+fn a_loss_after_a_hang_up_counts() {
+    let journal = Journal {
+        tries: vec![request(12_900, 14_000, TryEnd::Cut)],
+        troubles: vec![trouble(TroubleKind::HungUp, Role::Router, 1, 11_000, 11_000)],
+        ..Journal::default()
+    };
+    assert_eq!(beside(&journal), [Beside::HangUp]);
+}
+
+#[test]
+fn runs_and_answers_that_break_promises_are_found() {
+    let mut journal = Journal {
+        tries: vec![request(10_000, 10_100, TryEnd::Answered(503))],
+        servers: vec![worked(10_010, 10_050)],
+        ..Journal::default()
+    };
+    assert_eq!(judge(&journal), [Violation::RefusedAndRan("a1".into(), 503)]);
+    journal.servers.push(worked(10_060, 10_090));
+    assert_eq!(judge(&journal), [Violation::RanTwice("a1".into(), 2)]);
+    journal.tries[0].idempotent = true;
+    assert_eq!(judge(&journal), []);
+    journal.tries[0].faults = vec![StreamFault::EndsEarly];
+    assert_eq!(judge(&journal), [Violation::WrongAnswer("a1".into(), StreamFault::EndsEarly)]);
+    journal.tries.clear();
+    assert_matches!(judge(&journal)[..], [Violation::Unasked(_), Violation::Unasked(_)]);
+}
+
+#[test]
+fn a_request_that_reaches_a_leaver_late_is_found() {
+    let control = "127.0.0.2:8262".parse().expect("an address");
+    let late = 1_000 + DRAIN_TIMEOUT.as_millis() as u64 + 100;
+    let entries = [
+        (1_000, Event::Acknowledged(Word::Draining(7), control)),
+        (late, Event::Arrived(Head::default())),
+        (late, Event::Ran),
+    ];
+    let mut journal = Journal {
+        tries: vec![request(late - 10, late + 100, TryEnd::Answered(200))],
+        servers: vec![server(&entries)],
+        ..Journal::default()
+    };
+    assert_matches!(&judge(&journal)[..], [Violation::SentToLeaver { late, .. }] if *late == DRAIN_TIMEOUT + ms(100));
+    // Its machine was not in touch; another machine's router does not matter.
+    journal.troubles = vec![trouble(TroubleKind::Paused, Role::Router, 1, 500, 900)];
+    assert_eq!(judge(&journal), []);
+    journal.troubles = vec![trouble(TroubleKind::Paused, Role::Router, 2, 500, 900)];
+    assert_matches!(judge(&journal)[..], [Violation::SentToLeaver { .. }]);
+    journal.servers[0].entries[1].at = ms(2_900);
+    assert_eq!(judge(&journal), []);
+}
+
+#[test]
+fn answers_to_operators_that_contradict_each_other_are_found() {
+    let taken = [Outcome::Acknowledged];
+    let two = Journal {
+        orders: vec![order(1, 0, 1, 0, &taken), order(2, 1, 3, 100, &taken), order(3, 1, 4, 200, &taken)],
+        ..Journal::default()
+    };
+    assert_eq!(
+        judge(&two),
+        [Violation::Orders(OperatorFault::TwoOnOneVersion(1)), Violation::BothTaken(1, 2, 3)]
+    );
+    let refused = Journal {
+        orders: vec![order(1, 0, 1, 0, &[Outcome::Acknowledged, Outcome::Unclear, Outcome::OtherVersion])],
+        ..Journal::default()
+    };
+    assert_matches!(judge(&refused)[..], [Violation::Orders(OperatorFault::RefusedAfterAcknowledged(_))]);
+    let read_though_refused = Journal {
+        orders: vec![order(1, 0, 1, 0, &[Outcome::OtherVersion])],
+        reads: vec![read(50, 1, 1)],
+        ..Journal::default()
+    };
+    assert_eq!(judge(&read_though_refused), [Violation::RefusedInForce(1)]);
+    // One of the two had no clear answer, and was in force all the same.
+    let both = Journal {
+        orders: vec![order(1, 0, 1, 0, &[Outcome::Unclear]), order(2, 0, 2, 50, &taken)],
+        reads: vec![read(40, 1, 1)],
+        ..Journal::default()
+    };
+    assert_eq!(judge(&both), [Violation::BothTaken(0, 1, 2)]);
+}
+
+#[test]
+fn configurations_that_are_read_old_are_found() {
+    let orders =
+        vec![order(1, 0, 1, 0, &[Outcome::Acknowledged]), order(2, 1, 3, 1_000, &[Outcome::Acknowledged])];
+    let late = 1_010 + CONFIG_APPLY.as_millis() as u64 + 1;
+    let during = |read| Journal { orders: orders.clone(), reads: vec![read], ..Journal::default() };
+    assert_eq!(judge(&during(read(late - 2, 1, 1))), []);
+    assert_matches!(judge(&during(read(late, 1, 1)))[..], [Violation::ReadOld { told: 1, known: 3, .. }]);
+    let at_end = |read| Journal { orders: orders.clone(), final_reads: vec![read], ..Journal::default() };
+    assert_eq!(judge(&at_end(read(1_500, 3, 2))), []);
+    assert_matches!(
+        judge(&at_end(read(1_500, 1, 1)))[..],
+        [Violation::ConfigurationLost { told: 1, known: 3, .. }]
+    );
+    // Asked before the acknowledgement.
+    assert_eq!(judge(&at_end(read(1_005, 1, 1))), []);
+    // The same version, made by another order.
+    assert_matches!(judge(&at_end(read(1_500, 3, 9)))[..], [Violation::ConfigurationLost { .. }]);
+}
+
+#[test]
+fn what_processes_do_wrong_is_handed_on() {
+    let fault = ProcessFault::Logged((Role::Router, 0), "invariant violated: a request was forgotten".into());
+    let journal = Journal { process_faults: vec![fault.clone()], ..Journal::default() };
+    assert_eq!(judge(&journal), [Violation::Process(fault)]);
+}
--- /dev/null
+++ b/soak/tests/plan.rs
@@ -0,0 +1,53 @@
+//! What seeds draw: the same for the same seed, troubles that overlap, and no more disks lost than one.
+
+use lichenswitch_soak::plan::{Action, Plan};
+use std::collections::BTreeSet;
+use std::mem::discriminant;
+use std::time::Duration;
+
+const LENGTH: Duration = Duration::from_secs(20);
+
+fn wipes(action: &Action) -> bool {
+    matches!(action, Action::Wipe(..) | Action::KillAll(Some(_), _))
+}
+
+#[test]
+fn a_seed_draws_the_same_day_again() {
+    for seed in 0..50 {
+        assert_eq!(Plan::draw(seed, LENGTH), Plan::draw(seed, LENGTH));
+    }
+    assert_ne!(Plan::draw(1, LENGTH).actions, Plan::draw(2, LENGTH).actions);
+}
+
+#[test]
+fn one_disk_is_lost_on_a_day_at_the_most() {
+    for seed in 0..500 {
+        let plan = Plan::draw(seed, LENGTH);
+        let lost =
+            plan.actions.iter().map(|(_, action)| action).chain(&plan.final_fault).filter(|a| wipes(a));
+        assert!(lost.count() <= 1, "seed {seed}");
+    }
+}
+
+#[test]
+fn all_that_can_befall_a_fleet_is_drawn_by_some_seed() {
+    let mut drawn = Vec::new();
+    for seed in 0..100 {
+        let plan = Plan::draw(seed, LENGTH);
+        assert!(plan.actions.iter().all(|(at, _)| *at <= LENGTH), "seed {seed}");
+        assert!(plan.actions.is_sorted(), "seed {seed}");
+        drawn.extend(plan.actions.iter().map(|(_, action)| *action));
+    }
+    let kinds: BTreeSet<String> = drawn.iter().map(|action| format!("{:?}", discriminant(action))).collect();
+    assert_eq!(kinds.len(), 11, "{kinds:?}");
+}
+
+#[test]
+fn two_troubles_or_three_fall_into_one_moment() {
+    for seed in 0..100 {
+        let plan = Plan::draw(seed, LENGTH);
+        let moment = LENGTH.mul_f64(0.65)..LENGTH.mul_f64(0.95);
+        let late = plan.actions.iter().filter(|(at, _)| moment.contains(at)).count();
+        assert!((2..=3).contains(&late), "seed {seed}: {late}");
+    }
+}
