--- /dev/null
+++ b/fleet/tests/review_control.rs
@@ -0,0 +1,136 @@
+//! What servers are told by control machines of which none has a disk, or of which most are gone.
+
+mod control_support;
+
+use control_support::{beat, call, configuration, wait_for, Fleet};
+use std::time::{Duration, Instant};
+
+const REPLACE: &str = "/configuration/replace";
+
+/// Beats again and again, as a server that has no other machine to call.
+fn is_acknowledged(fleet: &Fleet, place: usize, instance: &str, patience: Duration) -> bool {
+    let began = Instant::now();
+    let mut sequence = 1;
+    while began.elapsed() < patience {
+        let answer = beat(fleet.machines[place].control_plane, instance, "ready", sequence);
+        if answer.is_ok_and(|answer| answer.status == 200) {
+            return true;
+        }
+        sequence += 1;
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    false
+}
+
+#[test]
+fn a_machine_without_a_vote_takes_beats_where_no_machine_has_a_disk() {
+    let mut fleet = Fleet::of("review-diskless", &[false, false, false, false]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    std::thread::sleep(Duration::from_secs(6));
+    let voters = fleet.status(0).matches("\"votes\":true").count();
+    assert!(is_acknowledged(&fleet, 0, "i-1", Duration::from_secs(3)), "a seed, of {voters} voters");
+    assert!(is_acknowledged(&fleet, 3, "i-22", Duration::from_secs(3)), "the relay, of {voters} voters");
+}
+
+#[test]
+fn that_a_server_leaves_is_taken_by_a_machine_without_a_vote_where_no_machine_has_a_disk() {
+    let mut fleet = Fleet::of("review-diskless-leave", &[false, false, false, false]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    std::thread::sleep(Duration::from_secs(6));
+    assert!(is_acknowledged(&fleet, 0, "i-1", Duration::from_secs(3)), "a seed");
+    wait_for("the relay to know", || fleet.status(3).contains("server").then_some(()));
+    let address = fleet.machines[3].control_plane;
+    let began = Instant::now();
+    let mut answers = Vec::new();
+    while began.elapsed() < Duration::from_secs(3) {
+        match call(address, "POST", "/instances/i-1/deregister", &[], "") {
+            Ok(answer) if answer.status == 200 => return,
+            Ok(answer) => answers.push(answer.status.to_string()),
+            Err(e) => answers.push(e.to_string()),
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    panic!("never taken: {answers:?}");
+}
+
+#[test]
+fn the_group_of_machines_without_a_disk_outlives_its_founder() {
+    let mut fleet = Fleet::of("review-founder", &[false, false, false, false]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    fleet.await_voters(0, 3);
+    fleet.kill(0);
+    fleet.primary(&[1, 2]);
+    assert!(is_acknowledged(&fleet, 1, "i-1", Duration::from_secs(5)));
+}
+
+#[test]
+fn that_a_server_leaves_is_not_taken_where_most_that_vote_are_gone() {
+    let mut fleet = Fleet::of("review-minority", &[true, true, true, false]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
+    assert!(is_acknowledged(&fleet, 3, "i-1", Duration::from_secs(5)), "all are there");
+    fleet.kill(1);
+    fleet.kill(2);
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(4) {
+        for place in [3, 0] {
+            let answer =
+                call(fleet.machines[place].control_plane, "POST", "/instances/i-1/deregister", &[], "");
+            if let Ok(answer) = answer {
+                assert_ne!(
+                    answer.status,
+                    200,
+                    "machine {place} acknowledged what one voter of three holds, {:?} after",
+                    began.elapsed()
+                );
+            }
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// A machine with a disk that starts while the others are away.
+#[test]
+fn beats_are_taken_with_one_of_three_that_vote_down() {
+    let mut fleet = Fleet::of("review-one-down", &[true, true, true, false]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
+    // A machine that has just started waits for the table of another one.
+    assert!(is_acknowledged(&fleet, 0, "i-55555", Duration::from_secs(5)));
+    fleet.kill(2);
+    for (place, instance) in [(0, "i-1"), (1, "i-22"), (3, "i-333")] {
+        let began = Instant::now();
+        let taken = is_acknowledged(&fleet, place, instance, Duration::from_secs(8));
+        eprintln!("at {place}: {taken} after {:?}", began.elapsed());
+        assert!(
+            taken && began.elapsed() < Duration::from_secs(2),
+            "at {place}: {taken}, {:?}",
+            began.elapsed()
+        );
+    }
+}
+
+/// One of three hangs: its connections stay open.
+#[test]
+fn beats_are_taken_with_one_of_three_that_vote_frozen() {
+    let mut fleet = Fleet::of("review-one-frozen", &[true, true, true, false]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
+    assert!(is_acknowledged(&fleet, 0, "i-55555", Duration::from_secs(5)));
+    fleet.freeze(2, true);
+    let mut failed = Vec::new();
+    for (place, instance) in [(0, "i-1"), (1, "i-22"), (3, "i-333")] {
+        let began = Instant::now();
+        if !is_acknowledged(&fleet, place, instance, Duration::from_secs(4)) {
+            failed.push((place, began.elapsed()));
+        }
+    }
+    fleet.freeze(2, false);
+    assert!(failed.is_empty(), "{failed:?}");
+}
