--- a/fleet/tests/review_control.rs
+++ b/fleet/tests/review_control.rs
@@ -3,6 +3,10 @@
 mod control_support;
 
 use control_support::{beat, call, configuration, wait_for, Fleet};
+use lichenswitch_fleet::envelopes::encode;
+use lichenswitch_messages::{Envelope, PeerMessage, ServerRecord, ServerState, PROTOCOL_VERSION};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 const REPLACE: &str = "/configuration/replace";
@@ -134,3 +138,58 @@
     fleet.freeze(2, false);
     assert!(failed.is_empty(), "{failed:?}");
 }
+
+/// What a control machine that says who it is tells another one.
+fn tell(address: SocketAddr, messages: Vec<PeerMessage>) -> TcpStream {
+    let mut stream = wait_for("a control machine", || TcpStream::connect(address).ok());
+    let hello = PeerMessage::Hello {
+        protocol: PROTOCOL_VERSION,
+        node: "127.0.0.1:9".to_owned(),
+        address: "127.0.0.1:9".to_owned(),
+        identity: 71,
+        eligible: false,
+        known: Vec::new(),
+    };
+    for message in std::iter::once(hello).chain(messages) {
+        stream.write_all(&encode(&Envelope::Peer(message)).unwrap()).unwrap();
+    }
+    stream
+}
+
+/// The others don't hear of it: their processes rest.
+fn status_while_others_rest(fleet: &mut Fleet, path: &str) -> u16 {
+    fleet.freeze(1, true);
+    fleet.freeze(2, true);
+    let answer = call(fleet.machines[0].control_plane, "POST", path, &[], "");
+    fleet.freeze(1, false);
+    fleet.freeze(2, false);
+    answer.map_or(0, |answer| answer.status)
+}
+
+fn three_that_know(name: &str, instance: &str) -> Fleet {
+    let mut fleet = Fleet::of(name, &[true, true, true]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
+    assert!(is_acknowledged(&fleet, 0, instance, Duration::from_secs(5)));
+    fleet
+}
+
+fn gone(instance: &str) -> ServerRecord {
+    ServerRecord { instance: instance.to_owned(), state: ServerState::Gone, ..ServerRecord::default() }
+}
+
+#[test]
+fn that_a_server_leaves_is_not_acknowledged_from_what_one_machine_remembers() {
+    let mut fleet = three_that_know("review-remembered", "i-1");
+    let _peer = tell(fleet.machines[0].internal, vec![PeerMessage::ServersRemembered(vec![gone("i-1")])]);
+    std::thread::sleep(Duration::from_millis(300));
+    assert_ne!(status_while_others_rest(&mut fleet, "/instances/i-1/deregister"), 200);
+}
+
+/// The same where it comes as news: what the test above is measured by.
+#[test]
+fn that_a_server_leaves_is_not_acknowledged_while_nobody_else_can_hold_it() {
+    let mut fleet = three_that_know("review-alone", "i-1");
+    assert_ne!(status_while_others_rest(&mut fleet, "/instances/i-1/deregister"), 200);
+}
--- /dev/null
+++ b/fleet/tests/review_router.rs
@@ -0,0 +1,212 @@
+//! Tries to lose a request at a router that ends, or beside a server that answers before it has read.
+
+mod support;
+
+use std::time::{Duration, Instant};
+use support::client::{request, Client};
+use support::rig::Rig;
+use support::server::{event, Next, Server};
+
+fn quick() -> Server {
+    Server::start("i-1", |seen, talk| {
+        talk.answer(seen, 200, "Keep-Alive: timeout=9\r\n", "done");
+        Next::Keep
+    })
+}
+
+/// Waits until the router has taken in that it is to end.
+fn stop(rig: &mut Rig) -> Instant {
+    rig.router.stop();
+    let began = Instant::now();
+    support::until("the platform is told", || rig.router.readiness_status() == 503);
+    began
+}
+
+/// The head of a request whose body comes later.
+fn head_of(id: &str, headers: &str, length: usize) -> String {
+    format!(
+        "POST /unsafe/item HTTP/1.1\r\nHost: fleet.example\r\nAttempt-Id: {id}\r\n{headers}Content-Length: {length}\r\n\r\n"
+    )
+}
+
+#[test]
+fn a_request_whose_body_ends_after_the_signal_is_answered_whole() {
+    let server = quick();
+    let mut rig = Rig::with(&[&server], 30_000, 1_000, 1);
+    let mut short = rig.client();
+    let mut long = rig.client();
+    short.send(head_of("a1", "Deadline-Ms: 2000\r\n", 4));
+    long.send(head_of("a2", "Deadline-Ms: 20000\r\n", 4));
+    stop(&mut rig);
+    std::thread::sleep(Duration::from_millis(500));
+    short.send("body");
+    long.send("body");
+    let (one, other) = (short.reply(), long.reply());
+    assert_eq!((one.status, one.complete), (200, true));
+    assert_eq!((other.status, other.complete), (503, true));
+    assert_eq!(server.times("a2"), 0);
+}
+
+#[test]
+fn a_body_that_ends_after_the_listener_has_closed_is_refused_and_not_reset() {
+    let server = quick();
+    let mut rig = Rig::with(&[&server], 30_000, 1_000, 1);
+    let mut late = rig.client();
+    late.send(head_of("a1", "Deadline-Ms: 1000\r\n", 4));
+    stop(&mut rig);
+    std::thread::sleep(Duration::from_millis(1_800));
+    late.send("bo");
+    std::thread::sleep(Duration::from_millis(1_800));
+    late.send("dy");
+    let reply = late.reply();
+    assert_eq!((reply.status, reply.complete), (503, true));
+}
+
+#[test]
+fn pipelined_requests_of_an_ending_router_get_the_answers_that_are_due() {
+    let server = Server::start("i-1", |seen, talk| {
+        talk.closes_within(Duration::from_millis(700));
+        talk.answer(seen, 200, "Keep-Alive: timeout=9\r\n", "done");
+        Next::Keep
+    });
+    let mut rig = Rig::with(&[&server], 30_000, 1_000, 1);
+    let mut client = rig.client();
+    let two = format!(
+        "{}{}",
+        request("POST", "unsafe", "a1", "", "x"),
+        request("POST", "unsafe", "a2", "Deadline-Ms: 20000\r\n", "x")
+    );
+    client.send(two);
+    support::until("it is held", || server.times("a1") == 1);
+    stop(&mut rig);
+    let first = client.reply();
+    assert_eq!((first.status, first.complete, first.header("connection")), (200, true, Some("close")));
+    assert!(client.ends_within(Duration::from_secs(3)), "the second was not read");
+    assert_eq!(server.times("a2"), 0);
+}
+
+/// The answer is whole at the router well before the end; its client reads slowly.
+#[test]
+fn an_answer_that_is_whole_before_the_end_reaches_a_slow_client_whole() {
+    let server = Server::start("i-1", |seen, talk| {
+        let body = "x".repeat(24 << 20);
+        talk.answer(seen, 200, "Keep-Alive: timeout=9\r\n", &body);
+        Next::Keep
+    });
+    let mut rig = Rig::with(&[&server], 30_000, 1_000, 1);
+    let mut client = rig.client();
+    client.send(request("POST", "unsafe", "a1", "Deadline-Ms: 4000\r\n", "x"));
+    support::until("it is held", || server.times("a1") == 1);
+    std::thread::sleep(Duration::from_millis(300));
+    let began = stop(&mut rig);
+    // It reads within its deadline.
+    std::thread::sleep(Duration::from_millis(3_000).saturating_sub(began.elapsed()));
+    let reply = client.reply();
+    assert_eq!((reply.status, reply.complete, reply.body.len()), (200, true, 24 << 20));
+}
+
+#[test]
+fn a_stream_up_to_its_deadline_just_before_the_end_violates_nothing() {
+    let server = Server::start("i-1", |seen, talk| {
+        talk.stream_head(seen);
+        for id in 1.. {
+            talk.event(id);
+            if talk.closes_within(Duration::from_millis(50)) {
+                break;
+            }
+        }
+        Next::Close
+    });
+    let mut rig = Rig::with(&[&server], 30_000, 1_000, 1);
+    let began = stop(&mut rig);
+    let mut clients = Vec::new();
+    for left in [7_300_u64, 7_380, 7_390, 7_395, 7_398, 7_399, 7_400] {
+        let left = left.saturating_sub(u64::try_from(began.elapsed().as_millis()).unwrap());
+        let mut client = rig.client();
+        client.send(request("POST", "stream", &format!("a{left}"), &format!("Deadline-Ms: {left}\r\n"), "x"));
+        clients.push(client);
+    }
+    let statuses: Vec<u16> = clients.iter_mut().map(|client| client.head().expect("a head").status).collect();
+    assert!(rig.router.ends_within(Duration::from_secs(8)));
+    assert!(statuses.contains(&200), "{statuses:?}");
+}
+
+#[test]
+fn a_router_of_a_short_grace_ends_within_it_and_answers_all() {
+    for grace in [1_u64, 2, 3] {
+        let server = Server::start("i-1", |seen, talk| {
+            talk.closes_within(Duration::from_secs(20));
+            talk.answer(seen, 200, "", "done");
+            Next::Close
+        });
+        let text = format!("gracePeriodS = {grace}\n");
+        let mut rig = graced(&server, &text);
+        let mut held = rig.client();
+        held.send(request("POST", "unsafe", "a1", "", "x"));
+        support::until("it is held", || server.times("a1") == 1);
+        let began = Instant::now();
+        rig.router.stop();
+        let reply = held.reply();
+        assert_eq!((reply.status, reply.complete), (502, true), "grace {grace}");
+        assert!(
+            rig.router.ends_within(Duration::from_secs(grace).saturating_sub(began.elapsed())),
+            "{grace}"
+        );
+    }
+}
+
+/// A router with this much grace.
+fn graced(server: &Server, grace: &str) -> Rig {
+    use std::net::{Ipv4Addr, SocketAddr};
+    let control = support::control::Control::at(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let text = support::rig::settings_text(&[Ipv4Addr::LOCALHOST], control.address.port(), "")
+        .replace("gracePeriodS = 8\n", grace);
+    let router = support::rig::Running::start(&text, None);
+    let rig = Rig { control, router };
+    rig.control.push_servers(vec![support::rig::record(
+        server,
+        lichenswitch_messages::ServerState::Ready,
+        1,
+    )]);
+    rig.control.push_configuration(1, &support::rig::document(1, 30_000, 1_000, 1));
+    support::until("the configuration is in force", || rig.control.applied().is_some());
+    rig.control.settled();
+    rig
+}
+
+/// The server answers before it has read the body, and reads on when it has said all.
+#[test]
+fn a_stream_whose_server_reads_a_long_body_behind_it_ends_whole() {
+    const EVENTS: u64 = 25;
+    let server = Server::start("i-1", |seen, talk| {
+        talk.stream_head(seen);
+        for id in 1..=EVENTS {
+            talk.event(id);
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        talk.end();
+        talk.closes_within(Duration::from_secs(2));
+        Next::Close
+    });
+    let rig = Rig::with(&[&server], 30_000, 1_000, 1);
+    let mut client: Client = rig.client();
+    let body = "x".repeat(3 << 20);
+    client.send(request("POST", "stream", "a1", "Early: yes\r\n", &body));
+    assert_eq!(client.head().expect("a head").status, 200);
+    for id in 1..=EVENTS {
+        assert_eq!(client.chunk(), Ok(Some(event(id).into_bytes())), "event {id}");
+    }
+    assert_eq!(client.chunk(), Ok(None));
+}
+
+/// After a long body the connection breaks as soon as others when its server goes dark: the next request is not waited for.
+#[test]
+fn a_connection_that_carried_a_long_body_serves_the_next_request() {
+    let server = quick();
+    let rig = Rig::with(&[&server], 30_000, 1_000, 1);
+    let mut client = rig.client();
+    for (id, size) in [("a1", 1 << 20), ("a2", 1), ("a3", 100 << 10), ("a4", 1)] {
+        let reply = client.ask(request("POST", "unsafe", id, "", &"x".repeat(size)));
+        assert_eq!((reply.status, reply.complete), (200, true), "{id}");
+    }
+}
