--- a/fleet/tests/review_control.rs
+++ b/fleet/tests/review_control.rs
@@ -193,3 +193,37 @@
     let mut fleet = three_that_know("review-alone", "i-1");
     assert_ne!(status_while_others_rest(&mut fleet, "/instances/i-1/deregister"), 200);
 }
+
+/// The end of a server is acknowledged, and all processes are killed right after.
+fn state_after_all_were_killed(name: &str, rest: Duration) -> Option<ServerState> {
+    let mut fleet = three_that_know(name, "i-1");
+    // Its table is on all disks.
+    std::thread::sleep(Duration::from_millis(2_500));
+    let address = fleet.machines[0].control_plane;
+    let answer = call(address, "POST", "/instances/i-1/deregister", &[], "").unwrap();
+    assert_eq!(answer.status, 200);
+    std::thread::sleep(rest);
+    (0..3).for_each(|place| fleet.kill(place));
+    (0..3).for_each(|place| fleet.start(place, false));
+    fleet.primary(&[0, 1, 2]);
+    std::thread::sleep(Duration::from_secs(1));
+    let mut router = control_support::FakeRouter::connect(fleet.machines[1].internal, "after");
+    router.next_of(|message| match message {
+        lichenswitch_messages::ControlToRouter::Servers { records, whole: true, .. } => {
+            Some(records.iter().find(|record| record.instance == "i-1").map(|record| record.state))
+        }
+        _ => None,
+    })
+}
+
+#[test]
+fn a_server_whose_end_was_just_acknowledged_stays_gone_when_all_machines_are_killed() {
+    let state = state_after_all_were_killed("review-just-gone", Duration::from_millis(5));
+    assert_ne!(state, Some(ServerState::Ready), "routers would send to it again");
+}
+
+#[test]
+fn a_server_whose_end_was_acknowledged_a_while_ago_stays_gone_when_all_machines_are_killed() {
+    let state = state_after_all_were_killed("review-long-gone", Duration::from_millis(2_500));
+    assert_ne!(state, Some(ServerState::Ready));
+}
