--- a/fleet/tests/review_router.rs
+++ b/fleet/tests/review_router.rs
@@ -210,3 +210,66 @@
         assert_eq!((reply.status, reply.complete), (200, true), "{id}");
     }
 }
+
+/// Clients that pipeline, expect to be told to go on, ask for heads, and leave at any point. The rig checks that no invariant was broken.
+#[test]
+fn whatever_clients_do_as_many_wait_as_are_held() {
+    use std::io::Write;
+    let server = Server::start("i-1", |seen, talk| {
+        match seen.target.as_str() {
+            "/stream/item" => {
+                talk.stream_head(seen);
+                for id in 1..=5 {
+                    talk.event(id);
+                    talk.closes_within(Duration::from_millis(7));
+                }
+                talk.end();
+            }
+            _ if seen.method == "HEAD" => talk.write(format!(
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\n",
+                id = seen.id()
+            )),
+            _ => talk.answer(seen, 200, "", &"y".repeat(40_000)),
+        }
+        Next::Keep
+    });
+    let mut rig = Rig::usual(&[&server]);
+    let address = rig.router.frontend;
+    let clients: Vec<_> = (0..8_u64)
+        .map(|number| {
+            std::thread::spawn(move || {
+                let mut rng = fastrand::Rng::with_seed(4_400 + number);
+                for round in 0..60 {
+                    let mut client = Client::connect(address);
+                    let mut bytes = String::new();
+                    for place in 0..rng.u32(1..5) {
+                        let id = format!("c{number}-{round}-{place}");
+                        bytes += &match rng.u32(0..5) {
+                            0 => request("HEAD", "safe", &id, "", ""),
+                            1 => request("POST", "stream", &id, "", "x"),
+                            2 => request("POST", "unsafe", &id, "Expect: 100-continue\r\n", "x"),
+                            3 => request("GET", "nowhere", &id, "", ""),
+                            _ => request("POST", "unsafe", &id, "", &"z".repeat(rng.usize(1..50_000))),
+                        };
+                    }
+                    let end = rng.usize(1..=bytes.len());
+                    let _ = client.stream.write_all(&bytes.as_bytes()[..end]);
+                    std::thread::sleep(Duration::from_millis(rng.u64(0..30)));
+                    match rng.u32(0..3) {
+                        0 => drop(client.stream.shutdown(std::net::Shutdown::Write)),
+                        1 => {
+                            let socket = socket2::SockRef::from(&client.stream);
+                            socket.set_linger(Some(Duration::ZERO)).expect("linger");
+                        }
+                        _ => {}
+                    }
+                }
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(700));
+    rig.router.stop();
+    clients.into_iter().for_each(|client| client.join().unwrap_or(()));
+    assert!(rig.router.ends_within(Duration::from_secs(9)));
+    assert_eq!(lichenswitch_fleet::invariants::violations(), 0);
+}
