--- a/fleet/src/control/contact.rs
+++ b/fleet/src/control/contact.rs
@@ -3,6 +3,8 @@
 use super::calls::Primary;
 use super::group::{to_replica, Group};
 use super::machine::Machine;
+use super::peers::Peer;
+use super::program::elapsed;
 use super::routers::Push;
 use super::servers::Audience;
 use lichenswitch_control::{configuration_position, Committed};
@@ -11,6 +13,10 @@
 use lichenswitch_net::ConnId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A voter that is silent keeps its vote for so long: it is removed after that at the earliest.
+const VOTE_KEPT: Duration = Duration::from_secs(5);
 
 /// What others were told last.
 #[derive(Default)]
@@ -211,14 +217,27 @@
             // The sole voter: whoever else there is holds them too.
             true if voters.len() < 2 => Audience { needed: told.len().min(1), counted: told.clone(), told },
             true => Audience { counted: &told & &voters, needed: voters.len() / 2, told },
-            // Who has no vote knows no voters: it goes by the machines with a disk that are connected.
-            false => {
-                let durable: BTreeSet<SocketAddr> = self.durable_peers().into_iter().collect();
-                Audience { needed: durable.len() / 2 + 1, counted: durable, told }
-            }
+            // Who has no vote knows no voters: it goes by the machines with a disk, those that were heard lately too.
+            false => match self.durable_peers_heard_lately() {
+                0 => Audience { needed: told.len().min(1), counted: told.clone(), told },
+                known => Audience {
+                    needed: known / 2 + 1,
+                    counted: self.durable_peers().into_iter().collect(),
+                    told,
+                },
+            },
         }
     }
 
+    /// Machines with a disk that are connected, or were not long ago: they may vote still.
+    fn durable_peers_heard_lately(&self) -> usize {
+        let now = self.net.clock.now();
+        let lately = |peer: &Peer| peer.heard().is_some_and(|heard| elapsed(heard, now) < VOTE_KEPT);
+        let durable =
+            |peer: &Peer| peer.introduction.as_ref().is_some_and(|introduction| introduction.eligible);
+        self.peers.iter().filter(|(_, peer)| durable(peer) && lately(peer)).count()
+    }
+
     /// Tells what is new of servers, and answers the beats that brought it.
     pub(super) fn tell_servers(&mut self, now: Time) -> bool {
         if self.servers.has_changes() {
--- a/fleet/src/control/servers.rs
+++ b/fleet/src/control/servers.rs
@@ -82,9 +82,13 @@
     /// With what the disk remembers of a time before the start.
     pub(super) fn new(settings: &Settings, now: Time) -> Servers {
         let mut registry = Registry::new(now.0, interval(settings));
+        // Whether others hold what this machine remembers isn't known yet.
+        let mut unconfirmed = BTreeSet::new();
         let cache = settings.data_directory.as_deref().map(|directory| {
             let (cache, records) = ServerCache::open(directory, now);
             registry.remember(now.0, &records);
+            let leaving = records.into_iter().filter(|record| record.state != ServerState::Ready);
+            unconfirmed.extend(leaving.map(|record| record.instance));
             cache
         });
         Servers {
@@ -96,7 +100,7 @@
             callers: Vec::new(),
             waits: Vec::new(),
             hearsay: Vec::new(),
-            unconfirmed: BTreeSet::new(),
+            unconfirmed,
             next_ack: 1,
             answers: Vec::new(),
         }
@@ -187,6 +191,7 @@
     /// Another control machine remembers these from before its start.
     pub(super) fn on_remembered(&mut self, now: Time, records: &[ServerRecord]) {
         let changes = self.registry.remember(now.0, records);
+        self.note_hearsay(&changes, true);
         self.changes.append(changes);
     }
 
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -194,7 +194,7 @@
             }
             self.settle();
             if self.is_finished() {
-                invariants::check(self.exchanges.is_empty(), Invariant::EndsEmpty);
+                invariants::check(self.clients.waiting() == 0, Invariant::EndsAnswered);
                 return Ok(());
             }
         }
--- a/fleet/src/router/server_connections.rs
+++ b/fleet/src/router/server_connections.rs
@@ -12,7 +12,7 @@
 
 use super::program::{micros, Net, Timer, SERVER_USER_TIMEOUT};
 use super::request::{ClientRequest, Send};
-use super::response::{Piece, ResponseHead, ResponseReader};
+use super::response::{ResponseHead, ResponseReader};
 use super::servers::Endpoint;
 use super::service::AttemptId;
 use lichenswitch_event_stream::Scanner;
@@ -40,7 +40,8 @@
 /// An answer that is not a stream is passed on whole up to this length, and as it comes beyond it (bytes).
 const MAX_WHOLE: usize = 256 * 1_024;
 /// A longer body may find no room at a server that has not read its beginning yet (bytes): half of what systems give a connection.
-/// A server that is only silent is waited for, so that until its answer begins nothing but the request's time ends such a connection.
+/// A server that is only silent is waited for, also one that answers before it has read all: until its answer is whole nothing but the
+/// request's time ends such a connection.
 const LONG_BODY: usize = 32 * 1_024;
 /// Most bytes of one event.
 const MAX_EVENT: usize = 256 * 1_024;
@@ -361,20 +362,15 @@
             // The end of a connection is the end of an answer only if the connection ended in order.
             let ended = conn.ended && !broken;
             match current.reader.read(&mut conn.input, ended) {
-                Ok(Some(piece)) => {
-                    if matches!(piece, Piece::Head(_)) && current.attempt.has_long_body() {
-                        conn.set_user_timeout(SERVER_USER_TIMEOUT);
+                Ok(Some(piece)) => match current.take(piece) {
+                    Taken::Nothing => {}
+                    Taken::Event(event) => self.events.push(event),
+                    Taken::Whole(event) => {
+                        self.events.push(event);
+                        return self.finished(net, id);
                     }
-                    match current.take(piece) {
-                        Taken::Nothing => {}
-                        Taken::Event(event) => self.events.push(event),
-                        Taken::Whole(event) => {
-                            self.events.push(event);
-                            return self.finished(net, id);
-                        }
-                        Taken::Odd => return self.broken(net, id),
-                    }
-                }
+                    Taken::Odd => return self.broken(net, id),
+                },
                 Ok(None) => break,
                 Err(_) => return self.broken(net, id),
             }
@@ -403,6 +399,9 @@
         }
         link.state = State::Idle(now, now.plus(keep));
         let server = link.server;
+        if current.attempt.has_long_body() {
+            conn.set_user_timeout(SERVER_USER_TIMEOUT);
+        }
         if let Some(next) = self.next_waiting(server) {
             return self.write(net, id, next);
         }
