Move the names of requests, services and attempts below what passes them on

Cause: exchange, service, program and server_connections imported each other for three plain numbers.

--- a/fleet/src/router/answers.rs
+++ b/fleet/src/router/answers.rs
@@ -4,12 +4,12 @@
 //! gave it, whole, and that every attempt's end is told to the core once.
 
 use super::cut::CutReason;
-use super::exchange::{meaning, ExchangeId, Meaning, Out, Phase};
+use super::exchange::{meaning, Meaning, Out, Phase};
+use super::ids::{AttemptId, ExchangeId, ServiceId};
 use super::intake::nearly;
 use super::program::Timer;
 use super::response::OwnAnswer;
 use super::server_connections::{Answer, Attempt, ServerEvent};
-use super::service::{AttemptId, ServiceId};
 use super::Router;
 use lichenswitch_core::{Command, Dispatch, Reply};
 use lichenswitch_interface::{Micros, Outcome, QueryId, ServerId};
--- a/fleet/src/router/cut.rs
+++ b/fleet/src/router/cut.rs
@@ -3,7 +3,8 @@
 //! It promises that every such end is logged once, with its reason and with what tells the reasons apart: how old the request was, how
 //! long this process had been ending, and which configuration the request was taken under.
 
-use super::exchange::{Exchange, ExchangeId};
+use super::exchange::Exchange;
+use super::ids::ExchangeId;
 use super::Router;
 use lichenswitch_interface::{Micros, Outcome};
 use std::fmt;
--- a/fleet/src/router/exchange.rs
+++ b/fleet/src/router/exchange.rs
@@ -4,19 +4,15 @@
 //! counts as run unless every attempt is known not to have run.
 
 use super::configuration::Terms;
+use super::ids::{AttemptId, ExchangeId, ServiceId};
 use super::request::ClientRequest;
 use super::response::ResponseHead;
 use super::server_connections::Answer;
-use super::service::{AttemptId, ServiceId};
 use lichenswitch_interface::{Outcome, QueryId, ServerId, Time};
 use lichenswitch_net::ConnId;
 use std::collections::HashMap;
 use std::rc::Rc;
 
-/// Names a request. Never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct ExchangeId(pub u64);
-
 /// How far a request has come.
 #[derive(Debug)]
 pub enum Phase {
--- a/fleet/src/router/intake.rs
+++ b/fleet/src/router/intake.rs
@@ -5,11 +5,12 @@
 use super::clients::ClientEvent;
 use super::configuration::Terms;
 use super::cut::CutReason;
-use super::exchange::{Exchange, ExchangeId, Phase};
+use super::exchange::{Exchange, Phase};
+use super::ids::{ExchangeId, ServiceId};
 use super::program::{micros, Timer};
 use super::request::ClientRequest;
 use super::response::OwnAnswer;
-use super::service::{Ask, ServiceId};
+use super::service::Ask;
 use super::Router;
 use lichenswitch_core::Refusal;
 use lichenswitch_interface::{Micros, Time};
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -13,7 +13,7 @@
 //! | --- | --- |
 //! | `clients`, `request` | connections of clients; requests as they are read and sent on |
 //! | `server_connections`, `response` | connections to servers; answers as they are read |
-//! | `exchange` | the table of requests that are held |
+//! | `exchange`, `ids` | the table of requests that are held; names of requests, services and attempts |
 //! | `configuration`, `service` | routes; a service's core with the decision module |
 //! | `intake`, `answers`, `relay`, `cut` | from a request to attempts; from attempts to an answer; streams; the end of one that can't be brought to its end |
 //! | `control_link`, `candidates`, `servers` | the connection to control; what is known of servers |
@@ -28,6 +28,7 @@
 mod cut;
 mod error;
 mod exchange;
+mod ids;
 mod intake;
 mod options;
 mod prefix;
--- a/fleet/src/router/program.rs
+++ b/fleet/src/router/program.rs
@@ -1,7 +1,6 @@
 //! What this role calls its connections, timers and signals.
 
-use super::exchange::ExchangeId;
-use super::service::AttemptId;
+use super::ids::{AttemptId, ExchangeId};
 use lichenswitch_descriptors::Side;
 use lichenswitch_interface::{Micros, Time};
 use lichenswitch_net::{ConnId, Program};
--- a/fleet/src/router/relay.rs
+++ b/fleet/src/router/relay.rs
@@ -4,10 +4,11 @@
 //! of another server or is cut, but never ended as complete; and that what a slow client has not taken is bounded.
 
 use super::cut::CutReason;
-use super::exchange::{ExchangeId, Phase, Relay};
+use super::exchange::{Phase, Relay};
+use super::ids::{AttemptId, ExchangeId};
 use super::response::ResponseHead;
 use super::server_connections::{Answer, Part};
-use super::service::{Ask, AttemptId};
+use super::service::Ask;
 use super::Router;
 use lichenswitch_interface::{Micros, Outcome};
 use lichenswitch_net::ConnId;
--- a/fleet/src/router/server_connections.rs
+++ b/fleet/src/router/server_connections.rs
@@ -10,11 +10,11 @@
 mod pool;
 mod reading;
 
+use super::ids::AttemptId;
 use super::program::{micros, Net, Timer, SERVER_USER_TIMEOUT};
 use super::request::{ClientRequest, Send};
 use super::response::{ResponseHead, ResponseReader};
 use super::servers::Endpoint;
-use super::service::AttemptId;
 use lichenswitch_event_stream::Scanner;
 use lichenswitch_interface::{Micros, Outcome, ServerId, Time};
 use lichenswitch_net::{ConnId, Pumped};
--- a/fleet/src/router/service.rs
+++ b/fleet/src/router/service.rs
@@ -5,7 +5,7 @@
 
 use super::budget::{module_budget, ResumeBudget};
 use super::configuration::Terms;
-use super::exchange::ExchangeId;
+use super::ids::ExchangeId;
 use super::options::{Capacity, RetryBudget};
 use super::servers::GROUPS;
 use lichenswitch_core::{Command, Contracts, Core, Refusal, Request, Value};
@@ -16,19 +16,6 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-/// Names a service. Never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct ServiceId(pub u32);
-
-/// Names an attempt of whichever service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct AttemptId {
-    /// Its service.
-    pub service: ServiceId,
-    /// Its number there.
-    pub number: u64,
-}
-
 /// Advice to clients that are refused is at most this long (microseconds): they heed up to a third of the time they have left, and
 /// what is served within its aim from the new try still earns.
 const RETRY_AFTER: Micros = 300_000;
--- a/fleet/src/router/services.rs
+++ b/fleet/src/router/services.rs
@@ -1,10 +1,10 @@
 //! All services that the configuration in force names, or that still hold requests.
 
 use super::configuration::InForce;
-use super::exchange::ExchangeId;
+use super::ids::{ExchangeId, ServiceId};
 use super::options::{Capacity, RetryBudget};
 use super::servers::{Change, ServerTable};
-use super::service::{Service, ServiceId};
+use super::service::Service;
 use lichenswitch_core::Command;
 use lichenswitch_interface::{Listed, Time};
 use std::collections::BTreeMap;
--- a/fleet/src/router/shutdown.rs
+++ b/fleet/src/router/shutdown.rs
@@ -6,7 +6,7 @@
 //! over in any case, with a final answer for all that it held when it was told.
 
 use super::cut::CutReason;
-use super::exchange::ExchangeId;
+use super::ids::ExchangeId;
 use super::program::{after, Owner, Timer};
 use super::Router;
 use crate::invariants::{self, Invariant};
