Name a broker's part among the voters, and what it sends them, in the field's words

Cause: Seat and Words need explaining. Change: VoterRole, OutgoingMessages, by renames alone in src/peer.

--- a/src/peer/consensus.rs
+++ b/src/peer/consensus.rs
@@ -6,9 +6,9 @@
 
 mod messages;
 
-pub use messages::Words;
+pub use messages::OutgoingMessages;
 
-use self::messages::{words, Message};
+use self::messages::{outgoing, Message};
 use crate::decide::agree::genesis::{Announcement, Gather, Identity, Reason};
 use crate::decide::agree::persistent_state::{PersistentState, Record};
 use crate::decide::agree::standing::{Hearing, Standing};
@@ -46,7 +46,7 @@
 }
 
 /// Whether this broker votes.
-enum Seat {
+enum VoterRole {
     /// It is none of the voters.
     Reader,
     /// It waits for the genesis.
@@ -69,7 +69,7 @@
 pub struct Consensus {
     own: Holder,
     rules: Rules,
-    seat: Seat,
+    voter_role: VoterRole,
     keep: Option<Keep>,
     holdings: BTreeMap<Duty, Holding>,
     /// Who has heard this broker, and how it stood at the last look.
@@ -101,7 +101,7 @@
             grants_from: now,
             own,
             rules,
-            seat: Seat::Reader,
+            voter_role: VoterRole::Reader,
             keep: None,
             holdings,
             asks: Vec::new(),
@@ -145,7 +145,7 @@
         }
         let Some(identity) = state.identity().cloned() else { return Ok(()) };
         let gather = Gather::new(identity, &self.rules.voters, state.genesis().cloned());
-        self.seat = Seat::Gathers(Box::new((gather, state)));
+        self.voter_role = VoterRole::Gathers(Box::new((gather, state)));
         self.flush_gathering();
         self.begin(now);
         Ok(())
@@ -153,10 +153,10 @@
 
     /// Keeps what the gathering has noted; without that it does not vote.
     fn flush_gathering(&mut self) {
-        let Seat::Gathers(gathering) = &self.seat else { return };
+        let VoterRole::Gathers(gathering) = &self.voter_role else { return };
         let records = gathering.1.take_records();
         if !self.persist(&records) {
-            self.seat = Seat::Abstains;
+            self.voter_role = VoterRole::Abstains;
         }
     }
 
@@ -174,7 +174,7 @@
 
     /// Votes from here on, if the genesis names it.
     fn begin(&mut self, now: Time) {
-        let Seat::Gathers(gathering) = &self.seat else { return };
+        let VoterRole::Gathers(gathering) = &self.voter_role else { return };
         let (gather, state) = &**gathering;
         match (gather.why(), gather.genesis()) {
             (Reason::Named, Some(genesis)) => {
@@ -187,18 +187,18 @@
                             self.grants_from = now.plus(self.rules.terms.awaited());
                         }
                         self.log.push(format!("{line}, {} entries known", voter.applied()));
-                        self.seat = Seat::Votes(Box::new(voter));
+                        self.voter_role = VoterRole::Votes(Box::new(voter));
                     }
                     Err(why) => {
                         self.log.push(format!("council: does not vote: {why}"));
-                        self.seat = Seat::Abstains;
+                        self.voter_role = VoterRole::Abstains;
                     }
                 }
             }
             (Reason::Waits(_), _) => {}
             (why, _) => {
                 self.log.push(format!("council: does not vote: {why}"));
-                self.seat = Seat::Abstains;
+                self.voter_role = VoterRole::Abstains;
             }
         }
     }
@@ -221,10 +221,10 @@
     #[must_use]
     pub fn next(&self) -> Time {
         let mut next = Time(u64::MAX);
-        match &self.seat {
-            Seat::Votes(voter) => next = next.min(voter.next()),
-            Seat::Gathers(_) => next = next.min(self.gather_at),
-            Seat::Reader | Seat::Abstains => {}
+        match &self.voter_role {
+            VoterRole::Votes(voter) => next = next.min(voter.next()),
+            VoterRole::Gathers(_) => next = next.min(self.gather_at),
+            VoterRole::Reader | VoterRole::Abstains => {}
         }
         next.min(self.look_at)
     }
@@ -236,22 +236,22 @@
     }
 
     /// Time has come.
-    pub fn on_time(&mut self, now: Time) -> Words {
-        let mut out = Words::new();
+    pub fn on_time(&mut self, now: Time) -> OutgoingMessages {
+        let mut out = OutgoingMessages::new();
         if now >= self.look_at {
             self.look_at = now.plus(LOOK);
             self.look(now, &mut out);
         }
-        match &mut self.seat {
-            Seat::Votes(voter) => {
+        match &mut self.voter_role {
+            VoterRole::Votes(voter) => {
                 let told = voter.on_time(now);
                 self.carry(now, told, &mut out);
             }
-            Seat::Gathers(gathering) if now >= self.gather_at => {
+            VoterRole::Gathers(gathering) if now >= self.gather_at => {
                 self.gather_at = now.plus(GATHER);
                 let announcement = Message::Announcement(gathering.0.announcement());
                 let others = self.rules.voters.iter().filter(|v| **v != self.own.name);
-                out.extend(others.map(|v| words(v, &announcement)));
+                out.extend(others.map(|v| outgoing(v, &announcement)));
             }
             _ => {}
         }
@@ -259,7 +259,7 @@
     }
 
     /// Looks at what it holds: tells what began and what is over, and asks where it is time.
-    fn look(&mut self, now: Time, out: &mut Words) {
+    fn look(&mut self, now: Time, out: &mut OutgoingMessages) {
         let (standing, why) = self.hearing.standing(now);
         // Guards the log: nothing is said of a start, before anybody could have heard it.
         if self.stood.is_some_and(|stood| stood != standing)
@@ -307,18 +307,18 @@
     }
 
     /// A message of another broker has come.
-    pub fn on_word(&mut self, now: Time, from: &str, bytes: &[u8]) -> Words {
+    pub fn on_word(&mut self, now: Time, from: &str, bytes: &[u8]) -> OutgoingMessages {
         match postcard::from_bytes::<Message>(bytes) {
             Ok(message) => self.hear(now, from, message),
             // It is of a version that says more: what it wants is not known here.
-            Err(_) => Words::new(),
+            Err(_) => OutgoingMessages::new(),
         }
     }
 
     /// A way to or from another broker is there again.
-    pub fn on_way(&mut self, now: Time, name: &str) -> Words {
-        let mut out = Words::new();
-        if let Seat::Votes(voter) = &mut self.seat {
+    pub fn on_way(&mut self, now: Time, name: &str) -> OutgoingMessages {
+        let mut out = OutgoingMessages::new();
+        if let VoterRole::Votes(voter) = &mut self.voter_role {
             let told = voter.on_reconnected(now, name);
             self.carry(now, told, &mut out);
         }
@@ -326,8 +326,8 @@
     }
 
     /// This broker stops: what it holds it gives back.
-    pub fn on_stop(&mut self, now: Time) -> Words {
-        let mut out = Words::new();
+    pub fn on_stop(&mut self, now: Time) -> OutgoingMessages {
+        let mut out = OutgoingMessages::new();
         for (duty, holding) in std::mem::take(&mut self.holdings) {
             let mut hold = holding.hold;
             let held = matches!(hold.check(now, self.rules.terms), May::Act(..));
@@ -344,10 +344,10 @@
         out
     }
 
-    fn hear(&mut self, now: Time, from: &str, message: Message) -> Words {
-        let mut out = Words::new();
-        match (message, &mut self.seat) {
-            (Message::Announcement(announcement), Seat::Gathers(gathering))
+    fn hear(&mut self, now: Time, from: &str, message: Message) -> OutgoingMessages {
+        let mut out = OutgoingMessages::new();
+        match (message, &mut self.voter_role) {
+            (Message::Announcement(announcement), VoterRole::Gathers(gathering))
                 if announcement.identity.name == from =>
             {
                 let (gather, state) = &mut **gathering;
@@ -360,18 +360,20 @@
                     self.begin(now);
                 }
             }
-            (Message::Announcement(announcement), Seat::Votes(voter)) if announcement.begun.is_none() => {
+            (Message::Announcement(announcement), VoterRole::Votes(voter))
+                if announcement.begun.is_none() =>
+            {
                 let own = voter.genesis().voters().iter().find(|v| v.name == self.own.name).cloned();
                 let begun = Some(voter.genesis().clone());
-                out.extend(
-                    own.map(|identity| words(from, &Message::Announcement(Announcement { identity, begun }))),
-                );
+                out.extend(own.map(|identity| {
+                    outgoing(from, &Message::Announcement(Announcement { identity, begun }))
+                }));
             }
-            (Message::Log(bytes), Seat::Votes(voter)) => {
+            (Message::Log(bytes), VoterRole::Votes(voter)) => {
                 let told = voter.on_message(now, &bytes);
                 self.carry(now, told, &mut out);
             }
-            (Message::Ask(duty, holder, number), Seat::Votes(voter)) if holder.name == from => {
+            (Message::Ask(duty, holder, number), VoterRole::Votes(voter)) if holder.name == from => {
                 // Guards the log against those who would be refused; that this voter may be behind only makes them ask again.
                 let elsewhere = voter.grants().holder(&duty).is_some_and(|(held_by, _)| *held_by != holder);
                 if elsewhere || now < self.grants_from {
@@ -386,7 +388,7 @@
                 }
             }
             // Guards the holder: nobody else gives back what it acts under. A voter that is behind leaves it to the others.
-            (Message::GiveBack(duty, fence), Seat::Votes(voter))
+            (Message::GiveBack(duty, fence), VoterRole::Votes(voter))
                 if voter.grants().holder(&duty).is_some_and(|(held_by, _)| held_by.name == from) =>
             {
                 let told = voter.on_entry(now, Entry { grant: Grant::GiveBack(duty, fence), number: 0 });
@@ -403,7 +405,7 @@
                     }
                 }
             }
-            (Message::Hear(number), Seat::Votes(voter)) => {
+            (Message::Hear(number), VoterRole::Votes(voter)) => {
                 let heard = Message::Heard(number, voter.genesis().digest());
                 return self.say(now, from, heard);
             }
@@ -422,25 +424,25 @@
         out
     }
 
-    fn say(&mut self, now: Time, to: &str, message: Message) -> Words {
+    fn say(&mut self, now: Time, to: &str, message: Message) -> OutgoingMessages {
         match to == self.own.name {
             true => self.hear(now, to, message),
-            false => vec![words(to, &message)],
+            false => vec![outgoing(to, &message)],
         }
     }
 
     /// Carries out a voter's verdicts, in order.
-    fn carry(&mut self, now: Time, told: Vec<Verdict>, out: &mut Words) {
+    fn carry(&mut self, now: Time, told: Vec<Verdict>, out: &mut OutgoingMessages) {
         for verdict in told {
             match verdict {
                 Verdict::Keep(records) => {
                     if !self.persist(&records) {
                         // Guards the others: what could not be kept must not be told.
-                        self.seat = Seat::Abstains;
+                        self.voter_role = VoterRole::Abstains;
                         return;
                     }
                 }
-                Verdict::Send(to, bytes) => out.push(words(&to.name, &Message::Log(bytes))),
+                Verdict::Send(to, bytes) => out.push(outgoing(&to.name, &Message::Log(bytes))),
                 Verdict::Decided(_, entry, granted) => self.decided(now, &entry, &granted, out),
                 Verdict::Caught(place) => {
                     self.log.push(format!("council: caught up to entry {place} by a snapshot"));
@@ -453,7 +455,7 @@
         }
     }
 
-    fn decided(&mut self, now: Time, entry: &Entry, granted: &Granted, out: &mut Words) {
+    fn decided(&mut self, now: Time, entry: &Entry, granted: &Granted, out: &mut OutgoingMessages) {
         let Grant::Ask(duty, holder) = &entry.grant else { return };
         let waits = |a: &(Duty, Holder, u64, String, Time)| (&a.0, &a.1, a.2) == (duty, holder, entry.number);
         let Some(at) = self.asks.iter().position(waits) else { return };
@@ -467,7 +469,7 @@
 
     /// One record takes the place of all in the file.
     fn shorten(&mut self) {
-        let (Seat::Votes(voter), Some(keep)) = (&self.seat, &mut self.keep) else { return };
+        let (VoterRole::Votes(voter), Some(keep)) = (&self.voter_role, &mut self.keep) else { return };
         if let Err(e) = keep.replace(&voter.memory().0) {
             // What was kept before stays, and goes on.
             self.log.push(format!("council: its folder's file could not be shortened: {e}"));
--- a/src/peer/consensus/messages.rs
+++ b/src/peer/consensus/messages.rs
@@ -25,11 +25,11 @@
     GiveBack(Duty, FenceNumber),
 }
 
-/// Words for others, by name.
-pub type Words = Vec<(String, Vec<u8>)>;
+/// Messages for others: the name of each receiver, and the bytes.
+pub type OutgoingMessages = Vec<(String, Vec<u8>)>;
 
 /// A message for somebody, as it travels.
-pub(super) fn words(to: &str, message: &Message) -> (String, Vec<u8>) {
+pub(super) fn outgoing(to: &str, message: &Message) -> (String, Vec<u8>) {
     // Plain values in memory can always be written.
     (to.into(), postcard::to_stdvec(message).unwrap_or_default())
 }
--- a/src/peer/consensus/tests.rs
+++ b/src/peer/consensus/tests.rs
@@ -5,7 +5,7 @@
 const TERMS: Terms = Terms { lease: 1_000_000, drift: 20_000 };
 const START: Time = Time(50_000_000);
 
-/// Consensus of four brokers in virtual time; words arrive at once.
+/// Consensus of four brokers in virtual time; messages arrive at once.
 struct Table {
     brokers: Vec<Consensus>,
     now: Time,
@@ -21,9 +21,9 @@
         Table { brokers: (0..4).map(broker).collect(), now: START }
     }
 
-    fn deliver(&mut self, from: usize, words: Words) {
+    fn deliver(&mut self, from: usize, messages: OutgoingMessages) {
         let mut waiting: Vec<(usize, String, Vec<u8>)> =
-            words.into_iter().map(|(to, bytes)| (from, to, bytes)).collect();
+            messages.into_iter().map(|(to, bytes)| (from, to, bytes)).collect();
         while let Some((from, to, bytes)) = waiting.pop() {
             let to: usize = to[1..].parse().unwrap();
             let answers = self.brokers[to].on_word(self.now, &format!("n{from}"), &bytes);
@@ -43,8 +43,8 @@
             self.now = self.now.plus(5_000);
             for i in 0..4 {
                 if self.brokers[i].next() <= self.now {
-                    let words = self.brokers[i].on_time(self.now);
-                    self.deliver(i, words);
+                    let messages = self.brokers[i].on_time(self.now);
+                    self.deliver(i, messages);
                 }
             }
             let holders = self.holders();
@@ -67,12 +67,12 @@
     let back = postcard::to_stdvec(&Message::GiveBack(duty, fence)).unwrap();
     table.deliver(other, (0..3).map(|v| (format!("n{v}"), back.clone())).collect());
     assert_eq!(table.until_held(5_000), Some(holder), "only the holder gives it back");
-    assert!((0..3).all(|v| match &table.brokers[v].seat {
-        Seat::Votes(voter) => voter.grants().holder(&Duty("d".into())).is_some(),
+    assert!((0..3).all(|v| match &table.brokers[v].voter_role {
+        VoterRole::Votes(voter) => voter.grants().holder(&Duty("d".into())).is_some(),
         _ => false,
     }));
-    let words = table.brokers[holder].on_stop(table.now);
-    table.deliver(holder, words);
+    let messages = table.brokers[holder].on_stop(table.now);
+    table.deliver(holder, messages);
     assert!(table.holders().is_empty(), "nothing is done under it from here on");
     let stopped = table.now;
     let next = table.until_held(10_000_000).unwrap();
--- a/src/peer/group.rs
+++ b/src/peer/group.rs
@@ -1,6 +1,6 @@
 //! The group of peer brokers: the connections to them and the membership view that they carry, for the broker's loop.
 
-use super::consensus::{Consensus, Words};
+use super::consensus::{Consensus, OutgoingMessages};
 use super::{Heard, Talk, What, MOST};
 use crate::config::Peers;
 use crate::decide::duty::Holder;
@@ -71,8 +71,8 @@
             self.hear(net, heard);
         }
         if let Some(consensus) = self.consensus.as_mut().filter(|c| c.next() <= now) {
-            let words = consensus.on_time(now);
-            self.pass_on(net, words);
+            let messages = consensus.on_time(now);
+            self.pass_on(net, messages);
         }
     }
 
@@ -91,15 +91,15 @@
     /// This broker stops: the others are told.
     pub fn on_stop(&mut self, net: &mut Net) {
         let now = net.clock.now();
-        let words = self.consensus.as_mut().map(|c| c.on_stop(now)).unwrap_or_default();
-        self.pass_on(net, words);
+        let messages = self.consensus.as_mut().map(|c| c.on_stop(now)).unwrap_or_default();
+        self.pass_on(net, messages);
         let told = self.fleet.on_stop(now);
         self.carry(net, told);
     }
 
     /// Sends the messages of the consensus to those whom they are for.
-    fn pass_on(&mut self, net: &mut Net, words: Words) {
-        for (name, bytes) in words {
+    fn pass_on(&mut self, net: &mut Net, messages: OutgoingMessages) {
+        for (name, bytes) in messages {
             let known = self.fleet.alive().get(&name).or_else(|| self.known.iter().find(|m| m.name == name));
             // Of whom nothing is known, nobody waits: the log says it again.
             if let Some(to) = known.cloned() {
@@ -117,12 +117,12 @@
                     self.carry(net, told);
                 }
                 (What::Consensus(bytes), Some(consensus)) => {
-                    let words = consensus.on_word(now, &from.name, &bytes);
-                    self.pass_on(net, words);
+                    let messages = consensus.on_word(now, &from.name, &bytes);
+                    self.pass_on(net, messages);
                 }
                 (What::Greeting, Some(consensus)) => {
-                    let words = consensus.on_way(now, &from.name);
-                    self.pass_on(net, words);
+                    let messages = consensus.on_way(now, &from.name);
+                    self.pass_on(net, messages);
                 }
                 (What::Consensus(_) | What::Greeting, None) => {}
             }
