Acknowledge that a server leaves once it is on the disks of a majority

Cause: news that a server drains or has left were acknowledged once a majority of the voters held them in memory. The table of servers goes to disk once a second at most and nothing waited for it, so that a kill of all machines right after the 200 brought the server back.

Change: such news ask for a write of the table at once (ServerCache::write_now, which gives the number of the write; news that come while one is under way share the next). A machine with a disk confirms them to others, and counts itself, only once that write or a later one has completed; the writer wakes the loop (Signal::TableWritten). A write that fails or stalls confirms nothing: the machine that took the call answers 503 after the LONGEST_WAIT there was before, and one that was told drops the confirmation after as long. A failed write is made up for by the next one, an interval later at the latest. News of servers that are ready, and machines without a disk, are as before; where news of both kinds are told in one message, all of it waits. A disk that refuses is logged once, not with each write.

Tests: ServerCache::open takes the stream by which it wakes the loop, which its tests now hand over. New ones for writes that are shared or fail, for both ends of a confirmation, and for a machine of three whose disk refuses the table.

--- a/fleet/src/control/contact.rs
+++ b/fleet/src/control/contact.rs
@@ -255,6 +255,9 @@
             }
         }
         self.servers.settle(now);
+        for (id, ack) in self.servers.take_confirmations(now) {
+            self.send_to(id, PeerMessage::ServersMerged { ack });
+        }
         let answers = self.servers.take_answers();
         let busy = !answers.is_empty();
         for (caller, held) in answers {
--- a/fleet/src/control/machine.rs
+++ b/fleet/src/control/machine.rs
@@ -81,6 +81,7 @@
             true => own_part::begin(&settings, address, &mut net, now),
             false => None,
         };
+        let servers = Servers::start(&settings, &mut net, now)?;
         // Whoever connects is answered from the first moment: what is not known yet is answered 503.
         net.listen(Owner::Accepted, address)?;
         net.listen(Owner::Caller, control_plane)?;
@@ -96,7 +97,7 @@
             peers: Peers::new(address, settings.seeds_internal(), now),
             group,
             feed: Feed::new(fastrand::u64(..)),
-            servers: Servers::new(&settings, now),
+            servers,
             routers: Routers::new(),
             callers: Callers::default(),
             calls: Calls::new(fastrand::u64(..)),
@@ -167,6 +168,8 @@
                     group.on_written(now);
                 }
             }
+            // The turn that follows looks at what is held now.
+            Signal::TableWritten => {}
         }
     }
 
--- a/fleet/src/control/on_internal.rs
+++ b/fleet/src/control/on_internal.rs
@@ -132,7 +132,7 @@
         }
     }
 
-    fn send_to(&mut self, id: ConnId, message: PeerMessage) {
+    pub(super) fn send_to(&mut self, id: ConnId, message: PeerMessage) {
         self.links.send(&mut self.net, id, &Envelope::Peer(message));
     }
 
@@ -152,8 +152,8 @@
             PeerMessage::Answer { id, answer } => self.calls.on_answer(to_replica(now), &from, id, answer),
             PeerMessage::Servers { ack, records, whole } => {
                 self.servers.on_records(now, &records, whole, self.is_in_contact(from));
-                if ack != 0 {
-                    self.send_to_peer(from, PeerMessage::ServersMerged { ack });
+                if let Some(id) = self.peers.connection(from).filter(|_| ack != 0) {
+                    self.servers.on_confirmation_wanted(now, id, ack, &records);
                 }
             }
             PeerMessage::ServersRemembered(records) => self.servers.on_remembered(now, &records),
--- a/fleet/src/control/program.rs
+++ b/fleet/src/control/program.rs
@@ -30,6 +30,8 @@
     Reload,
     /// The writer of the disk has finished something.
     Written,
+    /// The writer of the table of servers has finished something.
+    TableWritten,
 }
 
 impl lichenswitch_net::Program for Control {
--- a/fleet/src/control/server_cache.rs
+++ b/fleet/src/control/server_cache.rs
@@ -1,8 +1,10 @@
 //! The table of servers as this machine last knew it, on its disk.
 //!
 //! After a loss of power on all machines nobody knows any server until its next heartbeat. What is read here fills that gap: it is merged as
-//! news from a peer would be, and the next heartbeats confirm or correct it. It is a hint and no state: nothing is acknowledged by it, a
-//! stale record costs a connection that is refused, and a file that can't be read is set aside and passed over.
+//! news from a peer would be, and the next heartbeats confirm or correct it. Of servers that are ready it is a hint: nothing is
+//! acknowledged by it, it is written once a second at most, a stale record costs a connection that is refused, and a file that can't be
+//! read is set aside and passed over. That a server leaves or has left is acknowledged by it: such news ask for a write at once
+//! ([`ServerCache::write_now`]), and whoever has to hold them waits until that write, or a later one, has completed.
 //!
 //! A thread of its own writes, so that a stalled disk holds nobody up; of tables that come faster than it writes, the newest counts.
 
@@ -12,6 +14,7 @@
 use lichenswitch_rpc::{decode, encode, encode_frame, ArchiveError, FrameError, FrameReader};
 use std::fs::File;
 use std::io::{self, Write};
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread;
@@ -47,17 +50,43 @@
     Cut,
 }
 
+/// Number of a write of the table. A later one holds all that those before it did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct WriteNumber(u64);
+
+/// A table on its way to the disk.
+struct TableWrite {
+    number: WriteNumber,
+    bytes: Vec<u8>,
+}
+
+/// How a write has ended; those before it have ended too.
+struct Ended {
+    number: WriteNumber,
+    succeeded: bool,
+}
+
 /// The file, and what waits to be written to it.
 pub(super) struct ServerCache {
-    tables: Sender<Vec<u8>>,
+    writes: Sender<TableWrite>,
+    endings: Receiver<Ended>,
+    /// The last write that was handed to the thread.
+    begun: WriteNumber,
+    /// The last one that has ended, well or not.
+    ended: WriteNumber,
+    /// The last one that is on the disk.
+    written: WriteNumber,
+    /// A write that is wanted at once, if it has not begun.
+    wanted: WriteNumber,
     changed: bool,
     next_write: Time,
     next_renewal: Time,
 }
 
 impl ServerCache {
-    /// Opens the file in a data directory, and tells what it holds. A table that can't be read is set aside.
-    pub(super) fn open(directory: &Path, now: Time) -> (ServerCache, Vec<ServerRecord>) {
+    /// Opens the file in a data directory, and tells what it holds. A table that can't be read is set aside. A byte is written to `wake`,
+    /// which must not block, when a write has ended.
+    pub(super) fn open(directory: &Path, now: Time, wake: UnixStream) -> (ServerCache, Vec<ServerRecord>) {
         let path = directory.join(FILE);
         let records = match read(&path) {
             Ok(records) => records,
@@ -68,10 +97,26 @@
                 Vec::new()
             }
         };
-        let (tables, waiting) = mpsc::channel();
-        // Without a thread nothing is written: the gap after a loss of power is longer, and no more.
-        let _ = thread::Builder::new().name("server-cache".into()).spawn(move || write_all(&path, &waiting));
-        (ServerCache { tables, changed: false, next_write: now, next_renewal: after(now, RENEWAL) }, records)
+        let (writes, waiting) = mpsc::channel();
+        let (tell, endings) = mpsc::channel();
+        let writer = Writer { path, wake, tell, failing: false };
+        // Without a thread nothing is written, and no news of servers that leave are held here.
+        let _ = thread::Builder::new().name("server-cache".into()).spawn(move || writer.run(&waiting));
+        let none = WriteNumber::default();
+        let (begun, ended, written, wanted) = (none, none, none, none);
+        let next_renewal = after(now, RENEWAL);
+        let cache = ServerCache {
+            writes,
+            endings,
+            begun,
+            ended,
+            written,
+            wanted,
+            changed: false,
+            next_write: now,
+            next_renewal,
+        };
+        (cache, records)
     }
 
     /// The table is no longer what was written.
@@ -79,17 +124,54 @@
         self.changed = true;
     }
 
+    /// The table as it is now is wanted on the disk as soon as can be: by the write of this number.
+    pub(super) fn write_now(&mut self) -> WriteNumber {
+        self.wanted = WriteNumber(self.begun.0 + 1);
+        self.wanted
+    }
+
+    /// The last write that is on the disk.
+    pub(super) fn written(&self) -> WriteNumber {
+        self.written
+    }
+
     /// Writes the table, if it has changed and the last one is some time ago.
     pub(super) fn tick(&mut self, now: Time, table: impl FnOnce() -> Vec<ServerRecord>) {
         let due = if self.changed { self.next_write } else { self.next_renewal };
-        if now < due {
-            return;
+        if due <= now {
+            self.begin(now, &table());
+        }
+    }
+
+    /// Takes in what the thread has done, and begins the write that is wanted at once. While one is under way it waits for its end, so that
+    /// news that come faster than the disk writes share one.
+    pub(super) fn advance(&mut self, now: Time, table: impl FnOnce() -> Vec<ServerRecord>) {
+        while let Ok(ended) = self.endings.try_recv() {
+            self.on_ended(&ended);
         }
+        if self.begun < self.wanted && self.ended == self.begun {
+            self.begin(now, &table());
+        }
+    }
+
+    fn begin(&mut self, now: Time, table: &[ServerRecord]) {
         (self.changed, self.next_write, self.next_renewal) =
             (false, after(now, INTERVAL), after(now, RENEWAL));
-        if let Some(bytes) = framed(time_of_day_s(), &table()) {
+        self.begun = WriteNumber(self.begun.0 + 1);
+        let number = self.begun;
+        match framed(time_of_day_s(), table) {
             // Nobody writes any more: see `open`.
-            let _ = self.tables.send(bytes);
+            Some(bytes) => drop(self.writes.send(TableWrite { number, bytes })),
+            None => self.on_ended(&Ended { number, succeeded: false }),
+        }
+    }
+
+    fn on_ended(&mut self, ended: &Ended) {
+        self.ended = ended.number;
+        match ended.succeeded {
+            true => self.written = ended.number,
+            // The next write makes up for it.
+            false => self.changed = true,
         }
     }
 }
@@ -121,12 +203,36 @@
     Ok(records)
 }
 
-fn write_all(path: &Path, waiting: &Receiver<Vec<u8>>) {
-    while let Ok(first) = waiting.recv() {
-        let newest = waiting.try_iter().last().unwrap_or(first);
-        if let Err(e) = write(path, &newest) {
+/// What the thread has.
+struct Writer {
+    path: PathBuf,
+    wake: UnixStream,
+    tell: Sender<Ended>,
+    /// Whether the last write failed.
+    failing: bool,
+}
+
+impl Writer {
+    fn run(mut self, waiting: &Receiver<TableWrite>) {
+        while let Ok(first) = waiting.recv() {
+            let newest = waiting.try_iter().last().unwrap_or(first);
+            let succeeded = self.write(&newest.bytes);
+            if self.tell.send(Ended { number: newest.number, succeeded }).is_err() {
+                return;
+            }
+            // A stream that is full wakes its reader anyhow.
+            let _ = self.wake.write(&[1]);
+        }
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> bool {
+        let outcome = write(&self.path, bytes);
+        let failed_before = std::mem::replace(&mut self.failing, outcome.is_err());
+        // It is tried again and again; the log needs to hear of it once.
+        if let Some(e) = outcome.as_ref().err().filter(|_| !failed_before) {
             log::warn!(target: "control", error = e.to_string().as_str(); "the table of servers can't be written");
         }
+        outcome.is_ok()
     }
 }
 
--- a/fleet/src/control/servers.rs
+++ b/fleet/src/control/servers.rs
@@ -3,17 +3,20 @@
 //! It owns the table and the beats that wait for their acknowledgement. It promises: news are told to all control machines that are connected
 //! and to this machine's routers at once; they are acknowledged once enough control machines in contact hold them (see [`Audience`]);
 //! a beat that brings nothing new is acknowledged at once; and that a server leaves is told on, since whoever said so may have been cut
-//! off from the others right after.
+//! off from the others right after. A machine with a disk holds news of a server that leaves only once they are written there: until then
+//! it neither confirms them to others nor counts itself.
 
-use super::program::after;
-use super::server_cache::ServerCache;
+use super::program::{after, Net, Signal};
+use super::server_cache::{ServerCache, WriteNumber};
 use crate::settings::Settings;
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{ServerRecord, ServerState};
 use lichenswitch_net::ConnId;
 use lichenswitch_registry::{Changes, Heartbeat, Registry};
 use std::collections::BTreeSet;
+use std::io;
 use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
 use std::time::Duration;
 
 /// After so long it is enough that as many machines hold the news as have to.
@@ -54,6 +57,17 @@
     counted: BTreeSet<SocketAddr>,
     /// How many of these in contact have yet to hold them.
     missing: usize,
+    /// The write by which this machine holds them, while it has not completed.
+    write: Option<WriteNumber>,
+    since: Time,
+}
+
+/// News of another machine that are to be confirmed to it.
+struct Confirmation {
+    to: ConnId,
+    ack: u64,
+    /// The write by which this machine holds them, if it takes one.
+    write: Option<WriteNumber>,
     since: Time,
 }
 
@@ -70,6 +84,9 @@
     /// Callers whose beats brought these changes, with their instances.
     callers: Vec<(ConnId, String)>,
     waits: Vec<Wait>,
+    confirmations: Vec<Confirmation>,
+    /// The write that holds all that is known of servers that leave.
+    leaving_write: WriteNumber,
     /// What was heard of servers that leave, to be told on.
     hearsay: Vec<ServerRecord>,
     /// Instances whose last news too few others are known to hold.
@@ -79,28 +96,37 @@
 }
 
 impl Servers {
-    /// With what the disk remembers of a time before the start.
-    pub(super) fn new(settings: &Settings, now: Time) -> Servers {
-        let mut registry = Registry::new(now.0, interval(settings));
-        // Whether others hold what this machine remembers isn't known yet.
-        let mut unconfirmed = BTreeSet::new();
-        let cache = settings.data_directory.as_deref().map(|directory| {
-            let (cache, records) = ServerCache::open(directory, now);
-            registry.remember(now.0, &records);
+    /// With what the disk remembers of a time before the start, if there is one.
+    pub(super) fn start(settings: &Settings, net: &mut Net, now: Time) -> io::Result<Servers> {
+        let mut servers = Servers::new(settings, now);
+        if let Some(directory) = settings.data_directory.as_deref() {
+            let (ours, theirs) = UnixStream::pair()?;
+            net.watch_signal(Signal::TableWritten, ours)?;
+            theirs.set_nonblocking(true)?;
+            let (cache, records) = ServerCache::open(directory, now, theirs);
+            servers.registry.remember(now.0, &records);
+            // Whether others hold what this machine remembers isn't known yet.
             let leaving = records.into_iter().filter(|record| record.state != ServerState::Ready);
-            unconfirmed.extend(leaving.map(|record| record.instance));
-            cache
-        });
+            servers.unconfirmed.extend(leaving.map(|record| record.instance));
+            servers.cache = Some(cache);
+        }
+        Ok(servers)
+    }
+
+    /// Without a disk.
+    pub(super) fn new(settings: &Settings, now: Time) -> Servers {
         Servers {
-            registry,
-            cache,
+            registry: Registry::new(now.0, interval(settings)),
+            cache: None,
             started: now,
             has_table: false,
             changes: Changes::default(),
             callers: Vec::new(),
             waits: Vec::new(),
+            confirmations: Vec::new(),
+            leaving_write: WriteNumber::default(),
             hearsay: Vec::new(),
-            unconfirmed,
+            unconfirmed: BTreeSet::new(),
             next_ack: 1,
             answers: Vec::new(),
         }
@@ -175,7 +201,7 @@
     /// What one machine says of a server that leaves counts as held by too few until this machine knows better, and is told on; not
     /// so what comes with a whole table, which all get that connect.
     fn note_hearsay(&mut self, changes: &Changes, whole: bool) {
-        for record in changes.news().iter().filter(|record| record.state != ServerState::Ready) {
+        for record in changes.news().iter().filter(|record| leaves(record)) {
             self.unconfirmed.insert(record.instance.clone());
             if !whole {
                 self.hearsay.push(record.clone());
@@ -202,6 +228,21 @@
         heard.iter().any(|(instance, _)| self.registry.record(instance).is_none())
     }
 
+    /// Another control machine waits on this connection for word that these news of its are held here.
+    pub(super) fn on_confirmation_wanted(&mut self, now: Time, to: ConnId, ack: u64, news: &[ServerRecord]) {
+        let write = if news.iter().any(leaves) { self.write_that_holds_leaving() } else { None };
+        self.confirmations.push(Confirmation { to, ack, write, since: now });
+    }
+
+    /// The write by which this machine holds what it knows by now of servers that leave; `None` without a disk.
+    fn write_that_holds_leaving(&mut self) -> Option<WriteNumber> {
+        let cache = self.cache.as_mut()?;
+        if self.changes.records.iter().any(leaves) {
+            self.leaving_write = cache.write_now();
+        }
+        Some(self.leaving_write)
+    }
+
     /// Another control machine holds the news of this number.
     pub(super) fn on_merged(&mut self, from: SocketAddr, ack: u64, in_contact: bool) {
         if let Some(wait) = self.waits.iter_mut().find(|wait| wait.ack == ack) {
@@ -225,6 +266,7 @@
     /// Changes since this was last asked: what is to be told to routers, and the number under which the news go to the `audience`, or 0
     /// if nobody waits for them.
     pub(super) fn take_changes(&mut self, now: Time, audience: Audience) -> (Changes, u64) {
+        let leaving_write = self.write_that_holds_leaving();
         let changes = std::mem::take(&mut self.changes);
         let callers = std::mem::take(&mut self.callers);
         if let Some(cache) = self.cache.as_mut().filter(|_| !changes.is_empty()) {
@@ -237,13 +279,19 @@
         self.next_ack += 1;
         let (callers, instances) = callers.into_iter().unzip();
         let Audience { told, counted, needed: missing } = audience;
-        self.waits.push(Wait { ack, instances, callers, told, counted, missing, since: now });
+        let write = leaving_write.filter(|_| changes.news().iter().any(leaves));
+        self.waits.push(Wait { ack, instances, callers, told, counted, missing, write, since: now });
         (changes, ack)
     }
 
-    /// Ends waits whose outcome is known.
+    /// Writes what is to be written at once, and ends waits whose outcome is known.
     pub(super) fn settle(&mut self, now: Time) {
-        for wait in std::mem::take(&mut self.waits) {
+        if let Some(cache) = &mut self.cache {
+            cache.advance(now, || known(&self.registry, now));
+        }
+        let written = self.cache.as_ref().map(ServerCache::written);
+        for mut wait in std::mem::take(&mut self.waits) {
+            wait.write = wait.write.filter(|needed| written < Some(*needed));
             match wait.outcome(now) {
                 None => self.waits.push(wait),
                 Some(held) => {
@@ -264,6 +312,19 @@
         std::mem::take(&mut self.answers)
     }
 
+    /// Connections on which news are confirmed now, with their numbers. What could not be written for long is confirmed no more: whoever
+    /// told it has given up.
+    pub(super) fn take_confirmations(&mut self, now: Time) -> Vec<(ConnId, u64)> {
+        let written = self.cache.as_ref().map(ServerCache::written);
+        let is_held =
+            |confirmation: &Confirmation| confirmation.write.is_none_or(|needed| Some(needed) <= written);
+        let (held, others): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.confirmations).into_iter().partition(is_held);
+        self.confirmations =
+            others.into_iter().filter(|other| now < after(other.since, LONGEST_WAIT)).collect();
+        held.into_iter().map(|confirmation| (confirmation.to, confirmation.ack)).collect()
+    }
+
     /// Looks at silence.
     pub(super) fn tick(&mut self, now: Time) {
         if let Some(cache) = &mut self.cache {
@@ -317,9 +378,9 @@
         self.told.intersection(&self.counted).count() < self.missing
     }
 
-    /// Whether enough machines hold the news.
+    /// Whether enough machines hold the news, this one among them.
     fn held(&self) -> bool {
-        self.missing == 0
+        self.missing == 0 && self.write.is_none()
     }
 
     /// The same; `None` while it is not known.
@@ -343,6 +404,11 @@
     records
 }
 
+/// Whether a record tells that its server leaves or has left.
+fn leaves(record: &ServerRecord) -> bool {
+    record.state != ServerState::Ready
+}
+
 fn interval(settings: &Settings) -> u64 {
     u64::try_from(settings.heartbeat_interval.as_micros()).unwrap_or(u64::MAX)
 }
--- a/fleet/src/control/servers/tests.rs
+++ b/fleet/src/control/servers/tests.rs
@@ -239,3 +239,112 @@
     assert!(servers.may_take_beats(at(21)));
     assert!(servers.on_heard(at(30), &[("i-9".to_owned(), 5)]), "whom it doesn't know it has to ask about");
 }
+
+/// A machine with a disk of its own that takes no table until `heal` is called.
+struct WithDisk {
+    servers: Servers,
+    folder: std::path::PathBuf,
+    net: Net,
+}
+
+impl WithDisk {
+    fn new(name: &str) -> WithDisk {
+        let folder = std::env::temp_dir().join(format!("lichenswitch-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(folder.join("servers.new")).unwrap();
+        let (mut net, settings) =
+            (Net::new(100).unwrap(), Settings { data_directory: Some(folder.clone()), ..settings() });
+        let servers = Servers::start(&settings, &mut net, at(0)).unwrap();
+        WithDisk { servers, folder, net }
+    }
+
+    fn heal(&self) {
+        std::fs::remove_dir(self.folder.join("servers.new")).unwrap();
+    }
+
+    /// Waits for the end of a write.
+    fn wait(&mut self) {
+        assert!(!self.net.wait(Some(self.net.clock.now().plus(10_000_000))).unwrap().is_empty());
+        self.net.clear_signal(Signal::TableWritten);
+    }
+}
+
+impl Drop for WithDisk {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+#[test]
+fn that_a_server_leaves_is_acknowledged_only_once_it_is_on_this_machine_s_disk() {
+    let (callers, mut machine) = (callers(), WithDisk::new("own-write"));
+    machine.servers.on_deregister(at(0), callers[0], "i-1");
+    let (_, ack) = machine.servers.take_changes(at(0), told(&[2]));
+    machine.servers.on_merged(peer(2), ack, true);
+    machine.servers.settle(at(0));
+    machine.wait();
+    machine.servers.settle(at(399));
+    assert!(machine.servers.take_answers().is_empty(), "the write has failed");
+    assert_eq!(machine.servers.next_wake(), Some(at(400)));
+    machine.servers.settle(at(400));
+    assert_eq!(machine.servers.take_answers(), [(callers[0], false)], "the server goes on");
+
+    machine.heal();
+    assert_eq!(machine.servers.on_deregister(at(500), callers[1], "i-1"), Beat::Waits);
+    let (_, ack) = machine.servers.take_changes(at(500), told(&[2]));
+    machine.servers.on_merged(peer(2), ack, true);
+    machine.servers.settle(at(500));
+    assert!(machine.servers.take_answers().is_empty(), "the write has not completed");
+    machine.wait();
+    machine.servers.settle(at(510));
+    assert_eq!(machine.servers.take_answers(), [(callers[1], true)]);
+}
+
+#[test]
+fn that_a_server_leaves_is_confirmed_only_once_it_is_on_this_machine_s_disk() {
+    let (callers, mut machine) = (callers(), WithDisk::new("peer-write"));
+    let gone = [lichenswitch_registry::tombstone("i-1")];
+    // News of a server that is ready wait for no disk.
+    let ready = [beat(1, ServerState::Ready).record("i-2")];
+    for (ack, records) in [(1, &gone), (2, &ready)] {
+        machine.servers.on_records(at(0), records, false, true);
+        machine.servers.on_confirmation_wanted(at(0), callers[0], ack, records);
+    }
+    machine.servers.take_changes(at(0), told(&[2]));
+    machine.servers.settle(at(0));
+    assert_eq!(machine.servers.take_confirmations(at(0)), [(callers[0], 2)]);
+    machine.wait();
+    machine.servers.settle(at(10));
+    assert_eq!(machine.servers.take_confirmations(at(10)), [], "the write has failed");
+
+    // Told again, which is no news here, they take a write that succeeds all the same.
+    machine.servers.on_records(at(20), &gone, false, true);
+    machine.servers.on_confirmation_wanted(at(20), callers[0], 3, &gone);
+    machine.servers.settle(at(20));
+    assert_eq!(machine.servers.take_confirmations(at(20)), []);
+    machine.heal();
+    machine.servers.tick(at(1_000));
+    machine.wait();
+    machine.servers.settle(at(1_010));
+    assert_eq!(machine.servers.take_confirmations(at(1_010)), [(callers[0], 1), (callers[0], 3)]);
+    machine.servers.on_confirmation_wanted(at(1_020), callers[0], 4, &gone);
+    assert_eq!(machine.servers.take_confirmations(at(1_020)), [(callers[0], 4)], "it is on the disk");
+}
+
+#[test]
+fn without_a_disk_that_a_server_leaves_is_confirmed_at_once() {
+    let (callers, mut servers) = (callers(), Servers::new(&settings(), at(0)));
+    let gone = [lichenswitch_registry::tombstone("i-1")];
+    servers.on_records(at(0), &gone, false, true);
+    servers.on_confirmation_wanted(at(0), callers[0], 1, &gone);
+    assert_eq!(servers.take_confirmations(at(0)), [(callers[0], 1)]);
+}
+
+#[test]
+fn what_could_not_be_written_for_long_is_not_confirmed_any_more() {
+    let (callers, mut machine) = (callers(), WithDisk::new("late-write"));
+    let gone = [lichenswitch_registry::tombstone("i-1")];
+    machine.servers.on_records(at(0), &gone, false, true);
+    machine.servers.on_confirmation_wanted(at(0), callers[0], 1, &gone);
+    assert_eq!(machine.servers.take_confirmations(at(400)), []);
+    assert!(machine.servers.confirmations.is_empty());
+}
--- a/fleet/tests/control_servers.rs
+++ b/fleet/tests/control_servers.rs
@@ -7,6 +7,7 @@
 use lichenswitch_messages::{ControlToRouter, RouterToControl, ServerState};
 use std::fs;
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 const REPLACE: &str = "/configuration/replace";
 
@@ -128,3 +129,28 @@
         _ => None,
     })
 }
+
+#[test]
+fn that_a_server_leaves_is_taken_only_by_machines_that_can_write_it() {
+    let mut fleet = Fleet::of("full-disk", &[true, true, true]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
+    // What is in the way of the file refuses the writes of the table, as a full disk does.
+    let in_its_way = fleet.machines[0].folder.join("data").join("servers.new");
+    wait_for("a moment without a write", || fs::create_dir(&in_its_way).ok());
+    let (full, other) = (fleet.machines[0].control_plane, fleet.machines[1].control_plane);
+    wait_for("a beat", || beat(full, "i-1", "ready", 1).ok().filter(|answer| answer.status == 200));
+    let began = Instant::now();
+    assert_eq!(call(full, "POST", "/instances/i-1/deregister", &[], "").unwrap().status, 503);
+    assert!(began.elapsed() < Duration::from_secs(1), "the server goes on in time: {:?}", began.elapsed());
+    // The others are enough, and wait for it no longer than for any slow machine.
+    let began = Instant::now();
+    assert_eq!(call(other, "POST", "/instances/i-1/deregister", &[], "").unwrap().status, 200);
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    fs::remove_dir(&in_its_way).unwrap();
+    wait_for("the disk to take writes again", || {
+        let answer = call(full, "POST", "/instances/i-1/deregister", &[], "");
+        answer.ok().filter(|answer| answer.status == 200)
+    });
+}
