Test that a disk that stalls holds up no news of servers that leave

Cause: the test of a machine whose disk refuses the table did not show what happens while a write neither succeeds nor fails.

--- a/fleet/tests/control_servers.rs
+++ b/fleet/tests/control_servers.rs
@@ -5,8 +5,9 @@
 use assert_matches::assert_matches;
 use control_support::{beat, call, configuration, wait_for, FakeRouter, Fleet};
 use lichenswitch_messages::{ControlToRouter, RouterToControl, ServerState};
-use std::fs;
+use std::fs::{self, File};
 use std::path::Path;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 const REPLACE: &str = "/configuration/replace";
@@ -130,27 +131,43 @@
     })
 }
 
-#[test]
-fn that_a_server_leaves_is_taken_only_by_machines_that_can_write_it() {
-    let mut fleet = Fleet::of("full-disk", &[true, true, true]);
+/// One machine of three can't write its table, once `block` has put something where the new file is to be, until `clear` takes it away.
+fn machine_whose_table_is_not_written(name: &str, block: fn(&Path) -> bool, clear: fn(&Path)) {
+    let mut fleet = Fleet::of(name, &[true, true, true]);
     fleet.start_first();
     assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
     fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
-    // What is in the way of the file refuses the writes of the table, as a full disk does.
     let in_its_way = fleet.machines[0].folder.join("data").join("servers.new");
-    wait_for("a moment without a write", || fs::create_dir(&in_its_way).ok());
-    let (full, other) = (fleet.machines[0].control_plane, fleet.machines[1].control_plane);
-    wait_for("a beat", || beat(full, "i-1", "ready", 1).ok().filter(|answer| answer.status == 200));
+    wait_for("a moment without a write", || block(&in_its_way).then_some(()));
+    let (mute, other) = (fleet.machines[0].control_plane, fleet.machines[1].control_plane);
+    wait_for("a beat", || beat(mute, "i-1", "ready", 1).ok().filter(|answer| answer.status == 200));
     let began = Instant::now();
-    assert_eq!(call(full, "POST", "/instances/i-1/deregister", &[], "").unwrap().status, 503);
+    assert_eq!(call(mute, "POST", "/instances/i-1/deregister", &[], "").unwrap().status, 503);
     assert!(began.elapsed() < Duration::from_secs(1), "the server goes on in time: {:?}", began.elapsed());
     // The others are enough, and wait for it no longer than for any slow machine.
     let began = Instant::now();
     assert_eq!(call(other, "POST", "/instances/i-1/deregister", &[], "").unwrap().status, 200);
     assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
-    fs::remove_dir(&in_its_way).unwrap();
+    clear(&in_its_way);
     wait_for("the disk to take writes again", || {
-        let answer = call(full, "POST", "/instances/i-1/deregister", &[], "");
+        let answer = call(mute, "POST", "/instances/i-1/deregister", &[], "");
         answer.ok().filter(|answer| answer.status == 200)
     });
 }
+
+#[test]
+fn that_a_server_leaves_is_not_taken_by_a_machine_whose_disk_refuses_it() {
+    let block = |path: &Path| fs::create_dir(path).is_ok();
+    machine_whose_table_is_not_written("full-disk", block, |path| fs::remove_dir(path).unwrap());
+}
+
+#[test]
+fn that_a_server_leaves_is_not_taken_by_a_machine_whose_disk_stalls() {
+    // Whoever opens a pipe to write waits for a reader.
+    let block = |path: &Path| Command::new("mkfifo").arg(path).output().unwrap().status.success();
+    machine_whose_table_is_not_written("stalled-disk", block, |path| {
+        let reader = File::open(path).unwrap();
+        fs::remove_file(path).unwrap();
+        drop(reader);
+    });
+}
