--- a/fleet/tests/review_founder.rs
+++ b/fleet/tests/control_founders.rs
@@ -30,32 +30,32 @@
 
 #[test]
 fn the_first_acknowledgement_outlives_a_founder_without_a_disk() {
-    let read = killed_after("review-f1", &[false, true, true, true], Duration::ZERO);
+    let read = killed_after("founders-f1", &[false, true, true, true], Duration::ZERO);
     assert_eq!(read, configuration(1, 1));
 }
 
 #[test]
 fn the_first_acknowledgement_outlives_a_founder_without_a_disk_that_goes_a_little_later() {
-    let read = killed_after("review-f2", &[false, true, true, true], Duration::from_millis(1_000));
+    let read = killed_after("founders-f2", &[false, true, true, true], Duration::from_millis(1_000));
     assert_eq!(read, configuration(1, 1));
 }
 
 #[test]
 fn a_group_with_disks_goes_on_once_its_founder_without_a_disk_is_gone() {
-    let read = killed_after("review-f3", &[false, true, true, true], Duration::from_secs(5));
+    let read = killed_after("founders-f3", &[false, true, true, true], Duration::from_secs(5));
     assert_eq!(read, configuration(1, 1));
 }
 
 #[test]
 fn seeds_without_a_disk_make_way_for_machines_with_one() {
-    let read = killed_after("review-f4", &[false, false, false, true, true, true], Duration::from_secs(6));
+    let read = killed_after("founders-f4", &[false, false, false, true, true, true], Duration::from_secs(6));
     assert_eq!(read, configuration(1, 1));
 }
 
 /// Machines with a disk come after all machines that started first.
 #[test]
 fn machines_with_a_disk_that_come_late_take_the_group_over() {
-    let mut fleet = Fleet::of("review-f5", &[false, false, false, true, true, true]);
+    let mut fleet = Fleet::of("founders-f5", &[false, false, false, true, true, true]);
     (0..3).for_each(|place| fleet.start(place, true));
     assert_eq!(fleet.order_at_first(), 200);
     std::thread::sleep(Duration::from_secs(5));
--- a/fleet/tests/review_control.rs
+++ b/fleet/tests/control_news.rs
@@ -28,7 +28,7 @@
 
 #[test]
 fn a_machine_without_a_vote_takes_beats_where_no_machine_has_a_disk() {
-    let mut fleet = Fleet::of("review-diskless", &[false, false, false, false]);
+    let mut fleet = Fleet::of("news-diskless", &[false, false, false, false]);
     fleet.start_first();
     assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
     std::thread::sleep(Duration::from_secs(6));
@@ -39,7 +39,7 @@
 
 #[test]
 fn that_a_server_leaves_is_taken_by_a_machine_without_a_vote_where_no_machine_has_a_disk() {
-    let mut fleet = Fleet::of("review-diskless-leave", &[false, false, false, false]);
+    let mut fleet = Fleet::of("news-diskless-leave", &[false, false, false, false]);
     fleet.start_first();
     assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
     std::thread::sleep(Duration::from_secs(6));
@@ -61,7 +61,7 @@
 
 #[test]
 fn the_group_of_machines_without_a_disk_outlives_its_founder() {
-    let mut fleet = Fleet::of("review-founder", &[false, false, false, false]);
+    let mut fleet = Fleet::of("news-founder", &[false, false, false, false]);
     fleet.start_first();
     assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
     fleet.await_voters(0, 3);
@@ -72,7 +72,7 @@
 
 #[test]
 fn that_a_server_leaves_is_not_taken_where_most_that_vote_are_gone() {
-    let mut fleet = Fleet::of("review-minority", &[true, true, true, false]);
+    let mut fleet = Fleet::of("news-minority", &[true, true, true, false]);
     fleet.start_first();
     assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
     fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
@@ -100,7 +100,7 @@
 /// A machine with a disk that starts while the others are away.
 #[test]
 fn beats_are_taken_with_one_of_three_that_vote_down() {
-    let mut fleet = Fleet::of("review-one-down", &[true, true, true, false]);
+    let mut fleet = Fleet::of("news-one-down", &[true, true, true, false]);
     fleet.start_first();
     assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
     fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
@@ -122,7 +122,7 @@
 /// One of three hangs: its connections stay open.
 #[test]
 fn beats_are_taken_with_one_of_three_that_vote_frozen() {
-    let mut fleet = Fleet::of("review-one-frozen", &[true, true, true, false]);
+    let mut fleet = Fleet::of("news-one-frozen", &[true, true, true, false]);
     fleet.start_first();
     assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
     fleet.await_voters(fleet.primary(&[0, 1, 2]), 3);
@@ -181,7 +181,7 @@
 
 #[test]
 fn that_a_server_leaves_is_not_acknowledged_from_what_one_machine_remembers() {
-    let mut fleet = three_that_know("review-remembered", "i-1");
+    let mut fleet = three_that_know("news-remembered", "i-1");
     let _peer = tell(fleet.machines[0].internal, vec![PeerMessage::ServersRemembered(vec![gone("i-1")])]);
     std::thread::sleep(Duration::from_millis(300));
     assert_ne!(status_while_others_rest(&mut fleet, "/instances/i-1/deregister"), 200);
@@ -190,7 +190,7 @@
 /// The same where it comes as news: what the test above is measured by.
 #[test]
 fn that_a_server_leaves_is_not_acknowledged_while_nobody_else_can_hold_it() {
-    let mut fleet = three_that_know("review-alone", "i-1");
+    let mut fleet = three_that_know("news-alone", "i-1");
     assert_ne!(status_while_others_rest(&mut fleet, "/instances/i-1/deregister"), 200);
 }
 
@@ -218,12 +218,12 @@
 
 #[test]
 fn a_server_whose_end_was_just_acknowledged_stays_gone_when_all_machines_are_killed() {
-    let state = state_after_all_were_killed("review-just-gone", Duration::from_millis(5));
+    let state = state_after_all_were_killed("news-just-gone", Duration::from_millis(5));
     assert_ne!(state, Some(ServerState::Ready), "routers would send to it again");
 }
 
 #[test]
 fn a_server_whose_end_was_acknowledged_a_while_ago_stays_gone_when_all_machines_are_killed() {
-    let state = state_after_all_were_killed("review-long-gone", Duration::from_millis(2_500));
+    let state = state_after_all_were_killed("news-long-gone", Duration::from_millis(2_500));
     assert_ne!(state, Some(ServerState::Ready));
 }
--- a/fleet/tests/review_router.rs
+++ b/fleet/tests/router_shutdown.rs
@@ -1,4 +1,4 @@
-//! Tries to lose a request at a router that ends, or beside a server that answers before it has read.
+//! No request is lost at a router that ends, or beside a server that answers before it has read.
 
 mod support;
 
