--- a/fleet/tests/router_lost.rs
+++ b/fleet/tests/router_lost.rs
@@ -247,6 +247,15 @@
     assert!(asked > 200, "only {asked} requests reached a server");
 }
 
+/// Sends a request of this kind, named by it, and waits until its server has it.
+fn hold(rig: &Rig, server: &Server, kind: &str, work: &str) -> Connection {
+    let mut connection = Connection::open(rig.router.frontend);
+    let text = request("POST", kind, kind, &format!("Work: {work}\r\n"), "x");
+    connection.0.write_all(text.as_bytes()).expect("send");
+    support::until("it is held", || server.times(kind) == 1);
+    connection
+}
+
 #[test]
 fn a_request_keeps_its_time_when_its_route_gets_less_or_goes() {
     let server = worker("i-1");
@@ -254,13 +263,7 @@
     let held: Vec<Connection> =
         [("stream", "stream"), ("resume", "stream"), ("unsafe", "slow"), ("safe", "slow")]
             .into_iter()
-            .map(|(kind, work)| {
-                let mut connection = Connection::open(rig.router.frontend);
-                let text = request("POST", kind, kind, &format!("Work: {work}\r\n"), "x");
-                connection.0.write_all(text.as_bytes()).expect("send");
-                support::until("it is held", || server.times(kind) == 1);
-                connection
-            })
+            .map(|(kind, work)| hold(&rig, &server, kind, work))
             .collect();
     rig.control.push_configuration(2, &document(2, 100, 50, 1));
     rig.control.settled();
@@ -283,10 +286,7 @@
             [("resume", "stream"), ("stream", "stream"), ("safe", "slow"), ("unsafe", "slow")]
                 .into_iter()
                 .map(|(kind, work)| {
-                    let mut connection = Connection::open(rig.router.frontend);
-                    let text = request("POST", kind, kind, &format!("Work: {work}\r\n"), "x");
-                    connection.0.write_all(text.as_bytes()).expect("send");
-                    support::until("it is held", || server.times(kind) == 1);
+                    let connection = hold(&rig, &server, kind, work);
                     (connection, work)
                 })
                 .collect();
--- a/simulator/src/overlaps.rs
+++ b/simulator/src/overlaps.rs
@@ -5,7 +5,7 @@
 
 use crate::disk::DiskTrouble;
 use crate::network::Host;
-use crate::walk::{Walk, WalkEnd};
+use crate::walk::{walk_by, Walk, WalkEnd};
 use crate::world::{Action, CutKind, Target, World};
 
 const SECOND: u64 = 1_000_000;
@@ -25,20 +25,7 @@
 
 /// Walks in rounds of overlapping faults, `episodes` of them, and ends with one right round an order.
 pub fn walk(walk: &Walk) -> WalkEnd {
-    let mut random = Rng::with_seed(walk.world.seed ^ 0x1c3e_55a7);
-    let mut world = World::new(walk.world.clone());
-    world.run_for(4 * SECOND + random.u64(0..2 * SECOND));
-    for _ in 0..walk.episodes {
-        round(&mut world, &mut random);
-        if !world.ledger.violations.is_empty() {
-            break;
-        }
-    }
-    if world.ledger.violations.is_empty() {
-        close(&mut world, &mut random);
-    }
-    let violation = world.ledger.violations.first().cloned();
-    WalkEnd { violation, world }
+    walk_by(walk, Rng::with_seed(walk.world.seed ^ 0x1c3e_55a7), round, close)
 }
 
 /// Faults that overlap, until all is back and well.
--- a/simulator/src/walk.rs
+++ b/simulator/src/walk.rs
@@ -45,14 +45,26 @@
     }
 }
 
-/// Walks.
+/// Walks in episodes of one fault after another.
 pub fn walk(walk: &Walk) -> WalkEnd {
-    let mut random = Rng::with_seed(walk.world.seed ^ 0x77a1_6b5e);
+    let episode = |world: &mut World, random: &mut Rng| {
+        let episode = draw_episode(random, &walk.world);
+        play(world, random, episode);
+    };
+    walk_by(walk, Rng::with_seed(walk.world.seed ^ 0x77a1_6b5e), episode, close)
+}
+
+/// Walks in such episodes and closes, or ends with the first violation.
+pub(crate) fn walk_by(
+    walk: &Walk,
+    mut random: Rng,
+    mut episode: impl FnMut(&mut World, &mut Rng),
+    close: impl FnOnce(&mut World, &mut Rng),
+) -> WalkEnd {
     let mut world = World::new(walk.world.clone());
     world.run_for(4 * SECOND + random.u64(0..2 * SECOND));
     for _ in 0..walk.episodes {
-        let episode = draw_episode(&mut random, &walk.world);
-        play(&mut world, &mut random, episode);
+        episode(&mut world, &mut random);
         if !world.ledger.violations.is_empty() {
             break;
         }
