--- a/policy/src/choice.rs
+++ b/policy/src/choice.rs
@@ -160,8 +160,8 @@
     }
 
     /// A retry after a failure, or of what never left (it needs no budget), or the one copy of a late part;
-    /// to a replica not yet tried if there is one. After a copy has been silent for half as long the older twin
-    /// is withdrawn and a third attempt made.
+    /// to a replica not yet tried if there is one. After a copy has been silent for half as long the older
+    /// twin is withdrawn and a third attempt made.
     pub(super) fn send_again(&mut self, id: QueryId, i: usize, copy: bool, out: &mut Vec<Action>) {
         let never_left = |p: &Part| p.made() == 0 && p.tries.iter().all(|t| self.now >= t.sent.plus(LOOK));
         let is_first = self.queries.get(&id).is_some_and(|q| never_left(&q.parts[i]));
