--- a/fleet/tests/router_end.rs
+++ b/fleet/tests/router_end.rs
@@ -86,23 +86,9 @@
     assert!(began.elapsed() >= Duration::from_millis(2_900), "{:?}", began.elapsed());
 }
 
-/// A stream whose end lies far beyond the grace.
-fn endless() -> Server {
-    Server::start("i-1", |seen, talk| {
-        talk.stream_head(seen);
-        for id in 1.. {
-            talk.event(id);
-            if talk.closes_within(Duration::from_millis(200)) {
-                break;
-            }
-        }
-        Next::Close
-    })
-}
-
 #[test]
 fn what_an_ending_router_may_not_bring_to_its_end_is_refused_at_once() {
-    let server = endless();
+    let server = Server::endless("i-1", Duration::from_millis(200));
     let mut rig = Rig::with(&[&server], 30_000, 1_000, 1);
     let mut kept = rig.client();
     assert_eq!(kept.ask(request("GET", "nowhere", "a0", "", "")).status, 404);
--- a/fleet/tests/router_shutdown.rs
+++ b/fleet/tests/router_shutdown.rs
@@ -107,16 +107,7 @@
 
 #[test]
 fn a_stream_up_to_its_deadline_just_before_the_end_violates_nothing() {
-    let server = Server::start("i-1", |seen, talk| {
-        talk.stream_head(seen);
-        for id in 1.. {
-            talk.event(id);
-            if talk.closes_within(Duration::from_millis(50)) {
-                break;
-            }
-        }
-        Next::Close
-    });
+    let server = Server::endless("i-1", Duration::from_millis(50));
     let mut rig = Rig::with(&[&server], 30_000, 1_000, 1);
     let began = stop(&mut rig);
     let mut clients = Vec::new();
--- a/fleet/tests/support/server.rs
+++ b/fleet/tests/support/server.rs
@@ -147,6 +147,20 @@
         Server { address, instance: instance.to_owned(), seen, connections }
     }
 
+    /// A server whose streams have an event after each pause, and no end.
+    pub fn endless(instance: &str, pause: Duration) -> Server {
+        Server::start(instance, move |seen, talk| {
+            talk.stream_head(seen);
+            for id in 1.. {
+                talk.event(id);
+                if talk.closes_within(pause) {
+                    break;
+                }
+            }
+            Next::Close
+        })
+    }
+
     /// What it has seen so far.
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.lock().expect("lock").clone()
