--- a/decide/configuration/src/document.rs
+++ b/decide/configuration/src/document.rs
@@ -8,6 +8,7 @@
 use crate::limits::Limits;
 use crate::route::Route;
 use crate::service::Service;
+use crate::tenant::{check_keys, Tenant};
 use crate::update::{Removal, Update, Upsert};
 use miniserde::json::Value;
 use std::collections::{HashMap, HashSet};
@@ -19,9 +20,13 @@
     fields: Vec<Field>,
     routes: Vec<Route>,
     services: Vec<Service>,
+    tenants: Option<Vec<Tenant>>,
     limits: Limits,
 }
 
+/// Reads the tenants of the fields of a document.
+type ReadTenants = fn(&[Field]) -> Result<Option<Vec<Tenant>>, ConfigurationError>;
+
 /// A field of the document, at its place.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Field {
@@ -60,6 +65,20 @@
     /// # Errors
     /// What is wrong with it, by name.
     pub fn parse(body: &[u8]) -> Result<Document, ConfigurationError> {
+        Document::read(body, read_tenants)
+    }
+
+    /// Reads a configuration that was committed, maybe by a program that did not know of tenants: where `tenants` can't be read, nobody
+    /// holds a key.
+    ///
+    /// # Errors
+    /// What is wrong with all else of it, by name.
+    pub fn parse_committed(body: &[u8]) -> Result<Document, ConfigurationError> {
+        let closed = |kept: &[Field]| read_tenants(kept).or(Ok(Some(Vec::new())));
+        Document::parse(body).or_else(|_| Document::read(body, closed))
+    }
+
+    fn read(body: &[u8], read_tenants: ReadTenants) -> Result<Document, ConfigurationError> {
         let (text, value) = whole(body)?;
         let place = "the configuration";
         let version = version_of(&Fields::new(place.to_owned(), &value)?)?;
@@ -68,15 +87,20 @@
             let content = content_of(&name, text)?;
             kept.push(Field { name, content });
         }
-        Document::build(version, kept)
+        Document::build(version, kept, read_tenants)
     }
 
     /// Makes the typed views, and checks all that joins several items.
-    fn build(version: u64, kept: Vec<Field>) -> Result<Document, ConfigurationError> {
+    fn build(
+        version: u64,
+        kept: Vec<Field>,
+        read_tenants: ReadTenants,
+    ) -> Result<Document, ConfigurationError> {
         let document = Document {
             version,
             routes: read_items(items(&kept, "routes")?, Route::read)?,
             services: read_items(items(&kept, "services")?, Service::read)?,
+            tenants: read_tenants(&kept)?,
             limits: read_limits(&kept)?,
             fields: kept,
         };
@@ -112,7 +136,7 @@
             put(&mut kept, upsert)?;
         }
         set_version(&mut kept, update.version());
-        let document = Document::build(update.version(), kept)?;
+        let document = Document::build(update.version(), kept, read_tenants)?;
         let bytes = document.to_json().len();
         if bytes > MAX_DOCUMENT_BYTES {
             return Err(ConfigurationError::TooLarge { bytes, most: MAX_DOCUMENT_BYTES });
@@ -155,6 +179,12 @@
         self.services.iter().find(|service| service.name == name)
     }
 
+    /// Its tenants, in the operator's order; `None` where the configuration has no `tenants`, and no request needs a key.
+    #[must_use]
+    pub fn tenants(&self) -> Option<&[Tenant]> {
+        self.tenants.as_deref()
+    }
+
     /// What clients may send.
     #[must_use]
     pub fn limits(&self) -> &Limits {
@@ -271,6 +301,28 @@
     }
 }
 
+/// The tenants, where there is such a list.
+fn read_tenants(kept: &[Field]) -> Result<Option<Vec<Tenant>>, ConfigurationError> {
+    match kept.iter().find(|field| field.name == "tenants").map(|field| &field.content) {
+        Some(Content::Named(items)) => {
+            let tenants = read_items(items, Tenant::read)?;
+            check_keys(&tenants)?;
+            Ok(Some(tenants))
+        }
+        Some(Content::Text(text)) => not_tenants(text).map(|()| None),
+        None => Ok(None),
+    }
+}
+
+/// What is wrong with `tenants` that are no named list; nothing with `null`.
+pub(crate) fn not_tenants(text: &str) -> Result<(), ConfigurationError> {
+    match elements(text) {
+        _ if text == "null" => Ok(()),
+        Some(parts) => named_items("tenants", &parts).map(drop),
+        None => Err(wrong("the configuration", "tenants", "a list")),
+    }
+}
+
 /// No two routes may have the same host and prefix.
 pub(crate) fn check_places(routes: &[Route]) -> Result<(), ConfigurationError> {
     let mut taken = HashMap::with_capacity(routes.len());
@@ -301,6 +353,7 @@
     };
     match (&mut field.content, &upsert.content) {
         (Content::Named(items), Content::Named(new)) => put_items(items, new),
+        (Content::Text(text), Content::Named(_)) if text == "null" => field.content = upsert.content.clone(),
         (Content::Text(_), Content::Text(_)) => field.content = upsert.content.clone(),
         _ => return Err(ConfigurationError::NotANamedList { list: shown(&upsert.field) }),
     }
--- a/decide/configuration/src/error.rs
+++ b/decide/configuration/src/error.rs
@@ -89,6 +89,14 @@
         /// The other.
         second: String,
     },
+    /// Two tenants have the same key. The key itself is a secret, and not named.
+    #[error("tenants `{first}` and `{second}` have a key of `apiKeys` in common")]
+    SharedKey {
+        /// The one that stands first.
+        first: String,
+        /// The other.
+        second: String,
+    },
     /// The prefix of a route does not begin and end with a slash.
     #[error("the prefix of route `{route}` does not begin and end with a slash")]
     Prefix {
--- a/decide/configuration/src/route.rs
+++ b/decide/configuration/src/route.rs
@@ -67,6 +67,8 @@
     pub targets: Vec<WeightedService>,
     /// The most servers to which one try may be sent; at least 1.
     pub max_attempts: u32,
+    /// Whether its requests need no key (`publicAccess`); only where that is `true`.
+    pub public_access: bool,
     /// Whether requests bear the parts of their prompts, which servers keep.
     pub session_affinity: bool,
     /// Whether a stream may be taken up at another server.
@@ -90,6 +92,7 @@
             priority: fields.small_count("priority")?.unwrap_or(0),
             targets: targets(name, &fields)?,
             max_attempts: fields.small_count("maxAttempts")?.unwrap_or(1).max(1),
+            public_access: matches!(fields.get("publicAccess"), Some(Value::Bool(true))),
             session_affinity: fields.flag("sessionAffinity")?,
             stream_resume: fields.flag("streamResume")?,
             gap_aim_ms: fields.count("gap_aim_ms")?,
--- a/decide/configuration/src/state.rs
+++ b/decide/configuration/src/state.rs
@@ -157,7 +157,7 @@
     debug_assert!(MAX_DOCUMENT_BYTES < u32::MAX as usize, "a length has four bytes");
     match reader.take(length)? {
         [] => Ok(None),
-        text => Ok(Some(Arc::new(Document::parse(text)?))),
+        text => Ok(Some(Arc::new(Document::parse_committed(text)?))),
     }
 }
 
--- /dev/null
+++ b/decide/configuration/src/tenant/tests.rs
@@ -0,0 +1,106 @@
+//! Tests of `tenant`, through whole configurations and updates.
+
+use crate::{ConfigurationError, Document, QuotaUnit, Update};
+use assert_matches::assert_matches;
+
+fn parse(tenants: &str) -> Result<Document, ConfigurationError> {
+    Document::parse(text(tenants).as_bytes())
+}
+
+fn text(tenants: &str) -> String {
+    format!("{{\"version\":3,\"routes\":[],\"services\":[],\"tenants\":{tenants}}}")
+}
+
+fn update(upserts: &str) -> Result<Document, ConfigurationError> {
+    let base = parse(r#"[{"name":"a","apiKeys":["k1"]},{"name":"b","apiKeys":["k2"]}]"#)?;
+    base.apply_update(&Update::parse(format!("{{\"version\":4,{upserts}}}").as_bytes())?)
+}
+
+#[test]
+fn a_tenant_is_read_as_the_operator_wrote_it() {
+    let document = parse(
+        r#"[{"name":"kaje80","apiKeys":["one","two","one"],"priority":1,"unit":"token_count",
+             "uncachedTokens":200,"ratePerS":731839,"burstSize":5.5,"later":{}}]"#,
+    )
+    .expect("valid");
+    let tenant = &document.tenants().expect("tenants")[0];
+    assert_eq!((tenant.name.as_str(), tenant.keys.len(), tenant.priority), ("kaje80", 2, Some(1)));
+    assert_eq!((tenant.unit, tenant.uncached_tokens), (QuotaUnit::Tokens, 200));
+    let quota = tenant.quota.expect("a quota");
+    assert_eq!((quota.rate_per_s, quota.burst), (731_839.0, 5.5));
+}
+
+#[test]
+fn no_rate_is_no_limit_and_no_unit_counts_requests() {
+    for rate in ["", ",\"ratePerS\":0", ",\"ratePerS\":null,\"burstSize\":9"] {
+        let document = parse(&format!("[{{\"name\":\"a\",\"apiKeys\":[]{rate}}}]")).expect("valid");
+        let tenant = &document.tenants().expect("tenants")[0];
+        assert_eq!((tenant.quota, tenant.unit), (None, QuotaUnit::Requests), "{rate}");
+    }
+}
+
+#[test]
+fn a_configuration_without_tenants_asks_nobody_for_a_key() {
+    let none = Document::parse(br#"{"version":1,"routes":[],"services":[]}"#).expect("valid");
+    assert!(none.tenants().is_none());
+    assert!(parse("null").expect("valid").tenants().is_none());
+    assert_eq!(parse("[]").expect("valid").tenants().map(<[_]>::len), Some(0));
+}
+
+#[test]
+fn a_key_that_two_tenants_hold_is_invalid_and_is_not_told() {
+    let error = parse(r#"[{"name":"a","apiKeys":["secret"]},{"name":"b","apiKeys":["x","secret"]}]"#)
+        .expect_err("invalid");
+    assert_matches!(&error, ConfigurationError::SharedKey { first, second } if first == "a" && second == "b");
+    assert!(error.to_string().contains("apiKeys") && !error.to_string().contains("secret"));
+}
+
+#[test]
+fn figures_that_are_negative_or_endless_are_invalid() {
+    for (field, value) in
+        [("ratePerS", "-1"), ("ratePerS", "1e999"), ("burstSize", "-0.5"), ("ratePerS", "\"9\"")]
+    {
+        let error = parse(&format!("[{{\"name\":\"a\",\"{field}\":{value}}}]")).expect_err("invalid");
+        assert!(error.to_string().contains(field) || error == ConfigurationError::Unreadable, "{error}");
+    }
+    for (field, value) in
+        [("priority", "-1"), ("uncachedTokens", "-3"), ("apiKeys", "\"k\""), ("apiKeys", "[7]")]
+    {
+        let error = parse(&format!("[{{\"name\":\"a\",\"{field}\":{value}}}]")).expect_err("invalid");
+        assert!(error.to_string().contains(field), "{error}");
+    }
+}
+
+#[test]
+fn tenants_that_are_no_list_of_named_items_are_invalid() {
+    for tenants in ["{}", "7", r#"[{"apiKeys":[]}]"#, r#"[{"name":"a"},{"name":"a"}]"#, r#"["a"]"#] {
+        assert!(parse(tenants).is_err(), "{tenants}");
+        assert!(update(&format!("\"upserts\":{{\"tenants\":{tenants}}}")).is_err(), "{tenants}");
+    }
+}
+
+#[test]
+fn updates_add_and_take_keys() {
+    let moved =
+        update(r#""upserts":{"tenants":[{"name":"a","apiKeys":["k3"]},{"name":"b","apiKeys":["k1","k2"]}]}"#)
+            .expect("valid");
+    let keys: Vec<usize> = moved.tenants().expect("tenants").iter().map(|tenant| tenant.keys.len()).collect();
+    assert_eq!(keys, [1, 2]);
+    let last = update(r#""removals":{"tenants":["a","b"]}"#).expect("valid");
+    assert_eq!(last.tenants().map(<[_]>::len), Some(0));
+    assert_matches!(
+        update(r#""upserts":{"tenants":[{"name":"b","apiKeys":["k1"]}]}"#),
+        Err(ConfigurationError::SharedKey { .. })
+    );
+}
+
+#[test]
+fn what_an_older_program_took_unchecked_is_read_and_nobody_holds_a_key() {
+    let shared = text(r#"[{"name":"a","apiKeys":["k"]},{"name":"b","apiKeys":["k"]}]"#);
+    for old in [shared.as_str(), &text("7"), &text(r#"[{"name":"a","ratePerS":-1}]"#)] {
+        assert!(Document::parse(old.as_bytes()).is_err());
+        let read = Document::parse_committed(old.as_bytes()).expect("read");
+        assert_eq!(read.tenants().map(<[_]>::len), Some(0), "{old}");
+        assert_eq!(read.to_json(), old.as_bytes());
+    }
+}
--- a/decide/configuration/src/update.rs
+++ b/decide/configuration/src/update.rs
@@ -1,11 +1,12 @@
 //! A change of named items, as the operator sends it.
 
-use crate::document::{check_places, content_of, named_items, read_items, Content};
+use crate::document::{check_places, content_of, named_items, not_tenants, read_items, Content};
 use crate::error::ConfigurationError;
 use crate::json::{distinct_fields, elements, value_of, version_of, whole, wrong, Fields};
 use crate::limits::Limits;
 use crate::route::Route;
 use crate::service::Service;
+use crate::tenant::{check_keys, Tenant};
 use miniserde::json::Value;
 
 /// An update that has passed the checks that need no configuration.
@@ -109,6 +110,8 @@
         match (self.field.as_str(), &self.content) {
             ("routes", Content::Named(items)) => check_places(&read_items(items, Route::read)?),
             ("services", Content::Named(items)) => read_items(items, Service::read).map(drop),
+            ("tenants", Content::Text(text)) => not_tenants(text),
+            ("tenants", Content::Named(items)) => check_keys(&read_items(items, Tenant::read)?),
             ("limits", Content::Text(text)) => Limits::read(&value_of(text)?).map(drop),
             _ => Ok(()),
         }
