Decide quotas: buckets cut over control machines, draws, and routers' allowances

Cause: a tenant's quota is a sum over all routers, which can't ask each other for each request. Change: decide/quota (pure): a token bucket for each tenant in three parts held by voters (rendezvous hashing, a lease by contact, a settling time for newcomers), draws that go from holder to holder, grants that lapse.

--- /dev/null
+++ b/decide/quota/src/draws.rs
@@ -0,0 +1,215 @@
+//! Draws at a control machine: from its own part of the bucket, and then from the other holders'.
+//!
+//! It promises that each draw is answered once, within [`ASK_TIMEOUT`] for each holder at the latest, and that what is told as granted was granted by holders.
+
+use crate::buckets::Buckets;
+use crate::draw::{Draw, Grant};
+use crate::tenure::{holders, Holder, Tenure};
+use lichenswitch_interface::{Micros, Time};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A holder that has not answered after so long is passed over (microseconds): links within a region take milliseconds.
+const ASK_TIMEOUT: Micros = 60_000;
+/// A holder that had too little is asked again after so long at the latest (microseconds).
+const EMPTY: Micros = 60_000;
+/// Draws that may be under way. Guards memory.
+const MOST: usize = 4_096;
+/// Remembered denials. Guards memory.
+const MOST_EMPTY: usize = 8_192;
+
+/// Something that the machine has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order<O> {
+    /// Ask a holder.
+    Ask {
+        /// Which one.
+        to: Holder,
+        /// Names the question.
+        id: u64,
+        /// Whether it is to ask other holders in turn, since this machine knows of none.
+        pass_on: bool,
+        /// What is wanted.
+        draw: Draw,
+    },
+    /// Tell whoever asked.
+    Answer {
+        /// Who that is.
+        origin: O,
+        /// What is granted.
+        grant: Grant,
+    },
+}
+
+/// What a machine knows when it works a draw off.
+pub struct Place<'a> {
+    /// Its own parts.
+    pub buckets: &'a mut Buckets,
+    /// Which parts those are.
+    pub tenure: &'a Tenure,
+    /// This machine.
+    pub own: Holder,
+    /// Machines that can be asked.
+    pub reachable: &'a BTreeSet<Holder>,
+}
+
+struct UnderWay<O> {
+    origin: O,
+    draw: Draw,
+    /// So far.
+    grant: Grant,
+    /// Holders that have not been asked, the last one first.
+    left: Vec<Holder>,
+    /// The one that is being asked, for these needs of the draw, and until when.
+    asked: (Holder, Vec<usize>, Time),
+}
+
+/// A holder had too little for a request of this size.
+struct Empty {
+    size: u64,
+    until: Time,
+}
+
+/// Draws that are under way. `O`: who waits for the answer.
+pub struct Draws<O> {
+    under_way: BTreeMap<u64, UnderWay<O>>,
+    next: u64,
+    empty: HashMap<(Holder, String), Empty>,
+}
+
+impl<O> Draws<O> {
+    /// None yet. Questions get numbers above this one, which no earlier life of the process used.
+    #[must_use]
+    pub fn new(first: u64) -> Draws<O> {
+        Draws { under_way: BTreeMap::new(), next: first, empty: HashMap::new() }
+    }
+
+    /// Somebody wants a draw.
+    pub fn take(&mut self, now: Time, origin: O, draw: Draw, place: &mut Place<'_>) -> Vec<Order<O>> {
+        let mut grant = place.buckets.draw(now, &draw, place.tenure);
+        if grant.covers_all(&draw) || self.under_way.len() >= MOST {
+            return vec![Order::Answer { origin, grant }];
+        }
+        grant.ahead = 0;
+        let left = self.others(&draw, place);
+        let asked = (place.own, Vec::new(), now);
+        self.go_on(now, UnderWay { origin, draw, grant, left, asked }, place)
+    }
+
+    /// A holder has answered. An answer counts only from whom it was asked of.
+    pub fn on_answer(
+        &mut self,
+        now: Time,
+        from: Holder,
+        id: u64,
+        grant: Grant,
+        place: &mut Place<'_>,
+    ) -> Vec<Order<O>> {
+        if self.under_way.get(&id).is_none_or(|waits| waits.asked.0 != from) {
+            return Vec::new();
+        }
+        let Some(mut waits) = self.under_way.remove(&id) else { return Vec::new() };
+        let places = std::mem::take(&mut waits.asked.1);
+        let granted = places.iter().enumerate().filter(|(index, _)| grant.covers(*index));
+        let needs = granted.fold(0, |bits, (_, place)| bits | (1 << place));
+        waits.grant = waits.grant.and(Grant { needs, ahead: 0, wait: grant.wait });
+        let denied = places.iter().enumerate().filter(|(index, _)| !grant.covers(*index));
+        if let Some(size) = denied.map(|(_, place)| waits.draw.needs[*place]).min() {
+            self.note_empty(now, from, &waits.draw.tenant, size, grant.wait);
+        }
+        self.go_on(now, waits, place)
+    }
+
+    /// A machine can be asked no more.
+    pub fn on_lost(&mut self, now: Time, holder: Holder, place: &mut Place<'_>) -> Vec<Order<O>> {
+        self.pass_over(now, place, |asked| asked.0 == holder)
+    }
+
+    /// Passes over holders that have not answered in time.
+    pub fn tick(&mut self, now: Time, place: &mut Place<'_>) -> Vec<Order<O>> {
+        self.empty.retain(|_, empty| empty.until > now);
+        self.pass_over(now, place, |asked| asked.2 <= now)
+    }
+
+    /// When [`Draws::tick`] has something to do.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Time> {
+        self.under_way.values().map(|waits| waits.asked.2).min()
+    }
+
+    fn pass_over(
+        &mut self,
+        now: Time,
+        place: &mut Place<'_>,
+        is_over: impl Fn(&(Holder, Vec<usize>, Time)) -> bool,
+    ) -> Vec<Order<O>> {
+        let over: Vec<u64> =
+            self.under_way.iter().filter(|(_, waits)| is_over(&waits.asked)).map(|(id, _)| *id).collect();
+        let mut orders = Vec::new();
+        for id in over {
+            if let Some(waits) = self.under_way.remove(&id) {
+                orders.extend(self.go_on(now, waits, place));
+            }
+        }
+        orders
+    }
+
+    /// Holders beside this machine, in the order in which they are to be asked from the end. Draws begin at each of them in turn, so that
+    /// all parts are used alike. A machine that knows no voters passes the draw on to one that may.
+    fn others(&self, draw: &Draw, place: &Place<'_>) -> Vec<Holder> {
+        let mut others = match place.tenure.voters() {
+            [] => place.reachable.iter().copied().collect(),
+            voters => holders(&draw.tenant, voters),
+        };
+        if !others.is_empty() {
+            let turn = self.next as usize % others.len();
+            others.rotate_left(turn);
+        }
+        others.retain(|holder| *holder != place.own);
+        if place.tenure.voters().is_empty() {
+            others.truncate(2);
+        }
+        others
+    }
+
+    fn go_on(&mut self, now: Time, mut waits: UnderWay<O>, place: &Place<'_>) -> Vec<Order<O>> {
+        while !waits.grant.covers_all(&waits.draw) {
+            let Some(holder) = waits.left.pop() else { break };
+            if !place.reachable.contains(&holder) {
+                continue;
+            }
+            let places = self.worth_asking(now, holder, &waits);
+            if places.is_empty() {
+                continue;
+            }
+            let needs = places.iter().map(|place| waits.draw.needs[*place]).collect();
+            let draw = Draw { needs, ahead: 0, ..waits.draw.clone() };
+            self.next = self.next.wrapping_add(1);
+            let id = self.next;
+            waits.asked = (holder, places, now.plus(ASK_TIMEOUT));
+            self.under_way.insert(id, waits);
+            let pass_on = place.tenure.voters().is_empty();
+            return vec![Order::Ask { to: holder, id, pass_on, draw }];
+        }
+        vec![Order::Answer { origin: waits.origin, grant: waits.grant }]
+    }
+
+    /// Needs that are left and that a holder may have enough for.
+    fn worth_asking(&self, now: Time, holder: Holder, waits: &UnderWay<O>) -> Vec<usize> {
+        let empty = self.empty.get(&(holder, waits.draw.tenant.clone())).filter(|empty| empty.until > now);
+        let worth = |place: &usize| {
+            let need = waits.draw.needs[*place];
+            !waits.grant.covers(*place) && empty.is_none_or(|empty| need < empty.size)
+        };
+        (0..waits.draw.needs.len()).filter(worth).collect()
+    }
+
+    fn note_empty(&mut self, now: Time, holder: Holder, tenant: &str, size: u64, wait: Micros) {
+        if self.empty.len() < MOST_EMPTY {
+            let empty = Empty { size, until: now.plus(wait.min(EMPTY)) };
+            self.empty.insert((holder, tenant.to_owned()), empty);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/decide/quota/src/draws/tests.rs
@@ -0,0 +1,129 @@
+//! Tests of `draws`.
+
+use super::*;
+use crate::figures::Terms;
+use assert_matches::assert_matches;
+use lichenswitch_configuration::{Document, QuotaUnit};
+use std::time::Duration;
+
+const SECOND: Micros = 1_000_000;
+
+/// A machine among the voters 1 to 4 (or without a vote) that can reach some of them.
+struct Machine {
+    buckets: Buckets,
+    tenure: Tenure,
+    own: Holder,
+    reachable: BTreeSet<Holder>,
+    draws: Draws<&'static str>,
+}
+
+fn machine(own: u64, voters: &[u64], reachable: &[u64]) -> Machine {
+    let text = br#"{"version":1,"routes":[],"services":[],"tenants":[
+        {"name":"a","unit":"token_count","ratePerS":3000,"burstSize":0}]}"#;
+    let document = Document::parse(text).expect("valid");
+    let mut buckets = Buckets::new(Terms { window: Duration::from_secs(8), overage: 0.1, slack: 0.0 });
+    buckets.set_tenants(Time(0), document.tenants().expect("tenants"));
+    let mut tenure = Tenure::new(Holder(own), voters.iter().copied().map(Holder).collect());
+    (0..20).for_each(|second| tenure.on_contact(Time(second * SECOND)));
+    let reachable = reachable.iter().copied().map(Holder).collect();
+    Machine { buckets, tenure, own: Holder(own), reachable, draws: Draws::new(0) }
+}
+
+impl Machine {
+    fn with<T>(&mut self, act: impl FnOnce(&mut Draws<&'static str>, &mut Place<'_>) -> T) -> T {
+        let mut place = Place {
+            buckets: &mut self.buckets,
+            tenure: &self.tenure,
+            own: self.own,
+            reachable: &self.reachable,
+        };
+        act(&mut self.draws, &mut place)
+    }
+
+    fn take(&mut self, now: Time, draw: Draw) -> Vec<Order<&'static str>> {
+        self.with(|draws, place| draws.take(now, "router", draw, place))
+    }
+}
+
+fn draw(needs: &[u64]) -> Draw {
+    Draw { tenant: "a".to_owned(), unit: QuotaUnit::Tokens, needs: needs.to_vec(), ahead: 0 }
+}
+
+fn asked(orders: &[Order<&'static str>]) -> (Holder, u64, Draw) {
+    assert_matches!(orders, [Order::Ask { to, id, draw, .. }] => (*to, *id, draw.clone()))
+}
+
+fn answer(orders: &[Order<&'static str>]) -> Grant {
+    assert_matches!(orders, [Order::Answer { origin: "router", grant }] => *grant)
+}
+
+#[test]
+fn what_the_own_part_bears_is_answered_at_once() {
+    let mut alone = machine(1, &[1], &[]);
+    alone.take(Time(0), draw(&[1]));
+    assert!(answer(&alone.take(Time(5 * SECOND), draw(&[100]))).covers(0));
+}
+
+#[test]
+fn the_other_holders_are_asked_one_after_another_for_what_is_left() {
+    let mut relay = machine(9, &[1, 2, 3, 4], &[1, 2, 3, 4]);
+    let (first, id, wanted) = asked(&relay.take(Time(0), draw(&[10, 20])));
+    assert_eq!(wanted.needs, [10, 20]);
+    let granted = Grant { needs: 0b10, ahead: 0, wait: 40_000 };
+    let orders = relay.with(|draws, place| draws.on_answer(Time(1), first, id, granted, place));
+    let (second, id, wanted) = asked(&orders);
+    assert!(second != first && wanted.needs == [10]);
+    let granted = Grant { needs: 0b1, ahead: 0, wait: 0 };
+    let orders = relay.with(|draws, place| draws.on_answer(Time(2), second, id, granted, place));
+    assert_eq!(answer(&orders).needs, 0b11);
+    assert!(relay.draws.next_wake().is_none());
+}
+
+#[test]
+fn an_answer_counts_once_and_only_from_whom_it_was_asked_of() {
+    let mut relay = machine(9, &[1, 2, 3, 4], &[1, 2, 3, 4]);
+    let (first, id, _) = asked(&relay.take(Time(0), draw(&[10])));
+    let all = Grant { needs: 1, ahead: 0, wait: 0 };
+    let other = Holder(first.0 % 4 + 1);
+    assert!(relay.with(|draws, place| draws.on_answer(Time(1), other, id, all, place)).is_empty());
+    assert!(answer(&relay.with(|draws, place| draws.on_answer(Time(1), first, id, all, place))).covers(0));
+    assert!(relay.with(|draws, place| draws.on_answer(Time(1), first, id, all, place)).is_empty());
+}
+
+#[test]
+fn holders_that_are_lost_silent_or_out_of_reach_are_passed_over() {
+    let mut relay = machine(9, &[1, 2, 3], &[1, 2, 3]);
+    let (first, _, _) = asked(&relay.take(Time(0), draw(&[10])));
+    let orders = relay.with(|draws, place| draws.on_lost(Time(1), first, place));
+    let (second, id, _) = asked(&orders);
+    let due = relay.draws.next_wake().expect("a wake");
+    assert!(relay.with(|draws, place| draws.tick(Time(due.0 - 1), place)).is_empty());
+    let (third, _, _) = asked(&relay.with(|draws, place| draws.tick(due, place)));
+    // What comes too late is no grant of this draw.
+    let late = Grant { needs: 1, ahead: 0, wait: 0 };
+    assert!(relay.with(|draws, place| draws.on_answer(due, second, id, late, place)).is_empty());
+    let orders = relay.with(|draws, place| draws.on_lost(due, third, place));
+    assert_eq!(answer(&orders).needs, 0);
+    let mut cut_off = machine(9, &[1, 2, 3], &[]);
+    assert_eq!(answer(&cut_off.take(Time(0), draw(&[10]))).needs, 0);
+}
+
+#[test]
+fn a_holder_that_had_too_little_is_not_asked_for_as_much_again_at_once() {
+    let mut relay = machine(9, &[1], &[1]);
+    let denied = Grant { needs: 0, ahead: 0, wait: 50_000 };
+    let (holder, id, _) = asked(&relay.take(Time(0), draw(&[100])));
+    relay.with(|draws, place| draws.on_answer(Time(1), holder, id, denied, place));
+    assert_eq!(answer(&relay.take(Time(2), draw(&[100, 120]))).needs, 0);
+    let (_, _, wanted) = asked(&relay.take(Time(2), draw(&[100, 99])));
+    assert_eq!(wanted.needs, [99]);
+    relay.with(|draws, place| draws.tick(Time(60_000), place));
+    asked(&relay.take(Time(60_000), draw(&[100])));
+}
+
+#[test]
+fn a_machine_that_knows_no_voters_asks_others_to_ask() {
+    let mut relay = machine(9, &[], &[1, 2, 3]);
+    let orders = relay.take(Time(0), draw(&[10]));
+    assert_matches!(&orders[..], [Order::Ask { pass_on: true, .. }]);
+}
--- /dev/null
+++ b/decide/quota/src/tenure.rs
@@ -0,0 +1,143 @@
+//! Tenure: which control machine holds which part of a tenant's bucket, and until when.
+//!
+//! Holders follow from the voters of the group by rendezvous hashing. Voters change while machines don't all know it, so a machine takes a
+//! part that it did not hold before only once whoever held it can hold it no more: a holder's tenure ends [`LEASE`] after it was last in contact with a
+//! quorum, and a new one begins [`SETTLING`] after it has learnt of the voters that make it one.
+
+use lichenswitch_interface::{Micros, Time};
+use std::cmp::Reverse;
+
+/// Parts into which a tenant's bucket is cut: enough that the loss of one leaves most of the rate, few enough that each holds large requests.
+pub const HOLDERS: usize = 3;
+/// A machine holds its parts for so long after it was last in contact (microseconds): over an election.
+pub const LEASE: Micros = 4_000_000;
+/// A machine takes up a new part so long after it has learnt of it (microseconds): a lease, what contact may be behind, and some for clocks.
+pub const SETTLING: Micros = LEASE + 2_000_000;
+/// A machine that was out of contact for so long may have missed voters, among whom another one has settled (microseconds).
+const MISSED: Micros = 2_000_000;
+
+/// A machine that votes, by the identity of its disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Holder(pub u64);
+
+/// The part of a tenant's bucket that a machine holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Share {
+    /// Of rate and depth.
+    pub part: f64,
+    /// It is the one that may go into debt.
+    pub first: bool,
+}
+
+/// The holders of a tenant's bucket, the first one first.
+#[must_use]
+pub fn holders(tenant: &str, voters: &[Holder]) -> Vec<Holder> {
+    let mut ranked: Vec<Holder> = voters.to_vec();
+    ranked.sort_unstable_by_key(|holder| (Reverse(weight(tenant, *holder)), *holder));
+    ranked.dedup();
+    ranked.truncate(HOLDERS);
+    ranked
+}
+
+/// FNV-1a over the tenant's name, mixed with the holder: the same in every process and version.
+fn weight(tenant: &str, holder: Holder) -> u64 {
+    let hash = tenant.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    mix(mix(hash) ^ holder.0)
+}
+
+/// The finaliser of SplitMix64.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// What a machine knows of the voters, and of its own contact with them.
+#[derive(Clone, Debug)]
+pub struct Tenure {
+    own: Holder,
+    voters: Vec<Holder>,
+    /// Voters before, each with when they were replaced, as long as that matters.
+    earlier: Vec<(Time, Vec<Holder>)>,
+    contact: Option<Time>,
+    /// Since then contact has lasted without a gap that ended the tenure.
+    since: Time,
+}
+
+impl Tenure {
+    /// Of a machine whose disk names these voters; none where it has never voted.
+    #[must_use]
+    pub fn new(own: Holder, voters: Vec<Holder>) -> Tenure {
+        Tenure { own, voters, earlier: Vec::new(), contact: None, since: Time(0) }
+    }
+
+    /// These vote now, as far as this machine knows; while they change, those before and after.
+    pub fn on_voters(&mut self, now: Time, voters: &[Holder]) {
+        self.earlier.retain(|(replaced, _)| now.since(*replaced) < SETTLING);
+        if self.voters != voters {
+            let before = std::mem::replace(&mut self.voters, voters.to_vec());
+            self.earlier.push((now, before));
+            if self.contact.is_none_or(|contact| now.since(contact) >= MISSED) {
+                // By voters that are not known here it may have held nothing.
+                self.earlier.push((now, Vec::new()));
+            }
+        }
+    }
+
+    /// This machine is in contact with a quorum.
+    pub fn on_contact(&mut self, now: Time) {
+        if now >= self.ends() {
+            self.since = now;
+        }
+        self.contact = self.contact.max(Some(now));
+    }
+
+    /// Those that vote.
+    #[must_use]
+    pub fn voters(&self) -> &[Holder] {
+        &self.voters
+    }
+
+    /// Until when this machine holds its parts, unless contact is renewed; 0 where it never was in contact.
+    #[must_use]
+    pub fn ends(&self) -> Time {
+        self.contact.map_or(Time(0), |contact| contact.plus(LEASE))
+    }
+
+    /// Since when this machine has held its parts without a gap, whichever they are.
+    #[must_use]
+    pub fn since(&self) -> Time {
+        self.since
+    }
+
+    /// The part of a tenant's bucket that this machine holds now: the least by all voters that others may still go by.
+    #[must_use]
+    pub fn share(&self, now: Time, tenant: &str) -> Share {
+        if now >= self.ends() {
+            return Share::default();
+        }
+        let earlier = self.earlier.iter().filter(|(replaced, _)| now.since(*replaced) < SETTLING);
+        let views = earlier.map(|(_, voters)| voters).chain([&self.voters]);
+        let shares = views.map(|voters| self.share_of(tenant, voters));
+        shares.reduce(Share::least).unwrap_or_default()
+    }
+
+    fn share_of(&self, tenant: &str, voters: &[Holder]) -> Share {
+        let holders = holders(tenant, voters);
+        match holders.iter().position(|holder| *holder == self.own) {
+            Some(rank) => Share { part: 1.0 / holders.len() as f64, first: rank == 0 },
+            None => Share::default(),
+        }
+    }
+}
+
+impl Share {
+    fn least(self, other: Share) -> Share {
+        Share { part: self.part.min(other.part), first: self.first && other.first }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/decide/quota/src/tenure/tests.rs
@@ -0,0 +1,169 @@
+//! Tests of `tenure`.
+
+use super::*;
+
+const SECOND: Micros = 1_000_000;
+
+fn voters(ids: &[u64]) -> Vec<Holder> {
+    ids.iter().copied().map(Holder).collect()
+}
+
+fn seconds(seconds: u64) -> Time {
+    Time(seconds * SECOND)
+}
+
+/// A tenant whose first holder among these is this one.
+fn tenant_of(first: u64, among: &[u64]) -> String {
+    (0..)
+        .map(|n| format!("t{n}"))
+        .find(|name| holders(name, &voters(among))[0] == Holder(first))
+        .expect("one")
+}
+
+#[test]
+fn holders_are_few_and_the_same_everywhere() {
+    let eight = voters(&[1, 2, 3, 4, 5, 6, 7, 8]);
+    let mut turned = eight.clone();
+    turned.rotate_left(3);
+    let mut firsts = std::collections::BTreeMap::new();
+    for n in 0..800 {
+        let tenant = format!("tenant-{n}");
+        let holders = holders(&tenant, &eight);
+        assert_eq!(holders.len(), HOLDERS);
+        assert_eq!(holders, super::holders(&tenant, &turned));
+        *firsts.entry(holders[0]).or_insert(0) += 1;
+    }
+    assert!(firsts.values().all(|count| (60..=140).contains(count)), "{firsts:?}");
+    assert_eq!(holders("t", &eight[..2]).len(), 2);
+    assert!(holders("t", &[]).is_empty());
+}
+
+#[test]
+fn the_loss_of_a_voter_moves_its_parts_alone() {
+    let (eight, seven) = (voters(&[1, 2, 3, 4, 5, 6, 7, 8]), voters(&[1, 2, 3, 4, 5, 6, 7]));
+    for n in 0..200 {
+        let tenant = format!("tenant-{n}");
+        let before: Vec<Holder> = holders(&tenant, &eight).into_iter().filter(|h| *h != Holder(8)).collect();
+        let after = holders(&tenant, &seven);
+        assert!(before.iter().all(|holder| after.contains(holder)));
+    }
+}
+
+#[test]
+fn a_part_is_held_for_a_lease_after_the_last_contact() {
+    let tenant = tenant_of(1, &[1, 2, 3]);
+    let mut tenure = Tenure::new(Holder(1), voters(&[1, 2, 3]));
+    assert_eq!(tenure.share(seconds(1), &tenant), Share::default());
+    tenure.on_contact(seconds(1));
+    assert!(tenure.share(Time(5 * SECOND - 1), &tenant).first);
+    assert_eq!(tenure.share(seconds(5), &tenant), Share::default());
+    assert_eq!(tenure.since(), seconds(1));
+    tenure.on_contact(seconds(4));
+    assert_eq!(tenure.since(), seconds(1));
+    tenure.on_contact(seconds(9));
+    assert_eq!(tenure.since(), seconds(9));
+}
+
+#[test]
+fn a_new_part_is_taken_up_only_once_nobody_can_hold_it_any_more() {
+    // Voter 4 was no voter before: it waits. Voter 1 holds its part all the while.
+    let tenant = tenant_of(4, &[1, 2, 4]);
+    let mut newcomer = Tenure::new(Holder(4), Vec::new());
+    newcomer.on_voters(seconds(10), &voters(&[1, 2, 4]));
+    for now in 10..30 {
+        newcomer.on_contact(seconds(now));
+        newcomer.on_voters(seconds(now), &voters(&[1, 2, 4]));
+        let holds = newcomer.share(seconds(now), &tenant).part > 0.0;
+        assert_eq!(holds, seconds(now) >= seconds(10).plus(SETTLING), "{now}");
+    }
+}
+
+#[test]
+fn a_process_that_starts_again_under_the_same_voters_waits_for_contact_alone() {
+    let mut tenure = Tenure::new(Holder(1), voters(&[1, 2, 3]));
+    tenure.on_voters(seconds(100), &voters(&[1, 2, 3]));
+    tenure.on_contact(seconds(100));
+    assert!(tenure.share(seconds(100), "t").part > 0.3);
+}
+
+#[test]
+fn shares_never_sum_to_more_than_one_while_voters_change() {
+    for seed in 0..60 {
+        walk(seed, SETTLING);
+    }
+}
+
+/// The check above is worth something: without the wait it fails.
+#[test]
+fn taking_a_part_up_at_once_would_be_found() {
+    let found = (0..60).any(|seed| std::panic::catch_unwind(|| walk(seed, 0)).is_err());
+    assert!(found);
+}
+
+/// A machine of the walk below.
+struct Machine {
+    tenure: Tenure,
+    cut_until: Micros,
+    /// The change of voters that it knows last, and when it learns of the next one.
+    knows: usize,
+    learns_at: Micros,
+}
+
+impl Machine {
+    fn of(id: u64, known: &[u64], knows: usize) -> Machine {
+        let tenure = Tenure::new(Holder(id), voters(known));
+        Machine { tenure, cut_until: 0, knows, learns_at: 0 }
+    }
+}
+
+/// Voters change now and then; each machine learns of each change a little late, or not at all while it is cut off, when it is out of contact.
+/// `settling`: newcomers wait so long.
+fn walk(seed: u64, settling: Micros) {
+    const STEP: Micros = 100_000;
+    const LATEST: Micros = 1_400_000;
+    let skipped = SETTLING - settling;
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut changes: Vec<(Micros, Vec<u64>)> = vec![(0, vec![1, 2, 3, 4])];
+    let mut machines: Vec<Machine> = (1..=4).map(|id| Machine::of(id, &[1, 2, 3, 4], 0)).collect();
+    for step in 0..1_200 {
+        let now = step * STEP;
+        if step > 20 && random.u32(0..60) == 0 {
+            let mut next = changes[changes.len() - 1].1.clone();
+            let id = machines.len() as u64 + 1;
+            next[random.usize(0..4)] = id;
+            changes.push((now, next.clone()));
+            let mut newcomer = Machine::of(id, &[], changes.len() - 1);
+            newcomer.tenure.on_voters(Time(now.saturating_sub(skipped)), &voters(&next));
+            machines.push(newcomer);
+        }
+        if random.u32(0..80) == 0 {
+            let victim = random.usize(0..machines.len());
+            machines[victim].cut_until = now + random.u64(0..8 * SECOND);
+        }
+        for machine in machines.iter_mut().filter(|machine| machine.cut_until <= now) {
+            let known = machine.knows;
+            while let Some((changed, _)) = changes.get(machine.knows + 1) {
+                machine.learns_at = machine.learns_at.max(changed + random.u64(0..LATEST));
+                // What is newer than this may not have come yet.
+                if machine.learns_at > now && now < changed + LATEST {
+                    break;
+                }
+                machine.knows += 1;
+            }
+            // Who was cut off learns of the last change alone.
+            if machine.knows > known {
+                let next = voters(&changes[machine.knows].1);
+                machine.tenure.on_voters(Time(now.saturating_sub(skipped)), &next);
+            }
+            if changes[machine.knows].1.contains(&machine.tenure.own.0) {
+                machine.tenure.on_contact(Time(now));
+            }
+        }
+        for tenant in ["a", "b", "c", "d", "e"] {
+            let shares = machines.iter().map(|machine| machine.tenure.share(Time(now), tenant));
+            let (sum, firsts) = shares
+                .fold((0.0, 0), |(sum, firsts), share| (sum + share.part, firsts + usize::from(share.first)));
+            assert!(sum <= 1.0 + 1e-9 && firsts <= 1, "seed {seed}, step {step}, {tenant}: {sum}, {firsts}");
+        }
+    }
+}
--- a/simulator/src/lib.rs
+++ b/simulator/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod network;
 pub mod overlaps;
 pub mod packet;
+pub mod quotas;
 pub mod scheduler;
 pub mod walk;
 pub mod world;
