--- a/fleet/src/control/contact.rs
+++ b/fleet/src/control/contact.rs
@@ -51,6 +51,7 @@
         log::info!(target: "control", version = newest.version; "configuration is committed");
         let pushes = self.routers.push_configuration(&newest);
         self.committed = Some(newest);
+        self.tell_buckets_of_tenants();
         self.push_all(pushes);
         self.feed_relays(now);
     }
--- a/fleet/src/control/links.rs
+++ b/fleet/src/control/links.rs
@@ -4,7 +4,7 @@
 //! [`LONGEST_QUEUE`].
 
 use super::program::Net;
-use crate::envelopes::{encode, EnvelopeReader};
+use crate::envelopes::{encode, EnvelopeReader, Incoming};
 use lichenswitch_interface::Time;
 use lichenswitch_messages::Envelope;
 use lichenswitch_net::{ConnId, Pumped};
@@ -46,7 +46,7 @@
 
 /// What a look at a connection brought.
 pub(super) struct Brought {
-    pub(super) messages: Vec<Envelope>,
+    pub(super) messages: Vec<Incoming>,
     /// It has come up just now.
     pub(super) up: bool,
     /// Why it is to be closed, if it is.
@@ -81,8 +81,8 @@
         link.reader.push(conn.input.bytes());
         conn.input.consume(bytes);
         loop {
-            match link.reader.next_envelope() {
-                Ok(Some(envelope)) => brought.messages.push(envelope),
+            match link.reader.next_message() {
+                Ok(Some(message)) => brought.messages.push(message),
                 Ok(None) => break,
                 Err(e) => {
                     brought.broken = Some(e.to_string());
--- a/fleet/src/control/machine.rs
+++ b/fleet/src/control/machine.rs
@@ -8,6 +8,7 @@
 use super::links::{End, Links};
 use super::peers::{Peers, CONNECT_TIMEOUT, SILENCE};
 use super::program::{after, elapsed, sooner, Net, Owner, Signal};
+use super::quotas::Quotas;
 use super::routers::Routers;
 use super::servers::Servers;
 use super::{notices, own_part, status, ControlError, DIGEST_INTERVAL};
@@ -50,6 +51,7 @@
     pub(super) routers: Routers,
     pub(super) callers: Callers,
     pub(super) calls: Calls,
+    pub(super) quotas: Quotas,
     /// What callers of this machine were told is taken.
     pub(super) acknowledged: Acknowledged,
     /// The last orders that were refused here.
@@ -90,6 +92,7 @@
             eligible = group.is_some(); "control machine has started");
         let mut machine = Machine {
             address,
+            quotas: Quotas::new(identity.0, group.as_ref(), settings.bounds.quota_terms()),
             identity: identity.0,
             eligibility,
             started: now,
@@ -184,6 +187,7 @@
             self.dial(address, now);
         }
         self.feed.tick(now);
+        self.look_at_draws(now);
         if self.next_tick <= now {
             self.next_tick = after(now, TICK);
             self.tick(now);
@@ -198,6 +202,7 @@
     fn tick(&mut self, now: Time) {
         self.close_silent(now);
         self.servers.tick(now);
+        self.advance_buckets(now);
         self.routers.tick(now);
         self.callers.sweep(&mut self.net);
         self.reload_if_changed(now);
@@ -258,6 +263,7 @@
             busy |= self.tell_servers(now);
             self.look_at_committed(now);
             self.look_at_contact(now);
+            self.look_at_tenure(now);
             busy |= self.flush();
             if !busy {
                 return;
@@ -349,6 +355,7 @@
             self.calls.next_wake().map(of_replica),
             self.servers.next_wake(),
             self.feed.next_wake(),
+            self.quotas.next_wake(),
             self.shutdown_wake(),
             Some(self.next_tick),
         ];
--- a/fleet/src/control/mod.rs
+++ b/fleet/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod own_part;
 mod peers;
 mod program;
+mod quotas;
 mod routers;
 mod server_cache;
 mod servers;
--- a/fleet/src/control/on_internal.rs
+++ b/fleet/src/control/on_internal.rs
@@ -7,6 +7,7 @@
 use super::machine::Machine;
 use super::peers::Introduction;
 use super::routers::Hello;
+use crate::envelopes::Incoming;
 use lichenswitch_configuration::Document;
 use lichenswitch_control::{Committed, Question};
 use lichenswitch_interface::Time;
@@ -26,9 +27,14 @@
         if brought.up {
             self.on_up(id);
         }
-        for envelope in brought.messages {
-            if let Err(reason) = self.on_envelope(id, envelope, now) {
-                return self.close_link(id, &reason);
+        for message in brought.messages {
+            match message {
+                Incoming::Tenant(message) => self.on_tenant_message(id, message, now),
+                Incoming::Envelope(envelope) => {
+                    if let Err(reason) = self.on_envelope(id, envelope, now) {
+                        return self.close_link(id, &reason);
+                    }
+                }
             }
         }
         if let Some(reason) = brought.broken {
@@ -242,6 +248,7 @@
                     info!(target: "control", address = address.to_string().as_str(), reason = reason; "peer is lost");
                     self.calls.on_lost(&address);
                     self.servers.on_lost(address);
+                    self.on_holder_lost(address, now);
                 }
             }
             Some(End::Router) => self.routers.on_closed(id),
@@ -259,7 +266,7 @@
 
 /// The primary has sent what is committed. What can't be read is passed over: routers could not use it either.
 fn on_fed(feed: &mut Feed, position: lichenswitch_messages::ConfigurationPosition, document: Vec<u8>) {
-    match Document::parse(&document) {
+    match Document::parse_committed(&document) {
         Ok(parsed) => {
             let version = parsed.version();
             feed.on_configuration(Committed { position, version, document: document.into() });
--- a/fleet/src/control/own_part.rs
+++ b/fleet/src/control/own_part.rs
@@ -58,6 +58,7 @@
         self.group = begin(&self.settings, self.address, &mut self.net, now);
         let Some(group) = &self.group else { return };
         self.identity = group.identity().0;
+        self.renew_quotas();
         info!(target: "control", "takes part in the group");
         // Peers know this machine by the identity of its process: they are to hear that of its disk.
         let peers = |(_, end, _): &(ConnId, End, Time)| matches!(end, End::Peer(_));
--- /dev/null
+++ b/fleet/src/control/quotas.rs
@@ -0,0 +1,240 @@
+//! Quotas at a control machine: the parts of tenants' buckets that it holds, and draws that it passes on for routers.
+//!
+//! It joins `decide/quota` to connections and to the group: holders are voters by the identity of their disks, and hold their parts as long as
+//! the replica says that they are current.
+
+use super::group::{to_replica, Group};
+use super::links::End;
+use super::machine::Machine;
+use crate::invariants::{self, Invariant};
+use lichenswitch_configuration::{Document, QuotaUnit, Tenant};
+use lichenswitch_interface::Time;
+use lichenswitch_messages::{DrawAnswer, DrawRequest, DrawUnit, TenantMessage};
+use lichenswitch_net::ConnId;
+use lichenswitch_quota::{Buckets, Draw, Draws, Grant, Holder, Order, Place, Tenure, Terms};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// Who waits for the answer to a draw: a connection, and the number of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct DrawOrigin {
+    connection: ConnId,
+    id: u64,
+}
+
+/// What a machine has to do with quotas.
+pub(super) struct Quotas {
+    pub(super) own: Holder,
+    pub(super) tenure: Tenure,
+    pub(super) buckets: Buckets,
+    draws: Draws<DrawOrigin>,
+    /// A part has granted more than it may.
+    overrun: bool,
+}
+
+impl Quotas {
+    /// Of a machine that has just started, or has just taken part in the group.
+    pub(super) fn new(identity: u64, group: Option<&Group>, terms: Terms) -> Quotas {
+        let own = Holder(identity);
+        Quotas {
+            own,
+            tenure: Tenure::new(own, group.map(voters).unwrap_or_default()),
+            buckets: Buckets::new(terms),
+            draws: Draws::new(fastrand::u64(..)),
+            overrun: false,
+        }
+    }
+
+    /// When something is due by itself.
+    pub(super) fn next_wake(&self) -> Option<Time> {
+        self.draws.next_wake()
+    }
+
+    /// The draws under way, and what they are worked off with.
+    fn at<'a>(&'a mut self, reachable: &'a BTreeSet<Holder>) -> (&'a mut Draws<DrawOrigin>, Place<'a>) {
+        let place = Place { buckets: &mut self.buckets, tenure: &self.tenure, own: self.own, reachable };
+        (&mut self.draws, place)
+    }
+}
+
+/// Voters as holders, in one order.
+fn voters(group: &Group) -> Vec<Holder> {
+    let mut voters: Vec<Holder> =
+        group.replica.membership().all().map(|member| Holder(member.identity.0)).collect();
+    voters.sort_unstable();
+    voters
+}
+
+impl Machine {
+    /// This machine has another part in the group than before: what it held under another identity is held no more.
+    pub(super) fn renew_quotas(&mut self) {
+        let terms = self.settings.bounds.quota_terms();
+        self.quotas = Quotas::new(self.identity, self.group.as_ref(), terms);
+        self.tell_buckets_of_tenants();
+    }
+
+    /// Takes in who votes, and whether this machine is in contact with them.
+    pub(super) fn look_at_tenure(&mut self, now: Time) {
+        let Some(group) = self.group.as_ref() else { return };
+        self.quotas.tenure.on_voters(now, &voters(group));
+        if group.votes() && group.replica.is_current(to_replica(now)) {
+            self.quotas.tenure.on_contact(now);
+            if group.replica.committed().is_some_and(|(_, state)| state.0.document().is_none()) {
+                self.quotas.buckets.on_no_configuration();
+            }
+        }
+    }
+
+    /// Another configuration is committed.
+    pub(super) fn tell_buckets_of_tenants(&mut self) {
+        let now = self.net.clock.now();
+        let Some(committed) = &self.committed else { return };
+        match Document::parse_committed(&committed.document) {
+            Ok(document) => {
+                let tenants: &[Tenant] = document.tenants().unwrap_or_default();
+                self.quotas.buckets.set_tenants(now, tenants);
+            }
+            Err(e) => {
+                log::error!(target: "control", error = e.to_string().as_str(); "what is committed can't be read");
+            }
+        }
+    }
+
+    /// A message about tenants has come.
+    pub(super) fn on_tenant_message(&mut self, id: ConnId, message: TenantMessage, now: Time) {
+        match (message, self.links.end(id)) {
+            (TenantMessage::Confirm { stamp }, Some(End::Router)) => self.confirm(id, stamp, now),
+            (TenantMessage::Draw(request), Some(End::Router | End::Peer(_))) => {
+                self.on_draw(id, request, now)
+            }
+            (TenantMessage::Drawn(answer), Some(End::Peer(address))) => self.on_drawn(address, answer, now),
+            // Nothing that is asked for here, or from whoever has not said who it is.
+            _ => {}
+        }
+    }
+
+    /// Tells a router that what it was sent is current, if that is so.
+    fn confirm(&mut self, id: ConnId, stamp: u64, now: Time) {
+        // What is committed by now goes before the word that it is current.
+        self.look_at_committed(now);
+        if self.in_contact(now) {
+            let position = self.committed.as_ref().map(|committed| committed.position);
+            self.send_tenant_message(id, &TenantMessage::Confirmed { stamp, position });
+        }
+    }
+
+    fn on_draw(&mut self, connection: ConnId, request: DrawRequest, now: Time) {
+        let (origin, pass_on) = (DrawOrigin { connection, id: request.id }, request.pass_on);
+        let draw = draw_of(request);
+        if !pass_on {
+            let grant = self.quotas.buckets.draw(now, &draw, &self.quotas.tenure);
+            return self.answer_draw(origin, grant);
+        }
+        let reachable = self.reachable_holders();
+        let (draws, mut place) = self.quotas.at(&reachable);
+        let orders = draws.take(now, origin, draw, &mut place);
+        self.do_quota_orders(orders);
+    }
+
+    fn on_drawn(&mut self, from: SocketAddr, answer: DrawAnswer, now: Time) {
+        let Some(from) = self.holder_at(from) else { return };
+        let grant = Grant { needs: answer.needs, ahead: answer.ahead, wait: answer.wait_us };
+        let reachable = self.reachable_holders();
+        let (draws, mut place) = self.quotas.at(&reachable);
+        let orders = draws.on_answer(now, from, answer.id, grant, &mut place);
+        self.do_quota_orders(orders);
+    }
+
+    /// No connection to a peer is left.
+    pub(super) fn on_holder_lost(&mut self, address: SocketAddr, now: Time) {
+        let Some(holder) = self.holder_at(address) else { return };
+        let reachable = self.reachable_holders();
+        let (draws, mut place) = self.quotas.at(&reachable);
+        let orders = draws.on_lost(now, holder, &mut place);
+        self.do_quota_orders(orders);
+    }
+
+    /// Brings the buckets up to now, and checks what was granted of them.
+    pub(super) fn advance_buckets(&mut self, now: Time) {
+        let Quotas { buckets, tenure, .. } = &mut self.quotas;
+        buckets.advance(now, tenure);
+        if !std::mem::replace(&mut self.quotas.overrun, !self.quotas.buckets.are_kept()) {
+            invariants::check(!self.quotas.overrun, Invariant::PartIsKept);
+        }
+    }
+
+    /// Does what is due of draws that are under way.
+    pub(super) fn look_at_draws(&mut self, now: Time) {
+        if self.quotas.next_wake().is_none_or(|at| at > now) {
+            return;
+        }
+        let reachable = self.reachable_holders();
+        let (draws, mut place) = self.quotas.at(&reachable);
+        let orders = draws.tick(now, &mut place);
+        self.do_quota_orders(orders);
+    }
+
+    fn do_quota_orders(&mut self, orders: Vec<Order<DrawOrigin>>) {
+        for order in orders {
+            match order {
+                Order::Ask { to, id, pass_on, draw } => {
+                    if let Some(connection) = self.connection_to(to) {
+                        let request = request_of(id, draw, pass_on);
+                        self.send_tenant_message(connection, &TenantMessage::Draw(request));
+                    }
+                }
+                Order::Answer { origin, grant } => self.answer_draw(origin, grant),
+            }
+        }
+    }
+
+    fn answer_draw(&mut self, origin: DrawOrigin, grant: Grant) {
+        let answer =
+            DrawAnswer { id: origin.id, needs: grant.needs, ahead: grant.ahead, wait_us: grant.wait };
+        self.send_tenant_message(origin.connection, &TenantMessage::Drawn(answer));
+    }
+
+    fn send_tenant_message(&mut self, id: ConnId, message: &TenantMessage) {
+        match crate::envelopes::encode_tenant_message(message) {
+            Ok(bytes) => self.links.send_bytes(&mut self.net, id, &bytes),
+            Err(e) => {
+                log::error!(target: "control", error = e.to_string().as_str(); "a message can't be sent");
+            }
+        }
+    }
+
+    /// Machines with a disk that can be asked.
+    fn reachable_holders(&self) -> BTreeSet<Holder> {
+        let introduced = self.peers.connected().filter_map(|(_, peer)| peer.introduction.as_ref());
+        introduced.filter(|peer| peer.eligible).map(|peer| Holder(peer.identity)).collect()
+    }
+
+    fn holder_at(&self, address: SocketAddr) -> Option<Holder> {
+        let introduction = self.peers.get(address)?.introduction.as_ref()?;
+        Some(Holder(introduction.identity))
+    }
+
+    fn connection_to(&self, holder: Holder) -> Option<ConnId> {
+        let is_it = |peer: &super::peers::Peer| {
+            peer.introduction.as_ref().is_some_and(|introduced| introduced.identity == holder.0)
+        };
+        let (address, _) = self.peers.connected().find(|(_, peer)| is_it(peer))?;
+        self.peers.connection(address)
+    }
+}
+
+fn draw_of(request: DrawRequest) -> Draw {
+    let unit = match request.unit {
+        DrawUnit::Requests => QuotaUnit::Requests,
+        DrawUnit::Tokens => QuotaUnit::Tokens,
+    };
+    Draw { tenant: request.tenant, unit, needs: request.needs, ahead: request.ahead }
+}
+
+fn request_of(id: u64, draw: Draw, pass_on: bool) -> DrawRequest {
+    let unit = match draw.unit {
+        QuotaUnit::Requests => DrawUnit::Requests,
+        QuotaUnit::Tokens => DrawUnit::Tokens,
+    };
+    DrawRequest { id, tenant: draw.tenant, unit, needs: draw.needs, ahead: draw.ahead, pass_on }
+}
--- a/fleet/src/control/status.rs
+++ b/fleet/src/control/status.rs
@@ -3,9 +3,11 @@
 use super::group::{of_replica, to_replica};
 use super::machine::Machine;
 use super::program::elapsed;
+use lichenswitch_configuration::{Quota, QuotaUnit};
 use lichenswitch_control::Replicated;
 use lichenswitch_interface::Time;
 use lichenswitch_messages::ServerState;
+use lichenswitch_quota::Usage;
 use lichenswitch_replication::{PeerStatus, Replica, RoleKind};
 use miniserde::Serialize;
 use std::collections::BTreeMap;
@@ -23,6 +25,7 @@
     routers: Vec<RouterLine>,
     routers_of_fleet: u32,
     servers: BTreeMap<String, u64>,
+    quotas: Vec<QuotaLine>,
     refusals: Vec<RefusalLine>,
     storage: Option<StorageLine>,
 }
@@ -71,6 +74,21 @@
     configuration: Option<String>,
 }
 
+/// A tenant's quota, and what of it this machine holds: each holder shows its own part.
+#[derive(Serialize)]
+struct QuotaLine {
+    tenant: String,
+    unit: String,
+    rate_per_s: f64,
+    burst: f64,
+    /// Part of rate and depth that is held here; 0: none.
+    part: f64,
+    /// What the part holds now, what was granted of it since the process began, and requests that it could not bear.
+    level: f64,
+    granted: f64,
+    denied: u64,
+}
+
 #[derive(Serialize)]
 struct RefusalLine {
     status: u16,
@@ -125,6 +143,7 @@
         routers: routers.collect(),
         routers_of_fleet: machine.routers_of_fleet(),
         servers: servers(machine),
+        quotas: quotas(machine, now),
         refusals: refusals.collect(),
         storage: storage(machine),
     };
@@ -201,6 +220,34 @@
     by_state
 }
 
+fn quotas(machine: &Machine, now: Time) -> Vec<QuotaLine> {
+    let quotas = &machine.quotas;
+    let usage: BTreeMap<&str, Usage> = quotas.buckets.usage(now, &quotas.tenure).into_iter().collect();
+    let line = |(tenant, quota): (&str, &Quota)| {
+        let used = usage.get(tenant).cloned().unwrap_or_default();
+        QuotaLine {
+            tenant: tenant.to_owned(),
+            unit: unit(quota.unit).to_owned(),
+            rate_per_s: quota.rate_per_s,
+            burst: quota.burst,
+            part: quotas.tenure.share(now, tenant).part,
+            level: used.level,
+            granted: used.granted,
+            denied: used.denied,
+        }
+    };
+    let mut lines: Vec<QuotaLine> = quotas.buckets.quotas().map(line).collect();
+    lines.sort_by(|one, other| one.tenant.cmp(&other.tenant));
+    lines
+}
+
+fn unit(unit: QuotaUnit) -> &'static str {
+    match unit {
+        QuotaUnit::Requests => "requests",
+        QuotaUnit::Tokens => "tokens",
+    }
+}
+
 fn storage(machine: &Machine) -> Option<StorageLine> {
     let (usage, outstanding, failure) = machine.group.as_ref()?.disk()?;
     Some(StorageLine {
--- a/fleet/src/envelopes.rs
+++ b/fleet/src/envelopes.rs
@@ -1,13 +1,15 @@
-//! Messages on internal connections: an [`Envelope`] in a frame, the same for all roles.
+//! Messages on internal connections: an [`Envelope`] or a [`TenantMessage`] in a frame, the same for all roles.
 //!
 //! It owns what both ends must agree on (version, kind and longest frame), and promises that what is read was sent so by a process of this
 //! program.
 
-use lichenswitch_messages::{Envelope, PROTOCOL_VERSION};
+use lichenswitch_messages::{Envelope, TenantMessage, PROTOCOL_VERSION};
 use lichenswitch_rpc::{ArchiveError, FrameError, FrameReader};
 
-/// Kind of all frames: the envelope itself says what is in it.
-const KIND: u16 = 1;
+/// Kind of the frames of envelopes, which say themselves what is in them.
+const ENVELOPE: u16 = 1;
+/// Kind of the frames of messages about tenants.
+const TENANT_MESSAGE: u16 = 2;
 /// Longest payload (bytes): an order with a body of 4 MiB, and what goes with it.
 pub const PAYLOAD_LIMIT_BYTES: usize = 5 << 20;
 
@@ -30,12 +32,32 @@
 /// # Errors
 /// When it is too long.
 pub fn encode(envelope: &Envelope) -> Result<Vec<u8>, EnvelopeError> {
-    let payload = lichenswitch_rpc::encode(envelope)?;
+    framed(ENVELOPE, &lichenswitch_rpc::encode(envelope)?)
+}
+
+/// A message about tenants as bytes for a connection.
+///
+/// # Errors
+/// When it is too long.
+pub fn encode_tenant_message(message: &TenantMessage) -> Result<Vec<u8>, EnvelopeError> {
+    framed(TENANT_MESSAGE, &lichenswitch_rpc::encode(message)?)
+}
+
+fn framed(kind: u16, payload: &[u8]) -> Result<Vec<u8>, EnvelopeError> {
     let mut bytes = Vec::with_capacity(payload.len() + lichenswitch_rpc::HEADER_BYTES);
-    lichenswitch_rpc::encode_frame_into(&mut bytes, PROTOCOL_VERSION, KIND, &payload, PAYLOAD_LIMIT_BYTES)?;
+    lichenswitch_rpc::encode_frame_into(&mut bytes, PROTOCOL_VERSION, kind, payload, PAYLOAD_LIMIT_BYTES)?;
     Ok(bytes)
 }
 
+/// What a frame holds.
+#[derive(Debug, PartialEq)]
+pub enum Incoming {
+    /// An envelope.
+    Envelope(Envelope),
+    /// A message about tenants.
+    Tenant(TenantMessage),
+}
+
 /// Finds the messages in what a connection brings, cut anywhere.
 #[derive(Debug)]
 pub struct EnvelopeReader {
@@ -58,11 +80,12 @@
     ///
     /// # Errors
     /// When what came is no message. The connection must be closed then.
-    pub fn next_envelope(&mut self) -> Result<Option<Envelope>, EnvelopeError> {
-        match self.frames.next_frame()? {
-            None => Ok(None),
-            Some(frame) if frame.kind != KIND => Err(EnvelopeError::Kind(frame.kind)),
-            Some(frame) => Ok(Some(lichenswitch_rpc::decode(frame.payload)?)),
+    pub fn next_message(&mut self) -> Result<Option<Incoming>, EnvelopeError> {
+        let Some(frame) = self.frames.next_frame()? else { return Ok(None) };
+        match frame.kind {
+            ENVELOPE => Ok(Some(Incoming::Envelope(lichenswitch_rpc::decode(frame.payload)?))),
+            TENANT_MESSAGE => Ok(Some(Incoming::Tenant(lichenswitch_rpc::decode(frame.payload)?))),
+            other => Err(EnvelopeError::Kind(other)),
         }
     }
 }
--- a/fleet/src/invariants.rs
+++ b/fleet/src/invariants.rs
@@ -16,6 +16,10 @@
     TakenIsFinished,
     /// Each request that was read whole is held until it is answered: so many clients wait as requests are held.
     WaitingIsHeld,
+    /// A request of a tenant with a quota goes on only while the grant that it goes by is valid.
+    GrantIsValid,
+    /// A control machine grants no more of a bucket in a window than its part allows.
+    PartIsKept,
     /// A router ends once no client waits for an answer.
     EndsAnswered,
     /// A configuration that is read is no older than what the same machine had acknowledged before the read came.
@@ -27,6 +31,8 @@
         f.write_str(match self {
             Invariant::TakenIsFinished => "a request taken after the signal to end was cut off by the end",
             Invariant::WaitingIsHeld => "clients that wait and requests that are held differ in number",
+            Invariant::GrantIsValid => "a request was let through on a grant that had lapsed",
+            Invariant::PartIsKept => "more was granted of a tenant's quota than this machine's part",
             Invariant::EndsAnswered => "the process ends while clients wait for an answer",
             Invariant::AcknowledgedIsRead => {
                 "a configuration was read that is older than an acknowledged one"
--- a/fleet/src/router/answers.rs
+++ b/fleet/src/router/answers.rs
@@ -6,10 +6,11 @@
 use super::cut::CutReason;
 use super::exchange::{meaning, Meaning, Out, Phase};
 use super::ids::{AttemptId, ExchangeId, ServiceId};
-use super::intake::nearly;
+use super::intake::{nearly, Turned};
 use super::program::Timer;
 use super::response::OwnAnswer;
 use super::server_connections::{Answer, Attempt, ServerEvent};
+use super::tenants::Denial;
 use super::Router;
 use lichenswitch_core::{Command, Dispatch, Reply};
 use lichenswitch_interface::{Micros, Outcome, QueryId, ServerId};
@@ -69,6 +70,10 @@
         let (Some(exchange), Some(endpoint)) = (exchange, endpoint) else {
             return self.tell_core(attempt, Outcome::Moot);
         };
+        if let Err(denial) = self.check_sender(exchange.sender()) {
+            self.tell_core(attempt, Outcome::Moot);
+            return self.deny(id, denial);
+        }
         let resume_after = match &exchange.phase {
             Phase::Resuming { last_event_id } => Some(last_event_id.clone()),
             _ => None,
@@ -80,8 +85,9 @@
             request: exchange.request.clone(),
             deadline: exchange.deadline,
             idempotent: exchange.terms.idempotent,
-            priority: exchange.terms.rank(),
+            priority: exchange.terms.rank,
             resume_after,
+            sender: exchange.sender.clone(),
             max_connections,
         };
         self.exchanges.on_sent(id, Out { id: attempt, server });
@@ -89,6 +95,22 @@
         self.connections.send(&mut self.net, made);
     }
 
+    /// The key of a request that is held is served no more: unless an attempt is out that was sent before, it ends at once.
+    fn deny(&mut self, id: ExchangeId, denial: Denial) {
+        let Some(exchange) = self.exchanges.get(id).filter(|exchange| exchange.out.is_empty()) else {
+            return;
+        };
+        match exchange.phase {
+            Phase::Held if exchange.may_have_run > 0 => self.answer_given_up(id, None),
+            Phase::Held => {
+                if let Some(exchange) = self.finish(id) {
+                    self.turn_away(exchange.client, &Turned::of(denial));
+                }
+            }
+            Phase::Relaying(_) | Phase::Resuming { .. } => self.cut(id, CutReason::KeyDenied),
+        }
+    }
+
     /// The time that the module gave an attempt is over.
     pub(super) fn timed_out(&mut self, id: AttemptId) {
         let waits = |exchange: &super::exchange::Exchange| exchange.out.iter().any(|out| out.id == id);
--- a/fleet/src/router/configuration.rs
+++ b/fleet/src/router/configuration.rs
@@ -2,14 +2,14 @@
 //!
 //! It promises that the position of what is in force never goes back within a life of the process.
 
-use lichenswitch_configuration::{ConfigurationError, Document, Limits, Route, RouteKind, Routes};
+use super::ranks::Ranks;
+use lichenswitch_configuration::{
+    ConfigurationError, Document, Keys, Limits, Route, RouteKind, Routes, Tenant,
+};
 use lichenswitch_interface::Micros;
 use lichenswitch_messages::ConfigurationPosition;
 use std::sync::Arc;
 
-/// The least urgent rank.
-const LOWEST_RANK: u8 = 9;
-
 /// What a route says of its requests. A request keeps a copy to its end, whatever configuration comes meanwhile.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
@@ -25,20 +25,14 @@
     pub timeout: Micros,
     /// Within which an answer earns its full worth.
     pub target_latency: Micros,
-    /// Its rank; 0 is highest.
-    pub priority: u32,
+    /// Its rank, 0 to 9; 0 is highest.
+    pub rank: u8,
     /// Servers to which one try may be sent.
     pub max_attempts: u32,
 }
 
 impl Terms {
-    /// Its rank as servers and the module count it, 0 to 9.
-    #[must_use]
-    pub fn rank(&self) -> u8 {
-        self.priority.min(u32::from(LOWEST_RANK)) as u8
-    }
-
-    fn of(route: &Route) -> Terms {
+    fn of(route: &Route, rank: u8) -> Terms {
         let streaming = route.kind == RouteKind::Streaming;
         Terms {
             route: Arc::from(route.name.as_str()),
@@ -47,7 +41,7 @@
             resumable: streaming && route.stream_resume,
             timeout: route.timeout_ms.saturating_mul(1_000),
             target_latency: route.target_latency_ms.clamp(1, route.timeout_ms).saturating_mul(1_000),
-            priority: route.priority,
+            rank,
             max_attempts: route.max_attempts,
         }
     }
@@ -59,6 +53,9 @@
     /// Its position.
     pub position: ConfigurationPosition,
     routes: Routes,
+    /// Who holds which key.
+    pub keys: Keys,
+    ranks: Ranks,
 }
 
 impl InForce {
@@ -67,7 +64,9 @@
     /// # Errors
     /// What is wrong with it.
     pub fn parse(position: ConfigurationPosition, document: &[u8]) -> Result<InForce, ConfigurationError> {
-        Ok(InForce { position, routes: Routes::new(Arc::new(Document::parse(document)?)) })
+        let document = Arc::new(Document::parse_committed(document)?);
+        let (keys, ranks) = (Keys::new(&document), Ranks::new(&document));
+        Ok(InForce { position, keys, ranks, routes: Routes::new(document) })
     }
 
     /// The document.
@@ -82,18 +81,27 @@
         *self.document().limits()
     }
 
-    /// The terms of a request and the service that it goes to, drawn once; `None`: no route takes it.
+    /// The route of a request; `None`: no route takes it.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        self.routes.lookup(host, path)
+    }
+
+    /// The terms of a tenant's request on a route.
     #[must_use]
-    pub fn route(&self, host: &str, path: &str, random: u64) -> Option<(Terms, &str)> {
-        let route = self.routes.lookup(host, path)?;
-        Some((Terms::of(route), route.draw(random)))
+    pub fn terms(&self, route: &Route, tenant: Option<&Tenant>) -> Terms {
+        Terms::of(route, self.ranks.rank(tenant, route))
     }
 
-    /// Terms of all routes that may send to a service.
+    /// Terms of all routes that may send to a service, by the ranks that their tenants may give them.
     #[must_use]
     pub fn terms_of(&self, service: &str) -> Vec<Terms> {
         let to = |route: &&Route| route.targets.iter().any(|t| t.service == service && t.weight > 0.0);
-        self.document().routes().iter().filter(to).map(Terms::of).collect()
+        let tenants = self.document().tenants().unwrap_or_default();
+        let of_route = |route: &Route| {
+            self.ranks.all(tenants, route).into_iter().map(|rank| Terms::of(route, rank)).collect::<Vec<_>>()
+        };
+        self.document().routes().iter().filter(to).flat_map(of_route).collect()
     }
 }
 
--- a/fleet/src/router/configuration/tests.rs
+++ b/fleet/src/router/configuration/tests.rs
@@ -35,13 +35,14 @@
 #[test]
 fn a_request_keeps_what_its_route_says() {
     let in_force = in_force(position(1, 1, 1), 1);
-    let (terms, service) = in_force.route("H.example:80", "/a/b?c", 3).expect("a route");
-    assert_eq!(service, "x");
+    let route = in_force.route("H.example:80", "/a/b?c").expect("a route");
+    assert_eq!(route.draw(3), "x");
+    let terms = in_force.terms(route, None);
     assert!(terms.idempotent && terms.streaming && terms.resumable);
     assert_eq!((terms.timeout, terms.target_latency), (500_000, 500_000), "no aim is beyond the time-out");
-    assert_eq!((terms.priority, terms.max_attempts), (2, 3));
-    assert!(in_force.route("h.example", "/b/", 3).is_none());
-    assert!(in_force.route("other.example", "/a/", 3).is_none());
+    assert_eq!((terms.rank, terms.max_attempts), (2, 3));
+    assert!(in_force.route("h.example", "/b/").is_none());
+    assert!(in_force.route("other.example", "/a/").is_none());
 }
 
 #[test]
--- a/fleet/src/router/control_link.rs
+++ b/fleet/src/router/control_link.rs
@@ -6,10 +6,11 @@
 
 use super::candidates::Candidates;
 use super::program::{Net, Owner, Timer};
-use crate::envelopes::{self, EnvelopeReader};
+use crate::envelopes::{self, EnvelopeReader, Incoming};
 use lichenswitch_interface::{Micros, Time};
 use lichenswitch_messages::{
-    ConfigurationPosition, ControlToRouter, Envelope, RouterToControl, ServerRecord, PROTOCOL_VERSION,
+    ConfigurationPosition, ControlToRouter, Envelope, RouterToControl, ServerRecord, TenantMessage,
+    PROTOCOL_VERSION,
 };
 use lichenswitch_net::{ConnId, Pumped};
 use std::net::SocketAddr;
@@ -44,6 +45,14 @@
     Servers(Vec<ServerRecord>),
     /// So many routers are members.
     Routers(u32),
+    /// A message about tenants.
+    Tenant(TenantMessage),
+}
+
+/// What a control machine says.
+enum Message {
+    Control(ControlToRouter),
+    Tenant(TenantMessage),
 }
 
 struct Connection {
@@ -74,6 +83,8 @@
     unconfirmed: Option<Offer>,
     /// A look is due then.
     look_at: Option<Time>,
+    /// A connection has been given up since that was last asked.
+    lost: bool,
 }
 
 /// A configuration that waits to be taken.
@@ -97,6 +108,7 @@
             applied: None,
             unconfirmed: None,
             look_at: None,
+            lost: false,
         }
     }
 
@@ -167,11 +179,45 @@
         }
     }
 
+    /// Whether a connection has been given up since this was last asked: what was sent on it gets no answer.
+    pub fn take_lost(&mut self) -> bool {
+        std::mem::take(&mut self.lost)
+    }
+
+    /// Whether a control machine is connected, and has been told who this router is.
+    #[must_use]
+    pub fn is_greeted(&self) -> bool {
+        self.connection.as_ref().is_some_and(|connection| connection.greeted)
+    }
+
+    /// Sends a message about tenants to the control machine that is connected.
+    pub fn send_tenant_message(&mut self, net: &mut Net, message: &TenantMessage) {
+        let Some(connection) = &self.connection else { return };
+        let sent =
+            envelopes::encode_tenant_message(message).is_ok_and(|bytes| connection.send_bytes(net, &bytes));
+        if !sent {
+            self.give_up(net);
+        }
+    }
+
+    /// Whether the configuration of this position, or a later one, is in force.
+    #[must_use]
+    pub fn has_applied(&self, position: ConfigurationPosition) -> bool {
+        self.applied.is_some_and(|applied| applied >= position)
+    }
+
     fn address(&self) -> String {
         self.connection.as_ref().map_or_else(String::new, |c| c.address.to_string())
     }
 
-    fn take_in(&mut self, now: Time, message: ControlToRouter, news: &mut Vec<News>) {
+    fn take_in(&mut self, now: Time, message: Message, news: &mut Vec<News>) {
+        match message {
+            Message::Control(message) => self.take_control_message(now, message, news),
+            Message::Tenant(message) => news.push(News::Tenant(message)),
+        }
+    }
+
+    fn take_control_message(&mut self, now: Time, message: ControlToRouter, news: &mut Vec<News>) {
         let Some(connection) = &mut self.connection else { return };
         match message {
             ControlToRouter::Heartbeat { in_contact, control, routers } => {
@@ -231,6 +277,7 @@
         if let Some(connection) = self.connection.take() {
             self.candidates.on_failed(net.clock.now(), connection.address, self.rng.u64(..));
             net.close(connection.id);
+            self.lost = true;
         }
         let now = net.clock.now();
         self.look_at = None;
@@ -302,13 +349,16 @@
     }
 
     fn send(&self, net: &mut Net, message: RouterToControl) -> bool {
-        let Ok(bytes) = envelopes::encode(&Envelope::FromRouter(message)) else { return false };
+        envelopes::encode(&Envelope::FromRouter(message)).is_ok_and(|bytes| self.send_bytes(net, &bytes))
+    }
+
+    fn send_bytes(&self, net: &mut Net, bytes: &[u8]) -> bool {
         let Some(conn) = net.get_mut(self.id) else { return false };
-        conn.send(&bytes);
+        conn.send(bytes);
         net.flush(self.id, false) == Pumped::Alive
     }
 
-    fn read(&mut self, net: &mut Net, now: Time) -> Result<Vec<ControlToRouter>, String> {
+    fn read(&mut self, net: &mut Net, now: Time) -> Result<Vec<Message>, String> {
         let Some(conn) = net.get_mut(self.id) else { return Ok(Vec::new()) };
         let bytes = conn.input.bytes();
         let mut messages = Vec::new();
@@ -319,10 +369,11 @@
         if net.flush(self.id, false) != Pumped::Alive {
             return Err("the connection broke".to_owned());
         }
-        while let Some(envelope) = self.reader.next_envelope().map_err(|e| e.to_string())? {
-            match envelope {
-                Envelope::ToRouter(message) => messages.push(message),
-                Envelope::Peer(_) | Envelope::FromRouter(_) => {
+        while let Some(incoming) = self.reader.next_message().map_err(|e| e.to_string())? {
+            match incoming {
+                Incoming::Envelope(Envelope::ToRouter(message)) => messages.push(Message::Control(message)),
+                Incoming::Tenant(message) => messages.push(Message::Tenant(message)),
+                Incoming::Envelope(Envelope::Peer(_) | Envelope::FromRouter(_)) => {
                     return Err("a message that is not for routers".to_owned())
                 }
             }
--- a/fleet/src/router/cut.rs
+++ b/fleet/src/router/cut.rs
@@ -18,6 +18,8 @@
     NotResumed,
     /// The time of the request was over.
     Deadline,
+    /// It was to go on at another server, and its key is served no more.
+    KeyDenied,
     /// This process ends.
     Shutdown,
 }
@@ -28,6 +30,7 @@
             CutReason::ServerEnded(outcome) => write!(f, "server ended it: {outcome:?}"),
             CutReason::NotResumed => f.write_str("not resumed at another server"),
             CutReason::Deadline => f.write_str("deadline"),
+            CutReason::KeyDenied => f.write_str("key no longer served"),
             CutReason::Shutdown => f.write_str("shutdown"),
         }
     }
--- a/fleet/src/router/exchange.rs
+++ b/fleet/src/router/exchange.rs
@@ -8,6 +8,7 @@
 use super::request::ClientRequest;
 use super::response::ResponseHead;
 use super::server_connections::Answer;
+use super::tenants::Sender;
 use lichenswitch_interface::{Outcome, QueryId, ServerId, Time};
 use lichenswitch_net::ConnId;
 use std::collections::HashMap;
@@ -64,6 +65,8 @@
     pub query: Option<QueryId>,
     /// Index of its class there.
     pub class: u16,
+    /// Who sent it, where it bears a key that a tenant holds.
+    pub sender: Option<Rc<Sender>>,
     /// When its last byte was read.
     pub taken: Time,
     /// Version of the configuration that it was taken under.
--- a/fleet/src/router/exchange/tests.rs
+++ b/fleet/src/router/exchange/tests.rs
@@ -42,7 +42,7 @@
         resumable: false,
         timeout: 1_000_000,
         target_latency: 1_000,
-        priority: 0,
+        rank: 0,
         max_attempts,
     };
     // Any connection does: none is opened here.
@@ -57,6 +57,7 @@
         service: ServiceId(0),
         query: None,
         class: 0,
+        sender: None,
         taken: Time(0),
         configuration: 1,
         deadline: Time(0),
--- a/fleet/src/router/intake.rs
+++ b/fleet/src/router/intake.rs
@@ -3,14 +3,14 @@
 //! It promises that a request which is turned away here has been sent to nobody, so that each of these refusals is a promise.
 
 use super::clients::ClientEvent;
-use super::configuration::Terms;
 use super::cut::CutReason;
 use super::exchange::{Exchange, Phase};
-use super::ids::{ExchangeId, ServiceId};
+use super::ids::ExchangeId;
 use super::program::{micros, Timer};
 use super::request::ClientRequest;
 use super::response::OwnAnswer;
 use super::service::Ask;
+use super::tenants::Admission;
 use super::Router;
 use lichenswitch_core::Refusal;
 use lichenswitch_interface::{Micros, Time};
@@ -23,11 +23,16 @@
 const RETRY_ELSEWHERE: Micros = 20_000;
 
 /// Why a request is answered at once.
-enum Turned {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Turned {
     /// No configuration is known yet, there is no room, or this process is about to end.
     Away(Option<Micros>),
     /// The configuration in force has no route for it.
     NoRoute,
+    /// It needs a key that a tenant holds, and bears none.
+    NoHolder,
+    /// Its tenant sends more than its quota; when it may come back.
+    BeyondQuota(Micros),
     /// The request makes no sense.
     Malformed,
 }
@@ -47,24 +52,43 @@
     }
 
     fn take(&mut self, client: ConnId, request: ClientRequest) {
-        let answer = match self.admit(client, request) {
-            Ok(()) => return,
-            Err(Turned::Away(after)) => OwnAnswer::refused(after),
-            Err(Turned::NoRoute) => OwnAnswer::plain(404),
-            Err(Turned::Malformed) => OwnAnswer::plain(400),
+        if let Err(turned) = self.admit(client, request) {
+            self.turn_away(client, &turned);
+        }
+    }
+
+    /// Answers a request at once.
+    pub(super) fn turn_away(&mut self, client: ConnId, turned: &Turned) {
+        self.counters.on_turned(turned);
+        let answer = match turned {
+            Turned::Away(after) => OwnAnswer::refused(*after),
+            Turned::NoRoute => OwnAnswer::plain(404),
+            Turned::NoHolder => OwnAnswer::plain(401),
+            Turned::BeyondQuota(after) => OwnAnswer::beyond_quota(*after),
+            Turned::Malformed => OwnAnswer::plain(400),
         };
         self.clients.answer_own(&mut self.net, client, &answer, &mut self.client_events);
     }
 
     fn admit(&mut self, client: ConnId, request: ClientRequest) -> Result<(), Turned> {
         let now = self.net.clock.now();
-        let (terms, service, configuration) = self.route(&request)?;
-        let deadline =
-            now.plus(request.deadline.map_or(terms.timeout, |left| micros(left).min(terms.timeout)));
-        if self.shutdown.is_some_and(|shutdown| !shutdown.takes(now, deadline)) {
+        let admission = self.examine(now, &request)?;
+        if self.shutdown.is_some_and(|shutdown| !shutdown.takes(now, admission.deadline)) {
             return Err(Turned::Away(Some(RETRY_ELSEWHERE)));
         }
         self.check_room(&request)?;
+        self.admit_by_quota(client, request, admission)
+    }
+
+    /// Holds a request that may go, and hands it to its service.
+    pub(super) fn hold(
+        &mut self,
+        client: ConnId,
+        request: ClientRequest,
+        admission: Admission,
+    ) -> Result<(), Turned> {
+        let now = self.net.clock.now();
+        let Admission { terms, service, configuration, sender, deadline } = admission;
         let id = self.exchanges.next_id();
         let core = self.services.get_mut(service).ok_or(Turned::Away(Some(RETRY_AFTER)))?;
         let ask = Ask { exchange: id, terms: &terms, prefix: request.prefix, deadline };
@@ -78,6 +102,7 @@
             request: Rc::new(request),
             terms,
             service,
+            sender,
             query: Some(query),
             class,
             taken: now,
@@ -93,20 +118,25 @@
         Ok(())
     }
 
-    /// The route's terms, the service, drawn once by weight, and the version of the configuration that says so.
-    fn route(&mut self, request: &ClientRequest) -> Result<(Terms, ServiceId, u64), Turned> {
-        let in_force = self.configuration.get().ok_or(Turned::Away(Some(RETRY_AFTER)))?;
+    /// The route's terms, the service, drawn once by weight, the sender, and the version of the configuration that says so.
+    fn examine(&mut self, now: Time, request: &ClientRequest) -> Result<Admission, Turned> {
         let random = self.rng.u64(..);
-        let (terms, service) =
-            in_force.route(&request.host, request.path(), random).ok_or(Turned::NoRoute)?;
-        let service = self.services.id_of(service).ok_or(Turned::Away(Some(RETRY_AFTER)))?;
-        Ok((terms, service, in_force.document().version()))
+        let in_force = self.configuration.get().ok_or(Turned::Away(Some(RETRY_AFTER)))?;
+        let route = in_force.route(&request.host, request.path()).ok_or(Turned::NoRoute)?;
+        let sender = self.authenticate(in_force, route.public_access, request.key)?;
+        let tenant = sender.as_ref().and_then(|sender| in_force.tenant(&sender.tenant));
+        let terms = in_force.terms(route, tenant);
+        let service = self.services.id_of(route.draw(random)).ok_or(Turned::Away(Some(RETRY_AFTER)))?;
+        let deadline =
+            now.plus(request.deadline.map_or(terms.timeout, |left| micros(left).min(terms.timeout)));
+        let configuration = in_force.document().version();
+        Ok(Admission { terms, service, configuration, sender, deadline })
     }
 
     /// Guards memory: what is held is bounded.
     fn check_room(&self, request: &ClientRequest) -> Result<(), Turned> {
         let capacity = self.options.capacity;
-        let full = self.exchanges.len() >= capacity.requests as usize
+        let full = self.exchanges.len() + self.awaiting_quota.len() >= capacity.requests as usize
             || self.exchanges.bytes() + request.bytes() > capacity.bytes;
         match full {
             true => Err(Turned::Away(Some(RETRY_AFTER))),
@@ -116,6 +146,9 @@
 
     /// A client has left: there is nobody to answer, and nothing more is sent for it.
     fn client_left(&mut self, client: ConnId) {
+        if self.awaiting_quota.remove(&client).is_some() {
+            self.allowances.leave(client);
+        }
         if let Some(id) = self.exchanges.of_client(client) {
             self.drop_exchange(id);
         }
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -17,6 +17,8 @@
 //! | `configuration`, `service` | routes; a service's core with the decision module |
 //! | `intake`, `answers`, `relay`, `cut` | from a request to attempts; from attempts to an answer; streams; the end of one that can't be brought to its end |
 //! | `control_link`, `candidates`, `servers` | the connection to control; what is known of servers |
+//! | `tenants`, `freshness` | whose key a request bears, and what its quota says; how old that knowledge is |
+//! | `counters` | what was turned away, and why |
 //! | `readiness`, `shutdown`, `options` | the platform's question; the end; the settings |
 
 mod answers;
@@ -25,14 +27,17 @@
 mod clients;
 mod configuration;
 mod control_link;
+mod counters;
 mod cut;
 mod error;
 mod exchange;
+mod freshness;
 mod ids;
 mod intake;
 mod options;
 mod prefix;
 mod program;
+mod ranks;
 mod readiness;
 mod relay;
 mod request;
@@ -42,6 +47,7 @@
 mod service;
 mod services;
 mod shutdown;
+mod tenants;
 
 use crate::invariants::{self, Invariant};
 use crate::settings::Settings;
@@ -49,8 +55,13 @@
 use clients::{ClientEvent, Clients};
 use configuration::{Configuration, InForce};
 use control_link::{ControlLink, Identity, News};
+use counters::Counters;
 use exchange::Exchanges;
-use lichenswitch_messages::ServerRecord;
+use freshness::Freshness;
+use lichenswitch_interface::Time;
+use lichenswitch_messages::{ServerRecord, TenantMessage};
+use lichenswitch_net::ConnId;
+use lichenswitch_quota::Allowances;
 use options::Options;
 use program::{after, Net, Owner, Signal, Timer};
 use readiness::Readiness;
@@ -59,10 +70,12 @@
 use services::Services;
 use shutdown::Shutdown;
 use signal_hook::consts::{SIGHUP, SIGTERM};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime};
+use tenants::AwaitingQuota;
 
 pub use error::RouterError;
 
@@ -109,6 +122,11 @@
     link: ControlLink,
     readiness: Readiness,
     shutdown: Option<Shutdown>,
+    freshness: Freshness,
+    allowances: Allowances<ConnId>,
+    /// Requests that wait for their tenants' quotas, by client.
+    awaiting_quota: HashMap<ConnId, AwaitingQuota>,
+    counters: Counters,
     /// The next turn ends with a check of who waits.
     check_due: bool,
 }
@@ -145,6 +163,10 @@
             link,
             readiness: Readiness::default(),
             shutdown: None,
+            freshness: Freshness::new(options.revocation),
+            allowances: Allowances::new(options.quota, rng.u64(..)),
+            awaiting_quota: HashMap::new(),
+            counters: Counters::default(),
             check_due: false,
             rng,
             net,
@@ -207,6 +229,7 @@
             self.take_client_events();
             self.take_server_events();
             self.take_turns();
+            self.tell_control_of_tenants();
             if self.client_events.is_empty() && !self.connections.has_events() {
                 break;
             }
@@ -226,7 +249,8 @@
     /// Whoever has sent a whole request, and has no answer yet, is held. Checked at each turn where debug assertions are on, else now and
     /// then: it counts all connections.
     fn check_waiting(&self) {
-        invariants::check(self.clients.waiting() == self.exchanges.len(), Invariant::WaitingIsHeld);
+        let held = self.exchanges.len() + self.awaiting_quota.len();
+        invariants::check(self.clients.waiting() == held, Invariant::WaitingIsHeld);
     }
 
     fn accept(&mut self, owner: Owner) {
@@ -261,6 +285,7 @@
             Timer::Server(id) => self.connections.timer(&mut self.net, id),
             Timer::Waiting(id) => self.connections.waited(id),
             Timer::Control => self.look_at_control(),
+            Timer::Quota => self.look_at_quota(),
             Timer::Settings => self.look_at_settings(),
             Timer::Shutdown => self.go_on_stopping(),
         }
@@ -276,7 +301,9 @@
 
     /// Whether the platform may send clients.
     fn is_ready(&self) -> bool {
-        self.shutdown.is_none() && self.configuration.get().is_some()
+        let serves_keys = self.freshness.serves_keys(self.net.clock.now());
+        let in_force = self.configuration.get();
+        self.shutdown.is_none() && in_force.is_some_and(|it| serves_keys || it.document().tenants().is_none())
     }
 
     fn look_at_control(&mut self) {
@@ -294,11 +321,26 @@
                 },
                 News::Servers(records) => self.take_servers(&records),
                 News::Routers(count) => self.services.set_routers(count),
+                News::Tenant(message) => self.take_tenant_message(message),
             }
         }
         self.link.acknowledge(&mut self.net);
     }
 
+    fn take_tenant_message(&mut self, message: TenantMessage) {
+        match message {
+            TenantMessage::Confirmed { stamp, position } => {
+                // What can't be applied here leaves this router behind.
+                if position.is_none_or(|position| self.link.has_applied(position)) {
+                    self.freshness.on_confirmed(self.net.clock.now(), Time(stamp));
+                }
+            }
+            TenantMessage::Drawn(answer) => self.on_drawn(answer),
+            // Only control machines are asked.
+            TenantMessage::Confirm { .. } | TenantMessage::Draw(_) => {}
+        }
+    }
+
     fn take_servers(&mut self, records: &[ServerRecord]) {
         let changes = self.servers.merge(records);
         for change in changes.iter().filter(|change| change.takes_nothing()) {
@@ -348,6 +390,8 @@
             Ok(options) => {
                 self.link.set_seeds(options.seeds.clone());
                 self.services.set_budget(options.budget);
+                self.freshness.set_terms(options.revocation);
+                self.allowances.set_terms(options.quota);
                 self.options.grace = options.grace;
                 log::info!("settings read again");
             }
--- a/fleet/src/router/options.rs
+++ b/fleet/src/router/options.rs
@@ -1,6 +1,7 @@
 //! What this role takes from its settings.
 
 use super::error::RouterError;
+use super::freshness::RevocationTerms;
 use crate::settings::Settings;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -57,6 +58,10 @@
     pub capacity: Capacity,
     /// The further-try budget.
     pub budget: RetryBudget,
+    /// Bounds on revocations.
+    pub revocation: RevocationTerms,
+    /// Bounds on quotas.
+    pub quota: lichenswitch_quota::Terms,
     /// Between SIGTERM and SIGKILL.
     pub grace: Duration,
 }
@@ -81,6 +86,8 @@
                 slack: bounds.retry_slack,
                 window: bounds.budget_window,
             },
+            revocation: RevocationTerms { strict: bounds.revocation_strict, within: bounds.revoke },
+            quota: bounds.quota_terms(),
             grace: bounds.grace_period,
         })
     }
--- a/fleet/src/router/program.rs
+++ b/fleet/src/router/program.rs
@@ -39,6 +39,8 @@
     Waiting(AttemptId),
     /// The link to a control machine is to be looked at.
     Control,
+    /// A request has waited for its tenant's quota.
+    Quota,
     /// The settings file is to be looked at.
     Settings,
     /// The next step of the shutdown is due.
--- /dev/null
+++ b/fleet/src/router/ranks.rs
@@ -0,0 +1,64 @@
+//! Ranks of requests: that of their tenant goes before that of their route, which orders the requests of tenants of one rank.
+//!
+//! Servers and the module know ten ranks. Where a configuration has tenants, its pairs of ranks are numbered in their order.
+
+use lichenswitch_configuration::{Document, Route, Tenant};
+use std::collections::BTreeSet;
+
+/// The least urgent rank.
+pub const LOWEST_RANK: u8 = 9;
+
+/// Rank of a tenant, and of a route.
+type Pair = (u32, u32);
+
+/// The ranks of a configuration.
+#[derive(Debug, Default)]
+pub struct Ranks {
+    /// All pairs of a configuration with tenants, the most urgent first.
+    pairs: Vec<Pair>,
+}
+
+impl Ranks {
+    /// Of a configuration.
+    #[must_use]
+    pub fn new(document: &Document) -> Ranks {
+        let Some(tenants) = document.tenants() else { return Ranks::default() };
+        let tenant_ranks: BTreeSet<Option<u32>> = tenants.iter().map(|tenant| tenant.priority).collect();
+        let mut pairs = BTreeSet::new();
+        for route in document.routes() {
+            pairs.insert(pair(None, route));
+            pairs.extend(tenant_ranks.iter().map(|rank| pair(*rank, route)));
+        }
+        Ranks { pairs: pairs.into_iter().collect() }
+    }
+
+    /// The rank of a tenant's requests on a route, 0 to 9.
+    #[must_use]
+    pub fn rank(&self, tenant: Option<&Tenant>, route: &Route) -> u8 {
+        self.rank_of(tenant.and_then(|tenant| tenant.priority), route)
+    }
+
+    /// All ranks that requests on a route may have.
+    #[must_use]
+    pub fn all(&self, tenants: &[Tenant], route: &Route) -> BTreeSet<u8> {
+        let own = [self.rank_of(None, route)];
+        own.into_iter().chain(tenants.iter().map(|tenant| self.rank(Some(tenant), route))).collect()
+    }
+
+    fn rank_of(&self, tenant: Option<u32>, route: &Route) -> u8 {
+        let rank = match self.pairs.binary_search(&pair(tenant, route)) {
+            Ok(place) => place,
+            // Without tenants, the route's own.
+            Err(_) => route.priority as usize,
+        };
+        u8::try_from(rank).unwrap_or(LOWEST_RANK).min(LOWEST_RANK)
+    }
+}
+
+/// A tenant without a rank has that of the route.
+fn pair(tenant: Option<u32>, route: &Route) -> Pair {
+    (tenant.unwrap_or(route.priority), route.priority)
+}
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/router/request.rs
+++ b/fleet/src/router/request.rs
@@ -5,18 +5,39 @@
 //! refused.
 
 use super::prefix::shared_prefix;
-use lichenswitch_configuration::Limits;
+use super::tenants::Sender;
+use lichenswitch_configuration::{KeyDigest, Limits};
 use lichenswitch_http::{parse_request_head, BodyDecoder, Framing, Headers, Malformed, RequestHead};
 use lichenswitch_net::buffer::Buffer;
 use std::io::Write as _;
 use std::time::Duration;
 
-/// Headers that this program sets itself, or that concern how a body travels.
-const OWN: [&str; 6] =
-    ["content-length", "deadline-ms", "target-instance", "last-event-id", "expect", "priority"];
+/// Headers that this program sets itself, that concern how a body travels, or that are for this program alone.
+const OWN: [&str; 8] = [
+    "content-length",
+    "deadline-ms",
+    "target-instance",
+    "last-event-id",
+    "expect",
+    "priority",
+    "api-key",
+    "tenant",
+];
 /// Longest time that a client may say it waits: longer ones are no different.
 const MAX_DEADLINE: Duration = Duration::from_secs(86_400);
 
+/// What a request tells of its tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TokenUsage {
+    /// Nothing.
+    #[default]
+    Untold,
+    /// The sum of those of its prompt and the most to come out.
+    Told(u64),
+    /// What is no pair of numbers, or more than can be counted.
+    Unreadable,
+}
+
 /// A request, whole.
 #[derive(Debug, Default, PartialEq)]
 pub struct ClientRequest {
@@ -32,6 +53,10 @@
     pub deadline: Option<Duration>,
     /// Names the beginning of its prompt that it shares with others; 0: none.
     pub prefix: u64,
+    /// Digest of its `Api-Key`, where it bears one.
+    pub key: Option<KeyDigest>,
+    /// Its `Token-Usage`.
+    pub tokens: TokenUsage,
     last_event_id: Option<Vec<u8>>,
     /// Its body.
     pub body: Vec<u8>,
@@ -51,6 +76,8 @@
     pub priority: u8,
     /// A stream goes on behind this event.
     pub resume_after: Option<&'a [u8]>,
+    /// Who sent it.
+    pub sender: Option<&'a Sender>,
 }
 
 /// How far the reading of a request has come.
@@ -102,6 +129,9 @@
         let _ = write!(to, "Deadline-Ms: {}\r\n", send.left.as_millis());
         let _ = write!(to, "Target-Instance: {}\r\n", send.instance);
         let _ = write!(to, "Priority: {}\r\n", send.priority);
+        if let Some(sender) = send.sender {
+            let _ = write!(to, "Tenant: {}\r\n", sender.header);
+        }
         if let Some(id) = send.resume_after.or(self.last_event_id.as_deref()) {
             to.extend_from_slice(b"Last-Event-Id: ");
             to.extend_from_slice(id);
@@ -201,6 +231,8 @@
         attempt_id: only(headers, "attempt-id")?.map(str::to_owned),
         deadline: deadline.map(|ms| Duration::from_millis(ms).min(MAX_DEADLINE)),
         prefix: shared_prefix(headers.get("model"), headers.get("prompt-prefix")),
+        key: only_bytes(headers, "api-key")?.filter(|key| !key.is_empty()).map(KeyDigest::of),
+        tokens: token_usage(only_bytes(headers, "token-usage")?),
         last_event_id: headers.get("last-event-id").map(<[u8]>::to_vec),
         body: Vec::new(),
         has_body: head.framing != Framing::None,
@@ -227,16 +259,29 @@
 
 /// The value of a header that may come once.
 fn only<'a>(headers: &'a Headers, name: &'a str) -> Result<Option<&'a str>, Malformed> {
+    let text = |value| std::str::from_utf8(value).map_err(|_| Malformed(400, "a header is no text"));
+    only_bytes(headers, name)?.map(text).transpose()
+}
+
+/// The same, whatever its bytes are.
+fn only_bytes<'a>(headers: &'a Headers, name: &'a str) -> Result<Option<&'a [u8]>, Malformed> {
     let mut values = headers.all(name);
     match (values.next(), values.next()) {
-        (None, _) => Ok(None),
-        (Some(value), None) => {
-            let text = std::str::from_utf8(value).map_err(|_| Malformed(400, "a header is no text"))?;
-            Ok(Some(text))
-        }
-        (Some(_), Some(_)) => Err(Malformed(400, "a header comes twice")),
+        (value, None) => Ok(value),
+        (_, Some(_)) => Err(Malformed(400, "a header comes twice")),
     }
 }
 
+/// Reads `Token-Usage`: two whole numbers with a comma between them.
+fn token_usage(value: Option<&[u8]>) -> TokenUsage {
+    let Some(value) = value else { return TokenUsage::Untold };
+    let number = |text: &str| text.trim_matches([' ', '\t']).parse::<u64>().ok();
+    let sum = std::str::from_utf8(value)
+        .ok()
+        .and_then(|text| text.split_once(','))
+        .and_then(|(prompt, most_out)| number(prompt)?.checked_add(number(most_out)?));
+    sum.map_or(TokenUsage::Unreadable, TokenUsage::Told)
+}
+
 #[cfg(test)]
 mod tests;
--- a/fleet/src/router/request/tests.rs
+++ b/fleet/src/router/request/tests.rs
@@ -43,8 +43,8 @@
 fn a_server_gets_what_the_client_sent_and_what_this_program_sets() {
     let request = whole(SOUND);
     let mut bytes = Vec::new();
-    let send =
-        Send { left: Duration::from_micros(123_900), instance: "i-9", priority: 2, resume_after: None };
+    let left = Duration::from_micros(123_900);
+    let send = Send { left, instance: "i-9", priority: 2, resume_after: None, sender: None };
     request.encode(&send, &mut bytes);
     let expected: &[u8] = b"POST /a/b?c=%20 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: x1\r\nModel: m\r\n\
         Token-Usage: 1,2\r\nPrompt-Prefix: a:1,b:2\r\nX-Raw: \xff\xfe\r\nDeadline-Ms: 123\r\nTarget-Instance: i-9\r\n\
--- a/fleet/src/router/response.rs
+++ b/fleet/src/router/response.rs
@@ -213,6 +213,12 @@
         OwnAnswer { status: 503, retry_after: Some(after.unwrap_or(RETRY_AFTER).max(1_000)), closes: false }
     }
 
+    /// A refusal of what is beyond a quota: the request has not run and never will.
+    #[must_use]
+    pub fn beyond_quota(after: Micros) -> OwnAnswer {
+        OwnAnswer { status: 429, ..OwnAnswer::refused(Some(after)) }
+    }
+
     /// The same, and the end of the connection.
     #[must_use]
     pub fn and_close(self) -> OwnAnswer {
--- a/fleet/src/router/server_connections.rs
+++ b/fleet/src/router/server_connections.rs
@@ -15,6 +15,7 @@
 use super::request::{ClientRequest, Send};
 use super::response::{ResponseHead, ResponseReader};
 use super::servers::Endpoint;
+use super::tenants::Sender;
 use lichenswitch_event_stream::Scanner;
 use lichenswitch_interface::{Micros, Outcome, ServerId, Time};
 use lichenswitch_net::{ConnId, Pumped};
@@ -65,6 +66,8 @@
     pub priority: u8,
     /// A stream goes on behind this event.
     pub resume_after: Option<Vec<u8>>,
+    /// Who sent the request.
+    pub sender: Option<Rc<Sender>>,
     /// Connections to that server that this router may have.
     pub max_connections: usize,
 }
@@ -334,6 +337,7 @@
             instance: &attempt.endpoint.instance,
             priority: attempt.priority,
             resume_after: attempt.resume_after.as_deref(),
+            sender: attempt.sender.as_deref(),
         };
         if attempt.has_long_body() {
             conn.set_user_timeout(left);
--- a/fleet/src/router/service.rs
+++ b/fleet/src/router/service.rs
@@ -269,7 +269,7 @@
         aim: terms.target_latency,
         deadline: terms.timeout,
         repeat: if terms.idempotent { Repeat::Safe } else { Repeat::Unsafe },
-        worth: RANK_WORTH.powi(i32::from(terms.rank())),
+        worth: RANK_WORTH.powi(i32::from(terms.rank)),
         // Nobody tells what a late answer is worth: it is waited for to its end, since silence is no reason to give up sooner.
         late_share: 1.0,
         need: 1.0,
--- a/fleet/src/router/service/tests.rs
+++ b/fleet/src/router/service/tests.rs
@@ -50,7 +50,7 @@
         resumable: true,
         timeout: SECOND,
         target_latency: SECOND,
-        priority: 0,
+        rank: 0,
         max_attempts: 2,
     }
 }
--- a/fleet/src/router/shutdown.rs
+++ b/fleet/src/router/shutdown.rs
@@ -89,6 +89,7 @@
         }
         if now >= shutdown.ends && !shutdown.ended {
             shutdown.ended = true;
+            self.refuse_awaiting_quota();
             for id in self.exchanges.ids() {
                 self.check_finished(id, shutdown.began);
                 self.end_now(id, CutReason::Shutdown);
@@ -110,6 +111,7 @@
     pub(super) fn is_finished(&self) -> bool {
         let Some(shutdown) = self.shutdown else { return false };
         let over = shutdown.ended && self.net.clock.now() >= after(shutdown.ends, RESERVE / 2);
-        shutdown.closed && self.exchanges.is_empty() && (over || self.clients.busy(&self.net) == 0)
+        let empty = self.exchanges.is_empty() && self.awaiting_quota.is_empty();
+        shutdown.closed && empty && (over || self.clients.busy(&self.net) == 0)
     }
 }
--- /dev/null
+++ b/fleet/src/router/tenants/tests.rs
@@ -0,0 +1,73 @@
+//! Tests of `tenants`.
+
+use super::*;
+use lichenswitch_configuration::Document;
+use lichenswitch_messages::ConfigurationPosition;
+
+fn in_force(tenants: &str) -> InForce {
+    let text = format!(
+        "{{\"version\":1,\"routes\":[{{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/\",\"service\":\"s\"}}],\
+         \"services\":[{{\"name\":\"s\"}}]{tenants}}}"
+    );
+    let position = ConfigurationPosition { epoch: 1, primary: 1, number: 1 };
+    InForce::parse(position, text.as_bytes()).expect("a configuration")
+}
+
+fn key(text: &str) -> Option<KeyDigest> {
+    Some(KeyDigest::of(text.as_bytes()))
+}
+
+#[test]
+fn a_configuration_without_tenants_asks_for_no_key_and_knows_none() {
+    let none = in_force("");
+    assert!(none.sender(false, None).is_ok_and(|sender| sender.is_none()));
+    assert!(none.sender(false, key("any")).is_ok_and(|sender| sender.is_none()));
+}
+
+#[test]
+fn an_empty_list_of_tenants_closes_all_routes_that_are_not_public() {
+    let empty = in_force(",\"tenants\":[]");
+    assert_eq!(empty.sender(false, key("any")).err(), Some(Denial::NoHolder));
+    assert!(empty.sender(true, None).is_ok_and(|sender| sender.is_none()));
+}
+
+#[test]
+fn a_key_names_its_holder_on_public_routes_as_well() {
+    let held = in_force(r#","tenants":[{"name":"a","apiKeys":["k"]},{"name":"last","apiKeys":[]}]"#);
+    for public in [false, true] {
+        let sender = held.sender(public, key("k")).expect("served").expect("a tenant");
+        assert_eq!(sender.0.name, "a");
+    }
+    assert_eq!(held.sender(false, key("other")).err(), Some(Denial::NoHolder));
+    assert!(held.sender(true, key("other")).is_ok_and(|sender| sender.is_none()));
+}
+
+#[test]
+fn a_name_becomes_one_header_value_whatever_it_holds() {
+    for (name, value) in [
+        ("kaje80", "kaje80"),
+        ("two words", "two words"),
+        (" edge ", "%20edge%20"),
+        ("a\r\nApi-Key: x", "a%0D%0AApi-Key: x"),
+        ("\u{e9}", "%C3%A9"),
+    ] {
+        assert_eq!(header_value(name), value, "{name:?}");
+    }
+}
+
+#[test]
+fn a_request_counts_as_what_its_tenant_counts() {
+    let text = br#"{"version":1,"routes":[],"services":[],"tenants":[
+        {"name":"tokens","unit":"token_count","uncachedTokens":200},{"name":"requests","unit":"else"}]}"#;
+    let document = Document::parse(text).expect("valid");
+    let tenants = document.tenants().expect("tenants");
+    let request = |tokens| {
+        let mut request = ClientRequest::default();
+        request.tokens = tokens;
+        request
+    };
+    let needs = |tokens| [&tenants[0], &tenants[1]].map(|tenant| need(tenant, &request(tokens)).ok());
+    assert_eq!(needs(TokenUsage::Untold), [Some(200), Some(1)]);
+    assert_eq!(needs(TokenUsage::Told(12_000)), [Some(12_000), Some(1)]);
+    assert_eq!(needs(TokenUsage::Unreadable), [None, Some(1)]);
+}
--- a/fleet/src/settings/mod.rs
+++ b/fleet/src/settings/mod.rs
@@ -122,6 +122,28 @@
     pub recovery: Duration,
     /// `pass_ms`: an event of a stream is passed on within it.
     pub pass: Duration,
+    /// `revocationStrict`: `revokeMs` holds for all machines, in touch or not.
+    pub revocation_strict: bool,
+    /// `revokeMs`: a key that was taken away is dead within it.
+    pub revoke: Duration,
+    /// `quotaWindowS`: the window of quotas.
+    pub quota_window: Duration,
+    /// `quotaOverage`: how far a quota may be exceeded, as a share of it.
+    pub quota_overage: f64,
+    /// `quotaSlack`: how far beside that, in the unit of the quota.
+    pub quota_slack: f64,
+}
+
+impl Bounds {
+    /// The bounds on quotas.
+    #[must_use]
+    pub fn quota_terms(&self) -> lichenswitch_quota::Terms {
+        lichenswitch_quota::Terms {
+            window: self.quota_window,
+            overage: self.quota_overage,
+            slack: self.quota_slack,
+        }
+    }
 }
 
 /// Why there are no settings.
@@ -279,5 +301,10 @@
         retry_slack: fields.number("retrySlack", 0.0),
         recovery: fields.seconds("recoveryS", 12.0),
         pass: fields.milliseconds("pass_ms", 120),
+        revocation_strict: fields.optional("revocationStrict").unwrap_or(false),
+        revoke: fields.milliseconds("revokeMs", 5_000),
+        quota_window: fields.seconds("quotaWindowS", 8.0),
+        quota_overage: fields.number("quotaOverage", 0.0),
+        quota_slack: fields.number("quotaSlack", 0.0),
     }
 }
--- a/fleet/tests/control_lost.rs
+++ b/fleet/tests/control_lost.rs
@@ -3,7 +3,7 @@
 mod control_support;
 
 use control_support::{call, configuration, order, wait_for, FakeRouter, Fleet, PATIENCE};
-use lichenswitch_fleet::envelopes::{encode, EnvelopeReader};
+use lichenswitch_fleet::envelopes::{encode, EnvelopeReader, Incoming};
 use lichenswitch_messages::{
     ControlToRouter, Envelope, PeerMessage, ServerRecord, ServerState, PROTOCOL_VERSION,
 };
@@ -46,7 +46,7 @@
     fn next_of<T>(&mut self, mut pick: impl FnMut(PeerMessage) -> Option<T>) -> T {
         let began = Instant::now();
         while began.elapsed() < PATIENCE {
-            if let Some(Envelope::Peer(message)) = self.reader.next_envelope().unwrap() {
+            if let Some(Incoming::Envelope(Envelope::Peer(message))) = self.reader.next_message().unwrap() {
                 if let Some(found) = pick(message) {
                     return found;
                 }
--- a/fleet/tests/control_support/mod.rs
+++ b/fleet/tests/control_support/mod.rs
@@ -1,8 +1,8 @@
 //! Control machines as real processes on loopback addresses, and callers of them.
 #![allow(dead_code)]
 
-use lichenswitch_fleet::envelopes::{encode, EnvelopeReader};
-use lichenswitch_messages::{ControlToRouter, Envelope, RouterToControl, PROTOCOL_VERSION};
+use lichenswitch_fleet::envelopes::{encode, encode_tenant_message, EnvelopeReader, Incoming};
+use lichenswitch_messages::{ControlToRouter, Envelope, RouterToControl, TenantMessage, PROTOCOL_VERSION};
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -350,12 +350,33 @@
         self.stream.write_all(&encode(&Envelope::FromRouter(message)).unwrap()).unwrap();
     }
 
+    pub fn say_of_tenants(&mut self, message: &TenantMessage) {
+        self.stream.write_all(&encode_tenant_message(message).unwrap()).unwrap();
+    }
+
     pub fn next(&mut self) -> ControlToRouter {
+        match self.next_message() {
+            Incoming::Envelope(Envelope::ToRouter(message)) => message,
+            other => panic!("not for a router: {other:?}"),
+        }
+    }
+
+    /// The next message about tenants that comes within a time.
+    pub fn next_of_tenants(&mut self, time: Duration) -> Option<TenantMessage> {
+        let began = Instant::now();
+        while began.elapsed() < time {
+            // Heartbeats come all the while.
+            if let Incoming::Tenant(message) = self.next_message() {
+                return Some(message);
+            }
+        }
+        None
+    }
+
+    fn next_message(&mut self) -> Incoming {
         loop {
-            match self.reader.next_envelope().unwrap() {
-                Some(Envelope::ToRouter(message)) => return message,
-                Some(other) => panic!("not for a router: {other:?}"),
-                None => {}
+            if let Some(message) = self.reader.next_message().unwrap() {
+                return message;
             }
             let mut bytes = [0; 4_096];
             let count = self.stream.read(&mut bytes).unwrap();
--- a/fleet/tests/support/control.rs
+++ b/fleet/tests/support/control.rs
@@ -1,9 +1,10 @@
 //! A scripted control machine.
 
 use super::until;
-use lichenswitch_fleet::envelopes::{encode, EnvelopeReader};
+use lichenswitch_fleet::envelopes::{encode, encode_tenant_message, EnvelopeReader, Incoming};
 use lichenswitch_messages::{
-    ConfigurationPosition, ControlToRouter, Envelope, RouterToControl, ServerRecord, ROUTER_HEARTBEAT_MS,
+    ConfigurationPosition, ControlToRouter, DrawAnswer, DrawRequest, Envelope, RouterToControl, ServerRecord,
+    TenantMessage, ROUTER_HEARTBEAT_MS,
 };
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -22,6 +23,11 @@
     hellos: usize,
     applied: Option<ConfigurationPosition>,
     acknowledged: u64,
+    /// Draws that have come, and what is left to be granted; `None`: they get no answer.
+    draws: Vec<DrawRequest>,
+    quota: Option<u64>,
+    /// Questions whether the configuration is current get no answer.
+    unconfirmed: bool,
 }
 
 struct Link {
@@ -109,6 +115,20 @@
         }
     }
 
+    /// So much is granted from now on; `None`: draws get no answer.
+    pub fn set_quota(&self, quota: Option<u64>) {
+        self.state.lock().expect("lock").quota = quota;
+    }
+
+    pub fn draws(&self) -> Vec<DrawRequest> {
+        self.state.lock().expect("lock").draws.clone()
+    }
+
+    /// Whether questions about the configuration are answered.
+    pub fn set_confirms(&self, on: bool) {
+        self.state.lock().expect("lock").unconfirmed = !on;
+    }
+
     pub fn hellos(&self) -> usize {
         self.state.lock().expect("lock").hellos
     }
@@ -139,6 +159,29 @@
         }
     }
 
+    fn answer(&mut self, message: TenantMessage) -> Option<TenantMessage> {
+        match message {
+            TenantMessage::Confirm { stamp } if self.in_contact && !self.unconfirmed => {
+                let position = self.configuration.as_ref().map(|(position, _)| *position);
+                Some(TenantMessage::Confirmed { stamp, position })
+            }
+            TenantMessage::Draw(request) => {
+                let (id, needs) = (request.id, request.needs.clone());
+                self.draws.push(request);
+                let left = self.quota.as_mut()?;
+                let mut granted = 0;
+                for (place, need) in needs.into_iter().enumerate() {
+                    if need <= *left {
+                        granted |= 1 << place;
+                        *left -= need;
+                    }
+                }
+                Some(TenantMessage::Drawn(DrawAnswer { id, needs: granted, ahead: 0, wait_us: 250_000 }))
+            }
+            _ => None,
+        }
+    }
+
     fn send_all(&mut self, message: &dyn Fn(u64) -> ControlToRouter) {
         for link in &mut self.links {
             link.push += 1;
@@ -174,17 +217,28 @@
             Ok(0) | Err(_) => return,
             Ok(read) => reader.push(&bytes[..read]),
         }
-        while let Ok(Some(envelope)) = reader.next_envelope() {
-            let Envelope::FromRouter(message) = envelope else { panic!("only routers speak here") };
+        while let Ok(Some(incoming)) = reader.next_message() {
             let mut state = state.lock().expect("lock");
-            match message {
-                RouterToControl::Hello { configuration, .. } => {
+            match incoming {
+                Incoming::Envelope(Envelope::FromRouter(RouterToControl::Hello {
+                    configuration, ..
+                })) => {
                     state.applied = configuration;
                     state.greet(stream.try_clone().expect("clone"));
                 }
-                RouterToControl::Applied { push, configuration } => {
+                Incoming::Envelope(Envelope::FromRouter(RouterToControl::Applied {
+                    push,
+                    configuration,
+                })) => {
                     (state.acknowledged, state.applied) = (push, configuration);
                 }
+                Incoming::Tenant(message) => {
+                    if let Some(answer) = state.answer(message) {
+                        let bytes = encode_tenant_message(&answer).expect("encode");
+                        let _ = stream.write_all(&bytes);
+                    }
+                }
+                Incoming::Envelope(_) => panic!("only routers speak here"),
             }
         }
     }
