Begin parts of quotas in debt, since a restart forgave what the first holder owed

Cause: a part that goes to another machine, or whose machine starts again, began at 0, though it may have been below 0 by a large request. Change: whoever takes a part up begins as deep in debt as the part can be.

--- a/decide/quota/src/buckets.rs
+++ b/decide/quota/src/buckets.rs
@@ -30,7 +30,10 @@
 
 #[derive(Clone, Debug)]
 struct Bucket {
+    /// Below 0 while in debt.
     level: f64,
+    /// What was drawn before is not known: it may be as deep in debt as it can be.
+    unknown: bool,
     refilled: Time,
     unit: QuotaUnit,
     granted: f64,
@@ -48,7 +51,7 @@
     overrun: bool,
 }
 
-/// The buckets of a machine. They begin empty, since whoever held a part before may have emptied it just now; but for those of tenants whose
+/// The buckets of a machine. They begin empty, and as deep in debt as they can be, since whoever held a part before may have drawn on it just now; but for those of tenants whose
 /// quota this machine has seen come into being: nobody has drawn on that.
 #[derive(Clone, Debug)]
 pub struct Buckets {
@@ -110,7 +113,7 @@
         for (tenant, bucket) in &mut self.buckets {
             let unit = self.known.get(tenant).copied().unwrap_or(bucket.unit);
             if unit != bucket.unit {
-                (bucket.unit, bucket.level) = (unit, bucket.level.min(0.0));
+                (bucket.unit, bucket.unknown) = (unit, true);
             }
         }
     }
@@ -206,16 +209,32 @@
 
 impl Bucket {
     fn new(now: Time, unit: QuotaUnit) -> Bucket {
-        Bucket { level: 0.0, refilled: now, unit, granted: 0.0, denied: 0, audit: Audit::default() }
+        Bucket {
+            level: 0.0,
+            unknown: true,
+            refilled: now,
+            unit,
+            granted: 0.0,
+            denied: 0,
+            audit: Audit::default(),
+        }
     }
 
     /// Whatever its depth is: the first refill limits it to that.
     fn full(now: Time, unit: QuotaUnit) -> Bucket {
-        Bucket { level: f64::INFINITY, ..Bucket::new(now, unit) }
+        Bucket { level: f64::INFINITY, unknown: false, ..Bucket::new(now, unit) }
     }
 
     /// Refills up to now, or to the end of the tenure that the machine has.
     fn refill(&mut self, now: Time, tenure: &Tenure, part: &Part) {
+        if part.rate <= 0.0 {
+            // Whoever holds the part meanwhile leaves it as it will.
+            (self.level, self.unknown, self.refilled) = (0.0, true, now);
+            return;
+        }
+        if std::mem::take(&mut self.unknown) {
+            (self.level, self.refilled) = (-part.debt, now);
+        }
         let until = now.min(tenure.ends());
         let passed = until.since(self.refilled.max(tenure.since())) as f64 / SECOND;
         self.level = (self.level + part.rate * passed).min(part.depth);
--- a/decide/quota/src/buckets/tests.rs
+++ b/decide/quota/src/buckets/tests.rs
@@ -39,12 +39,19 @@
     buckets
 }
 
+/// What the first holder may go below 0.
+fn debt(rate: u32, burst: u32) -> f64 {
+    Figures::of(&limited(rate, burst)[0].quota.expect("a quota"), &TERMS).debt
+}
+
 #[test]
 fn a_bucket_begins_empty_refills_and_holds_no_more_than_its_depth() {
     let (mut buckets, tenure) = (buckets(1_000, 500), tenure());
+    // It begins in debt.
     let first = buckets.draw(Time(0), &draw(&[100]), &tenure);
-    assert!(first.needs == 0 && (50_000..150_000).contains(&first.wait), "{first:?}");
-    assert!(buckets.draw(Time(SECOND_US / 2), &draw(&[400]), &tenure).covers(0));
+    let wait = (debt(1_000, 500) * 1_000.0) as u64 + 100_000;
+    assert!(first.needs == 0 && (wait * 9 / 10..wait * 11 / 10).contains(&first.wait), "{first:?}");
+    assert!(buckets.draw(Time(wait * 11 / 10), &draw(&[100]), &tenure).covers(0));
     // After a long rest: depth, not all that might have come.
     let grant = buckets.draw(Time(50 * SECOND_US), &draw(&[500, 500, 100]), &tenure);
     assert!(grant.covers(0) && !grant.covers(1) && grant.covers(2), "{grant:?}");
@@ -95,8 +102,9 @@
     tenure.on_contact(Time(20 * SECOND_US));
     assert!(buckets.draw(Time(20 * SECOND_US), &draw(&[1]), &tenure).needs == 0);
     // It begins anew from nothing.
-    let granted = buckets.draw(Time(20 * SECOND_US + SECOND_US / 2), &draw(&[450, 100]), &tenure);
-    assert!(granted.covers(0) && !granted.covers(1), "{granted:?}");
+    let paid_off = Time(20 * SECOND_US + (debt(1_000, 1_000) * 1_000.0) as u64);
+    assert!(buckets.draw(paid_off.minus(SECOND_US / 20), &draw(&[1]), &tenure).needs == 0);
+    assert!(buckets.draw(paid_off.plus(SECOND_US / 20), &draw(&[1]), &tenure).covers(0));
 }
 
 #[test]
