Ask holders that did not answer last, and wait 90 ms for a quota at the least

Change: who did not answer in time is asked last for 1.5 s; a request waits for its quota 90 ms at the least.

--- a/decide/quota/src/draws.rs
+++ b/decide/quota/src/draws.rs
@@ -12,6 +12,8 @@
 const ASK_TIMEOUT: Micros = 60_000;
 /// A holder that had too little is asked again after so long at the latest (microseconds).
 const EMPTY: Micros = 60_000;
+/// A holder that did not answer in time is asked last for so long (microseconds): others find out in about that time that it is gone.
+const SILENT: Micros = 1_500_000;
 /// Draws that may be under way. Guards memory.
 const MOST: usize = 4_096;
 /// Remembered denials. Guards memory.
@@ -74,13 +76,15 @@
     under_way: BTreeMap<u64, UnderWay<O>>,
     next: u64,
     empty: HashMap<(Holder, String), Empty>,
+    /// Holders that did not answer in time, until when they are asked last.
+    silent: HashMap<Holder, Time>,
 }
 
 impl<O> Draws<O> {
     /// None yet. Questions get numbers above this one, which no earlier life of the process used.
     #[must_use]
     pub fn new(first: u64) -> Draws<O> {
-        Draws { under_way: BTreeMap::new(), next: first, empty: HashMap::new() }
+        Draws { under_way: BTreeMap::new(), next: first, empty: HashMap::new(), silent: HashMap::new() }
     }
 
     /// Somebody wants a draw.
@@ -90,7 +94,7 @@
             return vec![Order::Answer { origin, grant }];
         }
         grant.ahead = 0;
-        let left = self.others(&draw, place);
+        let left = self.others(now, &draw, place);
         let asked = (place.own, Vec::new(), now);
         self.go_on(now, UnderWay { origin, draw, grant, left, asked }, place)
     }
@@ -108,6 +112,7 @@
             return Vec::new();
         }
         let Some(mut waits) = self.under_way.remove(&id) else { return Vec::new() };
+        self.silent.remove(&from);
         let places = std::mem::take(&mut waits.asked.1);
         let granted = places.iter().enumerate().filter(|(index, _)| grant.covers(*index));
         let needs = granted.fold(0, |bits, (_, place)| bits | (1 << place));
@@ -127,6 +132,10 @@
     /// Passes over holders that have not answered in time.
     pub fn tick(&mut self, now: Time, place: &mut Place<'_>) -> Vec<Order<O>> {
         self.empty.retain(|_, empty| empty.until > now);
+        self.silent.retain(|_, until| *until > now);
+        let late = self.under_way.values().map(|waits| &waits.asked).filter(|asked| asked.2 <= now);
+        let late: Vec<Holder> = late.map(|asked| asked.0).collect();
+        self.silent.extend(late.into_iter().map(|holder| (holder, now.plus(SILENT))));
         self.pass_over(now, place, |asked| asked.2 <= now)
     }
 
@@ -155,7 +164,7 @@
 
     /// Holders beside this machine, in the order in which they are to be asked from the end. Draws begin at each of them in turn, so that
     /// all parts are used alike. A machine that knows no voters passes the draw on to one that may.
-    fn others(&self, draw: &Draw, place: &Place<'_>) -> Vec<Holder> {
+    fn others(&self, now: Time, draw: &Draw, place: &Place<'_>) -> Vec<Holder> {
         let mut others = match place.tenure.voters() {
             [] => place.reachable.iter().copied().collect(),
             voters => holders(&draw.tenant, voters),
@@ -165,6 +174,8 @@
             others.rotate_left(turn);
         }
         others.retain(|holder| *holder != place.own);
+        // The last ones are asked first.
+        others.sort_by_key(|holder| !self.silent.get(holder).is_some_and(|until| *until > now));
         if place.tenure.voters().is_empty() {
             others.truncate(2);
         }
--- a/decide/quota/src/draws/tests.rs
+++ b/decide/quota/src/draws/tests.rs
@@ -108,6 +108,21 @@
     assert_eq!(answer(&cut_off.take(Time(0), draw(&[10]))).needs, 0);
 }
 
+#[test]
+fn a_holder_that_did_not_answer_in_time_is_asked_last() {
+    let mut relay = machine(9, &[1, 2, 3], &[1, 2, 3]);
+    let (silent, _, _) = asked(&relay.take(Time(0), draw(&[10])));
+    let due = relay.draws.next_wake().expect("a wake");
+    relay.with(|draws, place| draws.tick(due, place));
+    for _ in 0..6 {
+        let (first, _, _) = asked(&relay.take(due, draw(&[10])));
+        assert_ne!(first, silent);
+    }
+    let later = due.plus(SILENT);
+    let firsts: Vec<Holder> = (0..6).map(|_| asked(&relay.take(later, draw(&[10]))).0).collect();
+    assert!(firsts.contains(&silent));
+}
+
 #[test]
 fn a_holder_that_had_too_little_is_not_asked_for_as_much_again_at_once() {
     let mut relay = machine(9, &[1], &[1]);
--- a/fleet/src/router/tenants.rs
+++ b/fleet/src/router/tenants.rs
@@ -21,8 +21,8 @@
 
 /// Part of a route's target latency that a request may wait for its quota: who is refused within a quarter of it may come back in time.
 const WAIT_SHARE: Micros = 4;
-/// It may wait so long in any case (microseconds).
-const LEAST_WAIT: Micros = 40_000;
+/// It may wait so long in any case (microseconds): a holder that is gone takes 60 ms to be passed over.
+const LEAST_WAIT: Micros = 90_000;
 /// What a turn of the loop may take between a look at the clock and its effect (microseconds): the bounds on quotas leave room for that.
 const TURN: Micros = 250_000;
 /// Advice where it can't be told now whether a key holds (microseconds).
