--- a/fleet/tests/control_tenants.rs
+++ b/fleet/tests/control_tenants.rs
@@ -3,6 +3,7 @@
 mod control_support;
 
 use control_support::{call, log_of, wait_for, FakeRouter, Fleet};
+use lichenswitch_fleet::envelopes::encode_tenant_message;
 use lichenswitch_messages::{ControlToRouter, DrawAnswer, DrawRequest, DrawUnit, TenantMessage};
 use std::time::{Duration, Instant};
 
@@ -156,3 +157,24 @@
     assert_eq!(next(&[3_000]), 0, "a bucket was full at the start");
     wait_for("a grant after the start", || (next(&[100]) == 1).then_some(()));
 }
+
+/// Bytes on an internal connection; `docs/CAPACITY.md` goes by them.
+#[test]
+fn messages_about_tenants_are_small() {
+    let draw = |needs: usize| {
+        let (tenant, needs) = ("tenant-name".to_owned(), vec![12_000; needs]);
+        TenantMessage::Draw(DrawRequest {
+            id: u64::MAX,
+            tenant,
+            unit: DrawUnit::Tokens,
+            needs,
+            ahead: 0,
+            pass_on: true,
+        })
+    };
+    let drawn = TenantMessage::Drawn(DrawAnswer { id: u64::MAX, needs: 1, ahead: 0, wait_us: 9 });
+    let size = |message: &TenantMessage| encode_tenant_message(message).unwrap().len();
+    let sizes = [size(&draw(1)), size(&draw(10)), size(&drawn), size(&TenantMessage::Confirm { stamp: 1 })];
+    println!("draw of 1, of 10, answer, confirm: {sizes:?} bytes");
+    assert!(sizes[0] <= 130 && sizes[1] <= 200 && sizes[2] <= 110, "{sizes:?}");
+}
