--- a/decide/quota/src/draws.rs
+++ b/decide/quota/src/draws.rs
@@ -175,7 +175,7 @@
         }
         others.retain(|holder| *holder != place.own);
         // The last ones are asked first.
-        others.sort_by_key(|holder| !self.silent.get(holder).is_some_and(|until| *until > now));
+        others.sort_by_key(|holder| self.silent.get(holder).is_none_or(|until| *until <= now));
         if place.tenure.voters().is_empty() {
             others.truncate(2);
         }
