--- a/fleet/src/control/contact.rs
+++ b/fleet/src/control/contact.rs
@@ -3,6 +3,7 @@
 use super::calls::Primary;
 use super::group::{to_replica, Group};
 use super::machine::Machine;
+use super::on_call::{beat_acknowledged, beat_refused, BeatRefusal};
 use super::peers::Peer;
 use super::program::elapsed;
 use super::routers::Push;
@@ -262,7 +263,10 @@
         let answers = self.servers.take_answers();
         let busy = !answers.is_empty();
         for (caller, held) in answers {
-            let response = super::on_call::beat_answer(held);
+            let response = match held {
+                true => beat_acknowledged(),
+                false => beat_refused(BeatRefusal::NotReplicated),
+            };
             self.callers.answer(&mut self.net, caller, response);
         }
         busy
--- a/fleet/src/control/on_call.rs
+++ b/fleet/src/control/on_call.rs
@@ -84,31 +84,35 @@
     }
 
     fn on_heartbeat(&mut self, id: ConnId, instance: &str, request: &Request, now: Time) -> Option<Response> {
-        if !self.takes_beats(now) {
-            return Some(beat_answer(false));
+        if let Err(refusal) = self.may_take_beats(now) {
+            return Some(beat_refused(refusal));
         }
         let heartbeat = match Heartbeat::parse(&request.body) {
             Ok(heartbeat) => heartbeat,
             Err(e) => return Some(error(400, &e.to_string())),
         };
         match self.servers.on_heartbeat(now, id, instance, &heartbeat) {
-            Beat::Known => Some(beat_answer(true)),
+            Beat::Known => Some(beat_acknowledged()),
             Beat::Waits => None,
         }
     }
 
     fn on_deregister(&mut self, id: ConnId, instance: &str, now: Time) -> Option<Response> {
-        if !self.takes_beats(now) {
-            return Some(beat_answer(false));
+        if let Err(refusal) = self.may_take_beats(now) {
+            return Some(beat_refused(refusal));
         }
         match self.servers.on_deregister(now, id, instance) {
-            Beat::Known => Some(beat_answer(true)),
+            Beat::Known => Some(beat_acknowledged()),
             Beat::Waits => None,
         }
     }
 
-    fn takes_beats(&self, now: Time) -> bool {
-        self.in_contact(now) && self.servers.may_take_beats(now)
+    fn may_take_beats(&self, now: Time) -> Result<(), BeatRefusal> {
+        match (self.in_contact(now), self.servers.may_take_beats(now)) {
+            (false, _) => Err(BeatRefusal::OutOfContact),
+            (true, false) => Err(BeatRefusal::TableUnknown),
+            (true, true) => Ok(()),
+        }
     }
 
     /// A call has come, from a caller or from another control machine.
@@ -174,12 +178,25 @@
     }
 }
 
-/// The answer to a beat, by whether it is acknowledged.
-pub(super) fn beat_answer(acknowledged: bool) -> Response {
-    match acknowledged {
-        true => Response::new(200, JSON, "{}"),
-        false => error(503, "this machine can't vouch for a beat now"),
-    }
+/// Why a server's heartbeat is refused; the server goes on to the next control machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum BeatRefusal {
+    #[error("this machine is not in contact with a quorum")]
+    OutOfContact,
+    #[error("this machine has just started and has not got the table of servers yet")]
+    TableUnknown,
+    #[error("too few control machines hold this news yet")]
+    NotReplicated,
+}
+
+/// The answer to a heartbeat that is acknowledged.
+pub(super) fn beat_acknowledged() -> Response {
+    Response::new(200, JSON, "{}")
+}
+
+/// The answer to one that is not.
+pub(super) fn beat_refused(refusal: BeatRefusal) -> Response {
+    error(503, &refusal.to_string())
 }
 
 fn target<'a>(method: &str, path: &'a str) -> Target<'a> {
