Let streams weigh by the part of their slots that servers tell to be taken

Change: routers read Server-Load (unused until now); as many streams weigh one request as would fill the router's share of slots at the part taken.

--- a/fleet/src/router/answers.rs
+++ b/fleet/src/router/answers.rs
@@ -145,6 +145,9 @@
     /// A server has answered, whole.
     fn answered(&mut self, id: AttemptId, answer: Answer) {
         let Some(exchange_id) = self.exchanges.of_attempt(id) else { return };
+        if let Some(service) = self.services.get_mut(id.service) {
+            service.on_load(answer.head.load);
+        }
         match meaning(&answer.head) {
             Meaning::NeverRan => {
                 self.exchanges.on_ended(id, Outcome::Rejected);
--- a/fleet/src/router/relay.rs
+++ b/fleet/src/router/relay.rs
@@ -47,6 +47,7 @@
             exchange.query = None;
         }
         if let Some(service) = self.services.get_mut(service) {
+            service.on_load(head.load);
             service.stream_begun(server);
         }
         if !resumes {
--- a/fleet/src/router/response.rs
+++ b/fleet/src/router/response.rs
@@ -15,6 +15,27 @@
 /// Advice where the module gives none (microseconds).
 const RETRY_AFTER: Micros = 200_000;
 
+/// What a server tells of itself in `Server-Load`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Requests that run there.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that can run there at once; never 0.
+    pub slots: u32,
+}
+
+impl ServerLoad {
+    /// Reads the header's value: running, waiting and slots, with commas between them.
+    #[must_use]
+    pub fn parse(value: &str) -> Option<ServerLoad> {
+        let mut figures = value.split(',').map(|figure| figure.trim().parse::<u32>().ok());
+        let (running, waiting, slots) = (figures.next()??, figures.next()??, figures.next()??);
+        (figures.next().is_none() && slots > 0).then_some(ServerLoad { running, waiting, slots })
+    }
+}
+
 /// The head of a server's answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -28,6 +49,8 @@
     pub sealed: bool,
     /// The server says that it has not run the request.
     pub not_executed: bool,
+    /// How busy the server says that it is.
+    pub load: Option<ServerLoad>,
     /// Its body is a stream of events.
     pub event_stream: bool,
     /// It may have a body.
@@ -165,6 +188,7 @@
             attempt_id: headers.text("attempt-id").map(str::to_owned),
             sealed: headers.get("response-seal").is_some(),
             not_executed: headers.get("not-executed").is_some(),
+            load: headers.text("server-load").and_then(ServerLoad::parse),
             event_stream: is_event_stream(headers),
             has_body: head.framing != Framing::None,
         })
--- a/fleet/src/router/service.rs
+++ b/fleet/src/router/service.rs
@@ -7,6 +7,7 @@
 use super::configuration::Terms;
 use super::ids::ExchangeId;
 use super::options::{Capacity, RetryBudget};
+use super::response::ServerLoad;
 use super::servers::GROUPS;
 use lichenswitch_core::{Command, Contracts, Core, Refusal, Request, Value};
 use lichenswitch_interface::{
@@ -25,6 +26,10 @@
 const LEAST_CONNECTIONS: usize = 2;
 /// The same where the operator names no most.
 const UNTOLD_CONNECTIONS: usize = 16;
+/// How fast the part of slots taken follows what servers tell: each answer moves it by this share of the difference.
+const LOAD_PACE: f64 = 0.1;
+/// The part of slots taken counts as this at the least, so that a router with many streams at one server still sees them.
+const LEAST_SLOTS_TAKEN: f64 = 0.05;
 /// The core of a service never sees more attempts of one request than this, whatever its route says.
 const MOST_ATTEMPTS: u32 = 16;
 
@@ -41,8 +46,12 @@
     told_connections: Option<u32>,
     told_slots: Option<u32>,
     max_connections: usize,
-    /// So many streams that run on at a server weigh as much as one request that waits for its answer there: this router's share of the slots.
+    /// So many streams that run on at a server weigh as much as one request that waits for its answer there.
     streams_a_request: u32,
+    /// This router's share of a server's slots, 1 at the least.
+    slot_share: u32,
+    /// Part of their slots that servers told to be taken of late; `None`: none has told it.
+    slots_taken: Option<f64>,
 }
 
 /// What a service is asked for.
@@ -91,6 +100,8 @@
             told_slots: None,
             max_connections: LEAST_CONNECTIONS,
             streams_a_request: 1,
+            slot_share: 1,
+            slots_taken: None,
         }
     }
 
@@ -189,6 +200,15 @@
         self.core.ended(now, number, outcome, value);
     }
 
+    /// A server has told how busy it is.
+    pub fn on_load(&mut self, load: Option<ServerLoad>) {
+        let Some(load) = load else { return };
+        let taken = f64::from(load.running.saturating_add(load.waiting)) / f64::from(load.slots);
+        let before = self.slots_taken.unwrap_or(taken);
+        self.slots_taken = Some(before + LOAD_PACE * (taken - before));
+        self.weigh_streams();
+    }
+
     /// A stream runs on at a server, whose first event has answered its request as far as the module is concerned.
     pub fn stream_begun(&mut self, server: ServerId) {
         let count = self.running.entry(server).or_default();
@@ -259,7 +279,16 @@
             None => UNTOLD_CONNECTIONS,
         }
         .max(LEAST_CONNECTIONS);
-        self.streams_a_request = share(self.told_slots.unwrap_or(0)).max(1);
+        self.slot_share = share(self.told_slots.unwrap_or(0)).max(1);
+        self.weigh_streams();
+    }
+
+    /// A stream weighs as a request only where slots are short: as many weigh one as this router's share of a server's slots, or, where
+    /// servers tell that more is free, as many as would fill that share at the part of the slots that is taken.
+    fn weigh_streams(&mut self) {
+        let by_load = self.slots_taken.map_or(1.0, |taken| 1.0 / taken.max(LEAST_SLOTS_TAKEN));
+        // At most 1 / LEAST_SLOTS_TAKEN.
+        self.streams_a_request = self.slot_share.max(by_load as u32);
     }
 }
 
--- a/fleet/src/router/service/tests.rs
+++ b/fleet/src/router/service/tests.rs
@@ -79,3 +79,23 @@
     stage.service.stream_ended(first);
     assert_eq!(stage.stream(), first);
 }
+
+#[test]
+fn streams_weigh_little_while_servers_tell_that_most_slots_are_free() {
+    let mut stage = Stage::new(Some(64), 72);
+    let told = |running| Some(ServerLoad { running, waiting: 0, slots: 100 });
+    stage.service.on_load(told(10));
+    assert_eq!(stage.service.streams_a_request, 10);
+    // What a single server tells moves it a little.
+    stage.service.on_load(told(100));
+    assert_eq!(stage.service.streams_a_request, 5);
+    (0..200).for_each(|_| stage.service.on_load(told(100)));
+    assert_eq!(stage.service.streams_a_request, 1);
+    (0..200).for_each(|_| stage.service.on_load(told(0)));
+    assert_eq!(
+        stage.service.streams_a_request, 20,
+        "a router with many streams at one server still sees them"
+    );
+    stage.service.on_load(None);
+    assert_eq!(stage.service.streams_a_request, 20);
+}
