--- a/core/src/intake.rs
+++ b/core/src/intake.rs
@@ -2,7 +2,7 @@
 
 use super::{Core, Part, Query, Request};
 use crate::contract::Breach;
-use lichenswitch_interface::{Event, Micros, PartId, QueryId, Shard, Time};
+use lichenswitch_interface::{Event, Micros, PartId, Placement, QueryId, Shard, Time};
 use std::rc::Rc;
 
 /// Why a query was not taken.
@@ -113,8 +113,8 @@
             again: request.again,
             tenant: request.tenant,
         });
-        if request.prefix != 0 {
-            self.inbox.push(Event::Prefix { number, prefix: request.prefix });
+        if request.placement != Placement::default() {
+            self.inbox.push(Event::Placement { number, placement: request.placement });
         }
         self.deadlines.insert((request.deadline, id));
         self.queries.insert(
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,7 +17,8 @@
 mod tests;
 
 use lichenswitch_interface::{
-    Budget, Class, Event, Listing, Micros, PartId, Parts, QueryId, ServerId, Settings, Shard, Time, ALONE,
+    Budget, Class, Event, Listing, Load, Micros, PartId, Parts, Placement, QueryId, ServerId, Settings,
+    Shard, Time, ALONE,
 };
 use lichenswitch_phases::prune::{Key, Way};
 use lichenswitch_phases::Planner;
@@ -37,8 +38,8 @@
     pub deadline: Time,
     /// What it is about; 0: not known.
     pub key: u64,
-    /// Names the beginning that it shares with others, which servers keep once they have read it; 0: none.
-    pub prefix: u64,
+    /// Which of equal servers it goes to.
+    pub placement: Placement,
     /// Marked by the client as a further try.
     pub again: bool,
     /// Index of the tenant that asks, among those of the settings; `u32::MAX`: none of them.
@@ -314,9 +315,9 @@
         }
     }
 
-    /// So many streams run on at a server, of queries that were answered: they count as pending there.
-    pub fn set_running(&mut self, server: ServerId, streams: u32) {
-        self.inbox.push(Event::Running { server, streams });
+    /// What loads a server beside the parts that are out there.
+    pub fn set_load(&mut self, server: ServerId, load: Load) {
+        self.inbox.push(Event::Load { server, load });
     }
 
     /// From now on this process has these parts of what is allowed to the broker.
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -86,7 +86,7 @@
         class: 0,
         deadline: now.plus(2_000 * MS),
         key: 0,
-        prefix: 0,
+        placement: Placement::default(),
         again: false,
         tenant: u32::MAX,
         team: None,
@@ -100,11 +100,13 @@
 fn a_shared_beginning_is_told_before_the_parts_that_it_concerns() {
     let mut stage = Stage::new(0);
     for (prefix, told) in [(0, 0), (9, 1)] {
+        let placement = Placement { prefix, ..Placement::default() };
         stage.turn();
-        let request = Request { prefix, ..request(stage.now, vec![(Shard(0), 1.0)]) };
+        let request = Request { placement, ..request(stage.now, vec![(Shard(0), 1.0)]) };
         stage.core.take(stage.now, request).unwrap();
         let place = |wanted: fn(&Event) -> bool| stage.core.inbox.iter().position(wanted);
-        let prefixes = place(|event| matches!(event, Event::Prefix { prefix: 9, .. }));
+        let prefixes =
+            place(|event| matches!(event, Event::Placement { placement: Placement { prefix: 9, .. }, .. }));
         assert_eq!(prefixes.is_some(), told == 1, "{:?}", stage.core.inbox);
         assert!(prefixes.is_none_or(|at| Some(at) < place(|event| matches!(event, Event::Part { .. }))));
     }
@@ -411,7 +413,7 @@
         class: 1,
         deadline,
         key: 0,
-        prefix: 0,
+        placement: Placement::default(),
         again: false,
         tenant,
         team: None,
@@ -457,8 +459,8 @@
 fn streams_that_run_on_at_a_server_send_others_elsewhere() {
     let mut stage = Stage::new(0);
     for busy in [0, 1, 0] {
-        stage.core.set_running(ServerId(busy), 5);
-        stage.core.set_running(ServerId(1 - busy), 0);
+        stage.core.set_load(ServerId(busy), Load { streams: 5, backlog: 0 });
+        stage.core.set_load(ServerId(1 - busy), Load::default());
         let query = stage.take(&[0]).unwrap();
         let commands = stage.turn();
         let at: Vec<ServerId> = commands
--- /dev/null
+++ b/decide/placement/src/backlog/tests.rs
@@ -0,0 +1,86 @@
+use super::*;
+
+const A: ServerId = ServerId(1);
+const B: ServerId = ServerId(2);
+
+#[test]
+fn routers_hear_the_sum_of_all_and_peers_that_of_the_own_routers() {
+    let mut table = BacklogTable::default();
+    table.on_router_report("router 1", &[(A, 100), (B, 7)]);
+    table.on_router_report("router 2", &[(A, 50)]);
+    table.on_peer_report("peer", &[(A, 1_000)]);
+    assert_eq!(table.take_changes(), (vec![(A, 150), (B, 7)], vec![(A, 1_150), (B, 7)]));
+    assert_eq!(table.take_changes(), (vec![], vec![]), "nothing has changed");
+}
+
+#[test]
+fn what_a_source_reported_ends_with_it() {
+    let mut table = BacklogTable::default();
+    table.on_router_report("router 1", &[(A, 100)]);
+    table.on_peer_report("peer", &[(B, 30)]);
+    table.take_changes();
+    table.on_lost(&"router 1");
+    assert!(table.has_changed());
+    assert_eq!(table.take_changes(), (vec![(A, 0)], vec![(A, 0)]));
+    table.on_lost(&"peer");
+    assert_eq!(table.take_changes(), (vec![], vec![(B, 0)]));
+    table.on_lost(&"nobody");
+    assert!(!table.has_changed());
+}
+
+#[test]
+fn sums_do_not_overflow() {
+    let mut table = BacklogTable::default();
+    table.on_router_report(1, &[(A, u32::MAX)]);
+    table.on_router_report(2, &[(A, u32::MAX)]);
+    assert_eq!(table.take_changes().1, vec![(A, u32::MAX)]);
+}
+
+/// Whoever follows the changes, or gets the whole at any time and follows from there, knows the same as whoever sums all reports.
+#[test]
+fn changes_lead_to_the_same_table_as_the_whole() {
+    for seed in 0..200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut table = BacklogTable::default();
+        let mut reported: HashMap<u8, BTreeMap<ServerId, Backlog>> = HashMap::new();
+        let (mut peers_know, mut routers_know) = (BTreeMap::new(), BTreeMap::new());
+        for _ in 0..200 {
+            let source = rng.u8(..6);
+            match rng.u8(..10) {
+                0 => {
+                    table.on_lost(&source);
+                    reported.remove(&source);
+                }
+                1 => {
+                    (peers_know, routers_know) = (BTreeMap::new(), BTreeMap::new());
+                    apply(&mut peers_know, &table.whole_for_peer());
+                    apply(&mut routers_know, &table.whole_for_router());
+                }
+                2 | 3 => {
+                    let (to_peers, to_routers) = table.take_changes();
+                    apply(&mut peers_know, &to_peers);
+                    apply(&mut routers_know, &to_routers);
+                }
+                _ => {
+                    let changes = [(ServerId(rng.u32(..5)), rng.u32(..3) * 10)];
+                    // Sources below 3 are routers.
+                    match source < 3 {
+                        true => table.on_router_report(source, &changes),
+                        false => table.on_peer_report(source, &changes),
+                    }
+                    apply(reported.entry(source).or_default(), &changes);
+                }
+            }
+        }
+        let (to_peers, to_routers) = table.take_changes();
+        apply(&mut peers_know, &to_peers);
+        apply(&mut routers_know, &to_routers);
+        let sum = |wanted: &dyn Fn(u8) -> bool| {
+            let mut sums = BTreeMap::new();
+            reported.iter().filter(|(source, _)| wanted(**source)).for_each(|(_, r)| add(&mut sums, r));
+            sums
+        };
+        assert_eq!(peers_know, sum(&|source| source < 3), "seed {seed}");
+        assert_eq!(routers_know, sum(&|_| true), "seed {seed}");
+    }
+}
--- a/fleet/src/control/machine.rs
+++ b/fleet/src/control/machine.rs
@@ -1,5 +1,6 @@
 //! One control machine: the loop, and the order in which the parts get what has happened.
 
+use super::backlog::Backlogs;
 use super::callers::Callers;
 use super::calls::{Calls, Primary};
 use super::contact::Told;
@@ -52,6 +53,7 @@
     pub(super) callers: Callers,
     pub(super) calls: Calls,
     pub(super) quotas: Quotas,
+    pub(super) backlogs: Backlogs,
     /// What callers of this machine were told is taken.
     pub(super) acknowledged: Acknowledged,
     /// The last orders that were refused here.
@@ -104,6 +106,7 @@
             routers: Routers::new(),
             callers: Callers::default(),
             calls: Calls::new(fastrand::u64(..)),
+            backlogs: Backlogs::default(),
             acknowledged: Acknowledged::default(),
             refusals: Refusals::default(),
             committed: None,
@@ -188,6 +191,7 @@
         }
         self.feed.tick(now);
         self.look_at_draws(now);
+        self.tell_backlogs(now);
         if self.next_tick <= now {
             self.next_tick = after(now, TICK);
             self.tick(now);
@@ -356,6 +360,7 @@
             self.servers.next_wake(),
             self.feed.next_wake(),
             self.quotas.next_wake(),
+            self.backlogs.next_wake(),
             self.shutdown_wake(),
             Some(self.next_tick),
         ];
--- a/fleet/src/control/mod.rs
+++ b/fleet/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! package ([`calls`] to what is decided about calls, [`group`] to replication and storage, [`callers`] to HTTP, [`links`] to frames);
 //! [`machine`] hands what happens from one to the other. The loop never waits for anything but sockets: a thread of its own writes the disk.
 
+mod backlog;
 mod callers;
 mod calls;
 mod contact;
--- a/fleet/src/control/on_internal.rs
+++ b/fleet/src/control/on_internal.rs
@@ -1,5 +1,6 @@
 //! Messages of other processes of the fleet.
 
+use super::backlog::Source;
 use super::calls::Origin;
 use super::feed::Feed;
 use super::group::to_replica;
@@ -30,6 +31,7 @@
         for message in brought.messages {
             match message {
                 Incoming::Tenant(message) => self.on_tenant_message(id, message, now),
+                Incoming::Backlog(report) => self.on_backlog_report(id, &report),
                 Incoming::Envelope(envelope) => {
                     if let Err(reason) = self.on_envelope(id, envelope, now) {
                         return self.close_link(id, &reason);
@@ -229,6 +231,7 @@
                 let hello = Hello { node, zone, process, configuration };
                 let pushes = self.routers.on_hello(now, id, hello, self.committed.as_ref(), heartbeat, table);
                 self.push_all(pushes);
+                self.greet_with_backlogs(id);
             }
             RouterToControl::Applied { push, configuration } => {
                 self.routers.on_applied(id, push, configuration)
@@ -249,9 +252,13 @@
                     self.calls.on_lost(&address);
                     self.servers.on_lost(address);
                     self.on_holder_lost(address, now);
+                    self.backlogs.on_lost(Source::Peer(address));
                 }
             }
-            Some(End::Router) => self.routers.on_closed(id),
+            Some(End::Router) => {
+                self.routers.on_closed(id);
+                self.backlogs.on_lost(Source::Router(id));
+            }
             Some(End::Unknown) | None => {}
         }
     }
--- a/fleet/src/envelopes.rs
+++ b/fleet/src/envelopes.rs
@@ -1,15 +1,17 @@
-//! Messages on internal connections: an [`Envelope`] or a [`TenantMessage`] in a frame, the same for all roles.
+//! Messages on internal connections: an [`Envelope`], a [`TenantMessage`] or a [`BacklogReport`] in a frame, the same for all roles.
 //!
 //! It owns what both ends must agree on (version, kind and longest frame), and promises that what is read was sent so by a process of this
 //! program.
 
-use lichenswitch_messages::{Envelope, TenantMessage, PROTOCOL_VERSION};
+use lichenswitch_messages::{BacklogReport, Envelope, TenantMessage, PROTOCOL_VERSION};
 use lichenswitch_rpc::{ArchiveError, FrameError, FrameReader};
 
 /// Kind of the frames of envelopes, which say themselves what is in them.
 const ENVELOPE: u16 = 1;
 /// Kind of the frames of messages about tenants.
 const TENANT_MESSAGE: u16 = 2;
+/// Kind of the frames of reports of backlogs.
+const BACKLOG_REPORT: u16 = 3;
 /// Longest payload (bytes): an order with a body of 4 MiB, and what goes with it.
 pub const PAYLOAD_LIMIT_BYTES: usize = 5 << 20;
 
@@ -43,6 +45,14 @@
     framed(TENANT_MESSAGE, &lichenswitch_rpc::encode(message)?)
 }
 
+/// A report of backlogs as bytes for a connection.
+///
+/// # Errors
+/// When it is too long.
+pub fn encode_backlog_report(report: &BacklogReport) -> Result<Vec<u8>, EnvelopeError> {
+    framed(BACKLOG_REPORT, &lichenswitch_rpc::encode(report)?)
+}
+
 fn framed(kind: u16, payload: &[u8]) -> Result<Vec<u8>, EnvelopeError> {
     let mut bytes = Vec::with_capacity(payload.len() + lichenswitch_rpc::HEADER_BYTES);
     lichenswitch_rpc::encode_frame_into(&mut bytes, PROTOCOL_VERSION, kind, payload, PAYLOAD_LIMIT_BYTES)?;
@@ -56,6 +66,8 @@
     Envelope(Envelope),
     /// A message about tenants.
     Tenant(TenantMessage),
+    /// Work that waits at servers.
+    Backlog(BacklogReport),
 }
 
 /// Finds the messages in what a connection brings, cut anywhere.
@@ -85,6 +97,7 @@
         match frame.kind {
             ENVELOPE => Ok(Some(Incoming::Envelope(lichenswitch_rpc::decode(frame.payload)?))),
             TENANT_MESSAGE => Ok(Some(Incoming::Tenant(lichenswitch_rpc::decode(frame.payload)?))),
+            BACKLOG_REPORT => Ok(Some(Incoming::Backlog(lichenswitch_rpc::decode(frame.payload)?))),
             other => Err(EnvelopeError::Kind(other)),
         }
     }
--- a/fleet/src/router/answers.rs
+++ b/fleet/src/router/answers.rs
@@ -93,6 +93,7 @@
         self.exchanges.on_sent(id, Out { id: attempt, server });
         self.net.wheel.set(now.plus(part.wait), Timer::Attempt(attempt));
         self.connections.send(&mut self.net, made);
+        self.plan_backlog_report();
     }
 
     /// The key of a request that is held is served no more: unless an attempt is out that was sent before, it ends at once.
--- a/fleet/src/router/control_link.rs
+++ b/fleet/src/router/control_link.rs
@@ -9,8 +9,8 @@
 use crate::envelopes::{self, EnvelopeReader, Incoming};
 use lichenswitch_interface::{Micros, Time};
 use lichenswitch_messages::{
-    ConfigurationPosition, ControlToRouter, Envelope, RouterToControl, ServerRecord, TenantMessage,
-    PROTOCOL_VERSION,
+    BacklogReport, ConfigurationPosition, ControlToRouter, Envelope, RouterToControl, ServerRecord,
+    TenantMessage, PROTOCOL_VERSION,
 };
 use lichenswitch_net::{ConnId, Pumped};
 use std::net::SocketAddr;
@@ -47,12 +47,15 @@
     Routers(u32),
     /// A message about tenants.
     Tenant(TenantMessage),
+    /// Work that waits at servers.
+    Backlog(BacklogReport),
 }
 
 /// What a control machine says.
 enum Message {
     Control(ControlToRouter),
     Tenant(TenantMessage),
+    Backlog(BacklogReport),
 }
 
 struct Connection {
@@ -200,6 +203,16 @@
         }
     }
 
+    /// Tells the control machine that is connected what waits at servers.
+    pub fn send_backlog_report(&mut self, net: &mut Net, report: &BacklogReport) {
+        let Some(connection) = &self.connection else { return };
+        let sent =
+            envelopes::encode_backlog_report(report).is_ok_and(|bytes| connection.send_bytes(net, &bytes));
+        if !sent {
+            self.give_up(net);
+        }
+    }
+
     /// Whether the configuration of this position, or a later one, is in force.
     #[must_use]
     pub fn has_applied(&self, position: ConfigurationPosition) -> bool {
@@ -214,6 +227,7 @@
         match message {
             Message::Control(message) => self.take_control_message(now, message, news),
             Message::Tenant(message) => news.push(News::Tenant(message)),
+            Message::Backlog(report) => news.push(News::Backlog(report)),
         }
     }
 
@@ -373,6 +387,7 @@
             match incoming {
                 Incoming::Envelope(Envelope::ToRouter(message)) => messages.push(Message::Control(message)),
                 Incoming::Tenant(message) => messages.push(Message::Tenant(message)),
+                Incoming::Backlog(report) => messages.push(Message::Backlog(report)),
                 Incoming::Envelope(Envelope::Peer(_) | Envelope::FromRouter(_)) => {
                     return Err("a message that is not for routers".to_owned())
                 }
--- a/fleet/src/router/exchange.rs
+++ b/fleet/src/router/exchange.rs
@@ -263,7 +263,12 @@
         Some(exchange)
     }
 
-    /// All that are held.
+    /// All that are held, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &Exchange> {
+        self.held.values()
+    }
+
+    /// Their names.
     #[must_use]
     pub fn ids(&self) -> Vec<ExchangeId> {
         self.held.keys().copied().collect()
--- a/fleet/src/router/intake.rs
+++ b/fleet/src/router/intake.rs
@@ -91,7 +91,7 @@
         let Admission { terms, service, configuration, sender, deadline } = admission;
         let id = self.exchanges.next_id();
         let core = self.services.get_mut(service).ok_or(Turned::Away(Some(RETRY_AFTER)))?;
-        let ask = Ask { exchange: id, terms: &terms, prefix: request.prefix, deadline };
+        let ask = Ask { exchange: id, terms: &terms, prompt: request.prompt, deadline };
         let (query, class) = core.take(now, &ask).map_err(|refusal| match refusal {
             Refusal::Busy(after) => Turned::Away(after),
             Refusal::Stopping | Refusal::Contract(_) => Turned::Away(Some(RETRY_AFTER)),
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -17,11 +17,13 @@
 //! | `configuration`, `service` | routes; a service's core with the decision module |
 //! | `intake`, `answers`, `relay`, `cut` | from a request to attempts; from attempts to an answer; streams; the end of one that can't be brought to its end |
 //! | `control_link`, `candidates`, `servers` | the connection to control; what is known of servers |
+//! | `backlog` | what waits at servers for this router, told to control |
 //! | `tenants`, `freshness` | whose key a request bears, and what its quota says; how old that knowledge is |
 //! | `counters` | what was turned away, and why |
 //! | `readiness`, `shutdown`, `options` | the platform's question; the end; the settings |
 
 mod answers;
+mod backlog;
 mod budget;
 mod candidates;
 mod clients;
@@ -51,6 +53,7 @@
 
 use crate::invariants::{self, Invariant};
 use crate::settings::Settings;
+use backlog::BacklogReports;
 use candidates::Candidates;
 use clients::{ClientEvent, Clients};
 use configuration::{Configuration, InForce};
@@ -127,6 +130,7 @@
     /// Requests that wait for their tenants' quotas, by client.
     awaiting_quota: HashMap<ConnId, AwaitingQuota>,
     counters: Counters,
+    backlog_reports: BacklogReports,
     /// The next turn ends with a check of who waits.
     check_due: bool,
 }
@@ -167,6 +171,7 @@
             allowances: Allowances::new(options.quota, rng.u64(..)),
             awaiting_quota: HashMap::new(),
             counters: Counters::default(),
+            backlog_reports: BacklogReports::default(),
             check_due: false,
             rng,
             net,
@@ -286,6 +291,7 @@
             Timer::Waiting(id) => self.connections.waited(id),
             Timer::Control => self.look_at_control(),
             Timer::Quota => self.look_at_quota(),
+            Timer::Backlog => self.report_backlog(),
             Timer::Settings => self.look_at_settings(),
             Timer::Shutdown => self.go_on_stopping(),
         }
@@ -322,6 +328,7 @@
                 News::Servers(records) => self.take_servers(&records),
                 News::Routers(count) => self.services.set_routers(count),
                 News::Tenant(message) => self.take_tenant_message(message),
+                News::Backlog(report) => self.services.set_backlogs(&report),
             }
         }
         self.link.acknowledge(&mut self.net);
--- a/fleet/src/router/prefix.rs
+++ b/fleet/src/router/prefix.rs
@@ -1,4 +1,4 @@
-//! What requests share: the beginning of a prompt, which model servers keep once they have read it.
+//! Prompts: the beginning that they share, which model servers keep once they have read it, and how much is left to be read.
 //!
 //! It promises the same names at all routers, so that these choose the same server for the same beginning without a word between them.
 
@@ -12,18 +12,63 @@
     hash_on(FNV_START, bytes)
 }
 
-/// Names the shared beginning of a prompt, by its model and its list of parts (`ID:TOKENS`, joined by commas): all parts but the last, which
-/// belongs to the request or its session. 0: it shares nothing, or its list can't be read.
-#[must_use]
-pub fn shared_prefix(model: Option<&[u8]>, parts: Option<&[u8]>) -> u64 {
-    let Some(parts) = parts else { return 0 };
-    let Some(end) = parts.iter().rposition(|byte| *byte == b',') else { return 0 };
-    let hash = parts[..end].split(|byte| *byte == b',').try_fold(model_hash(model), |hash, part| {
-        let id = part.trim_ascii().split(|byte| *byte == b':').next().unwrap_or_default();
-        (!id.is_empty()).then(|| hash_on(hash_on(hash, id), b","))
-    });
-    // 0 is taken.
-    hash.map_or(0, |hash| hash.max(1))
+/// Tokens that a request counts as where it tells none, and the least that any counts as.
+const LEAST_TOKENS: u32 = 1_024;
+
+/// What is known of a request's prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prompt {
+    /// Names the beginning that it shares with others: all parts but the last, which belongs to the request or its session. 0: it shares
+    /// nothing, or its list of parts can't be read.
+    pub prefix: u64,
+    /// Names the first part of that beginning.
+    pub first_part: u64,
+    /// Tokens of that beginning.
+    pub shared_tokens: u32,
+    /// Tokens that a server has to read which keeps the beginning.
+    pub own_tokens: u32,
+}
+
+impl Default for Prompt {
+    fn default() -> Self {
+        Prompt { prefix: 0, first_part: 0, shared_tokens: 0, own_tokens: LEAST_TOKENS }
+    }
+}
+
+impl Prompt {
+    /// Reads `Model` and `Prompt-Prefix` (parts `ID:TOKENS`, joined by commas).
+    #[must_use]
+    pub fn read(model: Option<&[u8]>, parts: Option<&[u8]>) -> Prompt {
+        let Some(parts) = parts else { return Prompt::default() };
+        let end = parts.iter().rposition(|byte| *byte == b',');
+        let (shared, own) = end.map_or((&parts[..0], parts), |end| (&parts[..end], &parts[end + 1..]));
+        let own_tokens = tokens_of(own).max(LEAST_TOKENS);
+        let mut prompt = Prompt { own_tokens, ..Prompt::default() };
+        if end.is_none() {
+            return prompt;
+        }
+        let mut hash = model_hash(model);
+        for part in shared.split(|byte| *byte == b',') {
+            let id = part.trim_ascii().split(|byte| *byte == b':').next().unwrap_or_default();
+            if id.is_empty() {
+                return Prompt { own_tokens, ..Prompt::default() };
+            }
+            hash = hash_on(hash_on(hash, id), b",");
+            // 0 is taken.
+            if prompt.first_part == 0 {
+                prompt.first_part = hash.max(1);
+            }
+            prompt.shared_tokens = prompt.shared_tokens.saturating_add(tokens_of(part));
+        }
+        prompt.prefix = hash.max(1);
+        prompt
+    }
+}
+
+/// The tokens of a part; 0 where they can't be read.
+fn tokens_of(part: &[u8]) -> u32 {
+    let tokens = part.splitn(2, |byte| *byte == b':').nth(1).unwrap_or_default();
+    std::str::from_utf8(tokens).ok().and_then(|text| text.trim().parse().ok()).unwrap_or(0)
 }
 
 fn model_hash(model: Option<&[u8]>) -> u64 {
--- a/fleet/src/router/prefix/tests.rs
+++ b/fleet/src/router/prefix/tests.rs
@@ -1,7 +1,11 @@
 use super::*;
 
+fn prompt(parts: &str) -> Prompt {
+    Prompt::read(Some(b"m"), Some(parts.as_bytes()))
+}
+
 fn of(parts: &str) -> u64 {
-    shared_prefix(Some(b"m"), Some(parts.as_bytes()))
+    prompt(parts).prefix
 }
 
 #[test]
@@ -16,13 +20,13 @@
 #[test]
 fn models_share_nothing() {
     let parts = Some(&b"5c1e:800,e440:250"[..]);
-    assert_ne!(shared_prefix(Some(b"a"), parts), shared_prefix(Some(b"b"), parts));
-    assert_ne!(shared_prefix(None, parts), 0);
+    assert_ne!(Prompt::read(Some(b"a"), parts).prefix, Prompt::read(Some(b"b"), parts).prefix);
+    assert_ne!(Prompt::read(None, parts).prefix, 0);
 }
 
 #[test]
 fn what_shares_nothing_or_cannot_be_read_has_no_name() {
-    assert_eq!(shared_prefix(Some(b"m"), None), 0);
+    assert_eq!(Prompt::read(Some(b"m"), None), Prompt::default());
     for parts in ["", "e440:250", ",", ",e440:250", "5c1e:800,,e440:250"] {
         assert_eq!(of(parts), 0, "{parts:?}");
     }
@@ -35,3 +39,25 @@
     assert_eq!(stable_hash(b"a"), 0xaf63_dc4c_8601_ec8c);
     assert_eq!(stable_hash(b"foobar"), 0x8594_4171_f739_67e8);
 }
+
+#[test]
+fn the_first_part_is_named_apart() {
+    let (one, other) = (prompt("5c1e:800,91bd:410,e440:250"), prompt("5c1e:800,91be:410,e440:250"));
+    assert_eq!(one.first_part, other.first_part);
+    assert_ne!(one.first_part, prompt("5c1f:800,91bd:410,e440:250").first_part);
+    let alone = prompt("5c1e:800,e440:250");
+    assert_eq!((alone.first_part, alone.prefix), (one.first_part, one.first_part));
+}
+
+#[test]
+fn tokens_are_told_apart_by_who_has_read_them() {
+    let read = prompt("5c1e:800,91bd:410,e440:2500");
+    assert_eq!((read.shared_tokens, read.own_tokens), (1_210, 2_500));
+    // What can't be read counts for nothing in what is shared, and for the least in the whole.
+    assert_eq!(
+        prompt("5c1e:x,91bd,e440:-3"),
+        Prompt { shared_tokens: 0, own_tokens: LEAST_TOKENS, ..prompt("5c1e:x,91bd,e440:1") }
+    );
+    assert_eq!(prompt("e440:250000").own_tokens, 250_000);
+    assert_eq!(prompt("a:4294967295,b:4294967295,c:1").shared_tokens, u32::MAX);
+}
--- a/fleet/src/router/program.rs
+++ b/fleet/src/router/program.rs
@@ -41,6 +41,8 @@
     Control,
     /// A request has waited for its tenant's quota.
     Quota,
+    /// Control is to be told what waits at servers.
+    Backlog,
     /// The settings file is to be looked at.
     Settings,
     /// The next step of the shutdown is due.
--- a/fleet/src/router/relay.rs
+++ b/fleet/src/router/relay.rs
@@ -96,12 +96,12 @@
         if !exchange.terms.resumable || !exchange.may_send() || !in_time {
             return false;
         }
-        let (server, deadline, prefix) = (relay.server, exchange.deadline, exchange.request.prefix);
+        let (server, deadline, prompt) = (relay.server, exchange.deadline, exchange.request.prompt);
         let mut terms = exchange.terms.clone();
         // The module begins anew: it gets what is left of the route's attempts.
         terms.max_attempts -= exchange.sends.min(terms.max_attempts - 1);
         let Some(service) = self.services.get_mut(exchange.service) else { return false };
-        let ask = Ask { exchange: id, terms: &terms, prefix, deadline };
+        let ask = Ask { exchange: id, terms: &terms, prompt, deadline };
         let Some((query, class)) = service.take_resumed(now, &ask) else { return false };
         service.stream_ended(server);
         self.exchanges.on_broken_off(id, last_event_id);
--- a/fleet/src/router/request.rs
+++ b/fleet/src/router/request.rs
@@ -4,7 +4,7 @@
 //! connection alone and those that this program sets. A request has one reading or none: what two programs could read in two ways is
 //! refused.
 
-use super::prefix::shared_prefix;
+use super::prefix::Prompt;
 use super::tenants::Sender;
 use lichenswitch_configuration::{KeyDigest, Limits};
 use lichenswitch_http::{parse_request_head, BodyDecoder, Framing, Headers, Malformed, RequestHead};
@@ -51,8 +51,8 @@
     pub attempt_id: Option<String>,
     /// How long its client waits.
     pub deadline: Option<Duration>,
-    /// Names the beginning of its prompt that it shares with others; 0: none.
-    pub prefix: u64,
+    /// What is known of its prompt.
+    pub prompt: Prompt,
     /// Digest of its `Api-Key`, where it bears one.
     pub key: Option<KeyDigest>,
     /// Its `Token-Usage`.
@@ -230,7 +230,7 @@
         passed: lines(headers, &OWN),
         attempt_id: only(headers, "attempt-id")?.map(str::to_owned),
         deadline: deadline.map(|ms| Duration::from_millis(ms).min(MAX_DEADLINE)),
-        prefix: shared_prefix(headers.get("model"), headers.get("prompt-prefix")),
+        prompt: Prompt::read(headers.get("model"), headers.get("prompt-prefix")),
         key: only_bytes(headers, "api-key")?.filter(|key| !key.is_empty()).map(KeyDigest::of),
         tokens: token_usage(only_bytes(headers, "token-usage")?),
         last_event_id: headers.get("last-event-id").map(<[u8]>::to_vec),
--- a/fleet/src/router/service.rs
+++ b/fleet/src/router/service.rs
@@ -7,14 +7,16 @@
 use super::configuration::Terms;
 use super::ids::ExchangeId;
 use super::options::{Capacity, RetryBudget};
+use super::prefix::Prompt;
 use super::response::ServerLoad;
 use super::servers::GROUPS;
 use lichenswitch_core::{Command, Contracts, Core, Refusal, Request, Value};
 use lichenswitch_interface::{
-    Class, Layout, Limits, Listed, Listing, Micros, Outcome, QueryId, Repeat, ServerId, Settings, Shard,
-    Time, FIRST_SHARE,
+    Class, Layout, Limits, Listed, Listing, Load, Micros, Mode, Outcome, Placement, QueryId, Repeat,
+    ServerId, Settings, Shard, Time, FIRST_SHARE,
 };
-use std::collections::HashMap;
+use lichenswitch_placement::{Backlog, Popularity};
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
 /// Advice to clients that are refused is at most this long (microseconds): they heed up to a third of the time they have left, and
@@ -30,6 +32,14 @@
 const LOAD_PACE: f64 = 0.1;
 /// The part of slots taken counts as this at the least, so that a router with many streams at one server still sees them.
 const LEAST_SLOTS_TAKEN: f64 = 0.05;
+/// A first part of prompts is spread over so many times the servers that its share of the traffic would fill.
+const SPREAD_HEADROOM: f64 = 4.0;
+/// It is spread over so many servers at the least.
+const LEAST_SPREAD: f64 = 4.0;
+/// Servers are told apart by their backlogs in steps of so many tokens at the least: what is known of them is a tenth of a second old.
+const LEAST_BACKLOG_STEP: f64 = 3_072.0;
+/// The same for each token of a prompt that is shared: to be read again it has to be worth the wait.
+const BACKLOG_A_SHARED_TOKEN: f64 = 10.0;
 /// The core of a service never sees more attempts of one request than this, whatever its route says.
 const MOST_ATTEMPTS: u32 = 16;
 
@@ -40,8 +50,13 @@
     core: Core<ExchangeId>,
     classes: Vec<Slot>,
     queries: HashMap<QueryId, ExchangeId>,
-    /// Streams that run on at each server.
-    running: HashMap<ServerId, u32>,
+    /// What loads each server beside what waits there for this router.
+    loads: HashMap<ServerId, ServerLoads>,
+    /// Sum of all backlogs (tokens).
+    backlog: u64,
+    /// Servers that take requests.
+    ready: BTreeSet<ServerId>,
+    popularity: Popularity,
     resumes: ResumeBudget,
     told_connections: Option<u32>,
     told_slots: Option<u32>,
@@ -54,6 +69,15 @@
     slots_taken: Option<f64>,
 }
 
+/// What loads a server beside what waits there for this router.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ServerLoads {
+    /// Streams of this router that run on there.
+    streams: u32,
+    /// What waits there for all routers, as control tells it.
+    backlog: Backlog,
+}
+
 /// What a service is asked for.
 #[derive(Debug)]
 pub struct Ask<'a> {
@@ -61,8 +85,8 @@
     pub exchange: ExchangeId,
     /// What its route says.
     pub terms: &'a Terms,
-    /// Names the beginning of its prompt that it shares with others; 0: none.
-    pub prefix: u64,
+    /// What is known of its prompt.
+    pub prompt: Prompt,
     /// When its time is over.
     pub deadline: Time,
 }
@@ -87,6 +111,7 @@
         lines: Vec<Listed>,
     ) -> Service {
         let settings = settings(capacity, module_budget(budget, 0));
+        let ready = lines.iter().filter(|line| line.mode == Mode::Ready).map(|line| line.server).collect();
         let mut core = Core::new(seed, settings, Contracts::default(), capacity.bytes);
         core.listed(Listing::Whole(lines));
         Service {
@@ -94,7 +119,10 @@
             core,
             classes: Vec::new(),
             queries: HashMap::new(),
-            running: HashMap::new(),
+            loads: HashMap::new(),
+            backlog: 0,
+            ready,
+            popularity: Popularity::default(),
             resumes: ResumeBudget::new(budget),
             told_connections: None,
             told_slots: None,
@@ -136,6 +164,12 @@
 
     /// Lines of its list have changed.
     pub fn listed(&mut self, lines: Vec<Listed>) {
+        for line in &lines {
+            match line.mode {
+                Mode::Ready => _ = self.ready.insert(line.server),
+                Mode::Leaving | Mode::Draining | Mode::Gone => _ = self.ready.remove(&line.server),
+            }
+        }
         self.core.listed(Listing::Changes(lines));
     }
 
@@ -149,11 +183,12 @@
             self.tell_classes();
         }
         let class = place as u16;
+        let placement = self.placement(now, ask.prompt);
         let request = Request {
             class: place,
             deadline: ask.deadline,
             key: 0,
-            prefix: ask.prefix,
+            placement,
             again: false,
             tenant: u32::MAX,
             team: None,
@@ -211,27 +246,66 @@
 
     /// A stream runs on at a server, whose first event has answered its request as far as the module is concerned.
     pub fn stream_begun(&mut self, server: ServerId) {
-        let count = self.running.entry(server).or_default();
-        *count += 1;
-        let count = *count;
-        self.core.set_running(server, count / self.streams_a_request);
+        self.loads.entry(server).or_default().streams += 1;
+        self.tell_load(server);
     }
 
     /// It has ended.
     pub fn stream_ended(&mut self, server: ServerId) {
-        let Some(count) = self.running.get_mut(&server) else { return };
-        *count -= 1;
-        let left = *count;
-        if left == 0 {
-            self.running.remove(&server);
+        let Some(loads) = self.loads.get_mut(&server) else { return };
+        loads.streams = loads.streams.saturating_sub(1);
+        self.tell_load(server);
+    }
+
+    /// So much waits at a server for all routers together (tokens).
+    pub fn set_backlog(&mut self, server: ServerId, tokens: Backlog) {
+        let loads = self.loads.entry(server).or_default();
+        let before = std::mem::replace(&mut loads.backlog, tokens);
+        self.backlog = self.backlog.saturating_sub(u64::from(before)) + u64::from(tokens);
+        self.tell_load(server);
+    }
+
+    /// Nothing is known any more of what waits for other routers.
+    pub fn forget_backlogs(&mut self) {
+        let known: Vec<ServerId> =
+            self.loads.iter().filter(|(_, loads)| loads.backlog > 0).map(|(server, _)| *server).collect();
+        known.into_iter().for_each(|server| self.set_backlog(server, 0));
+    }
+
+    /// Tells the module what loads a server, and forgets it where that is nothing.
+    fn tell_load(&mut self, server: ServerId) {
+        let loads = self.loads.get(&server).copied().unwrap_or_default();
+        if loads == ServerLoads::default() {
+            self.loads.remove(&server);
+        }
+        let streams = loads.streams / self.streams_a_request;
+        self.core.set_load(server, Load { streams, backlog: loads.backlog });
+    }
+
+    /// Which of equal servers a request with this prompt is to go to.
+    fn placement(&mut self, now: Time, prompt: Prompt) -> Placement {
+        let ready = self.ready.len().max(1) as f64;
+        let tokens = f64::from(prompt.shared_tokens) + f64::from(prompt.own_tokens);
+        let share = match prompt.first_part {
+            0 => 1.0,
+            part => self.popularity.on_request(now, part, tokens),
+        };
+        let servers = (share * SPREAD_HEADROOM * ready).max(LEAST_SPREAD);
+        let mean_backlog = self.backlog as f64 / ready;
+        let shared = f64::from(prompt.shared_tokens) * BACKLOG_A_SHARED_TOKEN;
+        Placement {
+            prefix: prompt.prefix,
+            first_part: prompt.first_part,
+            // Conversions from floating point end at the bounds of the type.
+            spread: (servers / ready * f64::from(u32::MAX)) as u32,
+            backlog_step: mean_backlog.max(shared).max(LEAST_BACKLOG_STEP) as u32,
         }
-        self.core.set_running(server, left / self.streams_a_request);
     }
 
     /// Whether nothing is held by it.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.core.held_queries() == 0 && self.running.is_empty()
+        self.core.held_queries() == 0 && self.loads.values().all(|loads| loads.streams == 0)
     }
 
     /// When the next turn is to be taken.
--- a/fleet/src/router/service/tests.rs
+++ b/fleet/src/router/service/tests.rs
@@ -28,7 +28,8 @@
     fn stream(&mut self) -> ServerId {
         self.next += 1;
         let exchange = ExchangeId(self.next);
-        let ask = Ask { exchange, terms: &terms(), prefix: 77, deadline: self.now.plus(SECOND) };
+        let prompt = Prompt { prefix: 77, first_part: 77, ..Prompt::default() };
+        let ask = Ask { exchange, terms: &terms(), prompt, deadline: self.now.plus(SECOND) };
         self.service.take(self.now, &ask).expect("there is room");
         self.now = self.now.plus(SECOND / 100);
         let sent = self.service.turn(self.now).into_iter().find_map(|command| match command {
--- a/fleet/src/router/services.rs
+++ b/fleet/src/router/services.rs
@@ -6,7 +6,8 @@
 use super::servers::{Change, ServerTable};
 use super::service::Service;
 use lichenswitch_core::Command;
-use lichenswitch_interface::{Listed, Time};
+use lichenswitch_interface::{Listed, ServerId, Time};
+use lichenswitch_messages::{BacklogReport, ServerBacklog};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -82,6 +83,23 @@
         self.all.get_mut(&id)
     }
 
+    /// So much waits at servers for all routers together.
+    pub fn set_backlogs(&mut self, report: &BacklogReport) {
+        for service in self.all.values_mut() {
+            if report.whole {
+                service.forget_backlogs();
+            }
+            for ServerBacklog { server, tokens } in &report.servers {
+                service.set_backlog(ServerId(*server), *tokens);
+            }
+        }
+    }
+
+    /// Nothing is known any more of what waits for other routers.
+    pub fn forget_backlogs(&mut self) {
+        self.all.values_mut().for_each(Service::forget_backlogs);
+    }
+
     /// When the next turn of any service is to be taken.
     #[must_use]
     pub fn next_turn(&self) -> Option<Time> {
--- a/fleet/src/router/tenants.rs
+++ b/fleet/src/router/tenants.rs
@@ -199,6 +199,7 @@
     /// Sends the draws that are due, and asks whether what is in force is current.
     pub(super) fn tell_control_of_tenants(&mut self) {
         if self.link.take_lost() {
+            self.on_backlog_link_lost();
             self.allowances.on_link_lost();
             self.freshness.on_link_lost();
         }
--- a/fleet/tests/support/control.rs
+++ b/fleet/tests/support/control.rs
@@ -3,9 +3,10 @@
 use super::until;
 use lichenswitch_fleet::envelopes::{encode, encode_tenant_message, EnvelopeReader, Incoming};
 use lichenswitch_messages::{
-    ConfigurationPosition, ControlToRouter, DrawAnswer, DrawRequest, Envelope, RouterToControl, ServerRecord,
-    TenantMessage, ROUTER_HEARTBEAT_MS,
+    BacklogReport, ConfigurationPosition, ControlToRouter, DrawAnswer, DrawRequest, Envelope,
+    RouterToControl, ServerRecord, TenantMessage, ROUTER_HEARTBEAT_MS,
 };
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -28,6 +29,8 @@
     quota: Option<u64>,
     /// Questions whether the configuration is current get no answer.
     unconfirmed: bool,
+    /// What the router says that waits, by server.
+    backlogs: BTreeMap<u32, u32>,
 }
 
 struct Link {
@@ -147,6 +150,14 @@
 }
 
 impl State {
+    fn on_backlog_report(&mut self, report: &BacklogReport) {
+        if report.whole {
+            self.backlogs.clear();
+        }
+        self.backlogs.extend(report.servers.iter().map(|of| (of.server, of.tokens)));
+        self.backlogs.retain(|_, tokens| *tokens > 0);
+    }
+
     fn beat(&mut self) {
         let (in_contact, control, routers) = (self.in_contact, self.control.clone(), self.routers);
         if self.silent {
@@ -238,6 +249,7 @@
                         let _ = stream.write_all(&bytes);
                     }
                 }
+                Incoming::Backlog(report) => state.on_backlog_report(&report),
                 Incoming::Envelope(_) => panic!("only routers speak here"),
             }
         }
--- a/interface/src/lib.rs
+++ b/interface/src/lib.rs
@@ -317,6 +317,29 @@
     }
 }
 
+/// Which of several servers that are equal otherwise a query goes to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Placement {
+    /// Names the beginning that the query shares with others, which servers keep once they have read it. Queries with the same one go to the
+    /// same server. 0: it shares nothing.
+    pub prefix: u64,
+    /// Names the first part of that beginning, which more queries share.
+    pub first_part: u64,
+    /// Part of all servers that keep the first part, in units of 1 / 2^32, less one: queries that share it go to these.
+    pub spread: u32,
+    /// So much backlog makes one level; servers of the lowest level come first. 0: levels are not told apart.
+    pub backlog_step: u32,
+}
+
+/// What loads a server beside the parts that an instance has out there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Streams that run on there whose parts count as answered: they count as pending.
+    pub streams: u32,
+    /// Work that waits there for all instances, as far as that is known; it decides among servers that are equal otherwise.
+    pub backlog: u32,
+}
+
 /// What an instance is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -337,13 +360,12 @@
         /// Index of the tenant that asks; without meaning where there are none.
         tenant: u32,
     },
-    /// What a query that was handed over in this turn shares with others. Comes before its parts.
-    Prefix {
+    /// Which of several equal servers a query that was handed over in this turn goes to. Comes before its parts.
+    Placement {
         /// Number of the query.
         number: u32,
-        /// Names the shared beginning, which servers keep once they have read it. Queries with the same one go to the same of several
-        /// equal servers. Never 0.
-        prefix: u64,
+        /// What decides.
+        placement: Placement,
     },
     /// A part of a query held, of its first or second step.
     Part {
@@ -393,12 +415,12 @@
     Classes(Vec<Class>),
     /// The budget for further attempts from now on.
     Budget(Option<Budget>),
-    /// So many streams run on at a server whose parts count as answered: they count as pending there.
-    Running {
+    /// What loads a server beside the parts that this instance has out there.
+    Load {
         /// The server.
         server: ServerId,
-        /// All that run on there now.
-        streams: u32,
+        /// All of it, as it is now.
+        load: Load,
     },
     /// What is allowed to this instance is shared alike by so many of its processes from now on, this one included; `None`:
     /// by others alone, as this one is about to end.
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -11,7 +11,7 @@
 use lichenswitch::decide::phases::prune::{Key, Way};
 use lichenswitch::decide::phases::Planner;
 use lichenswitch::interface::{
-    Class, Listed, Listing, Micros, Mode, Outcome, QueryId, ServerId, Settings, Shard, Time,
+    Class, Listed, Listing, Micros, Mode, Outcome, Placement, QueryId, ServerId, Settings, Shard, Time,
 };
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
@@ -309,7 +309,7 @@
             class,
             deadline,
             key: 0,
-            prefix: 0,
+            placement: Placement::default(),
             again: false,
             tenant: u32::MAX,
             team: None,
--- a/policy/src/choice.rs
+++ b/policy/src/choice.rs
@@ -2,9 +2,9 @@
 
 use crate::tuned::*;
 use crate::Coordinator;
-use lichenswitch_interface::{Action, Budget, Micros, Mode, QueryId, Repeat, ServerId, Shard};
+use lichenswitch_interface::{Action, Budget, Micros, Mode, Placement, QueryId, Repeat, ServerId, Shard};
 use lichenswitch_stats::{
-    scaled, strangeness, Aged, Bid, Call, Fate, Flight, Part, Query, Server, Try, Wanted,
+    scaled, Aged, Bid, Call, Fate, Flight, Part, Preference, Query, Server, Try, Wanted,
 };
 
 impl Coordinator {
@@ -49,7 +49,7 @@
         let tier = if fault > FAULTY[usize::from(half > FAULT_HALF)] { 1 + (fault * 4.0) as u8 } else { 0 };
         // One that is about to be taken out comes after all that are trusted.
         let tier = tier.max(u8::from(s.mode == Mode::Leaving));
-        let pending = s.calls.iter().filter(|c| c.counts(self.now)).count() + s.running as usize;
+        let pending = s.calls.iter().filter(|c| c.counts(self.now)).count() + s.load.streams as usize;
         (tier, pending + usize::from(!self.joins(s)))
     }
 
@@ -89,22 +89,22 @@
     /// of the query's open parts can share, so that neighbours travel in one call, then the own zone.
     pub(super) fn send_first(&mut self, id: QueryId, open: &[usize], out: &mut Vec<Action>) {
         let Some(q) = self.queries.get(&id).filter(|_| !open.is_empty()) else { return };
-        let (class, prefix, room) = (q.class, q.prefix, self.set.layout.parts_a_call as usize);
+        let (class, place, room) = (q.class, q.placement, self.set.layout.parts_a_call as usize);
         let holders = |i: usize| self.holders(q.parts[i].shard).map(|h| h.0).collect();
         let parts = open.iter().map(|&i| (i, holders(i))).collect();
-        let mut wanted = Wanted::new(parts, room > 1, |server| self.bid(server, class, prefix));
+        let mut wanted = Wanted::new(parts, room > 1, |server| self.bid(server, class, &place));
         while let Some((server, mut parts)) = wanted.best(&mut self.rng) {
             let cold = self.cold_tokens(&self.servers[&server]);
             parts.truncate(cold.map_or(room, |(_, call)| room.min(call)));
             parts.iter().for_each(|&i| self.send(id, i, server, out));
-            wanted.sent(server, &parts, self.bid(server, class, prefix));
+            wanted.sent(server, &parts, self.bid(server, class, &place));
         }
     }
 
-    /// Of servers with as few pending, the one that most likely keeps what the query shares with others.
-    fn bid(&self, id: ServerId, class: usize, prefix: u64) -> Bid<((u8, usize), u32)> {
+    /// Of servers with as few pending, one of little backlog that most likely keeps what the query shares.
+    fn bid(&self, id: ServerId, class: usize, place: &Placement) -> Bid<((u8, usize), Preference)> {
         let s = &self.servers[&id];
-        let rank = (!self.closed(s)).then(|| (self.rank(s, class), strangeness(prefix, id)));
+        let rank = (!self.closed(s)).then(|| (self.rank(s, class), Preference::new(place, id, s.load)));
         Bid { rank, joins: self.joins(s), near: s.zone == self.set.zone }
     }
 
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -165,9 +165,9 @@
                 self.numbers.insert(number, query);
                 self.queries.insert(query, q);
             }
-            Event::Prefix { number, prefix } => {
+            Event::Placement { number, placement } => {
                 let query = self.numbers.get(&number).and_then(|id| self.queries.get_mut(id));
-                query.into_iter().for_each(|q| q.prefix = prefix);
+                query.into_iter().for_each(|q| q.placement = placement);
             }
             Event::Part { part, number, shard, weight } => {
                 let Some(&id) = self.numbers.get(&number) else { return };
@@ -189,8 +189,8 @@
             Event::List(listing) => self.listed(listing),
             Event::Classes(classes) => self.set_classes(classes),
             Event::Budget(budget) => self.set.limits.budget = budget,
-            Event::Running { server, streams } => {
-                self.servers.entry(server).and_modify(|s| s.running = streams);
+            Event::Load { server, load } => {
+                self.servers.entry(server).and_modify(|s| s.load = load);
             }
             Event::Processes(count) => {
                 self.processes = count.map_or(u32::MAX, |count| count.max(1));
--- a/policy/src/list.rs
+++ b/policy/src/list.rs
@@ -21,7 +21,7 @@
             lines.iter().for_each(|line| self.list_line(line));
         }
         // Guards memory and time on long days: what is gone is forgotten once nothing is out there.
-        self.servers.retain(|_, s| s.mode != Mode::Gone || s.pending() > 0.0 || s.running > 0);
+        self.servers.retain(|_, s| s.mode != Mode::Gone || s.pending() > 0.0 || s.load.streams > 0);
         // What the list changed is summed up: no decision walks the fleet.
         (self.cells, self.ready) = (BTreeMap::new(), 0);
         for (&id, s) in self.servers.iter().filter(|(_, s)| matches!(s.mode, Mode::Ready | Mode::Leaving)) {
--- a/policy/tests/streams.rs
+++ b/policy/tests/streams.rs
@@ -61,7 +61,10 @@
         let deadline = self.now.plus(10 * AIM);
         let (query, key, again, tenant) = (QueryId(self.next), 0, false, u32::MAX);
         let mut events = vec![Event::Query { query, number, class, deadline, key, again, tenant }];
-        events.extend(prefix.map(|prefix| Event::Prefix { number, prefix }));
+        events.extend(prefix.map(|prefix| Event::Placement {
+            number,
+            placement: Placement { prefix, first_part: prefix, ..Placement::default() },
+        }));
         events.push(Event::Part { part, number, shard: Shard(0), weight: 1.0 });
         let actions = self.turn(events);
         (part, sent(&actions))
@@ -175,10 +178,14 @@
     }
 }
 
+/// So many streams run on at a server.
+fn running(server: u32, streams: u32) -> Event {
+    Event::Load { server: ServerId(server), load: Load { streams, backlog: 0 } }
+}
+
 #[test]
 fn streams_that_run_on_count_as_pending() {
     let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe)]), 3);
-    let running = |server, streams| Event::Running { server: ServerId(server), streams };
     stage.turn(vec![running(1, 3), running(2, 2), running(9, 1)]);
     let order: Vec<u32> = (0..3).map(|_| stage.query(0).1.unwrap().0).collect();
     assert_eq!(order[..2], [3, 3], "it has fewest until it has as many");
@@ -191,7 +198,7 @@
     let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe)]), 2);
     let line = |mode| Listed { server: ServerId(1), cell: 0, zone: 0, mode, started: None };
     let told = |mode| Event::List(Listing::Changes(vec![line(mode)]));
-    stage.turn(vec![Event::Running { server: ServerId(1), streams: 5 }, told(Mode::Gone)]);
+    stage.turn(vec![running(1, 5), told(Mode::Gone)]);
     stage.turn(vec![told(Mode::Ready)]);
     let met: Vec<u32> = (0..5).map(|_| stage.query(0).1.unwrap().0).collect();
     assert_eq!(met, [2; 5]);
@@ -248,7 +255,7 @@
             stage.after(MS, vec![ended(part, 0, server.unwrap(), outcome, MS)]);
             stage.turn(vec![Event::Hangup(QueryId(part.0 - 1))]);
             for id in 1..=2 {
-                stage.turn(vec![Event::Running { server: ServerId(id), streams: id - 1 }]);
+                stage.turn(vec![running(id, id - 1)]);
             }
         }
         let other = Class { attempts: Some(2), ..class(Repeat::Safe) };
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -11,7 +11,7 @@
 use crate::core::{Refusal, Reply, Request, Value};
 use crate::decide::phases::prune::{Key, Way};
 use crate::http::{self, Response};
-use crate::interface::{Micros, Shard, Time};
+use crate::interface::{Micros, Placement, Shard, Time};
 use crate::inventory::{Bounds, Slice};
 use crate::upstream::ogc::{Ask, Feature, Job, List, Sort};
 use percent_encoding::{percent_decode_str, utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
@@ -307,7 +307,7 @@
                 class: if top.is_some() { collection.sorted } else { collection.class },
                 deadline: now.plus(collection.wait),
                 key: 0,
-                prefix: 0,
+                placement: Placement::default(),
                 again: false,
                 tenant: u32::MAX,
                 team: request.header("req-owner").map(str::to_string),
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -4,7 +4,7 @@
 use crate::contract::Breach;
 use crate::core::{Refusal, Reply, Request};
 use crate::http::{self, Response};
-use crate::interface::{Micros, Repeat, Shard, Time};
+use crate::interface::{Micros, Placement, Repeat, Shard, Time};
 use crate::upstream::frames::Job;
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
@@ -136,7 +136,7 @@
             class,
             deadline: now.plus(wait),
             key: subject(request.header("cookie"), &body.segments),
-            prefix: 0,
+            placement: Placement::default(),
             again: request.header("req-retry") == Some("1"),
             tenant: tenant.map_or(u32::MAX, |i| i as u32),
             team: owner.map(str::to_string),
--- a/stats/src/lib.rs
+++ b/stats/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub use wanted::{Bid, Wanted};
 
-use lichenswitch_interface::{Micros, Mode, PartId, ServerId, Shard, Time};
+use lichenswitch_interface::{Load, Micros, Mode, PartId, Placement, ServerId, Shard, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A seeded source of chance.
@@ -28,16 +28,35 @@
     fastrand::Rng::with_seed(rng.u64(..) ^ slice.rotate_left(40)).f64()
 }
 
-/// How little a server suits a shared beginning: the same at all instances, and another order of servers for each beginning. 0 for all where
-/// there is none.
-#[must_use]
-pub fn strangeness(prefix: u64, server: ServerId) -> u32 {
-    match prefix {
-        0 => 0,
-        _ => (mixed(prefix ^ mixed(u64::from(server.0) + 1)) >> 32) as u32,
+/// How little a server suits a query; the least is best. The backlog's level comes first; then whether it is none of the servers that keep the first part
+/// of the query's beginning; then its place in the order of servers that each beginning has. But for the level the same at all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Preference {
+    level: u32,
+    outside: bool,
+    order: u32,
+}
+
+impl Preference {
+    /// Of a query, for a server that is loaded like this.
+    #[must_use]
+    pub fn new(placement: &Placement, server: ServerId, load: Load) -> Preference {
+        let level = load.backlog.checked_div(placement.backlog_step).unwrap_or(0);
+        match placement.prefix {
+            0 => Preference { level, outside: false, order: 0 },
+            prefix => {
+                let outside = order(placement.first_part, server) > placement.spread;
+                Preference { level, outside, order: order(prefix, server) }
+            }
+        }
     }
 }
 
+/// A server's place in the order of a beginning (rendezvous hashing).
+fn order(name: u64, server: ServerId) -> u32 {
+    (mixed(name ^ mixed(u64::from(server.0) + 1)) >> 32) as u32
+}
+
 /// The finalizer of SplitMix64: neighbours come out far apart.
 fn mixed(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -260,8 +279,8 @@
     pub class: usize,
     /// What it is about; 0: not known.
     pub key: u64,
-    /// Names the beginning that it shares with others; 0: none.
-    pub prefix: u64,
+    /// Which of equal servers it goes to.
+    pub placement: Placement,
     /// When it came.
     pub arrived: Time,
     /// When its client gives up.
@@ -319,8 +338,8 @@
     pub filled_at: Time,
     /// What is out there.
     pub calls: Vec<Call>,
-    /// Streams that run on there after their parts were answered.
-    pub running: u32,
+    /// What else loads it: streams that run on after their parts were answered, and the backlog of all instances.
+    pub load: Load,
     /// Share of bad ends by class, the last one for what befalls all classes; empty before the first.
     pub faults: Vec<Aged>,
     /// Recent answer time, how many own parts were pending when those parts were sent, and the last of them.
--- a/wire/messages/src/lib.rs
+++ b/wire/messages/src/lib.rs
@@ -6,10 +6,12 @@
 // The derives of `rkyv` write items of their own without documentation: what is written here has it all the same.
 #![allow(missing_docs)]
 
+mod backlog;
 mod tenants;
 
 use rkyv::{Archive, Deserialize, Serialize};
 
+pub use backlog::{BacklogReport, ServerBacklog};
 pub use tenants::{DrawAnswer, DrawRequest, DrawUnit, TenantMessage};
 
 /// Version of all messages of this package. Processes of different versions refuse each other by name.
