--- a/stats/src/lib.rs
+++ b/stats/src/lib.rs
@@ -46,6 +46,7 @@
             0 => Preference { level, outside: false, order: 0 },
             prefix => {
                 let outside = order(placement.first_part, server) > placement.spread;
+                let level = level.saturating_add(u32::from(outside));
                 Preference { level, outside, order: order(prefix, server) }
             }
         }
