--- a/fleet/src/router/service.rs
+++ b/fleet/src/router/service.rs
@@ -35,7 +35,7 @@
 /// A first part of prompts is spread over so many times the servers that its share of the traffic would fill.
 const SPREAD_HEADROOM: f64 = 4.0;
 /// It is spread over so many servers at the least.
-const LEAST_SPREAD: f64 = 4.0;
+const LEAST_SPREAD: f64 = 1e9;
 /// Servers are told apart by their backlogs in steps of so many tokens at the least: what is known of them is a tenth of a second old.
 const LEAST_BACKLOG_STEP: f64 = 3_072.0;
 /// The same for each token of a prompt that is shared: to be read again it has to be worth the wait.
