--- a/fleet/src/control/backlog.rs
+++ b/fleet/src/control/backlog.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// Between two words on changes.
-const TELL_INTERVAL: Duration = Duration::from_millis(50);
+const TELL_INTERVAL: Duration = Duration::from_millis(20);
 /// Between two words on the whole.
 const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
 
--- a/fleet/src/router/backlog.rs
+++ b/fleet/src/router/backlog.rs
@@ -6,13 +6,13 @@
 use super::exchange::{Exchange, Phase};
 use super::program::Timer;
 use super::Router;
-use lichenswitch_interface::{Micros, ServerId};
+use lichenswitch_interface::{Micros, ServerId, Time};
 use lichenswitch_messages::{BacklogReport, ServerBacklog};
 use lichenswitch_placement::Backlog;
 use std::collections::BTreeMap;
 
 /// Between two reports at the least (microseconds).
-const REPORT_INTERVAL: Micros = 50_000;
+const REPORT_INTERVAL: Micros = 20_000;
 
 /// What control was told last.
 #[derive(Debug, Default)]
@@ -20,6 +20,7 @@
     told: BTreeMap<ServerId, Backlog>,
     /// A report is due at a set time.
     planned: bool,
+    last: Time,
 }
 
 impl BacklogReports {
@@ -38,13 +39,15 @@
     /// Something was sent to a server: control is to be told soon.
     pub(super) fn plan_backlog_report(&mut self) {
         if !std::mem::replace(&mut self.backlog_reports.planned, true) {
-            self.net.wheel.set(self.net.clock.now().plus(REPORT_INTERVAL), Timer::Backlog);
+            let due = self.backlog_reports.last.plus(REPORT_INTERVAL).max(self.net.clock.now());
+            self.net.wheel.set(due, Timer::Backlog);
         }
     }
 
     /// Tells control what waits, where that has changed.
     pub(super) fn report_backlog(&mut self) {
         self.backlog_reports.planned = false;
+        self.backlog_reports.last = self.net.clock.now();
         if !self.link.is_greeted() {
             return;
         }
--- a/fleet/src/router/prefix.rs
+++ b/fleet/src/router/prefix.rs
@@ -21,8 +21,6 @@
     /// Names the beginning that it shares with others: all parts but the last, which belongs to the request or its session. 0: it shares
     /// nothing, or its list of parts can't be read.
     pub prefix: u64,
-    /// Names the first part of that beginning.
-    pub first_part: u64,
     /// Tokens of that beginning.
     pub shared_tokens: u32,
     /// Tokens that a server has to read which keeps the beginning.
@@ -31,7 +29,7 @@
 
 impl Default for Prompt {
     fn default() -> Self {
-        Prompt { prefix: 0, first_part: 0, shared_tokens: 0, own_tokens: LEAST_TOKENS }
+        Prompt { prefix: 0, shared_tokens: 0, own_tokens: LEAST_TOKENS }
     }
 }
 
@@ -54,12 +52,9 @@
                 return Prompt { own_tokens, ..Prompt::default() };
             }
             hash = hash_on(hash_on(hash, id), b",");
-            // 0 is taken.
-            if prompt.first_part == 0 {
-                prompt.first_part = hash.max(1);
-            }
             prompt.shared_tokens = prompt.shared_tokens.saturating_add(tokens_of(part));
         }
+        // 0 is taken.
         prompt.prefix = hash.max(1);
         prompt
     }
--- a/fleet/src/router/service.rs
+++ b/fleet/src/router/service.rs
@@ -15,7 +15,7 @@
     Class, Layout, Limits, Listed, Listing, Load, Micros, Mode, Outcome, Placement, QueryId, Repeat,
     ServerId, Settings, Shard, Time, FIRST_SHARE,
 };
-use lichenswitch_placement::{Backlog, Popularity};
+use lichenswitch_placement::Backlog;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
@@ -32,14 +32,10 @@
 const LOAD_PACE: f64 = 0.1;
 /// The part of slots taken counts as this at the least, so that a router with many streams at one server still sees them.
 const LEAST_SLOTS_TAKEN: f64 = 0.05;
-/// A first part of prompts is spread over so many times the servers that its share of the traffic would fill.
-const SPREAD_HEADROOM: f64 = 4.0;
-/// It is spread over so many servers at the least.
-const LEAST_SPREAD: f64 = 1e9;
 /// Servers are told apart by their backlogs in steps of so many tokens at the least: what is known of them is a tenth of a second old.
 const LEAST_BACKLOG_STEP: f64 = 3_072.0;
 /// The same for each token of a prompt that is shared: to be read again it has to be worth the wait.
-const BACKLOG_A_SHARED_TOKEN: f64 = 10.0;
+const BACKLOG_A_SHARED_TOKEN: f64 = 20.0;
 /// The core of a service never sees more attempts of one request than this, whatever its route says.
 const MOST_ATTEMPTS: u32 = 16;
 
@@ -56,7 +52,6 @@
     backlog: u64,
     /// Servers that take requests.
     ready: BTreeSet<ServerId>,
-    popularity: Popularity,
     resumes: ResumeBudget,
     told_connections: Option<u32>,
     told_slots: Option<u32>,
@@ -122,7 +117,6 @@
             loads: HashMap::new(),
             backlog: 0,
             ready,
-            popularity: Popularity::default(),
             resumes: ResumeBudget::new(budget),
             told_connections: None,
             told_slots: None,
@@ -183,7 +177,7 @@
             self.tell_classes();
         }
         let class = place as u16;
-        let placement = self.placement(now, ask.prompt);
+        let placement = self.placement(ask.prompt);
         let request = Request {
             class: place,
             deadline: ask.deadline,
@@ -283,23 +277,12 @@
     }
 
     /// Which of equal servers a request with this prompt is to go to.
-    fn placement(&mut self, now: Time, prompt: Prompt) -> Placement {
-        let ready = self.ready.len().max(1) as f64;
-        let tokens = f64::from(prompt.shared_tokens) + f64::from(prompt.own_tokens);
-        let share = match prompt.first_part {
-            0 => 1.0,
-            part => self.popularity.on_request(now, part, tokens),
-        };
-        let servers = (share * SPREAD_HEADROOM * ready).max(LEAST_SPREAD);
-        let mean_backlog = self.backlog as f64 / ready;
+    fn placement(&self, prompt: Prompt) -> Placement {
+        let mean_backlog = self.backlog as f64 / self.ready.len().max(1) as f64;
         let shared = f64::from(prompt.shared_tokens) * BACKLOG_A_SHARED_TOKEN;
-        Placement {
-            prefix: prompt.prefix,
-            first_part: prompt.first_part,
-            // Conversions from floating point end at the bounds of the type.
-            spread: (servers / ready * f64::from(u32::MAX)) as u32,
-            backlog_step: mean_backlog.max(shared).max(LEAST_BACKLOG_STEP) as u32,
-        }
+        // A conversion from floating point ends at the bounds of the type.
+        let backlog_step = mean_backlog.max(shared).max(LEAST_BACKLOG_STEP) as u32;
+        Placement { prefix: prompt.prefix, backlog_step }
     }
 
     /// Whether nothing is held by it.
--- a/fleet/src/router/service/tests.rs
+++ b/fleet/src/router/service/tests.rs
@@ -28,7 +28,7 @@
     fn stream(&mut self) -> ServerId {
         self.next += 1;
         let exchange = ExchangeId(self.next);
-        let prompt = Prompt { prefix: 77, first_part: 77, ..Prompt::default() };
+        let prompt = Prompt { prefix: 77, ..Prompt::default() };
         let ask = Ask { exchange, terms: &terms(), prompt, deadline: self.now.plus(SECOND) };
         self.service.take(self.now, &ask).expect("there is room");
         self.now = self.now.plus(SECOND / 100);
--- a/interface/src/lib.rs
+++ b/interface/src/lib.rs
@@ -323,10 +323,6 @@
     /// Names the beginning that the query shares with others, which servers keep once they have read it. Queries with the same one go to the
     /// same server. 0: it shares nothing.
     pub prefix: u64,
-    /// Names the first part of that beginning, which more queries share.
-    pub first_part: u64,
-    /// Part of all servers that keep the first part, in units of 1 / 2^32, less one: queries that share it go to these.
-    pub spread: u32,
     /// So much backlog makes one level; servers of the lowest level come first. 0: levels are not told apart.
     pub backlog_step: u32,
 }
--- a/stats/src/lib.rs
+++ b/stats/src/lib.rs
@@ -28,12 +28,11 @@
     fastrand::Rng::with_seed(rng.u64(..) ^ slice.rotate_left(40)).f64()
 }
 
-/// How little a server suits a query; the least is best. The backlog's level comes first; then whether it is none of the servers that keep the first part
-/// of the query's beginning; then its place in the order of servers that each beginning has. But for the level the same at all instances.
+/// How little a server suits a query; the least is best. The backlog's level comes first, then the server's place in the order that each beginning
+/// has, which is the same at all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Preference {
     level: u32,
-    outside: bool,
     order: u32,
 }
 
@@ -42,22 +41,14 @@
     #[must_use]
     pub fn new(placement: &Placement, server: ServerId, load: Load) -> Preference {
         let level = load.backlog.checked_div(placement.backlog_step).unwrap_or(0);
-        match placement.prefix {
-            0 => Preference { level, outside: false, order: 0 },
-            prefix => {
-                let outside = order(placement.first_part, server) > placement.spread;
-                let level = level.saturating_add(u32::from(outside));
-                Preference { level, outside, order: order(prefix, server) }
-            }
-        }
+        let order = match placement.prefix {
+            0 => 0,
+            prefix => (mixed(prefix ^ mixed(u64::from(server.0) + 1)) >> 32) as u32,
+        };
+        Preference { level, order }
     }
 }
 
-/// A server's place in the order of a beginning (rendezvous hashing).
-fn order(name: u64, server: ServerId) -> u32 {
-    (mixed(name ^ mixed(u64::from(server.0) + 1)) >> 32) as u32
-}
-
 /// The finalizer of SplitMix64: neighbours come out far apart.
 fn mixed(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
