Send copies and retries where little waits, as first attempts are

Cause: retries and copies were drawn by chance among servers with as few own pending, so they met servers at which much waited for other routers. Change: the same preference decides as for first attempts (level of the backlog, then the order of the beginning), before the zone.

--- a/policy/src/choice.rs
+++ b/policy/src/choice.rs
@@ -176,8 +176,8 @@
             .holders(p.shard)
             .filter(|(server, s)| !out_at.iter().any(|&t| tried[t] == *server) && !self.closed(s))
             .map(|(server, s)| {
-                let (tier, pending) = self.rank(s, class);
-                let key = (tried.contains(&server), tier, pending, Some(s.zone) == last_zone, rng.0.u32(..));
+                let rank = (self.rank(s, class), Preference::new(&q.placement, server, s.load));
+                let key = (tried.contains(&server), rank, Some(s.zone) == last_zone, rng.0.u32(..));
                 (key, server, self.expected(s, class))
             })
             .min_by_key(|&(key, ..)| key);
