Test shared backlogs on processes, and report again where control was away

Cause: the shared backlog had no tests of processes. One of them found that a report which fell due while no control machine was connected was never made up for: the timer was not set again.

--- a/fleet/src/router/backlog.rs
+++ b/fleet/src/router/backlog.rs
@@ -48,14 +48,16 @@
     pub(super) fn report_backlog(&mut self) {
         self.backlog_reports.planned = false;
         self.backlog_reports.last = self.net.clock.now();
-        if !self.link.is_greeted() {
-            return;
+        let waits = backlogs(self.exchanges.iter());
+        // What waits may end at any time, and control may come back.
+        let goes_on = !waits.is_empty();
+        if self.link.is_greeted() {
+            let servers = self.backlog_reports.changes(waits);
+            if !servers.is_empty() {
+                self.link.send_backlog_report(&mut self.net, &BacklogReport { whole: false, servers });
+            }
         }
-        let servers = self.backlog_reports.changes(backlogs(self.exchanges.iter()));
-        if !servers.is_empty() {
-            self.link.send_backlog_report(&mut self.net, &BacklogReport { whole: false, servers });
-        }
-        if !self.backlog_reports.told.is_empty() {
+        if goes_on {
             self.plan_backlog_report();
         }
     }
@@ -79,3 +81,6 @@
     }
     sums
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/router/service/tests.rs
+++ b/fleet/src/router/service/tests.rs
@@ -100,3 +100,43 @@
     stage.service.on_load(None);
     assert_eq!(stage.service.streams_a_request, 20);
 }
+
+fn prompt(shared_tokens: u32) -> Prompt {
+    Prompt { prefix: 77, shared_tokens, ..Prompt::default() }
+}
+
+#[test]
+fn levels_are_as_coarse_as_what_a_prompt_shares_is_worth() {
+    let stage = Stage::new(None, 1);
+    let step = |shared| stage.service.placement(prompt(shared)).backlog_step;
+    assert_eq!(step(0), LEAST_BACKLOG_STEP as u32);
+    assert_eq!(step(5_000), 5_000 * BACKLOG_A_SHARED_TOKEN as u32);
+    assert_eq!(step(u32::MAX), u32::MAX);
+}
+
+#[test]
+fn levels_are_no_finer_than_what_waits_at_a_server_on_average() {
+    let mut stage = Stage::new(None, 1);
+    stage.service.set_backlog(ServerId(1), 90_000);
+    stage.service.set_backlog(ServerId(2), 10_000);
+    assert_eq!(stage.service.placement(prompt(0)).backlog_step, 50_000);
+    stage.service.set_backlog(ServerId(1), 10_000);
+    assert_eq!(stage.service.placement(prompt(0)).backlog_step, 10_000);
+    stage.service.forget_backlogs();
+    assert_eq!(stage.service.placement(prompt(0)).backlog_step, LEAST_BACKLOG_STEP as u32);
+    assert_eq!(stage.service.backlog, 0);
+    assert!(stage.service.loads.is_empty(), "nothing is held of servers that nothing loads");
+}
+
+#[test]
+fn a_request_goes_where_less_waits_for_other_routers() {
+    let mut stage = Stage::new(None, 1);
+    let first = stage.stream();
+    stage.service.stream_ended(first);
+    stage.service.set_backlog(first, 1_000_000);
+    let second = stage.stream();
+    assert_ne!(second, first);
+    stage.service.stream_ended(second);
+    stage.service.forget_backlogs();
+    assert_eq!(stage.stream(), first);
+}
--- a/fleet/tests/control_support/mod.rs
+++ b/fleet/tests/control_support/mod.rs
@@ -1,8 +1,13 @@
 //! Control machines as real processes on loopback addresses, and callers of them.
 #![allow(dead_code)]
 
-use lichenswitch_fleet::envelopes::{encode, encode_tenant_message, EnvelopeReader, Incoming};
-use lichenswitch_messages::{ControlToRouter, Envelope, RouterToControl, TenantMessage, PROTOCOL_VERSION};
+use lichenswitch_fleet::envelopes::{
+    encode, encode_backlog_report, encode_tenant_message, EnvelopeReader, Incoming,
+};
+use lichenswitch_messages::{
+    BacklogReport, ControlToRouter, Envelope, RouterToControl, ServerBacklog, TenantMessage, PROTOCOL_VERSION,
+};
+use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -355,9 +360,38 @@
     }
 
     pub fn next(&mut self) -> ControlToRouter {
-        match self.next_message() {
-            Incoming::Envelope(Envelope::ToRouter(message)) => message,
-            other => panic!("not for a router: {other:?}"),
+        loop {
+            match self.next_message() {
+                Incoming::Envelope(Envelope::ToRouter(message)) => return message,
+                // Other routers may have something that waits.
+                Incoming::Backlog(_) => {}
+                other => panic!("not for a router: {other:?}"),
+            }
+        }
+    }
+
+    /// Says what waits at servers.
+    pub fn say_backlogs(&mut self, servers: &[(u32, u32)]) {
+        let servers =
+            servers.iter().map(|(server, tokens)| ServerBacklog { server: *server, tokens: *tokens });
+        let report = BacklogReport { whole: false, servers: servers.collect() };
+        self.stream.write_all(&encode_backlog_report(&report).unwrap()).unwrap();
+    }
+
+    /// Follows what is told of backlogs until it is this.
+    pub fn await_backlogs(&mut self, known: &mut BTreeMap<u32, u32>, wanted: &[(u32, u32)]) {
+        let wanted: BTreeMap<u32, u32> = wanted.iter().copied().collect();
+        let began = Instant::now();
+        while *known != wanted {
+            assert!(began.elapsed() < PATIENCE, "{known:?} is known, not {wanted:?}");
+            // Heartbeats come all the while.
+            if let Incoming::Backlog(report) = self.next_message() {
+                if report.whole {
+                    known.clear();
+                }
+                known.extend(report.servers.iter().map(|of| (of.server, of.tokens)));
+                known.retain(|_, tokens| *tokens > 0);
+            }
         }
     }
 
--- a/fleet/tests/support/control.rs
+++ b/fleet/tests/support/control.rs
@@ -1,7 +1,9 @@
 //! A scripted control machine.
 
 use super::until;
-use lichenswitch_fleet::envelopes::{encode, encode_tenant_message, EnvelopeReader, Incoming};
+use lichenswitch_fleet::envelopes::{
+    encode, encode_backlog_report, encode_tenant_message, EnvelopeReader, Incoming,
+};
 use lichenswitch_messages::{
     BacklogReport, ConfigurationPosition, ControlToRouter, DrawAnswer, DrawRequest, Envelope,
     RouterToControl, ServerRecord, TenantMessage, ROUTER_HEARTBEAT_MS,
@@ -132,6 +134,24 @@
         self.state.lock().expect("lock").unconfirmed = !on;
     }
 
+    /// What the router says that waits, by server.
+    pub fn backlogs(&self) -> BTreeMap<u32, u32> {
+        self.state.lock().expect("lock").backlogs.clone()
+    }
+
+    /// Forgets what the router has said of it.
+    pub fn forget_backlogs(&self) {
+        self.state.lock().expect("lock").backlogs.clear();
+    }
+
+    /// Tells routers what waits at servers.
+    pub fn tell_backlogs(&self, report: &BacklogReport) {
+        let bytes = encode_backlog_report(report).expect("encode");
+        for link in &mut self.state.lock().expect("lock").links {
+            let _ = link.stream.write_all(&bytes);
+        }
+    }
+
     pub fn hellos(&self) -> usize {
         self.state.lock().expect("lock").hellos
     }
--- a/policy/tests/streams.rs
+++ b/policy/tests/streams.rs
@@ -56,15 +56,18 @@
 
     /// The same, with a shared beginning.
     fn query_with(&mut self, class: u16, prefix: Option<u64>) -> (PartId, Option<ServerId>) {
+        self.query_placed(class, Placement { prefix: prefix.unwrap_or(0), ..Placement::default() })
+    }
+
+    /// The same, with all that says which of equal servers it goes to.
+    fn query_placed(&mut self, class: u16, placement: Placement) -> (PartId, Option<ServerId>) {
         self.next += 2;
         let (number, part) = (self.next as u32, PartId(self.next + 1));
         let deadline = self.now.plus(10 * AIM);
         let (query, key, again, tenant) = (QueryId(self.next), 0, false, u32::MAX);
         let mut events = vec![Event::Query { query, number, class, deadline, key, again, tenant }];
-        events.extend(prefix.map(|prefix| Event::Placement {
-            number,
-            placement: Placement { prefix, ..Placement::default() },
-        }));
+        let placed = placement != Placement::default();
+        events.extend(placed.then_some(Event::Placement { number, placement }));
         events.push(Event::Part { part, number, shard: Shard(0), weight: 1.0 });
         let actions = self.turn(events);
         (part, sent(&actions))
@@ -132,6 +135,33 @@
     assert_eq!(other.query_with(0, Some(77)).1, Some(ServerId(order[1])));
 }
 
+/// So much waits at a server for all instances.
+fn backlog(server: u32, backlog: u32) -> Event {
+    Event::Load { server: ServerId(server), load: Load { streams: 0, backlog } }
+}
+
+#[test]
+fn of_servers_with_as_few_pending_the_one_with_little_backlog_is_chosen() {
+    let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe)]), 4);
+    stage.turn(vec![backlog(1, 500), backlog(2, 99), backlog(3, 250), backlog(4, 100)]);
+    let placement = Placement { prefix: 0, backlog_step: 100 };
+    let order: Vec<u32> = (0..8).map(|_| stage.query_placed(0, placement).1.unwrap().0).collect();
+    // Own pending parts go first: each gets one before any gets two.
+    assert_eq!(order, [2, 4, 3, 1, 2, 4, 3, 1]);
+}
+
+#[test]
+fn a_retry_goes_where_little_waits() {
+    for seed in 0..20 {
+        let mut stage = Stage::new(seed, settings(vec![class(Repeat::Safe)]), 4);
+        stage.turn(vec![backlog(1, 300), backlog(2, 0), backlog(3, 100), backlog(4, 300)]);
+        let (part, first) = stage.query_placed(0, Placement { prefix: 0, backlog_step: 100 });
+        assert_eq!(first, Some(ServerId(2)));
+        let failed = ended(part, 0, ServerId(2), Outcome::Rejected, MS);
+        assert_eq!(sent(&stage.after(MS, vec![failed])), Some(ServerId(3)), "seed {seed}");
+    }
+}
+
 #[test]
 fn a_part_that_may_run_twice_is_copied_at_half_its_aim_and_the_loser_is_cancelled() {
     let mut stage = Stage::new(1, settings(vec![class(Repeat::Safe)]), 4);
--- a/stats/src/tests.rs
+++ b/stats/src/tests.rs
@@ -56,3 +56,25 @@
     assert!(!quotas.within(now.plus(500_000), 0), "nothing is won by the change itself");
     assert!(quotas.within(now.plus(625_000), 0));
 }
+
+fn preference(prefix: u64, backlog_step: u32, server: u32, backlog: u32) -> Preference {
+    let load = Load { streams: 0, backlog };
+    Preference::new(&Placement { prefix, backlog_step }, ServerId(server), load)
+}
+
+#[test]
+fn a_lower_level_of_backlog_comes_before_the_order_of_a_beginning() {
+    let best = (0..10).min_by_key(|server| preference(7, 100, *server, 0)).unwrap();
+    let next = (0..10).filter(|s| *s != best).min_by_key(|server| preference(7, 100, *server, 0)).unwrap();
+    let choose = |backlog| {
+        (0..10).min_by_key(|s| preference(7, 100, *s, if *s == best { backlog } else { 0 })).unwrap()
+    };
+    assert_eq!([choose(0), choose(99), choose(100), choose(u32::MAX)], [best, best, next, next]);
+}
+
+#[test]
+fn without_a_step_backlogs_are_not_told_apart_and_without_a_beginning_all_are_equal() {
+    assert_eq!(preference(7, 0, 1, 0), preference(7, 0, 1, u32::MAX));
+    assert_eq!(preference(0, 0, 1, 5), preference(0, 0, 2, 9));
+    assert!(preference(0, 10, 1, 9) < preference(0, 10, 2, 10));
+}
