Answer what waits for the further-try budget alone at once

Cause: a request whose attempt was rejected, met nobody or was reset, with the further-try budget used up, stayed with the decision module until its deadline: a retry that the budget withholds was looked at again every 100 ms, and the query was never given up.

Change: the module notes that a part was withheld (no budget, or no server that takes it), and ends a query of which nothing is out and that waits for nothing else: with a partial answer where that is enough, else as one that is given up, which is a refusal with Retry-After wherever asking again is harmless. A router turns it into 502 where the request may have run.

Measured: three tests of router_waiting.rs failed before (held for 6 s of 6 s) and pass now, two of policy/tests/streams.rs are new.

--- a/fleet/tests/router_waiting.rs
+++ b/fleet/tests/router_waiting.rs
@@ -1,4 +1,5 @@
-//! LOST and the price of holding: what a request waits for ends it neither sooner nor later than it must.
+//! LOST and the price of holding: what a request waits for ends it neither sooner nor later than it must. What can't be tried again is
+//! answered at once.
 
 mod support;
 
@@ -97,3 +98,59 @@
     }
     assert_eq!(server.seen().len(), 6, "each was sent once");
 }
+
+/// What can't be tried again gets its final answer within this: a quarter of the target latency of the tests below.
+const AT_ONCE: Duration = Duration::from_millis(500);
+/// Every kind of route.
+const KINDS: [&str; 4] = ["unsafe", "safe", "stream", "resume"];
+
+/// A router whose budget allows no further try yet: it is not known how many routers there are, so that there is no slack.
+fn without_budget(servers: &[&Server]) -> Rig {
+    let rig = Rig::with(servers, 6_000, 2_000, 3);
+    rig.control.set_routers(0);
+    rig.control.settled();
+    rig
+}
+
+/// Asks once on each kind of route.
+fn assert_refused_at_once(rig: &Rig) {
+    for kind in KINDS {
+        let reply = rig.client().ask(request("POST", kind, kind, "", "x"));
+        assert_eq!(reply.status, 503, "{kind}");
+        assert!(reply.took < AT_ONCE, "{kind}: held for {:?}", reply.took);
+        let after = reply.retry_after().expect("it is told when to come back");
+        assert!(after > 0.0 && after < 1.0, "{kind}: {after}");
+    }
+}
+
+#[test]
+fn what_was_rejected_is_refused_at_once_where_no_further_try_is_allowed() {
+    let server = Server::start("i-1", |seen, talk| {
+        talk.answer(seen, 503, "Not-Executed: 1\r\nKeep-Alive: timeout=9\r\n", "");
+        Next::Keep
+    });
+    let rig = without_budget(&[&server]);
+    assert_refused_at_once(&rig);
+    assert_eq!(server.seen().len(), KINDS.len(), "no further try was sent");
+}
+
+#[test]
+fn what_met_nobody_is_refused_at_once_where_no_further_try_is_allowed() {
+    let mut server = Server::start("i-1", |_, _| Next::Close);
+    // Nobody listens there.
+    server.address.set_port(support::rig::free_port());
+    let rig = without_budget(&[&server]);
+    assert_refused_at_once(&rig);
+}
+
+#[test]
+fn what_failed_is_told_at_once_where_no_further_try_is_allowed() {
+    let server = Server::start("i-1", |_, _| Next::Reset);
+    let rig = without_budget(&[&server]);
+    for kind in KINDS {
+        let reply = rig.client().ask(request("POST", kind, kind, "", "x"));
+        // It may have run: no promise is made.
+        assert_eq!(reply.status, 502, "{kind}");
+        assert!(reply.took < AT_ONCE, "{kind}: held for {:?}", reply.took);
+    }
+}
--- a/policy/src/choice.rs
+++ b/policy/src/choice.rs
@@ -119,14 +119,14 @@
         let (Some(q), Some(s)) = (self.queries.get_mut(&id), self.servers.get_mut(&server)) else { return };
         s.calls.retain(|c| c.counts(now));
         let p = &mut q.parts[i];
+        p.withheld = false;
         let (attempt, depth) = (p.tries.len() as u16, s.pending());
         if !joined {
             s.calls.push(Call { id: self.calls, sent: now, left: 0, size: 0, ghost: None });
             self.calls += 1;
         }
         let Some(call) = s.calls.last_mut() else { return };
-        call.left += 1;
-        call.size += 1;
+        (call.left, call.size) = (call.left + 1, call.size + 1);
         (s.cold_tokens, s.filled_at) = (tokens - 1.0, now);
         let norm = q.class * 2 + usize::from(p.step - 1);
         if depth == 0.0 && now > s.used {
@@ -182,7 +182,10 @@
             })
             .min_by_key(|&(key, ..)| key);
         self.rng = rng.clone();
-        let Some((_, server, expected)) = target else { return };
+        let Some((_, server, expected)) = target.filter(|_| copy || budget) else {
+            self.queries.entry(id).and_modify(|q| q.parts[i].withheld = !copy);
+            return;
+        };
         let end = if self.now < q.aim_at { q.aim_at } else { self.end_of(q) };
         if copy {
             let in_time = expected <= end.since(self.now) as f64;
--- a/policy/src/ends.rs
+++ b/policy/src/ends.rs
@@ -65,6 +65,11 @@
             return self.give_up(id, out);
         }
         self.dispatch(id, out);
+        // It would only wait for the budget: its client is told at once, and may come back.
+        if self.queries.get(&id).is_some_and(Query::is_stranded) {
+            let enough = have + slack >= floor;
+            return if enough { self.answer(id, false, out) } else { self.give_up(id, out) };
+        }
         let due = self.queries.get(&id).map_or(self.now, |q| self.due_of(q));
         self.queries.entry(id).and_modify(|q| q.due = due);
     }
@@ -107,8 +112,7 @@
         if two_steps && q.step == 1 {
             (q.step, q.first_whole, q.step_at) = (2, whole, self.now);
             (q.agenda, q.count, q.once, q.total, q.have) = (Agenda::default(), 0, 0, 0.0, 0.0);
-            q.closed = false;
-            q.due = self.now.plus(self.set.resolution);
+            (q.closed, q.due) = (false, self.now.plus(self.set.resolution));
             out.push(Action::Answer { query: id, whole });
             return self.cancel_open(id, out);
         }
--- a/policy/src/health.rs
+++ b/policy/src/health.rs
@@ -11,13 +11,8 @@
     /// Guards against servers that fail, hang, stall, slow down, lose answers or connections, for one class
     /// or all, or for this instance alone. It fades, so that a real part tries again. Harm: a few unlucky
     /// parts suffice; under load the slowest are passed over in turn.
-    pub(super) fn judge(
-        &mut self,
-        flight: &Flight,
-        outcome: Outcome,
-        elapsed: Micros,
-        out: &mut Vec<Action>,
-    ) {
+    pub(super) fn judge(&mut self, flight: &Flight, end: (Outcome, Micros), out: &mut Vec<Action>) {
+        let (outcome, elapsed) = end;
         let (class, all, now) = (flight.norm / 2, self.set.classes.len(), self.now);
         let (norm, took) = (self.norms[flight.norm].or(elapsed as f64), elapsed as f64);
         if let Some(s) = self.servers.get_mut(&flight.server) {
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -189,9 +189,7 @@
             Event::List(listing) => self.listed(listing),
             Event::Classes(classes) => self.set_classes(classes),
             Event::Budget(budget) => self.set.limits.budget = budget,
-            Event::Load { server, load } => {
-                self.servers.entry(server).and_modify(|s| s.load = load);
-            }
+            Event::Load { server, load } => drop(self.servers.get_mut(&server).map(|s| s.load = load)),
             Event::Processes(count) => {
                 self.processes = count.map_or(u32::MAX, |count| count.max(1));
                 self.quotas.share(&self.set.quotas, self.set.instances.saturating_mul(self.processes));
@@ -206,9 +204,8 @@
         classes.extend_from_slice(old.get(classes.len()..).unwrap_or_default());
         let same: Vec<bool> = (0..classes.len()).map(|i| old.get(i) == Some(&classes[i])).collect();
         self.norms.resize(classes.len() * 2, Fading::default());
-        let forget =
-            |(i, norm): (usize, &mut Fading)| *norm = if same[i / 2] { *norm } else { Fading::default() };
-        self.norms.iter_mut().enumerate().for_each(forget);
+        let changed = self.norms.iter_mut().zip(0usize..).filter(|(_, i)| !same[i / 2]);
+        changed.for_each(|(norm, _)| *norm = Fading::default());
         self.servers.values_mut().for_each(|s| s.on_classes(&same));
         self.set.classes = classes;
     }
@@ -261,12 +258,12 @@
             }
         }
         let Some(&(id, i)) = self.parts.get(&part) else {
-            return self.judge(&flight, outcome, elapsed, out);
+            return self.judge(&flight, (outcome, elapsed), out);
         };
         let query = self.queries.get(&id);
         // Of one query two resets at most are those of idle connections: poison looks like them.
         let broken = outcome == Outcome::Reset && query.is_some_and(|q| q.broke.len() + 1 >= POISON);
-        self.judge(&flight, if broken { Outcome::ConnectFailed } else { outcome }, elapsed, out);
+        self.judge(&flight, (if broken { Outcome::ConnectFailed } else { outcome }, elapsed), out);
         let Some(q) = self.queries.get_mut(&id) else { return };
         q.due = self.now;
         let Some(p) = q.parts.get_mut(i) else { return };
--- a/policy/tests/streams.rs
+++ b/policy/tests/streams.rs
@@ -296,3 +296,52 @@
         assert_eq!(stage.query(2).1, Some(ServerId(1)), "nothing is held against it by a new class");
     }
 }
+
+#[test]
+fn a_query_that_waits_for_the_budget_alone_gets_its_final_answer_at_once() {
+    let none = Budget { window: 1_000 * MS, least: 0.0, share: 0.0 };
+    for (outcome, repeat) in [
+        (Outcome::Rejected, Repeat::Unsafe),
+        (Outcome::ConnectFailed, Repeat::Unsafe),
+        (Outcome::Rejected, Repeat::Safe),
+        (Outcome::Reset, Repeat::Safe),
+    ] {
+        let mut told = settings(vec![class(repeat)]);
+        told.limits = Limits { budget: Some(none), retry_after: Some(300 * MS), ..told.limits };
+        // As a router has it: more cells than were tried.
+        told.layout = Layout { cells: 4, width: 4, ..told.layout };
+        let mut stage = Stage::new(1, told, 3);
+        let (part, server) = stage.query(0);
+        let actions = stage.after(MS, vec![ended(part, 0, server.unwrap(), outcome, MS)]);
+        let advice = actions.iter().find_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        });
+        assert!(advice.is_some_and(|after| after >= 150 * MS), "{outcome:?}, {repeat:?}: {actions:?}");
+    }
+}
+
+#[test]
+fn a_part_that_the_budget_withholds_ends_its_query_once_nothing_else_is_out() {
+    let none = Budget { window: 1_000 * MS, least: 0.0, share: 0.0 };
+    let partial = Class { floor: 0.5, partial: 0.5, ..class(Repeat::Safe) };
+    let mut told = settings(vec![partial]);
+    told.limits.budget = Some(none);
+    let mut stage = Stage::new(1, told, 2);
+    let (query, number, deadline) = (QueryId(2), 2, stage.now.plus(10 * AIM));
+    let asked = Event::Query { query, number, class: 0, deadline, key: 0, again: false, tenant: u32::MAX };
+    let part = |id| Event::Part { part: PartId(id), number, shard: Shard(0), weight: 0.5 };
+    let servers: Vec<ServerId> = stage
+        .turn(vec![asked, part(3), part(4)])
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Send { server, .. } => Some(server),
+            _ => None,
+        })
+        .collect();
+    let is_end = |a: &Action| matches!(a, Action::Answer { .. } | Action::Refuse { .. } | Action::Fail(_));
+    let first = stage.after(MS, vec![ended(PartId(3), 0, servers[0], Outcome::Error, MS)]);
+    assert!(!first.iter().any(is_end), "the other part is out: {first:?}");
+    let last = stage.after(MS, vec![ended(PartId(4), 0, servers[1], Outcome::Ok, MS)]);
+    assert!(last.contains(&Action::Answer { query, whole: false }), "half of it is enough: {last:?}");
+}
--- a/stats/src/lib.rs
+++ b/stats/src/lib.rs
@@ -101,6 +101,8 @@
     pub done: bool,
     /// Its first lateness has been counted against its server.
     pub late: bool,
+    /// Nothing of it was out, and the budget for further attempts did not let it be sent again.
+    pub withheld: bool,
 }
 
 impl Part {
@@ -313,6 +315,15 @@
     pub have: f64,
 }
 
+impl Query {
+    /// Whether nothing of it is out, while a part that it needs may not be sent again for now: it waits for nothing but the budget.
+    #[must_use]
+    pub fn is_stranded(&self) -> bool {
+        let withheld = self.agenda.idle().any(|i| self.parts[i].withheld);
+        withheld && self.parts.iter().all(|part| part.out().next().is_none())
+    }
+}
+
 /// A server, as the module remembers it.
 #[derive(Clone, Debug, Default)]
 pub struct Server {
