Take no order while a voter without a disk stands beside disks

Cause: a first seed without a disk founds the group and kept its vote until 2 f + 1 machines with a disk had one. In the first moments an order was acknowledged by its memory and one disk: that disk lost with the power of all others, and nobody had it.

Change: replicas are told which members have no disk (members have always said so in their first message). The decision whether a machine takes part moves to decide/control (OwnPart), which the simulator runs as well: it has machines without a disk now.

--- a/decide/replication/src/replica/join.rs
+++ b/decide/replication/src/replica/join.rs
@@ -178,9 +178,14 @@
             .collect();
         let dead = voters.iter().filter(|peer| silent(peer)).count();
         let count = Count { voters: membership.voters.len(), dead };
-        for peer in voters.iter().filter(|peer| now.since(peer.heard_at) > remove_after || peer.leaving) {
+        for peer in &voters {
+            let expendable = self.is_expendable(&peer.member, membership);
+            let patience = if expendable { replace_after } else { remove_after };
+            if now.since(peer.heard_at) <= patience && !peer.leaving {
+                continue;
+            }
             let old = peer.member.clone();
-            if self.removable(&old, &count, silent(peer)) {
+            if expendable || self.removable(&old, &count, silent(peer)) {
                 let silent_for = now.since(peer.heard_at);
                 return Some(match peer.leaving {
                     true => MembershipChange::RemoveLeaver { old },
--- a/decide/replication/src/replica/mod.rs
+++ b/decide/replication/src/replica/mod.rs
@@ -11,6 +11,7 @@
 mod rounds;
 mod show;
 mod transfer;
+mod without_disk;
 
 use std::collections::BTreeSet;
 
@@ -38,6 +39,8 @@
     process: u64,
     /// Addresses to knock at.
     peers: BTreeSet<String>,
+    /// Members known to have no disk.
+    without_disk: BTreeSet<Identity>,
     /// What was accepted, perhaps not yet synced.
     image: Option<Memory<S>>,
     committed: Option<(Position, S)>,
@@ -147,6 +150,7 @@
             process: seed,
             me,
             peers: BTreeSet::new(),
+            without_disk: BTreeSet::new(),
             image: None,
             committed: None,
             promised: Epoch::default(),
--- a/decide/replication/src/replica/show.rs
+++ b/decide/replication/src/replica/show.rs
@@ -66,13 +66,15 @@
         self.lead().is_none_or(|primary| !primary.in_flight && primary.queue.is_empty())
     }
 
-    /// Whether the group is large enough to take orders, or has waited for others long enough.
+    /// Whether the group is large enough to take orders, or has waited for others long enough, and no voter without a disk stands beside
+    /// members with one.
     pub fn may_take_orders(&self, now: Time) -> bool {
         let Some(primary) = self.lead().filter(|primary| primary.serving) else { return false };
         let enough = 2 * self.settings.fault_tolerance as usize + 1;
         let waited = now.since(primary.elected_at) >= self.settings.gathering_timeout;
         let voters = self.membership().voters.len();
-        waited || (voters >= enough && !self.membership().is_joint())
+        let gathered = waited || (voters >= enough && !self.membership().is_joint());
+        gathered && !self.waits_for_disks()
     }
 
     /// A picture for operators.
--- a/decide/replication/src/settings.rs
+++ b/decide/replication/src/settings.rs
@@ -87,6 +87,8 @@
     pub promise_not_durable: bool,
     /// A confirmation of an older epoch counts.
     pub count_old_epoch: bool,
+    /// Orders are taken beside voters without a disk, whose votes count like all others.
+    pub orders_beside_memory: bool,
     /// A voter whose time for an election has come, and that may not ask for one, doesn't put the next attempt off.
     pub election_not_put_off: bool,
 }
--- a/fleet/src/control/group.rs
+++ b/fleet/src/control/group.rs
@@ -6,7 +6,7 @@
 use super::program::{Net, Signal};
 use super::ControlError;
 use crate::settings::Settings;
-use lichenswitch_control::Replicated;
+use lichenswitch_control::{Eligibility, Replicated};
 use lichenswitch_interface::Time;
 use lichenswitch_replication as replication;
 use lichenswitch_replication::{DurableItem, Identity, Member, Output, Recovered, Replica, Ticket};
@@ -16,34 +16,20 @@
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 
-/// Why a machine takes part in the group of voters, if it does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Eligibility {
-    /// It has a disk, or its loss is counted.
-    Durable,
-    /// Neither, but the first start names it as a seed: somebody has to begin where no machine has a disk. It relays once it has met one
-    /// that has.
-    Stopgap,
-    /// It forwards calls and holds no state that matters.
-    Relay,
-}
-
-impl Eligibility {
-    /// Of the machine of these settings.
-    pub(super) fn of(settings: &Settings) -> Eligibility {
-        let own = settings.listen.control_plane;
-        let seed = own.is_some_and(|own| settings.seed_nodes.contains(&own));
-        match settings.data_directory.is_some() || settings.loss_counted {
-            true => Eligibility::Durable,
-            false if settings.first_start && seed => Eligibility::Stopgap,
-            false => Eligibility::Relay,
-        }
+/// Why the machine of these settings takes part in the group, if it does.
+pub(super) fn eligibility(settings: &Settings) -> Eligibility {
+    let own = settings.listen.control_plane;
+    let seed = own.is_some_and(|own| settings.seed_nodes.contains(&own));
+    match settings.data_directory.is_some() || settings.loss_counted {
+        true => Eligibility::Durable,
+        false if settings.first_start && seed => Eligibility::StandIn,
+        false => Eligibility::Relay,
     }
+}
 
-    /// Whether this machine takes part from its start on.
-    pub(super) fn begins(self, settings: &Settings) -> bool {
-        self == Eligibility::Durable || (self == Eligibility::Stopgap && founds(settings))
-    }
+/// Whether a machine takes part from its start on.
+pub(super) fn begins(eligibility: Eligibility, settings: &Settings) -> bool {
+    eligibility == Eligibility::Durable || (eligibility == Eligibility::StandIn && founds(settings))
 }
 
 /// Whether this machine founds the group: once in the life of a system, by one machine that all name alike.
--- a/fleet/src/control/machine.rs
+++ b/fleet/src/control/machine.rs
@@ -5,7 +5,7 @@
 use super::calls::{Calls, Primary};
 use super::contact::Told;
 use super::feed::Feed;
-use super::group::{draw_identity, of_replica, to_replica, Eligibility, Group};
+use super::group::{begins, draw_identity, eligibility, of_replica, to_replica, Group};
 use super::links::{End, Links};
 use super::peers::{Peers, CONNECT_TIMEOUT, SILENCE};
 use super::program::{after, elapsed, sooner, Net, Owner, Signal};
@@ -14,7 +14,7 @@
 use super::servers::Servers;
 use super::{notices, own_part, status, ControlError, DIGEST_INTERVAL};
 use crate::settings::Settings;
-use lichenswitch_control::{Acknowledged, Committed, Refusals};
+use lichenswitch_control::{Acknowledged, Committed, OwnPart, Refusals};
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{Envelope, PeerMessage, ROUTER_HEARTBEAT_MS};
 use lichenswitch_net::{ConnId, Ready};
@@ -41,8 +41,7 @@
     pub(super) address: SocketAddr,
     /// Of the disk; of the process where it holds no part of the group.
     pub(super) identity: u64,
-    pub(super) eligibility: Eligibility,
-    pub(super) started: Time,
+    pub(super) own_part: OwnPart,
     pub(super) net: Net,
     pub(super) links: Links,
     pub(super) peers: Peers,
@@ -80,8 +79,8 @@
         net.set_aside_for_peers(INTERNAL_CONNECTIONS);
         watch_signals(&mut net)?;
         let now = net.clock.now();
-        let eligibility = Eligibility::of(&settings);
-        let group = match eligibility.begins(&settings) {
+        let eligibility = eligibility(&settings);
+        let group = match begins(eligibility, &settings) {
             true => own_part::begin(&settings, address, &mut net, now),
             false => None,
         };
@@ -96,8 +95,7 @@
             address,
             quotas: Quotas::new(identity.0, group.as_ref(), settings.bounds.quota_terms()),
             identity: identity.0,
-            eligibility,
-            started: now,
+            own_part: OwnPart::new(eligibility, to_replica(now), settings.fault_tolerance.machines),
             links: Links::default(),
             peers: Peers::new(address, settings.seeds_internal(), now),
             group,
@@ -121,6 +119,7 @@
             path,
             net,
         };
+        machine.tell_who_lacks_a_disk();
         // The voters that the disk names are connected to at once, wherever the seeds are.
         machine.voters().into_iter().for_each(|voter| machine.peers.learn(voter, now));
         Ok(machine)
--- a/fleet/src/control/on_internal.rs
+++ b/fleet/src/control/on_internal.rs
@@ -10,7 +10,7 @@
 use super::routers::Hello;
 use crate::envelopes::Incoming;
 use lichenswitch_configuration::Document;
-use lichenswitch_control::{Committed, Question};
+use lichenswitch_control::{Committed, Eligibility, Question};
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{
     Envelope, PeerMessage, RelayedAnswer, RelayedCall, RouterToControl, PROTOCOL_VERSION,
@@ -57,7 +57,7 @@
             node: self.settings.node_name.clone(),
             address: self.address.to_string(),
             identity: self.identity,
-            eligible: self.eligibility == super::group::Eligibility::Durable,
+            eligible: self.own_part.eligibility() == Eligibility::Durable,
             known: self.peers.known(),
         }
     }
@@ -108,9 +108,10 @@
         let connected = self.peers.connection(address).is_some();
         let node = introduction.node.clone();
         if introduction.eligible {
-            self.on_durable_peer();
+            self.own_part.on_durable_peer(self.group.is_some());
         }
         let older = self.peers.on_hello(address, id, introduction, now);
+        self.tell_who_lacks_a_disk();
         if end == End::Unknown {
             self.links.set_end(id, End::Peer(address));
             let hello = Envelope::Peer(self.hello());
--- a/fleet/tests/control_founders.rs
+++ b/fleet/tests/control_founders.rs
@@ -52,6 +52,16 @@
     assert_eq!(read, configuration(1, 1));
 }
 
+#[test]
+fn nothing_is_acknowledged_while_a_founder_without_a_disk_votes_beside_disks() {
+    let mut fleet = Fleet::of("founders-f6", &[false, true, true, true, true]);
+    fleet.start_first();
+    assert_eq!(fleet.order(REPLACE, 0, &configuration(1, 1)).status, 200);
+    let voters: Vec<String> = (1..5).map(|place| fleet.status(place)).collect();
+    let founder = format!("{}\",\"votes\":true", fleet.machines[0].internal);
+    assert!(voters.iter().all(|status| !status.contains(&founder)), "{voters:?}");
+}
+
 /// Machines with a disk come after all machines that started first.
 #[test]
 fn machines_with_a_disk_that_come_late_take_the_group_over() {
--- a/simulator/src/control/mod.rs
+++ b/simulator/src/control/mod.rs
@@ -6,9 +6,15 @@
 mod state;
 
 use lichenswitch_configuration::{judge_alone, Order};
-use lichenswitch_control::{answer, configuration_position, describe, Committed, Faults, Primary, Question};
+use lichenswitch_control::{
+    answer, configuration_position, describe, Change, Committed, Eligibility, Faults, OwnPart, Primary,
+    Question, View,
+};
 use lichenswitch_messages::{ControlToRouter, PeerMessage, RelayedAnswer, RelayedCall, RouterToControl};
-use lichenswitch_replication::{DurableItem, Message, Notice, Output, Position, Replica, Ticket, Time};
+use lichenswitch_replication::{
+    DurableItem, Identity, Message, Notice, Output, Position, Replica, Ticket, Time,
+};
+use std::collections::BTreeSet;
 
 use self::routers::Routers;
 pub use self::state::Replicated;
@@ -74,6 +80,10 @@
     open_calls: Vec<CallId>,
     /// When it ends at the latest, once it was told to.
     end_at: Option<Time>,
+    /// Members without a disk.
+    without_disk: BTreeSet<Identity>,
+    /// Of a machine without a disk.
+    own_part: Option<OwnPart>,
     effects: Vec<Effect>,
 }
 
@@ -87,10 +97,23 @@
             routers: Routers::default(),
             open_calls: Vec::new(),
             end_at: None,
+            without_disk: BTreeSet::new(),
+            own_part: None,
             effects: Vec::new(),
         }
     }
 
+    /// The machine has no disk: it stands in for those with one, in a group that must bear so many losses.
+    pub fn stand_in(&mut self, now: Time, tolerated: u32) {
+        self.own_part = Some(OwnPart::new(Eligibility::StandIn, now, tolerated as usize));
+    }
+
+    /// These members have no disk.
+    pub fn set_without_disk(&mut self, identities: &BTreeSet<Identity>) {
+        self.without_disk.clone_from(identities);
+        self.replica.set_without_disk(identities.clone());
+    }
+
     /// The replica.
     pub fn replica(&self) -> &Replica<Replicated> {
         &self.replica
@@ -191,13 +214,19 @@
 
     /// When [`Self::tick`] has something to do next.
     pub fn next_wake(&self) -> Time {
-        let wakes =
-            [Some(self.replica.next_wake()), self.calls.next_wake(), self.routers.next_wake(), self.end_at];
+        let wakes = [
+            Some(self.replica.next_wake()),
+            self.calls.next_wake(),
+            self.routers.next_wake(),
+            self.end_at,
+            self.own_part.as_ref().and_then(OwnPart::next_wake),
+        ];
         wakes.into_iter().flatten().min().unwrap_or(Time(u64::MAX))
     }
 
     /// Does what follows from all that came, and tells what the machine has to do.
     pub fn take_effects(&mut self, now: Time) -> Vec<Effect> {
+        let relays = self.look_at_own_part(now);
         self.drain(now);
         loop {
             let before = self.effects.len();
@@ -211,12 +240,27 @@
             }
         }
         self.tell_routers(now);
-        if self.end_at.is_some_and(|at| at <= now || self.replica.has_left()) {
+        if relays || self.end_at.is_some_and(|at| at <= now || self.replica.has_left()) {
             self.effects.push(Effect::End);
         }
         std::mem::take(&mut self.effects)
     }
 
+    /// Whether a machine without a disk has left the group to those with one: it holds nothing that matters any more.
+    fn look_at_own_part(&mut self, now: Time) -> bool {
+        let Some(own_part) = &mut self.own_part else { return false };
+        let voters = &self.replica.membership().voters;
+        let durable_voters =
+            voters.iter().filter(|voter| !self.without_disk.contains(&voter.identity)).count();
+        let view = View { takes_part: true, has_left: self.replica.has_left(), durable_voters };
+        match own_part.look(now, view) {
+            Some(Change::Leave) => self.replica.leave(now),
+            Some(Change::Relay) => return true,
+            Some(Change::TakePart) | None => {}
+        }
+        false
+    }
+
     fn primary(&self) -> Primary<String> {
         if self.replica.is_serving() {
             return Primary::Here;
--- a/simulator/src/world/machine.rs
+++ b/simulator/src/world/machine.rs
@@ -21,6 +21,8 @@
     pub(super) address: String,
     pub(super) zone: u32,
     pub(super) disk: Disk,
+    /// It has none: what it holds ends with its process.
+    pub(super) without_disk: bool,
     pub(super) process: Option<ControlProcess>,
     /// Rises with each start and end of a process: what belongs to an earlier one is passed over.
     pub(super) life: u64,
@@ -43,6 +45,7 @@
             address: format!("10.{zone}.0.{}:7300", host.0),
             zone,
             disk: Disk::default(),
+            without_disk: false,
             process: None,
             life: 0,
             frozen: false,
--- a/simulator/src/world/machines.rs
+++ b/simulator/src/world/machines.rs
@@ -27,6 +27,10 @@
         for host in &hosts {
             self.add_machine(*host, host.0 % ZONES, true);
         }
+        let founder = hosts.first().and_then(|host| self.machines.get_mut(host));
+        if let Some(founder) = founder.filter(|_| self.settings.founder_without_disk) {
+            founder.without_disk = true;
+        }
         let seeds: Vec<String> =
             hosts.iter().take(SEEDS).map(|host| self.machines[host].address.clone()).collect();
         for host in &hosts {
@@ -74,23 +78,39 @@
         if runs {
             return;
         }
+        if self.machines.get(&host).is_some_and(|machine| machine.without_disk && !machine.first_start) {
+            // It relays from now on, which changes nothing that is judged here.
+            return self.remove(host);
+        }
         let replica = match self.replica(host) {
             Ok(replica) => replica,
             Err(reason) => return self.ledger.violations.push(Violation::DiskUnreadable(host, reason)),
         };
         self.last_trouble = now;
-        let glue = self.settings.glue;
+        let (glue, tolerated) = (self.settings.glue, self.settings.tolerate);
         let Some(machine) = self.machines.get_mut(&host) else { return };
         machine.life += 1;
         machine.first_start = false;
         machine.dark = false;
         machine.after_end = AfterEnd::Restart;
         let identity = replica.member().identity;
-        machine.process = Some(ControlProcess::new(replica, glue, first_call));
+        let mut process = ControlProcess::new(replica, glue, first_call);
+        if machine.without_disk {
+            process.stand_in(now, tolerated);
+            machine.after_end = AfterEnd::Remove;
+            self.without_disk.insert(identity);
+        }
+        machine.process = Some(process);
+        self.tell_who_lacks_a_disk();
         self.note(|| format!("{host} starts as {identity}"));
         self.settle(host);
     }
 
+    fn tell_who_lacks_a_disk(&mut self) {
+        let processes = self.machines.values_mut().filter_map(|machine| machine.process.as_mut());
+        processes.for_each(|process| process.set_without_disk(&self.without_disk));
+    }
+
     fn replica(&mut self, host: Host) -> Result<Replica<Replicated>, String> {
         let now = self.now();
         let (seed, identity) = (self.random.u64(..), Identity(self.random.u64(1..)));
@@ -131,6 +151,9 @@
         machine.frozen = false;
         machine.backlog.clear();
         machine.disk.stop(&mut self.random);
+        if machine.without_disk {
+            machine.disk.wipe();
+        }
         let Some(process) = machine.process.take() else { return };
         self.wakes.remove(&host);
         let (calls, connections) = process.open();
--- a/simulator/src/world/mod.rs
+++ b/simulator/src/world/mod.rs
@@ -7,10 +7,10 @@
 mod machine;
 mod machines;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use fastrand::Rng;
-use lichenswitch_replication::{Faults, Time};
+use lichenswitch_replication::{Faults, Identity, Time};
 
 pub use self::action::{Action, CutKind, Target};
 use self::machine::Machine;
@@ -58,6 +58,8 @@
     pub glue: GlueFaults,
     /// Whether a process that wakes without need breaks a rule. Off only where a planted fault brings that with it.
     pub judges_wakes: bool,
+    /// The first machine, which founds the group, has no disk.
+    pub founder_without_disk: bool,
     /// Whether a trace is kept.
     pub trace: bool,
 }
@@ -76,6 +78,7 @@
             faults: Faults::default(),
             glue: GlueFaults::default(),
             judges_wakes: true,
+            founder_without_disk: false,
             trace: false,
         }
     }
@@ -137,6 +140,8 @@
     woken: BTreeMap<Host, u32>,
     lists: VecDeque<(Time, Vec<Host>)>,
     last_number: u64,
+    /// Members that were started without a disk.
+    without_disk: BTreeSet<Identity>,
     /// Who made a call or connection.
     owners: BTreeMap<u64, Host>,
     last_trouble: Time,
@@ -170,6 +175,7 @@
             woken: BTreeMap::new(),
             lists: VecDeque::new(),
             last_number: 0,
+            without_disk: BTreeSet::new(),
             owners: BTreeMap::new(),
             last_trouble: BEGIN,
             harmed: false,
--- /dev/null
+++ b/simulator/tests/without_disk.rs
@@ -0,0 +1,65 @@
+//! A group that a machine without a disk has founded, while machines with one come: nothing that is acknowledged rests on a memory that a
+//! loss of power takes.
+
+mod common;
+
+use common::{finds, holds, CATCH_UP, SECOND};
+use lichenswitch_simulator::callers::Pace;
+use lichenswitch_simulator::world::{Action, Target, World, WorldSettings};
+
+/// Once the beginning is over.
+const CALM: Pace =
+    Pace { least_rest: 200_000, most_rest: 500_000, in_step: 0, repeats: 10, invalid: 0, most_step: 3 };
+
+/// The founder and four machines with a disk, one of which may be lost.
+fn five(settings: &mut WorldSettings) {
+    settings.founder_without_disk = true;
+    settings.voters = 5;
+    settings.pace = Pace { least_rest: 0, most_rest: 20_000, ..Pace::default() };
+}
+
+/// Right after the first acknowledgements a disk is lost with the power of all others, the founder's among them.
+fn a_disk_is_lost_at_the_beginning(settings: WorldSettings) -> World {
+    let places = [Target::Primary, Target::Other(0), Target::Other(1), Target::Other(2)];
+    let target = places[settings.seed as usize % places.len()];
+    let mut world = World::new(settings);
+    world.let_service_rest(true);
+    world.act_after_acknowledgement(Action::WipeAndPowerOff(vec![target]));
+    world.run_for(2 * SECOND);
+    world.set_pace(CALM);
+    world.run_for(6 * SECOND);
+    world.let_service_rest(false);
+    world.run_for(CATCH_UP);
+    world.finish();
+    world
+}
+
+/// The founder is killed right after the first acknowledgement.
+fn the_founder_goes(settings: WorldSettings) -> World {
+    let mut world = World::new(settings);
+    world.act_after_acknowledgement(Action::PowerLoss(Target::Oldest));
+    world.run_for(2 * SECOND);
+    world.set_pace(CALM);
+    world.run_for(6 * SECOND);
+    world.finish();
+    world
+}
+
+#[test]
+fn what_is_acknowledged_first_outlives_a_disk_and_the_power_of_all_others() {
+    holds(0..16, five, a_disk_is_lost_at_the_beginning);
+}
+
+#[test]
+fn a_group_goes_on_without_its_founder() {
+    holds(0..4, five, the_founder_goes);
+}
+
+#[test]
+fn votes_of_memory_that_count_are_found() {
+    fn counted(settings: &mut WorldSettings) {
+        five(settings);
+        settings.faults.orders_beside_memory = true;
+    }
+    finds(0..16, counted, a_disk_is_lost_at_the_beginning);
+}
