Close a control machine's connections before it waits for its disk

Cause: a control machine that ends waits for the thread that writes its disk while its sockets are still open. With a stalled disk callers, routers and peers kept silent connections until the process was killed.

Change: the sockets are closed first. `forwarders` in the settings names processes of the fleet that are reached at another address, so that a link between two of them can be cut.

--- a/decide/replication/src/replica/primary.rs
+++ b/decide/replication/src/replica/primary.rs
@@ -393,8 +393,8 @@
 
     fn is_quorum(&self, membership: &Membership, present: &BTreeSet<Identity>) -> bool {
         let faults = self.settings.faults;
-        let alone =
-            faults.leaver_commits_alone && self.leaving.is_some() && present.contains(&self.me.identity);
+        let leaver_alone = faults.leaver_commits_alone && self.leaving.is_some();
+        let alone = (leaver_alone || faults.primary_commits_alone) && present.contains(&self.me.identity);
         let half = faults.half_is_quorum && half_of(membership, present);
         membership.quorum(present) || alone || half
     }
--- a/decide/replication/src/settings.rs
+++ b/decide/replication/src/settings.rs
@@ -79,6 +79,8 @@
     pub never_vote_out: bool,
     /// The newest image is chosen by its number alone.
     pub newest_by_number: bool,
+    /// A primary commits what it holds alone.
+    pub primary_commits_alone: bool,
     /// A primary that leaves commits what it holds alone.
     pub leaver_commits_alone: bool,
     /// A change of membership is written without the joint record.
--- a/fleet/src/control/group.rs
+++ b/fleet/src/control/group.rs
@@ -4,13 +4,13 @@
 //! a disk the memory of the process is what there is.
 
 use super::program::{Net, Signal};
-use super::ControlError;
+use super::{ControlError, Environment};
 use crate::settings::Settings;
 use lichenswitch_control::{Eligibility, Replicated};
 use lichenswitch_interface::Time;
 use lichenswitch_replication as replication;
 use lichenswitch_replication::{DurableItem, Identity, Member, Output, Recovered, Replica, Ticket};
-use lichenswitch_storage::{Finding, Job, Storage, StorageSettings, Usage, Writer};
+use lichenswitch_storage::{FileSystem, Finding, Job, Storage, StorageSettings, Usage, Writer};
 use log::{info, warn};
 use std::hash::BuildHasher;
 use std::os::unix::net::UnixStream;
@@ -77,19 +77,20 @@
     /// Starts with what the disk holds.
     pub(super) fn start(
         settings: &Settings,
+        environment: &Environment,
         address: String,
         net: &mut Net,
         now: Time,
     ) -> Result<Group, ControlError> {
         let (storage, contents) = match &settings.data_directory {
             Some(directory) => {
-                let (storage, contents) = open(&directory.join(FOLDER))?;
+                let (storage, contents) = open(&directory.join(FOLDER), environment)?;
                 (Some(storage), contents)
             }
             None => (None, Contents::Nothing),
         };
         let disk = storage.map(|storage| Disk::start(storage, net)).transpose()?;
-        let replica = replica(settings, address, contents, now);
+        let replica = replica(settings, environment, address, contents, now);
         Ok(Group { replica, disk, remembered: None })
     }
 
@@ -220,8 +221,9 @@
 }
 
 /// Opens the ring. What is not whole is treated as a lost disk: set aside, and begun anew with another identity.
-fn open(folder: &Path) -> Result<(Storage, Contents), ControlError> {
-    let (storage, found) = Storage::open(folder, &StorageSettings::new(OWNER))?;
+fn open(folder: &Path, environment: &Environment) -> Result<(Storage, Contents), ControlError> {
+    let ring = || Storage::open_with(environment.file_system(), folder, &StorageSettings::new(OWNER));
+    let (storage, found) = ring()?;
     for finding in &found.findings {
         warn!(target: "control", finding:? = finding; "the disk is not as it was left");
     }
@@ -236,8 +238,8 @@
         outcome => {
             let reason = outcome.err().unwrap_or_else(|| "acknowledged state is missing".to_owned());
             drop(storage);
-            set_aside(folder, &reason)?;
-            Ok((Storage::open(folder, &StorageSettings::new(OWNER))?.0, Contents::Lost))
+            set_aside(folder, environment.file_system().as_ref(), &reason)?;
+            Ok((ring()?.0, Contents::Lost))
         }
     }
 }
@@ -249,15 +251,14 @@
 }
 
 /// The folder gets another name. It is not deleted: a person may want to look at it. One that was set aside before goes.
-fn set_aside(folder: &Path, reason: &str) -> Result<(), ControlError> {
+fn set_aside(folder: &Path, files: &dyn FileSystem, reason: &str) -> Result<(), ControlError> {
     let aside = aside(folder);
     warn!(target: "control", reason = reason, aside = aside.display().to_string().as_str(); "the disk counts as lost");
     if aside.exists() {
         std::fs::remove_dir_all(&aside)?;
     }
-    std::fs::rename(folder, &aside)?;
-    let parent = folder.parent().unwrap_or(folder);
-    Ok(std::fs::File::open(parent)?.sync_all()?)
+    files.rename(folder, &aside)?;
+    Ok(files.sync_folder(folder.parent().unwrap_or(folder))?)
 }
 
 /// Where a folder that can't be used is put.
@@ -265,9 +266,16 @@
     folder.with_extension("lost")
 }
 
-fn replica(settings: &Settings, address: String, contents: Contents, now: Time) -> Replica<Replicated> {
+fn replica(
+    settings: &Settings,
+    environment: &Environment,
+    address: String,
+    contents: Contents,
+    now: Time,
+) -> Replica<Replicated> {
     let figures = replication::Settings {
         fault_tolerance: u32::try_from(settings.fault_tolerance.machines).unwrap_or(u32::MAX),
+        faults: environment.faults,
         ..replication::Settings::default()
     };
     let (seed, now) = (fastrand::u64(..), to_replica(now));
--- a/fleet/src/control/machine.rs
+++ b/fleet/src/control/machine.rs
@@ -12,7 +12,7 @@
 use super::quotas::Quotas;
 use super::routers::Routers;
 use super::servers::Servers;
-use super::{notices, own_part, status, ControlError, DIGEST_INTERVAL};
+use super::{notices, own_part, status, ControlError, Environment, DIGEST_INTERVAL};
 use crate::settings::Settings;
 use lichenswitch_control::{Acknowledged, Committed, OwnPart, Refusals};
 use lichenswitch_interface::Time;
@@ -35,6 +35,7 @@
 /// A control machine.
 pub(super) struct Machine {
     pub(super) settings: Settings,
+    pub(super) environment: Environment,
     pub(super) path: PathBuf,
     pub(super) file_changed: Option<std::time::SystemTime>,
     /// Where other processes of the fleet reach this one.
@@ -72,7 +73,11 @@
 
 impl Machine {
     /// A machine that listens, and has read its disk.
-    pub(super) fn start(settings: Settings, path: PathBuf) -> Result<Machine, ControlError> {
+    pub(super) fn start(
+        settings: Settings,
+        path: PathBuf,
+        environment: Environment,
+    ) -> Result<Machine, ControlError> {
         let control_plane = settings.listen.control_plane.ok_or(ControlError::NoAddress)?;
         let address = SocketAddr::new(settings.ip_address, settings.internal_ports.0);
         let mut net = Net::new(settings.limits.file_descriptors)?;
@@ -81,10 +86,10 @@
         let now = net.clock.now();
         let eligibility = eligibility(&settings);
         let group = match begins(eligibility, &settings) {
-            true => own_part::begin(&settings, address, &mut net, now),
+            true => own_part::begin(&settings, &environment, address, &mut net, now),
             false => None,
         };
-        let servers = Servers::start(&settings, &mut net, now)?;
+        let servers = Servers::start(&settings, &environment, &mut net, now)?;
         // Whoever connects is answered from the first moment: what is not known yet is answered 503.
         net.listen(Owner::Accepted, address)?;
         net.listen(Owner::Caller, control_plane)?;
@@ -116,6 +121,7 @@
             leaving: None,
             file_changed: modified(&path),
             settings,
+            environment,
             path,
             net,
         };
@@ -137,7 +143,10 @@
             self.settle();
         }
         info!(target: "control", "control machine ends");
-        if let Some(group) = self.group {
+        let Machine { net, group, .. } = self;
+        // Callers and peers go on elsewhere at once, however long the disk still takes.
+        drop(net);
+        if let Some(group) = group {
             group.close();
         }
         Ok(())
@@ -217,7 +226,7 @@
 
     /// Opens a connection to a peer.
     fn dial(&mut self, address: SocketAddr, now: Time) {
-        match self.net.connect(Owner::Dialled, address) {
+        match self.net.connect(Owner::Dialled, self.settings.reached_at(address)) {
             Ok(id) => {
                 self.links.insert(id, End::Peer(address), now);
                 self.peers.on_dial(address, id, now);
--- a/fleet/src/control/mod.rs
+++ b/fleet/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod calls;
 mod contact;
+mod environment;
 mod feed;
 mod group;
 mod links;
@@ -26,6 +27,7 @@
 mod status;
 
 use crate::settings::Settings;
+pub use environment::{Environment, FileSystems};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -51,5 +53,13 @@
 /// # Errors
 /// When it can't listen, or can't use its disk at the start.
 pub fn run(settings: Settings, path: PathBuf) -> Result<(), ControlError> {
-    machine::Machine::start(settings, path)?.run()
+    run_on(settings, path, Environment::default())
+}
+
+/// The same on other files than those of this machine.
+///
+/// # Errors
+/// As [`run`].
+pub fn run_on(settings: Settings, path: PathBuf, environment: Environment) -> Result<(), ControlError> {
+    machine::Machine::start(settings, path, environment)?.run()
 }
--- a/fleet/src/control/own_part.rs
+++ b/fleet/src/control/own_part.rs
@@ -5,6 +5,7 @@
 use super::links::End;
 use super::machine::Machine;
 use super::program::{after, Net};
+use super::Environment;
 use crate::settings::Settings;
 use lichenswitch_control::{Change, Eligibility, View};
 use lichenswitch_interface::Time;
@@ -19,8 +20,14 @@
 pub(super) const DISK_PAUSE: Duration = Duration::from_secs(1);
 
 /// The part of a machine that has just started. A disk that can't be used now does not end the process: it relays meanwhile.
-pub(super) fn begin(settings: &Settings, address: SocketAddr, net: &mut Net, now: Time) -> Option<Group> {
-    match Group::start(settings, address.to_string(), net, now) {
+pub(super) fn begin(
+    settings: &Settings,
+    environment: &Environment,
+    address: SocketAddr,
+    net: &mut Net,
+    now: Time,
+) -> Option<Group> {
+    match Group::start(settings, environment, address.to_string(), net, now) {
         Ok(group) => Some(group),
         Err(e) => {
             warn!(target: "control", error = e.to_string().as_str(); "the disk can't be used: this machine only relays for now");
@@ -56,7 +63,7 @@
         if self.leaving.is_some() {
             return;
         }
-        self.group = begin(&self.settings, self.address, &mut self.net, now);
+        self.group = begin(&self.settings, &self.environment, self.address, &mut self.net, now);
         let Some(group) = &self.group else { return };
         self.identity = group.identity().0;
         self.renew_quotas();
--- a/fleet/src/control/server_cache.rs
+++ b/fleet/src/control/server_cache.rs
@@ -12,7 +12,7 @@
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{ServerRecord, PROTOCOL_VERSION};
 use lichenswitch_rpc::{decode, encode, encode_frame, ArchiveError, FrameError, FrameReader};
-use std::fs::File;
+use lichenswitch_storage::{write_all_at, FileSystem};
 use std::io::{self, Write};
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
@@ -86,20 +86,25 @@
 impl ServerCache {
     /// Opens the file in a data directory, and tells what it holds. A table that can't be read is set aside. A byte is written to `wake`,
     /// which must not block, when a write has ended.
-    pub(super) fn open(directory: &Path, now: Time, wake: UnixStream) -> (ServerCache, Vec<ServerRecord>) {
+    pub(super) fn open(
+        files: Box<dyn FileSystem>,
+        directory: &Path,
+        now: Time,
+        wake: UnixStream,
+    ) -> (ServerCache, Vec<ServerRecord>) {
         let path = directory.join(FILE);
-        let records = match read(&path) {
+        let records = match read(files.as_ref(), &path) {
             Ok(records) => records,
             Err(e) => {
                 log::warn!(target: "control", error = e.to_string().as_str(); "the table of servers on disk is passed over");
                 // It stays where it is if it can't be renamed; the next table takes its place.
-                let _ = std::fs::rename(&path, path.with_extension("aside"));
+                let _ = files.rename(&path, &path.with_extension("aside"));
                 Vec::new()
             }
         };
         let (writes, waiting) = mpsc::channel();
         let (tell, endings) = mpsc::channel();
-        let writer = Writer { path, wake, tell, failing: false };
+        let writer = Writer { files, path, wake, tell, failing: false };
         // Without a thread nothing is written, and no news of servers that leave are held here.
         let _ = thread::Builder::new().name("server-cache".into()).spawn(move || writer.run(&waiting));
         let none = WriteNumber::default();
@@ -187,8 +192,8 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
 }
 
-fn read(path: &Path) -> Result<Vec<ServerRecord>, CacheError> {
-    let bytes = match std::fs::read(path) {
+fn read(files: &dyn FileSystem, path: &Path) -> Result<Vec<ServerRecord>, CacheError> {
+    let bytes = match files.open(path).and_then(|mut file| file.read_all()) {
         Ok(bytes) => bytes,
         Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
         Err(e) => return Err(e.into()),
@@ -205,6 +210,7 @@
 
 /// What the thread has.
 struct Writer {
+    files: Box<dyn FileSystem>,
     path: PathBuf,
     wake: UnixStream,
     tell: Sender<Ended>,
@@ -226,7 +232,7 @@
     }
 
     fn write(&mut self, bytes: &[u8]) -> bool {
-        let outcome = write(&self.path, bytes);
+        let outcome = write(self.files.as_ref(), &self.path, bytes);
         let failed_before = std::mem::replace(&mut self.failing, outcome.is_err());
         // It is tried again and again; the log needs to hear of it once.
         if let Some(e) = outcome.as_ref().err().filter(|_| !failed_before) {
@@ -237,14 +243,13 @@
 }
 
 /// The new table beside the old one, then in its place: one of them is whole at any time.
-fn write(path: &Path, bytes: &[u8]) -> io::Result<()> {
+fn write(files: &dyn FileSystem, path: &Path, bytes: &[u8]) -> io::Result<()> {
     let beside: PathBuf = path.with_extension("new");
-    let mut file = File::create(&beside)?;
-    file.write_all(bytes)?;
-    file.sync_all()?;
-    std::fs::rename(&beside, path)?;
-    let folder = path.parent().unwrap_or(path);
-    File::open(folder)?.sync_all()
+    let mut file = files.create(&beside)?;
+    write_all_at(file.as_mut(), 0, bytes)?;
+    file.sync()?;
+    files.rename(&beside, path)?;
+    files.sync_folder(path.parent().unwrap_or(path))
 }
 
 #[cfg(test)]
--- a/fleet/src/control/server_cache/tests.rs
+++ b/fleet/src/control/server_cache/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use lichenswitch_messages::ServerState;
+use lichenswitch_storage::RealFileSystem;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Instant;
 
@@ -27,6 +28,10 @@
     ServerRecord { instance: instance.into(), state, ..ServerRecord::default() }
 }
 
+fn files() -> Box<dyn FileSystem> {
+    Box::new(RealFileSystem)
+}
+
 /// Where a writer wakes nobody.
 fn wake() -> UnixStream {
     UnixStream::pair().unwrap().0
@@ -36,7 +41,7 @@
 fn written(path: &Path, wanted: &[ServerRecord]) -> bool {
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_secs(10) {
-        if read(path).is_ok_and(|records| records == wanted) {
+        if read(&RealFileSystem, path).is_ok_and(|records| records == wanted) {
             return true;
         }
         thread::yield_now();
@@ -48,18 +53,18 @@
 fn a_table_is_there_again_after_a_restart() {
     let folder = Folder::new();
     let table = vec![record("a", ServerState::Ready), record("b", ServerState::Draining)];
-    let (mut cache, found) = ServerCache::open(&folder.0, Time(0), wake());
+    let (mut cache, found) = ServerCache::open(files(), &folder.0, Time(0), wake());
     assert!(found.is_empty(), "an empty disk knows nobody");
     cache.on_change();
     cache.tick(Time(0), || table.clone());
     assert!(written(&folder.0.join(FILE), &table));
-    assert_eq!(ServerCache::open(&folder.0, Time(0), wake()).1, table);
+    assert_eq!(ServerCache::open(files(), &folder.0, Time(0), wake()).1, table);
 }
 
 #[test]
 fn it_is_written_once_an_interval_and_only_after_a_change() {
     let folder = Folder::new();
-    let (mut cache, _) = ServerCache::open(&folder.0, Time(0), wake());
+    let (mut cache, _) = ServerCache::open(files(), &folder.0, Time(0), wake());
     let mut asked = 0;
     let mut tick = |cache: &mut ServerCache, now| {
         cache.tick(now, || {
@@ -80,7 +85,7 @@
 #[test]
 fn it_is_written_anew_after_a_while_so_that_its_age_tells_how_long_the_machine_was_away() {
     let folder = Folder::new();
-    let (mut cache, _) = ServerCache::open(&folder.0, Time(0), wake());
+    let (mut cache, _) = ServerCache::open(files(), &folder.0, Time(0), wake());
     cache.tick(Time(9_900_000), || unreachable!("nothing has changed"));
     let mut asked = false;
     cache.tick(Time(10_000_000), || {
@@ -101,7 +106,7 @@
     ] {
         let folder = Folder::new();
         std::fs::write(folder.0.join(FILE), framed(written_s, &records).unwrap()).unwrap();
-        let (_, found) = ServerCache::open(&folder.0, Time(0), wake());
+        let (_, found) = ServerCache::open(files(), &folder.0, Time(0), wake());
         assert_eq!(found.len(), 2);
         assert!(found.iter().all(|record| record.unheard == unheard), "written at {written_s}");
     }
@@ -116,7 +121,7 @@
     for bytes in [&whole[..whole.len() - 1], &flipped[..], b"something else", b""] {
         let folder = Folder::new();
         std::fs::write(folder.0.join(FILE), bytes).unwrap();
-        assert!(ServerCache::open(&folder.0, Time(0), wake()).1.is_empty());
+        assert!(ServerCache::open(files(), &folder.0, Time(0), wake()).1.is_empty());
         assert_eq!(std::fs::read(folder.0.join("servers.aside")).unwrap(), bytes, "it is kept for a person");
     }
 }
@@ -137,19 +142,19 @@
 #[test]
 fn a_table_that_is_wanted_at_once_counts_when_it_is_on_the_disk() {
     let folder = Folder::new();
-    let (mut cache, _) = ServerCache::open(&folder.0, Time(0), wake());
+    let (mut cache, _) = ServerCache::open(files(), &folder.0, Time(0), wake());
     let number = cache.write_now();
     assert!(cache.written() < number);
     let table = vec![record("a", ServerState::Gone)];
     assert!(is_written(&mut cache, number, &table));
-    assert_eq!(read(&folder.0.join(FILE)).unwrap(), table);
+    assert_eq!(read(&RealFileSystem, &folder.0.join(FILE)).unwrap(), table);
     cache.advance(Time(2), || unreachable!("nothing is wanted any more"));
 }
 
 #[test]
 fn tables_that_are_wanted_while_one_is_written_share_the_next_write() {
     let folder = Folder::new();
-    let (mut cache, _) = ServerCache::open(&folder.0, Time(0), wake());
+    let (mut cache, _) = ServerCache::open(files(), &folder.0, Time(0), wake());
     let first = cache.write_now();
     cache.advance(Time(0), Vec::new);
     // The first one is under way: it may lack what is known by now.
@@ -157,7 +162,7 @@
     assert!(first < second && second == third);
     let table = vec![record("a", ServerState::Gone)];
     assert!(is_written(&mut cache, third, &table));
-    assert_eq!(read(&folder.0.join(FILE)).unwrap(), table);
+    assert_eq!(read(&RealFileSystem, &folder.0.join(FILE)).unwrap(), table);
 }
 
 #[test]
@@ -165,7 +170,7 @@
     let folder = Folder::new();
     let in_its_way = folder.0.join("servers.new");
     std::fs::create_dir(&in_its_way).unwrap();
-    let (mut cache, _) = ServerCache::open(&folder.0, Time(0), wake());
+    let (mut cache, _) = ServerCache::open(files(), &folder.0, Time(0), wake());
     let number = cache.write_now();
     let begun = Instant::now();
     while cache.ended < number && begun.elapsed() < Duration::from_secs(10) {
@@ -178,5 +183,5 @@
     let table = vec![record("a", ServerState::Gone)];
     cache.tick(Time(1_000_000), || table.clone());
     assert!(is_written(&mut cache, number, &table));
-    assert_eq!(read(&folder.0.join(FILE)).unwrap(), table);
+    assert_eq!(read(&RealFileSystem, &folder.0.join(FILE)).unwrap(), table);
 }
--- a/fleet/src/control/servers.rs
+++ b/fleet/src/control/servers.rs
@@ -8,6 +8,7 @@
 
 use super::program::{after, Net, Signal};
 use super::server_cache::{ServerCache, WriteNumber};
+use super::Environment;
 use crate::settings::Settings;
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{ServerRecord, ServerState};
@@ -97,13 +98,18 @@
 
 impl Servers {
     /// With what the disk remembers of a time before the start, if there is one.
-    pub(super) fn start(settings: &Settings, net: &mut Net, now: Time) -> io::Result<Servers> {
+    pub(super) fn start(
+        settings: &Settings,
+        environment: &Environment,
+        net: &mut Net,
+        now: Time,
+    ) -> io::Result<Servers> {
         let mut servers = Servers::new(settings, now);
         if let Some(directory) = settings.data_directory.as_deref() {
             let (ours, theirs) = UnixStream::pair()?;
             net.watch_signal(Signal::TableWritten, ours)?;
             theirs.set_nonblocking(true)?;
-            let (cache, records) = ServerCache::open(directory, now, theirs);
+            let (cache, records) = ServerCache::open(environment.file_system(), directory, now, theirs);
             servers.registry.remember(now.0, &records);
             // Whether others hold what this machine remembers isn't known yet.
             let leaving = records.into_iter().filter(|record| record.state != ServerState::Ready);
--- a/fleet/src/control/servers/tests.rs
+++ b/fleet/src/control/servers/tests.rs
@@ -253,7 +253,7 @@
         std::fs::create_dir_all(folder.join("servers.new")).unwrap();
         let (mut net, settings) =
             (Net::new(100).unwrap(), Settings { data_directory: Some(folder.clone()), ..settings() });
-        let servers = Servers::start(&settings, &mut net, at(0)).unwrap();
+        let servers = Servers::start(&settings, &Environment::default(), &mut net, at(0)).unwrap();
         WithDisk { servers, folder, net }
     }
 
--- a/fleet/src/router/control_link.rs
+++ b/fleet/src/router/control_link.rs
@@ -13,6 +13,7 @@
     TenantMessage, PROTOCOL_VERSION,
 };
 use lichenswitch_net::{ConnId, Pumped};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// After this long without a word, or without contact, another control machine is tried (microseconds): between two and three
@@ -77,6 +78,8 @@
 pub struct ControlLink {
     identity: Identity,
     candidates: Candidates,
+    /// Control machines that are reached at another address than their own.
+    forwarders: BTreeMap<SocketAddr, SocketAddr>,
     rng: fastrand::Rng,
     connection: Option<Connection>,
     started: Time,
@@ -99,6 +102,12 @@
 }
 
 impl ControlLink {
+    /// The same, where these control machines are reached at another address than their own.
+    #[must_use]
+    pub fn with_forwarders(self, forwarders: BTreeMap<SocketAddr, SocketAddr>) -> ControlLink {
+        ControlLink { forwarders, ..self }
+    }
+
     /// A link that is not connected yet.
     #[must_use]
     pub fn new(now: Time, identity: Identity, candidates: Candidates) -> ControlLink {
@@ -106,6 +115,7 @@
             rng: fastrand::Rng::with_seed(identity.process),
             identity,
             candidates,
+            forwarders: BTreeMap::new(),
             connection: None,
             started: now,
             applied: None,
@@ -277,7 +287,8 @@
         let now = net.clock.now();
         // Those that refuse at once are passed over in this very look; each one rests then, so that this ends.
         while let Ok(address) = self.candidates.next(now, self.rng.u64(..)) {
-            match net.connect(Owner::Control, address) {
+            let reached_at = self.forwarders.get(&address).copied().unwrap_or(address);
+            match net.connect(Owner::Control, reached_at) {
                 Ok(id) => {
                     self.connection = Some(Connection::new(id, address, now));
                     return;
--- a/fleet/src/router/mod.rs
+++ b/fleet/src/router/mod.rs
@@ -151,7 +151,8 @@
         let identity =
             Identity { node: options.node.clone(), zone: options.zone.clone(), process: rng.u64(1..) };
         let candidates = Candidates::new(options.machine, options.seeds.clone());
-        let link = ControlLink::new(net.clock.now(), identity, candidates);
+        let link = ControlLink::new(net.clock.now(), identity, candidates)
+            .with_forwarders(settings.forwarders.clone());
         net.wheel.set(after(net.clock.now(), SETTINGS_LOOK), Timer::Settings);
         Ok(Router {
             settings_file: file.map(|path| (path.clone(), modified(&path))),
--- a/fleet/src/settings/mod.rs
+++ b/fleet/src/settings/mod.rs
@@ -44,6 +44,8 @@
     pub zones: BTreeMap<String, String>,
     /// `listenAddresses`.
     pub listen: ListenAddresses,
+    /// `forwarders`: addresses of other processes of the fleet, each with the one that it is reached at instead.
+    pub forwarders: BTreeMap<SocketAddr, SocketAddr>,
     /// `limits` of the process.
     pub limits: Limits,
     /// `faultTolerance`.
@@ -223,6 +225,12 @@
         SocketAddr::new(control_plane.ip(), self.internal_ports.0)
     }
 
+    /// Where another process of the fleet is reached: at its own address, but for those that `forwarders` names.
+    #[must_use]
+    pub fn reached_at(&self, address: SocketAddr) -> SocketAddr {
+        self.forwarders.get(&address).copied().unwrap_or(address)
+    }
+
     /// Where the seeds are reached by routers and other control machines.
     #[must_use]
     pub fn seeds_internal(&self) -> Vec<SocketAddr> {
@@ -250,6 +258,7 @@
         heartbeat_interval: fields.milliseconds("heartbeatIntervalMs", 1_200),
         zones: fields.optional("zones").unwrap_or_default(),
         listen: fields.within("listenAddresses", listen_addresses),
+        forwarders: fields.optional("forwarders").unwrap_or_default(),
         limits: fields.within("limits", limits),
         fault_tolerance: fields.within("faultTolerance", fault_tolerance),
         bounds: fields.within("bounds", bounds),
--- a/fleet/tests/control_settings.rs
+++ b/fleet/tests/control_settings.rs
@@ -82,3 +82,15 @@
 fn what_is_no_toml_is_said_to_be_none() {
     assert_matches!(Settings::parse("= 3"), Err(SettingsError::Syntax(_)));
 }
+
+#[test]
+fn other_processes_are_reached_through_the_forwarders_that_are_named() {
+    let address = |text: &str| text.parse::<SocketAddr>().unwrap();
+    let settings =
+        Settings::parse(&format!("{GOOD}[forwarders]\n\"10.2.0.14:7300\" = \"10.9.0.1:40000\"\n")).unwrap();
+    assert_eq!(settings.reached_at(address("10.2.0.14:7300")), address("10.9.0.1:40000"));
+    assert_eq!(settings.reached_at(address("10.3.0.18:7300")), address("10.3.0.18:7300"));
+    let faulty = format!("{GOOD}[forwarders]\n\"10.2.0.14\" = \"10.9.0.1:40000\"\n");
+    let faults = assert_matches!(Settings::parse(&faulty), Err(SettingsError::Fields(faults)) => faults);
+    assert_eq!(faults.0.iter().map(|fault| fault.key.as_str()).collect::<Vec<_>>(), ["forwarders"]);
+}
--- a/wire/storage/src/file_system.rs
+++ b/wire/storage/src/file_system.rs
@@ -131,7 +131,10 @@
 }
 
 /// Writes all of `bytes`, in as many writes as it takes.
-pub(crate) fn write_all_at(file: &mut dyn StorageFile, mut offset: u64, mut bytes: &[u8]) -> io::Result<()> {
+///
+/// # Errors
+/// What the system says; a part may have been written then.
+pub fn write_all_at(file: &mut dyn StorageFile, mut offset: u64, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
         match file.write_at(offset, bytes) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
--- a/wire/storage/src/lib.rs
+++ b/wire/storage/src/lib.rs
@@ -33,7 +33,7 @@
 
 pub use block::FORMAT_VERSION;
 pub use error::StorageError;
-pub use file_system::{FileSystem, RealFileSystem, StorageFile};
+pub use file_system::{write_all_at, FileSystem, RealFileSystem, StorageFile};
 pub use finding::{Finding, ForeignReason};
 pub use storage::{Recovered, Storage, StorageSettings, Usage};
 pub use writer::{Completion, Job, Writer};
