--- a/soak/src/day.rs
+++ b/soak/src/day.rs
@@ -47,16 +47,27 @@
     Interrupted,
 }
 
+/// What a day is played with.
+#[derive(Clone, Copy, Debug)]
+pub struct Stage<'a> {
+    /// The program.
+    pub program: &'a Path,
+    /// Text at the end of each of its settings files.
+    pub more_settings: &'a str,
+    /// Folder for the logs of its processes.
+    pub logs: &'a Path,
+}
+
 /// Plays a day with this program, and leaves the logs of its processes in this folder. It ends early once `interrupted` is set.
 ///
 /// # Errors
 /// When it can't be played.
-pub fn play(plan: &Plan, program: &Path, logs: &Path, interrupted: &AtomicBool) -> Result<Journal, DayError> {
-    std::fs::create_dir_all(logs)?;
+pub fn play(plan: &Plan, stage: Stage<'_>, interrupted: &AtomicBool) -> Result<Journal, DayError> {
+    std::fs::create_dir_all(stage.logs)?;
     let clock = Clock::start();
-    let mut processes = Processes::start(program, clock)?;
+    let mut processes = Processes::start(stage.program, stage.more_settings, clock)?;
     let outside = play_with(plan, clock, &mut processes, interrupted);
-    processes.copy_logs(logs)?;
+    processes.copy_logs(stage.logs)?;
     let mut outside = outside?;
     let inside = processes.finish();
     outside.process_faults.extend(inside.process_faults);
@@ -77,9 +88,10 @@
     let servers = Servers::start(control, clock)?;
     begin(clock, &operators, &readiness)?;
     let (random, faults) = (Rng::with_seed(!plan.seed), Vec::new());
-    let mut day = Day { plan, clock, random, servers, processes, faults, interrupted, isolated: None };
+    let (isolated, operators) = (None, &operators);
+    let mut day = Day { plan, clock, random, servers, processes, faults, interrupted, isolated, operators };
     let played = thread::scope(|scope| {
-        let played = day.play(scope, &clients, &operators, &readiness);
+        let played = day.play(scope, &clients, operators, &readiness);
         // Whatever happened, the threads end.
         operators.stop();
         clients.stop();
@@ -119,6 +131,7 @@
     interrupted: &'a AtomicBool,
     /// The primary, if the others were frozen for its sake.
     isolated: Option<usize>,
+    operators: &'a Operators,
 }
 
 /// Where the primary is, by the status of a control machine.
@@ -190,6 +203,17 @@
     fn act(&mut self, action: Action) -> Result<(), DayError> {
         let action = match (action, self.isolated) {
             (Action::IsolatePrimary(time), _) => return self.isolate_primary(time),
+            (Action::CutPrimary(time), _) => {
+                if let Some(primary) = self.primary() {
+                    self.processes.cut(&[primary], time);
+                    self.operators.draw_to(primary, time);
+                }
+                return Ok(());
+            }
+            (Action::CutHalves(machine, time), _) => {
+                self.processes.cut(&[machine, (machine + 1) % MACHINES], time);
+                return Ok(());
+            }
             (Action::KillAll(Some(_), rest), Some(machine)) => Action::KillAll(Some(machine), rest),
             _ => action,
         };
@@ -199,10 +223,15 @@
         Ok(())
     }
 
-    fn isolate_primary(&mut self, time: Duration) -> Result<(), DayError> {
+    /// The machine of the primary, as far as anybody tells.
+    fn primary(&self) -> Option<usize> {
         let control = self.processes.fleet().control();
         let primary = control.iter().find_map(|address| primary_told_by(*address));
-        self.isolated = control.iter().position(|address| Some(address.ip()) == primary);
+        control.iter().position(|address| Some(address.ip()) == primary)
+    }
+
+    fn isolate_primary(&mut self, time: Duration) -> Result<(), DayError> {
+        self.isolated = self.primary();
         if let Some(primary) = self.isolated {
             for other in (0..MACHINES).filter(|other| *other != primary) {
                 self.processes.act(Action::Pause((Role::Control, other), time))?;
--- a/soak/src/journal.rs
+++ b/soak/src/journal.rs
@@ -43,6 +43,8 @@
     Wiped,
     /// SIGSTOP up to SIGCONT.
     Paused,
+    /// Cut off from other control processes.
+    Cut,
 }
 
 impl TroubleKind {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -2,7 +2,8 @@
 //! overlap, all drawn from a seed; and a judge of what clients, model servers and operators saw.
 //!
 //! `plan` draws a day and `judge` judges its journal: both are pure. `day` plays it, with `clients`, `operators` and `servers` as the
-//! outside world. It knows the program by its command, its settings and its published protocol alone.
+//! outside world. They know the program by its command, its settings and its published protocol alone; `volatile_disk` is what a second program
+//! puts below the fleet's storage, so that a process that dies loses what it had not synced.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -16,3 +17,4 @@
 pub mod processes;
 pub mod servers;
 pub mod violation;
+pub mod volatile_disk;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 use bpaf::Bpaf;
-use lichenswitch_soak::day::{play, DayError};
+use lichenswitch_soak::day::{play, DayError, Stage};
 use lichenswitch_soak::journal::{Journal, TryEnd};
 use lichenswitch_soak::judge::judge;
 use lichenswitch_soak::plan::Plan;
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::ops::Range;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::str::FromStr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -34,9 +34,13 @@
     /// Days at a time; each has 8 processes.
     #[bpaf(argument("NUMBER"), fallback(2))]
     jobs: usize,
-    /// The program; without it, `lichenswitch-fleet` beside this one.
+    /// The program; without it, `lichenswitch-fleet` beside this one, or `lichenswitch-volatile-fleet` on days whose disks lose what was not
+    /// synced.
     #[bpaf(argument("PATH"))]
     program: Option<PathBuf>,
+    /// A fault that `lichenswitch-volatile-fleet` is to have, to see whether it is found: `primary_commits_alone`.
+    #[bpaf(argument("FAULT"))]
+    plant: Option<String>,
     /// Folder for the logs of days that break a rule.
     #[bpaf(argument("FOLDER"), fallback_with(|| Ok::<_, std::io::Error>(std::env::temp_dir().join("lichenswitch-soak"))))]
     logs: PathBuf,
@@ -73,10 +77,6 @@
             return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
         }
     };
-    let program = options
-        .program
-        .clone()
-        .unwrap_or_else(|| std::env::current_exe().unwrap_or_default().with_file_name("lichenswitch-fleet"));
     let interrupted = Arc::new(AtomicBool::new(false));
     for signal in [SIGINT, SIGTERM] {
         if let Err(error) = signal_hook::flag::register(signal, interrupted.clone()) {
@@ -94,7 +94,7 @@
                     return;
                 }
                 played.fetch_add(1, Ordering::SeqCst);
-                if !is_sound(seed, &options, &program, &interrupted) {
+                if !is_sound(seed, &options, &interrupted) {
                     broken.fetch_add(1, Ordering::SeqCst);
                 }
             });
@@ -110,10 +110,14 @@
 }
 
 /// Plays a day and prints its verdict; tells whether no rule was broken.
-fn is_sound(seed: u64, options: &Options, program: &Path, interrupted: &AtomicBool) -> bool {
+fn is_sound(seed: u64, options: &Options, interrupted: &AtomicBool) -> bool {
     let plan = Plan::draw(seed, Duration::from_secs(options.seconds));
     let folder = options.logs.join(format!("seed-{seed}-{}", std::process::id()));
-    let played = play(&plan, program, &folder, interrupted);
+    let program = program(options, &plan);
+    let more_settings =
+        options.plant.as_ref().map_or_else(String::new, |fault| format!("[soak]\nplant = {fault:?}\n"));
+    let stage = Stage { program: &program, more_settings: &more_settings, logs: &folder };
+    let played = play(&plan, stage, interrupted);
     let violations = played.as_ref().map(judge).unwrap_or_default();
     let mut text = verdict(seed, &played, &violations);
     let sound = played.is_ok() && violations.is_empty();
@@ -123,8 +127,10 @@
     } else {
         let own = std::env::current_exe().unwrap_or_default();
         let (own, program) = (own.display(), program.display());
+        let planted = options.plant.as_ref().map_or_else(String::new, |fault| format!(" --plant {fault}"));
+        let (beyond, seconds) = (seed + 1, options.seconds);
         let again =
-            format!("{own} --seeds {seed}..{} --seconds {} --program {program}", seed + 1, options.seconds);
+            format!("{own} --seeds {seed}..{beyond} --seconds {seconds} --program {program}{planted}");
         let _ = write!(text, "\n  again: {again}\n  logs: {}", folder.display());
         let whole = format!("{text}\n\n{plan:#?}\n\n{:#?}\n", played.as_ref().map(brief));
         if let Err(error) = std::fs::write(folder.join("journal.txt"), whole) {
@@ -135,6 +141,14 @@
     sound
 }
 
+/// The program that a day is played with.
+fn program(options: &Options, plan: &Plan) -> PathBuf {
+    let volatile = plan.volatile_disks || options.plant.is_some();
+    let name = if volatile { "lichenswitch-volatile-fleet" } else { "lichenswitch-fleet" };
+    let beside = || std::env::current_exe().unwrap_or_default().with_file_name(name);
+    options.program.clone().unwrap_or_else(beside)
+}
+
 fn verdict(seed: u64, played: &Result<Journal, DayError>, violations: &[Violation]) -> String {
     let journal = match played {
         Ok(journal) => journal,
--- a/soak/src/operators.rs
+++ b/soak/src/operators.rs
@@ -102,6 +102,8 @@
     clock: Clock,
     control: Vec<SocketAddr>,
     stopped: AtomicBool,
+    /// The machine that orders go to first, and until when.
+    drawn_to: Mutex<Option<(usize, Duration)>>,
     book: Mutex<Book>,
 }
 
@@ -109,7 +111,8 @@
     /// Operators who know these control machines.
     #[must_use]
     pub fn new(clock: Clock, control: Vec<SocketAddr>) -> Operators {
-        Operators { clock, control, stopped: AtomicBool::new(false), book: Mutex::default() }
+        let (stopped, drawn_to) = (AtomicBool::new(false), Mutex::default());
+        Operators { clock, control, stopped, drawn_to, book: Mutex::default() }
     }
 
     fn book(&self) -> MutexGuard<'_, Book> {
@@ -125,6 +128,19 @@
         self.stopped.load(Ordering::SeqCst)
     }
 
+    /// Orders go to this machine first for so long.
+    pub fn draw_to(&self, machine: usize, time: Duration) {
+        let until = self.clock.now() + time;
+        *self.drawn_to.lock().unwrap_or_else(|e| e.into_inner()) = Some((machine, until));
+    }
+
+    /// The machine that an order goes to first.
+    fn first_machine(&self, random: &mut Rng) -> usize {
+        let drawn_to = *self.drawn_to.lock().unwrap_or_else(|e| e.into_inner());
+        let drawn_to = drawn_to.filter(|(_, until)| self.clock.now() < *until);
+        drawn_to.map_or_else(|| random.usize(0..self.control.len()), |(machine, _)| machine)
+    }
+
     /// How many acknowledgements came.
     #[must_use]
     pub fn acknowledged(&self) -> u64 {
@@ -184,12 +200,12 @@
     /// Sends an order until it has a clear answer; at times its first answer is lost on the way.
     fn send(&self, operator: &Operator, place: usize, random: &mut Rng) {
         let order = self.book().orders[place].order.clone();
-        let first = random.usize(0..self.control.len());
+        let first = self.first_machine(random);
         if random.u32(0..4) == 0 {
             // One that can't be sent there is sent elsewhere all the same.
-            let _ = operator.send_and_leave(&order, first);
+            let _ = operator.send_and_leave(&order, first + 1);
         }
-        let outcome = operator.send(&order, first + 1, PATIENCE);
+        let outcome = operator.send(&order, first, PATIENCE);
         self.note(place, outcome);
         if outcome != Outcome::Acknowledged {
             self.look(operator, random);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -26,6 +26,10 @@
     /// SIGSTOP to all control processes but the primary's, and SIGCONT so long after. If the final fault kills all and empties a disk, it is
     /// the primary's: what that one would acknowledge alone is lost.
     IsolatePrimary(Duration),
+    /// The control process of the primary is cut off from all others for so long; callers reach all of them.
+    CutPrimary(Duration),
+    /// The control processes are cut into two halves for so long, this machine's and the next one's on one side.
+    CutHalves(usize, Duration),
     /// The model server of that place says that it drains, serves on, leaves and is replaced.
     Drain(usize),
     /// It leaves without having said that it drains.
@@ -47,10 +51,14 @@
     pub actions: Vec<(Duration, Action)>,
     /// Right after the first acknowledgement that follows the length.
     pub final_fault: Option<Action>,
+    /// What the control processes had not synced is lost with them.
+    pub volatile_disks: bool,
 }
 
 /// Model servers.
 pub const SERVERS: usize = 6;
+/// Cuts begin so long before the end of a day at the most.
+const CUTS_WITHIN: Duration = Duration::from_millis(4_000);
 /// The longest pause of a process: beyond the silences after which the others do without it.
 const PAUSE_MOST: u64 = 4_500;
 
@@ -62,9 +70,10 @@
         draw.planned_moment();
         draw.servers_troubles();
         draw.unplanned_moment();
+        draw.cuts();
         let final_fault = draw.final_fault();
         draw.actions.sort();
-        Plan { seed, length, actions: draw.actions, final_fault }
+        Plan { seed, length, actions: draw.actions, final_fault, volatile_disks: seed % 3 != 2 }
     }
 }
 
@@ -159,6 +168,19 @@
         }
     }
 
+    /// Control processes are cut off from each other, the primary more often than not.
+    fn cuts(&mut self) {
+        for _ in 0..self.rng.usize(1..=3) {
+            let before = CUTS_WITHIN.mul_f64(self.rng.f64());
+            let time = self.milliseconds(400, 2_500);
+            let cut = match self.rng.u32(0..4) {
+                0 => Action::CutHalves(self.rng.usize(0..MACHINES), time),
+                _ => Action::CutPrimary(time),
+            };
+            self.add(self.length.saturating_sub(before), cut);
+        }
+    }
+
     /// On most days that end with a lost disk and SIGKILL of all, the primary is left alone shortly before.
     fn isolate(&mut self) {
         if self.rng.u32(0..4) > 0 {
--- a/soak/src/processes.rs
+++ b/soak/src/processes.rs
@@ -22,6 +22,7 @@
 enum Step {
     Start,
     Resume,
+    Heal,
 }
 
 /// A process that was told to end.
@@ -51,8 +52,9 @@
     ///
     /// # Errors
     /// When there is no room for it, or the program can't be started.
-    pub fn start(program: &Path, clock: Clock) -> Result<Processes, FleetError> {
-        let mut fleet = FleetProcesses::new(program, MACHINES)?.with_grace(GRACE.as_secs());
+    pub fn start(program: &Path, more_settings: &str, clock: Clock) -> Result<Processes, FleetError> {
+        let fleet = FleetProcesses::new(program, MACHINES)?.with_grace(GRACE.as_secs());
+        let mut fleet = fleet.with_more_settings(more_settings).with_links()?;
         fleet.start_all()?;
         let started = targets().map(|target| (target, clock.now())).collect();
         let (ending, later, journal) = (BTreeMap::new(), Vec::new(), Journal::default());
@@ -142,7 +144,7 @@
         self.note(kind, target, None);
         self.fleet.kill(target.0, target.1);
         self.ending.remove(&target);
-        self.later.retain(|(_, whom, _)| *whom != target);
+        self.later.retain(|(_, whom, step)| *whom != target || matches!(step, Step::Heal));
         self.start_after(target, rest);
     }
 
@@ -171,6 +173,19 @@
         self.later.push((self.clock.now() + time, target, Step::Resume));
     }
 
+    /// Cuts the control processes of these machines off from the others for a time. A later cut takes the place of an earlier one.
+    pub fn cut(&mut self, side: &[usize], time: Duration) {
+        let until = self.clock.now() + time;
+        self.later.retain(|(_, _, step)| !matches!(step, Step::Heal));
+        self.fleet.cut(side);
+        for machine in side {
+            self.note(TroubleKind::Cut, (Role::Control, *machine), Some(until));
+        }
+        if let Some(machine) = side.first() {
+            self.later.push((until, (Role::Control, *machine), Step::Heal));
+        }
+    }
+
     fn start_after(&mut self, target: Target, rest: Duration) {
         self.later.push((self.clock.now() + rest, target, Step::Start));
     }
@@ -185,7 +200,12 @@
         self.later = later;
         let due: Vec<(Duration, Target, Step)> = due;
         for (_, target, step) in due {
+            if matches!(step, Step::Heal) {
+                self.fleet.cut(&[]);
+                continue;
+            }
             match step {
+                Step::Heal => {}
                 Step::Resume => self.fleet.resume(target.0, target.1),
                 Step::Start if self.runs(target) => {}
                 Step::Start => {
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -39,7 +39,7 @@
         drawn.extend(plan.actions.iter().map(|(_, action)| *action));
     }
     let kinds: BTreeSet<String> = drawn.iter().map(|action| format!("{:?}", discriminant(action))).collect();
-    assert_eq!(kinds.len(), 11, "{kinds:?}");
+    assert_eq!(kinds.len(), 13, "{kinds:?}");
 }
 
 #[test]
@@ -47,7 +47,10 @@
     for seed in 0..100 {
         let plan = Plan::draw(seed, LENGTH);
         let moment = LENGTH.mul_f64(0.65)..LENGTH.mul_f64(0.95);
-        let late = plan.actions.iter().filter(|(at, _)| moment.contains(at)).count();
+        let is_cut = |action: &Action| matches!(action, Action::CutPrimary(_) | Action::CutHalves(..));
+        let late = plan.actions.iter().filter(|(at, action)| moment.contains(at) && !is_cut(action)).count();
         assert!((2..=3).contains(&late), "seed {seed}: {late}");
+        let cuts = plan.actions.iter().filter(|(at, action)| *at >= LENGTH.mul_f64(0.65) && is_cut(action));
+        assert!((1..=3).contains(&cuts.count()), "seed {seed}");
     }
 }
--- /dev/null
+++ b/soak/tests/stalled_disk.rs
@@ -0,0 +1,65 @@
+//! A control process that is told to end while its disk stalls: whoever is connected to it goes on elsewhere at once.
+
+use lichenswitch_soak::volatile_disk::STALL_FILE;
+use lichenswitch_standins::fleet_processes::{FleetProcesses, Role};
+use lichenswitch_standins::operator::document::{replace, Route};
+use lichenswitch_standins::operator::{Operator, Order, Outcome, Verb};
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// `gracePeriodS`. A control process ends 1.5 s before it would be killed.
+const GRACE_SECONDS: u64 = 4;
+/// When it ends at the latest, and a heartbeat's interval later.
+const CLOSED_WITHIN: Duration = Duration::from_millis(2_500 + 400);
+/// Of the processes and this test on a busy machine.
+const SLACK: Duration = Duration::from_millis(500);
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// An order for this version, on top of the one before it.
+fn order(version: u64) -> Order {
+    let route = Route::new("r", "host.example", "/r/", "pool");
+    Order { verb: Verb::Replace, base: version - 1, body: replace(version, &[route]) }
+}
+
+/// How long a connection stays open on which nothing is said.
+fn open_for(mut connection: TcpStream, since: Instant) -> Duration {
+    connection.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut bytes = [0; 4_096];
+    while matches!(connection.read(&mut bytes), Ok(read) if read > 0) {}
+    since.elapsed()
+}
+
+#[test]
+fn a_control_process_that_ends_with_a_stalled_disk_closes_its_connections() {
+    let program = Path::new(env!("CARGO_BIN_EXE_lichenswitch-volatile-fleet"));
+    let mut fleet = FleetProcesses::new(program, 4).unwrap().with_grace(GRACE_SECONDS);
+    (0..4).for_each(|machine| fleet.start(Role::Control, machine, true).unwrap());
+    let control = fleet.control();
+    let operator = Operator::new(control.clone());
+    assert_eq!(operator.send(&order(1), 0, PATIENCE), Outcome::Acknowledged);
+    let stalled = 3;
+    let file = fleet.disk(Role::Control, stalled).join(STALL_FILE);
+    std::fs::write(&file, "").unwrap();
+    // Its disk has something to write, which the others acknowledge without it.
+    assert_eq!(operator.send(&order(2), 0, PATIENCE), Outcome::Acknowledged);
+
+    let caller = TcpStream::connect(control[stalled]).unwrap();
+    let internal = SocketAddr::new(control[stalled].ip(), 7_300);
+    let peer = TcpStream::connect(internal).unwrap();
+    let told = Instant::now();
+    fleet.terminate(Role::Control, stalled);
+    let (caller, peer) = (open_for(caller, told), open_for(peer, told));
+    assert!(caller < CLOSED_WITHIN + SLACK, "a caller waited for {caller:?}");
+    assert!(peer < CLOSED_WITHIN + SLACK, "a peer waited for {peer:?}");
+    assert!(TcpStream::connect(internal).is_err(), "nobody connects any more");
+    assert!(fleet.ended().is_empty(), "it waits for its disk still");
+
+    std::fs::remove_file(&file).unwrap();
+    let began = Instant::now();
+    while fleet.ended().is_empty() {
+        assert!(began.elapsed() < PATIENCE, "it ends once its disk goes on");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- a/standins/src/fleet_processes.rs
+++ b/standins/src/fleet_processes.rs
@@ -3,7 +3,9 @@
 //! the program by its command, its settings and its addresses alone.
 
 pub mod demonstration;
+mod links;
 
+use links::Links;
 use rustix::process::{kill_process, Pid, Signal};
 use std::fmt;
 use std::fs::File;
@@ -100,6 +102,9 @@
     addresses: Vec<Ipv4Addr>,
     processes: Vec<Process>,
     grace_seconds: u64,
+    /// Text at the end of each settings file.
+    more_settings: String,
+    links: Links,
     _block: TcpListener,
 }
 
@@ -119,7 +124,17 @@
         let (addresses, block) = addresses(machines.min(MACHINES_MOST)).ok_or(FleetError::NoAddresses)?;
         let folder = std::env::temp_dir().join(format!("fleet-{}-{number}", std::process::id()));
         let (processes, grace_seconds) = (Vec::new(), GRACE_SECONDS);
-        let fleet = FleetProcesses { program, folder, addresses, processes, grace_seconds, _block: block };
+        let (more_settings, links) = (String::new(), Links::default());
+        let fleet = FleetProcesses {
+            program,
+            folder,
+            addresses,
+            processes,
+            grace_seconds,
+            more_settings,
+            links,
+            _block: block,
+        };
         for machine in 0..fleet.addresses.len() {
             for role in ROLES {
                 let disk = fleet.disk(role, machine);
@@ -136,6 +151,28 @@
         self
     }
 
+    /// The same with this text at the end of each settings file.
+    #[must_use]
+    pub fn with_more_settings(mut self, text: &str) -> FleetProcesses {
+        text.clone_into(&mut self.more_settings);
+        self
+    }
+
+    /// The same with a link between each two control processes, so that they can be cut off from each other.
+    ///
+    /// # Errors
+    /// When a link can't be started.
+    pub fn with_links(mut self) -> Result<FleetProcesses, FleetError> {
+        self.links = Links::between(&self.addresses, INTERNAL_PORTS.0)
+            .map_err(|error| FleetError::System(self.folder.clone(), error))?;
+        Ok(self)
+    }
+
+    /// Cuts the control processes of these machines off from those of all others, and heals all other links between control processes.
+    pub fn cut(&self, side: &[usize]) {
+        self.links.cut(side);
+    }
+
     /// How many machines it has.
     #[must_use]
     pub fn machines(&self) -> usize {
@@ -164,7 +201,9 @@
         self.addresses.iter().map(|address| SocketAddr::new(IpAddr::V4(*address), port)).collect()
     }
 
-    fn disk(&self, role: Role, machine: usize) -> PathBuf {
+    /// The folder that holds what a process keeps.
+    #[must_use]
+    pub fn disk(&self, role: Role, machine: usize) -> PathBuf {
         self.folder.join(format!("{role}-{machine}-disk"))
     }
 
@@ -202,7 +241,7 @@
              [bounds]\nseedLagS = 3\nreuseDelayS = 2\ncontactMs = 3000\nackTimeoutMs = 4000\ncatchUpS = 4\n\
              drainTimeoutMs = 2000\ngracePeriodS = {}\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\n\
              maxStretchMs = 5000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nretrySlack = 58\nrecoveryS = 12\n\
-             pass_ms = 120\nagain_s = 0\n",
+             pass_ms = 120\nagain_s = 0\n{}{}",
             zone(machine),
             zone(machine),
             INTERNAL_PORTS.0,
@@ -210,6 +249,8 @@
             seeds.join(", "),
             self.disk(role, machine).display().to_string(),
             self.grace_seconds,
+            if role == Role::Control { self.links.settings(machine) } else { String::new() },
+            self.more_settings,
         )
     }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod byte_link;
 pub mod discovery;
 pub mod features;
 pub mod fleet_processes;
