Cut streams that may go on elsewhere as early as an ending router may

Cause: a stream in hand at SIGTERM that outlasts the grace was cut 0.6 s before the process would be killed, whether its client can go on with it at another router or not, and what the client had not taken by then was dropped with the connection.

Change: where the route has streamResume and the request's time reaches beyond the end of the process, the stream is cut at the beginning of the last sixth of the grace, before which a cut counts as a loss: between two events, with all that was passed on still delivered, so that the client asks for the rest with Last-Event-Id and 0.7 s more of its time. Others are left to the very end: nobody else can finish them. The log tells whether an answer that was cut off is one of a resumable route.

--- a/fleet/src/router/clients.rs
+++ b/fleet/src/router/clients.rs
@@ -263,6 +263,15 @@
         self.close(net, id);
     }
 
+    /// The same behind what was passed on, all of which still reaches the client: it can ask for the rest of a stream elsewhere.
+    pub fn cut_behind_written(&mut self, net: &mut Net, id: ConnId) {
+        let now = net.clock.now();
+        let Some(session) = self.open.get_mut(&id) else { return };
+        (session.last, session.state, session.since) = (true, State::Closing, now);
+        self.arm(net, id);
+        self.close_if_written(net, id);
+    }
+
     /// Ends connections that rest, an eighth of all, those that have rested for longest first. Guards clients that wait to be accepted.
     pub fn make_room(&mut self, net: &mut Net) {
         let rests = |id: &ConnId, session: &Session| {
--- a/fleet/src/router/cut.rs
+++ b/fleet/src/router/cut.rs
@@ -22,6 +22,8 @@
     KeyDenied,
     /// This process ends.
     Shutdown,
+    /// This process ends, and the client may go on behind the last event at another router.
+    HandedOver,
 }
 
 impl fmt::Display for CutReason {
@@ -32,6 +34,7 @@
             CutReason::Deadline => f.write_str("deadline"),
             CutReason::KeyDenied => f.write_str("key no longer served"),
             CutReason::Shutdown => f.write_str("shutdown"),
+            CutReason::HandedOver => f.write_str("shutdown, to be resumed elsewhere"),
         }
     }
 }
@@ -41,7 +44,10 @@
     pub(super) fn cut(&mut self, id: ExchangeId, reason: CutReason) {
         let Some(exchange) = self.finish(id) else { return };
         self.log_cut(&exchange, reason);
-        self.clients.cut(&mut self.net, exchange.client);
+        match reason {
+            CutReason::HandedOver => self.clients.cut_behind_written(&mut self.net, exchange.client),
+            _ => self.clients.cut(&mut self.net, exchange.client),
+        }
     }
 
     fn log_cut(&self, exchange: &Exchange, reason: CutReason) {
@@ -51,6 +57,7 @@
             reason:% = reason,
             attempt_id = exchange.request.attempt_id.as_deref().unwrap_or_default(),
             route:% = exchange.terms.route,
+            resumable = exchange.terms.resumable,
             age_ms = millis(now.since(exchange.taken)),
             left_ms = millis(exchange.deadline.since(now)),
             stopping_ms = self.shutdown.map_or(0, |shutdown| millis(now.since(shutdown.began()))),
--- a/fleet/src/router/shutdown.rs
+++ b/fleet/src/router/shutdown.rs
@@ -3,9 +3,11 @@
 //! It promises: not ready at once; what has been read is answered; until the platform has had time to learn, new requests are taken, but
 //! only those whose time is over before this process ends, so that no answer is begun which the end would cut off; the others are refused
 //! at once, which sends their clients to another router. The process ends as soon as nothing is left, and shortly before the grace is
-//! over in any case, with a final answer for all that it held when it was told.
+//! over in any case, with a final answer for all that it held when it was told. A stream that its client may go on with elsewhere, and whose
+//! time reaches beyond that, is cut between two events as early as may be, so that as much as can be of its time is left for the rest.
 
 use super::cut::CutReason;
+use super::exchange::Phase;
 use super::ids::ExchangeId;
 use super::program::{after, Owner, Timer};
 use super::Router;
@@ -17,6 +19,10 @@
 const LISTEN_ON: Duration = Duration::from_millis(3_000);
 /// So long before the grace is over everything still held gets its final answer.
 const RESERVE: Duration = Duration::from_millis(600);
+/// Part of the grace after which a stream may be cut: before it, it counts as lost.
+const CUT_FROM: f64 = 5.0 / 6.0;
+/// So long after that a stream is cut (the signal may have been sent a little before it was heard).
+const CUT_MARGIN: Duration = Duration::from_millis(30);
 /// How often a process that stops looks whether it has finished.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -28,6 +34,8 @@
     /// Listeners close then. Connections that rest are kept to the end of the process: a request that crosses their end would have been
     /// read for nothing.
     closes: Time,
+    /// Streams that may go on elsewhere, and can't end here, are cut from then on.
+    hands_over: Time,
     /// All that is still held ends then.
     ends: Time,
     closed: bool,
@@ -44,6 +52,7 @@
         Shutdown {
             began: now,
             closes: after(now, LISTEN_ON.min(grace / 2)),
+            hands_over: after(now, grace.mul_f64(CUT_FROM) + CUT_MARGIN).min(ends),
             ends,
             closed: false,
             ended: false,
@@ -87,6 +96,9 @@
             self.clients.accept(&mut self.net);
             self.net.leave(Owner::Client);
         }
+        if now >= shutdown.hands_over && !shutdown.ended {
+            self.hand_streams_over(shutdown.ends);
+        }
         if now >= shutdown.ends && !shutdown.ended {
             shutdown.ended = true;
             self.refuse_awaiting_quota();
@@ -99,6 +111,17 @@
         self.net.wheel.set(after(now, LOOK), Timer::Shutdown);
     }
 
+    /// Cuts the streams that their clients may go on with elsewhere, and that have time for it.
+    fn hand_streams_over(&mut self, ends: Time) {
+        for id in self.exchanges.ids() {
+            let Some(exchange) = self.exchanges.get(id) else { continue };
+            let goes_on = exchange.terms.resumable && exchange.deadline > ends;
+            if goes_on && matches!(exchange.phase, Phase::Relaying(_)) {
+                self.cut(id, CutReason::HandedOver);
+            }
+        }
+    }
+
     /// Of what is held still, all was in hand when the signal came; but for what is over at this very moment.
     fn check_finished(&self, id: ExchangeId, began: Time) {
         let now = self.net.clock.now();
--- a/fleet/tests/router_end.rs
+++ b/fleet/tests/router_end.rs
@@ -115,3 +115,56 @@
     let reply = client.ask(request("POST", "unsafe", "a1", "Deadline-Ms: 3000\r\n", "x"));
     assert_eq!((reply.status, reply.text(), reply.complete), (200, "done", true));
 }
+
+/// Events of a stream until its connection ends, all whole, and how long that took.
+fn events_until_cut(client: &mut Client, since: Instant) -> (Vec<u64>, Duration) {
+    let mut ids = Vec::new();
+    loop {
+        match client.chunk() {
+            Ok(Some(chunk)) => {
+                let next = ids.len() as u64 + 1;
+                assert_eq!(chunk, event(next).into_bytes(), "whole events, in order");
+                ids.push(next);
+            }
+            Ok(None) => panic!("a stream that is cut looks complete"),
+            Err(()) => return (ids, since.elapsed()),
+        }
+    }
+}
+
+#[test]
+fn a_stream_that_may_go_on_elsewhere_is_cut_between_events_as_early_as_may_be() {
+    let server = Server::endless("i-1", Duration::from_millis(50));
+    let mut rig = Rig::with(&[&server], 30_000, 1_000, 1);
+    let mut clients: Vec<Client> = ["resume", "stream"].map(|_| rig.client()).into();
+    for (client, kind) in clients.iter_mut().zip(["resume", "stream"]) {
+        client.send(request("POST", kind, kind, "", "x"));
+        client.head().expect("a head");
+    }
+    // One whose time is over before the router ends is left to its end.
+    let mut short = rig.client();
+    short.send(request("POST", "resume", "short", "Deadline-Ms: 7300\r\n", "x"));
+    short.head().expect("a head");
+    let began = Instant::now();
+    rig.router.stop();
+    let ends: Vec<Duration> = std::thread::scope(|scope| {
+        let followed: Vec<_> = clients
+            .iter_mut()
+            .chain([&mut short])
+            .map(|client| scope.spawn(move || events_until_cut(client, began)))
+            .collect();
+        followed
+            .into_iter()
+            .map(|follower| {
+                let (ids, took) = follower.join().expect("a client");
+                assert!(ids.len() > 50, "{}", ids.len());
+                took
+            })
+            .collect()
+    });
+    // The grace is 8 s: its last sixth begins after 6.67 s, and the process cuts what is left 0.6 s before its end.
+    let (may_be_cut, all_are_cut) = (Duration::from_millis(6_667), Duration::from_millis(7_400));
+    assert!(ends[0] > may_be_cut && ends[0] < may_be_cut + Duration::from_millis(400), "{ends:?}");
+    assert!(ends[1] >= all_are_cut, "{ends:?}");
+    assert!(ends[2] >= Duration::from_millis(7_200), "{ends:?}");
+}
