--- a/fleet/tests/control_servers.rs
+++ b/fleet/tests/control_servers.rs
@@ -103,6 +103,43 @@
     assert_eq!(next_record(&mut router, "i-7").state, ServerState::Ready);
 }
 
+/// What a server sees of a machine that starts later than the others: refusals with their reason, each of which the next machine makes up
+/// for. The server is never taken out, so no request misses it.
+#[test]
+fn heartbeats_that_a_machine_refuses_after_its_start_cost_no_request() {
+    let mut fleet = Fleet::of("later", &[true, true, true]);
+    fleet.start(0, true);
+    fleet.start(1, true);
+    let [near, later] = [0, 2].map(|place| fleet.machines[place].control_plane);
+    let ready = |address, sequence| beat(address, "i-1", "ready", sequence).map(|answer| answer.status);
+    wait_for("a beat", || ready(near, 1).ok().filter(|status| *status == 200));
+    let mut router = FakeRouter::connect(fleet.machines[0].internal, "near");
+    assert_eq!(next_record(&mut router, "i-1").state, ServerState::Ready);
+    fleet.start(2, true);
+    let (mut sequence, mut refused) = (2, 0);
+    let began = Instant::now();
+    while ready(later, sequence).ok() != Some(200) {
+        assert!(began.elapsed() < control_support::PATIENCE, "it takes beats in the end");
+        let took = Instant::now();
+        assert_eq!(ready(near, sequence).unwrap(), 200, "the next machine takes the beat");
+        assert!(took.elapsed() < Duration::from_secs(1), "a beat counts within a second");
+        (sequence, refused) = (sequence + 1, refused + 1);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(refused > 0, "it refuses, or does not listen, at first");
+    let mut late = FakeRouter::connect(fleet.machines[2].internal, "late");
+    assert_eq!(next_record(&mut late, "i-1").state, ServerState::Ready);
+    // What the router was told meanwhile: the server is there, all along.
+    // Its name has another length, which is part of the address that the test gives it.
+    let told = beat(near, "other", "ready", 1).unwrap();
+    assert_acknowledged(&told);
+    router.next_of(|message| {
+        let ControlToRouter::Servers { records, .. } = message else { return None };
+        assert!(records.iter().all(|record| record.state == ServerState::Ready), "{records:?}");
+        records.iter().any(|record| record.instance == "other").then_some(())
+    });
+}
+
 #[test]
 fn after_all_machines_were_killed_routers_hear_of_servers_before_these_beat_again() {
     let mut fleet = Fleet::of("remembered", &[true, true, false]);
