Take nobody for gone who stands still for a tenth of a second, and stop at a higher fence

Cause: a holder of a part of a quota that had not answered for 60 ms was asked last for 1.5 s. Where a processor is a quota a process stands still for up to the rest of each tenth of a second, so it was taken to be gone while it was well. And a broker whose call or effect was refused, since another had used a higher fence, went on under its own until the lease ran out.

Change: a holder is passed over after 60 ms as before, but counts as silent only once it has not answered for 120 ms, and any answer ends that. `Hold::on_fenced_off` (decide/duty) ends all that is done under the fence that was refused, and refuses grants older than the fence that was seen.

--- a/decide/duty/src/hold.rs
+++ b/decide/duty/src/hold.rs
@@ -21,6 +21,8 @@
     None,
     /// It has given it back.
     GivenBack,
+    /// A receiver has seen this higher fence: another one holds the duty.
+    Superseded(FenceNumber),
 }
 
 impl fmt::Display for Reason {
@@ -30,6 +32,7 @@
             Reason::RanOut(since) => write!(f, "the lease ran out {} ms ago", since / 1_000),
             Reason::None => f.write_str("no lease"),
             Reason::GivenBack => f.write_str("given back"),
+            Reason::Superseded(seen) => write!(f, "fence {} was seen", seen.0),
         }
     }
 }
@@ -54,11 +57,20 @@
     asked: Option<(u64, Time)>,
     asks: u64,
     given_back: bool,
+    /// The highest fence that a receiver has refused it for.
+    superseded_by: FenceNumber,
 }
 
 impl Default for Hold {
     fn default() -> Self {
-        Hold { fence: FenceNumber(0), from: None, asked: None, asks: 0, given_back: false }
+        Hold {
+            fence: FenceNumber(0),
+            from: None,
+            asked: None,
+            asks: 0,
+            given_back: false,
+            superseded_by: FenceNumber(0),
+        }
     }
 }
 
@@ -86,7 +98,7 @@
             return false;
         };
         // Guards against an answer that the network held back: a fence only grows.
-        if fence < self.fence {
+        if fence < self.fence.max(self.superseded_by) {
             return false;
         }
         (self.asked, self.from, self.fence) = (None, Some(at), fence);
@@ -100,6 +112,16 @@
         }
     }
 
+    /// A receiver has refused an effect, or a call, since it has seen this higher fence. Nothing more is done under the fence that was
+    /// refused, from this moment on and however long the lease still lasts: another one holds the duty, and each further try would be
+    /// one more of somebody who doesn't know it.
+    pub fn on_fenced_off(&mut self, seen: FenceNumber) {
+        self.superseded_by = self.superseded_by.max(seen);
+        if self.fence < self.superseded_by {
+            self.from = None;
+        }
+    }
+
     /// It gives the duty back, at a planned stop or since it can't do it; tells the fence to name to the voters. Nothing is
     /// done under it from here on.
     pub fn on_give_back(&mut self) -> Option<FenceNumber> {
@@ -111,7 +133,11 @@
     #[must_use]
     pub fn check(&self, now: Time, terms: Terms) -> Verdict {
         let Some(from) = self.from else {
-            return Verdict::Refrain(if self.given_back { Reason::GivenBack } else { Reason::None });
+            return Verdict::Refrain(match self.given_back {
+                true => Reason::GivenBack,
+                false if self.fence < self.superseded_by => Reason::Superseded(self.superseded_by),
+                false => Reason::None,
+            });
         };
         let (gone, held) = (now.since(from), terms.held());
         if gone >= held || now < from {
--- a/decide/duty/src/hold/tests.rs
+++ b/decide/duty/src/hold/tests.rs
@@ -53,3 +53,26 @@
     assert_eq!(hold.check(T(2_200), TERMS), Verdict::Refrain(Reason::GivenBack));
     assert_eq!(Hold::default().on_give_back(), None);
 }
+
+#[test]
+fn nothing_is_done_under_a_fence_once_a_higher_one_was_seen() {
+    let mut hold = Hold::default();
+    let ask = hold.on_ask(T(0));
+    assert!(hold.on_grant(ask, FenceNumber(3)));
+    hold.on_fenced_off(FenceNumber(3));
+    assert!(matches!(hold.check(T(100), TERMS), Verdict::Act(FenceNumber(3), _)), "that was its own");
+    hold.on_fenced_off(FenceNumber(5));
+    assert_eq!(hold.check(T(100), TERMS), Verdict::Refrain(Reason::Superseded(FenceNumber(5))), "at once");
+    // A grant that was on its way is older than what was seen, and gives nothing.
+    let ask = hold.on_ask(T(200));
+    assert!(!hold.on_grant(ask, FenceNumber(4)));
+    assert_eq!(hold.check(T(300), TERMS), Verdict::Refrain(Reason::Superseded(FenceNumber(5))));
+    let ask = hold.on_ask(T(400));
+    assert!(hold.on_grant(ask, FenceNumber(6)));
+    assert!(matches!(hold.check(T(500), TERMS), Verdict::Act(FenceNumber(6), _)));
+    hold.on_fenced_off(FenceNumber(5));
+    assert!(
+        matches!(hold.check(T(600), TERMS), Verdict::Act(FenceNumber(6), _)),
+        "a late refusal of an older one"
+    );
+}
--- a/decide/quota/src/draws.rs
+++ b/decide/quota/src/draws.rs
@@ -12,7 +12,10 @@
 const ASK_TIMEOUT: Micros = 60_000;
 /// A holder that had too little is asked again after so long at the latest (microseconds).
 const EMPTY: Micros = 60_000;
-/// A holder that did not answer in time is asked last for so long (microseconds): others find out in about that time that it is gone.
+/// A holder that has not answered for so long is silent (microseconds). Longer than a tenth of a second: where the processor is a quota a
+/// process may stand still for the rest of each tenth, and is passed over meanwhile, but not taken to be gone.
+const SILENT_AFTER: Micros = 120_000;
+/// One that is silent is asked last for so long (microseconds): others find out in about that time that it is gone.
 const SILENT: Micros = 1_500_000;
 /// Draws that may be under way. Guards memory.
 const MOST: usize = 4_096;
@@ -76,15 +79,16 @@
     under_way: BTreeMap<u64, UnderWay<O>>,
     next: u64,
     empty: HashMap<(Holder, String), Empty>,
-    /// Holders that did not answer in time, until when they are asked last.
-    silent: HashMap<Holder, Time>,
+    /// Holders that were passed over and have not answered since, and when they were asked.
+    unanswered: HashMap<Holder, Time>,
 }
 
 impl<O> Draws<O> {
     /// None yet. Questions get numbers above this one, which no earlier life of the process used.
     #[must_use]
     pub fn new(first: u64) -> Draws<O> {
-        Draws { under_way: BTreeMap::new(), next: first, empty: HashMap::new(), silent: HashMap::new() }
+        let (empty, unanswered) = (HashMap::new(), HashMap::new());
+        Draws { under_way: BTreeMap::new(), next: first, empty, unanswered }
     }
 
     /// Somebody wants a draw.
@@ -108,11 +112,12 @@
         grant: Grant,
         place: &mut Place<'_>,
     ) -> Vec<Order<O>> {
+        // One that comes too late to be of use shows all the same that its sender is there.
+        self.unanswered.remove(&from);
         if self.under_way.get(&id).is_none_or(|waits| waits.asked.0 != from) {
             return Vec::new();
         }
         let Some(mut waits) = self.under_way.remove(&id) else { return Vec::new() };
-        self.silent.remove(&from);
         let places = std::mem::take(&mut waits.asked.1);
         let granted = places.iter().enumerate().filter(|(index, _)| grant.covers(*index));
         let needs = granted.fold(0, |bits, (_, place)| bits | (1 << place));
@@ -132,13 +137,19 @@
     /// Passes over holders that have not answered in time.
     pub fn tick(&mut self, now: Time, place: &mut Place<'_>) -> Vec<Order<O>> {
         self.empty.retain(|_, empty| empty.until > now);
-        self.silent.retain(|_, until| *until > now);
-        let late = self.under_way.values().map(|waits| &waits.asked).filter(|asked| asked.2 <= now);
-        let late: Vec<Holder> = late.map(|asked| asked.0).collect();
-        self.silent.extend(late.into_iter().map(|holder| (holder, now.plus(SILENT))));
+        self.unanswered.retain(|_, asked_at| now.since(*asked_at) < SILENT_AFTER + SILENT);
+        for waits in self.under_way.values().filter(|waits| waits.asked.2 <= now) {
+            let asked_at = waits.asked.2.minus(ASK_TIMEOUT);
+            self.unanswered.entry(waits.asked.0).or_insert(asked_at);
+        }
         self.pass_over(now, place, |asked| asked.2 <= now)
     }
 
+    fn is_silent(&self, now: Time, holder: Holder) -> bool {
+        let silent_for = self.unanswered.get(&holder).map_or(0, |asked_at| now.since(*asked_at));
+        (SILENT_AFTER..SILENT_AFTER + SILENT).contains(&silent_for)
+    }
+
     /// When [`Draws::tick`] has something to do.
     #[must_use]
     pub fn next_wake(&self) -> Option<Time> {
@@ -175,7 +186,7 @@
         }
         others.retain(|holder| *holder != place.own);
         // The last ones are asked first.
-        others.sort_by_key(|holder| self.silent.get(holder).is_none_or(|until| *until <= now));
+        others.sort_by_key(|holder| !self.is_silent(now, *holder));
         if place.tenure.voters().is_empty() {
             others.truncate(2);
         }
--- a/decide/quota/src/draws/tests.rs
+++ b/decide/quota/src/draws/tests.rs
@@ -114,15 +114,33 @@
     let (silent, _, _) = asked(&relay.take(Time(0), draw(&[10])));
     let due = relay.draws.next_wake().expect("a wake");
     relay.with(|draws, place| draws.tick(due, place));
+    let after = Time(SILENT_AFTER);
     for _ in 0..6 {
-        let (first, _, _) = asked(&relay.take(due, draw(&[10])));
+        let (first, _, _) = asked(&relay.take(after, draw(&[10])));
         assert_ne!(first, silent);
     }
-    let later = due.plus(SILENT);
+    let later = after.plus(SILENT);
     let firsts: Vec<Holder> = (0..6).map(|_| asked(&relay.take(later, draw(&[10]))).0).collect();
     assert!(firsts.contains(&silent));
 }
 
+#[test]
+fn a_holder_that_stands_still_for_less_than_a_tenth_of_a_second_is_not_taken_to_be_gone() {
+    let mut relay = machine(9, &[1, 2, 3], &[1, 2, 3]);
+    let (still, id, _) = asked(&relay.take(Time(0), draw(&[10])));
+    let due = relay.draws.next_wake().expect("a wake");
+    let (next, ..) = asked(&relay.with(|draws, place| draws.tick(due, place)));
+    assert_ne!(next, still, "it is passed over");
+    let firsts = |relay: &mut Machine, now| -> Vec<Holder> {
+        (0..6).map(|_| asked(&relay.take(now, draw(&[10]))).0).collect()
+    };
+    assert!(firsts(&mut relay, Time(99_000)).contains(&still));
+    // Its answer comes too late for that draw, and in time to be trusted.
+    let late = Grant { needs: 1, ahead: 0, wait: 0 };
+    assert!(relay.with(|draws, place| draws.on_answer(Time(100_000), still, id, late, place)).is_empty());
+    assert!(firsts(&mut relay, Time(SILENT_AFTER + 1_000)).contains(&still));
+}
+
 #[test]
 fn a_holder_that_had_too_little_is_not_asked_for_as_much_again_at_once() {
     let mut relay = machine(9, &[1], &[1]);
