Let a test of addresses in use hold them from the first moment

Cause: a_start_where_both_addresses_are_in_use_waits_for_them failed once, beside four busy loops: "Address already in use" as it bound an address that free_address had found free and released a moment before. Any other test of the run may take such a port in between.

Change: the address of the calls is bound as it is drawn; of the door another stage is drawn where somebody else has it by then. What the test asserts is as before.

--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -229,9 +229,11 @@
 
 #[test]
 fn a_start_where_both_addresses_are_in_use_waits_for_them() {
-    let stage = Stage::new();
-    // Whoever is there does not share the addresses.
-    let [door, calls] = [stage.address, free_address()].map(|at| TcpListener::bind(at).unwrap());
+    // Whoever is there does not share the addresses. One that was free a moment ago may have been taken by another test since.
+    let (stage, door) = std::iter::repeat_with(Stage::new)
+        .find_map(|stage| TcpListener::bind(stage.address).ok().map(|door| (stage, door)))
+        .unwrap();
+    let calls = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut process = stage.start_at(calls.local_addr().unwrap());
     process.says("is in use");
     let calls = {
