Wait for a machine to know its group in the test of a processor quota

Cause: the test asked machine 1 for its group right after the first order was taken, when it may not have joined.

Change: the test waits until the machine tells a group.

--- a/soak/tests/processor_quota.rs
+++ b/soak/tests/processor_quota.rs
@@ -22,8 +22,19 @@
     Order { verb: Verb::Replace, base: version - 1, body: replace(version, &[route]) }
 }
 
-/// Epoch and primary, as one machine tells them.
-fn group(address: SocketAddr) -> Option<(String, String)> {
+/// Epoch and primary, as one machine tells them, once it knows them: it may join after the first order was taken.
+fn group(address: SocketAddr) -> (String, String) {
+    let began = Instant::now();
+    loop {
+        if let Some(group) = group_told(address) {
+            return group;
+        }
+        assert!(began.elapsed() < PATIENCE, "no primary is known");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn group_told(address: SocketAddr) -> Option<(String, String)> {
     let status = Call::get("/status").send(address, PATIENCE).ok()?;
     let status: serde_json::Value = serde_json::from_slice(&status.body).ok()?;
     let text = |field: &str| Some(status["group"][field].as_str()?.to_owned());
@@ -38,7 +49,7 @@
     let control = fleet.control();
     let operator = Operator::new(control.clone());
     assert_eq!(operator.send(&order(1), 0, PATIENCE), Outcome::Acknowledged);
-    let before = group(control[1]).expect("a group");
+    let before = group(control[1]);
 
     let over = AtomicBool::new(false);
     let taken = thread::scope(|scope| {
@@ -62,5 +73,5 @@
         sent.join().expect("orders are acknowledged")
     });
     assert!(taken > 5, "{taken} orders were taken");
-    assert_eq!(group(control[1]), Some(before), "nobody else became primary");
+    assert_eq!(group(control[1]), before, "nobody else became primary");
 }
