Wait for a machine's vote in the test of a stalled disk

Cause, by reading, after the like in the test of a processor quota: a machine that has not joined when its disk stalls has nothing to write, and would end at once.

Change: the test waits until the machine votes before its disk stalls.

--- a/soak/tests/stalled_disk.rs
+++ b/soak/tests/stalled_disk.rs
@@ -4,6 +4,7 @@
 use lichenswitch_standins::fleet_processes::{FleetProcesses, Role};
 use lichenswitch_standins::operator::document::{replace, Route};
 use lichenswitch_standins::operator::{Operator, Order, Outcome, Verb};
+use lichenswitch_standins::stream_client::message::Call;
 use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
@@ -23,6 +24,20 @@
     Order { verb: Verb::Replace, base: version - 1, body: replace(version, &[route]) }
 }
 
+/// Waits until a machine votes: before that it may have nothing to write.
+fn await_vote(address: SocketAddr) {
+    let began = Instant::now();
+    let votes = || {
+        let status = Call::get("/status").send(address, PATIENCE).ok()?;
+        let status: serde_json::Value = serde_json::from_slice(&status.body).ok()?;
+        Some(matches!(status["group"]["role"].as_str()?, "voter" | "primary"))
+    };
+    while votes() != Some(true) {
+        assert!(began.elapsed() < PATIENCE, "it does not vote");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// How long a connection stays open on which nothing is said.
 fn open_for(mut connection: TcpStream, since: Instant) -> Duration {
     connection.set_read_timeout(Some(PATIENCE)).unwrap();
@@ -40,6 +55,7 @@
     let operator = Operator::new(control.clone());
     assert_eq!(operator.send(&order(1), 0, PATIENCE), Outcome::Acknowledged);
     let stalled = 3;
+    await_vote(control[stalled]);
     let file = fleet.disk(Role::Control, stalled).join(STALL_FILE);
     std::fs::write(&file, "").unwrap();
     // Its disk has something to write, which the others acknowledge without it.
