--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -128,6 +128,7 @@
             .stderr(log)
             .spawn()
             .expect("target/release/lichenswitch-fleet can be started; see review/build.sh");
+        note_process(child.id());
         self.processes.push((role, machine, child));
     }
 
@@ -263,6 +264,25 @@
             let _ = child.wait();
         }
         let _ = std::fs::remove_dir_all(&self.folder);
+        // All have ended: nothing is left to be ended by `run.sh`.
+        if let Some(path) = std::env::var_os("REVIEW_PIDS") {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+}
+
+/// Notes a process in the file that `run.sh` names, so that it can end what is left if this program is ended.
+fn note_process(id: u32) {
+    use std::io::Write;
+    let Some(path) = std::env::var_os("REVIEW_PIDS") else {
+        return;
+    };
+    let file = std::fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path);
+    if let Ok(mut file) = file {
+        let _ = writeln!(file, "{id}");
     }
 }
 
