Log why an attempt of a request that isn't idempotent failed, and how much was sent

Change: each cause has a type (FailureCause), and the line 'attempt failed' has the cause, the bytes of the request that were given to the system, and whether the request may have run.

--- a/fleet/src/router/server_connections/exchange.rs
+++ b/fleet/src/router/server_connections/exchange.rs
@@ -2,6 +2,7 @@
 //! closed.
 
 use super::attempt::Attempt;
+use super::failure_cause::FailureCause;
 use super::in_flight::{BodyMode, InFlightRequest, ReadOutcome};
 use super::table::{is_quiet, ConnectionState, ServerConnections};
 use crate::router::client_request::ForwardingHeaders;
@@ -42,7 +43,7 @@
             return;
         };
         if net.pause(connection, is_paused) != TransferProgress::Alive {
-            self.on_broken(net, connection);
+            self.on_broken(net, connection, FailureCause::WriteFailed);
         }
     }
 
@@ -149,7 +150,7 @@
         }));
         self.by_attempt.insert(attempt_id, id);
         if net.flush(id, false) != TransferProgress::Alive {
-            self.on_broken(net, id);
+            self.on_broken(net, id, FailureCause::WriteFailed);
         }
     }
 
@@ -176,19 +177,23 @@
                         self.events.push(event);
                         return self.on_response_complete(net, id);
                     }
-                    ReadOutcome::Mismatch => return self.on_broken(net, id),
+                    ReadOutcome::Mismatch => {
+                        return self.on_broken(net, id, FailureCause::InvalidResponse)
+                    }
                 },
                 Ok(None) => break,
-                Err(_) => return self.on_broken(net, id),
+                Err(_) => return self.on_broken(net, id, FailureCause::InvalidResponse),
             }
         }
-        let has_ended = net.get(id).is_none_or(|conn| conn.ended);
-        if is_broken || has_ended {
-            return self.on_broken(net, id);
+        if is_broken {
+            return self.on_broken(net, id, FailureCause::TransferFailed);
+        }
+        if net.get(id).is_none_or(|conn| conn.ended) {
+            return self.on_broken(net, id, FailureCause::EndedByServer);
         }
         // Reading may have been paused at the read-ahead bound.
         if net.flush(id, false) != TransferProgress::Alive {
-            self.on_broken(net, id);
+            self.on_broken(net, id, FailureCause::WriteFailed);
         }
     }
 
@@ -235,15 +240,13 @@
     }
 
     /// The connection broke, or brought no valid response to its request.
-    pub(super) fn on_broken(&mut self, net: &mut Net, id: ConnId) {
+    pub(super) fn on_broken(&mut self, net: &mut Net, id: ConnId, cause: FailureCause) {
         let written = net.get(id).map_or(u64::MAX, |conn| conn.written());
         if let Some(ConnectionState::Busy(current)) = self.state(id) {
-            // Once its first byte may have been sent, the request may have been executed.
-            let outcome = if written <= current.bytes_before {
-                Outcome::ConnectFailed
-            } else {
-                Outcome::Reset
-            };
+            let outcome = current.outcome_of_failure(written);
+            if !current.attempt.is_idempotent {
+                current.log_failure(cause, outcome, written);
+            }
             let attempt = current.attempt.id;
             self.report_failure(attempt, outcome);
         }
--- a/fleet/src/router/server_connections/in_flight.rs
+++ b/fleet/src/router/server_connections/in_flight.rs
@@ -1,10 +1,12 @@
 //! The request in flight on a connection, and its response as it is read.
 
 use super::attempt::{Attempt, ServerEvent, StreamStart};
+use super::failure_cause::FailureCause;
 use crate::router::ids::AttemptId;
 use crate::router::response_reader::{ResponsePart, ResponseReader};
 use crate::router::server_response::{BodyChunk, BufferedResponse, ResponseHead};
 use lichenswitch_event_stream::Scanner;
+use lichenswitch_interface::Outcome;
 
 /// A response that is not an event stream is buffered up to this length, and forwarded as it arrives
 /// beyond it (bytes).
@@ -53,6 +55,31 @@
 }
 
 impl InFlightRequest {
+    /// The outcome of an attempt whose connection failed after `written` bytes: once its first byte may
+    /// have been sent, the request may have been executed.
+    pub(super) fn outcome_of_failure(&self, written: u64) -> Outcome {
+        if written <= self.bytes_before {
+            Outcome::ConnectFailed
+        } else {
+            Outcome::Reset
+        }
+    }
+
+    /// Logs why an attempt failed and how much of its request had been sent, which decides whether the
+    /// request may be sent again.
+    pub(super) fn log_failure(&self, cause: FailureCause, outcome: Outcome, written: u64) {
+        let request_bytes = self.bytes_through - self.bytes_before;
+        log::info!(
+            attempt_id = self.attempt.request.attempt_id.as_deref().unwrap_or_default(),
+            server:% = self.attempt.endpoint.address,
+            cause:% = cause,
+            sent_bytes = written.saturating_sub(self.bytes_before).min(request_bytes),
+            request_bytes = request_bytes,
+            may_have_run = !outcome.never_ran();
+            "attempt failed"
+        );
+    }
+
     /// Takes the next part of the response.
     pub(super) fn take(&mut self, part: ResponsePart) -> ReadOutcome {
         match part {
--- a/fleet/src/router/server_connections/mod.rs
+++ b/fleet/src/router/server_connections/mod.rs
@@ -12,11 +12,12 @@
 //! - nothing is sent to a server that is draining or gone, however long the attempt was queued.
 //!
 //! Its parts: `attempt` (what is to be sent, and what became of it), `in_flight` (a response as it is
-//! read), `table` (all connections), `pool` (which connection an attempt gets), `exchange` (request
-//! and response on it).
+//! read), `failure_cause` (why a connection was given up), `table` (all connections), `pool` (which
+//! connection an attempt gets), `exchange` (request and response on it).
 
 mod attempt;
 mod exchange;
+mod failure_cause;
 mod in_flight;
 mod pool;
 mod table;
