Count the bytes that were written before a write failed, so that no request runs twice

Cause: Buffer::drain writes in a loop and returned the error alone when a later write failed, so the count of the writes before it was lost.

Evidence: system calls of a router at such an attempt: sendto = 1,047,728, sendto = ECONNRESET, close; the log line of the attempt had sent_bytes 0.

Change: drain returns what was written and the error, side by side, and flush counts the first whatever the second. This works for every caller at once, since nothing else counts written bytes.

--- a/fleet/tests/router_server_faults.rs
+++ b/fleet/tests/router_server_faults.rs
@@ -308,6 +308,34 @@
     }
 }
 
+/// Guards against TWICE (review/1): a reset between two writes of one request counted as "never sent".
+#[test]
+fn unsafe_request_reset_while_it_is_written_is_sent_once() {
+    const REQUESTS: usize = 16;
+    const BODY_BYTES: usize = 1 << 20;
+    let script = |_: &support::server::ReceivedRequest,
+                  _: &mut support::server::ServerConnection| NextAction::Reset;
+    let servers = [Server::start("i-1", script), Server::start("i-2", script)];
+    let harness = RouterHarness::with(&[&servers[0], &servers[1]], 5_000, 2_000, 2);
+    let body = "x".repeat(BODY_BYTES);
+    let mut sent = 0;
+    for number in 0..REQUESTS {
+        let id = format!("a{number}");
+        // Its server acts once it has read the head.
+        let reply =
+            harness
+                .client()
+                .round_trip(request("POST", "unsafe", &id, "Early: yes\r\n", &body));
+        let executions = servers[0].request_count(&id) + servers[1].request_count(&id);
+        assert!(executions <= 1, "{id} was sent to two servers");
+        if executions == 1 {
+            assert_eq!(reply.status, 502, "{id}: no promise can be made");
+        }
+        sent += executions;
+    }
+    assert!(sent > 0, "no server got a request");
+}
+
 #[test]
 fn silence_after_unsafe_request_ends_at_timeout_without_promise() {
     let script = |_: &support::server::ReceivedRequest,
--- a/wire/net/src/buffer.rs
+++ b/wire/net/src/buffer.rs
@@ -66,28 +66,41 @@
         Ok(false)
     }
 
-    /// Writes as much as `to` takes now, and returns how many bytes that was.
-    ///
-    /// # Errors
-    /// What `to` returns, but for an interruption and for taking nothing now; one that takes no
-    /// byte at all is [`io::ErrorKind::WriteZero`].
-    pub fn drain(&mut self, to: &mut impl Write) -> io::Result<usize> {
-        let mut written = 0;
-        while !self.is_empty() {
+    /// Writes as much as `to` takes now.
+    pub fn drain(&mut self, to: &mut impl Write) -> DrainProgress {
+        let mut written_bytes = 0;
+        let error = loop {
+            if self.is_empty() {
+                break None;
+            }
             match to.write(self.bytes()) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => {
-                    self.consume(n);
-                    written += n;
+                Ok(0) => break Some(io::ErrorKind::WriteZero.into()),
+                Ok(count) => {
+                    self.consume(count);
+                    written_bytes += count;
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break None,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
+                Err(e) => break Some(e),
             }
+        };
+        DrainProgress {
+            written_bytes,
+            error,
         }
-        Ok(written)
     }
 }
 
+/// What [`Buffer::drain`] has done. An error takes no byte back that was written before it.
+#[derive(Debug)]
+#[must_use]
+pub struct DrainProgress {
+    /// Bytes that were written, before the error if there is one.
+    pub written_bytes: usize,
+    /// What the writer returned, but for an interruption and for taking nothing now; one that takes no
+    /// byte at all is [`io::ErrorKind::WriteZero`].
+    pub error: Option<io::Error>,
+}
+
 #[cfg(test)]
 mod tests;
--- a/wire/net/src/connections.rs
+++ b/wire/net/src/connections.rs
@@ -164,9 +164,11 @@
             return TransferProgress::Broken;
         };
         if conn.up && !conn.output.is_empty() {
-            match conn.output.drain(&mut conn.stream) {
-                Ok(n) => conn.written += n as u64,
-                Err(_) => return TransferProgress::Broken,
+            let progress = conn.output.drain(&mut conn.stream);
+            // Bytes written before a failure may have been received.
+            conn.written += progress.written_bytes as u64;
+            if progress.error.is_some() {
+                return TransferProgress::Broken;
             }
             conn.last_active_at = now;
         }
