Broker: take a call on a connection that is gone for one that may have run

Cause: close_broken and recall took 0 bytes as written where the table of connections no longer has the connection, so its calls would count as never sent and might run again. Nothing in the program closes a connection behind the pool, so no caller has seen it: found by reading.

Change: one function, written_bytes, takes all as written there.

Test: call_on_a_vanished_connection_counts_as_sent failed before (the call was recalled), passes now; 35 tests of upstream pass.

--- a/src/upstream/closing.rs
+++ b/src/upstream/closing.rs
@@ -1,9 +1,9 @@
 //! Connections that end: idle ones, broken ones, and those to nodes that are gone.
 
 use super::link::Link;
-use super::{Pool, Wire, GREETING_PERIOD};
+use super::{written_bytes, Pool, Wire, GREETING_PERIOD};
 use crate::interface::{Micros, Outcome, ServerId};
-use crate::net::{Conn, ConnId, Net, Timer};
+use crate::net::{ConnId, Net, Timer};
 
 impl<W: Wire> Pool<W> {
     /// Forgets what is known of a node that is gone, and closes the connections to it that carry
@@ -47,7 +47,7 @@
     /// Ends a connection. A call whose last byte was written may have run: it was reset; others
     /// never left.
     pub(super) fn close_broken(&mut self, net: &mut Net, id: ConnId) {
-        let written = net.get(id).map_or(0, Conn::written);
+        let written = written_bytes(net, id);
         let Some(link) = self.links.get_mut(&id) else {
             return net.close(id);
         };
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -199,5 +199,11 @@
     }
 }
 
+/// Bytes written on a connection so far. Of one that is gone all counts as written, so that no call on
+/// it counts as one that never ran.
+fn written_bytes(net: &Net, id: ConnId) -> u64 {
+    net.get(id).map_or(u64::MAX, Conn::written)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/upstream/tests/receiving.rs
+++ b/src/upstream/tests/receiving.rs
@@ -44,6 +44,20 @@
     );
 }
 
+/// Guards against parts that run twice: a connection that is gone says nothing of what was sent on it.
+#[test]
+fn call_on_a_vanished_connection_counts_as_sent() {
+    let mut stage = Stage::new(LIMITS);
+    let attempt = stage.send("x");
+    let mut stream = stage.accept();
+    frame(&mut stream);
+    let id = stage.pool.attempts[&attempt];
+    stage.net.close(id);
+    assert!(!stage.pool.recall(&mut stage.net, attempt));
+    stage.pool.close_broken(&mut stage.net, id);
+    assert_eq!(stage.ended(), [(attempt, Outcome::Reset)]);
+}
+
 #[test]
 fn node_complaint_about_a_frame_is_logged() {
     let mut stage = Stage::new(LIMITS);
--- a/src/upstream/withdrawing.rs
+++ b/src/upstream/withdrawing.rs
@@ -1,8 +1,8 @@
 //! Attempts that are given up, or taken back before they leave.
 
 use super::link::InFlightPart;
-use super::{Pool, Wire};
-use crate::net::{Conn, Net, TransferProgress};
+use super::{written_bytes, Pool, Wire};
+use crate::net::{Net, TransferProgress};
 
 impl<W: Wire> Pool<W> {
     /// Gives up an attempt: the node is told, unless its call never left.
@@ -58,7 +58,7 @@
             self.remove_parked(attempt);
             return was_parked;
         };
-        let written = net.get(id).map_or(0, Conn::written);
+        let written = written_bytes(net, id);
         let Some(link) = self.links.get_mut(&id) else {
             return false;
         };
