Let every configuration that is accepted reach routers, and close a connection that lacks a message

Cause: a document may have 8 MiB (MAX_DOCUMENT_BYTES), a frame between processes had 5 MiB, a number of its own. A message that can't be encoded was logged and dropped, while ConfigurationPushes and LastNotified had noted it as sent.

Change: the frame limit follows from the document limit, and that of orders is checked at compile time. What is sent on a connection is ordered and without a gap: a message that can't be encoded closes the connection, so that what was noted as sent on it is forgotten with it. All senders go through one function; queued bytes may be two of the longest messages.

Messages are as before up to 5 MiB. Above, a process of an older version ends the connection ('over the limit'): update all machines before a configuration grows beyond it.

Tests: longest_configuration_reaches_routers_relays_and_callers failed before (TooLong: 8388680 over 5242880), passes now; message_that_cannot_be_encoded_closes_its_connections_alone, longest_message_may_wait_behind_another_one are new.

--- a/fleet/src/control/backlog_handler.rs
+++ b/fleet/src/control/backlog_handler.rs
@@ -76,14 +76,8 @@
     }
 
     fn send_backlog_report(&mut self, to: &[ConnId], report: &BacklogReport) {
-        match crate::envelopes::encode_backlog_report(report) {
-            Ok(bytes) => to
-                .iter()
-                .for_each(|id| self.connections.send_bytes(&mut self.net, *id, &bytes)),
-            Err(e) => {
-                log::error!(target: "control", error = e.to_string().as_str(); "message can't be encoded");
-            }
-        }
+        self.connections
+            .send_backlog_report(&mut self.net, to, report);
     }
 }
 
--- a/fleet/src/control/caller_sessions.rs
+++ b/fleet/src/control/caller_sessions.rs
@@ -6,6 +6,7 @@
 use super::clock::elapsed;
 use super::net_program::{Net, Owner};
 use super::responses::error_response;
+use crate::envelopes::PAYLOAD_LIMIT_BYTES;
 use lichenswitch_http::{request_up_to, MalformedMessage, Parsed, Request, Response};
 use lichenswitch_interface::Time;
 use lichenswitch_net::{ConnId, TransferProgress};
@@ -14,6 +15,10 @@
 
 /// Maximum length of a request body.
 pub(super) const MAX_BODY_BYTES: usize = 4 << 20;
+const _: () = assert!(
+    MAX_BODY_BYTES < PAYLOAD_LIMIT_BYTES,
+    "an order can be forwarded to the primary"
+);
 /// Maximum number of bytes that are buffered for a caller. A chunked body takes up more than its
 /// length.
 const MAX_BUFFERED_BYTES: usize = MAX_BODY_BYTES + (MAX_BODY_BYTES >> 2);
--- a/fleet/src/control/connection_handler.rs
+++ b/fleet/src/control/connection_handler.rs
@@ -132,11 +132,11 @@
         if connections.is_empty() {
             return;
         }
-        if let Ok(bytes) = crate::envelopes::encode(&Envelope::Peer(message.clone())) {
-            connections
-                .into_iter()
-                .for_each(|id| self.connections.send_bytes(&mut self.net, id, &bytes));
-        }
+        self.connections.send_to_all(
+            &mut self.net,
+            &connections,
+            &Envelope::Peer(message.clone()),
+        );
     }
 
     /// Closes connections that have been idle for too long, or were not established in time.
--- a/fleet/src/control/contact_handler.rs
+++ b/fleet/src/control/contact_handler.rs
@@ -36,12 +36,9 @@
         if connections.is_empty() {
             return;
         }
-        if let Ok(bytes) = crate::envelopes::encode(&Envelope::ToRouter(self.router_heartbeat(now)))
-        {
-            connections
-                .into_iter()
-                .for_each(|id| self.connections.send_bytes(&mut self.net, id, &bytes));
-        }
+        let heartbeat = Envelope::ToRouter(self.router_heartbeat(now));
+        self.connections
+            .send_to_all(&mut self.net, &connections, &heartbeat);
     }
 
     /// Returns the heartbeat for routers.
--- a/fleet/src/control/event_loop.rs
+++ b/fleet/src/control/event_loop.rs
@@ -141,11 +141,11 @@
 
     /// Writes queued bytes on all connections. Returns whether that has produced more work.
     fn flush_connections(&mut self) -> bool {
-        let broken = self.connections.flush(&mut self.net);
-        let mut has_more_work = !broken.is_empty();
-        broken
-            .into_iter()
-            .for_each(|id| self.close_connection(id, "write failed or queue full"));
+        let failed = self.connections.flush(&mut self.net);
+        let mut has_more_work = !failed.is_empty();
+        for connection in failed {
+            self.close_connection(connection.id, &connection.reason.to_string());
+        }
         for (id, request) in self.callers.flush(&mut self.net) {
             has_more_work = true;
             self.on_request(id, &request);
--- a/fleet/src/control/internal_connections.rs
+++ b/fleet/src/control/internal_connections.rs
@@ -3,11 +3,17 @@
 //! Messages that are queued in one iteration of the event loop are written together at its end. A
 //! connection whose reader stalls is closed once [`MAX_QUEUED_BYTES`] are exceeded, which bounds
 //! its memory.
+//!
+//! A connection delivers its messages in order and without a gap, so that what was sent on it may be
+//! noted as sent: one that can't be encoded closes the connection.
 
 use super::net_program::Net;
-use crate::envelopes::{encode, EnvelopeError, EnvelopeReader, Incoming};
+use crate::envelopes::{
+    encode, encode_backlog_report, encode_tenant_message, EnvelopeError, EnvelopeReader, Incoming,
+    PAYLOAD_LIMIT_BYTES,
+};
 use lichenswitch_interface::Time;
-use lichenswitch_messages::Envelope;
+use lichenswitch_messages::{BacklogReport, Envelope, TenantMessage};
 use lichenswitch_net::{ConnId, TransferProgress};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -16,8 +22,9 @@
 const MAX_READ_AHEAD_BYTES: usize = 6 << 20;
 /// Number of queued bytes from which on messages that will be repeated are dropped.
 const DROP_REPEATABLE_ABOVE_BYTES: usize = 1 << 20;
-/// Maximum number of queued bytes. A connection that exceeds it is closed.
-const MAX_QUEUED_BYTES: usize = 8 << 20;
+/// Maximum number of queued bytes. A connection that exceeds it is closed. The longest message fits
+/// while another one is being sent.
+const MAX_QUEUED_BYTES: usize = 2 * PAYLOAD_LIMIT_BYTES;
 
 /// The role of the process at the other end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +62,16 @@
     connections: BTreeMap<ConnId, InternalConnection>,
     /// Connections on which bytes were queued since the last flush.
     dirty: BTreeSet<ConnId>,
+    /// Connections that lack a message, since it could not be encoded.
+    incomplete: BTreeSet<ConnId>,
+}
+
+/// A connection to close after a flush.
+pub(super) struct FailedConnection {
+    /// Id of the connection.
+    pub(super) id: ConnId,
+    /// Why it has to be closed.
+    pub(super) reason: CloseReason,
 }
 
 /// The reason why a connection has to be closed. It appears only in the log.
@@ -75,6 +92,12 @@
     /// Reading or writing has failed.
     #[error("reading or writing has failed")]
     Broken,
+    /// The other end does not read what is sent to it.
+    #[error("{0} bytes are queued")]
+    QueueFull(usize),
+    /// A message to the other end could not be encoded.
+    #[error("a message could not be encoded")]
+    MessageNotEncoded,
 }
 
 /// The messages and state changes of a connection since it was last read.
@@ -156,12 +179,32 @@
 
     /// Encodes and queues a message.
     pub(super) fn send(&mut self, net: &mut Net, id: ConnId, envelope: &Envelope) {
-        match encode(envelope) {
-            Ok(bytes) => self.send_bytes(net, id, &bytes),
-            Err(e) => {
-                log::error!(target: "control", error = e.to_string().as_str(); "message can't be encoded")
-            }
-        }
+        self.send_to_all(net, &[id], envelope);
+    }
+
+    /// Encodes a message once, and queues it on several connections.
+    pub(super) fn send_to_all(&mut self, net: &mut Net, ids: &[ConnId], envelope: &Envelope) {
+        self.send_encoded(net, ids, encode(envelope));
+    }
+
+    /// Encodes a message about tenants and queues it.
+    pub(super) fn send_tenant_message(
+        &mut self,
+        net: &mut Net,
+        id: ConnId,
+        message: &TenantMessage,
+    ) {
+        self.send_encoded(net, &[id], encode_tenant_message(message));
+    }
+
+    /// Encodes a backlog report once, and queues it on several connections.
+    pub(super) fn send_backlog_report(
+        &mut self,
+        net: &mut Net,
+        ids: &[ConnId],
+        report: &BacklogReport,
+    ) {
+        self.send_encoded(net, ids, encode_backlog_report(report));
     }
 
     /// Queues a message that will be repeated. Drops it if [`DROP_REPEATABLE_ABOVE_BYTES`] or more
@@ -172,23 +215,45 @@
         }
     }
 
-    /// Queues an encoded message. Ignores connections that are closed.
-    pub(super) fn send_bytes(&mut self, net: &mut Net, id: ConnId, bytes: &[u8]) {
+    /// Queues an encoded message. Ignores connections that are closed. Without the message, the
+    /// connections are closed at the next flush.
+    fn send_encoded(
+        &mut self,
+        net: &mut Net,
+        ids: &[ConnId],
+        encoded: Result<Vec<u8>, EnvelopeError>,
+    ) {
+        match encoded {
+            Ok(bytes) => ids.iter().for_each(|id| self.queue(net, *id, &bytes)),
+            Err(e) => {
+                log::error!(target: "control", error = e.to_string().as_str(), receivers = ids.len();
+                    "message can't be encoded");
+                self.incomplete.extend(ids);
+            }
+        }
+    }
+
+    fn queue(&mut self, net: &mut Net, id: ConnId, bytes: &[u8]) {
         if let Some(conn) = net.get_mut(id) {
             conn.send(bytes);
             self.dirty.insert(id);
         }
     }
 
-    /// Writes the queued bytes. Returns the connections that have to be closed, because writing has
-    /// failed or too many bytes remain queued.
-    pub(super) fn flush(&mut self, net: &mut Net) -> Vec<ConnId> {
+    /// Writes the queued bytes. Returns the connections that have to be closed.
+    pub(super) fn flush(&mut self, net: &mut Net) -> Vec<FailedConnection> {
+        let incomplete = std::mem::take(&mut self.incomplete);
         let dirty = std::mem::take(&mut self.dirty);
-        let must_close = |id: &ConnId| {
-            net.flush(*id, false) != TransferProgress::Alive
-                || queued_bytes(net, *id) > MAX_QUEUED_BYTES
-        };
-        dirty.into_iter().filter(must_close).collect()
+        let written = dirty.difference(&incomplete).filter_map(|id| {
+            let reason = write_failure(net, *id)?;
+            Some(FailedConnection { id: *id, reason })
+        });
+        let mut failed: Vec<FailedConnection> = written.collect();
+        failed.extend(incomplete.into_iter().map(|id| FailedConnection {
+            id,
+            reason: CloseReason::MessageNotEncoded,
+        }));
+        failed
     }
 
     /// Iterates over all connections.
@@ -206,17 +271,28 @@
     pub(super) fn close(&mut self, net: &mut Net, id: ConnId) -> Option<RemoteRole> {
         net.close(id);
         self.dirty.remove(&id);
+        self.incomplete.remove(&id);
         self.connections
             .remove(&id)
             .map(|connection| connection.remote_role)
     }
 }
 
+/// Writes the queued bytes of a connection. Returns the reason why it has to be closed, if it has to
+/// be.
+fn write_failure(net: &mut Net, id: ConnId) -> Option<CloseReason> {
+    if net.flush(id, false) != TransferProgress::Alive {
+        return Some(CloseReason::Broken);
+    }
+    let queued = queued_bytes(net, id);
+    (queued > MAX_QUEUED_BYTES).then_some(CloseReason::QueueFull(queued))
+}
+
 /// Returns the number of bytes that are queued on a connection and not yet written.
-fn queued_bytes(net: &mut Net, id: ConnId) -> usize {
-    let Some(conn) = net.get_mut(id) else {
-        return 0;
-    };
-    let queued = conn.send(&[]);
-    usize::try_from(queued.saturating_sub(conn.written())).unwrap_or(usize::MAX)
+fn queued_bytes(net: &Net, id: ConnId) -> usize {
+    let queued = net.get(id).map_or(0, |conn| conn.queued_unwritten());
+    usize::try_from(queued).unwrap_or(usize::MAX)
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/control/quota_handler.rs
+++ b/fleet/src/control/quota_handler.rs
@@ -182,12 +182,8 @@
     }
 
     fn send_tenant_message(&mut self, id: ConnId, message: &TenantMessage) {
-        match crate::envelopes::encode_tenant_message(message) {
-            Ok(bytes) => self.connections.send_bytes(&mut self.net, id, &bytes),
-            Err(e) => {
-                log::error!(target: "control", error = e.to_string().as_str(); "message can't be encoded");
-            }
-        }
+        self.connections
+            .send_tenant_message(&mut self.net, id, message);
     }
 
     /// Returns the owner ids of connected machines that may become voters and therefore own shards.
--- a/fleet/src/envelopes.rs
+++ b/fleet/src/envelopes.rs
@@ -5,6 +5,7 @@
 //! both ends must agree on. A message that is read is exactly as another process of this program
 //! sent it.
 
+use lichenswitch_configuration::MAX_DOCUMENT_BYTES;
 use lichenswitch_messages::{BacklogReport, Envelope, TenantMessage, PROTOCOL_VERSION};
 use lichenswitch_rpc::{ArchiveError, FrameError, FrameReader};
 
@@ -14,8 +15,11 @@
 const TENANT_MESSAGE: u16 = 2;
 /// Frame kind of a [`BacklogReport`].
 const BACKLOG_REPORT: u16 = 3;
-/// Maximum payload of a frame, in bytes. Fits an order with a body of 4 MiB and the other fields.
-pub const PAYLOAD_LIMIT_BYTES: usize = 5 << 20;
+/// Room in a payload for the fields beside a document, in bytes.
+const FIELDS_BYTES: usize = 1 << 20;
+/// Maximum payload of a frame, in bytes. Whatever the control machines accept has to fit: the longest
+/// configuration, in a push as in the response to a relayed call, and the longest order.
+pub const PAYLOAD_LIMIT_BYTES: usize = MAX_DOCUMENT_BYTES + FIELDS_BYTES;
 
 /// An error that prevents reading further messages or sending one. The connection must be closed.
 #[derive(Debug, thiserror::Error)]
