Router: find the class of a route by its terms, not by a scan of all classes

Cause: RequestClasses::index_of compared terms with each class in turn, so that applying a configuration took time with the square of its routes, and each request time with their number.

Change: a map from terms to index, and the set of indices that may be reused; the index chosen is the same as before. The index of a class is kept whole: it was cut to 16 bits, which mixed up classes beyond 65,536 of a service.

--- a/fleet/src/router/configuration.rs
+++ b/fleet/src/router/configuration.rs
@@ -12,7 +12,7 @@
 
 /// The terms of a route. A request keeps a copy to its end, whatever configuration becomes active
 /// meanwhile.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct RouteTerms {
     /// Name of the route.
     pub route: Arc<str>,
--- a/fleet/src/router/request_classes.rs
+++ b/fleet/src/router/request_classes.rs
@@ -5,6 +5,7 @@
 
 use super::configuration::RouteTerms;
 use lichenswitch_interface::{Class, RetrySafety, FIRST_SHARE};
+use std::collections::{BTreeSet, HashMap};
 
 /// Under overload the value of a request falls by this factor with each rank.
 const VALUE_PER_RANK: f64 = 0.8;
@@ -21,63 +22,86 @@
     is_active: bool,
 }
 
+impl RequestClass {
+    fn is_unused(&self) -> bool {
+        self.request_count == 0 && !self.is_active
+    }
+}
+
 /// The classes of a service, by index.
 #[derive(Default)]
 pub(crate) struct RequestClasses {
     classes: Vec<RequestClass>,
+    /// The index of each class by its terms.
+    by_terms: HashMap<RouteTerms, usize>,
+    /// The indices that may be reused.
+    unused: BTreeSet<usize>,
 }
 
 impl RequestClasses {
     /// Marks the classes of these terms as those of the active configuration, and adds new ones.
     pub(crate) fn set_active(&mut self, routes: Vec<RouteTerms>) {
-        self.classes
-            .iter_mut()
-            .for_each(|class| class.is_active = false);
+        for index in 0..self.classes.len() {
+            self.set_is_active(index, false);
+        }
         for terms in routes {
             let (index, _) = self.index_of(&terms);
-            self.classes[index].is_active = true;
+            self.set_is_active(index, true);
         }
     }
 
     /// The index of the class with these terms (an existing one, an unused one, or a new one), and
     /// whether the core has to be told of it.
     pub(crate) fn index_of(&mut self, terms: &RouteTerms) -> (usize, bool) {
-        if let Some(index) = self.classes.iter().position(|class| class.terms == *terms) {
-            return (index, false);
+        if let Some(index) = self.by_terms.get(terms) {
+            return (*index, false);
         }
         let class = RequestClass {
             terms: terms.clone(),
             request_count: 0,
             is_active: false,
         };
-        match self
-            .classes
-            .iter()
-            .position(|class| class.request_count == 0 && !class.is_active)
-        {
-            Some(index) => {
+        let index = match self.unused.first() {
+            Some(&index) => {
+                self.by_terms.remove(&self.classes[index].terms);
                 self.classes[index] = class;
-                (index, true)
+                index
             }
             None => {
                 self.classes.push(class);
-                (self.classes.len() - 1, true)
+                self.classes.len() - 1
             }
-        }
+        };
+        self.by_terms.insert(terms.clone(), index);
+        self.unused.insert(index);
+        (index, true)
     }
 
     /// A request of this class was submitted.
     pub(crate) fn acquire(&mut self, index: usize) {
         self.classes[index].request_count += 1;
+        self.unused.remove(&index);
     }
 
     /// A request of this class has ended.
     pub(crate) fn release(&mut self, index: usize) {
         if let Some(class) = self.classes.get_mut(index) {
             class.request_count = class.request_count.saturating_sub(1);
+            if class.is_unused() {
+                self.unused.insert(index);
+            }
         }
     }
 
+    fn set_is_active(&mut self, index: usize, is_active: bool) {
+        let class = &mut self.classes[index];
+        class.is_active = is_active;
+        match class.is_unused() {
+            true => self.unused.insert(index),
+            false => self.unused.remove(&index),
+        };
+    }
+
     /// The classes as the decision module knows them, in order.
     pub(crate) fn for_decisions(&self) -> Vec<Class> {
         self.classes
@@ -109,3 +133,6 @@
         attempts: Some(terms.max_attempts.min(MAX_ATTEMPTS)),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/router/request_table.rs
+++ b/fleet/src/router/request_table.rs
@@ -64,7 +64,7 @@
     /// Its query in the core, until the core has its outcome or has ended it.
     pub core_query: Option<QueryId>,
     /// Index of its request class in the service.
-    pub class_index: u16,
+    pub class_index: usize,
     /// Its sender, where it bears the key of a tenant.
     pub sender: Option<Rc<Sender>>,
     /// When its last byte was read.
--- a/fleet/src/router/service.rs
+++ b/fleet/src/router/service.rs
@@ -76,7 +76,7 @@
     /// Its query.
     pub query: QueryId,
     /// Its class, to be released with [`Service::release`].
-    pub class_index: u16,
+    pub class_index: usize,
 }
 
 impl Service {
@@ -166,7 +166,6 @@
         if is_new {
             self.push_classes();
         }
-        let class_index = index as u16;
         let placement = self.placement(route_request.prompt);
         let request = Request {
             class: index,
@@ -184,7 +183,10 @@
         self.classes.acquire(index);
         self.queries.insert(query, route_request.request_id);
         self.resume_budget.on_request(now);
-        Ok(SubmittedQuery { query, class_index })
+        Ok(SubmittedQuery {
+            query,
+            class_index: index,
+        })
     }
 
     /// Submits a stream that is to be resumed, if the budget allows it.
@@ -200,8 +202,8 @@
     }
 
     /// A request of this class has ended.
-    pub(crate) fn release(&mut self, class_index: u16) {
-        self.classes.release(usize::from(class_index));
+    pub(crate) fn release(&mut self, class_index: usize) {
+        self.classes.release(class_index);
     }
 
     /// The request of a query that the core replies to, and ends with it.
