Control: take the tenants of a committed configuration from the document that is parsed already

Cause: a control machine parsed the whole committed configuration once more for the tenants' buckets.

Change: CommittedConfiguration holds the tenants, made from the replica's document, or once where a relay parses it.

--- a/decide/control/src/configuration_pushes.rs
+++ b/decide/control/src/configuration_pushes.rs
@@ -5,6 +5,7 @@
 //! that it has received as current once a heartbeat reports contact with the group. Pushes are
 //! numbered from 1 on each connection.
 
+use lichenswitch_configuration::{ConfigurationError, Document, Tenant};
 use lichenswitch_messages::{ConfigurationPosition, ControlToRouter};
 use lichenswitch_replication::Position;
 use std::sync::Arc;
@@ -18,6 +19,41 @@
     pub version: u64,
     /// Configuration document as JSON.
     pub document: Arc<[u8]>,
+    /// Its tenants; empty if it has none.
+    pub tenants: Arc<[Tenant]>,
+}
+
+impl CommittedConfiguration {
+    /// Creates the form of a document that is already parsed. A long document takes noticeable time
+    /// to parse, during which a control machine does nothing else.
+    pub fn of_document(
+        position: ConfigurationPosition,
+        document: &Document,
+    ) -> CommittedConfiguration {
+        CommittedConfiguration {
+            position,
+            version: document.version(),
+            document: document.to_json().into(),
+            tenants: document.tenants().unwrap_or_default().into(),
+        }
+    }
+
+    /// Parses a committed document that another machine has sent.
+    ///
+    /// # Errors
+    /// Returns the first reason for which the document is invalid.
+    pub fn from_json(
+        position: ConfigurationPosition,
+        json: Vec<u8>,
+    ) -> Result<CommittedConfiguration, ConfigurationError> {
+        let document = Document::parse_committed(&json)?;
+        Ok(CommittedConfiguration {
+            position,
+            version: document.version(),
+            tenants: document.tenants().unwrap_or_default().into(),
+            document: json.into(),
+        })
+    }
 }
 
 /// The state of the pushes to one router: the last push and the configuration that the router has
--- a/decide/control/src/configuration_pushes/tests.rs
+++ b/decide/control/src/configuration_pushes/tests.rs
@@ -16,6 +16,7 @@
         position: at(number),
         version: number,
         document: Arc::from(b"{}".as_slice()),
+        tenants: Arc::default(),
     }
 }
 
--- a/fleet/src/control/configuration_handler.rs
+++ b/fleet/src/control/configuration_handler.rs
@@ -3,7 +3,6 @@
 use super::call_types::PrimaryLocation;
 use super::node::ControlNode;
 use super::router_table::RouterMessage;
-use lichenswitch_configuration::{Document, Tenant};
 use lichenswitch_control::{configuration_position, CommittedConfiguration};
 use lichenswitch_interface::Time;
 use lichenswitch_messages::{ConfigurationPosition, Envelope, PeerMessage};
@@ -39,12 +38,8 @@
                 .document()
                 .filter(|document| document.version() > applied)
             {
-                let (position, version) = (configuration_position(position), document.version());
-                return Some(CommittedConfiguration {
-                    position,
-                    version,
-                    document: document.to_json().into(),
-                });
+                let position = configuration_position(position);
+                return Some(CommittedConfiguration::of_document(position, document));
             }
         }
         self.primary_tracker
@@ -56,17 +51,8 @@
     /// Applies the tenants of the committed configuration to the quota buckets.
     pub(super) fn update_bucket_tenants(&mut self) {
         let now = self.net.clock.now();
-        let Some(committed) = &self.committed else {
-            return;
-        };
-        match Document::parse_committed(&committed.document) {
-            Ok(document) => {
-                let tenants: &[Tenant] = document.tenants().unwrap_or_default();
-                self.quotas.buckets.set_tenants(now, tenants);
-            }
-            Err(e) => {
-                log::error!(target: "control", error = e.to_string().as_str(); "committed configuration can't be read");
-            }
+        if let Some(committed) = &self.committed {
+            self.quotas.buckets.set_tenants(now, &committed.tenants);
         }
     }
 
@@ -102,16 +88,8 @@
     /// Handles a committed configuration from the primary. A configuration that can't be parsed is
     /// ignored, since routers could not use it either.
     pub(super) fn on_configuration(&mut self, position: ConfigurationPosition, document: Vec<u8>) {
-        match Document::parse_committed(&document) {
-            Ok(parsed) => {
-                let version = parsed.version();
-                self.primary_tracker
-                    .on_configuration(CommittedConfiguration {
-                        position,
-                        version,
-                        document: document.into(),
-                    });
-            }
+        match CommittedConfiguration::from_json(position, document) {
+            Ok(committed) => self.primary_tracker.on_configuration(committed),
             Err(e) => {
                 warn!(target: "control", error = e.to_string().as_str(); "configuration from the primary can't be read")
             }
--- a/simulator/src/control/router_updates.rs
+++ b/simulator/src/control/router_updates.rs
@@ -63,11 +63,7 @@
     fn committed(&self) -> Option<CommittedConfiguration> {
         let (position, committed) = self.replica.committed()?;
         let document = committed.state().document()?;
-        let (position, version) = (configuration_position(position), document.version());
-        Some(CommittedConfiguration {
-            position,
-            version,
-            document: document.to_json().into(),
-        })
+        let position = configuration_position(position);
+        Some(CommittedConfiguration::of_document(position, document))
     }
 }
