Router: keep a link to control on which a long message arrives, or whose messages wait unread

Cause: only whole messages counted as signs of life, and heartbeats, which report contact, wait behind a long one; and a router that was busy for longer than that (it parses a large configuration) took the time for silence though heartbeats lay unread.

Change: bytes count as signs of life; while a message arrives its sender's contact stands as last reported, for 12 s at most; a control machine that reported lost contact is left as before. What has come is read before a link is given up.

--- a/fleet/src/envelopes.rs
+++ b/fleet/src/envelopes.rs
@@ -102,6 +102,12 @@
         self.frames.push(bytes);
     }
 
+    /// Whether a message has arrived in part.
+    #[must_use]
+    pub fn is_within_message(&self) -> bool {
+        self.frames.pending() > 0
+    }
+
     /// Returns the next complete message, or `None` if more bytes are needed.
     ///
     /// # Errors
--- a/fleet/src/router/control_link/connection.rs
+++ b/fleet/src/router/control_link/connection.rs
@@ -5,15 +5,22 @@
 use lichenswitch_interface::{Micros, Time};
 use lichenswitch_messages::{
     BacklogReport, ConfigurationPosition, ControlToRouter, Envelope, RouterToControl,
-    TenantMessage, PROTOCOL_VERSION,
+    TenantMessage, PROTOCOL_VERSION, ROUTER_HEARTBEAT_MS,
 };
 use lichenswitch_net::{ConnId, TransferProgress};
 use std::net::SocketAddr;
 
-/// After this long without a message, or without contact to a quorum, another control machine is tried
+/// After this long without a byte, or without contact to a quorum, another control machine is tried
 /// (microseconds): between two and three heartbeats.
 pub(crate) const CONTROL_IDLE_TIMEOUT_US: Micros = 700_000;
 
+/// A message that takes longer than this to arrive is given up (microseconds). The longest configuration
+/// takes 7 s at 10 Mbit/s.
+const MESSAGE_TIMEOUT_US: Micros = 12_000_000;
+
+/// Interval of the heartbeats of a control machine (microseconds).
+const HEARTBEAT_INTERVAL_US: Micros = ROUTER_HEARTBEAT_MS * 1_000;
+
 /// A connection that is not up after this long is dropped (microseconds): connects within a region
 /// take milliseconds.
 const CONNECT_TIMEOUT_US: Micros = 400_000;
@@ -61,10 +68,15 @@
     pub reader: EnvelopeReader,
     pub is_handshake_sent: bool,
     pub opened_at: Time,
+    /// When the last byte came.
     pub last_received_at: Option<Time>,
-    /// When the control machine last reported that it was in contact with a quorum.
+    /// When the first byte came of a message that is not complete.
+    pub message_started_at: Option<Time>,
+    /// When the control machine last reported that it was in contact with a quorum, or the end of a long
+    /// message behind which such reports wait.
     pub last_contact_at: Option<Time>,
-    pub is_in_contact: bool,
+    /// Whether it is in contact by its last heartbeat; `None` before the first one.
+    pub reported_contact: Option<bool>,
     /// Number of the last push that came.
     pub last_push: u64,
     /// Number of the last push that was acknowledged.
@@ -80,14 +92,15 @@
             is_handshake_sent: false,
             opened_at: now,
             last_received_at: None,
+            message_started_at: None,
             last_contact_at: None,
-            is_in_contact: false,
+            reported_contact: None,
             last_push: 0,
             last_acknowledged_push: 0,
         }
     }
 
-    /// When it is dropped unless a message comes before.
+    /// When it is dropped unless something comes before.
     pub(super) fn deadline(&self) -> Time {
         if !self.is_handshake_sent {
             return self.opened_at.plus(CONNECT_TIMEOUT_US);
@@ -96,11 +109,41 @@
             .last_received_at
             .unwrap_or(self.opened_at)
             .plus(CONTROL_IDLE_TIMEOUT_US);
-        idle_deadline.min(
-            self.last_contact_at
-                .unwrap_or(self.opened_at)
-                .plus(CONTROL_IDLE_TIMEOUT_US),
-        )
+        let contact_deadline = self
+            .last_contact_at
+            .unwrap_or(self.opened_at)
+            .plus(CONTROL_IDLE_TIMEOUT_US);
+        // Heartbeats wait behind a message that is being received.
+        let message_deadline = self
+            .message_started_at
+            .filter(|_| !self.has_lost_contact())
+            .map(|started_at| started_at.plus(MESSAGE_TIMEOUT_US));
+        idle_deadline.min(message_deadline.unwrap_or(contact_deadline))
+    }
+
+    /// Whether its last heartbeat reported that it is in contact.
+    pub(super) fn is_in_contact(&self) -> bool {
+        self.reported_contact == Some(true)
+    }
+
+    fn has_lost_contact(&self) -> bool {
+        self.reported_contact == Some(false)
+    }
+
+    /// Records whether a message is being received, and lets the heartbeats behind one that took long
+    /// arrive.
+    fn track_message(&mut self, now: Time) {
+        if self.reader.is_within_message() {
+            self.message_started_at.get_or_insert(now);
+            return;
+        }
+        let has_delayed_heartbeats = self
+            .message_started_at
+            .take()
+            .is_some_and(|started_at| now.since(started_at) >= HEARTBEAT_INTERVAL_US);
+        if has_delayed_heartbeats && !self.has_lost_contact() {
+            self.last_contact_at = Some(now);
+        }
     }
 
     /// Sends the handshake once the connection is up; `false` if it broke.
@@ -175,9 +218,10 @@
                 }
             }
         }
-        if !messages.is_empty() {
+        if used > 0 {
             self.last_received_at = Some(now);
         }
+        self.track_message(now);
         Ok(messages)
     }
 }
--- a/fleet/src/router/control_link/link.rs
+++ b/fleet/src/router/control_link/link.rs
@@ -116,30 +116,47 @@
         if self.check_at.is_some_and(|at| at <= now) {
             self.check_at = None;
         }
-        if self
-            .connection
-            .as_ref()
-            .is_some_and(|connection| connection.deadline() <= now)
-        {
+        let mut updates = Vec::new();
+        if let Some(id) = self.expired_connection(now) {
+            // What came while this process was busy is no silence.
+            updates = self.read(net, id);
+        }
+        if self.expired_connection(now).is_some() {
             self.drop_connection(net);
         }
         if self.connection.is_none() {
             self.connect(net);
         }
-        let updates = self.take_unconfirmed(now).into_iter().collect();
+        updates.extend(self.take_unconfirmed(now));
         self.schedule_check(net, now);
         updates
     }
 
+    /// The connection, if its deadline has passed.
+    fn expired_connection(&self, now: Time) -> Option<ConnId> {
+        self.connection
+            .as_ref()
+            .filter(|connection| connection.deadline() <= now)
+            .map(|connection| connection.id)
+    }
+
     /// Handles a connection that can be read or written; returns the updates that have come.
     pub(crate) fn on_ready(&mut self, net: &mut Net, id: ConnId) -> Vec<ControlUpdate> {
-        let Some(connection) = self
-            .connection
-            .as_mut()
-            .filter(|connection| connection.id == id)
-        else {
+        if self.connection.as_ref().is_none_or(|of| of.id != id) {
             net.close(id);
             return Vec::new();
+        }
+        let mut updates = self.read(net, id);
+        if self.connection.is_none() {
+            updates.extend(self.check(net));
+        }
+        updates
+    }
+
+    /// Reads what has come on the connection, and drops it if it broke; returns the updates.
+    fn read(&mut self, net: &mut Net, id: ConnId) -> Vec<ControlUpdate> {
+        let Some(connection) = &mut self.connection else {
+            return Vec::new();
         };
         let progress = net.transfer(id, READ_AHEAD_BYTES);
         let mut updates = Vec::new();
@@ -159,7 +176,6 @@
         }
         if !is_sound || net.get(id).is_none_or(|conn| conn.ended) {
             self.drop_connection(net);
-            updates.extend(self.check(net));
         }
         updates
     }
@@ -294,7 +310,7 @@
         let Some(connection) = &mut self.connection else {
             return;
         };
-        connection.is_in_contact = in_contact;
+        connection.reported_contact = Some(in_contact);
         if in_contact {
             connection.last_contact_at = Some(now);
             self.candidates.on_useful(connection.address);
@@ -335,7 +351,7 @@
         let in_contact = self
             .connection
             .as_ref()
-            .filter(|connection| connection.is_in_contact)
+            .filter(|connection| connection.is_in_contact())
             .map(|connection| connection.id);
         let has_waited = now.since(self.started_at) >= UNCONFIRMED_WAIT_US;
         let is_accepted = has_waited || self.applied.is_some();
@@ -394,3 +410,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/tests/router_configuration.rs
+++ b/fleet/tests/router_configuration.rs
@@ -447,6 +447,26 @@
     );
 }
 
+/// Guards against CONFIG: a configuration that takes longer to arrive than a control machine may be
+/// silent was never received (review, "Not done").
+#[test]
+fn configuration_over_a_slow_link_arrives_on_one_connection() {
+    const PIECES: usize = 20;
+    const PAUSE: Duration = Duration::from_millis(100);
+    let control = Control::at(SocketAddr::from(([127, 0, 0, 1], 0)));
+    control.push_configuration(1, &document(1, 3_000, 1_000, 2));
+    let _router = RouterThread::start(
+        &settings_text(&[Ipv4Addr::LOCALHOST], control.address.port(), ""),
+        None,
+    );
+    support::wait_until("it is in force", || control.applied() == Some(position(1)));
+    control.push_configuration_slowly(2, &document(2, 3_000, 1_000, 2), PIECES, PAUSE);
+    support::wait_until("the next one is", || control.applied() == Some(position(2)));
+    // Heartbeats go on: the link is kept.
+    std::thread::sleep(Duration::from_millis(900));
+    assert_eq!(control.handshake_count(), 1);
+}
+
 #[test]
 fn lagging_control_machine_does_not_revert_configuration() {
     let server = named("i-1");
--- a/fleet/tests/support/control.rs
+++ b/fleet/tests/support/control.rs
@@ -97,6 +97,33 @@
         });
     }
 
+    /// Pushes a configuration over a slow link: in so many pieces, with a pause after each. Whatever
+    /// else is sent meanwhile waits behind it.
+    pub fn push_configuration_slowly(
+        &self,
+        number: u64,
+        document: &str,
+        pieces: usize,
+        pause: Duration,
+    ) {
+        let mut state = self.state.lock().expect("lock");
+        let (position, document) = (position(number), document.as_bytes().to_vec());
+        state.configuration = Some((position, document.clone()));
+        let link = state.links.last_mut().expect("a router is connected");
+        link.push += 1;
+        let push = link.push;
+        let message = ControlToRouter::Configuration {
+            push,
+            position,
+            document,
+        };
+        let bytes = encode(&Envelope::ToRouter(message)).expect("encode");
+        for piece in bytes.chunks(bytes.len().div_ceil(pieces)) {
+            let _ = link.stream.write_all(piece);
+            std::thread::sleep(pause);
+        }
+    }
+
     pub fn push_servers(&self, records: Vec<ServerRecord>) {
         let mut state = self.state.lock().expect("lock");
         for record in &records {
