--- a/emulators/src/model_server/connection/request.rs
+++ b/emulators/src/model_server/connection/request.rs
@@ -1,6 +1,6 @@
 //! A request from its head to its end: it is read, rejected or admitted to a slot, and run.
 
-use super::{Connection, Persistence};
+use super::{reset_on_close, Connection, Persistence};
 use crate::model_server::{Event, Fault};
 use crate::stream_client::message::{read_body, Head};
 use crate::sync::lock;
@@ -58,6 +58,9 @@
         if let Some(Fault::EarlyResponse(status)) = fault {
             return self.respond_early(&request, status);
         }
+        if fault == Some(Fault::ResetWhileReading) {
+            return self.reset_while_reading(&request);
+        }
         let Ok(body) = read_body(&mut self.from, &request.head, false) else {
             return Persistence::Close;
         };
@@ -87,6 +90,15 @@
         }
     }
 
+    /// Begins work on a request, and resets its connection while the caller may still be sending it.
+    fn reset_while_reading(&mut self, request: &Request) -> Persistence {
+        let shared = self.shared.clone();
+        shared.ledger.record(&request.attempt, Event::Started);
+        self.ends_by_reset = true;
+        reset_on_close(&self.to);
+        self.abort(request)
+    }
+
     /// The status with which a request is rejected, if it is.
     fn rejection_status(&self, request: &Request) -> Option<u16> {
         let description = &self.shared.description;
--- a/emulators/src/model_server/fault.rs
+++ b/emulators/src/model_server/fault.rs
@@ -34,6 +34,8 @@
     NoLengthReset(u64),
     /// It is rejected with this status before its body has been read; the connection is kept alive.
     EarlyResponse(u16),
+    /// It runs from its head on, and the connection is reset before its body has been read.
+    ResetWhileReading,
     /// It runs, and bytes that are no HTTP are sent in place of a response.
     NotHttp,
     /// It is rejected with this status and `Not-Executed`.
--- a/emulators/src/operator/document.rs
+++ b/emulators/src/operator/document.rs
@@ -70,6 +70,8 @@
     pub attempts: u32,
     /// `streamResume`.
     pub resume: bool,
+    /// A text of the operator's own, which the fleet passes on; empty: none.
+    pub note: String,
 }
 
 impl Route {
@@ -87,6 +89,7 @@
             timeout_ms: 5_000,
             attempts: 2,
             resume: true,
+            note: String::new(),
         }
     }
 
@@ -110,6 +113,9 @@
             "streamResume": self.resume,
             "gap_aim_ms": 300,
         });
+        if !self.note.is_empty() {
+            route["note"] = json!(self.note);
+        }
         if self.split.is_empty() {
             route["service"] = json!(self.service);
         } else {
--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -1,7 +1,8 @@
 //! The clients of a day, and the platform's readiness checks by which they choose their routers.
 
 use crate::journal::{ClientRequest, Clock, RequestEnd};
-use crate::operators::HOST;
+use crate::operators::{HOST, LONG_CONFIGURATION_PATH};
+use crate::plan::{Plan, Profile};
 use crate::servers::EVENT_INTERVAL;
 use fastrand::Rng;
 use lichenswitch_emulators::stream_client::message::{Call, MessageError};
@@ -37,6 +38,9 @@
 const CONNECT_BACKOFF: Duration = Duration::from_millis(50);
 /// The longest delay between two short requests (ms).
 const MAX_SHORT_DELAY_MS: u64 = 60;
+/// The length of long bodies (bytes): one write takes less of it, up to `maxBodyBytes`.
+const MIN_LONG_BODY_BYTES: usize = 512 << 10;
+const MAX_BODY_BYTES: usize = 4 << 20;
 /// The longest delay between two streams (ms).
 const MAX_STREAM_DELAY_MS: u64 = 400;
 
@@ -53,10 +57,36 @@
     UnresumableStream,
     /// Streams on a route that only some configurations have.
     OptionalRoute,
+    /// Requests with long bodies that may not be retried.
+    LongUnsafe,
+    /// Short requests on the last route that a long configuration got.
+    LongConfigurationRoute,
+}
+
+/// How long clients use a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// For a number of requests that is drawn.
+    Limited,
+    /// Until it is closed, whatever the router answers.
+    UntilClosed,
 }
 
 /// The workload of each client of a day.
-pub const CLIENT_WORKLOADS: [Workload; 14] = [
+#[must_use]
+pub fn workloads(plan: &Plan) -> Vec<Workload> {
+    let mut workloads = CLIENT_WORKLOADS.to_vec();
+    if plan.profile == Profile::Series {
+        workloads.extend([Workload::LongUnsafe; 3]);
+    }
+    if plan.has_long_configuration {
+        workloads.extend([Workload::LongConfigurationRoute; 2]);
+    }
+    workloads
+}
+
+/// The workload of each client of a day of mixed faults.
+const CLIENT_WORKLOADS: [Workload; 14] = [
     Workload::Safe,
     Workload::Safe,
     Workload::Unsafe,
@@ -81,15 +111,31 @@
             Workload::ResumableStream => "/long/1",
             Workload::UnresumableStream => "/whole/1",
             Workload::OptionalRoute => "/extra/1",
+            Workload::LongUnsafe => "/once/1",
+            Workload::LongConfigurationRoute => LONG_CONFIGURATION_PATH,
         }
     }
 
     fn is_short(self) -> bool {
-        matches!(self, Workload::Safe | Workload::Unsafe)
+        matches!(
+            self,
+            Workload::Safe
+                | Workload::Unsafe
+                | Workload::LongUnsafe
+                | Workload::LongConfigurationRoute
+        )
+    }
+
+    /// Draws the length of the body of its next request; `None`: the usual one.
+    fn body_bytes(self, random: &mut Rng) -> Option<usize> {
+        (self == Workload::LongUnsafe).then(|| random.usize(MIN_LONG_BODY_BYTES..=MAX_BODY_BYTES))
     }
 
     fn is_idempotent(self) -> bool {
-        !matches!(self, Workload::Unsafe | Workload::UnresumableStream)
+        !matches!(
+            self,
+            Workload::Unsafe | Workload::UnresumableStream | Workload::LongUnsafe
+        )
     }
 
     fn deadline(self) -> Duration {
@@ -129,8 +175,10 @@
     }
 
     /// Draws how many requests a connection carries at most.
-    fn max_requests(self, random: &mut Rng) -> u32 {
-        if self.is_short() {
+    fn max_requests(self, connection_use: ConnectionUse, random: &mut Rng) -> u32 {
+        if connection_use == ConnectionUse::UntilClosed {
+            u32::MAX
+        } else if self.is_short() {
             random.u32(1..60)
         } else {
             random.u32(1..6)
@@ -145,6 +193,9 @@
     fronts: Vec<SocketAddr>,
     /// By machine, the readiness checks that its router has failed in a row.
     misses: Vec<AtomicU32>,
+    connection_use: ConnectionUse,
+    /// When the routes of a long configuration were acknowledged, where there are any.
+    long_routes_acknowledged_at: Option<Duration>,
     next_attempt: AtomicU64,
     stopped: AtomicBool,
     client_requests: Mutex<Vec<ClientRequest>>,
@@ -153,19 +204,26 @@
 impl Clients {
     /// Clients of these routers.
     #[must_use]
-    pub fn new(clock: Clock, fronts: Vec<SocketAddr>) -> Clients {
+    pub fn new(clock: Clock, fronts: Vec<SocketAddr>, connection_use: ConnectionUse) -> Clients {
         let misses = fronts.iter().map(|_| AtomicU32::new(0)).collect();
         let (next_attempt, stopped) = (AtomicU64::new(1), AtomicBool::new(false));
         Clients {
             clock,
             fronts,
             misses,
+            connection_use,
+            long_routes_acknowledged_at: None,
             next_attempt,
             stopped,
             client_requests: Mutex::default(),
         }
     }
 
+    /// Sets when the routes of a long configuration were acknowledged.
+    pub fn set_long_routes_acknowledged_at(&mut self, at: Duration) {
+        self.long_routes_acknowledged_at = Some(at);
+    }
+
     /// Stops the clients: no new request is sent.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
@@ -204,12 +262,13 @@
                 thread::sleep(CONNECT_BACKOFF);
                 continue;
             };
-            for turn in 0..workload.max_requests(random) {
+            for turn in 0..workload.max_requests(self.connection_use, random) {
                 if self.is_stopped() {
                     break;
                 }
                 let events = workload.event_count(random);
-                let Some(sent) = self.send(&mut connection, workload, events) else {
+                let body_bytes = workload.body_bytes(random);
+                let Some(sent) = self.send(&mut connection, workload, events, body_bytes) else {
                     break;
                 };
                 let (is_rejected, keeps_alive) = (sent.is_rejected(), sent.keeps_alive);
@@ -240,7 +299,7 @@
         let opened = ClientConnection::open(self.fronts[machine], RESPONSE_TIMEOUT);
         let sent = opened
             .ok()
-            .and_then(|mut connection| self.send(&mut connection, Workload::Safe, Some(1)));
+            .and_then(|mut connection| self.send(&mut connection, Workload::Safe, Some(1), None));
         sent.is_some_and(|sent| {
             let served = sent.end == RequestEnd::Responded(200);
             self.record(sent, machine, 0, Workload::Safe);
@@ -255,6 +314,7 @@
         connection: &mut ClientConnection,
         workload: Workload,
         events: Option<u32>,
+        body_bytes: Option<usize>,
     ) -> Option<SentRequest> {
         let attempt = format!("{:016x}", self.next_attempt.fetch_add(1, Ordering::SeqCst));
         let mut request = StreamRequest::new(
@@ -265,6 +325,9 @@
         );
         request.deadline_ms = u64::try_from(workload.deadline().as_millis()).unwrap_or(u64::MAX);
         request.closes = false;
+        if let Some(length) = body_bytes {
+            request.body = vec![b' '; length];
+        }
         let started_at = Instant::now();
         connection.write(&request).ok()?;
         let at = self.clock.now();
@@ -307,6 +370,9 @@
             workload.deadline(),
             self.clock.now(),
         );
+        let route_acknowledged_at = self
+            .long_routes_acknowledged_at
+            .filter(|_| workload == Workload::LongConfigurationRoute);
         lock(&self.client_requests).push(ClientRequest {
             attempt,
             machine,
@@ -317,6 +383,7 @@
             time_limit,
             end,
             faults,
+            route_acknowledged_at,
         });
     }
 }
--- a/soak/src/day.rs
+++ b/soak/src/day.rs
@@ -1,11 +1,11 @@
 //! A day: the fleet and the systems around it are started, the plan is carried out, and at the end
 //! everything is read back.
 
-use crate::bounds::{CONTACT, MACHINES, RECOVERY};
-use crate::clients::{Clients, CLIENT_WORKLOADS};
+use crate::bounds::{CONTACT, RECOVERY};
+use crate::clients::{workloads, Clients, ConnectionUse};
 use crate::journal::{Clock, Journal, ProcessFault, ReadRecord};
 use crate::operators::Operators;
-use crate::plan::{Action, Plan};
+use crate::plan::{Action, Plan, Profile};
 use crate::processes::Processes;
 use crate::servers::Servers;
 use fastrand::Rng;
@@ -34,6 +34,9 @@
 /// the one that at times races it.
 const MAX_ORDER_DELAYS: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(1_500)];
 
+/// The same on days with a long configuration, which takes longer to apply.
+const MAX_LONG_ORDER_DELAYS: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(6)];
+
 /// Why a day could not be run.
 #[derive(Debug, Error)]
 pub enum DayError {
@@ -73,7 +76,12 @@
 ) -> Result<Journal, DayError> {
     std::fs::create_dir_all(settings.logs)?;
     let clock = Clock::start();
-    let mut processes = Processes::start(settings.program, settings.more_settings, clock)?;
+    let mut processes = Processes::start(
+        settings.program,
+        settings.more_settings,
+        clock,
+        plan.machines,
+    )?;
     let observed = run_with(plan, clock, &mut processes, interrupted);
     processes.copy_logs(settings.logs)?;
     let mut observed = observed?;
@@ -94,10 +102,24 @@
 ) -> Result<Journal, DayError> {
     let fleet = processes.fleet();
     let (control, readiness) = (fleet.control(), fleet.readiness());
-    let clients = Clients::new(clock, fleet.fronts());
-    let operators = Operators::new(clock, control.clone());
+    let connection_use = match plan.profile {
+        Profile::Mixed => ConnectionUse::Limited,
+        Profile::Series => ConnectionUse::UntilClosed,
+    };
+    let mut clients = Clients::new(clock, fleet.fronts(), connection_use);
+    let mut operators = Operators::new(clock, control.clone());
     let servers = Servers::start(control, clock)?;
     wait_until_started(clock, &operators, &readiness)?;
+    if plan.has_long_configuration {
+        let acknowledged_at =
+            operators
+                .send_long_routes(START_TIMEOUT)
+                .ok_or(DayError::NotStarted(
+                    "a long configuration was not acknowledged",
+                ))?;
+        clients.set_long_routes_acknowledged_at(acknowledged_at);
+    }
+    let (clients, operators) = (clients, operators);
     let mut day = Day {
         plan,
         clock,
@@ -213,7 +235,7 @@
         for (machine, address) in readiness.iter().copied().enumerate() {
             scope.spawn(move || clients.watch_readiness(machine, address));
         }
-        for workload in CLIENT_WORKLOADS {
+        for workload in workloads(self.plan) {
             let mut random = self.random.fork();
             scope.spawn(move || clients.send_requests(workload, &mut random));
         }
@@ -223,7 +245,10 @@
             let mut random = self.random.fork();
             scope.spawn(move || operators.send_orders(max_delay, &mut random))
         };
-        MAX_ORDER_DELAYS.map(send_orders).into()
+        match self.plan.has_long_configuration {
+            true => MAX_LONG_ORDER_DELAYS.map(send_orders).into(),
+            false => MAX_ORDER_DELAYS.map(send_orders).into(),
+        }
     }
 
     /// Carries out the actions of the plan at their times, and its final fault.
@@ -254,7 +279,7 @@
                 return Ok(());
             }
             (Action::PartitionHalves(machine, time), _) => {
-                let half = [machine, (machine + 1) % MACHINES];
+                let half = [machine, (machine + 1) % self.plan.machines];
                 self.processes.partition(&half, time);
                 return Ok(());
             }
@@ -292,7 +317,7 @@
     fn isolate_primary(&mut self, time: Duration) -> Result<(), DayError> {
         self.isolated_primary = self.primary();
         if let Some(primary) = self.isolated_primary {
-            for other in (0..MACHINES).filter(|other| *other != primary) {
+            for other in (0..self.plan.machines).filter(|other| *other != primary) {
                 self.processes
                     .apply(Action::Pause((Role::Control, other), time))?;
             }
@@ -324,7 +349,7 @@
         let reads = self.on_each_machine(|machine| {
             scope.spawn(move || operators.read_back(machine, RECOVERY + CONTACT))
         })?;
-        let missing = (0..MACHINES).filter(|machine| reads[*machine].is_none());
+        let missing = (0..self.plan.machines).filter(|machine| reads[*machine].is_none());
         self.faults.extend(missing.map(ProcessFault::NotReadBack));
         Ok(reads.into_iter().flatten().collect())
     }
@@ -346,7 +371,7 @@
                 is_served
             })
         })?;
-        let missing = (0..MACHINES).filter(|machine| !is_served[*machine]);
+        let missing = (0..self.plan.machines).filter(|machine| !is_served[*machine]);
         self.faults.extend(missing.map(ProcessFault::NotServing));
         Ok(())
     }
@@ -356,7 +381,7 @@
         &mut self,
         spawn: impl Fn(usize) -> ScopedJoinHandle<'scope, T>,
     ) -> Result<Vec<T>, DayError> {
-        let threads: Vec<_> = (0..MACHINES).map(spawn).collect();
+        let threads: Vec<_> = (0..self.plan.machines).map(spawn).collect();
         self.wait_until(|_| threads.iter().all(ScopedJoinHandle::is_finished))?;
         // A thread that panicked has printed why, and has no result.
         Ok(threads
--- a/soak/src/journal.rs
+++ b/soak/src/journal.rs
@@ -121,6 +121,9 @@
     pub end: RequestEnd,
     /// What is wrong with what came.
     pub faults: Vec<StreamFault>,
+    /// When the configuration was acknowledged that added its route, which is never removed; `None`: its
+    /// route comes and goes, or was there from the start.
+    pub route_acknowledged_at: Option<Duration>,
 }
 
 impl ClientRequest {
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -27,6 +27,7 @@
         violations.extend(losses::lost_request(journal, &executions, request));
         violations.extend(requests::wrong_responses(request));
         violations.extend(requests::wrong_execution(&executions, request));
+        violations.extend(requests::missing_route(journal, request));
     }
     violations.extend(requests::executions_without_request(journal));
     violations.extend(
--- a/soak/src/judge/requests.rs
+++ b/soak/src/judge/requests.rs
@@ -1,7 +1,7 @@
 //! Responses and executions of requests that break the protocol.
 
 use super::executions::Executions;
-use crate::bounds::{CONTACT, DRAIN_TIMEOUT};
+use crate::bounds::{CONFIG_APPLY, CONTACT, DRAIN_TIMEOUT};
 use crate::journal::{ClientRequest, FaultKind, InjectedFault, Journal, RequestEnd, ServerRecord};
 use crate::violation::Violation;
 use lichenswitch_emulators::fleet_processes::Role;
@@ -41,6 +41,24 @@
     }
 }
 
+/// The violation, if a route was not found that had been acknowledged for `configApplyMs`, with no
+/// unplanned fault near.
+pub(super) fn missing_route(journal: &Journal, request: &ClientRequest) -> Option<Violation> {
+    let acknowledged = request.route_acknowledged_at?;
+    let is_not_found = request.end == RequestEnd::Responded(404);
+    let is_late = request.sent > acknowledged + CONFIG_APPLY;
+    let contact_from = request.sent.saturating_sub(CONTACT);
+    if !is_not_found || !is_late || journal.has_unplanned_fault(contact_from, request.ended) {
+        return None;
+    }
+    Some(Violation::RouteNotFound {
+        attempt: request.attempt.clone(),
+        machine: request.machine,
+        sent: request.sent,
+        acknowledged,
+    })
+}
+
 /// Executions of what no client sent.
 pub(super) fn executions_without_request(journal: &Journal) -> Vec<Violation> {
     let sent: BTreeSet<&str> = journal
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -3,10 +3,11 @@
 #![forbid(unsafe_code)]
 
 use bpaf::Bpaf;
+use lichenswitch_soak::bounds::MACHINES;
 use lichenswitch_soak::day::{run_day, DayError, DaySettings};
 use lichenswitch_soak::journal::{Journal, RequestEnd};
 use lichenswitch_soak::judge::judge;
-use lichenswitch_soak::plan::Plan;
+use lichenswitch_soak::plan::{Plan, Profile};
 use lichenswitch_soak::violation::Violation;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::collections::BTreeMap;
@@ -35,7 +36,17 @@
         guard(is_long_enough, "a day has 12 seconds at least")
     )]
     seconds: u64,
-    /// Days at a time; each has 8 processes.
+    /// Kind of the days: `mixed`, or `series` for planned work in series that overlap.
+    #[bpaf(argument("PROFILE"), fallback(Profile::Mixed))]
+    profile: Profile,
+    /// Machines of a day of the profile `series`, with two processes each; 3 to 100.
+    #[bpaf(
+        argument("NUMBER"),
+        fallback(MACHINES),
+        guard(is_fleet_size, "a fleet has 3 to 100 machines")
+    )]
+    machines: usize,
+    /// Days at a time; each has two processes for each machine.
     #[bpaf(argument("NUMBER"), fallback(2))]
     jobs: usize,
     /// The program; without it, `lichenswitch-fleet` beside this one, or
@@ -56,6 +67,11 @@
     *seconds >= 12
 }
 
+/// Whether a fleet of so many machines can be played.
+fn is_fleet_size(machines: &usize) -> bool {
+    (3..=100).contains(machines)
+}
+
 /// Seeds, the last one not included.
 #[derive(Clone, Debug)]
 struct SeedRange(Range<u64>);
@@ -135,7 +151,8 @@
 
 /// Runs a day and prints its verdict; returns whether no rule was broken.
 fn is_sound(seed: u64, options: &Options, interrupted: &AtomicBool) -> bool {
-    let plan = Plan::from_seed(seed, Duration::from_secs(options.seconds));
+    let length = Duration::from_secs(options.seconds);
+    let plan = Plan::of_profile(options.profile, seed, length, options.machines);
     let logs = options
         .logs
         .join(format!("seed-{seed}-{}", std::process::id()));
@@ -178,8 +195,12 @@
         .plant
         .as_ref()
         .map_or_else(String::new, |fault| format!(" --plant {fault}"));
+    let profile = match options.profile {
+        Profile::Mixed => String::new(),
+        Profile::Series => format!(" --profile series --machines {}", options.machines),
+    };
     format!(
-        "{} --seeds {seed}..{} --seconds {} --program {}{planted}",
+        "{} --seeds {seed}..{} --seconds {}{profile} --program {}{planted}",
         soak.display(),
         seed + 1,
         options.seconds,
--- a/soak/src/operators.rs
+++ b/soak/src/operators.rs
@@ -5,10 +5,10 @@
 mod configuration;
 mod history;
 
-pub use configuration::HOST;
+pub use configuration::{HOST, LONG_CONFIGURATION_PATH};
 
 use crate::journal::{Clock, OrderRecord, ReadRecord};
-use configuration::{is_mark, order_number_in, Variant};
+use configuration::{is_mark, long_routes, order_number_in, Variant, LONG_UPDATES};
 use fastrand::Rng;
 use history::OrderHistory;
 use lichenswitch_emulators::operator::document::{replace, update, version, Route};
@@ -41,6 +41,8 @@
     clock: Clock,
     control: Vec<SocketAddr>,
     stopped: AtomicBool,
+    /// Whether the configuration has long routes, which stay: it is changed by updates alone.
+    has_long_routes: bool,
     preferred: Mutex<Option<PreferredMachine>>,
     history: Mutex<OrderHistory>,
 }
@@ -53,6 +55,7 @@
             clock,
             control,
             stopped: AtomicBool::new(false),
+            has_long_routes: false,
             preferred: Mutex::default(),
             history: Mutex::default(),
         }
@@ -122,6 +125,34 @@
         outcome == Outcome::Acknowledged
     }
 
+    /// Adds routes by updates until the configuration is longer than 5 MiB. Returns when the last update was
+    /// acknowledged, or `None` if one was not within this time.
+    #[must_use]
+    pub fn send_long_routes(&mut self, at_most: Duration) -> Option<Duration> {
+        self.has_long_routes = true;
+        let operator = Operator::new(self.control.clone());
+        for index in 0..LONG_UPDATES {
+            let base = u64::try_from(index).unwrap_or(u64::MAX) + 1;
+            let variant = Variant::first().with_number(base + 1);
+            let mut routes = long_routes(index);
+            routes.extend(variant.routes().into_iter().filter(is_mark));
+            let order = Order {
+                verb: Verb::Update,
+                base,
+                body: update(base + 1, &routes, &[]),
+            };
+            let order_index =
+                self.history()
+                    .add(order.clone(), base + 1, variant, self.clock.now());
+            let outcome = operator.send(&order, 0, at_most);
+            self.record(order_index, outcome);
+            if outcome != Outcome::Acknowledged {
+                return None;
+            }
+        }
+        Some(self.clock.now())
+    }
+
     /// Changes the configuration until the operators are stopped, with a delay of up to `max_delay`
     /// after each order.
     pub fn send_orders(&self, max_delay: Duration, random: &mut Rng) {
@@ -139,7 +170,7 @@
     /// Draws a new order on top of the newest known version, and returns its index. Two operators
     /// may draw the same version.
     fn create_order(&self, random: &mut Rng) -> usize {
-        let keeps_routes = random.bool();
+        let keeps_routes = random.bool() || self.has_long_routes;
         // Created and added under one lock: each order has a number that no other has.
         let mut history = self.history();
         let (base, order_index) = history
--- a/soak/src/operators/configuration.rs
+++ b/soak/src/operators/configuration.rs
@@ -7,6 +7,13 @@
 
 /// The host of all routes.
 pub const HOST: &str = "help.example";
+/// The path of requests on the route that the last long update adds.
+pub const LONG_CONFIGURATION_PATH: &str = "/long-2-0/1";
+/// Updates that together bring the configuration above 5 MiB; an order has 4 MiB at most.
+pub(super) const LONG_UPDATES: usize = 3;
+/// Routes that each of them adds, and the length of the text that each route carries (bytes).
+const LONG_ROUTES: usize = 5;
+const NOTE_BYTES: usize = 400_000;
 /// The name of the route whose path names the order.
 const MARK_ROUTE: &str = "mark";
 
@@ -37,6 +44,11 @@
         }
     }
 
+    /// The same configuration, made by another order.
+    pub(super) fn with_number(self, number: u64) -> Variant {
+        Variant { number, ..self }
+    }
+
     /// Draws the configuration of another order; with `keeps_routes`, one of the same routes and
     /// services.
     pub(super) fn next(self, number: u64, keeps_routes: bool, random: &mut Rng) -> Variant {
@@ -96,6 +108,20 @@
     }
 }
 
+/// The routes that a long update adds.
+pub(super) fn long_routes(update: usize) -> Vec<Route> {
+    let route = |number| {
+        let name = format!("long-{update}-{number}");
+        let mut route = Route::new(&name, HOST, &format!("/{name}/"), SERVICES[0]);
+        route.kind = RouteKind::Safe;
+        route.resume = false;
+        route.timeout_ms = 3_000;
+        route.note = "x".repeat(NOTE_BYTES);
+        route
+    };
+    (0..LONG_ROUTES).map(route).collect()
+}
+
 /// Whether this route names the order of its configuration.
 pub(super) fn is_mark(route: &Route) -> bool {
     route.name == MARK_ROUTE
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -4,6 +4,8 @@
 //! A seed that was noted with a failure must yield the same plan later: the order of the random
 //! draws, and that of the variants of [`Action`], stay as they are.
 
+mod series;
+
 use crate::bounds::{GRACE, MACHINES};
 use fastrand::Rng;
 use lichenswitch_emulators::fleet_processes::Role;
@@ -48,6 +50,38 @@
     Crash(usize),
     /// Its next requests meet faults that follow from this seed.
     ServerFaults(usize, u64),
+    /// SIGTERM once more to those processes of a machine that are ending.
+    TerminateAgain(usize),
+    /// It begins work on its next requests and resets their connections before it has read them.
+    ServerResets(usize),
+}
+
+/// Which kind of day a plan makes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Profile {
+    /// One planned moment, server faults, one unplanned moment, partitions, and a final fault.
+    #[default]
+    Mixed,
+    /// Signals, restarts and departures in series that overlap all day, long requests, clients that use
+    /// their connections until the router is gone, and on some days a configuration of over 5 MiB.
+    Series,
+}
+
+/// A profile's name that is none.
+#[derive(Debug, thiserror::Error)]
+#[error("a profile is `mixed` or `series`")]
+pub struct UnknownProfile;
+
+impl std::str::FromStr for Profile {
+    type Err = UnknownProfile;
+
+    fn from_str(name: &str) -> Result<Profile, UnknownProfile> {
+        match name {
+            "mixed" => Ok(Profile::Mixed),
+            "series" => Ok(Profile::Series),
+            _ => Err(UnknownProfile),
+        }
+    }
 }
 
 /// The plan of a day.
@@ -63,6 +97,12 @@
     pub final_fault: Option<Action>,
     /// Whether the control processes run on disks that lose with them what was not synced.
     pub volatile_disks: bool,
+    /// Its profile.
+    pub profile: Profile,
+    /// The number of machines; a control process and a router on each.
+    pub machines: usize,
+    /// Whether the configuration is longer than 5 MiB.
+    pub has_long_configuration: bool,
 }
 
 /// The number of model servers.
@@ -73,7 +113,16 @@
 const MAX_PAUSE_MS: u64 = 4_500;
 
 impl Plan {
-    /// The plan of this seed for a day of this length.
+    /// The plan of this seed for a day of this length and profile, with so many machines.
+    #[must_use]
+    pub fn of_profile(profile: Profile, seed: u64, length: Duration, machines: usize) -> Plan {
+        match profile {
+            Profile::Mixed => Plan::from_seed(seed, length),
+            Profile::Series => series::plan(seed, length, machines),
+        }
+    }
+
+    /// The plan of this seed for a day of this length and of mixed faults.
     #[must_use]
     pub fn from_seed(seed: u64, length: Duration) -> Plan {
         let mut generator = PlanGenerator {
@@ -94,6 +143,9 @@
             actions: generator.actions,
             final_fault,
             volatile_disks: seed % 3 != 2,
+            profile: Profile::Mixed,
+            machines: MACHINES,
+            has_long_configuration: false,
         }
     }
 }
--- a/soak/src/processes.rs
+++ b/soak/src/processes.rs
@@ -1,7 +1,7 @@
 //! The fleet's processes over a day: the faults and planned work that they meet, their restarts, and
 //! the record of both.
 
-use crate::bounds::{CONTACT, GRACE, MACHINES};
+use crate::bounds::{CONTACT, GRACE};
 use crate::journal::{Clock, FaultKind, InjectedFault, Journal, ProcessFault};
 use crate::plan::{Action, Target};
 use lichenswitch_emulators::fleet_processes::{FleetError, FleetProcesses, Role};
@@ -15,6 +15,9 @@
 const CRASH_RESTART_DELAY: Duration = Duration::from_millis(200);
 /// Time between the starts of two machines after a fault of all of them.
 const START_STAGGER: Duration = Duration::from_millis(70);
+/// Up to so many machines the control processes reach each other over links that can be partitioned: their
+/// number grows with the square of that of the machines.
+const MAX_LINKED_MACHINES: usize = 8;
 /// Texts that no process may log.
 const FORBIDDEN_LOG_TEXTS: [&str; 2] = ["invariant violated", "panicked at"];
 
@@ -48,6 +51,7 @@
 /// The processes of the fleet, and the steps that are scheduled for them.
 pub struct Processes {
     fleet: FleetProcesses,
+    machines: usize,
     clock: Clock,
     started_at: BTreeMap<Target, Duration>,
     terminations: BTreeMap<Target, Termination>,
@@ -61,13 +65,13 @@
     [(Role::Control, machine), (Role::Router, machine)]
 }
 
-/// All processes of the fleet.
-fn targets() -> impl Iterator<Item = Target> {
-    (0..MACHINES).flat_map(targets_of)
+/// All processes of a fleet of so many machines.
+fn all_targets(machines: usize) -> impl Iterator<Item = Target> {
+    (0..machines).flat_map(targets_of)
 }
 
 impl Processes {
-    /// Starts a fleet for the first time.
+    /// Starts a fleet of so many machines for the first time.
     ///
     /// # Errors
     /// When there is no room for it, or the program can't be started.
@@ -75,16 +79,22 @@
         program: &Path,
         more_settings: &str,
         clock: Clock,
+        machines: usize,
     ) -> Result<Processes, FleetError> {
-        let mut fleet = FleetProcesses::new(program, MACHINES)?
+        let mut fleet = FleetProcesses::new(program, machines)?
             .with_grace(GRACE.as_secs())
-            .with_more_settings(more_settings)
-            .with_links()?;
+            .with_more_settings(more_settings);
+        if machines <= MAX_LINKED_MACHINES {
+            fleet = fleet.with_links()?;
+        }
         fleet.start_all()?;
         Ok(Processes {
             fleet,
+            machines,
             clock,
-            started_at: targets().map(|target| (target, clock.now())).collect(),
+            started_at: all_targets(machines)
+                .map(|target| (target, clock.now()))
+                .collect(),
             terminations: BTreeMap::new(),
             scheduled: Vec::new(),
             journal: Journal::default(),
@@ -102,7 +112,7 @@
     pub fn is_idle(&self) -> bool {
         self.scheduled.is_empty()
             && self.terminations.is_empty()
-            && targets().all(|target| self.is_running(target))
+            && self.targets().all(|target| self.is_running(target))
     }
 
     /// Carries out an action on processes; returns whether it was one.
@@ -127,11 +137,21 @@
             Action::Wipe(machine, restart_delay) => self.wipe(machine, restart_delay)?,
             Action::Pause(target, time) => self.pause(target, time),
             Action::KillAll(wiped, restart_delay) => self.kill_all(wiped, restart_delay)?,
+            Action::TerminateAgain(machine) => {
+                for target in targets_of(machine) {
+                    self.terminate_again(target);
+                }
+            }
             _ => return Ok(false),
         }
         Ok(true)
     }
 
+    /// All processes of the fleet.
+    fn targets(&self) -> impl Iterator<Item = Target> {
+        all_targets(self.machines)
+    }
+
     fn is_running(&self, (role, machine): Target) -> bool {
         self.fleet.has(role, machine)
     }
@@ -198,6 +218,13 @@
         self.fleet.terminate(target.0, target.1);
     }
 
+    /// Sends SIGTERM to a process that has got it and has not ended.
+    fn terminate_again(&mut self, target: Target) {
+        if self.terminations.contains_key(&target) && self.is_running(target) {
+            self.fleet.terminate(target.0, target.1);
+        }
+    }
+
     fn kill(&mut self, kind: FaultKind, target: Target, restart_delay: Duration) {
         if !self.is_running(target) {
             return;
@@ -220,7 +247,7 @@
         wiped: Option<usize>,
         restart_delay: Duration,
     ) -> Result<(), FleetError> {
-        for (role, machine) in targets() {
+        for (role, machine) in self.targets() {
             let is_wiped = role == Role::Control && Some(machine) == wiped;
             let kind = if is_wiped {
                 FaultKind::Wiped
@@ -338,7 +365,7 @@
     /// # Errors
     /// When they can't be copied.
     pub fn copy_logs(&self, to: &Path) -> Result<(), FleetError> {
-        for (role, machine) in targets() {
+        for (role, machine) in self.targets() {
             let from = self.fleet.log(role, machine);
             std::fs::copy(&from, to.join(format!("{role}-{machine}.log")))
                 .map_err(|source| FleetError::System { path: from, source })?;
@@ -350,7 +377,7 @@
     #[must_use]
     pub fn finish(mut self) -> Journal {
         self.fleet.stop_all(Duration::ZERO);
-        for target in targets() {
+        for target in self.targets() {
             let log = self.fleet.log(target.0, target.1);
             let log = std::fs::read_to_string(log).unwrap_or_default();
             let is_forbidden =
--- a/soak/src/servers.rs
+++ b/soak/src/servers.rs
@@ -111,6 +111,12 @@
                 server.next_faults((0..FAULTS_PER_ACTION).map(|_| random_fault(&mut random)));
                 Ok(())
             }
+            Action::ServerResets(index) => {
+                let fault = Some(Fault::ResetWhileReading);
+                let server = &self.running[index].server;
+                server.next_faults(std::iter::repeat_n(fault, FAULTS_PER_ACTION));
+                Ok(())
+            }
             _ => Ok(()),
         }
     }
--- a/soak/src/violation.rs
+++ b/soak/src/violation.rs
@@ -72,6 +72,18 @@
     /// An order was rejected, and was in force.
     #[error("CONFIG: order {0} was refused, and was read as the configuration in force")]
     RejectedInForce(u64),
+    /// A route was not found long after the configuration that added it had been acknowledged.
+    #[error("CONFIG: {attempt} at router {machine}, sent at {sent:.3?}, was refused with 404; its route had been acknowledged at {acknowledged:.3?}")]
+    RouteNotFound {
+        /// `Attempt-Id`.
+        attempt: String,
+        /// The machine of its router.
+        machine: usize,
+        /// When its last byte was sent.
+        sent: Duration,
+        /// When the configuration with its route was acknowledged.
+        acknowledged: Duration,
+    },
     /// A configuration that was read is older than one that had long been acknowledged.
     #[error(
         "CONFIG: version {reported} was read at machine {machine} at {sent:.3?}; {known} had been acknowledged"
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -32,6 +32,7 @@
         time_limit: ms(9_000),
         end,
         faults: Vec::new(),
+        route_acknowledged_at: None,
     }
 }
 
@@ -398,3 +399,33 @@
     };
     assert_eq!(judge(&journal), [Violation::Process(fault)]);
 }
+
+#[test]
+fn route_that_is_missing_at_a_router_long_after_its_acknowledgement_counts() {
+    let not_found = |sent_ms: u64| ClientRequest {
+        idempotent: true,
+        route_acknowledged_at: Some(ms(5_000)),
+        ..request(sent_ms, sent_ms + 5, RequestEnd::Responded(404))
+    };
+    let late = 5_001 + CONFIG_APPLY.as_millis() as u64;
+    let journal = |sent_ms, faults| Journal {
+        client_requests: vec![not_found(sent_ms)],
+        faults,
+        ..Journal::default()
+    };
+    assert_matches!(
+        &judge(&journal(late, Vec::new()))[..],
+        [Violation::RouteNotFound { machine: 1, .. }]
+    );
+    assert!(judge(&journal(late - 2, Vec::new())).is_empty(), "in time");
+    let killed = fault(
+        FaultKind::Killed,
+        Role::Control,
+        0,
+        late - 1_000,
+        late - 500,
+    );
+    assert!(judge(&journal(late, vec![killed])).is_empty(), "no contact");
+    let terminated = fault(FaultKind::Terminated, Role::Control, 0, late - 1_000, late);
+    assert!(!judge(&journal(late, vec![terminated])).is_empty());
+}
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -2,7 +2,7 @@
 //! most.
 
 use lichenswitch_emulators::fleet_processes::Role;
-use lichenswitch_soak::plan::{Action, Plan, Target};
+use lichenswitch_soak::plan::{Action, Plan, Profile, Target};
 use std::collections::BTreeSet;
 use std::mem::discriminant;
 use std::time::Duration;
@@ -108,6 +108,8 @@
         Action::Deregister(server) => [11, *server as u64, 0, 0],
         Action::Crash(server) => [12, *server as u64, 0, 0],
         Action::ServerFaults(server, seed) => [13, *server as u64, *seed, 0],
+        Action::TerminateAgain(machine) => [14, *machine as u64, 0, 0],
+        Action::ServerResets(server) => [15, *server as u64, 0, 0],
     }
 }
 
@@ -136,3 +138,28 @@
 fn seed_yields_the_plan_that_it_yielded_in_earlier_versions() {
     assert_eq!(plans_hash(0..500), 11_184_662_508_926_385_206);
 }
+
+#[test]
+fn series_overlap_all_day_and_name_machines_of_the_fleet() {
+    const MACHINES: usize = 40;
+    for seed in 0..100 {
+        let plan = Plan::of_profile(Profile::Series, seed, LENGTH, MACHINES);
+        let again = Plan::of_profile(Profile::Series, seed, LENGTH, MACHINES);
+        assert_eq!(plan, again, "seed {seed}");
+        assert!(plan.actions.is_sorted(), "seed {seed}");
+        let times: Vec<Duration> = plan.actions.iter().map(|(at, _)| *at).collect();
+        let longest_rest = times.windows(2).map(|pair| pair[1] - pair[0]).max();
+        assert!(longest_rest < Some(Duration::from_secs(4)), "seed {seed}");
+        let is_known = |machine: usize| machine < MACHINES;
+        assert!(
+            plan.actions.iter().all(|(_, action)| match action {
+                Action::Restart(machine, _) | Action::HangUp(machine) => is_known(*machine),
+                _ => true,
+            }),
+            "seed {seed}"
+        );
+    }
+    let is_long =
+        |seed| Plan::of_profile(Profile::Series, seed, LENGTH, MACHINES).has_long_configuration;
+    assert_eq!((0..30).filter(|seed| is_long(*seed)).count(), 10);
+}
