Emulated servers: keep 4 KiB of a body in the ledger, not all of it

Cause: the ledger kept each body whole. Change: the ledger keeps the first 4 KiB; nothing reads more.

--- a/emulators/src/model_server/connection/request.rs
+++ b/emulators/src/model_server/connection/request.rs
@@ -11,6 +11,8 @@
 
 /// A request without a deadline is aborted after this time if it gets no response.
 const DEFAULT_RUN_TIMEOUT: Duration = Duration::from_secs(30);
+/// The ledger keeps this much of a body (bytes): a day has thousands of them, of up to 4 MiB each.
+const MAX_RECORDED_BODY_BYTES: usize = 4 * 1_024;
 /// Interval at which a request without a response checks for its end.
 const ABORT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -61,9 +63,11 @@
         if fault == Some(Fault::ResetWhileReading) {
             return self.reset_while_reading(&request);
         }
-        let Ok(body) = read_body(&mut self.from, &request.head, false) else {
+        let Ok(mut body) = read_body(&mut self.from, &request.head, false) else {
             return Persistence::Close;
         };
+        body.truncate(MAX_RECORDED_BODY_BYTES);
+        body.shrink_to_fit();
         shared.ledger.record(&attempt, Event::BodyReceived(body));
         if let Some(status) = self.rejection_status(&request) {
             return self.reject(&request, status);
--- a/emulators/src/model_server/ledger.rs
+++ b/emulators/src/model_server/ledger.rs
@@ -23,7 +23,7 @@
 pub enum Event {
     /// A request's head was received.
     Arrived(Head),
-    /// Its body was received.
+    /// Its body was received: its first 4 KiB.
     BodyReceived(Vec<u8>),
     /// It started to run.
     Started,
