--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -4,11 +4,12 @@
 //! A seed that was noted with a failure must yield the same plan later: the order of the random
 //! draws, and that of the variants of [`Action`], stay as they are.
 
+mod schedule;
 mod series;
 
 use crate::bounds::{GRACE, MACHINES};
-use fastrand::Rng;
 use lichenswitch_emulators::fleet_processes::Role;
+use schedule::Schedule;
 use std::time::Duration;
 
 /// The process that a fault is for: its role and its machine.
@@ -126,21 +127,18 @@
     #[must_use]
     pub fn from_seed(seed: u64, length: Duration) -> Plan {
         let mut generator = PlanGenerator {
-            rng: Rng::with_seed(seed),
-            length,
+            schedule: Schedule::new(seed, length),
             has_lost_disk: false,
-            actions: Vec::new(),
         };
         generator.planned_work();
         generator.server_faults();
         generator.unplanned_faults();
         generator.partitions();
         let final_fault = generator.final_fault();
-        generator.actions.sort();
         Plan {
             seed,
             length,
-            actions: generator.actions,
+            actions: generator.schedule.into_actions(),
             final_fault,
             volatile_disks: seed % 3 != 2,
             profile: Profile::Mixed,
@@ -151,51 +149,48 @@
 }
 
 struct PlanGenerator {
-    rng: Rng,
-    length: Duration,
+    schedule: Schedule,
     /// Whether a disk was lost. The fleet tolerates one loss, so there is no second one.
     has_lost_disk: bool,
-    actions: Vec<(Duration, Action)>,
 }
 
 impl PlanGenerator {
-    fn milliseconds(&mut self, from: u64, to: u64) -> Duration {
-        Duration::from_millis(self.rng.u64(from..=to))
-    }
-
-    fn add(&mut self, at: Duration, action: Action) {
-        self.actions.push((at.min(self.length), action));
-    }
-
     /// Machines are stopped and started in turn, one or two at a time, while servers are replaced
     /// and settings change.
     fn planned_work(&mut self) {
-        let begin = self.length.mul_f64(0.05 + 0.15 * self.rng.f64());
-        let overlap = self.rng.bool();
+        let begin = self
+            .schedule
+            .length
+            .mul_f64(0.05 + 0.15 * self.schedule.rng.f64());
+        let overlap = self.schedule.rng.bool();
         let mut machines: Vec<usize> = (0..MACHINES).collect();
-        self.rng.shuffle(&mut machines);
+        self.schedule.rng.shuffle(&mut machines);
         let mut at = begin;
-        let until = self.length.mul_f64(0.5);
+        let until = self.schedule.length.mul_f64(0.5);
         for machine in machines {
             if at > until {
                 break;
             }
-            let restart_delay = self.milliseconds(100, 800);
-            self.add(at, Action::Restart(machine, restart_delay));
+            let restart_delay = self.schedule.milliseconds(100, 800);
+            self.schedule
+                .add(at, Action::Restart(machine, restart_delay));
             at += match overlap {
-                true => self.milliseconds(300, 2_500),
-                false => GRACE + restart_delay + self.milliseconds(200, 1_000),
+                true => self.schedule.milliseconds(300, 2_500),
+                false => GRACE + restart_delay + self.schedule.milliseconds(200, 1_000),
             };
         }
-        for _ in 0..self.rng.usize(2..=4) {
-            let at = begin + self.milliseconds(0, 5_000);
-            let (machine, server) = (self.rng.usize(0..MACHINES), self.rng.usize(0..SERVERS));
-            let action = match self.rng.u32(0..5) {
+        for _ in 0..self.schedule.rng.usize(2..=4) {
+            let at = begin + self.schedule.milliseconds(0, 5_000);
+            let (machine, server) = (
+                self.schedule.rng.usize(0..MACHINES),
+                self.schedule.rng.usize(0..SERVERS),
+            );
+            let action = match self.schedule.rng.u32(0..5) {
                 0 | 1 => Action::HangUp(machine),
                 2 | 3 => Action::Drain(server),
                 _ => Action::Deregister(server),
             };
-            self.add(at, action);
+            self.schedule.add(at, action);
         }
     }
 
@@ -203,43 +198,58 @@
     /// that their end is over by then.
     fn server_faults(&mut self) {
         for _ in 0..4 {
-            let at = self.length.mul_f64(0.6 * self.rng.f64());
-            let (server, seed) = (self.rng.usize(0..SERVERS), self.rng.u64(..));
-            self.add(at, Action::ServerFaults(server, seed));
+            let at = self.schedule.length.mul_f64(0.6 * self.schedule.rng.f64());
+            let (server, seed) = (
+                self.schedule.rng.usize(0..SERVERS),
+                self.schedule.rng.u64(..),
+            );
+            self.schedule.add(at, Action::ServerFaults(server, seed));
         }
         for _ in 0..2 {
-            let at = self.length.mul_f64(0.3 + 0.15 * self.rng.f64());
-            let server = self.rng.usize(0..SERVERS);
-            let leaves = if self.rng.bool() {
+            let at = self
+                .schedule
+                .length
+                .mul_f64(0.3 + 0.15 * self.schedule.rng.f64());
+            let server = self.schedule.rng.usize(0..SERVERS);
+            let leaves = if self.schedule.rng.bool() {
                 Action::Drain(server)
             } else {
                 Action::Deregister(server)
             };
-            self.add(at, leaves);
+            self.schedule.add(at, leaves);
         }
     }
 
     /// Two or three faults overlap.
     fn unplanned_faults(&mut self) {
-        let begin = self.length.mul_f64(0.65 + 0.1 * self.rng.f64());
-        for _ in 0..self.rng.usize(2..=3) {
-            let at = begin + self.milliseconds(0, 1_500);
+        let begin = self
+            .schedule
+            .length
+            .mul_f64(0.65 + 0.1 * self.schedule.rng.f64());
+        for _ in 0..self.schedule.rng.usize(2..=3) {
+            let at = begin + self.schedule.milliseconds(0, 1_500);
             let action = self.fault();
-            self.add(at, action);
+            self.schedule.add(at, action);
         }
     }
 
     fn fault(&mut self) -> Action {
-        let (machine, server) = (self.rng.usize(0..MACHINES), self.rng.usize(0..SERVERS));
-        let role = if self.rng.u32(0..3) == 0 {
+        let (machine, server) = (
+            self.schedule.rng.usize(0..MACHINES),
+            self.schedule.rng.usize(0..SERVERS),
+        );
+        let role = if self.schedule.rng.u32(0..3) == 0 {
             Role::Router
         } else {
             Role::Control
         };
-        let restart_delay = self.milliseconds(100, 2_000);
-        match self.rng.u32(0..12) {
+        let restart_delay = self.schedule.milliseconds(100, 2_000);
+        match self.schedule.rng.u32(0..12) {
             0..=2 => Action::Kill((role, machine), restart_delay),
-            3..=5 => Action::Pause((role, machine), self.milliseconds(200, MAX_PAUSE_MS)),
+            3..=5 => Action::Pause(
+                (role, machine),
+                self.schedule.milliseconds(200, MAX_PAUSE_MS),
+            ),
             6 | 7 => Action::Restart(machine, restart_delay),
             8 if !self.has_lost_disk => {
                 self.has_lost_disk = true;
@@ -247,36 +257,43 @@
             }
             9 => Action::Crash(server),
             10 => Action::KillAll(None, restart_delay),
-            _ => Action::ServerFaults(server, self.rng.u64(..)),
+            _ => Action::ServerFaults(server, self.schedule.rng.u64(..)),
         }
     }
 
     /// Control processes are partitioned from each other, the primary more often than not.
     fn partitions(&mut self) {
-        for _ in 0..self.rng.usize(1..=3) {
-            let before = MAX_PARTITION_LEAD.mul_f64(self.rng.f64());
-            let time = self.milliseconds(400, 2_500);
-            let partition = match self.rng.u32(0..4) {
-                0 => Action::PartitionHalves(self.rng.usize(0..MACHINES), time),
+        for _ in 0..self.schedule.rng.usize(1..=3) {
+            let before = MAX_PARTITION_LEAD.mul_f64(self.schedule.rng.f64());
+            let time = self.schedule.milliseconds(400, 2_500);
+            let partition = match self.schedule.rng.u32(0..4) {
+                0 => Action::PartitionHalves(self.schedule.rng.usize(0..MACHINES), time),
                 _ => Action::PartitionPrimary(time),
             };
-            self.add(self.length.saturating_sub(before), partition);
+            self.schedule
+                .add(self.schedule.length.saturating_sub(before), partition);
         }
     }
 
     /// On most days that end with a lost disk and SIGKILL of all, the other control processes are
     /// paused shortly before.
     fn isolate_primary(&mut self) {
-        if self.rng.u32(0..4) > 0 {
-            let at = self.length.saturating_sub(self.milliseconds(50, 200));
-            let time = self.milliseconds(800, 2_000);
-            self.add(at, Action::IsolatePrimary(time));
+        if self.schedule.rng.u32(0..4) > 0 {
+            let at = self
+                .schedule
+                .length
+                .saturating_sub(self.schedule.milliseconds(50, 200));
+            let time = self.schedule.milliseconds(800, 2_000);
+            self.schedule.add(at, Action::IsolatePrimary(time));
         }
     }
 
     fn final_fault(&mut self) -> Option<Action> {
-        let (machine, restart_delay) = (self.rng.usize(0..MACHINES), self.milliseconds(100, 1_000));
-        match self.rng.u32(0..8) {
+        let (machine, restart_delay) = (
+            self.schedule.rng.usize(0..MACHINES),
+            self.schedule.milliseconds(100, 1_000),
+        );
+        match self.schedule.rng.u32(0..8) {
             0 => None,
             1 | 2 => Some(Action::KillAll(None, restart_delay)),
             3 if !self.has_lost_disk => Some(Action::Wipe(machine, restart_delay)),
--- a/soak/src/plan/series.rs
+++ b/soak/src/plan/series.rs
@@ -1,7 +1,7 @@
 //! Days of planned work in series that overlap, from the first second to the last.
 
+use super::schedule::Schedule;
 use super::{Action, Plan, Profile, SERVERS};
-use fastrand::Rng;
 use lichenswitch_emulators::fleet_processes::Role;
 use std::time::Duration;
 
@@ -17,19 +17,16 @@
 /// Draws the plan of a seed.
 pub(super) fn plan(seed: u64, length: Duration, machines: usize) -> Plan {
     let mut generator = SeriesGenerator {
-        rng: Rng::with_seed(seed ^ SEED_SALT),
-        length,
+        schedule: Schedule::new(seed ^ SEED_SALT, length),
         machines,
-        actions: Vec::new(),
     };
     generator.all_series();
     generator.unplanned_faults();
     let final_fault = generator.final_fault();
-    generator.actions.sort();
     Plan {
         seed,
         length,
-        actions: generator.actions,
+        actions: generator.schedule.into_actions(),
         final_fault,
         volatile_disks: false,
         profile: Profile::Series,
@@ -39,48 +36,41 @@
 }
 
 struct SeriesGenerator {
-    rng: Rng,
-    length: Duration,
+    schedule: Schedule,
     machines: usize,
-    actions: Vec<(Duration, Action)>,
 }
 
 impl SeriesGenerator {
-    fn milliseconds(&mut self, from: u64, to: u64) -> Duration {
-        Duration::from_millis(self.rng.u64(from..=to))
-    }
-
-    fn add(&mut self, at: Duration, action: Action) {
-        self.actions.push((at.min(self.length), action));
-    }
-
     fn machine(&mut self) -> usize {
-        self.rng.usize(0..self.machines)
+        self.schedule.rng.usize(0..self.machines)
     }
 
     /// Series after series; the next one begins before the restarts of the last are over.
     fn all_series(&mut self) {
-        let until = self.length.mul_f64(SERIES_SHARE);
+        let until = self.schedule.length.mul_f64(SERIES_SHARE);
         let mut at = FIRST_SERIES;
         while at < until {
-            for _ in 0..self.rng.usize(2..=4) {
-                let begin = at + self.milliseconds(0, 600);
+            for _ in 0..self.schedule.rng.usize(2..=4) {
+                let begin = at + self.schedule.milliseconds(0, 600);
                 self.series(begin);
             }
-            at += self.milliseconds(300, 1_800);
+            at += self.schedule.milliseconds(300, 1_800);
         }
     }
 
     /// Several actions of one kind.
     fn series(&mut self, begin: Duration) {
-        match self.rng.u32(0..10) {
+        match self.schedule.rng.u32(0..10) {
             0..=2 => self.restarts(begin),
             3 => self.hang_ups(begin),
             4 | 5 => self.departures(begin),
             6 | 7 => self.server_resets(begin),
             _ => {
-                let (server, seed) = (self.rng.usize(0..SERVERS), self.rng.u64(..));
-                self.add(begin, Action::ServerFaults(server, seed));
+                let (server, seed) = (
+                    self.schedule.rng.usize(0..SERVERS),
+                    self.schedule.rng.u64(..),
+                );
+                self.schedule.add(begin, Action::ServerFaults(server, seed));
             }
         }
     }
@@ -88,69 +78,72 @@
     /// One or two machines are restarted, and get SIGTERM and SIGHUP again while they end.
     fn restarts(&mut self, begin: Duration) {
         let mut at = begin;
-        for _ in 0..self.rng.usize(1..=2) {
-            let (machine, delay) = (self.machine(), self.milliseconds(50, 800));
-            self.add(at, Action::Restart(machine, delay));
-            for _ in 0..self.rng.usize(0..=2) {
-                let again = at + self.milliseconds(5, 1_500);
-                self.add(again, Action::TerminateAgain(machine));
-                self.add(again, Action::HangUp(machine));
+        for _ in 0..self.schedule.rng.usize(1..=2) {
+            let (machine, delay) = (self.machine(), self.schedule.milliseconds(50, 800));
+            self.schedule.add(at, Action::Restart(machine, delay));
+            for _ in 0..self.schedule.rng.usize(0..=2) {
+                let again = at + self.schedule.milliseconds(5, 1_500);
+                self.schedule.add(again, Action::TerminateAgain(machine));
+                self.schedule.add(again, Action::HangUp(machine));
             }
-            at += self.milliseconds(20, 700);
+            at += self.schedule.milliseconds(20, 700);
         }
     }
 
     fn hang_ups(&mut self, begin: Duration) {
         let machine = self.machine();
         let mut at = begin;
-        for _ in 0..self.rng.usize(2..=6) {
-            self.add(at, Action::HangUp(machine));
-            at += self.milliseconds(1, 120);
+        for _ in 0..self.schedule.rng.usize(2..=6) {
+            self.schedule.add(at, Action::HangUp(machine));
+            at += self.schedule.milliseconds(1, 120);
         }
     }
 
     fn departures(&mut self, begin: Duration) {
         let mut at = begin;
-        for _ in 0..self.rng.usize(1..=2) {
-            let server = self.rng.usize(0..SERVERS);
-            let action = match self.rng.bool() {
+        for _ in 0..self.schedule.rng.usize(1..=2) {
+            let server = self.schedule.rng.usize(0..SERVERS);
+            let action = match self.schedule.rng.bool() {
                 true => Action::Drain(server),
                 false => Action::Deregister(server),
             };
-            self.add(at, action);
-            at += self.milliseconds(10, 500);
+            self.schedule.add(at, action);
+            at += self.schedule.milliseconds(10, 500);
         }
     }
 
     fn server_resets(&mut self, begin: Duration) {
         let mut at = begin;
-        for _ in 0..self.rng.usize(1..=3) {
-            let server = self.rng.usize(0..SERVERS);
-            self.add(at, Action::ServerResets(server));
-            at += self.milliseconds(50, 400);
+        for _ in 0..self.schedule.rng.usize(1..=3) {
+            let server = self.schedule.rng.usize(0..SERVERS);
+            self.schedule.add(at, Action::ServerResets(server));
+            at += self.schedule.milliseconds(50, 400);
         }
     }
 
     /// Up to two processes are killed or paused near the end.
     fn unplanned_faults(&mut self) {
-        for _ in 0..self.rng.usize(0..=2) {
-            let at = self.length.mul_f64(0.88 + 0.1 * self.rng.f64());
-            let role = match self.rng.bool() {
+        for _ in 0..self.schedule.rng.usize(0..=2) {
+            let at = self
+                .schedule
+                .length
+                .mul_f64(0.88 + 0.1 * self.schedule.rng.f64());
+            let role = match self.schedule.rng.bool() {
                 true => Role::Control,
                 false => Role::Router,
             };
             let target = (role, self.machine());
-            let action = match self.rng.bool() {
-                true => Action::Kill(target, self.milliseconds(100, 1_000)),
-                false => Action::Pause(target, self.milliseconds(200, 3_000)),
+            let action = match self.schedule.rng.bool() {
+                true => Action::Kill(target, self.schedule.milliseconds(100, 1_000)),
+                false => Action::Pause(target, self.schedule.milliseconds(200, 3_000)),
             };
-            self.add(at, action);
+            self.schedule.add(at, action);
         }
     }
 
     fn final_fault(&mut self) -> Option<Action> {
-        let delay = self.milliseconds(100, 1_000);
-        match self.rng.u32(0..4) {
+        let delay = self.schedule.milliseconds(100, 1_000);
+        match self.schedule.rng.u32(0..4) {
             0 => None,
             1 => Some(Action::KillAll(None, delay)),
             _ => Some(Action::Kill((Role::Control, self.machine()), delay)),
