Control: a machine without a vote forwards calls to the primary that reports itself

Cause: a primary sends records to voters and nine learners (MAX_LEARNERS). A replica that was a learner of the former primary and is none of the next hears of no higher epoch, so it follows the former primary for good, and its machine preferred that to the primary's own report of the last 0.6 s. Calls went to the former one, which answers that it is none.

Change: a machine without a vote takes the reported primary first, and its replica's where none reports. Voters as before.

--- a/fleet/src/control/node.rs
+++ b/fleet/src/control/node.rs
@@ -85,16 +85,21 @@
 
     /// Returns the location of the primary, or `Unknown` if it is unknown or not connected.
     pub(super) fn primary(&self, now: Time) -> PrimaryLocation {
-        let group = self.group.as_ref().map(|group| &group.replica);
-        if group.is_some_and(|replica| replica.is_serving()) {
+        let replica = self.group.as_ref().map(|group| &group.replica);
+        if replica.is_some_and(|replica| replica.is_serving()) {
             return PrimaryLocation::Local;
         }
-        let known = group
+        let followed = replica
             .and_then(|replica| replica.primary())
-            .and_then(|member| member.address.parse().ok());
-        let known = known
-            .filter(|address| *address != self.address)
-            .or_else(|| self.primary_tracker.primary(now));
+            .and_then(|member| member.address.parse().ok())
+            .filter(|address| *address != self.address);
+        let reported = self.primary_tracker.primary(now);
+        // A primary sends records to voters and to a few learners. The replica of any other machine
+        // may follow a former primary for as long as it runs.
+        let known = match self.group.as_ref().is_some_and(Group::is_voter) {
+            true => followed.or(reported),
+            false => reported.or(followed),
+        };
         match known.filter(|address| self.peers.connection(*address).is_some()) {
             Some(address) => PrimaryLocation::Remote(address),
             None => PrimaryLocation::Unknown,
--- a/fleet/tests/control_group.rs
+++ b/fleet/tests/control_group.rs
@@ -246,6 +246,34 @@
     assert_eq!(status.matches("\"votes\":true").count(), 3, "{status}");
 }
 
+/// Guards against machines that forward calls to a former primary for good: a primary brings only nine
+/// learners up to date, and the other replicas hear nothing of the next one.
+#[test]
+fn every_machine_of_a_large_fleet_answers_after_a_change_of_primary() {
+    const MACHINES: usize = 24;
+    const LEARNERS: usize = 9;
+    let mut fleet = ControlFleet::of("large", &[true; MACHINES]);
+    fleet.start_first();
+    let body = configuration(1, 1);
+    assert_eq!(fleet.send_order(REPLACE, 0, &body).status, 200);
+    let primary_with_learners = |fleet: &ControlFleet| {
+        wait_for("a primary with as many learners as it may have", || {
+            (0..MACHINES).find(|index| {
+                let status = fleet.status(*index);
+                status.contains("\"role\":\"primary\"")
+                    && status.matches("\"votes\":false").count() == LEARNERS
+            })
+        })
+    };
+    let former = primary_with_learners(&fleet);
+    fleet.stop(former);
+    fleet.start(former, false);
+    primary_with_learners(&fleet);
+    for index in 0..MACHINES {
+        assert_eq!(fleet.describe(index), body, "machine {index}");
+    }
+}
+
 #[test]
 fn resumed_primary_does_not_answer_from_memory() {
     let mut fleet = ControlFleet::of("frozen", &[true, true, true]);
