--- a/review/standins-2/src/bin/case4.rs
+++ b/review/standins-2/src/bin/case4.rs
@@ -1,63 +1,78 @@
-//! UNASKED: the operator adds a tenant whose name has a letter outside ASCII; servers are told another name.
+//! TWICE: a full server's 503, given once more, late, is taken for the answer to the second send of the same
+//! request; a further send follows, and the request runs twice.
 
-use review_standins_2::{cannot_run, exchange, is_troubled, replace, Fleet, Record, Server, FRONT};
-use std::time::Duration;
+use review_standins_2::{cannot_run, exchange, is_troubled, replace, Fleet, Manner, Record, Server, FRONT};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
-const KEYS: [&str; 2] = ["nu6wsjnbanfqasnmgkcu", "k2hqz7d4m1xw8yb0ptra"];
-
-fn document(version: u64, names: &[&str]) -> String {
-    let tenants: Vec<String> = names
-        .iter()
-        .zip(KEYS)
-        .map(|(name, key)| format!("{{\"name\":\"{name}\",\"apiKeys\":[\"{key}\"]}}"))
-        .collect();
-    format!(
-        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-status\",\"host\":\"ficu95.example\",\"pathPrefix\":\"/pufi791/\",\"kind\":\"unsafe\",\
-         \"timeoutMs\":1500,\"targetLatencyMs\":150,\"priority\":0,\"service\":\"track-web\",\"maxAttempts\":1}}],\
-         \"services\":[{{\"name\":\"track-web\",\"healthCheckPath\":\"/health\",\"maxConnections\":330,\"protocol\":\"h1\",\"tlsEnabled\":false}}],\
-         \"tenants\":[{}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
-        tenants.join(",")
-    )
-}
+const CLIENTS: usize = 12;
+const TRAFFIC: Duration = Duration::from_secs(60);
+/// As `garble`, `how = "extra late"`, in the site file of jrf-lichen: x = 0.03.
+const EXTRA_SHARE: f64 = 0.03;
 
 fn main() {
     let record = Record::new("review/4/record.txt");
-    // TROUBLE=0: the same change with a name in ASCII.
-    let names = ["depot-split", if is_troubled() { "Šibenik" } else { "Sibenik" }];
-    let bounds = "revocationStrict = true\nrevokeMs = 5000\nquotaWindowS = 8\nquotaOverage = 0.1\nquotaSlack = 140000\n";
-    let mut fleet = Fleet::start(&record, 3, bounds);
-    let servers: Vec<Server> = (0..2).map(|number| Server::start(&record, &fleet, number, "track-web")).collect();
-    replace(&record, &fleet, 0, &document(1, &names[..1]));
+    let mut fleet = Fleet::start(&record, 3, "");
+    let extra_share = if is_troubled() { EXTRA_SHARE } else { 0.0 };
+    let manner = Manner { slots: 8, work: Duration::from_millis(20), extra_share };
+    let server = Server::start_in(&record, &fleet, 0, "ledger", manner);
+    let document = "{\"version\":1,\"routes\":[{\"name\":\"r-ledger\",\"host\":\"ledger.example\",\"pathPrefix\":\"/claims/\",\"kind\":\"unsafe\",\
+        \"timeoutMs\":3000,\"targetLatencyMs\":800,\"priority\":0,\"service\":\"ledger\",\"maxAttempts\":6}],\
+        \"services\":[{\"name\":\"ledger\",\"healthCheckPath\":\"/health\",\"maxConnections\":370,\"protocol\":\"h1\",\"tlsEnabled\":false}],\
+        \"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
+    replace(&record, &fleet, 0, document);
     std::thread::sleep(Duration::from_secs(4));
-    replace(&record, &fleet, 1, &document(3, &names));
-    // contactMs and configApplyMs: all machines are in touch, and the change is in force.
-    std::thread::sleep(Duration::from_secs(5));
-    for round in 0..10 {
-        for (machine, ip) in fleet.ips.iter().enumerate() {
-            for (tenant, key) in KEYS.iter().enumerate() {
-                let attempt = format!("{tenant}-{machine}-{round}");
-                let request = format!(
-                    "POST /pufi791/2f HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: 1500\r\nApi-Key: {key}\r\nContent-Length: 0\r\n\r\n"
-                );
-                let answer = exchange(&format!("{ip}:{FRONT}"), request.as_bytes(), Duration::from_secs(3));
-                record.line(&format!("sent {attempt} with the key of {:?}: {:?}", names[tenant], answer.map(|a| a.status)));
-            }
-        }
+    let began = Instant::now();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let (to, record) = (format!("{}:{FRONT}", fleet.ips[client % 3]), record.clone());
+            std::thread::spawn(move || {
+                let mut answers = BTreeMap::new();
+                for number in 0.. {
+                    if began.elapsed() > TRAFFIC {
+                        break;
+                    }
+                    let attempt = format!("{client:x}-{number:x}");
+                    let request = format!(
+                        "POST /claims/2f HTTP/1.1\r\nHost: ledger.example\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: 3000\r\nContent-Length: 6\r\n\r\nreport"
+                    );
+                    let status = exchange(&to, request.as_bytes(), Duration::from_secs(4)).map_or(0, |answer| answer.status);
+                    record.line(&format!("the client of {attempt} got {status}"));
+                    answers.insert(attempt, status);
+                    if status != 200 {
+                        // The router's `Retry-After` is 0.3 s at the most; the next request comes after that.
+                        std::thread::sleep(Duration::from_millis(300));
+                    }
+                }
+                answers
+            })
+        })
+        .collect();
+    let mut answers: BTreeMap<String, u16> = BTreeMap::new();
+    for client in clients {
+        let Ok(part) = client.join() else { cannot_run(&record, "a client failed") };
+        answers.extend(part);
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for run in server.runs.lock().unwrap().iter() {
+        *runs.entry(run.attempt.clone()).or_default() += 1;
     }
-    let (mut ran, mut broken) = (0, 0);
-    for run in servers.iter().flat_map(|server| server.runs.lock().unwrap().clone()) {
-        let name = names[usize::from(run.attempt.starts_with('1'))];
-        let told = run.tenant.as_deref().unwrap_or_default();
-        let is_right = told == name.as_bytes();
-        ran += 1;
-        broken += u32::from(!is_right);
-        record.line(&format!("ran {} of tenant {name:?}: Tenant is {:?}, right: {is_right}", run.attempt, String::from_utf8_lossy(told)));
+    if runs.len() < 1_000 || !fleet.all_run() {
+        cannot_run(&record, &format!("only {} requests ran", runs.len()));
     }
-    if ran < 40 || !fleet.all_run() {
-        cannot_run(&record, &format!("only {ran} of 60 requests ran"));
+    let mut twice = 0;
+    for (attempt, count) in runs.iter().filter(|(_, count)| **count > 1) {
+        twice += 1;
+        record.line(&format!("TWICE: {attempt} ran {count} times; its client got {:?}", answers.get(attempt)));
     }
-    record.say(&format!("{ran} of 60 requests ran; {broken} of them with a Tenant that is not the name of the tenant that holds the key"));
+    let refused = runs.keys().filter(|attempt| matches!(answers.get(*attempt), Some(408 | 421 | 429 | 503))).count();
+    record.say(&format!(
+        "{} requests sent, {} ran: {twice} of them more than once; {refused} were refused though they ran (REFUSED, not judged here)",
+        answers.len(),
+        runs.len()
+    ));
     record.save();
     drop(fleet);
-    std::process::exit(i32::from(broken > 0));
+    std::process::exit(i32::from(twice > 0));
 }
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -110,6 +110,11 @@
             .spawn();
         match child {
             Ok(child) => {
+                // run.sh ends what is left, however this program ends.
+                if let Ok(path) = std::env::var("REVIEW_PIDS") {
+                    let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
+                    let _ = file.and_then(|mut file| writeln!(file, "{}", child.id()));
+                }
                 self.processes.insert((role.to_owned(), machine), child);
                 true
             }
@@ -262,14 +267,56 @@
     pub tenant: Option<Vec<u8>>,
 }
 
-/// A sound model server: it registers, reads a request, runs it and answers.
+/// How a model server works.
+#[derive(Clone, Copy)]
+pub struct Manner {
+    /// Requests that it works on at the same time; it turns away any more.
+    pub slots: usize,
+    pub work: Duration,
+    /// Share of its answers that it gives once more, late, in the place where the next one is due.
+    pub extra_share: f64,
+}
+
+impl Manner {
+    pub fn sound() -> Manner {
+        Manner { slots: 64, work: Duration::from_millis(20), extra_share: 0.0 }
+    }
+}
+
+/// What all connections of a server share.
+struct Shared {
+    record: Record,
+    instance: String,
+    manner: Manner,
+    runs: Arc<Mutex<Vec<Run>>>,
+    working: AtomicUsize,
+    random: Mutex<u64>,
+}
+
+impl Shared {
+    /// Whether a thing of this probability happens.
+    fn chance(&self, share: f64) -> bool {
+        let mut state = self.random.lock().unwrap();
+        *state ^= *state << 13;
+        *state ^= *state >> 7;
+        *state ^= *state << 17;
+        (*state >> 11) as f64 / ((1_u64 << 53) as f64) < share
+    }
+}
+
+/// A model server: it registers, reads a request, runs it and answers.
 pub struct Server {
     pub runs: Arc<Mutex<Vec<Run>>>,
     is_ended: Arc<AtomicBool>,
 }
 
 impl Server {
+    /// A sound one.
     pub fn start(record: &Record, fleet: &Fleet, number: usize, service: &str) -> Server {
+        Server::start_in(record, fleet, number, service, Manner::sound())
+    }
+
+    pub fn start_in(record: &Record, fleet: &Fleet, number: usize, service: &str, manner: Manner) -> Server {
         let base = fleet.ips[0].rsplit_once('.').map_or("127.0.0", |(base, _)| base);
         let Ok(listener) = TcpListener::bind(format!("{base}.{}:0", 100 + number)) else {
             cannot_run(record, "no address for a server")
@@ -277,11 +324,18 @@
         let Ok(address) = listener.local_addr() else { cannot_run(record, "no address for a server") };
         let (runs, is_ended) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicBool::new(false)));
         let instance = format!("i-{}-{number}", std::process::id());
-        let (ledger, me) = (runs.clone(), instance.clone());
+        let shared = Arc::new(Shared {
+            record: record.clone(),
+            instance: instance.clone(),
+            manner,
+            runs: runs.clone(),
+            working: AtomicUsize::new(0),
+            random: Mutex::new(0x9e37_79b9_7f4a_7c15 ^ (u64::from(std::process::id()) << 20)),
+        });
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (ledger, me) = (ledger.clone(), me.clone());
-                std::thread::spawn(move || serve(stream, &ledger, &me));
+                let shared = shared.clone();
+                std::thread::spawn(move || serve(stream, &shared));
             }
         });
         let (controls, service, ended) = (fleet.ips.clone(), service.to_owned(), is_ended.clone());
@@ -316,10 +370,13 @@
     }
 }
 
-fn serve(stream: TcpStream, ledger: &Mutex<Vec<Run>>, instance: &str) {
+fn serve(stream: TcpStream, shared: &Shared) {
     let _ = stream.set_nodelay(true);
     let Ok(mut to) = stream.try_clone() else { return };
+    let (manner, instance) = (shared.manner, &shared.instance);
     let mut from = BufReader::new(stream);
+    // An answer that is to come once more, and its request.
+    let mut extra: Option<(String, String)> = None;
     while let Ok(Some((_, fields))) = read_head(&mut from) {
         let text = |name: &str| fields.get(name).map(|value| String::from_utf8_lossy(value).into_owned());
         let mut body = vec![0; text("content-length").and_then(|l| l.parse().ok()).unwrap_or(0)];
@@ -327,11 +384,23 @@
             return;
         }
         let attempt = text("attempt-id").unwrap_or_default();
-        let answer = if text("target-instance").is_some_and(|target| target != instance) {
+        if let Some((of, answer)) = extra.take() {
+            shared.record.line(&format!("{instance} gives its answer to {of} once more, late, after it has read {attempt}"));
+            if to.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+        let answer = if text("target-instance").is_some_and(|target| target != *instance) {
             format!("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        } else if shared.working.fetch_add(1, Ordering::SeqCst) >= manner.slots {
+            shared.working.fetch_sub(1, Ordering::SeqCst);
+            shared.record.line(&format!("{instance} is full and turns {attempt} away"));
+            format!("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {attempt}\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n")
         } else {
-            ledger.lock().unwrap().push(Run { attempt: attempt.clone(), tenant: fields.get("tenant").cloned() });
-            std::thread::sleep(Duration::from_millis(20));
+            shared.record.line(&format!("{instance} runs {attempt}"));
+            shared.runs.lock().unwrap().push(Run { attempt: attempt.clone(), tenant: fields.get("tenant").cloned() });
+            std::thread::sleep(manner.work);
+            shared.working.fetch_sub(1, Ordering::SeqCst);
             format!(
                 "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: {instance}.{attempt}\r\nKeep-Alive: timeout=5\r\nContent-Length: 5\r\n\r\nwhole"
             )
@@ -339,6 +408,9 @@
         if to.write_all(answer.as_bytes()).is_err() {
             return;
         }
+        if shared.chance(manner.extra_share) {
+            extra = Some((attempt, answer));
+        }
     }
 }
 
