Log on which connection a request was rejected again

Change: `attempt rejected` for each rejection of a request that isn't idempotent from its second send on: connection, number of the send, time since it was written. First rejections are not logged: a full server makes thousands of them.

--- a/fleet/src/router/handlers/dispatch.rs
+++ b/fleet/src/router/handlers/dispatch.rs
@@ -112,6 +112,7 @@
         };
         Ok(Attempt {
             id,
+            send_number: request.send_count + 1,
             server,
             endpoint,
             request: request.client_request.clone(),
--- a/fleet/src/router/server_connections/attempt.rs
+++ b/fleet/src/router/server_connections/attempt.rs
@@ -18,6 +18,8 @@
 pub(crate) struct Attempt {
     /// Its id.
     pub id: AttemptId,
+    /// Its number among the sends of its request, from 1.
+    pub send_number: u32,
     /// Its server.
     pub server: ServerId,
     /// Where the server is reached.
--- a/fleet/src/router/server_connections/exchange.rs
+++ b/fleet/src/router/server_connections/exchange.rs
@@ -1,7 +1,7 @@
 //! The exchange on a connection: the request is written, its response read, and the connection kept or
 //! closed.
 
-use super::attempt::Attempt;
+use super::attempt::{Attempt, ServerEvent};
 use super::failure_cause::FailureCause;
 use super::in_flight::{BodyMode, InFlightRequest, ReadOutcome};
 use super::table::{is_quiet, ConnectionState, ServerConnections};
@@ -142,6 +142,7 @@
         let (attempt_id, body) = (attempt.id, BodyMode::AwaitingHead);
         connection.state = ConnectionState::Busy(Box::new(InFlightRequest {
             attempt,
+            sent_at: now,
             bytes_before,
             bytes_through,
             reader,
@@ -156,6 +157,7 @@
 
     /// Reads what has come for the request in flight.
     pub(super) fn read_response(&mut self, net: &mut Net, id: ConnId, progress: &TransferProgress) {
+        let now = net.clock.now();
         let is_broken = *progress != TransferProgress::Alive;
         loop {
             let (Some(connection), Some(conn)) = (self.connections.get_mut(&id), net.get_mut(id))
@@ -174,6 +176,9 @@
                     ReadOutcome::Incomplete => {}
                     ReadOutcome::Event(event) => self.events.push(event),
                     ReadOutcome::Final(event) => {
+                        if let ServerEvent::ResponseReceived { response, .. } = &event {
+                            current.log_repeated_rejection(id, response, now);
+                        }
                         self.events.push(event);
                         return self.on_response_complete(net, id);
                     }
--- a/fleet/src/router/server_connections/in_flight.rs
+++ b/fleet/src/router/server_connections/in_flight.rs
@@ -3,10 +3,12 @@
 use super::attempt::{Attempt, ServerEvent, StreamStart};
 use super::failure_cause::FailureCause;
 use crate::router::ids::AttemptId;
+use crate::router::response_outcome::ResponseOutcome;
 use crate::router::response_reader::{ResponsePart, ResponseReader};
 use crate::router::server_response::{BodyChunk, BufferedResponse, ResponseHead};
 use lichenswitch_event_stream::Scanner;
-use lichenswitch_interface::Outcome;
+use lichenswitch_interface::{Outcome, Time};
+use lichenswitch_net::ConnId;
 
 /// A response that is not an event stream is buffered up to this length, and forwarded as it arrives
 /// beyond it (bytes).
@@ -32,6 +34,8 @@
 #[derive(Debug)]
 pub(crate) struct InFlightRequest {
     pub attempt: Attempt,
+    /// When the request was written, or began to be.
+    pub sent_at: Time,
     /// Bytes written on the connection before the request.
     pub bytes_before: u64,
     /// Bytes written on it once the request is written completely.
@@ -80,6 +84,30 @@
         );
     }
 
+    /// Logs that a server rejected a request that isn't idempotent and was sent before: on which
+    /// connection, and how long after this send. First rejections are not logged, since a full
+    /// server makes thousands of them.
+    pub(super) fn log_repeated_rejection(
+        &self,
+        connection: ConnId,
+        response: &BufferedResponse,
+        now: Time,
+    ) {
+        let is_rejection = ResponseOutcome::of(&response.head) == ResponseOutcome::NotExecuted;
+        if !is_rejection || self.attempt.is_idempotent || self.attempt.send_number == 1 {
+            return;
+        }
+        log::info!(
+            attempt_id = self.attempt.request.attempt_id.as_deref().unwrap_or_default(),
+            server:% = self.attempt.endpoint.address,
+            connection:? = connection,
+            status = response.head.status,
+            send_number = self.attempt.send_number,
+            since_sent_us = now.since(self.sent_at);
+            "attempt rejected"
+        );
+    }
+
     /// Takes the next part of the response.
     pub(super) fn take(&mut self, part: ResponsePart) -> ReadOutcome {
         match part {
