Router: write no request twice on one connection to a server

Cause: a server may give a response once more, late, in the place of the next one. Responses are told apart by Attempt-Id, which all sends of a request share, and a retry got the connection on which its request had just been rejected. The extra rejection was taken for the answer to the send that ran. Idle connections and queued attempts both ask. An extra response then meets another id, which closes the connection, or an idle connection. `ConnectionCarriesIdOnce` is checked where a request is written.

--- a/fleet/src/invariants.rs
+++ b/fleet/src/invariants.rs
@@ -27,6 +27,8 @@
     ExitIsAnswered,
     /// A read never returns a configuration older than one that the same machine has acknowledged.
     AcknowledgedConfigurationIsRead,
+    /// No two requests with the same `Attempt-Id` are written on one connection to a server.
+    ConnectionCarriesIdOnce,
 }
 
 impl fmt::Display for Invariant {
@@ -46,6 +48,9 @@
             Invariant::AcknowledgedConfigurationIsRead => {
                 "a configuration was read that is older than an acknowledged one"
             }
+            Invariant::ConnectionCarriesIdOnce => {
+                "a connection to a server carries an Attempt-Id for the second time"
+            }
         })
     }
 }
--- a/fleet/src/router/server_connections/exchange.rs
+++ b/fleet/src/router/server_connections/exchange.rs
@@ -123,6 +123,9 @@
             self.report_failure(attempt.id, Outcome::NeverSent);
             return self.close(net, id);
         }
+        connection
+            .carried_ids
+            .insert(self.id_digester.digest(&attempt.request));
         let headers = ForwardingHeaders {
             remaining,
             target_instance: &attempt.endpoint.instance_id,
@@ -224,7 +227,11 @@
             .idle_time()
             .map(|timeout| micros(timeout.mul_f64(ADVERTISED_KEEP_ALIVE_SHARE)));
         let keep_alive_us = advertised.unwrap_or(DEFAULT_KEEP_ALIVE_US);
-        if !is_clean || !current.reader.keeps_connection() || keep_alive_us == 0 {
+        if !is_clean
+            || !current.reader.keeps_connection()
+            || keep_alive_us == 0
+            || connection.carried_ids.is_full()
+        {
             return self.close(net, id);
         }
         connection.state = ConnectionState::Idle {
@@ -235,6 +242,10 @@
         if current.attempt.has_long_body() {
             conn.set_user_timeout(SERVER_USER_TIMEOUT);
         }
+        if self.next_queued_was_carried(server, id) {
+            // The queued attempt gets a new connection in place of this one.
+            return self.close(net, id);
+        }
         if let Some(next) = self.next_queued(server) {
             return self.write_request(net, id, next);
         }
--- a/fleet/src/router/server_connections/pool.rs
+++ b/fleet/src/router/server_connections/pool.rs
@@ -2,6 +2,7 @@
 //! ones are closed.
 
 use super::attempt::Attempt;
+use super::carried_ids::CarriedIds;
 use super::table::{is_quiet, ConnectionState, PooledConnection, ServerConnections};
 use crate::router::ids::AttemptId;
 use crate::router::reactor::{Net, SocketOwner, Timer};
@@ -21,8 +22,8 @@
 const CONNECTION_WAIT_TIMEOUT_US: Micros = 100_000;
 
 impl ServerConnections {
-    /// An idle connection on which this attempt may be written: the last used one, so that others
-    /// fall out of use.
+    /// An idle connection on which this attempt may be written: the last used one that has not
+    /// carried its request before, so that others fall out of use.
     pub(super) fn idle_connection(&mut self, net: &mut Net, attempt: &Attempt) -> Option<ConnId> {
         let now = net.clock.now();
         let known = self.by_server.get(&attempt.server)?;
@@ -33,7 +34,9 @@
             } => Some((*since, *usable_until, *id)),
             ConnectionState::Opening(_) | ConnectionState::Busy(_) => None,
         });
-        let (since, usable_until, id) = idle.max_by_key(|(since, ..)| *since)?;
+        let (since, usable_until, id) = idle
+            .filter(|(.., id)| !self.has_carried(*id, attempt))
+            .max_by_key(|(since, ..)| *since)?;
         let limit = if attempt.is_idempotent {
             usable_until
         } else {
@@ -68,6 +71,7 @@
                     PooledConnection {
                         server,
                         state,
+                        carried_ids: CarriedIds::default(),
                         timer_at: None,
                     },
                 );
@@ -96,6 +100,15 @@
             .push_back(attempt);
     }
 
+    /// Whether the next attempt that waits for a connection to this server may not be written on
+    /// this one.
+    pub(super) fn next_queued_was_carried(&self, server: ServerId, id: ConnId) -> bool {
+        self.queued
+            .get(&server)
+            .and_then(|queue| queue.front())
+            .is_some_and(|next| self.has_carried(id, next))
+    }
+
     /// Takes the next attempt that waits for a connection to this server.
     pub(super) fn next_queued(&mut self, server: ServerId) -> Option<Attempt> {
         let queue = self.queued.get_mut(&server)?;
--- a/fleet/src/router/server_connections/table.rs
+++ b/fleet/src/router/server_connections/table.rs
@@ -2,6 +2,7 @@
 //! for one.
 
 use super::attempt::{Attempt, ServerEvent};
+use super::carried_ids::{CarriedIds, IdDigester};
 use super::in_flight::InFlightRequest;
 use crate::router::ids::AttemptId;
 use crate::router::reactor::{Net, Timer};
@@ -29,6 +30,8 @@
 pub(crate) struct PooledConnection {
     pub server: ServerId,
     pub state: ConnectionState,
+    /// The requests that were written on it.
+    pub(super) carried_ids: CarriedIds,
     /// The earliest timer that is set for it.
     pub timer_at: Option<Time>,
 }
@@ -44,6 +47,7 @@
     pub queued: HashMap<ServerId, VecDeque<Attempt>>,
     /// What became of attempts, to be taken.
     pub events: Vec<ServerEvent>,
+    pub(super) id_digester: IdDigester,
 }
 
 impl ServerConnections {
@@ -65,6 +69,15 @@
             .map(|connection| &connection.state)
     }
 
+    /// Whether a connection has carried the request of an attempt: a response on it may be an extra
+    /// one to the earlier send.
+    pub(super) fn has_carried(&self, id: ConnId, attempt: &Attempt) -> bool {
+        let digest = self.id_digester.digest(&attempt.request);
+        self.connections
+            .get(&id)
+            .is_some_and(|connection| connection.carried_ids.contains(digest))
+    }
+
     /// Reports that an attempt ended without a complete response.
     pub(super) fn report_failure(&mut self, id: AttemptId, outcome: Outcome) {
         self.by_attempt.remove(&id);
