Broker: send no part again on a connection where it ended without a success

Found by reading, on the path that shares the router's fault: a part's id is that of its query and shard, the same for all attempts, and the pool sent a part again on the connection where it had just been rejected. A second rejection was then taken for the answer to an attempt that runs. No caller has seen it. Change: a connection remembers the last 256 parts that ended on it without a success, and a call with one of them gets another connection. Names are made only where there are such parts. Answers of the OGC wire bear no id, so nothing can be told there; these parts are reads. Result: second_rejection_does_not_answer_the_next_attempt failed before (both attempts on one connection), and passes.

--- a/src/upstream/frames.rs
+++ b/src/upstream/frames.rs
@@ -41,6 +41,12 @@
         .join("+")
 }
 
+/// The id of a part on the wire.
+fn part_name(part: &Dispatch<Job>) -> String {
+    let step = if part.first.is_some() { ".get" } else { "" };
+    format!("{}.{}{step}", part.job.id, part.shard.0)
+}
+
 /// A complete frame.
 struct Frame<'a> {
     frame_type: u8,
@@ -148,6 +154,10 @@
         Some(output)
     }
 
+    fn answer_name(&self, part: &Dispatch<Job>) -> Option<String> {
+        Some(part_name(part))
+    }
+
     fn encode_call(
         &self,
         parts: &[Dispatch<Job>],
@@ -161,9 +171,8 @@
             if let Some(key) = &job.key {
                 list += &format!(",k={key}");
             }
-            let mut name = format!("{}.{}", job.id, part.shard.0);
+            let name = part_name(part);
             if let Some(first) = &part.first {
-                name += ".get";
                 list += &format!(
                     ",from={},whole={}",
                     join_shards(&first.shards),
--- a/src/upstream/link.rs
+++ b/src/upstream/link.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-/// Settled parts that are remembered for a connection.
+/// Parts that are remembered for a connection, of those that are over and of those without a success.
 const MAX_REMEMBERED_PARTS: usize = 256;
 
 /// An attempt that is in flight on a connection.
@@ -46,6 +46,10 @@
     /// The last parts that were given up or answered: what still comes for them is late, not
     /// spoilt.
     pub(super) recently_completed: VecDeque<W::Name>,
+    /// The last parts that ended here without a success and may be sent again: not on this
+    /// connection, where a second answer to the earlier attempt would be taken for the one to the
+    /// later.
+    pub(super) unsuccessful: VecDeque<W::Name>,
     /// When an answer began that is not whole yet.
     pub(super) response_started_at: Option<Time>,
     /// Nothing has come on it for long though a part was in flight: it may be dead, and gets nothing new
@@ -101,9 +105,25 @@
 
     /// Remembers a part that is over, so that a late answer to it is recognised.
     pub(super) fn remember(&mut self, part: W::Name) {
-        if self.recently_completed.len() >= MAX_REMEMBERED_PARTS {
-            self.recently_completed.pop_front();
-        }
-        self.recently_completed.push_back(part);
+        push_bounded(&mut self.recently_completed, part);
+    }
+
+    /// Remembers a part that ended without a success, so that it is not sent on this connection
+    /// again.
+    pub(super) fn remember_unsuccessful(&mut self, part: W::Name) {
+        push_bounded(&mut self.unsuccessful, part);
+    }
+
+    /// Whether a part with this name ended here without a success.
+    pub(super) fn has_failed(&self, part: &W::Name) -> bool {
+        self.unsuccessful.contains(part)
+    }
+}
+
+/// Adds a name, and drops the oldest where there are too many.
+fn push_bounded<N>(names: &mut VecDeque<N>, name: N) {
+    if names.len() >= MAX_REMEMBERED_PARTS {
+        names.pop_front();
     }
+    names.push_back(name);
 }
--- a/src/upstream/ogc.rs
+++ b/src/upstream/ogc.rs
@@ -315,6 +315,10 @@
         None
     }
 
+    fn answer_name(&self, _: &Dispatch<Job>) -> Option<ExpectedBody> {
+        None
+    }
+
     fn encode_call(
         &self,
         parts: &[Dispatch<Job>],
--- a/src/upstream/receiving.rs
+++ b/src/upstream/receiving.rs
@@ -143,7 +143,10 @@
             };
             link.response_started_at = None;
             match (link.complete_part(answer.part.as_ref()), answer.part) {
-                (Some((attempt, sent)), _) => {
+                (Some((attempt, sent)), part) => {
+                    if let Some(part) = part.filter(|_| answer.outcome != Outcome::Ok) {
+                        link.remember_unsuccessful(part);
+                    }
                     self.usual_response_time
                         .add(now.since(sent) as f64, RESPONSE_TIME_PACE);
                     self.end_attempt(attempt, answer.outcome, answer.value);
--- a/src/upstream/sending.rs
+++ b/src/upstream/sending.rs
@@ -46,7 +46,7 @@
         net: &mut Net,
         call: ParkedCall<W::Job>,
     ) -> Result<(), ParkedCall<W::Job>> {
-        match self.connection_for_call(net, call.server, call.address) {
+        match self.connection_for_call(net, &call) {
             Ok(id) => {
                 let Some(link) = self.links.get_mut(&id) else {
                     return Ok(());
@@ -209,13 +209,14 @@
     }
 
     /// A connection that can take a call: one that is up, one that is being opened, or a new one,
-    /// for which an idle one to another node is closed if need be.
+    /// for which an idle one to another node is closed if need be. None on which a part of the call
+    /// has ended without a success.
     pub(super) fn connection_for_call(
         &mut self,
         net: &mut Net,
-        server: ServerId,
-        address: SocketAddr,
+        call: &ParkedCall<W::Job>,
     ) -> Result<ConnId, NoConnection> {
+        let (server, address) = (call.server, call.address);
         self.mark_mute(net, server);
         let max_streams = self.limits.max_streams.max(1);
         let known = self.by_server.entry(server).or_default();
@@ -225,7 +226,9 @@
                 calls < max_streams && link.address == address && !link.is_mute
             };
             // One that does not take what was written is left to those that wait for it.
-            self.links.get(id).is_some_and(has_capacity)
+            self.links
+                .get(id)
+                .is_some_and(|link| has_capacity(link) && !has_failed_part(&self.wire, link, call))
                 && net
                     .get(**id)
                     .is_some_and(|c| !c.ended && (!c.up || c.flushed()))
@@ -277,6 +280,7 @@
             calls: Vec::new(),
             greeting,
             recently_completed: VecDeque::new(),
+            unsuccessful: VecDeque::new(),
             response_started_at: None,
             is_mute: false,
             other_active_since: None,
@@ -301,3 +305,14 @@
         }
     }
 }
+
+/// Whether a part of a call ended on a connection without a success: what still comes there for it may
+/// be a second answer to that attempt.
+fn has_failed_part<W: Wire>(wire: &W, link: &Link<W>, call: &ParkedCall<W::Job>) -> bool {
+    !link.unsuccessful.is_empty()
+        && call
+            .parts
+            .iter()
+            .filter_map(|part| wire.answer_name(part))
+            .any(|name| link.has_failed(&name))
+}
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -55,8 +55,17 @@
     }
 
     fn send_to(&mut self, server: ServerId, text: &str) -> u64 {
+        self.send_attempt(server, text, Shard(self.attempts as u32 + 1))
+    }
+
+    /// Sends a call of the part at this shard, for the first time or again.
+    fn send_part(&mut self, shard: u32) -> u64 {
+        self.send_attempt(SERVER, "x", Shard(shard))
+    }
+
+    fn send_attempt(&mut self, server: ServerId, text: &str, shard: Shard) -> u64 {
         self.attempts += 1;
-        let (attempt, shard) = (self.attempts, Shard(self.attempts as u32));
+        let attempt = self.attempts;
         let job = Rc::new(Job {
             id: "q".into(),
             text: text.into(),
--- a/src/upstream/tests/receiving.rs
+++ b/src/upstream/tests/receiving.rs
@@ -25,6 +25,30 @@
     assert!(stage.pool.attempts.is_empty());
 }
 
+/// Guards against parts that run twice: a rejection that a node gives a second time is taken for the
+/// answer to the next attempt of its part, which runs.
+#[test]
+fn second_rejection_does_not_answer_the_next_attempt() {
+    let mut stage = Stage::new(LIMITS);
+    let first = stage.send_part(7);
+    let rejecting_id = stage.pool.attempts[&first];
+    let mut rejecting = stage.accept();
+    assert!(frame(&mut rejecting).starts_with("Rq.7 "));
+    answer(&mut rejecting, "q.7 REJECTED - -");
+    assert_eq!(stage.ended(), [(first, Outcome::Rejected)]);
+    let second = stage.send_part(7);
+    assert_ne!(stage.pool.attempts[&second], rejecting_id);
+    answer(&mut rejecting, "q.7 REJECTED - -");
+    let mut running = stage.accept();
+    assert!(frame(&mut running).starts_with("Rq.7 "));
+    answer(&mut running, "q.7 OK 1 -");
+    assert_eq!(stage.ended(), [(second, Outcome::Ok)]);
+    // The connection with the rejection carries other parts still.
+    stage.send_part(8);
+    stage.pump();
+    assert!(frame(&mut rejecting).starts_with("Rq.8 "));
+}
+
 #[test]
 fn connection_end_counts_as_reset_only_after_the_whole_frame_was_written() {
     let mut stage = Stage::new(LIMITS);
--- a/src/upstream/wire.rs
+++ b/src/upstream/wire.rs
@@ -35,6 +35,9 @@
     /// What a new connection to a node that may stand still begins with, where the node answers
     /// that; no call is written before it has.
     fn greeting(&self) -> Option<Vec<u8>>;
+    /// The name that answers bear to tell which part they are for; `None`: they bear none. All
+    /// attempts of a part have the same name.
+    fn answer_name(&self, part: &Dispatch<Self::Job>) -> Option<Self::Name>;
     /// Writes a call and returns the names of its parts.
     fn encode_call(
         &self,
--- a/src/upstream/withdrawing.rs
+++ b/src/upstream/withdrawing.rs
@@ -40,6 +40,7 @@
             return self.close_broken(net, id);
         }
         let cancel = self.wire.encode_cancel(&part);
+        link.remember_unsuccessful(part.clone());
         link.remember(part);
         let Some(bytes) = cancel.filter(|_| !(link.is_mute && link.is_idle())) else {
             return self.close_broken(net, id);
