Tell servers the name of a tenant as the configuration gives it

Cause: the router percent-encoded each byte outside printable ASCII. Change: the name is written as it is. A name that no header carries unchanged (control characters, a space or tab at an end) is refused with 400 when an order brings it, and named. A committed configuration of an earlier build keeps such a tenant: its requests get 503 and are never sent, the others are served. Only an unknown key gets 401.

--- a/decide/configuration/src/document.rs
+++ b/decide/configuration/src/document.rs
@@ -9,7 +9,9 @@
 use crate::named_list::{parse_items, upsert_items, FieldContent, Item};
 use crate::route::{check_distinct_prefixes, Route};
 use crate::service::Service;
-use crate::tenant::{check_distinct_keys, check_unnamed_tenants, Tenant};
+use crate::tenant::{
+    check_distinct_keys, check_names_fit_in_header, check_unnamed_tenants, Tenant,
+};
 use crate::update::{Removal, Update, Upsert};
 use std::collections::HashSet;
 
@@ -50,14 +52,16 @@
         Document::parse_with(body, parse_tenants)
     }
 
-    /// Parses a committed configuration. A build that didn't validate tenants may have committed
-    /// it, so invalid `tenants` are accepted and result in an empty list: then no key belongs to a
-    /// tenant.
+    /// Parses a committed configuration. A build that validated less may have committed it, so two
+    /// faults of `tenants` are accepted. A tenant whose name fits in no header is kept: its requests
+    /// can't be served, and the others can. Any other fault results in an empty list: then no key
+    /// belongs to a tenant.
     ///
     /// # Errors
     /// Returns the first reason for which any other part is invalid.
     pub fn parse_committed(body: &[u8]) -> Result<Document, ConfigurationError> {
-        let parse_or_empty = |fields: &[Field]| parse_tenants(fields).or(Ok(Some(Vec::new())));
+        let parse_or_empty =
+            |fields: &[Field]| parse_tenants_with_any_name(fields).or(Ok(Some(Vec::new())));
         Document::parse(body).or_else(|_| Document::parse_with(body, parse_or_empty))
     }
 
@@ -235,8 +239,17 @@
     }
 }
 
-/// Parses the tenants; returns `None` if there is no such list.
+/// Parses and checks the tenants; returns `None` if there is no such list.
 fn parse_tenants(fields: &[Field]) -> Result<Option<Vec<Tenant>>, ConfigurationError> {
+    let tenants = parse_tenants_with_any_name(fields)?;
+    check_names_fit_in_header(tenants.as_deref().unwrap_or_default())?;
+    Ok(tenants)
+}
+
+/// The same without the check whether servers can be sent their names.
+fn parse_tenants_with_any_name(
+    fields: &[Field],
+) -> Result<Option<Vec<Tenant>>, ConfigurationError> {
     match content_of(fields, "tenants") {
         Some(FieldContent::Named(items)) => {
             let tenants = parse_items(items, Tenant::parse)?;
--- a/decide/configuration/src/error.rs
+++ b/decide/configuration/src/error.rs
@@ -98,6 +98,15 @@
         /// Name of the second tenant.
         second: String,
     },
+    /// The name of a tenant can't be sent to servers, which get it as the value of a header.
+    #[error(
+        "the name of tenant `{tenant}` can't be sent in a header: it has a control character, or a \
+         space at its beginning or end"
+    )]
+    TenantNotInHeader {
+        /// Name of the tenant, with control characters escaped.
+        tenant: String,
+    },
     /// The prefix of a route does not begin and end with a slash.
     #[error("the prefix of route `{route}` does not begin and end with a slash")]
     InvalidPrefix {
--- a/decide/configuration/src/lib.rs
+++ b/decide/configuration/src/lib.rs
@@ -17,7 +17,7 @@
 //! - [`State`] is the state that the control machines replicate.
 //!
 //! Each module depends only on modules before it in this order: `error`, `json`, `named_list`,
-//! `key_digest`, `limits`, `route`, `service`, `tenant`, `update`, `document`, `routes`,
+//! `header_value`, `key_digest`, `limits`, `route`, `service`, `tenant`, `update`, `document`, `routes`,
 //! `key_index`, `order`, `validated_order`, `state`, `evaluation`.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -25,6 +25,7 @@
 mod document;
 mod error;
 mod evaluation;
+mod header_value;
 mod json;
 mod key_digest;
 mod key_index;
@@ -42,6 +43,7 @@
 pub use document::Document;
 pub use error::ConfigurationError;
 pub use evaluation::{evaluate, validate, OrderOutcome};
+pub use header_value::is_header_value;
 pub use json::{MAX_DEPTH, MAX_DOCUMENT_BYTES};
 pub use key_digest::KeyDigest;
 pub use key_index::KeyIndex;
--- a/decide/configuration/src/tenant.rs
+++ b/decide/configuration/src/tenant.rs
@@ -1,6 +1,7 @@
 //! Tenants: groups of clients that are identified by API keys and share a quota.
 
 use crate::error::{shown, ConfigurationError};
+use crate::header_value::is_header_value;
 use crate::json::{array_elements, wrong_type, Fields};
 use crate::key_digest::KeyDigest;
 use crate::named_list::named_items;
@@ -48,6 +49,12 @@
 }
 
 impl Tenant {
+    /// Returns whether servers can be sent the name, unchanged, as the value of a header.
+    #[must_use]
+    pub fn fits_in_header(&self) -> bool {
+        is_header_value(&self.name)
+    }
+
     /// Parses an item of `tenants`. An unknown or missing unit counts requests.
     pub(crate) fn parse(name: &str, value: &Value) -> Result<Tenant, ConfigurationError> {
         let location = format!("tenant `{name}`");
@@ -117,6 +124,16 @@
     Ok(())
 }
 
+/// Checks that servers can be sent the name of each tenant.
+pub(crate) fn check_names_fit_in_header(tenants: &[Tenant]) -> Result<(), ConfigurationError> {
+    match tenants.iter().find(|tenant| !tenant.fits_in_header()) {
+        None => Ok(()),
+        Some(tenant) => Err(ConfigurationError::TenantNotInHeader {
+            tenant: shown(&tenant.name).escape_debug().to_string(),
+        }),
+    }
+}
+
 /// Checks a value of `tenants` that is not a named list. Only `null` is valid. The error gives the
 /// reason for which the value is not a named list.
 pub(crate) fn check_unnamed_tenants(text: &str) -> Result<(), ConfigurationError> {
--- a/decide/configuration/src/tenant/tests.rs
+++ b/decide/configuration/src/tenant/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of parsing tenants, as part of configurations and updates.
 
-use crate::{ConfigurationError, Document, QuotaUnit, Update};
+use crate::{ConfigurationError, Document, QuotaUnit, Tenant, Update};
 use assert_matches::assert_matches;
 
 fn parse(tenants: &str) -> Result<Document, ConfigurationError> {
@@ -149,3 +149,55 @@
         assert_eq!(document.to_json(), committed.as_bytes());
     }
 }
+
+/// Guards against UNASKED: a tenant that servers can only be told under another name.
+#[test]
+fn name_that_fits_in_no_header_is_rejected_and_named() {
+    for (name, shown) in [
+        (" edge", " edge"),
+        ("edge ", "edge "),
+        (r"a\r\nApi-Key: x", r"a\r\nApi-Key: x"),
+        (r"a\u0000b", r"a\0b"),
+    ] {
+        let tenants = format!("[{{\"name\":\"{name}\",\"apiKeys\":[\"secret\"]}}]");
+        let error = parse(&tenants).expect_err("invalid");
+        assert_eq!(
+            error,
+            ConfigurationError::TenantNotInHeader {
+                tenant: shown.to_owned()
+            }
+        );
+        assert!(update(&format!("\"upserts\":{{\"tenants\":{tenants}}}")).is_err());
+    }
+    for name in ["Šibenik", r"\u0160ibenik", "two words", "%C5%A0ibenik"] {
+        assert!(
+            parse(&format!("[{{\"name\":\"{name}\"}}]")).is_ok(),
+            "{name}"
+        );
+    }
+}
+
+#[test]
+fn committed_tenant_whose_name_fits_in_no_header_is_kept_until_it_is_removed() {
+    let committed = text(r#"[{"name":"a ","apiKeys":["k1"]},{"name":"b","apiKeys":["k2"]}]"#);
+    let document = Document::parse_committed(committed.as_bytes()).expect("accepted");
+    let fits: Vec<bool> = document
+        .tenants()
+        .expect("tenants")
+        .iter()
+        .map(Tenant::fits_in_header)
+        .collect();
+    assert_eq!(fits, [false, true]);
+    let apply = |change: &str| {
+        let body = format!("{{\"version\":4,{change}}}");
+        document.apply_update(&Update::parse(body.as_bytes()).expect("an update"))
+    };
+    assert_matches!(
+        apply(r#""upserts":{"tenants":[{"name":"c"}]}"#),
+        Err(ConfigurationError::TenantNotInHeader { .. })
+    );
+    let renamed = apply(
+        r#""removals":{"tenants":["a "]},"upserts":{"tenants":[{"name":"a","apiKeys":["k1"]}]}"#,
+    );
+    assert!(renamed.is_ok_and(|renamed| renamed.tenants().is_some_and(|all| all.len() == 2)));
+}
--- a/fleet/src/router/client_request.rs
+++ b/fleet/src/router/client_request.rs
@@ -96,7 +96,7 @@
         let _ = write!(to, "Target-Instance: {}\r\n", headers.target_instance);
         let _ = write!(to, "Priority: {}\r\n", headers.priority);
         if let Some(sender) = headers.sender {
-            let _ = write!(to, "Tenant: {}\r\n", sender.header_value);
+            let _ = write!(to, "Tenant: {}\r\n", sender.tenant);
         }
         if let Some(id) = headers.resume_after.or(self.last_event_id.as_deref()) {
             to.extend_from_slice(b"Last-Event-Id: ");
--- a/fleet/src/router/handlers/quota.rs
+++ b/fleet/src/router/handlers/quota.rs
@@ -46,7 +46,7 @@
             Ok(None) => Ok(None),
             Ok(Some(_)) if !self.freshness.can_serve_keys(now) => Err(RejectionReason::RETRY_LATER),
             Ok(Some((tenant, key))) => Ok(Some(Rc::new(Sender::new(tenant, key)))),
-            Err(_) if self.freshness.can_reject_unknown_keys(now) => {
+            Err(KeyDenial::UnknownKey) if self.freshness.can_reject_unknown_keys(now) => {
                 Err(RejectionReason::UnknownKey)
             }
             Err(_) => Err(RejectionReason::RETRY_LATER),
--- a/fleet/src/router/rejection.rs
+++ b/fleet/src/router/rejection.rs
@@ -30,7 +30,9 @@
     fn from(denial: KeyDenial) -> RejectionReason {
         match denial {
             KeyDenial::UnknownKey => RejectionReason::UnknownKey,
-            KeyDenial::StaleConfiguration => RejectionReason::RETRY_LATER,
+            KeyDenial::StaleConfiguration | KeyDenial::NameNotInHeader => {
+                RejectionReason::RETRY_LATER
+            }
         }
     }
 }
--- a/fleet/src/router/sender.rs
+++ b/fleet/src/router/sender.rs
@@ -1,19 +1,16 @@
 //! The sender of a request: the tenant that holds its key.
 //!
-//! It promises that a server learns of no tenant but the one that holds the client's key, and that a
-//! key leaves this module only as its digest.
+//! It promises that a server learns of no tenant but the one that holds the client's key, by the name
+//! that the configuration gives it, and that a key leaves this module only as its digest.
 
 use super::configuration::ActiveConfiguration;
 use lichenswitch_configuration::{KeyDigest, Tenant};
-use std::fmt::Write as _;
 
 /// The sender of a request.
 #[derive(Debug, PartialEq)]
 pub(crate) struct Sender {
-    /// The tenant's name.
+    /// The tenant's name, which fits in a header.
     pub tenant: String,
-    /// The name as a header value for servers.
-    pub header_value: String,
     /// Digest of the key.
     pub key_digest: KeyDigest,
 }
@@ -25,6 +22,9 @@
     UnknownKey,
     /// The active configuration may be outdated: the key may have been revoked since.
     StaleConfiguration,
+    /// No header can carry the name of its tenant, so that no server can be told whose request it
+    /// is. Only an earlier version accepted such a configuration.
+    NameNotInHeader,
 }
 
 impl ActiveConfiguration {
@@ -32,7 +32,7 @@
     /// that is known.
     ///
     /// # Errors
-    /// The route needs a key, and the request's is unknown.
+    /// The route needs a key, and the request's is unknown; or servers can't be told the tenant.
     pub(crate) fn sender(
         &self,
         is_public: bool,
@@ -44,6 +44,7 @@
         let tenant = key.and_then(|key| Some((tenants.get(self.keys.tenant_index(&key)?)?, key)));
         match tenant {
             None if !is_public => Err(KeyDenial::UnknownKey),
+            Some((tenant, _)) if !tenant.fits_in_header() => Err(KeyDenial::NameNotInHeader),
             tenant => Ok(tenant),
         }
     }
@@ -64,27 +65,10 @@
     pub(crate) fn new(tenant: &Tenant, key_digest: KeyDigest) -> Sender {
         Sender {
             tenant: tenant.name.clone(),
-            header_value: header_value(&tenant.name),
             key_digest,
         }
     }
 }
 
-/// A name as a header value: bytes that are not allowed there are percent-encoded.
-pub(crate) fn header_value(name: &str) -> String {
-    let mut value = String::with_capacity(name.len());
-    let last = name.len().saturating_sub(1);
-    for (index, byte) in name.bytes().enumerate() {
-        let is_edge = index == 0 || index == last;
-        match byte {
-            b' ' if !is_edge => value.push(' '),
-            0x21..=0x7e => value.push(char::from(byte)),
-            // Writes to memory don't fail.
-            _ => _ = write!(value, "%{byte:02X}"),
-        }
-    }
-    value
-}
-
 #[cfg(test)]
 mod tests;
--- a/fleet/tests/router_tenants.rs
+++ b/fleet/tests/router_tenants.rs
@@ -74,6 +74,43 @@
         .round_trip(request("POST", kind, id, headers, "x"))
 }
 
+/// Guards against UNASKED: servers that run a request under a name that no tenant has.
+#[test]
+fn server_is_told_the_name_that_the_configuration_gives() {
+    for name in ["Šibenik", "čoček depot", "two words", "100%25", "日本"] {
+        let server = echo();
+        let tenant = format!(r#"{{"name":"{name}","apiKeys":["key-1"]}}"#);
+        let harness = harness(&[&server], &tenant);
+        let reply = round_trip(
+            &harness,
+            "unsafe",
+            "a1",
+            "Api-Key: key-1\r\nTenant: other\r\n",
+        );
+        assert_eq!(reply.status, 200, "{name}");
+        let received = server.received();
+        let told: Vec<&str> = received
+            .iter()
+            .flat_map(|received| &received.headers)
+            .filter(|(header, _)| header == "tenant")
+            .map(|(_, value)| value.as_str())
+            .collect();
+        assert_eq!(told, [name]);
+    }
+}
+
+/// Guards against UNASKED: a name that no header carries is told changed, or splits the head.
+#[test]
+fn request_of_a_tenant_whose_name_fits_in_no_header_is_not_sent() {
+    let server = echo();
+    let tenants = format!(r#"{{"name":"a\r\nPriority: 0","apiKeys":["key-9"]}},{ONE}"#);
+    let harness = harness(&[&server], &tenants);
+    let reply = round_trip(&harness, "safe", "a1", "Api-Key: key-9\r\n");
+    assert_eq!((reply.status, server.request_count("a1")), (503, 0));
+    let reply = round_trip(&harness, "safe", "a2", "Api-Key: key-1\r\n");
+    assert_eq!((reply.status, server.request_count("a2")), (200, 1));
+}
+
 fn echo() -> Server {
     Server::start("i-1", |received, connection| {
         connection.respond(received, 200, "", "ok");
