Soak: full servers that repeat responses, and tenants outside ASCII

Change: the profile overload: series of planned work, servers of which two run four requests at a time and reject more, three in ten responses given once more, late, a route with six attempts, and three tenants with letters outside ASCII, a space and a percent sign. The judge compares the Tenant of each send with the tenant of the key, and takes a 401 for a violation.

--- a/emulators/src/model_server.rs
+++ b/emulators/src/model_server.rs
@@ -15,7 +15,7 @@
 pub use ledger::{Entry, Event, Ledger};
 
 use crate::sync::lock;
-use fault::Script;
+use fault::{LateResponses, Script};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -105,6 +105,12 @@
         lock(&self.shared.script).always = fault;
     }
 
+    /// From now on a share of responses, 0 to 1, is sent once more, late ([`Fault::LateResponse`]);
+    /// which ones follows from the seed. Requests with another fault are not among them.
+    pub fn repeat_responses(&self, share: f64, seed: u64) {
+        lock(&self.shared.script).late_responses = Some(LateResponses::new(share, seed));
+    }
+
     /// Sets whether the health check passes; requests are accepted in either case.
     pub fn set_healthy(&self, healthy: bool) {
         self.shared.unhealthy.store(!healthy, Ordering::SeqCst);
--- a/emulators/src/model_server/connection/request.rs
+++ b/emulators/src/model_server/connection/request.rs
@@ -51,7 +51,7 @@
         shared.ledger.record(&attempt, Event::Arrived(head.clone()));
         let fault = {
             let mut script = lock(&shared.script);
-            script.next.pop_front().unwrap_or(script.always)
+            script.next_fault()
         };
         if let Some(fault) = fault {
             shared.ledger.record(&attempt, Event::FaultApplied(fault));
@@ -131,7 +131,7 @@
             "Attempt-Id: {}\r\nInstance-Id: {instance}\r\nNot-Executed: 1\r\n",
             request.attempt
         );
-        self.respond(status, &fields, b"")
+        self.respond_to(request, status, &fields, b"")
     }
 
     /// Runs a request that has its slot.
@@ -151,7 +151,7 @@
                 self.shared
                     .ledger
                     .record(&request.attempt, Event::Responded(status));
-                return self.respond(status, &fields, b"failed");
+                return self.respond_to(request, status, &fields, b"failed");
             }
             _ => {}
         }
--- a/emulators/src/model_server/connection/response.rs
+++ b/emulators/src/model_server/connection/response.rs
@@ -14,18 +14,42 @@
     /// Sends a response with a length.
     pub(super) fn respond(&mut self, status: u16, fields: &str, body: &[u8]) -> Persistence {
         let closes = self.shared.is_draining();
+        let response = self.response_bytes(status, fields, body, closes);
+        self.send_response(&response, closes)
+    }
+
+    /// Sends a response with a length to a request, and stores it for later if that is the request's
+    /// fault.
+    pub(super) fn respond_to(
+        &mut self,
+        request: &Request,
+        status: u16,
+        fields: &str,
+        body: &[u8],
+    ) -> Persistence {
+        let closes = self.shared.is_draining();
+        let response = self.response_bytes(status, fields, body, closes);
+        let persistence = self.send_response(&response, closes);
+        if request.fault == Some(Fault::LateResponse) {
+            self.delayed_response = response;
+        }
+        persistence
+    }
+
+    fn response_bytes(&self, status: u16, fields: &str, body: &[u8], closes: bool) -> Vec<u8> {
         let common_fields = self.common_fields(closes);
         let head = format!(
             "HTTP/1.1 {status} {}\r\n{fields}{common_fields}Content-Length: {}\r\n\r\n",
             reason_phrase(status),
             body.len()
         );
-        let bytes = [
-            std::mem::take(&mut self.delayed_response),
-            head.into_bytes(),
-            body.to_vec(),
-        ]
-        .concat();
+        [head.as_bytes(), body].concat()
+    }
+
+    /// Sends a complete response, behind a copy of an earlier one that was stored.
+    fn send_response(&mut self, response: &[u8], closes: bool) -> Persistence {
+        let delayed_response = std::mem::take(&mut self.delayed_response);
+        let bytes = [&delayed_response, response].concat();
         let is_sent = self.to.write_all(&bytes).is_ok();
         Persistence::closing_if(closes || !is_sent)
     }
--- a/emulators/src/model_server/fault.rs
+++ b/emulators/src/model_server/fault.rs
@@ -1,5 +1,7 @@
 //! The faults that a model server's requests meet by script.
 
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
 use std::collections::VecDeque;
 
 /// A fault of a request.
@@ -23,8 +25,8 @@
     ExtraResponse,
     /// Bytes that are no response follow the complete one.
     ExtraBytes,
-    /// The same complete response is sent once more, late: before the response to the next request
-    /// on the connection.
+    /// The same complete response, also a rejection by a server that is full, is sent once more,
+    /// late: before the response to the next request on the connection.
     LateResponse,
     /// The response carries the id of another request.
     WrongId,
@@ -51,4 +53,40 @@
     pub(super) always: Option<Fault>,
     /// The faults of the next requests, one each.
     pub(super) next: VecDeque<Option<Fault>>,
+    /// Draws which of the other requests meet [`Fault::LateResponse`].
+    pub(super) late_responses: Option<LateResponses>,
+}
+
+impl Script {
+    /// The fault of the next request.
+    pub(super) fn next_fault(&mut self) -> Option<Fault> {
+        if let Some(fault) = self.next.pop_front() {
+            return fault;
+        }
+        let is_late = self
+            .late_responses
+            .as_mut()
+            .is_some_and(LateResponses::draw);
+        self.always.or(is_late.then_some(Fault::LateResponse))
+    }
+}
+
+/// A share of requests, drawn from a seed.
+#[derive(Debug)]
+pub(super) struct LateResponses {
+    share: f64,
+    random: Xoshiro256PlusPlus,
+}
+
+impl LateResponses {
+    pub(super) fn new(share: f64, seed: u64) -> LateResponses {
+        LateResponses {
+            share,
+            random: Xoshiro256PlusPlus::seed_from_u64(seed),
+        }
+    }
+
+    fn draw(&mut self) -> bool {
+        self.random.random_bool(self.share)
+    }
 }
--- a/emulators/src/model_server/tests.rs
+++ b/emulators/src/model_server/tests.rs
@@ -257,6 +257,28 @@
     );
 }
 
+#[test]
+fn rejection_by_a_full_server_is_sent_once_more_in_its_share() {
+    let mut description = quick();
+    (description.slots, description.queue_capacity) = (0, 0);
+    let server = start(description);
+    server.repeat_responses(1.0, 7);
+    let mut connection = KeptAliveConnection::new(&server);
+    for (attempt, answered) in [("r1", "r1"), ("r2", "r1")] {
+        connection.write(attempt);
+        let response = connection.read().expect("an answer");
+        assert_eq!(response.status(), 503);
+        assert_eq!(response.head.field("attempt-id"), Some(answered));
+    }
+    server.repeat_responses(0.0, 7);
+    let mut connection = KeptAliveConnection::new(&server);
+    for attempt in ["r3", "r4"] {
+        connection.write(attempt);
+        let response = connection.read().expect("an answer");
+        assert_eq!(response.head.field("attempt-id"), Some(attempt));
+    }
+}
+
 #[test]
 fn response_without_a_length_ends_with_its_connection_or_by_a_reset() {
     let server = start(quick());
--- a/emulators/src/operator/document.rs
+++ b/emulators/src/operator/document.rs
@@ -125,10 +125,37 @@
     }
 }
 
+/// A tenant with one key and without a quota.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Its key, an item of `apiKeys`.
+    pub key: String,
+}
+
+impl Tenant {
+    fn json(&self) -> Value {
+        json!({"name": self.name, "apiKeys": [self.key]})
+    }
+}
+
 /// The document that replaces a configuration: this version, with these routes and the services
-/// that they name.
+/// that they name. No request needs a key.
 #[must_use]
 pub fn replace(version: u64, routes: &[Route]) -> String {
+    replacement(version, routes).to_string()
+}
+
+/// The same with tenants: each request needs the key of one.
+#[must_use]
+pub fn replace_with_tenants(version: u64, routes: &[Route], tenants: &[Tenant]) -> String {
+    let mut document = replacement(version, routes);
+    document["tenants"] = tenants.iter().map(Tenant::json).collect();
+    document.to_string()
+}
+
+fn replacement(version: u64, routes: &[Route]) -> Value {
     let mut names: Vec<&str> = routes.iter().flat_map(Route::services).collect();
     names.sort_unstable();
     names.dedup();
@@ -149,7 +176,7 @@
             },
         })
     };
-    let document = json!({
+    json!({
         "version": version,
         "routes": routes.iter().map(Route::json).collect::<Vec<_>>(),
         "services": names.iter().map(service).collect::<Vec<_>>(),
@@ -159,8 +186,7 @@
             "headerTimeoutMs": 3_000,
             "idleTimeoutMs": 15_000,
         },
-    });
-    document.to_string()
+    })
 }
 
 /// The document that updates a configuration to this version: these routes are added, or replace
--- a/emulators/src/stream_client.rs
+++ b/emulators/src/stream_client.rs
@@ -25,6 +25,8 @@
     pub output_tokens: u32,
     /// `Prompt-Prefix`, as it is sent.
     pub prompt_prefix: String,
+    /// `Api-Key`, where the request bears one.
+    pub api_key: Option<String>,
     /// `Last-Event-Id`, where a stream is resumed.
     pub last_event_id: Option<u64>,
     /// The body.
@@ -45,6 +47,7 @@
             prompt_tokens: 48,
             output_tokens,
             prompt_prefix: "5c1e07a2:32,91bd3f06:16".into(),
+            api_key: None,
             last_event_id: None,
             body: b"{\"prompt\":\"where is the nearest scooter\"}".to_vec(),
             closes: true,
@@ -67,6 +70,9 @@
         if self.closes {
             head += "Connection: close\r\n";
         }
+        if let Some(key) = &self.api_key {
+            head += &format!("Api-Key: {key}\r\n");
+        }
         if let Some(id) = self.last_event_id {
             head += &format!("Last-Event-Id: {id}\r\n");
         }
--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -4,7 +4,9 @@
 use crate::operators::{HOST, LONG_CONFIGURATION_PATH};
 use crate::plan::{Plan, Profile};
 use crate::servers::EVENT_INTERVAL;
+use crate::tenants::tenant_of_client;
 use fastrand::Rng;
+use lichenswitch_emulators::operator::document::Tenant;
 use lichenswitch_emulators::stream_client::message::{Call, MessageError};
 use lichenswitch_emulators::stream_client::{
     ClientConnection, ResponseEnd, StreamFault, StreamRequest, StreamedResponse,
@@ -61,6 +63,8 @@
     LongUnsafe,
     /// Short requests on the last route that a long configuration got.
     LongConfigurationRoute,
+    /// Short requests to servers that are about full, which may not be retried but after a rejection.
+    OverloadedUnsafe,
 }
 
 /// How long clients use a connection.
@@ -82,9 +86,15 @@
     if plan.has_long_configuration {
         workloads.extend([Workload::LongConfigurationRoute; 2]);
     }
+    if plan.profile == Profile::Overload {
+        workloads.extend([Workload::OverloadedUnsafe; OVERLOADED_CLIENTS]);
+    }
     workloads
 }
 
+/// The number of clients of the servers that are about full: more than these have slots.
+const OVERLOADED_CLIENTS: usize = 20;
+
 /// The workload of each client of a day of mixed faults.
 const CLIENT_WORKLOADS: [Workload; 14] = [
     Workload::Safe,
@@ -113,6 +123,7 @@
             Workload::OptionalRoute => "/extra/1",
             Workload::LongUnsafe => "/once/1",
             Workload::LongConfigurationRoute => LONG_CONFIGURATION_PATH,
+            Workload::OverloadedUnsafe => "/full/1",
         }
     }
 
@@ -123,6 +134,7 @@
                 | Workload::Unsafe
                 | Workload::LongUnsafe
                 | Workload::LongConfigurationRoute
+                | Workload::OverloadedUnsafe
         )
     }
 
@@ -134,7 +146,10 @@
     fn is_idempotent(self) -> bool {
         !matches!(
             self,
-            Workload::Unsafe | Workload::UnresumableStream | Workload::LongUnsafe
+            Workload::Unsafe
+                | Workload::UnresumableStream
+                | Workload::LongUnsafe
+                | Workload::OverloadedUnsafe
         )
     }
 
@@ -194,6 +209,8 @@
     /// By machine, the readiness checks that its router has failed in a row.
     misses: Vec<AtomicU32>,
     connection_use: ConnectionUse,
+    /// Whether the configuration has tenants, so that requests bear keys.
+    has_tenants: bool,
     /// When the routes of a long configuration were acknowledged, where there are any.
     long_routes_acknowledged_at: Option<Duration>,
     next_attempt: AtomicU64,
@@ -204,7 +221,12 @@
 impl Clients {
     /// Clients of these routers.
     #[must_use]
-    pub fn new(clock: Clock, fronts: Vec<SocketAddr>, connection_use: ConnectionUse) -> Clients {
+    pub fn new(
+        clock: Clock,
+        fronts: Vec<SocketAddr>,
+        connection_use: ConnectionUse,
+        has_tenants: bool,
+    ) -> Clients {
         let misses = fronts.iter().map(|_| AtomicU32::new(0)).collect();
         let (next_attempt, stopped) = (AtomicU64::new(1), AtomicBool::new(false));
         Clients {
@@ -212,6 +234,7 @@
             fronts,
             misses,
             connection_use,
+            has_tenants,
             long_routes_acknowledged_at: None,
             next_attempt,
             stopped,
@@ -253,8 +276,14 @@
         }
     }
 
-    /// Sends the requests of one client until the clients are stopped.
-    pub fn send_requests(&self, workload: Workload, random: &mut Rng) {
+    /// The tenant of the client with this index, where there are tenants.
+    fn tenant(&self, client: usize) -> Option<Tenant> {
+        self.has_tenants.then(|| tenant_of_client(client))
+    }
+
+    /// Sends the requests of the client with this index until the clients are stopped.
+    pub fn send_requests(&self, client: usize, workload: Workload, random: &mut Rng) {
+        let tenant = self.tenant(client);
         while !self.is_stopped() {
             let machine = self.choose_router(random);
             let Ok(mut connection) = ClientConnection::open(self.fronts[machine], RESPONSE_TIMEOUT)
@@ -268,11 +297,17 @@
                 }
                 let events = workload.event_count(random);
                 let body_bytes = workload.body_bytes(random);
-                let Some(sent) = self.send(&mut connection, workload, events, body_bytes) else {
+                let draft = RequestDraft {
+                    workload,
+                    tenant: tenant.as_ref(),
+                    events,
+                    body_bytes,
+                };
+                let Some(sent) = self.send(&mut connection, &draft) else {
                     break;
                 };
                 let (is_rejected, keeps_alive) = (sent.is_rejected(), sent.keeps_alive);
-                self.record(sent, machine, turn, workload);
+                self.record(sent, machine, turn, &draft);
                 if is_rejected {
                     thread::sleep(REJECTION_BACKOFF);
                 }
@@ -297,25 +332,35 @@
     #[must_use]
     pub fn is_served_by(&self, machine: usize) -> bool {
         let opened = ClientConnection::open(self.fronts[machine], RESPONSE_TIMEOUT);
+        let tenant = self.tenant(machine);
+        let draft = RequestDraft {
+            workload: Workload::Safe,
+            tenant: tenant.as_ref(),
+            events: Some(1),
+            body_bytes: None,
+        };
         let sent = opened
             .ok()
-            .and_then(|mut connection| self.send(&mut connection, Workload::Safe, Some(1), None));
+            .and_then(|mut connection| self.send(&mut connection, &draft));
         sent.is_some_and(|sent| {
             let served = sent.end == RequestEnd::Responded(200);
-            self.record(sent, machine, 0, Workload::Safe);
+            self.record(sent, machine, 0, &draft);
             served
         })
     }
 
-    /// Sends a request for this number of events, or for `None` abandons it as soon as it is sent.
-    /// Returns `None` if it could not be sent completely.
+    /// Sends a request. Returns `None` if it could not be sent completely.
     fn send(
         &self,
         connection: &mut ClientConnection,
-        workload: Workload,
-        events: Option<u32>,
-        body_bytes: Option<usize>,
+        draft: &RequestDraft<'_>,
     ) -> Option<SentRequest> {
+        let RequestDraft {
+            workload,
+            tenant,
+            events,
+            body_bytes,
+        } = *draft;
         let attempt = format!("{:016x}", self.next_attempt.fetch_add(1, Ordering::SeqCst));
         let mut request = StreamRequest::new(
             HOST,
@@ -325,6 +370,7 @@
         );
         request.deadline_ms = u64::try_from(workload.deadline().as_millis()).unwrap_or(u64::MAX);
         request.closes = false;
+        request.api_key = tenant.map(|tenant| tenant.key.clone());
         if let Some(length) = body_bytes {
             request.body = vec![b' '; length];
         }
@@ -357,7 +403,8 @@
         })
     }
 
-    fn record(&self, sent: SentRequest, machine: usize, turn: u32, workload: Workload) {
+    fn record(&self, sent: SentRequest, machine: usize, turn: u32, draft: &RequestDraft<'_>) {
+        let workload = draft.workload;
         let SentRequest {
             attempt,
             at: sent,
@@ -377,6 +424,7 @@
             attempt,
             machine,
             idempotent,
+            tenant: draft.tenant.map(|tenant| tenant.name.clone()),
             turn,
             sent,
             ended,
@@ -388,6 +436,17 @@
     }
 }
 
+/// What a request is to be.
+struct RequestDraft<'a> {
+    workload: Workload,
+    /// The tenant whose key it bears.
+    tenant: Option<&'a Tenant>,
+    /// How many events its response has; `None`: the client abandons it as soon as it is sent.
+    events: Option<u32>,
+    /// The length of its body, where it is not the usual one.
+    body_bytes: Option<usize>,
+}
+
 /// A request that was sent, and its result.
 struct SentRequest {
     attempt: String,
--- a/soak/src/day.rs
+++ b/soak/src/day.rs
@@ -104,11 +104,12 @@
     let (control, readiness) = (fleet.control(), fleet.readiness());
     let connection_use = match plan.profile {
         Profile::Mixed => ConnectionUse::Limited,
-        Profile::Series => ConnectionUse::UntilClosed,
+        Profile::Series | Profile::Overload => ConnectionUse::UntilClosed,
     };
-    let mut clients = Clients::new(clock, fleet.fronts(), connection_use);
-    let mut operators = Operators::new(clock, control.clone());
-    let servers = Servers::start(control, clock)?;
+    let is_overload = plan.profile == Profile::Overload;
+    let mut clients = Clients::new(clock, fleet.fronts(), connection_use, is_overload);
+    let mut operators = Operators::new(clock, control.clone(), is_overload);
+    let servers = Servers::start(control, clock, plan.profile)?;
     wait_until_started(clock, &operators, &readiness)?;
     if plan.has_long_configuration {
         let acknowledged_at =
@@ -235,9 +236,9 @@
         for (machine, address) in readiness.iter().copied().enumerate() {
             scope.spawn(move || clients.watch_readiness(machine, address));
         }
-        for workload in workloads(self.plan) {
+        for (client, workload) in workloads(self.plan).into_iter().enumerate() {
             let mut random = self.random.fork();
-            scope.spawn(move || clients.send_requests(workload, &mut random));
+            scope.spawn(move || clients.send_requests(client, workload, &mut random));
         }
         let mut random = self.random.fork();
         scope.spawn(move || operators.read(&mut random));
--- a/soak/src/journal.rs
+++ b/soak/src/journal.rs
@@ -108,6 +108,8 @@
     pub machine: usize,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// The tenant whose key it bore.
+    pub tenant: Option<String>,
     /// Its index on its connection, from 0.
     pub turn: u32,
     /// When its last byte was sent.
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -28,6 +28,8 @@
         violations.extend(requests::wrong_responses(request));
         violations.extend(requests::wrong_execution(&executions, request));
         violations.extend(requests::missing_route(journal, request));
+        violations.extend(requests::wrong_tenant(&executions, request));
+        violations.extend(requests::refused_key(request));
     }
     violations.extend(requests::executions_without_request(journal));
     violations.extend(
--- a/soak/src/judge/executions.rs
+++ b/soak/src/judge/executions.rs
@@ -12,6 +12,8 @@
     pub(super) run_count: usize,
     /// Whether it reached a server.
     pub(super) arrived: bool,
+    /// The `Tenant` of each send that reached a server.
+    pub(super) tenants: Vec<Option<String>>,
     /// Whether a server ended it without a complete response.
     pub(super) aborted_by_server: bool,
     /// When the last server stopped work on it.
@@ -41,7 +43,11 @@
             let execution = self.0.entry(entry.attempt.clone()).or_default();
             let at = server.started + entry.at;
             match entry.event {
-                Event::Arrived(_) => execution.arrived = true,
+                Event::Arrived(ref head) => {
+                    execution.arrived = true;
+                    let tenant = head.field("tenant").map(str::to_owned);
+                    execution.tenants.push(tenant);
+                }
                 Event::Started => {
                     execution.run_count += 1;
                     running.insert(&entry.attempt);
--- a/soak/src/judge/requests.rs
+++ b/soak/src/judge/requests.rs
@@ -41,6 +41,26 @@
     }
 }
 
+/// The violation, if a server was told another tenant than the one whose key the request bore.
+pub(super) fn wrong_tenant(executions: &Executions, request: &ClientRequest) -> Option<Violation> {
+    let execution = executions.get(&request.attempt)?;
+    let told = execution
+        .tenants
+        .iter()
+        .find(|told| **told != request.tenant)?;
+    Some(Violation::WrongTenant {
+        attempt: request.attempt.clone(),
+        tenant: request.tenant.clone(),
+        told: told.clone(),
+    })
+}
+
+/// The violation, if a request was refused for its key. Keys never change on a day.
+pub(super) fn refused_key(request: &ClientRequest) -> Option<Violation> {
+    let is_refused = request.tenant.is_some() && request.end == RequestEnd::Responded(401);
+    is_refused.then(|| Violation::KeyRefused(request.attempt.clone()))
+}
+
 /// The violation, if a route was not found that had been acknowledged for `configApplyMs`, with no
 /// unplanned fault near.
 pub(super) fn missing_route(journal: &Journal, request: &ClientRequest) -> Option<Violation> {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod plan;
 pub mod processes;
 pub mod servers;
+pub mod tenants;
 pub mod violation;
 pub mod volatile_disk;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -36,10 +36,11 @@
         guard(is_long_enough, "a day has 12 seconds at least")
     )]
     seconds: u64,
-    /// Kind of the days: `mixed`, or `series` for planned work in series that overlap.
+    /// Kind of the days: `mixed`; `series` for planned work in series that overlap; `overload` for
+    /// that beside servers that are about full and repeat responses, and with tenants.
     #[bpaf(argument("PROFILE"), fallback(Profile::Mixed))]
     profile: Profile,
-    /// Machines of a day of the profile `series`, with two processes each; 3 to 100.
+    /// Machines of a day of the profiles `series` and `overload`, with two processes each; 3 to 100.
     #[bpaf(
         argument("NUMBER"),
         fallback(MACHINES),
@@ -198,6 +199,7 @@
     let profile = match options.profile {
         Profile::Mixed => String::new(),
         Profile::Series => format!(" --profile series --machines {}", options.machines),
+        Profile::Overload => format!(" --profile overload --machines {}", options.machines),
     };
     format!(
         "{} --seeds {seed}..{} --seconds {}{profile} --program {}{planted}",
--- a/soak/src/operators.rs
+++ b/soak/src/operators.rs
@@ -8,10 +8,13 @@
 pub use configuration::{HOST, LONG_CONFIGURATION_PATH};
 
 use crate::journal::{Clock, OrderRecord, ReadRecord};
-use configuration::{is_mark, long_routes, order_number_in, Variant, LONG_UPDATES};
+use crate::tenants::tenants;
+use configuration::{is_mark, long_routes, order_number_in, overload_route, Variant, LONG_UPDATES};
 use fastrand::Rng;
 use history::OrderHistory;
-use lichenswitch_emulators::operator::document::{replace, update, version, Route};
+use lichenswitch_emulators::operator::document::{
+    replace, replace_with_tenants, update, version, Route,
+};
 use lichenswitch_emulators::operator::{Operator, Order, Outcome, Verb};
 use lichenswitch_emulators::sync::lock;
 use std::net::SocketAddr;
@@ -41,6 +44,8 @@
     clock: Clock,
     control: Vec<SocketAddr>,
     stopped: AtomicBool,
+    /// Whether the configuration has the tenants and the route of a day of overload.
+    is_overload: bool,
     /// Whether the configuration has long routes, which stay: it is changed by updates alone.
     has_long_routes: bool,
     preferred: Mutex<Option<PreferredMachine>>,
@@ -50,10 +55,11 @@
 impl Operators {
     /// Operators that use these control machines.
     #[must_use]
-    pub fn new(clock: Clock, control: Vec<SocketAddr>) -> Operators {
+    pub fn new(clock: Clock, control: Vec<SocketAddr>, is_overload: bool) -> Operators {
         Operators {
             clock,
             control,
+            is_overload,
             stopped: AtomicBool::new(false),
             has_long_routes: false,
             preferred: Mutex::default(),
@@ -116,7 +122,7 @@
         let order = Order {
             verb: Verb::Replace,
             base: 0,
-            body: replace(1, &variant.routes()),
+            body: self.replacement(1, variant),
         };
         self.history()
             .add(order.clone(), 1, variant, self.clock.now());
@@ -125,6 +131,16 @@
         outcome == Outcome::Acknowledged
     }
 
+    /// The document that replaces the configuration by a variant.
+    fn replacement(&self, version: u64, variant: Variant) -> String {
+        let mut routes = variant.routes();
+        if !self.is_overload {
+            return replace(version, &routes);
+        }
+        routes.push(overload_route());
+        replace_with_tenants(version, &routes, &tenants())
+    }
+
     /// Adds routes by updates until the configuration is longer than 5 MiB. Returns when the last update was
     /// acknowledged, or `None` if one was not within this time.
     #[must_use]
@@ -187,7 +203,7 @@
                 .collect();
             (Verb::Update, update(version, &changed, &[]))
         } else {
-            (Verb::Replace, replace(version, &variant.routes()))
+            (Verb::Replace, self.replacement(version, variant))
         };
         let order = Order { verb, base, body };
         history.add(order, version, variant, self.clock.now())
--- a/soak/src/operators/configuration.rs
+++ b/soak/src/operators/configuration.rs
@@ -14,6 +14,8 @@
 /// Routes that each of them adds, and the length of the text that each route carries (bytes).
 const LONG_ROUTES: usize = 5;
 const NOTE_BYTES: usize = 400_000;
+/// `maxAttempts` of the route to servers that are about full.
+const OVERLOAD_ATTEMPTS: u32 = 6;
 /// The name of the route whose path names the order.
 const MARK_ROUTE: &str = "mark";
 
@@ -108,6 +110,16 @@
     }
 }
 
+/// The route to the servers that are about full on days of overload. It stays as it is.
+pub(super) fn overload_route() -> Route {
+    let mut route = Route::new("full", HOST, "/full/", SERVICES[1]);
+    route.kind = RouteKind::Unsafe;
+    route.resume = false;
+    route.attempts = OVERLOAD_ATTEMPTS;
+    route.timeout_ms = 3_000;
+    route
+}
+
 /// The routes that a long update adds.
 pub(super) fn long_routes(update: usize) -> Vec<Route> {
     let route = |number| {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -66,11 +66,14 @@
     /// Signals, restarts and departures in series that overlap all day, long requests, clients that use
     /// their connections until the router is gone, and on some days a configuration of over 5 MiB.
     Series,
+    /// The same signals, restarts and departures, beside servers that are about full and send a share of
+    /// their responses once more, late, and with tenants whose names have letters outside ASCII.
+    Overload,
 }
 
 /// A profile's name that is none.
 #[derive(Debug, thiserror::Error)]
-#[error("a profile is `mixed` or `series`")]
+#[error("a profile is `mixed`, `series` or `overload`")]
 pub struct UnknownProfile;
 
 impl std::str::FromStr for Profile {
@@ -80,6 +83,7 @@
         match name {
             "mixed" => Ok(Profile::Mixed),
             "series" => Ok(Profile::Series),
+            "overload" => Ok(Profile::Overload),
             _ => Err(UnknownProfile),
         }
     }
@@ -120,6 +124,7 @@
         match profile {
             Profile::Mixed => Plan::from_seed(seed, length),
             Profile::Series => series::plan(seed, length, machines),
+            Profile::Overload => series::overload_plan(seed, length, machines),
         }
     }
 
--- a/soak/src/plan/series.rs
+++ b/soak/src/plan/series.rs
@@ -7,6 +7,8 @@
 
 /// Distinguishes the draws of these plans from those of mixed days.
 const SEED_SALT: u64 = 0x7365_7269_6573;
+/// The same for the days of overload.
+const OVERLOAD_SEED_SALT: u64 = 0x6f76_6572_6c6f_6164;
 /// When the first series begins.
 const FIRST_SERIES: Duration = Duration::from_secs(1);
 /// The share of a day after which no series begins.
@@ -16,8 +18,26 @@
 
 /// Draws the plan of a seed.
 pub(super) fn plan(seed: u64, length: Duration, machines: usize) -> Plan {
+    Plan {
+        has_long_configuration: seed.is_multiple_of(LONG_CONFIGURATION_ONE_IN),
+        ..plan_of(Profile::Series, seed, SEED_SALT, length, machines)
+    }
+}
+
+/// Draws the plan of a seed for a day of overload.
+pub(super) fn overload_plan(seed: u64, length: Duration, machines: usize) -> Plan {
+    plan_of(
+        Profile::Overload,
+        seed,
+        OVERLOAD_SEED_SALT,
+        length,
+        machines,
+    )
+}
+
+fn plan_of(profile: Profile, seed: u64, salt: u64, length: Duration, machines: usize) -> Plan {
     let mut generator = SeriesGenerator {
-        schedule: Schedule::new(seed ^ SEED_SALT, length),
+        schedule: Schedule::new(seed ^ salt, length),
         machines,
     };
     generator.all_series();
@@ -29,9 +49,9 @@
         actions: generator.schedule.into_actions(),
         final_fault,
         volatile_disks: false,
-        profile: Profile::Series,
+        profile,
         machines,
-        has_long_configuration: seed.is_multiple_of(LONG_CONFIGURATION_ONE_IN),
+        has_long_configuration: false,
     }
 }
 
--- a/soak/src/servers.rs
+++ b/soak/src/servers.rs
@@ -3,7 +3,7 @@
 
 use crate::bounds::DRAIN_TIMEOUT;
 use crate::journal::{Clock, ServerRecord};
-use crate::plan::{Action, SERVERS};
+use crate::plan::{Action, Profile, SERVERS};
 use fastrand::Rng;
 use lichenswitch_emulators::model_server::heartbeat::Registration;
 use lichenswitch_emulators::model_server::{Fault, ModelServer, ServerDescription};
@@ -28,6 +28,11 @@
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// The threads of a server that has ended record the ends of their requests within this time.
 const END_RECORDING_TIME: Duration = Duration::from_millis(200);
+/// The share of responses that servers send once more on days of overload.
+const REPEATED_RESPONSE_SHARE: f64 = 0.3;
+/// On days of overload the servers of the second service run this many requests at a time, and
+/// reject any more.
+const OVERLOADED_SLOTS: usize = 4;
 /// The number of requests that meet a fault by one [`Action::ServerFaults`].
 const FAULTS_PER_ACTION: usize = 6;
 
@@ -41,6 +46,7 @@
 pub struct Servers {
     control: Vec<SocketAddr>,
     clock: Clock,
+    profile: Profile,
     /// The number of servers started so far.
     started_count: u64,
     running: Vec<RegisteredServer>,
@@ -50,14 +56,19 @@
 }
 
 impl Servers {
-    /// Starts the servers, which register with these control machines.
+    /// Starts the servers of a day of this profile, which register with these control machines.
     ///
     /// # Errors
     /// When an address can't be listened on.
-    pub fn start(control: Vec<SocketAddr>, clock: Clock) -> std::io::Result<Servers> {
+    pub fn start(
+        control: Vec<SocketAddr>,
+        clock: Clock,
+        profile: Profile,
+    ) -> std::io::Result<Servers> {
         let mut servers = Servers {
             control,
             clock,
+            profile,
             started_count: 0,
             running: Vec::new(),
             departures: Vec::new(),
@@ -77,7 +88,15 @@
         let zone = format!("zone-{}", 1 + index % ZONES);
         let mut description = ServerDescription::new(&instance, service, &zone);
         description.event_interval = EVENT_INTERVAL;
+        let is_overloaded = self.profile == Profile::Overload;
+        if is_overloaded && service == SERVICES[1] {
+            description.slots = OVERLOADED_SLOTS;
+            description.queue_capacity = 0;
+        }
         let server = ModelServer::start(description, SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        if is_overloaded {
+            server.repeat_responses(REPEATED_RESPONSE_SHARE, self.started_count);
+        }
         let registration = server.register(self.control.clone(), HEARTBEAT_INTERVAL);
         Ok(RegisteredServer {
             server,
--- a/soak/src/violation.rs
+++ b/soak/src/violation.rs
@@ -53,6 +53,19 @@
     /// A server ran what no client sent.
     #[error("UNASKED: {0} came from no client")]
     RunWithoutRequest(String),
+    /// A server was told a tenant that is not the one whose key the request bore.
+    #[error("UNASKED: {attempt} of the tenant {tenant:?} reached a server with Tenant {told:?}")]
+    WrongTenant {
+        /// `Attempt-Id`.
+        attempt: String,
+        /// The tenant whose key the request bore.
+        tenant: Option<String>,
+        /// What the server was told.
+        told: Option<String>,
+    },
+    /// A key that every configuration has was not known.
+    #[error("CONFIG: {0} was refused with 401; every configuration has its key")]
+    KeyRefused(String),
     /// A request reached a server too long after its departure was acknowledged.
     #[error("DRAIN: {attempt} reached {instance} {late:.3?} after its leave was acknowledged")]
     ArrivedAfterDrain {
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -26,6 +26,7 @@
         attempt: "a1".into(),
         machine: 1,
         idempotent: false,
+        tenant: None,
         turn: 1,
         sent: ms(sent),
         ended: ms(ended),
@@ -257,6 +258,43 @@
     );
 }
 
+#[test]
+fn wrong_tenant_and_refused_key_are_found() {
+    let arrived_with = |tenant: Option<&str>| {
+        let fields = tenant.map(|name| ("Tenant".to_owned(), name.to_owned()));
+        server(&[(
+            10_010,
+            Event::Arrived(Head {
+                fields: fields.into_iter().collect(),
+                ..Head::default()
+            }),
+        )])
+    };
+    let mut journal = Journal {
+        client_requests: vec![request(10_000, 10_100, RequestEnd::Responded(200))],
+        ..Journal::default()
+    };
+    journal.client_requests[0].tenant = Some("Šibenik".into());
+    for (told, is_right) in [
+        (Some("Šibenik"), true),
+        (Some("%C5%A0ibenik"), false),
+        (None, false),
+    ] {
+        journal.servers = vec![arrived_with(told)];
+        let expected = Violation::WrongTenant {
+            attempt: "a1".into(),
+            tenant: Some("Šibenik".into()),
+            told: told.map(str::to_owned),
+        };
+        assert_eq!(judge(&journal).contains(&expected), !is_right, "{told:?}");
+    }
+    journal.servers.clear();
+    journal.client_requests[0].end = RequestEnd::Responded(401);
+    assert_eq!(judge(&journal), [Violation::KeyRefused("a1".into())]);
+    journal.client_requests[0].tenant = None;
+    assert_eq!(judge(&journal), []);
+}
+
 #[test]
 fn request_that_arrives_late_after_a_drain_is_found() {
     let control = "127.0.0.2:8262".parse().expect("an address");
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -142,9 +142,10 @@
 #[test]
 fn series_overlap_all_day_and_name_machines_of_the_fleet() {
     const MACHINES: usize = 40;
-    for seed in 0..100 {
-        let plan = Plan::of_profile(Profile::Series, seed, LENGTH, MACHINES);
-        let again = Plan::of_profile(Profile::Series, seed, LENGTH, MACHINES);
+    let seeds = (0..100).flat_map(|seed| [(Profile::Series, seed), (Profile::Overload, seed)]);
+    for (profile, seed) in seeds {
+        let plan = Plan::of_profile(profile, seed, LENGTH, MACHINES);
+        let again = Plan::of_profile(profile, seed, LENGTH, MACHINES);
         assert_eq!(plan, again, "seed {seed}");
         assert!(plan.actions.is_sorted(), "seed {seed}");
         let times: Vec<Duration> = plan.actions.iter().map(|(at, _)| *at).collect();
