HTTP: trim only spaces and tabs from the values of headers

Cause: messages that are read whole (the broker's requests, calls to control) trimmed all white space of Unicode, so that a team named U+00A0 "team" was read as "team": found by reading, on the path of the tenants' names. Change: only what HTTP takes for no part of a value. Result: white_space_outside_ascii_belongs_to_a_value failed before, and passes.

--- a/wire/http/src/lib.rs
+++ b/wire/http/src/lib.rs
@@ -169,7 +169,9 @@
     let one = |h: &httparse::Header<'_>| {
         let value =
             std::str::from_utf8(h.value).map_err(|_| MalformedMessage(400, "header is no text"))?;
-        Ok((h.name.to_ascii_lowercase(), value.trim().to_string()))
+        // Other white space is a part of the value.
+        let value = value.trim_matches([' ', '\t']);
+        Ok((h.name.to_ascii_lowercase(), value.to_string()))
     };
     headers.iter().map(one).collect()
 }
--- a/wire/http/src/tests.rs
+++ b/wire/http/src/tests.rs
@@ -103,6 +103,19 @@
     );
 }
 
+/// Guards against a name that is read as another one: only spaces and tabs around a value are no part of
+/// it.
+#[test]
+fn white_space_outside_ascii_belongs_to_a_value() {
+    let bytes = "GET / HTTP/1.1\r\nReq-Owner: \t\u{a0}team\u{3000} \r\n\r\n";
+    match request(bytes.as_bytes()).unwrap() {
+        Parsed::Complete(request, _) => {
+            assert_eq!(request.header("req-owner"), Some("\u{a0}team\u{3000}"));
+        }
+        Parsed::Partial(_) => panic!("it is complete"),
+    }
+}
+
 #[test]
 fn values_can_not_forge_headers() {
     let bytes = Response::new(200, "text/plain", "x")
