Router: take a response with an unreadable or repeated Attempt-Id for none

Cause: an id that is no text counted as no id, so that such a response was the answer to a request without one, and of two ids the first counted: found by reading, among all that takes a response by an id. Change: both make the response malformed, and its connection is closed. Result: invalid_response_is_malformed, with both added, failed before, and passes.

--- a/fleet/src/router/response_reader.rs
+++ b/fleet/src/router/response_reader.rs
@@ -6,6 +6,7 @@
 
 use super::client_request::ClientRequest;
 use super::header_lines::forwarded_header_lines;
+use super::request_reader::only;
 use super::server_response::{Execution, ResponseHead, ServerLoad};
 use lichenswitch_http::{parse_response_head, BodyDecoder, Framing, Headers};
 use lichenswitch_net::buffer::Buffer;
@@ -161,7 +162,10 @@
         Ok(ResponseHead {
             status: head.status,
             forwarded_lines: forwarded_header_lines(headers, &["content-length"]),
-            attempt_id: headers.text("attempt-id").map(str::to_owned),
+            // One that is no text, or comes twice, names no request.
+            attempt_id: only(headers, "attempt-id")
+                .map_err(|_| MalformedResponse)?
+                .map(str::to_owned),
             is_sealed: headers.get("response-seal").is_some(),
             execution: match headers.get("not-executed") {
                 Some(_) => Execution::Denied,
--- a/fleet/src/router/response_reader/tests.rs
+++ b/fleet/src/router/response_reader/tests.rs
@@ -119,13 +119,16 @@
 
 #[test]
 fn invalid_response_is_malformed() {
-    let none: [&[u8]; 6] = [
+    let none: [&[u8]; 8] = [
         b"garbage\r\n\r\n",
         b"HTTP/1.1 101 Switching\r\n\r\n",
         b"HTTP/1.1 999 What\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        // It can't be told which request it is for; a request without an id would take it.
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: \xff\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: x\r\nAttempt-Id: y\r\nContent-Length: 0\r\n\r\n",
     ];
     for bytes in none {
         assert!(
