Router: resume no stream behind an event id that no header carries

Cause: an event's id goes into Last-Event-Id; one with a space at an end or a control character reaches the next server as another id, or not at all: found by reading. Change: such a stream is not resumed, and ends as one that may not be. Result: stream_is_not_resumed_behind_an_id_that_no_header_carries failed before (a second server was sent the request), and passes.

--- a/fleet/src/router/handlers/relay.rs
+++ b/fleet/src/router/handlers/relay.rs
@@ -11,6 +11,7 @@
 use crate::router::server_response::{BodyChunk, BufferedResponse, ResponseHead, ServerLoad};
 use crate::router::service::RouteRequest;
 use crate::router::state::Router;
+use lichenswitch_configuration::is_header_value;
 use lichenswitch_interface::{Micros, Outcome};
 use lichenswitch_net::ConnId;
 
@@ -157,7 +158,7 @@
             return false;
         };
         let has_time = request.deadline.since(now) >= MIN_RESUME_TIME_US;
-        let Some(last_event_id) = relay.last_event_id.clone() else {
+        let Some(last_event_id) = relay.last_event_id.clone().filter(|id| can_be_sent(id)) else {
             return false;
         };
         if !request.terms.is_resumable || !request.may_start_attempt() || !has_time {
@@ -242,6 +243,12 @@
     }
 }
 
+/// Whether `Last-Event-Id` can carry the id of an event unchanged. A server that is told another id
+/// would continue elsewhere in the stream.
+fn can_be_sent(event_id: &[u8]) -> bool {
+    std::str::from_utf8(event_id).is_ok_and(is_header_value)
+}
+
 /// Whether a response continues behind this event: an event stream whose first id is another one, and
 /// a larger one where both are numbers.
 fn continues_after(last: &[u8], head: &ResponseHead, chunk: &BodyChunk) -> bool {
--- a/fleet/tests/router_streams.rs
+++ b/fleet/tests/router_streams.rs
@@ -203,6 +203,29 @@
     assert!(sent.iter().all(|received| received.id() == "a1"));
 }
 
+/// Guards against ORDER: a stream that is resumed behind another event than the last one, since its id
+/// reaches the next server changed.
+#[test]
+fn stream_is_not_resumed_behind_an_id_that_no_header_carries() {
+    for id in ["3 ", "3\t", "3\u{1}", "\u{7f}"] {
+        let script =
+            move |received: &support::server::ReceivedRequest,
+                  connection: &mut support::server::ServerConnection| {
+                connection.stream_head(received);
+                connection.chunk(&format!("id: {id}\ndata: x\n\n"));
+                NextAction::Close
+            };
+        let servers = [Server::start("i-1", script), Server::start("i-2", script)];
+        let harness = RouterHarness::with_defaults(&[&servers[0], &servers[1]]);
+        let reply = harness
+            .client()
+            .round_trip(request("POST", "resume", "a1", "", "x"));
+        assert!(!reply.complete, "{id:?}");
+        let sends = servers[0].request_count("a1") + servers[1].request_count("a1");
+        assert_eq!(sends, 1, "{id:?}");
+    }
+}
+
 #[test]
 fn non_resumable_stream_is_not_sent_again() {
     let server = Server::start("i-1", |received, connection| {
