Control: take an instance's id out of the encoding of its path

Cause: the id of a heartbeat's path went into Target-Instance as it stood in the path, so that a server i-Šibenik, which calls /instances/i-%C5%A0ibenik/heartbeat, was named i-%C5%A0ibenik and would answer 421 to all requests: found by reading. Change: the segment is percent-decoded; one that is not UTF-8, or that no header carries, gets 400. Ids without a percent sign are as before, in stored tables and messages too.

--- a/fleet/src/control/call_handler.rs
+++ b/fleet/src/control/call_handler.rs
@@ -31,8 +31,12 @@
                 JSON_CONTENT_TYPE,
                 status::node(self, now),
             )),
-            RequestTarget::Heartbeat(instance) => self.on_heartbeat(id, instance, request, now),
-            RequestTarget::Deregister(instance) => self.on_deregister(id, instance, now),
+            RequestTarget::Heartbeat(instance) => self.on_heartbeat(id, &instance, request, now),
+            RequestTarget::Deregister(instance) => self.on_deregister(id, &instance, now),
+            RequestTarget::InvalidInstance => Some(error_response(
+                400,
+                "the instance is no text that a header carries",
+            )),
             RequestTarget::OtherMethod(method) => {
                 Some(error_response(405, "the method is another one").with("allow", method))
             }
--- a/fleet/src/control/request_target.rs
+++ b/fleet/src/control/request_target.rs
@@ -1,6 +1,8 @@
 //! Maps the method and path of a request from a server or an operator to its target.
 
-use lichenswitch_configuration::OrderKind;
+use lichenswitch_configuration::{is_header_value, OrderKind};
+use percent_encoding::percent_decode_str;
+use std::borrow::Cow;
 
 /// The resource or operation that a request addresses.
 #[derive(Debug, PartialEq, Eq)]
@@ -12,9 +14,12 @@
     /// The status of this machine, or of the primary.
     Status,
     /// A heartbeat of the server with this instance name.
-    Heartbeat(&'a str),
+    Heartbeat(Cow<'a, str>),
     /// The deregistration of the server with this instance name.
-    Deregister(&'a str),
+    Deregister(Cow<'a, str>),
+    /// The path names an instance that routers can't name to servers: it is not UTF-8, or no header
+    /// carries it.
+    InvalidInstance,
     /// The path exists, but accepts only this method.
     OtherMethod(&'static str),
     /// The path does not exist.
@@ -41,14 +46,25 @@
         let parts = path
             .strip_prefix("/instances/")
             .and_then(|rest| rest.split_once('/'));
-        match parts {
-            Some((instance, "heartbeat")) if !instance.is_empty() => {
-                RequestTarget::Heartbeat(instance)
-            }
-            Some((instance, "deregister")) if !instance.is_empty() => {
-                RequestTarget::Deregister(instance)
-            }
-            _ => RequestTarget::Unknown,
+        let (segment, target): (_, fn(Cow<'a, str>) -> RequestTarget<'a>) = match parts {
+            Some((segment, "heartbeat")) => (segment, RequestTarget::Heartbeat),
+            Some((segment, "deregister")) => (segment, RequestTarget::Deregister),
+            _ => return RequestTarget::Unknown,
+        };
+        match instance_of(segment) {
+            _ if segment.is_empty() => RequestTarget::Unknown,
+            Some(instance) => target(instance),
+            None => RequestTarget::InvalidInstance,
         }
     }
 }
+
+/// The instance that a segment of a path names, without the encoding of paths. Routers send it to servers
+/// in `Target-Instance`, where that encoding has no meaning.
+fn instance_of(segment: &str) -> Option<Cow<'_, str>> {
+    let instance = percent_decode_str(segment).decode_utf8().ok()?;
+    is_header_value(&instance).then_some(instance)
+}
+
+#[cfg(test)]
+mod tests;
