Router: read heads as long as maxHeaderBytes allows

Cause: a connection buffered 64 KiB of input at the most, and a head stays in that buffer until it is complete. The buffer was full, nothing was read, and reading was resumed all the same, so that the poller reported the connection as readable over and over. Change: a connection whose request has no complete head buffers what its reader needs, maxHeaderBytes; a reader then always gets on, or answers 431. Bytes of incomplete heads count as buffered, like those of bodies, so that a large limit can't take a router's memory.

--- a/fleet/src/router/client_connections/reading.rs
+++ b/fleet/src/router/client_connections/reading.rs
@@ -1,6 +1,6 @@
 //! What clients send: requests, and what arrives while a request waits for its response.
 
-use super::connection::{ClientEvent, ConnectionPhase};
+use super::connection::{ClientConnection, ClientEvent, ConnectionPhase};
 use super::table::ClientConnections;
 use crate::router::client_request::ClientRequest;
 use crate::router::local_response::LocalResponse;
@@ -8,7 +8,8 @@
 use crate::router::request_reader::{RequestProgress, RequestReader};
 use lichenswitch_net::{ConnId, TransferProgress};
 
-/// Bytes read ahead of a client at a time: a body moves into its request as it comes.
+/// Bytes read ahead of a client at a time: a body moves into its request as it comes. A head, which
+/// stays in the input until it is complete, may be longer.
 const READ_AHEAD_BYTES: usize = 64 * 1_024;
 
 /// Bytes kept of what a client sends while its request waits. The end of the connection could not be
@@ -18,10 +19,11 @@
 impl ClientConnections {
     /// Handles a connection that can be read or written.
     pub(crate) fn on_ready(&mut self, net: &mut Net, id: ConnId, events: &mut Vec<ClientEvent>) {
-        let Some(phase) = self.connections.get(&id).map(|connection| connection.phase) else {
+        let Some(connection) = self.connections.get(&id) else {
             return net.close(id);
         };
-        let progress = net.transfer(id, READ_AHEAD_BYTES);
+        let phase = connection.phase;
+        let progress = net.transfer(id, read_ahead_bytes(connection));
         if progress != TransferProgress::Alive || net.get(id).is_none_or(|conn| conn.ended) {
             return self.disconnect(net, id, events);
         }
@@ -86,10 +88,10 @@
             (connection.is_receiving, connection.phase_started_at) = (true, now);
             connection.reader = RequestReader::new(&self.limits);
         }
-        let buffered_before = connection.reader.buffered_body_bytes();
+        let buffered_before = connection.reader.buffered_bytes();
         let progress = connection.reader.read(&mut conn.input);
         self.incomplete_bytes =
-            self.incomplete_bytes + connection.reader.buffered_body_bytes() - buffered_before;
+            self.incomplete_bytes + connection.reader.buffered_bytes() - buffered_before;
         match progress {
             Ok(RequestProgress::Incomplete { expects_continue }) => {
                 self.on_request_incomplete(net, id, expects_continue, events)
@@ -137,7 +139,7 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        self.incomplete_bytes -= connection.reader.buffered_body_bytes();
+        self.incomplete_bytes -= connection.reader.buffered_bytes();
         connection.reader = RequestReader::new(&self.limits);
         connection.is_receiving = false;
         connection.phase = ConnectionPhase::AwaitingResponse;
@@ -194,3 +196,15 @@
         net.flush(id, false);
     }
 }
+
+/// The most bytes of input that a connection buffers. Never less than its reader needs: the poller would
+/// report the connection as readable over and over while nothing can be read from it.
+fn read_ahead_bytes(connection: &ClientConnection) -> usize {
+    match connection.phase {
+        ConnectionPhase::Reading => READ_AHEAD_BYTES.max(connection.reader.max_input_bytes()),
+        ConnectionPhase::AwaitingResponse
+        | ConnectionPhase::Responding { .. }
+        | ConnectionPhase::Closing
+        | ConnectionPhase::Lingering => READ_AHEAD_BYTES,
+    }
+}
--- a/fleet/src/router/client_connections/table.rs
+++ b/fleet/src/router/client_connections/table.rs
@@ -130,7 +130,7 @@
     /// Closes a connection and forgets what was buffered on it.
     pub(super) fn close(&mut self, net: &mut Net, id: ConnId) {
         if let Some(connection) = self.connections.remove(&id) {
-            self.incomplete_bytes -= connection.reader.buffered_body_bytes();
+            self.incomplete_bytes -= connection.reader.buffered_bytes();
         }
         net.close(id);
     }
--- a/fleet/src/router/client_connections/writing.rs
+++ b/fleet/src/router/client_connections/writing.rs
@@ -172,7 +172,7 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        self.incomplete_bytes -= connection.reader.buffered_body_bytes();
+        self.incomplete_bytes -= connection.reader.buffered_bytes();
         connection.reader = RequestReader::new(&self.limits);
         (connection.is_receiving, connection.phase_started_at) = (false, now);
         if connection.closes_after_response {
--- a/fleet/src/router/request_reader.rs
+++ b/fleet/src/router/request_reader.rs
@@ -47,6 +47,8 @@
     max_header_bytes: usize,
     max_body_bytes: usize,
     request: Option<(Box<ClientRequest>, BodyDecoder)>,
+    /// Bytes of an incomplete head, which stay in the connection's input.
+    incomplete_head_bytes: usize,
     expects_continue: bool,
 }
 
@@ -58,6 +60,7 @@
             max_header_bytes: usize::try_from(limits.max_header_bytes).unwrap_or(usize::MAX),
             max_body_bytes: usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX),
             request: None,
+            incomplete_head_bytes: 0,
             expects_continue: false,
         }
     }
@@ -68,9 +71,23 @@
         self.request.is_some()
     }
 
-    /// Bytes of the body that are buffered.
+    /// The most bytes of a connection's input that it may need at once: a head is read only when it
+    /// is complete.
     #[must_use]
-    pub(crate) fn buffered_body_bytes(&self) -> usize {
+    pub(crate) fn max_input_bytes(&self) -> usize {
+        match self.request {
+            None => self.max_header_bytes,
+            Some(_) => 0,
+        }
+    }
+
+    /// Bytes that are buffered of the request: its incomplete head, or what has come of its body.
+    #[must_use]
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.incomplete_head_bytes + self.buffered_body_bytes()
+    }
+
+    fn buffered_body_bytes(&self) -> usize {
         self.request
             .as_ref()
             .map_or(0, |(request, _)| request.body.len())
@@ -82,6 +99,7 @@
     /// What comes is no valid request, or exceeds the limits.
     pub(crate) fn read(&mut self, input: &mut Buffer) -> Result<RequestProgress, MalformedMessage> {
         if self.request.is_none() && !self.read_head(input)? {
+            self.incomplete_head_bytes = input.bytes().len();
             return Ok(RequestProgress::Incomplete {
                 expects_continue: false,
             });
@@ -116,6 +134,7 @@
         let decoder = BodyDecoder::new(head.framing, self.max_body_bytes as u64)?;
         self.expects_continue = head.expects_continue;
         self.request = Some((Box::new(request_of(head)?), decoder));
+        self.incomplete_head_bytes = 0;
         input.consume(used);
         Ok(true)
     }
--- a/fleet/src/router/request_reader/tests.rs
+++ b/fleet/src/router/request_reader/tests.rs
@@ -149,3 +149,23 @@
     ));
     assert_eq!(input.bytes(), b"GET /next");
 }
+
+#[test]
+fn incomplete_heads_and_bodies_count_as_buffered() {
+    let mut reader = RequestReader::new(&Limits::default());
+    let mut input = Buffer::default();
+    let head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
+    input.push(&head[..20]);
+    assert!(reader.read(&mut input).is_ok());
+    assert_eq!(
+        (reader.buffered_bytes(), reader.max_input_bytes()),
+        (20, 16_384)
+    );
+    input.push(&head[20..]);
+    input.push(b"ab");
+    assert!(reader.read(&mut input).is_ok());
+    assert_eq!((reader.buffered_bytes(), reader.max_input_bytes()), (2, 0));
+    input.push(b"cd");
+    assert!(reader.read(&mut input).is_ok());
+    assert_eq!(reader.buffered_bytes(), 0);
+}
--- a/fleet/tests/router_clients.rs
+++ b/fleet/tests/router_clients.rs
@@ -269,6 +269,40 @@
     assert!(server.received().is_empty());
 }
 
+/// Guards against CONFIG: heads within `maxHeaderBytes` that are never read to their end, while the router
+/// is busy with nothing else.
+#[test]
+fn head_within_the_limit_is_read_however_long_it_is() {
+    let server = echo("i-1");
+    let harness = RouterHarness::with_defaults(&[&server]);
+    // The head of a connection that was opened before the change may be as long, too.
+    let mut earlier = harness.client();
+    let document = document(2, 3_000, 1_000, 2);
+    let with_limit = |limit: u64| {
+        document.replace(
+            "\"maxHeaderBytes\":16384",
+            &format!("\"maxHeaderBytes\":{limit}"),
+        )
+    };
+    harness.control.push_configuration(2, &with_limit(200_000));
+    harness.control.wait_until_acknowledged();
+    let head = |id: &str, bytes: usize| {
+        format!(
+            "GET /safe/item HTTP/1.1\r\nHost: fleet.example\r\nAttempt-Id: {id}\r\nX-Long: {}\r\n\r\n",
+            "x".repeat(bytes)
+        )
+    };
+    assert_eq!(earlier.round_trip(head("a1", 150_000)).status, 200);
+    let mut client = harness.client();
+    let (begin, end) = (head("a2", 190_000), head("a3", 70_000));
+    client.send(&begin[..100_000]);
+    std::thread::sleep(Duration::from_millis(50));
+    client.send(&begin[100_000..]);
+    assert_eq!(client.reply().status, 200);
+    assert_eq!(client.round_trip(end).status, 200);
+    assert_eq!(client.round_trip(head("a4", 200_000)).status, 431);
+}
+
 #[test]
 fn incomplete_head_times_out() {
     let harness = RouterHarness::with_defaults(&[]);
