Name the fields of the phases' reasons and prospects by what they are

Need: names that a reader has to look up (`have`, `took`, `left`, `out`, `Prospect::now`, `Verdict::Doubt`), left over from the wording of decide/phases. Change: answered_weight, elapsed, remaining, in_flight_for, value_now, value_of_waiting, MarkIncomplete; texts of the log and keys of the configuration stay. Result: the tests of decide/phases and core pass (46); no behaviour changes.

--- a/core/src/phases.rs
+++ b/core/src/phases.rs
@@ -78,7 +78,7 @@
                     }
                     (id, reason, self.logs_reasons)
                 }
-                Verdict::Doubt { query: id, reason } => {
+                Verdict::MarkIncomplete { query: id, reason } => {
                     self.queries.entry(id).and_modify(|q| q.is_doubtful = true);
                     (id, reason, true)
                 }
--- a/decide/phases/src/budget.rs
+++ b/decide/phases/src/budget.rs
@@ -17,7 +17,7 @@
     /// Its share of the answer (0 to 1).
     pub weight: f64,
     /// Time since its last attempt was sent (microseconds), or `None` if no attempt is in flight.
-    pub out: Option<Micros>,
+    pub in_flight_for: Option<Micros>,
     /// Number of parts pending at the server when the attempt was sent.
     pub pending: f64,
 }
@@ -36,9 +36,9 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Prospect {
     /// Expected value if the first phase ends now.
-    pub now: f64,
+    pub value_now: f64,
     /// Expected value of the best wait, or 0 if no wait is possible.
-    pub waiting: f64,
+    pub value_of_waiting: f64,
     /// Length of the best wait (microseconds).
     pub wait: Micros,
 }
@@ -135,16 +135,17 @@
     let left = target_at.since(now);
     let second = second_phase_value(rules, latencies, now, left);
     let mut best = Prospect {
-        now: first_phase_value(rules, answered_weight) * second,
-        waiting: 0.0,
+        value_now: first_phase_value(rules, answered_weight) * second,
+        value_of_waiting: 0.0,
         wait: 0,
     };
     let Some(longest) = LongestInFlight::of(missing) else {
         return best;
     };
-    let ended_by_now = latencies
-        .first
-        .probability_within(now, longest.out, longest.pending);
+    let ended_by_now =
+        latencies
+            .first
+            .probability_within(now, longest.in_flight_for, longest.pending);
     for probability in WAITING_PROBABILITIES {
         let wait = longest.wait(latencies, now, ended_by_now, probability);
         if wait >= left {
@@ -153,8 +154,8 @@
         let first = first_phase_value_after(rules, latencies, now, wait, answered_weight, missing);
         let second = second_phase_value(rules, latencies, now.plus(wait), left - wait);
         let value = first * second;
-        if value > best.waiting {
-            (best.waiting, best.wait) = (value, wait);
+        if value > best.value_of_waiting {
+            (best.value_of_waiting, best.wait) = (value, wait);
         }
     }
     best
@@ -162,7 +163,7 @@
 
 /// The missing part that has been in flight longest. Waits are chosen for this part.
 struct LongestInFlight {
-    out: Micros,
+    in_flight_for: Micros,
     pending: f64,
 }
 
@@ -172,11 +173,11 @@
             .iter()
             .filter_map(|part| {
                 Some(LongestInFlight {
-                    out: part.out?,
+                    in_flight_for: part.in_flight_for?,
                     pending: part.pending,
                 })
             })
-            .max_by(|one, other| one.out.cmp(&other.out))
+            .max_by(|one, other| one.in_flight_for.cmp(&other.in_flight_for))
     }
 
     /// Returns the wait after which the part has arrived with this probability, given that it has
@@ -191,9 +192,9 @@
     ) -> Micros {
         let quantile = ended_by_now + (1.0 - ended_by_now) * probability;
         let until = latencies.first.quantile(now, quantile, self.pending);
-        let min_wait_for_elapsed = (self.out as f64 * probability) as Micros;
+        let min_wait_for_elapsed = (self.in_flight_for as f64 * probability) as Micros;
         until
-            .saturating_sub(self.out)
+            .saturating_sub(self.in_flight_for)
             .max(min_wait_for_elapsed)
             .max(MIN_WAIT)
     }
@@ -210,10 +211,10 @@
 ) -> f64 {
     let (mut all, mut expected_weight) = (1.0, answered_weight);
     for part in missing {
-        let probability = part.out.map_or(0.0, |out| {
+        let probability = part.in_flight_for.map_or(0.0, |in_flight_for| {
             latencies
                 .first
-                .probability_within_after(now, out, wait, part.pending)
+                .probability_within_after(now, in_flight_for, wait, part.pending)
         });
         all *= probability;
         expected_weight += part.weight * probability;
--- a/decide/phases/src/budget/tests.rs
+++ b/decide/phases/src/budget/tests.rs
@@ -151,7 +151,7 @@
     let mut latencies = latencies();
     let missing = [MissingPart {
         weight: 0.1,
-        out: Some(120 * MS),
+        in_flight_for: Some(120 * MS),
         pending: 0.0,
     }];
     let early = prospect(
@@ -162,7 +162,7 @@
         0.9,
         &missing,
     );
-    assert!(early.waiting > early.now, "{early:?}");
+    assert!(early.value_of_waiting > early.value_now, "{early:?}");
     let late = prospect(
         &rules(),
         &mut latencies,
@@ -171,12 +171,12 @@
         0.9,
         &missing,
     );
-    assert!(late.now > late.waiting, "{late:?}");
+    assert!(late.value_now > late.value_of_waiting, "{late:?}");
     // The part has been in flight longer than any sample. It may be lost, and little time is left
     // to wait for it.
     let lost = [MissingPart {
         weight: 0.1,
-        out: Some(900 * MS),
+        in_flight_for: Some(900 * MS),
         pending: 0.0,
     }];
     let soon = prospect(
@@ -187,7 +187,7 @@
         0.9,
         &lost,
     );
-    assert!(soon.now >= soon.waiting, "{soon:?}");
+    assert!(soon.value_now >= soon.value_of_waiting, "{soon:?}");
     let ample = prospect(
         &rules(),
         &mut latencies,
@@ -196,7 +196,7 @@
         0.9,
         &lost,
     );
-    assert!(ample.waiting > ample.now, "{ample:?}");
+    assert!(ample.value_of_waiting > ample.value_now, "{ample:?}");
     let none = prospect(
         &rules(),
         &mut latencies,
@@ -205,5 +205,5 @@
         0.9,
         &[],
     );
-    assert_eq!((none.waiting, none.wait), (0.0, 0));
+    assert_eq!((none.value_of_waiting, none.wait), (0.0, 0));
 }
--- a/decide/phases/src/planner.rs
+++ b/decide/phases/src/planner.rs
@@ -194,7 +194,7 @@
         return None;
     }
     query.top_k = None;
-    Some(Verdict::Doubt {
+    Some(Verdict::MarkIncomplete {
         query: part.query,
         reason: Reason::WrongBound { slice: part.slice },
     })
--- a/decide/phases/src/planner/first_phase.rs
+++ b/decide/phases/src/planner/first_phase.rs
@@ -48,22 +48,32 @@
         limit: Time,
     ) -> Option<Reason> {
         let query = self.queries.get(&id)?;
-        let have = query.answered_weight;
+        let answered_weight = query.answered_weight;
         if now >= limit {
-            let took = query.age(now);
-            return Some(Reason::FirstPhaseShareUsed { took, have });
+            let elapsed = query.age(now);
+            return Some(Reason::FirstPhaseShareUsed {
+                elapsed,
+                answered_weight,
+            });
         }
         let latencies = self.latencies.get_mut(query.class)?;
         if !latencies.first.has_enough_samples() {
             return None;
         }
         let missing = query.missing_parts(now);
-        let prospect = budget::prospect(rules, latencies, now, query.target_at, have, &missing);
-        let closes = prospect.now + WAITING_MARGIN >= prospect.waiting;
+        let prospect = budget::prospect(
+            rules,
+            latencies,
+            now,
+            query.target_at,
+            answered_weight,
+            &missing,
+        );
+        let closes = prospect.value_now + WAITING_MARGIN >= prospect.value_of_waiting;
         closes.then_some(Reason::WaitingNotWorthwhile {
-            have,
-            now: prospect.now,
-            waiting: prospect.waiting,
+            answered_weight,
+            now: prospect.value_now,
+            waiting: prospect.value_of_waiting,
         })
     }
 }
--- a/decide/phases/src/planner/second_phase.rs
+++ b/decide/phases/src/planner/second_phase.rs
@@ -113,7 +113,7 @@
         sent: fitted.slices.len(),
         wanted: size.wanted,
         unneeded: size.unneeded,
-        left,
+        remaining: left,
         weakest: fitted.weakest,
     };
     let too_little = give_up.then_some(Reason::TooLittle {
--- a/decide/phases/src/planner/tests.rs
+++ b/decide/phases/src/planner/tests.rs
@@ -126,12 +126,17 @@
     }
     let [Verdict::Close {
         query: QUERY,
-        reason: Reason::WaitingNotWorthwhile { now, waiting, have },
+        reason:
+            Reason::WaitingNotWorthwhile {
+                now,
+                waiting,
+                answered_weight,
+            },
     }] = closed[..]
     else {
         panic!("{closed:?}")
     };
-    assert!(now + WAITING_MARGIN >= waiting && (have - 0.9).abs() < 1e-9);
+    assert!(now + WAITING_MARGIN >= waiting && (answered_weight - 0.9).abs() < 1e-9);
     assert_eq!(quick.next_wake(), None, "closed once");
 }
 
@@ -177,7 +182,10 @@
             verdicts[..],
             [Verdict::Close {
                 query: QUERY,
-                reason: Reason::FirstPhaseShareUsed { took: 900_000, .. }
+                reason: Reason::FirstPhaseShareUsed {
+                    elapsed: 900_000,
+                    ..
+                }
             }]
         ),
         "{verdicts:?}"
@@ -324,7 +332,7 @@
     let verdicts = planner.on_response(now, part(0, Phase::Second), timing(MS), Some(returned));
     assert_eq!(
         verdicts,
-        [Verdict::Doubt {
+        [Verdict::MarkIncomplete {
             query: QUERY,
             reason: Reason::WrongBound { slice: 0 }
         }],
@@ -359,7 +367,7 @@
 #[test]
 fn reasons_include_their_figures() {
     let why = Reason::WaitingNotWorthwhile {
-        have: 0.9,
+        answered_weight: 0.9,
         now: 0.5,
         waiting: 0.25,
     };
--- a/decide/phases/src/query.rs
+++ b/decide/phases/src/query.rs
@@ -156,7 +156,7 @@
             .filter(|part| !part.is_answered)
             .map(|part| MissingPart {
                 weight: part.weight,
-                out: part.in_flight.map(|attempt| now.since(attempt.sent_at)),
+                in_flight_for: part.in_flight.map(|attempt| now.since(attempt.sent_at)),
                 pending: part.in_flight.map_or(0.0, |attempt| attempt.pending),
             })
             .collect()
--- a/decide/phases/src/verdict.rs
+++ b/decide/phases/src/verdict.rs
@@ -11,14 +11,14 @@
     /// The first phase has used its maximum share of the latency target.
     FirstPhaseShareUsed {
         /// Time since the query arrived (microseconds).
-        took: Micros,
+        elapsed: Micros,
         /// Answered weight (0 to 1).
-        have: f64,
+        answered_weight: f64,
     },
     /// Waiting for the missing parts costs the second phase more than it gains.
     WaitingNotWorthwhile {
         /// Answered weight (0 to 1).
-        have: f64,
+        answered_weight: f64,
         /// Expected value of continuing now, as a share of a complete answer in time.
         now: f64,
         /// Expected value of the best wait, as a share of a complete answer in time.
@@ -33,7 +33,7 @@
         /// Number of slices whose bounds prove that they can't change the answer.
         unneeded: usize,
         /// Time left until the latency target (microseconds).
-        left: Micros,
+        remaining: Micros,
         /// Probability that the least likely part ends in time (0 to 1).
         weakest: f64,
     },
@@ -62,18 +62,18 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let ms = |t: &Micros| *t as f64 / 1e3;
         match self {
-            Reason::FirstPhaseShareUsed { took, have } => {
-                write!(f, "first phase closed with {have:.3} in: it has used its share of the latency target, {:.0} ms", ms(took))
+            Reason::FirstPhaseShareUsed { elapsed, answered_weight } => {
+                write!(f, "first phase closed with {answered_weight:.3} in: it has used its share of the latency target, {:.0} ms", ms(elapsed))
             }
-            Reason::WaitingNotWorthwhile { have, now, waiting } => write!(
+            Reason::WaitingNotWorthwhile { answered_weight, now, waiting } => write!(
                 f,
-                "first phase closed with {have:.3} in: expected worth {now:.3} now, {waiting:.3} with waiting"
+                "first phase closed with {answered_weight:.3} in: expected worth {now:.3} now, {waiting:.3} with waiting"
             ),
-            Reason::Fits { sent, wanted, unneeded, left, weakest } => write!(
+            Reason::Fits { sent, wanted, unneeded, remaining, weakest } => write!(
                 f,
                 "second phase of {sent} parts of {wanted}, {unneeded} proved unneeded: {:.0} ms left, the least likely \
                  part ends in them with {weakest:.2}",
-                ms(left)
+                ms(remaining)
             ),
             Reason::Bound { slice, k } => write!(f, "slice {slice} can't change the first {k}"),
             Reason::WrongBound { slice } => write!(f, "slice {slice} returned keys that contradict its bound"),
@@ -104,7 +104,7 @@
         reason: Reason,
     },
     /// The answer may no longer be reported as complete.
-    Doubt {
+    MarkIncomplete {
         /// Id of the query.
         query: QueryId,
         /// Reason for the decision, for the log.
