Router: digest an Attempt-Id once for all idle connections

Need: the digest of a request's id was computed for each idle connection of a server. Change: once for each attempt. Result: the router's unit tests and the five tests of repeated responses pass; no behaviour changes.

--- a/fleet/src/router/server_connections/pool.rs
+++ b/fleet/src/router/server_connections/pool.rs
@@ -26,6 +26,7 @@
     /// carried its request before, so that others fall out of use.
     pub(super) fn idle_connection(&mut self, net: &mut Net, attempt: &Attempt) -> Option<ConnId> {
         let now = net.clock.now();
+        let digest = self.id_digester.digest(&attempt.request);
         let known = self.by_server.get(&attempt.server)?;
         let idle = known.iter().filter_map(|id| match self.state(*id)? {
             ConnectionState::Idle {
@@ -35,7 +36,7 @@
             ConnectionState::Opening(_) | ConnectionState::Busy(_) => None,
         });
         let (since, usable_until, id) = idle
-            .filter(|(.., id)| !self.has_carried(*id, attempt))
+            .filter(|(.., id)| !self.has_carried(*id, digest))
             .max_by_key(|(since, ..)| *since)?;
         let limit = if attempt.is_idempotent {
             usable_until
@@ -106,7 +107,8 @@
         self.queued
             .get(&server)
             .and_then(|queue| queue.front())
-            .is_some_and(|next| self.has_carried(id, next))
+            .map(|next| self.id_digester.digest(&next.request))
+            .is_some_and(|digest| self.has_carried(id, digest))
     }
 
     /// Takes the next attempt that waits for a connection to this server.
--- a/fleet/src/router/server_connections/table.rs
+++ b/fleet/src/router/server_connections/table.rs
@@ -2,7 +2,7 @@
 //! for one.
 
 use super::attempt::{Attempt, ServerEvent};
-use super::carried_ids::{CarriedIds, IdDigester};
+use super::carried_ids::{CarriedIds, IdDigest, IdDigester};
 use super::in_flight::InFlightRequest;
 use crate::router::ids::AttemptId;
 use crate::router::reactor::{Net, Timer};
@@ -69,10 +69,9 @@
             .map(|connection| &connection.state)
     }
 
-    /// Whether a connection has carried the request of an attempt: a response on it may be an extra
-    /// one to the earlier send.
-    pub(super) fn has_carried(&self, id: ConnId, attempt: &Attempt) -> bool {
-        let digest = self.id_digester.digest(&attempt.request);
+    /// Whether a connection has carried a request with this id: a response on it may be an extra one
+    /// to the earlier send.
+    pub(super) fn has_carried(&self, id: ConnId, digest: IdDigest) -> bool {
         self.connections
             .get(&id)
             .is_some_and(|connection| connection.carried_ids.contains(digest))
