--- a/fleet/tests/control_support/mod.rs
+++ b/fleet/tests/control_support/mod.rs
@@ -67,8 +67,11 @@
     /// Machines that are not started yet, one for each entry of `disks`.
     pub fn of(name: &str, disks: &[bool]) -> ControlFleet {
         let (net, claim) = claim_net();
-        let folder =
-            std::env::temp_dir().join(format!("lichenswitch-fleet-{name}-{}", std::process::id()));
+        // Two tests of one process may choose the same name; the network is each one's own.
+        let folder = std::env::temp_dir().join(format!(
+            "lichenswitch-fleet-{name}-{}-{net}",
+            std::process::id()
+        ));
         let _ = fs::remove_dir_all(&folder);
         let ips: Vec<String> = (1..=disks.len())
             .map(|n| format!("127.{}.{}.{n}", 1 + net / 250, 1 + net % 250))
